runtime: supervisor tree, tasks and mailboxes

Every program needs the same frame: tasks that own their sockets and state, bounded mailboxes of typed messages, and supervisors that restart failed tasks within a restart intensity and stop children in order. Enumerations carry tables of names that are checked at compile time.

--- /dev/null
+++ b/source/core/common/time.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+namespace jujubemast::common {
+
+using monotonic_clock = std::chrono::steady_clock;
+using time_point = monotonic_clock::time_point;
+using duration = monotonic_clock::duration;
+
+/// Source of the current monotonic time, replaceable in tests.
+using clock_hook = std::function<time_point()>;
+
+/// Returns the hook that reads the system's monotonic clock.
+inline clock_hook system_clock_hook() {
+    return [] { return monotonic_clock::now(); };
+}
+
+/// Returns the time since the clock's epoch in microseconds, as sent between processes.
+inline std::int64_t to_microseconds(time_point time) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
+}
+
+/// Returns the time point for a count of microseconds since the clock's epoch.
+inline time_point from_microseconds(std::int64_t microseconds) {
+    return time_point{std::chrono::microseconds{microseconds}};
+}
+
+/// Returns the duration in milliseconds with fractions, for reports and logs.
+inline double to_milliseconds(duration value) {
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+} // namespace jujubemast::common
--- /dev/null
+++ b/source/core/logging/logger.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace jujubemast::logging {
+
+/// A named value of a log line, printed as key=value.
+struct field {
+    std::string_view key;
+    std::string value;
+};
+
+using fields = std::initializer_list<field>;
+
+/// Writes the log lines of one part; every line starts with the part's name.
+class logger {
+public:
+    explicit logger(std::string_view part);
+    ~logger();
+    logger(const logger& other);
+    logger& operator=(const logger& other);
+
+    void debug(std::string_view sentence, fields values = {}) const;
+    void info(std::string_view sentence, fields values = {}) const;
+    void warn(std::string_view sentence, fields values = {}) const;
+    void error(std::string_view sentence, fields values = {}) const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+/// Sets up logging to standard error at this level (debug, info, warn or error). Throws
+/// `common::settings_error` for an unknown level.
+void initialize(std::string_view level);
+
+} // namespace jujubemast::logging
--- /dev/null
+++ b/source/core/runtime/process.cpp
@@ -0,0 +1,62 @@
+#include "runtime/process.h"
+
+#include <csignal>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+
+#include "common/error.h"
+#include "logging/logger.h"
+
+namespace jujubemast::runtime {
+
+int run_process(const std::string& name, const tree_builder& build) {
+    const logging::logger log{"process"};
+    boost::asio::io_context context{1};
+    const executor loop{context};
+    int result = static_cast<int>(exit_code::success);
+
+    auto life = std::make_shared<task_life>();
+    life->path = name;
+    life->on_failure = [&](const std::exception_ptr& reason) {
+        try {
+            std::rethrow_exception(reason);
+        } catch (const std::exception& e) {
+            log.error("Process failed.", {{"reason", e.what()}});
+        }
+        result = static_cast<int>(exit_code::failure);
+        context.stop();
+    };
+
+    std::shared_ptr<supervisor> root;
+    const auto stop = [&](int code) {
+        result = code;
+        root->stop([&context] { context.stop(); });
+    };
+    auto children = build(loop, {[&root] { return root->dump(); }, stop});
+    root = std::make_shared<supervisor>(
+        task_context{loop, life}, supervisor_options{.strategy = restart_strategy::rest_for_one},
+        std::move(children));
+    life->instance = root;
+
+    boost::asio::signal_set signals{context, SIGTERM, SIGINT};
+    signals.async_wait([&](const boost::system::error_code& ec, int signal) {
+        if (!ec) {
+            log.info("Stopping on signal.", {{"signal", std::to_string(signal)}});
+            stop(static_cast<int>(exit_code::success));
+        }
+    });
+
+    root->start();
+    log.info("Process started.", {{"name", name}});
+    context.run();
+    life->running = false;
+    root->close();
+    log.info("Process ended.", {{"code", std::to_string(result)}});
+    return result;
+}
+
+} // namespace jujubemast::runtime
--- /dev/null
+++ b/source/core/runtime/process.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "runtime/executor.h"
+#include "runtime/supervisor.h"
+
+namespace jujubemast::runtime {
+
+/// Exit codes of the programs.
+enum class exit_code { success = 0, usage = 2, failure = 70 };
+
+/// Gives the state dump of the whole process.
+using dump_hook = std::function<boost::json::value()>;
+
+/// What the tasks of a process may ask of the process itself.
+struct process_hooks {
+    dump_hook dump;
+    /// Stops the supervisor tree in order and ends the process with this code.
+    std::function<void(int code)> exit;
+};
+
+/// Builds the children of the root supervisor. When one fails, it and those after it are restarted.
+using tree_builder = std::function<std::vector<child_spec>(const executor&, const process_hooks&)>;
+
+/// Runs a process until SIGTERM, SIGINT or a task has stopped its supervisor tree in order, or
+/// until the root supervisor fails. Returns the exit code of the program.
+int run_process(const std::string& name, const tree_builder& build);
+
+} // namespace jujubemast::runtime
--- /dev/null
+++ b/source/core/runtime/supervisor.cpp
@@ -0,0 +1,264 @@
+#include "runtime/supervisor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "common/error.h"
+
+namespace jujubemast::runtime {
+
+namespace {
+
+std::string describe(const std::exception_ptr& reason) {
+    try {
+        std::rethrow_exception(reason);
+    } catch (const std::exception& e) {
+        return e.what();
+    } catch (...) {
+        return "unknown exception";
+    }
+}
+
+} // namespace
+
+supervisor::supervisor(task_context context, supervisor_options options,
+                       std::vector<child_spec> children)
+    : m_context{std::move(context)}, m_options{std::move(options)}, m_window{m_options.intensity},
+      m_initial{std::move(children)} {}
+
+void supervisor::start() {
+    for (auto& spec : m_initial) {
+        add_child(std::move(spec));
+    }
+    m_initial.clear();
+}
+
+bool supervisor::add_child(child_spec spec) {
+    if (m_stopping) {
+        return false;
+    }
+    auto& added = m_children.emplace_back();
+    added.id = m_next_id++;
+    added.spec = std::move(spec);
+    launch(added);
+    return true;
+}
+
+void supervisor::launch(child& target) {
+    auto life = std::make_shared<task_life>();
+    life->path = m_context.path() + "/" + target.spec.name;
+    // The reports are posted, because they end in the destruction of the task that makes them.
+    const auto id = target.id;
+    const std::weak_ptr<task_life> weak = life;
+    life->on_failure = [this, id, weak](std::exception_ptr reason) {
+        m_context.loop().post(m_context.wrap([this, id, weak, reason = std::move(reason)] {
+            child_failed(id, weak.lock(), reason);
+        }));
+    };
+    life->on_finish = [this, id, weak] {
+        m_context.loop().post(
+            m_context.wrap([this, id, weak] { child_finished(id, weak.lock()); }));
+    };
+    target.life = life;
+    target.state = child_state::running;
+    try {
+        target.instance = target.spec.make(task_context{m_context.loop(), life});
+        life->instance = target.instance;
+        target.instance->start();
+    } catch (...) {
+        life->on_failure(std::current_exception());
+    }
+}
+
+void supervisor::child_failed(std::uint64_t id, const std::shared_ptr<task_life>& life,
+                              const std::exception_ptr& reason) {
+    auto* failed = find(id);
+    if (failed == nullptr || failed->life != life || failed->state == child_state::ended) {
+        return;
+    }
+    const auto text = describe(reason);
+    m_log.error("Task failed.", {{"task", life->path}, {"reason", text}});
+    const bool was_stopping = failed->state == child_state::stopping;
+    end(*failed);
+    if (was_stopping) {
+        child_stopped(id);
+        return;
+    }
+    if (failed->spec.restart == restart_policy::temporary || m_stopping) {
+        remove(id);
+        return;
+    }
+    if (!m_window.record(m_options.clock())) {
+        give_up(*failed, text);
+        return;
+    }
+    restart_after_failure(*failed);
+}
+
+void supervisor::restart_after_failure(child& failed) {
+    switch (m_options.strategy) {
+    case restart_strategy::one_for_one:
+        ++failed.restarts;
+        launch(failed);
+        return;
+    case restart_strategy::rest_for_one:
+    case restart_strategy::one_for_all:
+        break;
+    }
+    const auto position = std::find_if(m_children.begin(), m_children.end(),
+                                       [&](const child& it) { return it.id == failed.id; });
+    const auto first =
+        m_options.strategy == restart_strategy::one_for_all ? m_children.begin() : position;
+    for (auto it = m_children.end(); it != first;) {
+        end(*--it);
+    }
+    for (auto it = first; it != m_children.end(); ++it) {
+        ++it->restarts;
+        launch(*it);
+    }
+}
+
+void supervisor::give_up(const child& failed, const std::string& reason) {
+    const auto message = "restart intensity exceeded at " + failed.life->path + ": " + reason;
+    for (auto it = m_children.rbegin(); it != m_children.rend(); ++it) {
+        end(*it);
+    }
+    m_context.fail(std::make_exception_ptr(common::error{message}));
+}
+
+void supervisor::child_finished(std::uint64_t id, const std::shared_ptr<task_life>& life) {
+    auto* finished = find(id);
+    if (finished == nullptr || finished->life != life || finished->state == child_state::ended) {
+        return;
+    }
+    const bool was_stopping = finished->state == child_state::stopping;
+    end(*finished);
+    if (was_stopping) {
+        child_stopped(id);
+        return;
+    }
+    if (finished->spec.restart == restart_policy::permanent && !m_stopping) {
+        ++finished->restarts;
+        launch(*finished);
+        return;
+    }
+    remove(id);
+}
+
+void supervisor::stop(const stop_done& done) {
+    m_stopping = true;
+    m_done = done;
+    switch (m_options.order) {
+    case stop_order::reverse:
+        break;
+    case stop_order::together:
+        for (auto& it : m_children) {
+            stop_child(it);
+        }
+        break;
+    }
+    stop_next();
+}
+
+void supervisor::stop_next() {
+    while (!m_children.empty() && m_children.back().state == child_state::ended) {
+        m_children.pop_back();
+    }
+    if (m_children.empty()) {
+        if (auto done = std::exchange(m_done, nullptr)) {
+            done();
+        }
+        return;
+    }
+    if (m_children.back().state == child_state::running) {
+        stop_child(m_children.back());
+    }
+}
+
+void supervisor::stop_child(child& target) {
+    if (target.state != child_state::running) {
+        return;
+    }
+    target.state = child_state::stopping;
+    const auto id = target.id;
+    target.stop_timer = std::make_unique<timer>(m_context.loop());
+    target.stop_timer->start(target.spec.stop_limit, m_context.wrap([this, id] {
+        m_log.warn("Stop limit reached; closing the task.", {{"task", find(id)->life->path}});
+        child_stopped(id);
+    }));
+    try {
+        target.instance->stop([this, id] {
+            m_context.loop().post(m_context.wrap([this, id] { child_stopped(id); }));
+        });
+    } catch (...) {
+        target.life->on_failure(std::current_exception());
+    }
+}
+
+void supervisor::child_stopped(std::uint64_t id) {
+    if (find(id) == nullptr) {
+        return;
+    }
+    remove(id);
+    if (m_stopping) {
+        stop_next();
+    }
+}
+
+void supervisor::close() noexcept {
+    for (auto it = m_children.rbegin(); it != m_children.rend(); ++it) {
+        end(*it);
+    }
+    m_children.clear();
+}
+
+void supervisor::end(child& target) noexcept {
+    if (target.state == child_state::ended) {
+        return;
+    }
+    target.state = child_state::ended;
+    target.stop_timer.reset();
+    target.life->running = false;
+    if (target.instance) {
+        target.instance->close();
+        target.instance.reset();
+    }
+}
+
+void supervisor::remove(std::uint64_t id) {
+    const auto position = std::find_if(m_children.begin(), m_children.end(),
+                                       [&](const child& it) { return it.id == id; });
+    if (position != m_children.end()) {
+        end(*position);
+        m_children.erase(position);
+    }
+    if (m_stopping) {
+        stop_next();
+    }
+}
+
+supervisor::child* supervisor::find(std::uint64_t id) {
+    const auto position = std::find_if(m_children.begin(), m_children.end(),
+                                       [&](const child& it) { return it.id == id; });
+    return position == m_children.end() ? nullptr : &*position;
+}
+
+boost::json::value supervisor::dump() const {
+    boost::json::object children;
+    for (const auto& it : m_children) {
+        boost::json::object entry;
+        entry["state"] = common::to_name(it.state);
+        entry["restart"] = common::to_name(it.spec.restart);
+        entry["restarts"] = it.restarts;
+        if (it.instance) {
+            entry["detail"] = it.instance->dump();
+        }
+        children[it.spec.name] = std::move(entry);
+    }
+    return boost::json::object{{"strategy", common::to_name(m_options.strategy)},
+                               {"children", std::move(children)}};
+}
+
+} // namespace jujubemast::runtime
