http, wire, platform: the interfaces of the programs

Callers, upstreams and the platform speak HTTP through Beast, entries and sidecars speak protobuf over ZeroMQ. Decisions see plain structs only; the codec lives in wire. Beast is compiled in three files, so that a change elsewhere rebuilds quickly.

--- /dev/null
+++ b/source/core/admin/admin_server.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "admin/health.h"
+#include "http/server.h"
+#include "runtime/process.h"
+
+namespace jujubemast::admin {
+
+/// Returns the metrics in the Prometheus text format.
+using metrics_hook = std::function<std::string()>;
+
+struct admin_hooks {
+    runtime::dump_hook dump;
+    metrics_hook metrics;
+};
+
+/// Describes the admin server: GET /livez, /readyz, /dump and /metrics.
+runtime::child_spec make_admin_server(const http::endpoint& listen,
+                                      runtime::address<health_message> health, admin_hooks hooks);
+
+} // namespace jujubemast::admin
--- /dev/null
+++ b/source/core/http/client.cpp
@@ -0,0 +1,338 @@
+#include "http/client.h"
+
+#include <list>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace jujubemast::http {
+
+namespace beast_http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
+
+struct idle_connection {
+    std::unique_ptr<boost::beast::tcp_stream> stream;
+    common::time_point since;
+};
+
+class exchange;
+
+call_fault fault_of(const boost::system::error_code& ec) {
+    if (ec == boost::beast::error::timeout) {
+        return call_fault::timeout;
+    }
+    if (ec == beast_http::error::body_limit || ec == beast_http::error::header_limit) {
+        return call_fault::too_large;
+    }
+    const bool of_http =
+        ec.category() == beast_http::make_error_code(beast_http::error::bad_version).category();
+    if (of_http && ec != beast_http::error::end_of_stream &&
+        ec != beast_http::error::partial_message) {
+        return call_fault::malformed;
+    }
+    return call_fault::closed;
+}
+
+} // namespace
+
+struct client::implementation {
+    implementation(runtime::task_context owner, endpoint target, client_limits bounds)
+        : context{std::move(owner)}, server{std::move(target)}, limits{bounds} {}
+
+    std::unique_ptr<boost::beast::tcp_stream> take_idle();
+    void keep_idle(std::unique_ptr<boost::beast::tcp_stream> stream);
+
+    runtime::task_context context;
+    endpoint server;
+    client_limits limits;
+    std::map<call_id, std::shared_ptr<exchange>> calls;
+    std::list<idle_connection> idle;
+    call_id next_id = 1;
+    bool closed = false;
+};
+
+namespace {
+
+/// One request and its response on one connection.
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+    exchange(std::weak_ptr<client::implementation> owner, call_id id, const request& message,
+             call_hooks hooks, call_options options)
+        : m_owner{std::move(owner)}, m_id{id}, m_hooks{std::move(hooks)}, m_options{options} {
+        m_request.method_string(message.method);
+        m_request.target(message.target);
+        m_request.version(11);
+        for (const auto& it : message.fields) {
+            m_request.insert(it.name, it.value);
+        }
+        m_request.body() = message.body;
+        m_request.keep_alive(true);
+        m_request.prepare_payload();
+    }
+
+    void begin() {
+        const auto owner = m_owner.lock();
+        m_request.set(beast_http::field::host, to_string(owner->server));
+        if (m_options.repeatable) {
+            m_stream = owner->take_idle();
+        }
+        m_reused = m_stream != nullptr;
+        if (m_reused) {
+            write();
+            return;
+        }
+        connect();
+    }
+
+    void abandon() noexcept {
+        m_ended = true;
+        m_hooks = {};
+        if (m_stream) {
+            boost::system::error_code ec;
+            m_stream->socket().close(ec);
+        }
+    }
+
+private:
+    template <typename Handler>
+    auto wrap(Handler handler) {
+        return m_owner.lock()->context.wrap(
+            [self = shared_from_this(), handler = std::move(handler)](auto&&... arguments) mutable {
+                if (!self->m_ended && !self->m_owner.expired()) {
+                    handler(std::forward<decltype(arguments)>(arguments)...);
+                }
+            });
+    }
+
+    void connect() {
+        const auto owner = m_owner.lock();
+        m_stream = std::make_unique<boost::beast::tcp_stream>(owner->context.loop().context());
+        m_stream->expires_after(owner->limits.connect_timeout);
+        const tcp::endpoint remote{boost::asio::ip::make_address(owner->server.host),
+                                   owner->server.port};
+        m_stream->async_connect(remote, wrap([this](const boost::system::error_code& ec) {
+                                    if (ec) {
+                                        fail(call_fault::connect, ec.message());
+                                        return;
+                                    }
+                                    boost::system::error_code ignored;
+                                    m_stream->socket().set_option(tcp::no_delay{true}, ignored);
+                                    write();
+                                }));
+    }
+
+    void write() {
+        m_sent = true;
+        m_stream->expires_after(head_timeout());
+        beast_http::async_write(
+            *m_stream, m_request,
+            wrap([this](const boost::system::error_code& ec, std::size_t /*size*/) {
+                if (ec) {
+                    transport_failed(ec);
+                    return;
+                }
+                read_head();
+            }));
+    }
+
+    void read_head() {
+        m_parser.emplace();
+        m_parser->body_limit(m_owner.lock()->limits.max_response_bytes);
+        m_stream->expires_after(head_timeout());
+        beast_http::async_read_header(
+            *m_stream, m_input, *m_parser,
+            wrap([this](const boost::system::error_code& ec, std::size_t /*size*/) {
+                if (ec) {
+                    transport_failed(ec);
+                    return;
+                }
+                deliver_head();
+                read_body();
+            }));
+    }
+
+    void deliver_head() {
+        if (!m_hooks.on_head) {
+            return;
+        }
+        headers fields;
+        for (const auto& it : m_parser->get()) {
+            fields.push_back({std::string{it.name_string()}, std::string{it.value()}});
+        }
+        m_hooks.on_head(m_parser->get().result_int(), fields);
+    }
+
+    void read_body() {
+        if (m_ended) {
+            return;
+        }
+        if (m_parser->is_done()) {
+            complete();
+            return;
+        }
+        auto& body = m_parser->get().body();
+        body.data = m_piece.data();
+        body.size = m_piece.size();
+        m_stream->expires_after(m_owner.lock()->limits.progress_timeout);
+        beast_http::async_read_some(*m_stream, m_input, *m_parser,
+                                    wrap([this](const boost::system::error_code& ec,
+                                                std::size_t /*size*/) { body_read(ec); }));
+    }
+
+    void body_read(const boost::system::error_code& ec) {
+        if (ec && ec != beast_http::error::need_buffer) {
+            transport_failed(ec);
+            return;
+        }
+        const auto n = m_piece.size() - m_parser->get().body().size;
+        if (n > 0 && m_hooks.on_data) {
+            m_hooks.on_data(std::string_view{m_piece.data(), n});
+        }
+        read_body();
+    }
+
+    void complete() {
+        const auto owner = m_owner.lock();
+        m_ended = true;
+        if (m_parser->get().keep_alive()) {
+            m_stream->expires_never();
+            owner->keep_idle(std::move(m_stream));
+        }
+        owner->calls.erase(m_id);
+        if (m_hooks.on_done) {
+            m_hooks.on_done();
+        }
+    }
+
+    void transport_failed(const boost::system::error_code& ec) {
+        const bool nothing_received = !m_parser || !m_parser->got_some();
+        if (m_reused && nothing_received && m_options.repeatable &&
+            ec != boost::beast::error::timeout) {
+            m_reused = false;
+            m_parser.reset();
+            m_input.clear();
+            connect();
+            return;
+        }
+        fail(fault_of(ec), ec.message());
+    }
+
+    void fail(call_fault fault, std::string detail) {
+        const auto owner = m_owner.lock();
+        m_ended = true;
+        boost::system::error_code ignored;
+        m_stream->socket().close(ignored);
+        owner->calls.erase(m_id);
+        if (m_hooks.on_error) {
+            m_hooks.on_error({fault, m_sent, std::move(detail)});
+        }
+    }
+
+    [[nodiscard]] common::duration head_timeout() const {
+        return m_options.head_timeout == common::duration::zero()
+                   ? m_owner.lock()->limits.head_timeout
+                   : m_options.head_timeout;
+    }
+
+    std::weak_ptr<client::implementation> m_owner;
+    call_id m_id;
+    beast_http::request<beast_http::string_body> m_request;
+    call_hooks m_hooks;
+    call_options m_options;
+    std::unique_ptr<boost::beast::tcp_stream> m_stream;
+    boost::beast::flat_buffer m_input;
+    std::optional<beast_http::response_parser<beast_http::buffer_body>> m_parser;
+    std::array<char, read_buffer_bytes> m_piece{};
+    bool m_reused = false;
+    bool m_sent = false;
+    bool m_ended = false;
+};
+
+} // namespace
+
+std::unique_ptr<boost::beast::tcp_stream> client::implementation::take_idle() {
+    const auto now = common::monotonic_clock::now();
+    while (!idle.empty()) {
+        auto candidate = std::move(idle.back());
+        idle.pop_back();
+        if (now - candidate.since < limits.idle_lifetime) {
+            return std::move(candidate.stream);
+        }
+    }
+    return nullptr;
+}
+
+void client::implementation::keep_idle(std::unique_ptr<boost::beast::tcp_stream> stream) {
+    if (closed) {
+        return;
+    }
+    idle.push_back({std::move(stream), common::monotonic_clock::now()});
+    if (idle.size() > limits.max_idle_connections) {
+        idle.pop_front();
+    }
+}
+
+client::client(runtime::task_context context, endpoint server, client_limits limits)
+    : m_implementation{
+          std::make_shared<implementation>(std::move(context), std::move(server), limits)} {}
+
+client::~client() {
+    close();
+}
+
+call_id client::start(const request& message, call_hooks hooks, call_options options) {
+    const auto id = m_implementation->next_id++;
+    auto call =
+        std::make_shared<exchange>(m_implementation, id, message, std::move(hooks), options);
+    m_implementation->calls.emplace(id, call);
+    call->begin();
+    return id;
+}
+
+call_id client::send(const request& message, std::function<void(call_result)> done,
+                     call_options options) {
+    auto collected = std::make_shared<response>();
+    auto finish = std::make_shared<std::function<void(call_result)>>(std::move(done));
+    call_hooks hooks;
+    hooks.on_head = [collected](unsigned status, const headers& fields) {
+        collected->status = status;
+        collected->fields = fields;
+    };
+    hooks.on_data = [collected](std::string_view bytes) { collected->body += bytes; };
+    hooks.on_done = [collected, finish] { (*finish)(std::move(*collected)); };
+    hooks.on_error = [finish](const call_error& error) { (*finish)(error); };
+    return start(message, std::move(hooks), options);
+}
+
+void client::cancel(call_id id) {
+    const auto position = m_implementation->calls.find(id);
+    if (position == m_implementation->calls.end()) {
+        return;
+    }
+    position->second->abandon();
+    m_implementation->calls.erase(position);
+}
+
+void client::close() noexcept {
+    m_implementation->closed = true;
+    for (auto& it : m_implementation->calls) {
+        it.second->abandon();
+    }
+    m_implementation->calls.clear();
+    m_implementation->idle.clear();
+}
+
+std::size_t client::calls_in_progress() const {
+    return m_implementation->calls.size();
+}
+
+} // namespace jujubemast::http
--- /dev/null
+++ b/source/core/http/connection.cpp
@@ -0,0 +1,264 @@
+#include "http/connection.h"
+
+#include <charconv>
+#include <sstream>
+#include <utility>
+
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+
+namespace jujubemast::http {
+
+namespace beast_http = boost::beast::http;
+
+namespace {
+
+// Commands of one answer that may wait for the connection's task; a streamed answer has one
+// command for each piece.
+constexpr std::size_t mailbox_capacity = 4096;
+
+request to_request(beast_http::request<beast_http::string_body>&& message) {
+    request result;
+    result.method = std::string{message.method_string()};
+    result.target = std::string{message.target()};
+    for (const auto& it : message) {
+        result.fields.push_back({std::string{it.name_string()}, std::string{it.value()}});
+    }
+    result.body = std::move(message.body());
+    return result;
+}
+
+template <typename Message>
+std::string serialize(const Message& message) {
+    std::ostringstream text;
+    text << message;
+    return std::move(text).str();
+}
+
+std::string serialize_head(const response& head, bool keep_alive) {
+    beast_http::response<beast_http::empty_body> message{
+        static_cast<beast_http::status>(head.status), 11};
+    for (const auto& it : head.fields) {
+        message.insert(it.name, it.value);
+    }
+    message.keep_alive(keep_alive);
+    message.chunked(true);
+    return serialize(message.base());
+}
+
+std::string as_chunk(const std::string& bytes) {
+    std::array<char, 16> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
+    return std::string{size.data(), end} + "\r\n" + bytes + "\r\n";
+}
+
+} // namespace
+
+connection::connection(runtime::task_context context, boost::asio::ip::tcp::socket socket,
+                       const server_limits& limits, handler handle)
+    : m_context{std::move(context)}, m_stream{std::move(socket)}, m_limits{limits},
+      m_handle{std::move(handle)}, m_inbox{runtime::make_mailbox<reply_command>(m_context.loop(),
+                                                                                mailbox_capacity)} {
+}
+
+void connection::start() {
+    boost::system::error_code ec;
+    m_stream.socket().set_option(boost::asio::ip::tcp::no_delay{true}, ec);
+    m_inbox.receive(
+        m_context.wrap([this](reply_command command) { command_received(std::move(command)); }));
+    read_request();
+}
+
+void connection::read_request() {
+    m_phase = connection_phase::reading;
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.max_header_bytes));
+    m_parser->body_limit(m_limits.max_body_bytes);
+    // A kept-alive connection may be idle between requests for longer than a request may take.
+    m_stream.expires_after(m_served_one ? m_limits.idle_timeout : m_limits.read_timeout);
+    beast_http::async_read(m_stream, m_input, *m_parser,
+                           m_context.wrap([this](const boost::system::error_code& ec,
+                                                 std::size_t /*size*/) { request_read(ec); }));
+}
+
+void connection::request_read(const boost::system::error_code& ec) {
+    if (ec == beast_http::error::body_limit) {
+        reject(beast_http::status::payload_too_large, "body too large");
+        return;
+    }
+    if (ec == beast_http::error::header_limit) {
+        reject(beast_http::status::request_header_fields_too_large, "header too large");
+        return;
+    }
+    if (ec == boost::beast::error::timeout && m_parser->got_some()) {
+        reject(beast_http::status::request_timeout, "request too slow");
+        return;
+    }
+    if (ec.category() == beast_http::make_error_code(beast_http::error::bad_method).category() &&
+        ec != beast_http::error::end_of_stream && ec != beast_http::error::partial_message) {
+        reject(beast_http::status::bad_request, "malformed request");
+        return;
+    }
+    if (ec) {
+        m_context.finish();
+        return;
+    }
+    m_served_one = true;
+    m_phase = connection_phase::handling;
+    m_keep_alive = m_parser->get().keep_alive();
+    m_stream.expires_never();
+    m_on_disconnect = m_handle(to_request(m_parser->release()), responder{m_inbox.address()});
+    watch_for_disconnect();
+}
+
+void connection::reject(beast_http::status status, const std::string& title) {
+    m_keep_alive = false;
+    const auto code = static_cast<unsigned>(status);
+    respond_whole({code,
+                   {{"Content-Type", "application/problem+json"}},
+                   boost::json::serialize(boost::json::object{
+                       {"title", title}, {"status", code}, {"execution", "not_run"}})});
+}
+
+void connection::watch_for_disconnect() {
+    m_stream.socket().async_wait(boost::asio::socket_base::wait_read,
+                                 m_context.wrap([this](const boost::system::error_code& ec) {
+                                     if (ec || m_phase == connection_phase::reading) {
+                                         return;
+                                     }
+                                     boost::system::error_code error;
+                                     // A readable socket without bytes is at its end. With bytes,
+                                     // the caller has sent the next request early and its presence
+                                     // is not watched further.
+                                     if (m_stream.socket().available(error) == 0 || error) {
+                                         disconnected();
+                                     }
+                                 }));
+}
+
+void connection::command_received(reply_command command) {
+    if (m_phase == connection_phase::reading || m_phase == connection_phase::finishing) {
+        return;
+    }
+    if (auto* whole = std::get_if<send_response>(&command)) {
+        respond_whole(whole->content);
+    } else if (auto* head = std::get_if<begin_stream>(&command)) {
+        start_stream(head->head);
+    } else if (auto* piece = std::get_if<send_piece>(&command)) {
+        add_piece(piece->bytes);
+    } else if (std::holds_alternative<end_stream>(command)) {
+        m_phase = connection_phase::finishing;
+        enqueue("0\r\n\r\n");
+    } else {
+        m_on_disconnect = nullptr;
+        m_context.finish();
+    }
+}
+
+void connection::respond_whole(const response& content) {
+    beast_http::response<beast_http::string_body> message{
+        static_cast<beast_http::status>(content.status), 11};
+    for (const auto& it : content.fields) {
+        message.insert(it.name, it.value);
+    }
+    message.body() = content.body;
+    message.keep_alive(m_keep_alive && !m_stopping);
+    message.prepare_payload();
+    m_phase = connection_phase::finishing;
+    enqueue(serialize(message));
+}
+
+void connection::start_stream(const response& head) {
+    m_phase = connection_phase::streaming;
+    enqueue(serialize_head(head, m_keep_alive && !m_stopping));
+}
+
+void connection::add_piece(const std::string& bytes) {
+    if (m_phase != connection_phase::streaming || bytes.empty()) {
+        return;
+    }
+    if (m_output_bytes + bytes.size() > m_limits.max_buffered_bytes) {
+        disconnected();
+        return;
+    }
+    enqueue(as_chunk(bytes));
+}
+
+void connection::enqueue(std::string bytes) {
+    m_output_bytes += bytes.size();
+    m_output.push_back(std::move(bytes));
+    if (!m_writing) {
+        write_next();
+    }
+}
+
+void connection::write_next() {
+    if (m_output.empty()) {
+        if (m_phase == connection_phase::finishing) {
+            answer_complete();
+        }
+        return;
+    }
+    m_writing = true;
+    m_stream.expires_after(m_limits.write_timeout);
+    boost::asio::async_write(m_stream, boost::asio::buffer(m_output.front()),
+                             m_context.wrap([this](const boost::system::error_code& ec,
+                                                   std::size_t /*size*/) { written(ec); }));
+}
+
+void connection::written(const boost::system::error_code& ec) {
+    m_writing = false;
+    if (ec) {
+        disconnected();
+        return;
+    }
+    m_stream.expires_never();
+    m_output_bytes -= m_output.front().size();
+    m_output.pop_front();
+    write_next();
+}
+
+void connection::answer_complete() {
+    m_on_disconnect = nullptr;
+    if (m_done || m_stopping || !m_keep_alive) {
+        boost::system::error_code ec;
+        m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+        m_context.finish();
+        return;
+    }
+    // Ends the wait for a disconnect, so that it cannot fire for the next request.
+    m_stream.socket().cancel();
+    read_request();
+}
+
+void connection::disconnected() {
+    if (auto hook = std::exchange(m_on_disconnect, nullptr)) {
+        hook();
+    }
+    m_context.finish();
+}
+
+void connection::stop(const runtime::stop_done& done) {
+    m_stopping = true;
+    if (m_phase == connection_phase::reading && !(m_parser && m_parser->got_some())) {
+        done();
+        return;
+    }
+    m_done = done;
+}
+
+void connection::close() noexcept {
+    m_inbox.close();
+    boost::system::error_code ec;
+    m_stream.socket().close(ec);
+    if (auto hook = std::exchange(m_on_disconnect, nullptr)) {
+        hook();
+    }
+}
+
+boost::json::value connection::dump() const {
+    return boost::json::object{{"phase", common::to_name(m_phase)},
+                               {"buffered_bytes", m_output_bytes}};
+}
+
+} // namespace jujubemast::http
--- /dev/null
+++ b/source/core/http/connection.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "common/enum_names.h"
+#include "http/server.h"
+#include "runtime/mailbox.h"
+#include "runtime/task.h"
+
+namespace jujubemast::http {
+
+/// What a server connection is doing.
+enum class connection_phase { reading, handling, streaming, finishing };
+
+/// Serves the requests of one accepted connection, one after the other.
+class connection final : public runtime::task {
+public:
+    connection(runtime::task_context context, boost::asio::ip::tcp::socket socket,
+               const server_limits& limits, handler handle);
+
+    void start() override;
+    void stop(const runtime::stop_done& done) override;
+    void close() noexcept override;
+    [[nodiscard]] boost::json::value dump() const override;
+
+private:
+    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void read_request();
+    void request_read(const boost::system::error_code& ec);
+    void reject(boost::beast::http::status status, const std::string& title);
+    void watch_for_disconnect();
+    void command_received(reply_command command);
+    void respond_whole(const response& content);
+    void start_stream(const response& head);
+    void add_piece(const std::string& bytes);
+    void enqueue(std::string bytes);
+    void write_next();
+    void written(const boost::system::error_code& ec);
+    void answer_complete();
+    void disconnected();
+
+    runtime::task_context m_context;
+    boost::beast::tcp_stream m_stream;
+    server_limits m_limits;
+    handler m_handle;
+    runtime::inbox<reply_command> m_inbox;
+    boost::beast::flat_buffer m_input;
+    std::optional<parser> m_parser;
+    std::deque<std::string> m_output;
+    std::size_t m_output_bytes = 0;
+    bool m_writing = false;
+    bool m_keep_alive = false;
+    bool m_stopping = false;
+    bool m_served_one = false;
+    connection_phase m_phase = connection_phase::reading;
+    disconnect_hook m_on_disconnect;
+    runtime::stop_done m_done;
+};
+
+} // namespace jujubemast::http
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<http::connection_phase> {
+    static constexpr std::array<std::string_view, 4> table{"reading", "handling", "streaming",
+                                                           "finishing"};
+};
+
+} // namespace jujubemast::common
--- /dev/null
+++ b/source/core/http/event_stream.cpp
@@ -0,0 +1,67 @@
+#include "http/event_stream.h"
+
+#include <utility>
+
+#include "common/error.h"
+
+namespace jujubemast::http {
+
+namespace {
+
+constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
+
+std::string_view field_value(std::string_view line, std::string_view name) {
+    line.remove_prefix(name.size());
+    if (!line.empty() && line.front() == ' ') {
+        line.remove_prefix(1);
+    }
+    return line;
+}
+
+} // namespace
+
+std::string encode_event(std::string_view name, std::string_view data) {
+    std::string text = "event: ";
+    text += name;
+    text += "\ndata: ";
+    text += data;
+    text += "\n\n";
+    return text;
+}
+
+void event_reader::add(std::string_view bytes) {
+    m_pending += bytes;
+    std::size_t begin = 0;
+    for (auto end = m_pending.find('\n'); end != std::string::npos;
+         end = m_pending.find('\n', begin)) {
+        take_line(std::string_view{m_pending}.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    m_pending.erase(0, begin);
+    if (m_pending.size() + m_event.data.size() > max_event_bytes) {
+        throw common::format_error{"event of a stream exceeds 1 MiB"};
+    }
+}
+
+void event_reader::take_line(std::string_view line) {
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    if (line.empty()) {
+        if (!m_event.data.empty()) {
+            m_on_event(std::exchange(m_event, {}));
+        }
+        m_event = {};
+        return;
+    }
+    if (line.starts_with("event:")) {
+        m_event.name = field_value(line, "event:");
+    } else if (line.starts_with("data:")) {
+        if (!m_event.data.empty()) {
+            m_event.data += '\n';
+        }
+        m_event.data += field_value(line, "data:");
+    }
+}
+
+} // namespace jujubemast::http
--- /dev/null
+++ b/source/core/http/event_stream.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace jujubemast::http {
+
+/// One event of a server-sent event stream (WHATWG HTML, section 9.2).
+struct stream_event {
+    std::string name;
+    std::string data;
+};
+
+/// Encodes an event; the data must not contain line breaks.
+std::string encode_event(std::string_view name, std::string_view data);
+
+/// Collects the bytes of a stream and delivers complete events.
+class event_reader {
+public:
+    explicit event_reader(std::function<void(stream_event)> on_event)
+        : m_on_event{std::move(on_event)} {}
+
+    /// Adds bytes. Throws `common::format_error` when one event exceeds 1 MiB.
+    void add(std::string_view bytes);
+
+private:
+    void take_line(std::string_view line);
+
+    std::function<void(stream_event)> m_on_event;
+    std::string m_pending;
+    stream_event m_event;
+};
+
+} // namespace jujubemast::http
--- /dev/null
+++ b/source/core/http/server.cpp
@@ -0,0 +1,142 @@
+#include "http/server.h"
+
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json.hpp>
+
+#include "common/error.h"
+#include "http/connection.h"
+#include "logging/logger.h"
+
+namespace jujubemast::http {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+/// Accepts connections and starts a task for each under the supervisor of connections.
+class listener final : public runtime::task {
+public:
+    listener(runtime::task_context context, server_options options, handler handle,
+             std::shared_ptr<runtime::supervisor> connections)
+        : m_context{std::move(context)}, m_options{std::move(options)}, m_handle{std::move(handle)},
+          m_connections{std::move(connections)}, m_acceptor{m_context.loop().context()},
+          m_grace_timer{m_context.loop()} {}
+
+    void start() override {
+        const tcp::endpoint local{boost::asio::ip::make_address(m_options.listen.host),
+                                  m_options.listen.port};
+        m_acceptor.open(local.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address{true});
+        boost::system::error_code ec;
+        m_acceptor.bind(local, ec);
+        if (ec) {
+            throw common::network_error{"cannot listen on " + to_string(m_options.listen) + ": " +
+                                        ec.message()};
+        }
+        m_acceptor.listen();
+        const auto bound = m_acceptor.local_endpoint();
+        const endpoint address{bound.address().to_string(), bound.port()};
+        // A restart after a failure keeps the port that was announced first.
+        m_options.listen = address;
+        m_log.info("Listening.", {{"task", m_context.path()}, {"address", to_string(address)}});
+        if (m_options.on_listening) {
+            m_options.on_listening(address);
+        }
+        accept();
+    }
+
+    void stop(const runtime::stop_done& done) override {
+        if (m_options.on_stopping) {
+            m_options.on_stopping();
+        }
+        if (m_options.stop_grace == common::duration::zero()) {
+            done();
+            return;
+        }
+        m_grace_timer.start(m_options.stop_grace, m_context.wrap(done));
+    }
+
+    void close() noexcept override {
+        m_grace_timer.cancel();
+        boost::system::error_code ec;
+        m_acceptor.close(ec);
+    }
+
+    [[nodiscard]] boost::json::value dump() const override {
+        return boost::json::object{{"address", to_string(m_options.listen)},
+                                   {"accepted", m_accepted}};
+    }
+
+private:
+    void accept() {
+        m_acceptor.async_accept(
+            m_context.wrap([this](const boost::system::error_code& ec, tcp::socket socket) {
+                accepted(ec, std::move(socket));
+            }));
+    }
+
+    void accepted(const boost::system::error_code& ec, tcp::socket socket) {
+        if (ec) {
+            // Such errors, for example too many open files, pass; the delay bounds the retries.
+            m_log.warn("Accept failed.", {{"reason", ec.message()}});
+            m_grace_timer.start(std::chrono::milliseconds{100},
+                                m_context.wrap([this] { accept(); }));
+            return;
+        }
+        if (m_connections->child_count() < m_options.limits.max_connections) {
+            start_connection(std::move(socket));
+        }
+        accept();
+    }
+
+    void start_connection(tcp::socket socket) {
+        ++m_accepted;
+        auto holder = std::make_shared<tcp::socket>(std::move(socket));
+        m_connections->add_child(
+            {"connection-" + std::to_string(m_accepted),
+             [holder, limits = m_options.limits, handle = m_handle](runtime::task_context context) {
+                 return std::make_shared<connection>(std::move(context), std::move(*holder), limits,
+                                                     handle);
+             },
+             runtime::restart_policy::temporary});
+    }
+
+    runtime::task_context m_context;
+    server_options m_options;
+    handler m_handle;
+    std::shared_ptr<runtime::supervisor> m_connections;
+    tcp::acceptor m_acceptor;
+    runtime::timer m_grace_timer;
+    logging::logger m_log{"http"};
+    std::uint64_t m_accepted = 0;
+};
+
+} // namespace
+
+runtime::child_spec make_server(std::string name, server_options options, handler handle) {
+    auto make = [options = std::move(options),
+                 handle = std::move(handle)](runtime::task_context context) {
+        // The factory of the listener runs after that of the connections, which start first.
+        auto connections = std::make_shared<std::shared_ptr<runtime::supervisor>>();
+        auto make_connections = [connections](runtime::task_context child) {
+            *connections = std::make_shared<runtime::supervisor>(
+                std::move(child),
+                runtime::supervisor_options{.order = runtime::stop_order::together},
+                std::vector<runtime::child_spec>{});
+            return *connections;
+        };
+        auto make_listener = [connections, options, handle](runtime::task_context child) {
+            return std::make_shared<listener>(std::move(child), options, handle, *connections);
+        };
+        return std::make_shared<runtime::supervisor>(
+            std::move(context),
+            runtime::supervisor_options{.strategy = runtime::restart_strategy::rest_for_one},
+            std::vector<runtime::child_spec>{{"connections", make_connections},
+                                             {"listener", make_listener}});
+    };
+    return {std::move(name), make};
+}
+
+} // namespace jujubemast::http
--- /dev/null
+++ b/source/core/program/daemon.cpp
@@ -0,0 +1,52 @@
+#include "program/daemon.h"
+
+#include <iostream>
+
+#include <gflags/gflags.h>
+
+#include "common/error.h"
+#include "logging/logger.h"
+#include "program/command_line.h"
+
+DEFINE_string(settings, "", "path of the YAML settings file");
+DEFINE_bool(check, false, "check the settings file and exit");
+
+namespace jujubemast::program {
+
+namespace {
+
+settings::values load_settings(const daemon_description& description) {
+    if (FLAGS_settings.empty()) {
+        throw common::settings_error{"--settings is required"};
+    }
+    auto values = settings::load(description.settings_table, FLAGS_settings);
+    logging::initialize(values.get(description.log_level));
+    return values;
+}
+
+} // namespace
+
+int run_daemon(int argc, char** argv, const daemon_description& description) {
+    const auto usage =
+        description.summary + "\n\nSettings:\n" + settings::describe(description.settings_table);
+    if (const auto code = parse_command_line(argc, argv, {description.name, usage})) {
+        return *code;
+    }
+    settings::values values;
+    try {
+        values = load_settings(description);
+    } catch (const common::settings_error& e) {
+        std::cerr << e.what() << "\n";
+        return static_cast<int>(runtime::exit_code::usage);
+    }
+    if (FLAGS_check) {
+        std::cout << "settings are valid\n";
+        return static_cast<int>(runtime::exit_code::success);
+    }
+    return runtime::run_process(description.name, [&](const runtime::executor& loop,
+                                                      const runtime::process_hooks& process) {
+        return description.make_tree(loop, process, values);
+    });
+}
+
+} // namespace jujubemast::program
--- /dev/null
+++ b/source/core/wire/codec.cpp
@@ -0,0 +1,240 @@
+#include "wire/codec.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <messages.pb.h>
+
+#include "common/error.h"
+
+namespace jujubemast::wire {
+
+namespace {
+
+namespace pb = generated;
+
+template <typename Enum>
+Enum to_enum(std::uint32_t number) {
+    if (number >= common::enumerator_count<Enum>()) {
+        throw common::format_error{"enumerator out of range in a message"};
+    }
+    return static_cast<Enum>(number);
+}
+
+void put(pb::WorkIdentity& out, const protocol::work_identity& in) {
+    out.set_request_id(in.request_id);
+    out.set_stage(in.stage);
+    out.set_attempt(in.attempt);
+    out.set_incarnation(in.incarnation);
+}
+
+protocol::work_identity get(const pb::WorkIdentity& in) {
+    return {in.request_id(), in.stage(), in.attempt(), in.incarnation()};
+}
+
+void put(pb::LoadReport& out, const protocol::load_report& in) {
+    out.set_queued(in.queued);
+    out.set_in_progress(in.in_progress);
+    out.set_limit(in.limit);
+    for (const auto wait : in.queue_wait_us) {
+        out.add_queue_wait_us(wait);
+    }
+    out.set_completed(in.completed);
+    out.set_failed(in.failed);
+    for (const auto& it : in.models) {
+        out.add_models(it);
+    }
+}
+
+protocol::load_report get(const pb::LoadReport& in) {
+    protocol::load_report out;
+    out.queued = in.queued();
+    out.in_progress = in.in_progress();
+    out.limit = in.limit();
+    const auto n = std::min<std::size_t>(out.queue_wait_us.size(),
+                                         static_cast<std::size_t>(in.queue_wait_us_size()));
+    std::copy_n(in.queue_wait_us().begin(), n, out.queue_wait_us.begin());
+    out.completed = in.completed();
+    out.failed = in.failed();
+    out.models.assign(in.models().begin(), in.models().end());
+    return out;
+}
+
+void put(pb::Envelope& out, const protocol::ping& in) {
+    auto& it = *out.mutable_ping();
+    it.set_entry(in.entry);
+    it.set_nonce(in.nonce);
+    it.set_revision(in.revision);
+}
+
+void put(pb::Envelope& out, const protocol::pong& in) {
+    auto& it = *out.mutable_pong();
+    it.set_nonce(in.nonce);
+    it.set_incarnation(in.incarnation);
+    it.set_clock_us(in.clock_us);
+    it.set_revision(in.revision);
+    it.set_draining(in.draining);
+    put(*it.mutable_load(), in.load);
+}
+
+void put(pb::Envelope& out, const protocol::dispatch& in) {
+    auto& it = *out.mutable_dispatch();
+    put(*it.mutable_identity(), in.identity);
+    it.set_deadline_us(in.deadline_us);
+    it.set_revision(in.revision);
+    it.set_workspace(in.workspace);
+    it.set_priority(static_cast<std::uint32_t>(in.priority));
+    it.set_idempotent(in.idempotent);
+    it.set_operation(in.operation);
+    it.set_model(in.model);
+    it.set_body(in.body);
+    it.set_resume_offset(in.resume_offset);
+    it.set_estimated_cost_us(in.estimated_cost_us);
+    it.set_trace_parent(in.trace_parent);
+}
+
+void put(pb::Envelope& out, const protocol::result_chunk& in) {
+    auto& it = *out.mutable_result_chunk();
+    put(*it.mutable_identity(), in.identity);
+    it.set_sequence(in.sequence);
+    it.set_payload(in.payload);
+}
+
+void put(pb::Envelope& out, const protocol::result_end& in) {
+    auto& it = *out.mutable_result_end();
+    put(*it.mutable_identity(), in.identity);
+    it.set_chunk_count(in.chunk_count);
+    it.set_digest(in.digest);
+    it.set_queue_us(in.queue_us);
+    it.set_service_us(in.service_us);
+}
+
+void put(pb::Envelope& out, const protocol::refusal& in) {
+    auto& it = *out.mutable_refusal();
+    put(*it.mutable_identity(), in.identity);
+    it.set_reason(static_cast<std::uint32_t>(in.reason));
+    it.set_execution(static_cast<std::uint32_t>(in.execution));
+    it.set_retry_after_us(in.retry_after_us);
+    it.set_detail(in.detail);
+}
+
+void put(pb::Envelope& out, const protocol::cancel& in) {
+    put(*out.mutable_cancel()->mutable_identity(), in.identity);
+}
+
+void put(pb::Envelope& out, const protocol::cancelled& in) {
+    auto& it = *out.mutable_cancelled();
+    put(*it.mutable_identity(), in.identity);
+    it.set_execution(static_cast<std::uint32_t>(in.execution));
+}
+
+void put(pb::Envelope& out, const protocol::acknowledge& in) {
+    put(*out.mutable_acknowledge()->mutable_identity(), in.identity);
+}
+
+void put(pb::Envelope& out, const protocol::fetch& in) {
+    auto& it = *out.mutable_fetch();
+    put(*it.mutable_identity(), in.identity);
+    it.set_from_sequence(in.from_sequence);
+}
+
+void put(pb::Envelope& out, const protocol::configuration_fetch& in) {
+    out.mutable_configuration_fetch()->set_revision(in.revision);
+}
+
+void put(pb::Envelope& out, const protocol::configuration_state& in) {
+    auto& it = *out.mutable_configuration_state();
+    it.set_revision(in.revision);
+    it.set_digest(in.digest);
+    it.set_document(in.document);
+}
+
+protocol::pong get(const pb::Pong& in) {
+    return {in.nonce(),    in.incarnation(), in.clock_us(),
+            in.revision(), in.draining(),    get(in.load())};
+}
+
+protocol::dispatch get(const pb::Dispatch& in) {
+    protocol::dispatch out;
+    out.identity = get(in.identity());
+    out.deadline_us = in.deadline_us();
+    out.revision = in.revision();
+    out.workspace = in.workspace();
+    out.priority = to_enum<common::priority>(in.priority());
+    out.idempotent = in.idempotent();
+    out.operation = in.operation();
+    out.model = in.model();
+    out.body = in.body();
+    out.resume_offset = in.resume_offset();
+    out.estimated_cost_us = in.estimated_cost_us();
+    out.trace_parent = in.trace_parent();
+    return out;
+}
+
+protocol::result_end get(const pb::ResultEnd& in) {
+    return {get(in.identity()), in.chunk_count(), in.digest(), in.queue_us(), in.service_us()};
+}
+
+protocol::refusal get(const pb::Refusal& in) {
+    return {get(in.identity()), to_enum<protocol::refusal_reason>(in.reason()),
+            to_enum<common::execution>(in.execution()), in.retry_after_us(), in.detail()};
+}
+
+protocol::message get(const pb::Envelope& in) {
+    switch (in.content_case()) {
+    case pb::Envelope::kPing:
+        return protocol::ping{in.ping().entry(), in.ping().nonce(), in.ping().revision()};
+    case pb::Envelope::kPong:
+        return get(in.pong());
+    case pb::Envelope::kDispatch:
+        return get(in.dispatch());
+    case pb::Envelope::kResultChunk:
+        return protocol::result_chunk{get(in.result_chunk().identity()),
+                                      in.result_chunk().sequence(), in.result_chunk().payload()};
+    case pb::Envelope::kResultEnd:
+        return get(in.result_end());
+    case pb::Envelope::kRefusal:
+        return get(in.refusal());
+    case pb::Envelope::kCancel:
+        return protocol::cancel{get(in.cancel().identity())};
+    case pb::Envelope::kCancelled:
+        return protocol::cancelled{get(in.cancelled().identity()),
+                                   to_enum<common::execution>(in.cancelled().execution())};
+    case pb::Envelope::kAcknowledge:
+        return protocol::acknowledge{get(in.acknowledge().identity())};
+    case pb::Envelope::kFetch:
+        return protocol::fetch{get(in.fetch().identity()), in.fetch().from_sequence()};
+    case pb::Envelope::kConfigurationFetch:
+        return protocol::configuration_fetch{in.configuration_fetch().revision()};
+    case pb::Envelope::kConfigurationState:
+        return protocol::configuration_state{in.configuration_state().revision(),
+                                             in.configuration_state().digest(),
+                                             in.configuration_state().document()};
+    case pb::Envelope::CONTENT_NOT_SET:
+        break;
+    }
+    throw common::format_error{"message of an unknown kind"};
+}
+
+} // namespace
+
+std::string encode(const protocol::message& message) {
+    pb::Envelope envelope;
+    envelope.set_version(protocol_version);
+    std::visit([&](const auto& it) { put(envelope, it); }, message);
+    return envelope.SerializeAsString();
+}
+
+protocol::message decode(std::string_view bytes) {
+    pb::Envelope envelope;
+    if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        throw common::format_error{"malformed message"};
+    }
+    if (envelope.version() < minimum_protocol_version) {
+        throw common::format_error{"protocol version " + std::to_string(envelope.version()) +
+                                   " is below the minimum"};
+    }
+    return get(envelope);
+}
+
+} // namespace jujubemast::wire
--- /dev/null
+++ b/source/core/wire/codec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "protocol/messages.h"
+
+namespace jujubemast::wire {
+
+/// Version of the protocol between entry and sidecar that this build speaks.
+inline constexpr unsigned protocol_version = 1;
+
+/// Oldest version that this build accepts.
+inline constexpr unsigned minimum_protocol_version = 1;
+
+/// Encodes a message as protobuf.
+std::string encode(const protocol::message& message);
+
+/// Decodes a message. Throws `common::format_error` for malformed bytes, enumerators out of range
+/// or a version below the minimum.
+protocol::message decode(std::string_view bytes);
+
+} // namespace jujubemast::wire
