entry, sidecar, ctl: one request from a caller through every stage

The thin path end to end: an entry authenticates a workspace, runs the stages of its pipeline through sidecars under one deadline and answers whole or as a stream. Dispatches carry request id, stage, attempt, incarnation and a deadline in the sidecar's clock. Queue order, routing and retry are replaceable functions with simple baselines.

--- /dev/null
+++ b/source/core/entry/answer.cpp
@@ -0,0 +1,25 @@
+#include "entry/answer.h"
+
+#include <boost/json.hpp>
+
+namespace jujubemast::entry {
+
+std::string to_document(const std::string& request_id, const deliver_answer& answer) {
+    boost::json::array stages;
+    for (const auto& it : answer.stages) {
+        stages.push_back(boost::json::object{{"name", it.name},
+                                             {"upstream", it.upstream},
+                                             {"attempts", it.attempts},
+                                             {"elapsed_ms", common::to_milliseconds(it.elapsed)},
+                                             {"queue_us", it.queue_us},
+                                             {"service_us", it.service_us}});
+    }
+    return boost::json::serialize(boost::json::object{
+        {"request_id", request_id}, {"output", answer.output}, {"stages", std::move(stages)}});
+}
+
+std::string to_document(const deliver_piece& piece) {
+    return boost::json::serialize(boost::json::object{{"text", piece.text}});
+}
+
+} // namespace jujubemast::entry
--- /dev/null
+++ b/source/core/entry/entry_settings.cpp
@@ -0,0 +1,74 @@
+#include "entry/entry_settings.h"
+
+namespace jujubemast::entry {
+
+using settings::check_address;
+using settings::check_positive;
+using settings::check_positive_duration;
+using std::chrono::milliseconds;
+
+const settings::setting<std::string> entry_settings::name{
+    "instance", "name", "", "name of this instance, unique in the deployment", true};
+const settings::setting<std::string> entry_settings::failure_domain{
+    "instance", "failure_domain", "", "failure domain of this instance", true};
+const settings::setting<std::string> entry_settings::log_level{"log", "level", "info",
+                                                               "debug, info, warn or error"};
+const settings::setting<std::string> entry_settings::api_listen{
+    "api", "listen", "127.0.0.1:8080", "address for callers", false, check_address};
+const settings::setting<milliseconds> entry_settings::api_stop_grace{
+    "api", "stop_grace_ms", milliseconds{0},
+    "time between the loss of readiness and the end of listening, in ms"};
+const settings::setting<std::int64_t> entry_settings::api_max_body_bytes{
+    "api", "max_body_bytes", std::int64_t{1024} * 1024, "largest request body in bytes",
+    false, check_positive};
+const settings::setting<std::int64_t> entry_settings::api_max_connections{
+    "api", "max_connections", 4096, "callers connected at the same time", false, check_positive};
+const settings::setting<std::string> entry_settings::admin_listen{
+    "admin", "listen", "127.0.0.1:0", "address for health, dump and metrics", false, check_address};
+const settings::setting<std::string> entry_settings::platform_address{
+    "platform", "address", "", "address of the platform's service", true, check_address};
+const settings::setting<milliseconds> entry_settings::platform_poll_interval{
+    "platform",
+    "poll_interval_ms",
+    milliseconds{500},
+    "average time between two reads of the head row, in ms",
+    false,
+    check_positive_duration};
+const settings::setting<milliseconds> entry_settings::membership_poll_interval{
+    "membership",
+    "poll_interval_ms",
+    milliseconds{1000},
+    "time between two reads of the membership list, in ms",
+    false,
+    check_positive_duration};
+const settings::setting<milliseconds> entry_settings::link_ping_interval{
+    "links", "ping_interval_ms",     milliseconds{250}, "time between two heartbeats, in ms",
+    false,   check_positive_duration};
+const settings::setting<milliseconds> entry_settings::link_silence_limit{
+    "links",
+    "silence_limit_ms",
+    milliseconds{1000},
+    "a link without a heartbeat answer for this time is replaced, in ms",
+    false,
+    check_positive_duration};
+const settings::setting<std::int64_t> entry_settings::retry_max_attempts{
+    "retry", "max_attempts", 3, "attempts for one stage of a request", false, check_positive};
+
+const settings::table entry_settings::table{
+    &name,
+    &failure_domain,
+    &log_level,
+    &api_listen,
+    &api_stop_grace,
+    &api_max_body_bytes,
+    &api_max_connections,
+    &admin_listen,
+    &platform_address,
+    &platform_poll_interval,
+    &membership_poll_interval,
+    &link_ping_interval,
+    &link_silence_limit,
+    &retry_max_attempts,
+};
+
+} // namespace jujubemast::entry
--- /dev/null
+++ b/source/core/entry/entry_settings.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "settings/settings.h"
+
+namespace jujubemast::entry {
+
+/// The settings of jujubemast-entry.
+struct entry_settings {
+    static const settings::setting<std::string> name;
+    static const settings::setting<std::string> failure_domain;
+    static const settings::setting<std::string> log_level;
+    static const settings::setting<std::string> api_listen;
+    static const settings::setting<std::chrono::milliseconds> api_stop_grace;
+    static const settings::setting<std::int64_t> api_max_body_bytes;
+    static const settings::setting<std::int64_t> api_max_connections;
+    static const settings::setting<std::string> admin_listen;
+    static const settings::setting<std::string> platform_address;
+    static const settings::setting<std::chrono::milliseconds> platform_poll_interval;
+    static const settings::setting<std::chrono::milliseconds> membership_poll_interval;
+    static const settings::setting<std::chrono::milliseconds> link_ping_interval;
+    static const settings::setting<std::chrono::milliseconds> link_silence_limit;
+    static const settings::setting<std::int64_t> retry_max_attempts;
+
+    static const settings::table table;
+};
+
+} // namespace jujubemast::entry
--- /dev/null
+++ b/source/core/entry/links.cpp
@@ -0,0 +1,174 @@
+#include "entry/links.h"
+
+#include <set>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "common/error.h"
+#include "wire/codec.h"
+
+namespace jujubemast::entry {
+
+links::links(runtime::task_context context, std::shared_ptr<runtime::mailbox<links_message>> inbox,
+             runtime::address<coordinator_message> coordinator, std::string entry_name,
+             link_limits limits)
+    : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_coordinator{std::move(
+                                                                    coordinator)},
+      m_entry_name{std::move(entry_name)}, m_limits{limits}, m_timer{m_context.loop()} {}
+
+void links::start() {
+    m_inbox.receive(m_context.wrap([this](const links_message& message) {
+        std::visit([this](const auto& it) { handle(it); }, message);
+    }));
+    tick();
+}
+
+void links::close() noexcept {
+    m_inbox.close();
+    m_timer.cancel();
+    m_links.clear();
+}
+
+void links::handle(const members_changed& message) {
+    std::set<std::string> present;
+    for (const auto& member : message.members) {
+        present.insert(member.name);
+        auto& target = m_links[member.name];
+        if (target.instance == member) {
+            continue;
+        }
+        const bool moved = target.instance.address != member.address;
+        target.instance = member;
+        target.status.instance = member;
+        if (moved) {
+            set_down(target);
+            open(target);
+        }
+        report(target);
+    }
+    for (auto it = m_links.begin(); it != m_links.end();) {
+        if (present.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        m_coordinator.send(link_removed{it->first});
+        it = m_links.erase(it);
+    }
+}
+
+void links::handle(const announce_revision& message) {
+    m_revision = message.revision;
+}
+
+void links::handle(const send_work& message) {
+    const auto it = m_links.find(message.instance);
+    const auto* dispatch = std::get_if<protocol::dispatch>(&message.content);
+    const bool usable =
+        it != m_links.end() && it->second.status.up &&
+        (dispatch == nullptr || dispatch->identity.incarnation == it->second.status.incarnation);
+    const bool sent = usable && it->second.socket->send(wire::encode(message.content));
+    if (!sent && dispatch != nullptr) {
+        m_coordinator.send(work_not_sent{message.instance, dispatch->identity});
+    }
+}
+
+void links::open(link& target) {
+    const auto name = target.instance.name;
+    target.socket.reset();
+    target.nonce = 0;
+    target.opened = common::monotonic_clock::now();
+    try {
+        target.socket = std::make_unique<wire::dealer>(
+            m_context, target.instance.address,
+            m_context.wrap([this, name](const std::string& bytes) { received(name, bytes); }));
+    } catch (const common::network_error& e) {
+        m_log.warn("Cannot open the link.", {{"instance", name}, {"reason", e.what()}});
+    }
+}
+
+void links::tick() {
+    const auto now = common::monotonic_clock::now();
+    for (auto& [name, target] : m_links) {
+        const auto last = std::max(target.last_pong, target.opened);
+        if (now - last > m_limits.silence_limit) {
+            // A connection may have gone silent for good while new ones work.
+            set_down(target);
+            ++target.replacements;
+            open(target);
+        }
+        ping(target, now);
+    }
+    m_timer.start(m_limits.ping_interval, m_context.wrap([this] { tick(); }));
+}
+
+void links::ping(link& target, common::time_point now) {
+    if (!target.socket) {
+        return;
+    }
+    const protocol::ping message{m_entry_name, m_next_nonce, m_revision};
+    if (target.socket->send(wire::encode(message))) {
+        target.nonce = m_next_nonce++;
+        target.ping_sent = now;
+    }
+}
+
+void links::received(const std::string& instance, const std::string& bytes) {
+    const auto it = m_links.find(instance);
+    if (it == m_links.end()) {
+        return;
+    }
+    try {
+        const auto message = wire::decode(bytes);
+        if (const auto* pong = std::get_if<protocol::pong>(&message)) {
+            pong_received(it->second, *pong);
+            return;
+        }
+        m_coordinator.send(work_message{instance, message});
+    } catch (const common::format_error& e) {
+        m_log.warn("Dropped a message.", {{"instance", instance}, {"reason", e.what()}});
+    }
+}
+
+void links::pong_received(link& target, const protocol::pong& pong) {
+    if (pong.nonce != target.nonce) {
+        return;
+    }
+    const auto now = common::monotonic_clock::now();
+    target.last_pong = now;
+    auto& status = target.status;
+    status.up = true;
+    status.incarnation = pong.incarnation;
+    status.draining = pong.draining;
+    // The sidecar read its clock no later than now, so a deadline translated with this offset is
+    // never later than the true one.
+    status.clock_offset_us = pong.clock_us - common::to_microseconds(now);
+    status.load = pong.load;
+    report(target);
+}
+
+void links::set_down(link& target) {
+    if (!std::exchange(target.status.up, false)) {
+        return;
+    }
+    m_log.warn("Link is down.", {{"instance", target.instance.name}});
+    report(target);
+}
+
+void links::report(const link& target) {
+    m_coordinator.send(target.status);
+}
+
+boost::json::value links::dump() const {
+    boost::json::object entries;
+    for (const auto& [name, it] : m_links) {
+        entries[name] = boost::json::object{{"address", it.instance.address},
+                                            {"up", it.status.up},
+                                            {"incarnation", it.status.incarnation},
+                                            {"clock_offset_us", it.status.clock_offset_us},
+                                            {"replacements", it.replacements}};
+    }
+    return boost::json::object{{"revision", m_revision}, {"links", std::move(entries)}};
+}
+
+} // namespace jujubemast::entry
--- /dev/null
+++ b/source/core/entry/links.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "common/random.h"
+#include "entry/messages.h"
+#include "logging/logger.h"
+#include "runtime/mailbox.h"
+#include "runtime/task.h"
+#include "wire/socket.h"
+
+namespace jujubemast::entry {
+
+/// Timing of the links between an entry and the sidecars.
+struct link_limits {
+    common::duration ping_interval = std::chrono::milliseconds{250};
+    /// A link without a heartbeat answer for this time is down and its socket is replaced.
+    common::duration silence_limit = std::chrono::milliseconds{1000};
+};
+
+/// Owns one ZeroMQ socket for each sidecar: sends heartbeats, measures the clock offset, passes
+/// messages on in both directions, and replaces sockets that have gone silent.
+class links final : public runtime::task {
+public:
+    links(runtime::task_context context, std::shared_ptr<runtime::mailbox<links_message>> inbox,
+          runtime::address<coordinator_message> coordinator, std::string entry_name,
+          link_limits limits);
+
+    void start() override;
+    void close() noexcept override;
+    [[nodiscard]] boost::json::value dump() const override;
+
+private:
+    struct link {
+        platform::instance instance;
+        std::unique_ptr<wire::dealer> socket;
+        link_status status;
+        std::uint64_t nonce = 0;
+        common::time_point ping_sent;
+        common::time_point last_pong;
+        common::time_point opened;
+        std::uint64_t replacements = 0;
+    };
+
+    void handle(const members_changed& message);
+    void handle(const send_work& message);
+    void handle(const announce_revision& message);
+    void open(link& target);
+    void tick();
+    void ping(link& target, common::time_point now);
+    void received(const std::string& instance, const std::string& bytes);
+    void pong_received(link& target, const protocol::pong& pong);
+    void set_down(link& target);
+    void report(const link& target);
+
+    runtime::task_context m_context;
+    runtime::inbox<links_message> m_inbox;
+    runtime::address<coordinator_message> m_coordinator;
+    std::string m_entry_name;
+    link_limits m_limits;
+    runtime::timer m_timer;
+    logging::logger m_log{"links"};
+    std::map<std::string, link> m_links;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_next_nonce = 1;
+};
+
+} // namespace jujubemast::entry
--- /dev/null
+++ b/source/core/entry/membership.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <memory>
+
+#include "entry/messages.h"
+#include "platform/store.h"
+#include "runtime/mailbox.h"
+#include "runtime/task.h"
+
+namespace jujubemast::entry {
+
+/// Polls the platform's membership list and passes it to the links. While the platform does not
+/// answer, the last list stays in use.
+class membership final : public runtime::task {
+public:
+    membership(runtime::task_context context, const http::endpoint& platform,
+               common::duration interval, runtime::address<links_message> links);
+
+    void start() override;
+    void close() noexcept override;
+    [[nodiscard]] boost::json::value dump() const override;
+
+private:
+    void poll();
+    void received(std::optional<std::vector<platform::instance>> members);
+
+    runtime::task_context m_context;
+    platform::store m_store;
+    common::duration m_interval;
+    runtime::address<links_message> m_links;
+    runtime::timer m_timer;
+    std::uint64_t m_polls = 0;
+    std::uint64_t m_failed_polls = 0;
+    std::size_t m_members = 0;
+};
+
+} // namespace jujubemast::entry
--- /dev/null
+++ b/source/core/entry/messages.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/time.h"
+#include "common/types.h"
+#include "http/server.h"
+#include "platform/store.h"
+#include "protocol/messages.h"
+#include "tickets/configuration.h"
+
+namespace jujubemast::entry {
+
+/// A request as decoded from HTTP, not yet authenticated.
+struct caller_request {
+    std::string key;
+    std::string pipeline;
+    std::string request_id;
+    std::string idempotency_key;
+    std::string trace_parent;
+    std::optional<common::duration> timeout;
+    std::optional<common::priority> priority;
+    std::string input;
+    std::uint32_t max_tokens = 0;
+    bool stream = false;
+};
+
+/// A caller's request together with the connection that waits for its answer.
+struct submit {
+    std::uint64_t id = 0;
+    caller_request request;
+    http::responder reply;
+};
+
+/// The caller of a submitted request has closed its connection.
+struct caller_disconnected {
+    std::uint64_t id = 0;
+};
+
+/// The configuration in force has changed.
+struct configuration_changed {
+    tickets::configuration_pointer current;
+};
+
+/// A message from a sidecar about a piece of work.
+struct work_message {
+    std::string instance;
+    protocol::message content;
+};
+
+/// What is known of the link to a sidecar; sent with each heartbeat answer and each change.
+struct link_status {
+    platform::instance instance;
+    bool up = false;
+    std::uint64_t incarnation = 0;
+    bool draining = false;
+    /// What to add to this process's monotonic clock to get the sidecar's, in microseconds.
+    std::int64_t clock_offset_us = 0;
+    protocol::load_report load;
+};
+
+/// The instance has left the membership list and its link is closed.
+struct link_removed {
+    std::string instance;
+};
+
+/// A message could not be sent because the link is down.
+struct work_not_sent {
+    std::string instance;
+    protocol::work_identity identity;
+};
+
+using coordinator_message = std::variant<submit, caller_disconnected, configuration_changed,
+                                         work_message, link_status, link_removed, work_not_sent>;
+
+/// The platform's list of instances.
+struct members_changed {
+    std::vector<platform::instance> members;
+};
+
+/// Sends a message to the sidecar of an instance.
+struct send_work {
+    std::string instance;
+    protocol::message content;
+};
+
+/// The revision of the configuration to announce in heartbeats.
+struct announce_revision {
+    std::uint64_t revision = 0;
+};
+
+using links_message = std::variant<members_changed, send_work, announce_revision>;
+
+} // namespace jujubemast::entry
--- /dev/null
+++ b/source/core/entry/request_flow.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/digest.h"
+#include "common/time.h"
+#include "entry/problem.h"
+#include "protocol/messages.h"
+#include "tickets/configuration.h"
+
+namespace jujubemast::entry {
+
+/// What a request asks for, after authentication and lookup of its pipeline.
+struct request_plan {
+    std::string request_id;
+    std::string workspace;
+    tickets::pipeline_settings pipeline;
+    common::priority priority = common::priority::standard;
+    common::time_point deadline;
+    std::string input;
+    std::uint32_t max_tokens = 0;
+    bool stream = false;
+    std::string trace_parent;
+};
+
+/// How one stage of a request went, as reported to the caller.
+struct stage_report {
+    std::string name;
+    std::string upstream;
+    std::uint32_t attempts = 0;
+    common::duration elapsed = common::duration::zero();
+    std::int64_t queue_us = 0;
+    std::int64_t service_us = 0;
+};
+
+/// Asks for an upstream of the stage's pool and for the dispatch of the stage to it.
+struct dispatch_stage {
+    std::uint32_t stage = 0;
+    std::uint32_t attempt = 0;
+    std::string body;
+    std::uint64_t resume_offset = 0;
+    /// Upstreams that have failed this stage.
+    std::vector<std::string> excluded;
+};
+
+/// Asks for a message to the upstream that holds this work.
+struct send_to_upstream {
+    std::string instance;
+    protocol::message content;
+};
+
+/// A piece of the final stage's output for a streaming caller.
+struct deliver_piece {
+    std::string text;
+};
+
+/// The request is complete.
+struct deliver_answer {
+    std::string output;
+    std::vector<stage_report> stages;
+};
+
+/// The request has failed.
+struct deliver_problem {
+    problem content;
+};
+
+using flow_action =
+    std::variant<dispatch_stage, send_to_upstream, deliver_piece, deliver_answer, deliver_problem>;
+using flow_actions = std::vector<flow_action>;
+
+/// Tells whether a failed stage may be tried again. `certainly_not_run` is true for work that an
+/// upstream has not executed.
+using retry_hook = std::function<bool(const tickets::stage_settings& stage, std::uint32_t attempts,
+                                      bool certainly_not_run, common::duration remaining)>;
+
+/// Baseline: retries what is idempotent or certainly not run, up to the given number of attempts.
+retry_hook make_bounded_retry(std::uint32_t max_attempts);
+
+/// The state machine of one request: takes events and returns what is to be done. Holds no socket
+/// and reads no clock.
+class request_flow {
+public:
+    request_flow(request_plan plan, retry_hook may_retry);
+
+    flow_actions begin(common::time_point now);
+
+    /// The stage was sent to this upstream.
+    void stage_dispatched(const std::string& instance, std::uint64_t incarnation,
+                          common::time_point now);
+    /// No upstream could take the stage.
+    flow_actions stage_not_dispatched(common::time_point now);
+
+    flow_actions chunk_received(const protocol::result_chunk& chunk, common::time_point now);
+    flow_actions end_received(const protocol::result_end& end, common::time_point now);
+    flow_actions refusal_received(const protocol::refusal& refusal, common::time_point now);
+    /// The link to an upstream was lost, or its sidecar has restarted.
+    flow_actions link_lost(const std::string& instance, common::time_point now);
+    flow_actions deadline_passed();
+    /// The caller has closed its connection.
+    flow_actions caller_gone();
+
+    [[nodiscard]] bool finished() const { return m_finished; }
+    [[nodiscard]] const request_plan& plan() const { return m_plan; }
+    /// The upstream that holds the current stage, if any.
+    [[nodiscard]] const std::string& assigned_instance() const { return m_instance; }
+    /// Whether any stage was, may have been or was certainly not executed.
+    [[nodiscard]] common::execution execution() const;
+
+private:
+    [[nodiscard]] const tickets::stage_settings& stage() const;
+    [[nodiscard]] bool is_current(const protocol::work_identity& identity) const;
+    flow_actions start_attempt();
+    flow_actions accept_pieces();
+    void take_payload(const std::string& payload, flow_actions& actions);
+    flow_actions check_complete(common::time_point now);
+    flow_actions complete_stage(common::time_point now);
+    flow_actions attempt_failed(problem_kind kind, common::execution outcome, std::string detail,
+                                std::int64_t retry_after_us, common::time_point now);
+    flow_actions fail(problem_kind kind, std::string detail, std::int64_t retry_after_us = 0);
+    void append_cancel(flow_actions& actions);
+    [[nodiscard]] std::string stage_body() const;
+
+    request_plan m_plan;
+    retry_hook m_may_retry;
+    std::size_t m_stage = 0;
+    std::uint32_t m_attempt = 0;
+    std::string m_instance;
+    std::uint64_t m_incarnation = 0;
+    bool m_in_flight = false;
+    bool m_ran = false;
+    bool m_unknown = false;
+    bool m_finished = false;
+    common::time_point m_stage_begin;
+    std::vector<std::string> m_excluded;
+    std::string m_context;
+    /// Output of the current stage so far, over all of its attempts.
+    std::string m_output;
+    std::uint64_t m_output_tokens = 0;
+    std::uint32_t m_next_sequence = 0;
+    std::map<std::uint32_t, std::string> m_early_chunks;
+    common::content_digest m_digest;
+    std::optional<protocol::result_end> m_end;
+    std::vector<stage_report> m_reports;
+};
+
+} // namespace jujubemast::entry
--- /dev/null
+++ b/source/core/sidecar/admission.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/digest.h"
+#include "common/enum_names.h"
+#include "common/random.h"
+#include "logging/logger.h"
+#include "policy/work_queue.h"
+#include "runtime/mailbox.h"
+#include "runtime/task.h"
+#include "sidecar/messages.h"
+
+namespace jujubemast::sidecar {
+
+/// Where a piece of work is in its life at a sidecar.
+enum class work_state { queued, running, finished, cancelled };
+
+struct admission_options {
+    /// Calls to the upstream at the same time.
+    std::uint32_t concurrency = 8;
+    std::uint32_t retry_after_ms = 1000;
+};
+
+struct admission_hooks {
+    policy::queue_hooks queue;
+    common::clock_hook clock = common::system_clock_hook();
+    common::random_hook random = common::system_random();
+};
+
+/// Decides which work runs at the upstream and when. Keeps results until they are acknowledged or
+/// their deadline has passed, and remembers cancelled work for as long.
+class admission final : public runtime::task {
+public:
+    admission(runtime::task_context context,
+              std::shared_ptr<runtime::mailbox<admission_message>> inbox,
+              runtime::address<link_command> link, runtime::address<upstream_command> upstream,
+              admission_options options, admission_hooks hooks);
+
+    void start() override;
+    void stop(const runtime::stop_done& done) override;
+    void close() noexcept override;
+    [[nodiscard]] boost::json::value dump() const override;
+
+private:
+    struct work_record {
+        std::uint64_t id = 0;
+        std::string routing_id;
+        protocol::dispatch dispatch;
+        work_state state = work_state::queued;
+        common::time_point deadline;
+        common::time_point queued_at;
+        common::time_point started_at;
+        std::vector<std::string> chunks;
+        common::content_digest digest;
+        /// The final message, once there is one.
+        std::unique_ptr<protocol::message> outcome;
+    };
+
+    void handle(const entry_message& message);
+    void handle(const call_piece& message);
+    void handle(const call_done& message);
+    void handle(const call_failed& message);
+
+    void dispatch_received(const std::string& routing_id, const protocol::dispatch& dispatch);
+    void cancel_received(const std::string& routing_id, const protocol::cancel& cancel);
+    void acknowledge_received(const protocol::acknowledge& acknowledge);
+    void fetch_received(const std::string& routing_id, const protocol::fetch& fetch);
+
+    void enqueue(work_record& record);
+    void run_next();
+    void start_call(work_record& record);
+    void refuse(work_record& record, protocol::refusal_reason reason, common::execution execution,
+                std::string detail);
+    void send_refusal(const std::string& routing_id, const protocol::work_identity& identity,
+                      protocol::refusal_reason reason, common::execution execution,
+                      std::string detail);
+    void finish(work_record& record, protocol::message outcome);
+    void cancel_running(work_record& record);
+    void expire();
+    void schedule_expiry();
+    void announce_status();
+    void check_drained();
+    work_record* find(const protocol::work_identity& identity);
+    work_record* find_call(std::uint64_t id);
+    void forget(std::uint64_t id);
+
+    runtime::task_context m_context;
+    runtime::inbox<admission_message> m_inbox;
+    runtime::address<link_command> m_link;
+    runtime::address<upstream_command> m_upstream;
+    admission_options m_options;
+    admission_hooks m_hooks;
+    logging::logger m_log{"admission"};
+    runtime::timer m_expiry_timer;
+    std::uint64_t m_incarnation = 0;
+    std::uint64_t m_next_id = 1;
+    std::map<std::uint64_t, work_record> m_records;
+    std::map<protocol::work_identity, std::uint64_t> m_ids;
+    std::multimap<common::time_point, std::uint64_t> m_deadlines;
+    std::uint32_t m_running = 0;
+    std::uint64_t m_completed = 0;
+    std::uint64_t m_failed = 0;
+    bool m_draining = false;
+    runtime::stop_done m_done;
+};
+
+} // namespace jujubemast::sidecar
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<sidecar::work_state> {
+    static constexpr std::array<std::string_view, 4> table{"queued", "running", "finished",
+                                                           "cancelled"};
+};
+
+} // namespace jujubemast::common
--- /dev/null
+++ b/source/core/sidecar/messages.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "common/time.h"
+#include "protocol/messages.h"
+
+namespace jujubemast::sidecar {
+
+/// A message from an entry, with the connection it came over.
+struct entry_message {
+    std::string routing_id;
+    protocol::message content;
+};
+
+/// A piece of an upstream's result.
+struct call_piece {
+    std::uint64_t call = 0;
+    std::string payload;
+};
+
+/// An upstream call has delivered its whole result.
+struct call_done {
+    std::uint64_t call = 0;
+};
+
+/// An upstream call has failed.
+struct call_failed {
+    std::uint64_t call = 0;
+    common::execution execution = common::execution::unknown;
+    std::string detail;
+};
+
+using admission_message = std::variant<entry_message, call_piece, call_done, call_failed>;
+
+/// Sends a message to an entry.
+struct send_to_entry {
+    std::string routing_id;
+    protocol::message content;
+};
+
+/// What heartbeat answers report from now on.
+struct status_changed {
+    std::uint64_t incarnation = 0;
+    bool draining = false;
+    protocol::load_report load;
+};
+
+using link_command = std::variant<send_to_entry, status_changed>;
+
+/// Runs a stage at the upstream.
+struct start_call {
+    std::uint64_t call = 0;
+    protocol::dispatch work;
+    /// Time left until the deadline.
+    common::duration remaining;
+};
+
+/// Ends a call at the upstream.
+struct cancel_call {
+    std::uint64_t call = 0;
+};
+
+using upstream_command = std::variant<start_call, cancel_call>;
+
+} // namespace jujubemast::sidecar
--- /dev/null
+++ b/source/core/sidecar/sidecar_settings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "settings/settings.h"
+
+namespace jujubemast::sidecar {
+
+/// The settings of jujubemast-sidecar.
+struct sidecar_settings {
+    static const settings::setting<std::string> name;
+    static const settings::setting<std::string> failure_domain;
+    static const settings::setting<std::string> log_level;
+    static const settings::setting<std::string> link_listen;
+    static const settings::setting<std::string> admin_listen;
+    static const settings::setting<std::string> upstream_address;
+    static const settings::setting<std::string> upstream_kind;
+    static const settings::setting<std::chrono::milliseconds> upstream_progress_timeout;
+    static const settings::setting<std::int64_t> admission_concurrency;
+    static const settings::setting<std::int64_t> admission_queue_capacity;
+
+    static const settings::table table;
+};
+
+} // namespace jujubemast::sidecar
--- /dev/null
+++ b/source/core/sidecar/sidecar_tree.cpp
@@ -0,0 +1,84 @@
+#include "sidecar/sidecar_tree.h"
+
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "admin/admin_server.h"
+#include "admin/health.h"
+#include "sidecar/admission.h"
+#include "sidecar/link.h"
+#include "sidecar/sidecar_settings.h"
+#include "sidecar/upstream.h"
+
+namespace jujubemast::sidecar {
+
+namespace {
+
+constexpr std::size_t mailbox_capacity = 65536;
+
+using admission_mailbox = std::shared_ptr<runtime::mailbox<admission_message>>;
+using link_mailbox = std::shared_ptr<runtime::mailbox<link_command>>;
+using upstream_mailbox = std::shared_ptr<runtime::mailbox<upstream_command>>;
+
+runtime::child_spec make_admission(const settings::values& values, const admission_mailbox& inbox,
+                                   const link_mailbox& link, const upstream_mailbox& upstream) {
+    admission_options options;
+    options.concurrency =
+        static_cast<std::uint32_t>(values.get(sidecar_settings::admission_concurrency));
+    const auto capacity =
+        static_cast<std::size_t>(values.get(sidecar_settings::admission_queue_capacity));
+    return {"admission", [=](runtime::task_context context) {
+                admission_hooks hooks;
+                hooks.queue = policy::make_fifo_queue(capacity);
+                return std::make_shared<admission>(
+                    std::move(context), inbox, runtime::address<link_command>{link},
+                    runtime::address<upstream_command>{upstream}, options, hooks);
+            }};
+}
+
+runtime::child_spec make_upstream(const settings::values& values, const upstream_mailbox& inbox,
+                                  const admission_mailbox& admission) {
+    upstream_options options;
+    options.address = http::parse_endpoint(values.get(sidecar_settings::upstream_address));
+    options.kind =
+        common::from_name<tickets::pool_kind>(values.get(sidecar_settings::upstream_kind)).value();
+    options.progress_timeout = values.get(sidecar_settings::upstream_progress_timeout);
+    return {"upstream", [=](runtime::task_context context) {
+                return std::make_shared<upstream>(std::move(context), inbox,
+                                                  runtime::address<admission_message>{admission},
+                                                  options);
+            }};
+}
+
+} // namespace
+
+std::vector<runtime::child_spec> make_sidecar_tree(const runtime::executor& loop,
+                                                   const runtime::process_hooks& process,
+                                                   const settings::values& values) {
+    const auto health_inbox = runtime::make_mailbox<admin::health_message>(loop, mailbox_capacity);
+    const auto admission_inbox = runtime::make_mailbox<admission_message>(loop, mailbox_capacity);
+    const auto link_inbox = runtime::make_mailbox<link_command>(loop, mailbox_capacity);
+    const auto upstream_inbox = runtime::make_mailbox<upstream_command>(loop, mailbox_capacity);
+
+    std::vector<runtime::child_spec> children;
+    children.push_back({"health", [health_inbox](runtime::task_context it) {
+                            return std::make_shared<admin::health>(
+                                std::move(it), health_inbox, std::map<std::string, std::string>{});
+                        }});
+    children.push_back(admin::make_admin_server(
+        http::parse_endpoint(values.get(sidecar_settings::admin_listen)),
+        runtime::address<admin::health_message>{health_inbox}, {process.dump, {}}));
+    const auto listen = values.get(sidecar_settings::link_listen);
+    children.push_back({"link", [link_inbox, admission_inbox, listen](runtime::task_context it) {
+                            return std::make_shared<link>(
+                                std::move(it), link_inbox,
+                                runtime::address<admission_message>{admission_inbox}, listen);
+                        }});
+    children.push_back(make_upstream(values, upstream_inbox, admission_inbox));
+    // Stops first, while the link and the upstream calls still work for it.
+    children.push_back(make_admission(values, admission_inbox, link_inbox, upstream_inbox));
+    return children;
+}
+
+} // namespace jujubemast::sidecar
--- /dev/null
+++ b/source/core/sidecar/upstream.cpp
@@ -0,0 +1,169 @@
+#include "sidecar/upstream.h"
+
+#include <utility>
+
+#include <boost/json.hpp>
+
+namespace jujubemast::sidecar {
+
+namespace {
+
+/// The engine's name for one execution.
+std::string execution_name(const protocol::work_identity& identity) {
+    return identity.request_id + ":" + std::to_string(identity.stage) + ":" +
+           std::to_string(identity.attempt);
+}
+
+// RFC 9218 urgency of each priority, the inverse of what entries accept from callers.
+constexpr std::array<std::string_view, 3> urgency{"u=1", "u=3", "u=5"};
+
+http::client_limits limits_of(const upstream_options& options) {
+    return {.progress_timeout = options.progress_timeout, .max_idle_connections = 64};
+}
+
+} // namespace
+
+upstream::upstream(runtime::task_context context,
+                   std::shared_ptr<runtime::mailbox<upstream_command>> inbox,
+                   runtime::address<admission_message> admission, upstream_options options)
+    : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_admission{std::move(admission)},
+      m_options{std::move(options)}, m_client{m_context, m_options.address, limits_of(m_options)} {}
+
+void upstream::start() {
+    m_inbox.receive(m_context.wrap([this](const upstream_command& command) {
+        std::visit([this](const auto& it) { handle(it); }, command);
+    }));
+}
+
+void upstream::close() noexcept {
+    m_inbox.close();
+    m_client.close();
+    m_calls.clear();
+}
+
+http::request upstream::make_request(const start_call& command) const {
+    const auto& work = command.work;
+    http::request request{"POST", "/v1/" + work.operation, {}, work.body};
+    if (work.resume_offset > 0) {
+        request.target += "?resume_offset=" + std::to_string(work.resume_offset);
+    }
+    const auto remaining =
+        std::chrono::duration_cast<std::chrono::milliseconds>(command.remaining).count();
+    request.fields = {
+        {"Content-Type", "application/json"},
+        {"X-Request-Id", work.identity.request_id},
+        {"X-Execution-Id", execution_name(work.identity)},
+        {"X-Request-Timeout-Ms", std::to_string(remaining)},
+        {"X-Workspace", work.workspace},
+        {"Priority", std::string{urgency.at(static_cast<std::size_t>(work.priority))}}};
+    if (!work.model.empty()) {
+        request.fields.push_back({"X-Model", work.model});
+    }
+    if (!work.trace_parent.empty()) {
+        request.fields.push_back({"traceparent", work.trace_parent});
+    }
+    return request;
+}
+
+void upstream::handle(const start_call& command) {
+    const auto id = command.call;
+    auto& added = m_calls[id];
+    added.identity = command.work.identity;
+    if (m_options.kind == tickets::pool_kind::engine) {
+        added.events = std::make_unique<http::event_reader>(
+            [this, id](const http::stream_event& event) { event_received(id, event); });
+    }
+    http::call_hooks hooks;
+    hooks.on_head = [this, id](unsigned status, const http::headers& /*fields*/) {
+        m_calls.at(id).status = status;
+    };
+    hooks.on_data = [this, id](std::string_view bytes) { data_received(id, bytes); };
+    hooks.on_done = [this, id] { ended(id); };
+    hooks.on_error = [this, id](const http::call_error& error) { failed(id, error); };
+    added.http_call =
+        m_client.start(make_request(command), std::move(hooks),
+                       {.repeatable = command.work.idempotent, .head_timeout = command.remaining});
+}
+
+void upstream::handle(const cancel_call& command) {
+    const auto it = m_calls.find(command.call);
+    if (it == m_calls.end()) {
+        return;
+    }
+    m_client.cancel(it->second.http_call);
+    if (it->second.events) {
+        m_client.send({"DELETE", "/v1/generate/" + execution_name(it->second.identity), {}, {}},
+                      [](const http::call_result& /*result*/) {});
+    }
+    m_calls.erase(it);
+}
+
+void upstream::data_received(std::uint64_t id, std::string_view bytes) {
+    auto& target = m_calls.at(id);
+    if (target.events && target.status == 200) {
+        target.events->add(bytes);
+        return;
+    }
+    target.body += bytes;
+}
+
+void upstream::event_received(std::uint64_t id, const http::stream_event& event) {
+    auto& target = m_calls.at(id);
+    boost::system::error_code ec;
+    const auto value = boost::json::parse(event.data, ec);
+    const auto* object = ec ? nullptr : value.if_object();
+    if (object == nullptr) {
+        return;
+    }
+    if (event.name == "tokens") {
+        const auto* tokens = object->if_contains("tokens");
+        target.tokens += tokens != nullptr && tokens->is_array() ? tokens->as_array().size() : 0;
+        m_admission.send(call_piece{id, event.data});
+        return;
+    }
+    if (event.name == "done") {
+        const auto* count = object->if_contains("count");
+        target.complete = count != nullptr && count->is_number() &&
+                          count->to_number<std::uint64_t>() == target.tokens;
+    }
+}
+
+void upstream::ended(std::uint64_t id) {
+    auto& target = m_calls.at(id);
+    if (target.status != 200) {
+        // 429 is sent before any work begins; other errors leave the outcome open.
+        const auto execution =
+            target.status == 429 ? common::execution::not_run : common::execution::unknown;
+        report_failure(id, execution, "upstream answered " + std::to_string(target.status));
+        return;
+    }
+    if (target.events && !target.complete) {
+        report_failure(id, common::execution::unknown, "upstream ended its stream early");
+        return;
+    }
+    if (!target.events) {
+        m_admission.send(call_piece{id, std::move(target.body)});
+    }
+    m_admission.send(call_done{id});
+    m_calls.erase(id);
+}
+
+void upstream::failed(std::uint64_t id, const http::call_error& error) {
+    const auto execution = error.sent ? common::execution::unknown : common::execution::not_run;
+    report_failure(id, execution, std::string{common::to_name(error.fault)} + ": " + error.detail);
+}
+
+void upstream::report_failure(std::uint64_t id, common::execution execution, std::string detail) {
+    m_log.warn("Call failed.",
+               {{"execution", execution_name(m_calls.at(id).identity)}, {"detail", detail}});
+    m_admission.send(call_failed{id, execution, std::move(detail)});
+    m_calls.erase(id);
+}
+
+boost::json::value upstream::dump() const {
+    return boost::json::object{{"address", http::to_string(m_options.address)},
+                               {"kind", common::to_name(m_options.kind)},
+                               {"calls", m_calls.size()}};
+}
+
+} // namespace jujubemast::sidecar
