--- /dev/null
+++ b/source/standins/engine_service.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "runtime/mailbox.h"
+#include "runtime/task.h"
+#include "standins/service_messages.h"
+
+namespace jujubemast::standins {
+
+/// How a stand-in engine behaves; changed by PUT /control/behavior.
+struct engine_behavior {
+    /// Streams generated at the same time.
+    std::int64_t slots = 8;
+    /// Time between two steps of the batch; each step gives every stream one token.
+    common::duration step_time = std::chrono::milliseconds{5};
+    /// Prompt bytes that one step can take in for a stream before its first token.
+    std::int64_t prefill_bytes_per_step = 2048;
+    /// Prompt prefixes held in the cache.
+    std::int64_t cache_entries = 64;
+    bool checks_fencing = true;
+    /// Streams are accepted and give no token.
+    bool silent = false;
+};
+
+/// Stands in for a model engine: continuous batching with a fixed number of slots, priorities, a
+/// prefix cache, streaming, cancellation, resumption, load and cache reports, and orders.
+class engine_service final : public runtime::task {
+public:
+    engine_service(runtime::task_context context,
+                   std::shared_ptr<runtime::mailbox<service_message>> inbox,
+                   engine_behavior behavior);
+
+    void start() override;
+    void close() noexcept override;
+    [[nodiscard]] boost::json::value dump() const override;
+
+private:
+    struct generation {
+        http_call call;
+        std::string execution_id;
+        std::string input;
+        std::string context;
+        std::uint64_t first = 0;
+        std::uint64_t next = 0;
+        std::uint64_t limit = 0;
+        std::int64_t prefill_left = 0;
+        int urgency = 3;
+    };
+
+    void received(http_call call);
+    void generate(http_call call);
+    void serve_control(const http_call& call, std::string_view what);
+    void serve_order(const http_call& call);
+    void serve_load(const http_call& call);
+    void serve_events(const http_call& call, std::string_view query);
+    void cancel(const std::string& execution_id);
+    void remove_call(std::uint64_t id);
+    void fill_slots();
+    void step();
+    void advance(generation& it);
+    [[nodiscard]] std::int64_t use_cache(const std::string& input);
+
+    runtime::task_context m_context;
+    runtime::inbox<service_message> m_inbox;
+    engine_behavior m_behavior;
+    runtime::timer m_step_timer;
+    bool m_stepping = false;
+    std::list<generation> m_waiting;
+    std::list<generation> m_running;
+    std::map<std::string, std::uint64_t> m_executions;
+    std::deque<std::string> m_cache;
+    std::deque<std::pair<std::uint64_t, std::string>> m_cache_events;
+    std::uint64_t m_next_event = 1;
+    std::set<std::string> m_models{"base"};
+    std::string m_role = "generate";
+    std::int64_t m_fencing = 0;
+    std::uint64_t m_tokens = 0;
+    /// Load as published; refreshed with a lag.
+    std::size_t m_published_waiting = 0;
+    std::size_t m_published_running = 0;
+    common::time_point m_published_at;
+};
+
+} // namespace jujubemast::standins
--- /dev/null
+++ b/source/standins/host.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "runtime/process.h"
+#include "standins/service_messages.h"
+
+namespace jujubemast::standins {
+
+/// Creates the task of one stand-in.
+using service_factory = std::function<std::shared_ptr<runtime::task>(
+    runtime::task_context, std::shared_ptr<runtime::mailbox<service_message>>)>;
+
+/// Parses the flags, then runs `--count` stand-ins in this process, each with a server of its own
+/// on consecutive ports from `--listen`, or on ports from the kernel. Returns the exit code.
+int run_host(int argc, char** argv, const std::string& name, const service_factory& make);
+
+} // namespace jujubemast::standins
--- /dev/null
+++ b/source/standins/table_storage.cpp
@@ -0,0 +1,44 @@
+#include "standins/table_storage.h"
+
+#include <algorithm>
+
+namespace jujubemast::standins {
+
+platform::row table_storage::read(const platform::row_key& target) const {
+    const auto it = m_rows.find(target);
+    if (it == m_rows.end()) {
+        return {target.key, 0, nullptr};
+    }
+    return {target.key, it->second.version, it->second.value};
+}
+
+std::vector<platform::row> table_storage::scan(const std::string& table,
+                                               const std::string& prefix) const {
+    std::vector<platform::row> rows;
+    for (auto it = m_rows.lower_bound({table, prefix});
+         it != m_rows.end() && it->first.table == table && it->first.key.starts_with(prefix);
+         ++it) {
+        if (it->second.present) {
+            rows.push_back({it->first.key, it->second.version, it->second.value});
+        }
+    }
+    return rows;
+}
+
+bool table_storage::commit(const platform::transaction& work) {
+    const bool holds =
+        std::all_of(work.conditions.begin(), work.conditions.end(),
+                    [this](const auto& it) { return read(it.target).version == it.version; });
+    if (!holds) {
+        return false;
+    }
+    for (const auto& write : work.writes) {
+        auto& row = m_rows[write.target];
+        ++row.version;
+        row.present = write.value.has_value();
+        row.value = write.value.value_or(nullptr);
+    }
+    return true;
+}
+
+} // namespace jujubemast::standins
--- /dev/null
+++ b/tests/support/deployment.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/message.h"
+#include "support/child_process.h"
+
+namespace jujubemast::tests {
+
+/// A stand-in upstream with its sidecar.
+struct upstream_instance {
+    std::string name;
+    std::string pool;
+    /// Address of the stand-in itself, for its control calls.
+    std::string upstream_address;
+    std::string sidecar_address;
+    std::string settings_path;
+    std::unique_ptr<child_process> sidecar;
+};
+
+/// A small deployment of real processes on loopback: the stand-in platform, pools of stand-in
+/// upstreams with a sidecar each, and entries. Everything ends with this object.
+class deployment {
+public:
+    deployment();
+    ~deployment();
+    deployment(const deployment&) = delete;
+    deployment& operator=(const deployment&) = delete;
+
+    /// Starts the upstreams of a pool in one process, and a sidecar for each. Further flags go to
+    /// the stand-in.
+    void add_pool(const std::string& pool, const std::string& kind, int count,
+                  const std::vector<std::string>& flags = {});
+
+    /// Starts an entry; it becomes ready once a ticket is in force.
+    void add_entry();
+
+    /// Creates and accepts a ticket from YAML. Throws when the program does not report success.
+    void accept_ticket(const std::string& yaml);
+
+    /// Publishes all upstream instances in the membership list, with these marked as leaving.
+    void publish_membership(const std::vector<std::string>& leaving = {}) const;
+
+    /// Waits until every entry is ready and has a link to every sidecar.
+    void wait_until_ready();
+
+    /// Sends a request to an entry with the key of the workspace "demo".
+    http::response submit(std::size_t entry, const std::string& pipeline, const std::string& body,
+                          const http::headers& extra = {}) const;
+
+    /// Runs jujubemast-ctl and returns its exit code; its output is appended to `output`.
+    int run_ctl(const std::vector<std::string>& arguments, std::string& output);
+
+    /// Writes a settings file and returns its path.
+    std::string write_file(const std::string& name, const std::string& text) const;
+
+    [[nodiscard]] child_process& entry(std::size_t n) { return *m_entries.at(n); }
+    [[nodiscard]] const std::string& entry_address(std::size_t n) const {
+        return m_entry_addresses.at(n);
+    }
+    [[nodiscard]] const std::string& entry_admin_address(std::size_t n) const {
+        return m_entry_admin_addresses.at(n);
+    }
+    [[nodiscard]] std::vector<upstream_instance>& upstreams() { return m_upstreams; }
+    [[nodiscard]] const std::string& platform_address() const { return m_platform_address; }
+    [[nodiscard]] std::string log_path(const std::string& name) const {
+        return m_folder + "/" + name + ".log";
+    }
+
+    /// Starts the sidecar of an upstream, again after it has ended.
+    void start_sidecar(upstream_instance& instance);
+
+private:
+    std::string m_folder;
+    std::unique_ptr<child_process> m_platform;
+    std::string m_platform_address;
+    std::vector<std::unique_ptr<child_process>> m_hosts;
+    std::vector<upstream_instance> m_upstreams;
+    std::vector<std::unique_ptr<child_process>> m_entries;
+    std::vector<std::string> m_entry_addresses;
+    std::vector<std::string> m_entry_admin_addresses;
+    int m_next_run = 1;
+};
+
+/// The ticket that most tests use: four pools, pipelines "draft", "lookup", "voice" and "tag", and
+/// the workspace "demo".
+std::string standard_ticket();
+
+} // namespace jujubemast::tests
--- /dev/null
+++ b/tests/support/event_loop.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "runtime/task.h"
+
+namespace jujubemast::tests {
+
+/// An event loop that a test drives itself.
+class event_loop {
+public:
+    event_loop() : m_executor{m_context} {}
+
+    [[nodiscard]] const runtime::executor& executor() const { return m_executor; }
+
+    /// Runs handlers until the condition holds. Returns false when 20 s pass first.
+    bool run_until(const std::function<bool()>& condition);
+
+    /// Runs the handlers that are ready now, without waiting.
+    void run_ready();
+
+    /// Returns a context for a task that has no supervisor; failures are stored.
+    runtime::task_context context(const std::shared_ptr<runtime::task_life>& life) const {
+        return {m_executor, life};
+    }
+
+private:
+    boost::asio::io_context m_context{1};
+    runtime::executor m_executor;
+};
+
+/// Returns the life of a task without a supervisor.
+std::shared_ptr<runtime::task_life> make_life(const std::string& path);
+
+} // namespace jujubemast::tests
--- /dev/null
+++ b/tests/unit/entry/request_flow_test.cpp
@@ -0,0 +1,140 @@
+#include "entry/request_flow.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jujubemast::tests {
+
+using namespace jujubemast::entry;
+
+struct request_flow_fixture {
+    common::time_point now{};
+    request_flow flow{make_plan(), make_bounded_retry(3)};
+
+    static request_plan make_plan() {
+        request_plan plan;
+        plan.request_id = "r";
+        plan.deadline = common::time_point{} + std::chrono::seconds{5};
+        plan.input = "question";
+        plan.pipeline.stages = {{"encode", "encoders", "encode", "", true},
+                                {"post", "ledger", "post", "", false}};
+        return plan;
+    }
+
+    static protocol::work_identity identity(std::uint32_t stage, std::uint32_t attempt = 0) {
+        return {"r", stage, attempt, 1};
+    }
+
+    static std::string payload(const std::string& output) {
+        return R"({"output":")" + output + R"("})";
+    }
+
+    protocol::result_end end_of(const protocol::work_identity& id,
+                                const std::vector<std::string>& payloads) const {
+        common::content_digest digest;
+        for (const auto& it : payloads) {
+            digest.update(it);
+        }
+        return {id, static_cast<std::uint32_t>(payloads.size()), digest.value(), 0, 0};
+    }
+
+    flow_actions complete(std::uint32_t stage, const std::string& output) {
+        flow.stage_dispatched("u", 1, now);
+        flow.chunk_received({identity(stage), 0, payload(output)}, now);
+        return flow.end_received(end_of(identity(stage), {payload(output)}), now);
+    }
+
+    template <typename Action>
+    static const Action* find(const flow_actions& actions) {
+        for (const auto& it : actions) {
+            if (const auto* found = std::get_if<Action>(&it)) {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(request_flow_test, request_flow_fixture)
+
+BOOST_AUTO_TEST_CASE(request_flow_when_all_stages_complete_delivers_the_last_output) {
+    BOOST_TEST(find<dispatch_stage>(flow.begin(now))->stage == 0U);
+    BOOST_TEST(find<dispatch_stage>(complete(0, "a"))->stage == 1U);
+    const auto actions = complete(1, "b");
+    BOOST_TEST(find<deliver_answer>(actions)->output == "b");
+    BOOST_TEST(flow.finished());
+}
+
+// Guards against answers assembled from pieces that arrive out of order or twice.
+BOOST_AUTO_TEST_CASE(request_flow_when_chunks_are_reordered_and_repeated_keeps_their_order) {
+    flow.begin(now);
+    complete(0, "a");
+    flow.stage_dispatched("u", 1, now);
+    flow.chunk_received({identity(1), 1, payload("2")}, now);
+    flow.chunk_received({identity(1), 0, payload("1")}, now);
+    flow.chunk_received({identity(1), 0, payload("1")}, now);
+    const auto actions = flow.end_received(end_of(identity(1), {payload("1"), payload("2")}), now);
+    BOOST_TEST(find<deliver_answer>(actions)->output == "12");
+}
+
+// Guards against an answer with a hole being called whole.
+BOOST_AUTO_TEST_CASE(request_flow_when_a_chunk_is_missing_fetches_it) {
+    flow.begin(now);
+    flow.stage_dispatched("u", 1, now);
+    flow.chunk_received({identity(0), 1, payload("2")}, now);
+    const auto end = end_of(identity(0), {payload("1"), payload("2")});
+    const auto actions = flow.end_received(end, now);
+    const auto* message = find<send_to_upstream>(actions);
+    BOOST_TEST(std::get<protocol::fetch>(message->content).from_sequence == 0U);
+    const auto later = flow.chunk_received({identity(0), 0, payload("1")}, now);
+    BOOST_TEST(find<dispatch_stage>(later)->stage == 1U);
+}
+
+// Guards against results of an earlier attempt or of another request being taken for this one.
+BOOST_AUTO_TEST_CASE(request_flow_when_identity_differs_ignores_the_result) {
+    flow.begin(now);
+    flow.stage_dispatched("u", 1, now);
+    BOOST_TEST(flow.end_received(end_of(identity(0, 1), {}), now).empty());
+    BOOST_TEST(flow.end_received(end_of({"other", 0, 0, 1}, {}), now).empty());
+    BOOST_TEST(flow.end_received(end_of({"r", 0, 0, 2}, {}), now).empty());
+}
+
+BOOST_AUTO_TEST_CASE(request_flow_when_digest_differs_tries_again) {
+    flow.begin(now);
+    flow.stage_dispatched("u", 1, now);
+    flow.chunk_received({identity(0), 0, payload("x")}, now);
+    const auto actions = flow.end_received(end_of(identity(0), {payload("a")}), now);
+    BOOST_TEST(find<dispatch_stage>(actions)->attempt == 1U);
+}
+
+// Guards against a non-idempotent call that runs twice.
+BOOST_AUTO_TEST_CASE(request_flow_when_non_idempotent_stage_may_have_run_fails_as_unknown) {
+    flow.begin(now);
+    complete(0, "a");
+    flow.stage_dispatched("u", 1, now);
+    const auto actions = flow.link_lost("u", now);
+    BOOST_TEST(find<dispatch_stage>(actions) == nullptr);
+    BOOST_TEST(find<deliver_problem>(actions) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(request_flow_when_refused_as_not_run_tries_another_upstream) {
+    flow.begin(now);
+    flow.stage_dispatched("u", 1, now);
+    const auto actions = flow.refusal_received(
+        {identity(0), protocol::refusal_reason::draining, common::execution::not_run, 0, ""}, now);
+    BOOST_TEST(find<dispatch_stage>(actions)->excluded.front() == "u");
+    BOOST_TEST((flow.execution() == common::execution::not_run));
+}
+
+// Guards against a refusal that says "not run" while a stage may still run.
+BOOST_AUTO_TEST_CASE(request_flow_when_deadline_passes_in_flight_reports_unknown_and_cancels) {
+    flow.begin(now);
+    flow.stage_dispatched("u", 1, now);
+    const auto actions = flow.deadline_passed();
+    BOOST_TEST((find<deliver_problem>(actions)->content.execution == common::execution::unknown));
+    const auto* message = find<send_to_upstream>(actions);
+    BOOST_TEST(std::holds_alternative<protocol::cancel>(message->content));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
