--- a/source/core/entry/coordinator.cpp
+++ b/source/core/entry/coordinator.cpp
@@ -13,6 +13,11 @@
 
 namespace {
 
+constexpr common::duration retry_base_delay = std::chrono::milliseconds{10};
+
+// Prompts that agree in this many bytes are sent to the same engine.
+constexpr std::size_t prefix_bytes = 64;
+
 protocol::work_identity identity_of(const protocol::message& message) {
     return std::visit(
         [](const auto& it) -> protocol::work_identity {
@@ -32,7 +37,9 @@
                          runtime::address<links_message> links, std::string failure_domain,
                          coordinator_hooks hooks)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_links{std::move(links)},
-      m_failure_domain{std::move(failure_domain)}, m_hooks{std::move(hooks)} {}
+      m_failure_domain{std::move(failure_domain)}, m_hooks{std::move(hooks)}, m_upstreams{
+                                                                                  {},
+                                                                                  m_hooks.route} {}
 
 void coordinator::start() {
     m_inbox.receive(m_context.wrap([this](coordinator_message message) {
@@ -100,11 +107,13 @@
     m_ids.emplace(plan.request_id, id);
     const auto remaining = plan.deadline - now;
     auto [it, added] =
-        m_requests.emplace(id, active_request{request_flow{std::move(plan), m_hooks.may_retry},
+        m_requests.emplace(id, active_request{request_flow{std::move(plan), make_retry_hook()},
                                               std::move(message.reply),
+                                              std::make_unique<runtime::timer>(m_context.loop()),
                                               std::make_unique<runtime::timer>(m_context.loop())});
     it->second.deadline_timer->start(remaining, m_context.wrap([this, id] {
         if (const auto position = m_requests.find(id); position != m_requests.end()) {
+            record_silent_attempts(position->second.flow);
             perform(id, position->second.flow.deadline_passed());
         }
     }));
@@ -136,6 +145,7 @@
     const auto id = position->second;
     auto& flow = m_requests.at(id).flow;
     const auto now = m_hooks.clock();
+    observe(flow, message);
     if (const auto* chunk = std::get_if<protocol::result_chunk>(&message.content)) {
         perform(id, flow.chunk_received(*chunk, now));
     } else if (const auto* end = std::get_if<protocol::result_end>(&message.content)) {
@@ -145,19 +155,54 @@
     }
 }
 
+void coordinator::observe(const request_flow& flow, const work_message& message) {
+    const auto identity = identity_of(message.content);
+    const auto& attempts = flow.attempts();
+    const auto it = std::find_if(attempts.begin(), attempts.end(), [&](const auto& attempt) {
+        return attempt.attempt == identity.attempt && attempt.incarnation == identity.incarnation;
+    });
+    if (identity.stage != flow.stage_index() || it == attempts.end()) {
+        return;
+    }
+    const auto now = m_hooks.clock();
+    const auto& pool = flow.plan().pipeline.stages[identity.stage].pool;
+    if (std::holds_alternative<protocol::result_chunk>(message.content) && !flow.responded()) {
+        m_upstreams.record_response(pool, now - it->sent_at);
+        for (const auto& other : attempts) {
+            if (other.sent_at < it->sent_at) {
+                // A later attempt has overtaken this one.
+                m_upstreams.record_failure(pool, other.instance, now);
+            }
+        }
+    } else if (const auto* end = std::get_if<protocol::result_end>(&message.content)) {
+        const auto parts = std::max<std::int64_t>(1, end->chunk_count);
+        m_upstreams.record_success(pool, it->instance,
+                                   std::chrono::microseconds{end->service_us / parts}, now);
+    } else if (const auto* refusal = std::get_if<protocol::refusal>(&message.content)) {
+        if (refusal->reason == protocol::refusal_reason::upstream_failed) {
+            m_upstreams.record_failure(pool, it->instance, now);
+        }
+    }
+}
+
+void coordinator::record_silent_attempts(const request_flow& flow) {
+    if (flow.finished() || flow.responded()) {
+        return;
+    }
+    for (const auto& it : flow.attempts()) {
+        m_upstreams.record_failure(flow.plan().pipeline.stages[flow.stage_index()].pool,
+                                   it.instance, m_hooks.clock());
+    }
+}
+
 void coordinator::handle(const link_status& message) {
-    auto& upstream = m_upstreams[message.instance.name];
-    const bool lost =
-        upstream.status.up && (!message.up || message.incarnation != upstream.status.incarnation);
-    upstream.status = message;
-    upstream.sent_since_report = 0;
-    if (lost) {
+    if (m_upstreams.update(message, m_hooks.clock())) {
         fail_work_on(message.instance.name);
     }
 }
 
 void coordinator::handle(const link_removed& message) {
-    m_upstreams.erase(message.instance);
+    m_upstreams.remove(message.instance);
     fail_work_on(message.instance);
 }
 
@@ -176,7 +221,7 @@
 void coordinator::fail_work_on(const std::string& instance) {
     std::vector<std::uint64_t> affected;
     for (const auto& [id, request] : m_requests) {
-        if (request.flow.assigned_instance() == instance) {
+        if (request.flow.is_assigned_to(instance)) {
             affected.push_back(id);
         }
     }
@@ -198,48 +243,63 @@
     remove_if_finished(id);
 }
 
-coordinator::upstream_state* coordinator::choose(const request_flow& flow,
-                                                 const dispatch_stage& action) {
-    const auto& stage = flow.plan().pipeline.stages[action.stage];
-    std::vector<policy::upstream_view> views;
-    std::vector<upstream_state*> states;
-    for (auto& [name, upstream] : m_upstreams) {
-        const auto& status = upstream.status;
-        if (status.instance.pool != stage.pool) {
-            continue;
-        }
-        const bool leaving = status.instance.state == platform::instance_state::leaving;
-        views.push_back({name, status.instance.failure_domain,
-                         status.up && !status.draining && !leaving, status.load.queued,
-                         status.load.in_progress, status.load.limit, upstream.sent_since_report});
-        states.push_back(&upstream);
-    }
-    policy::routing_request request{flow.plan().priority, m_failure_domain, action.excluded,
-                                    common::digest_of(flow.plan().input), m_hooks.clock()};
-    auto index = m_hooks.route(request, views);
-    if (!index && !request.excluded.empty()) {
-        // With no other upstream left, one that has failed before is better than none.
-        request.excluded.clear();
-        index = m_hooks.route(request, views);
+retry_hook coordinator::make_retry_hook() {
+    if (!m_hooks.budget_retries) {
+        return m_hooks.may_retry;
     }
-    return index ? states[*index] : nullptr;
+    return [this](const retry_question& question) -> std::optional<common::duration> {
+        const auto allowed = m_hooks.may_retry(question);
+        if (!allowed || !m_upstreams.take_extra_attempt(question.stage.pool, question.now)) {
+            return std::nullopt;
+        }
+        constexpr double random_range = 1 << 20;
+        const auto random =
+            static_cast<double>(common::uniform_below(m_hooks.random, 1U << 20U)) / random_range;
+        return policy::retry_backoff(retry_base_delay, question.attempts - 1, random);
+    };
 }
 
 void coordinator::perform_one(std::uint64_t id, active_request& request,
                               const dispatch_stage& action) {
+    if (action.delay > common::duration::zero()) {
+        dispatch_later(id, request, action);
+    } else {
+        dispatch_now(id, request, action);
+    }
+}
+
+void coordinator::dispatch_later(std::uint64_t id, active_request& request,
+                                 const dispatch_stage& action) {
+    request.attempt_timer->start(action.delay, m_context.wrap([this, id, action] {
+        const auto it = m_requests.find(id);
+        if (it != m_requests.end() && !it->second.flow.finished()) {
+            dispatch_now(id, it->second, action);
+            remove_if_finished(id);
+        }
+    }));
+}
+
+void coordinator::dispatch_now(std::uint64_t id, active_request& request,
+                               const dispatch_stage& action) {
     auto& flow = request.flow;
     const auto now = m_hooks.clock();
-    auto* const upstream = choose(flow, action);
-    if (upstream == nullptr) {
+    const auto& plan = flow.plan();
+    const auto& stage = plan.pipeline.stages[action.stage];
+    // Only engines keep prefixes in a cache, and only their stages name a model.
+    const auto prefix =
+        stage.model.empty() ? 0 : common::digest_of(plan.input.substr(0, prefix_bytes));
+    const auto* status =
+        m_upstreams.choose(stage, {plan.priority, m_failure_domain, action.excluded, prefix, now});
+    if (status == nullptr) {
         perform(id, flow.stage_not_dispatched(now));
         return;
     }
-    const auto& plan = flow.plan();
-    const auto& stage = plan.pipeline.stages[action.stage];
-    const auto& status = upstream->status;
+    if (action.attempt == 0) {
+        m_upstreams.record_first_attempt(stage.pool);
+    }
     protocol::dispatch message;
-    message.identity = {plan.request_id, action.stage, action.attempt, status.incarnation};
-    message.deadline_us = common::to_microseconds(plan.deadline) + status.clock_offset_us;
+    message.identity = {plan.request_id, action.stage, action.attempt, status->incarnation};
+    message.deadline_us = common::to_microseconds(plan.deadline) + status->clock_offset_us;
     message.revision = m_configuration->revision;
     message.workspace = plan.workspace;
     message.priority = plan.priority;
@@ -249,11 +309,31 @@
     message.body = action.body;
     message.resume_offset = action.resume_offset;
     message.trace_parent = plan.trace_parent;
-    ++upstream->sent_since_report;
-    flow.stage_dispatched(status.instance.name, status.incarnation, now);
-    if (!m_links.send(send_work{status.instance.name, message})) {
-        handle(work_not_sent{status.instance.name, message.identity});
+    const auto instance = status->instance.name;
+    flow.stage_dispatched(action.attempt, instance, status->incarnation, now);
+    schedule_hedge(id, request);
+    if (!m_links.send(send_work{instance, message})) {
+        handle(work_not_sent{instance, message.identity});
+    }
+}
+
+void coordinator::schedule_hedge(std::uint64_t id, active_request& request) {
+    const auto stage = request.flow.stage_index();
+    const auto pool = request.flow.plan().pipeline.stages[stage].pool;
+    const auto delay = m_upstreams.hedge_delay(pool);
+    if (!m_hooks.hedge || !delay || !request.flow.may_hedge()) {
+        return;
     }
+    request.attempt_timer->start(*delay, m_context.wrap([this, id, stage, pool] {
+        const auto it = m_requests.find(id);
+        if (it == m_requests.end() || it->second.flow.stage_index() != stage ||
+            !it->second.flow.may_hedge() ||
+            !m_upstreams.take_extra_attempt(pool, m_hooks.clock())) {
+            return;
+        }
+        ++m_hedges;
+        perform(id, it->second.flow.hedge());
+    }));
 }
 
 void coordinator::perform_one(std::uint64_t /*id*/, active_request& /*request*/,
@@ -320,21 +400,13 @@
 }
 
 boost::json::value coordinator::dump() const {
-    boost::json::object upstreams;
-    for (const auto& [name, it] : m_upstreams) {
-        upstreams[name] = boost::json::object{{"pool", it.status.instance.pool},
-                                              {"up", it.status.up},
-                                              {"draining", it.status.draining},
-                                              {"queued", it.status.load.queued},
-                                              {"in_progress", it.status.load.in_progress},
-                                              {"sent_since_report", it.sent_since_report}};
-    }
     return boost::json::object{{"revision", m_configuration ? m_configuration->revision : 0},
                                {"requests", m_requests.size()},
                                {"answered", m_answered},
                                {"failed", m_failed},
                                {"rejected_messages", m_inbox.rejected()},
-                               {"upstreams", std::move(upstreams)}};
+                               {"hedges", m_hedges},
+                               {"upstreams", m_upstreams.dump()}};
 }
 
 } // namespace jujubemast::entry
--- a/source/core/entry/coordinator.h
+++ b/source/core/entry/coordinator.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -10,6 +9,7 @@
 #include "common/random.h"
 #include "entry/messages.h"
 #include "entry/request_flow.h"
+#include "entry/upstream_set.h"
 #include "logging/logger.h"
 #include "policy/routing.h"
 #include "runtime/mailbox.h"
@@ -21,6 +21,10 @@
 struct coordinator_hooks {
     policy::routing_hook route;
     retry_hook may_retry;
+    /// Bounds retries by a budget for each pool and spreads them over time.
+    bool budget_retries = true;
+    /// Sends a second attempt of an idempotent stage that is slow to respond.
+    bool hedge = true;
     common::clock_hook clock = common::system_clock_hook();
     common::random_hook random = common::system_random();
 };
@@ -44,14 +48,11 @@
         request_flow flow;
         http::responder reply;
         std::unique_ptr<runtime::timer> deadline_timer;
+        /// Waits for the time of a hedge or of a delayed retry of the current stage.
+        std::unique_ptr<runtime::timer> attempt_timer;
         bool stream_begun = false;
     };
 
-    struct upstream_state {
-        link_status status;
-        std::uint32_t sent_since_report = 0;
-    };
-
     void handle(submit message);
     void handle(const caller_disconnected& message);
     void handle(const configuration_changed& message);
@@ -72,7 +73,12 @@
     void begin_stream(active_request& request);
     void remove_if_finished(std::uint64_t id);
     void fail_work_on(const std::string& instance);
-    [[nodiscard]] upstream_state* choose(const request_flow& flow, const dispatch_stage& action);
+    void dispatch_now(std::uint64_t id, active_request& request, const dispatch_stage& action);
+    void dispatch_later(std::uint64_t id, active_request& request, const dispatch_stage& action);
+    void schedule_hedge(std::uint64_t id, active_request& request);
+    void observe(const request_flow& flow, const work_message& message);
+    void record_silent_attempts(const request_flow& flow);
+    [[nodiscard]] retry_hook make_retry_hook();
 
     runtime::task_context m_context;
     runtime::inbox<coordinator_message> m_inbox;
@@ -83,9 +89,10 @@
     tickets::configuration_pointer m_configuration;
     std::unordered_map<std::uint64_t, active_request> m_requests;
     std::unordered_map<std::string, std::uint64_t> m_ids;
-    std::map<std::string, upstream_state> m_upstreams;
+    upstream_set m_upstreams;
     std::uint64_t m_answered = 0;
     std::uint64_t m_failed = 0;
+    std::uint64_t m_hedges = 0;
     runtime::stop_done m_done;
 };
 
--- a/source/core/entry/entry_settings.cpp
+++ b/source/core/entry/entry_settings.cpp
@@ -1,5 +1,7 @@
 #include "entry/entry_settings.h"
 
+#include "policy/routing.h"
+
 namespace jujubemast::entry {
 
 using settings::check_address;
@@ -7,6 +9,16 @@
 using settings::check_positive_duration;
 using std::chrono::milliseconds;
 
+namespace {
+
+std::string check_routing_policy(const std::string& value) {
+    return common::from_name<policy::routing_policy>(value)
+               ? ""
+               : "must be round_robin, two_choices or load_aware";
+}
+
+} // namespace
+
 const settings::setting<std::string> entry_settings::name{
     "instance", "name", "", "name of this instance, unique in the deployment", true};
 const settings::setting<std::string> entry_settings::failure_domain{
@@ -51,6 +63,16 @@
     "a link without a heartbeat answer for this time is replaced, in ms",
     false,
     check_positive_duration};
+const settings::setting<std::int64_t> entry_settings::link_subset_size{
+    "links", "subset_size", 24, "upstreams of one pool that this instance keeps links to",
+    false,   check_positive};
+const settings::setting<std::string> entry_settings::routing_policy{
+    "routing",           "policy", "load_aware", "round_robin, two_choices or load_aware", false,
+    check_routing_policy};
+const settings::setting<bool> entry_settings::retry_budget{
+    "retry", "budget", true, "bound extra attempts to 10% of the first ones, with backoff"};
+const settings::setting<bool> entry_settings::hedge_enabled{
+    "hedge", "enabled", true, "send a second attempt of an idempotent stage that is slow"};
 const settings::setting<std::int64_t> entry_settings::retry_max_attempts{
     "retry", "max_attempts", 3, "attempts for one stage of a request", false, check_positive};
 
@@ -68,7 +90,11 @@
     &membership_poll_interval,
     &link_ping_interval,
     &link_silence_limit,
+    &link_subset_size,
+    &routing_policy,
     &retry_max_attempts,
+    &retry_budget,
+    &hedge_enabled,
 };
 
 } // namespace jujubemast::entry
--- a/source/core/entry/entry_settings.h
+++ b/source/core/entry/entry_settings.h
@@ -19,7 +19,11 @@
     static const settings::setting<std::chrono::milliseconds> membership_poll_interval;
     static const settings::setting<std::chrono::milliseconds> link_ping_interval;
     static const settings::setting<std::chrono::milliseconds> link_silence_limit;
+    static const settings::setting<std::int64_t> link_subset_size;
+    static const settings::setting<std::string> routing_policy;
     static const settings::setting<std::int64_t> retry_max_attempts;
+    static const settings::setting<bool> retry_budget;
+    static const settings::setting<bool> hedge_enabled;
 
     static const settings::table table;
 };
--- a/source/core/entry/entry_tree.cpp
+++ b/source/core/entry/entry_tree.cpp
@@ -86,7 +86,12 @@
 runtime::child_spec make_coordinator(const settings::values& values,
                                      const coordinator_mailbox& inbox, const links_mailbox& links) {
     coordinator_hooks hooks;
-    hooks.route = policy::make_two_choices(common::system_random());
+    hooks.route = policy::make_routing(
+        common::from_name<policy::routing_policy>(values.get(entry_settings::routing_policy))
+            .value(),
+        common::system_random());
+    hooks.budget_retries = values.get(entry_settings::retry_budget);
+    hooks.hedge = values.get(entry_settings::hedge_enabled);
     hooks.may_retry = make_bounded_retry(
         static_cast<std::uint32_t>(values.get(entry_settings::retry_max_attempts)));
     const auto domain = values.get(entry_settings::failure_domain);
@@ -99,13 +104,16 @@
 
 runtime::child_spec make_links(const settings::values& values, const links_mailbox& inbox,
                                const coordinator_mailbox& coordinator) {
-    const link_limits limits{values.get(entry_settings::link_ping_interval),
-                             values.get(entry_settings::link_silence_limit)};
+    const link_limits limits{
+        values.get(entry_settings::link_ping_interval),
+        values.get(entry_settings::link_silence_limit),
+        static_cast<std::size_t>(values.get(entry_settings::link_subset_size))};
+    const auto domain = values.get(entry_settings::failure_domain);
     const auto name = values.get(entry_settings::name);
-    return {"links", [inbox, coordinator, name, limits](runtime::task_context context) {
+    return {"links", [inbox, coordinator, name, domain, limits](runtime::task_context context) {
                 return std::make_shared<links>(std::move(context), inbox,
                                                runtime::address<coordinator_message>{coordinator},
-                                               name, limits);
+                                               name, domain, limits);
             }};
 }
 
--- a/source/core/entry/links.cpp
+++ b/source/core/entry/links.cpp
@@ -6,16 +6,17 @@
 #include <boost/json.hpp>
 
 #include "common/error.h"
+#include "policy/subset.h"
 #include "wire/codec.h"
 
 namespace jujubemast::entry {
 
 links::links(runtime::task_context context, std::shared_ptr<runtime::mailbox<links_message>> inbox,
              runtime::address<coordinator_message> coordinator, std::string entry_name,
-             link_limits limits)
-    : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_coordinator{std::move(
-                                                                    coordinator)},
-      m_entry_name{std::move(entry_name)}, m_limits{limits}, m_timer{m_context.loop()} {}
+             std::string failure_domain, link_limits limits)
+    : m_context{std::move(context)}, m_inbox{std::move(inbox)},
+      m_coordinator{std::move(coordinator)}, m_entry_name{std::move(entry_name)},
+      m_failure_domain{std::move(failure_domain)}, m_limits{limits}, m_timer{m_context.loop()} {}
 
 void links::start() {
     m_inbox.receive(m_context.wrap([this](const links_message& message) {
@@ -32,7 +33,7 @@
 
 void links::handle(const members_changed& message) {
     std::set<std::string> present;
-    for (const auto& member : message.members) {
+    for (const auto& member : subset_of(message.members)) {
         present.insert(member.name);
         auto& target = m_links[member.name];
         if (target.instance == member) {
@@ -57,6 +58,27 @@
     }
 }
 
+std::vector<platform::instance>
+links::subset_of(const std::vector<platform::instance>& members) const {
+    std::map<std::string, std::vector<platform::instance>> pools;
+    for (const auto& it : members) {
+        pools[it.pool].push_back(it);
+    }
+    std::vector<platform::instance> chosen;
+    for (const auto& [name, pool] : pools) {
+        std::vector<policy::subset_member> candidates;
+        candidates.reserve(pool.size());
+        for (const auto& it : pool) {
+            candidates.push_back({it.name, it.failure_domain});
+        }
+        for (const auto n : policy::choose_subset(m_entry_name, m_failure_domain, candidates,
+                                                  m_limits.subset_size)) {
+            chosen.push_back(pool[n]);
+        }
+    }
+    return chosen;
+}
+
 void links::handle(const announce_revision& message) {
     m_revision = message.revision;
 }
--- a/source/core/entry/links.h
+++ b/source/core/entry/links.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "common/random.h"
 #include "entry/messages.h"
@@ -19,6 +20,8 @@
     common::duration ping_interval = std::chrono::milliseconds{250};
     /// A link without a heartbeat answer for this time is down and its socket is replaced.
     common::duration silence_limit = std::chrono::milliseconds{1000};
+    /// Upstreams of one pool that one entry keeps links to.
+    std::size_t subset_size = 24;
 };
 
 /// Owns one ZeroMQ socket for each sidecar: sends heartbeats, measures the clock offset, passes
@@ -27,7 +30,7 @@
 public:
     links(runtime::task_context context, std::shared_ptr<runtime::mailbox<links_message>> inbox,
           runtime::address<coordinator_message> coordinator, std::string entry_name,
-          link_limits limits);
+          std::string failure_domain, link_limits limits);
 
     void start() override;
     void close() noexcept override;
@@ -46,6 +49,8 @@
     };
 
     void handle(const members_changed& message);
+    [[nodiscard]] std::vector<platform::instance>
+    subset_of(const std::vector<platform::instance>& members) const;
     void handle(const send_work& message);
     void handle(const announce_revision& message);
     void open(link& target);
@@ -60,6 +65,7 @@
     runtime::inbox<links_message> m_inbox;
     runtime::address<coordinator_message> m_coordinator;
     std::string m_entry_name;
+    std::string m_failure_domain;
     link_limits m_limits;
     runtime::timer m_timer;
     logging::logger m_log{"links"};
--- a/source/core/entry/request_flow.cpp
+++ b/source/core/entry/request_flow.cpp
@@ -50,11 +50,17 @@
 
 } // namespace
 
+bool may_repeat(const retry_question& question) {
+    return question.remaining > common::duration::zero() &&
+           (question.stage.idempotent || question.certainly_not_run);
+}
+
 retry_hook make_bounded_retry(std::uint32_t max_attempts) {
-    return [max_attempts](const tickets::stage_settings& stage, std::uint32_t attempts,
-                          bool certainly_not_run, common::duration remaining) {
-        return attempts < max_attempts && remaining > common::duration::zero() &&
-               (stage.idempotent || certainly_not_run);
+    return [max_attempts](const retry_question& question) -> std::optional<common::duration> {
+        if (question.attempts >= max_attempts || !may_repeat(question)) {
+            return std::nullopt;
+        }
+        return common::duration::zero();
     };
 }
 
@@ -69,29 +75,54 @@
     if (m_ran) {
         return common::execution::ran;
     }
-    return m_unknown || m_in_flight ? common::execution::unknown : common::execution::not_run;
+    return m_unknown || !m_attempts.empty() ? common::execution::unknown
+                                            : common::execution::not_run;
+}
+
+protocol::work_identity request_flow::identity_of(const attempt_in_progress& attempt) const {
+    return {m_plan.request_id, static_cast<std::uint32_t>(m_stage), attempt.attempt,
+            attempt.incarnation};
+}
+
+const attempt_in_progress* request_flow::find(const protocol::work_identity& identity) const {
+    const auto it =
+        std::find_if(m_attempts.begin(), m_attempts.end(),
+                     [&](const attempt_in_progress& at) { return identity_of(at) == identity; });
+    return m_finished || it == m_attempts.end() ? nullptr : &*it;
 }
 
-bool request_flow::is_current(const protocol::work_identity& identity) const {
-    return !m_finished && m_in_flight && identity.request_id == m_plan.request_id &&
-           identity.stage == m_stage && identity.attempt == m_attempt &&
-           identity.incarnation == m_incarnation;
+bool request_flow::is_assigned_to(const std::string& instance) const {
+    return std::any_of(m_attempts.begin(), m_attempts.end(),
+                       [&](const attempt_in_progress& it) { return it.instance == instance; });
 }
 
 flow_actions request_flow::begin(common::time_point now) {
     m_stage_begin = now;
-    return start_attempt();
+    return start_attempt(common::duration::zero());
 }
 
-flow_actions request_flow::start_attempt() {
+flow_actions request_flow::start_attempt(common::duration delay) {
     m_next_sequence = 0;
     m_early_chunks.clear();
     m_digest = {};
     m_end.reset();
-    m_instance.clear();
-    m_in_flight = false;
-    return {dispatch_stage{static_cast<std::uint32_t>(m_stage), m_attempt, stage_body(),
-                           m_output_tokens, m_excluded}};
+    return {dispatch_stage{static_cast<std::uint32_t>(m_stage), m_next_attempt++, stage_body(),
+                           m_output_tokens, m_excluded, delay}};
+}
+
+bool request_flow::may_hedge() const {
+    return !m_finished && m_attempts.size() == 1 && !responded() && m_early_chunks.empty() &&
+           stage().idempotent;
+}
+
+flow_actions request_flow::hedge() {
+    if (!may_hedge()) {
+        return {};
+    }
+    auto excluded = m_excluded;
+    excluded.push_back(m_attempts.front().instance);
+    return {dispatch_stage{static_cast<std::uint32_t>(m_stage), m_next_attempt++, stage_body(),
+                           m_output_tokens, std::move(excluded)}};
 }
 
 std::string request_flow::stage_body() const {
@@ -99,29 +130,42 @@
         {"input", m_plan.input}, {"context", m_context}, {"max_tokens", m_plan.max_tokens}});
 }
 
-void request_flow::stage_dispatched(const std::string& instance, std::uint64_t incarnation,
-                                    common::time_point /*now*/) {
-    m_instance = instance;
-    m_incarnation = incarnation;
-    m_in_flight = true;
+void request_flow::stage_dispatched(std::uint32_t attempt, const std::string& instance,
+                                    std::uint64_t incarnation, common::time_point now) {
+    m_attempts.push_back({attempt, instance, incarnation, now});
 }
 
 flow_actions request_flow::stage_not_dispatched(common::time_point /*now*/) {
-    if (m_finished) {
+    // A hedge that finds no upstream changes nothing for the attempt it was to help.
+    if (m_finished || !m_attempts.empty()) {
         return {};
     }
     return fail(problem_kind::unavailable, "no upstream of pool " + stage().pool + " is available",
                 microseconds_per_second);
 }
 
+void request_flow::keep_only(const protocol::work_identity& winner, flow_actions& actions) {
+    for (const auto& it : m_attempts) {
+        if (identity_of(it) != winner) {
+            actions.emplace_back(send_to_upstream{it.instance, protocol::cancel{identity_of(it)}});
+            // The cancelled attempt is of an idempotent stage and may or may not have run.
+            m_unknown = true;
+        }
+    }
+    std::erase_if(m_attempts,
+                  [&](const attempt_in_progress& it) { return identity_of(it) != winner; });
+}
+
 flow_actions request_flow::chunk_received(const protocol::result_chunk& chunk,
                                           common::time_point now) {
-    if (!is_current(chunk.identity) || chunk.sequence < m_next_sequence ||
+    if (find(chunk.identity) == nullptr || chunk.sequence < m_next_sequence ||
         m_early_chunks.size() >= max_early_chunks) {
         return {};
     }
+    flow_actions actions;
+    keep_only(chunk.identity, actions);
     m_early_chunks.emplace(chunk.sequence, chunk.payload);
-    auto actions = accept_pieces();
+    append(actions, accept_pieces());
     if (m_end && m_next_sequence >= m_end->chunk_count) {
         append(actions, check_complete(now));
     }
@@ -151,34 +195,39 @@
 }
 
 flow_actions request_flow::end_received(const protocol::result_end& end, common::time_point now) {
-    if (!is_current(end.identity)) {
+    if (find(end.identity) == nullptr) {
         return {};
     }
+    flow_actions actions;
+    keep_only(end.identity, actions);
     m_end = end;
-    return check_complete(now);
+    append(actions, check_complete(now));
+    return actions;
 }
 
 flow_actions request_flow::check_complete(common::time_point now) {
     if (m_next_sequence < m_end->chunk_count) {
-        return {send_to_upstream{m_instance, protocol::fetch{m_end->identity, m_next_sequence}}};
+        return {send_to_upstream{m_attempts.front().instance,
+                                 protocol::fetch{m_end->identity, m_next_sequence}}};
     }
     if (m_digest.value() != m_end->digest || m_next_sequence > m_end->chunk_count) {
-        return attempt_failed(problem_kind::upstream_failed, common::execution::ran,
-                              "result does not match its digest", 0, now);
+        return attempt_failed(m_end->identity, problem_kind::upstream_failed,
+                              common::execution::ran, "result does not match its digest", 0, now);
     }
     return complete_stage(now);
 }
 
 flow_actions request_flow::complete_stage(common::time_point now) {
-    flow_actions actions{send_to_upstream{m_instance, protocol::acknowledge{m_end->identity}}};
+    const auto instance = m_attempts.front().instance;
+    flow_actions actions{send_to_upstream{instance, protocol::acknowledge{m_end->identity}}};
     m_ran = true;
-    m_reports.push_back({stage().name, m_instance, m_attempt + 1, now - m_stage_begin,
+    m_reports.push_back({stage().name, instance, m_next_attempt, now - m_stage_begin,
                          m_end->queue_us, m_end->service_us});
     m_context = std::exchange(m_output, {});
     m_output_tokens = 0;
-    m_in_flight = false;
+    m_attempts.clear();
     ++m_stage;
-    m_attempt = 0;
+    m_next_attempt = 0;
     m_excluded.clear();
     m_stage_begin = now;
     if (m_stage == m_plan.pipeline.stages.size()) {
@@ -186,58 +235,74 @@
         actions.emplace_back(deliver_answer{std::move(m_context), std::move(m_reports)});
         return actions;
     }
-    append(actions, start_attempt());
+    append(actions, start_attempt(common::duration::zero()));
     return actions;
 }
 
 flow_actions request_flow::refusal_received(const protocol::refusal& refusal,
                                             common::time_point now) {
-    if (!is_current(refusal.identity)) {
+    if (find(refusal.identity) == nullptr) {
         return {};
     }
     switch (refusal.reason) {
     case protocol::refusal_reason::deadline_passed:
-    case protocol::refusal_reason::deadline_unreachable:
-        m_in_flight = false;
-        m_unknown = m_unknown || refusal.execution == common::execution::unknown;
-        m_ran = m_ran || refusal.execution == common::execution::ran;
-        return fail(problem_kind::deadline_exceeded, refusal.detail);
+    case protocol::refusal_reason::deadline_unreachable: {
+        end_attempt(refusal.identity, refusal.execution);
+        flow_actions actions;
+        append_cancels(actions);
+        append(actions, fail(problem_kind::deadline_exceeded, refusal.detail));
+        return actions;
+    }
     case protocol::refusal_reason::overloaded:
-        return attempt_failed(problem_kind::overloaded, refusal.execution, refusal.detail,
-                              refusal.retry_after_us, now);
+        return attempt_failed(refusal.identity, problem_kind::overloaded, refusal.execution,
+                              refusal.detail, refusal.retry_after_us, now);
     case protocol::refusal_reason::wrong_incarnation:
     case protocol::refusal_reason::cancelled:
     case protocol::refusal_reason::draining:
     case protocol::refusal_reason::model_unavailable:
     case protocol::refusal_reason::not_found:
     case protocol::refusal_reason::upstream_failed:
-        return attempt_failed(problem_kind::upstream_failed, refusal.execution, refusal.detail,
-                              refusal.retry_after_us, now);
+        return attempt_failed(refusal.identity, problem_kind::upstream_failed, refusal.execution,
+                              refusal.detail, refusal.retry_after_us, now);
     }
     return {};
 }
 
 flow_actions request_flow::link_lost(const std::string& instance, common::time_point now) {
-    if (m_finished || !m_in_flight || m_instance != instance) {
+    const auto it =
+        std::find_if(m_attempts.begin(), m_attempts.end(),
+                     [&](const attempt_in_progress& at) { return at.instance == instance; });
+    if (m_finished || it == m_attempts.end()) {
         return {};
     }
-    return attempt_failed(problem_kind::upstream_failed, common::execution::unknown,
-                          "lost the link to the upstream", 0, now);
+    return attempt_failed(identity_of(*it), problem_kind::upstream_failed,
+                          common::execution::unknown, "lost the link to the upstream", 0, now);
 }
 
-flow_actions request_flow::attempt_failed(problem_kind kind, common::execution outcome,
-                                          std::string detail, std::int64_t retry_after_us,
-                                          common::time_point now) {
-    m_in_flight = false;
+void request_flow::end_attempt(const protocol::work_identity& identity, common::execution outcome) {
     m_ran = m_ran || outcome == common::execution::ran;
     m_unknown = m_unknown || outcome == common::execution::unknown;
-    m_excluded.push_back(m_instance);
-    const bool not_run = outcome == common::execution::not_run;
-    if (!m_may_retry(stage(), m_attempt + 1, not_run, m_plan.deadline - now)) {
+    const auto* attempt = find(identity);
+    m_excluded.push_back(attempt->instance);
+    std::erase_if(m_attempts,
+                  [&](const attempt_in_progress& it) { return identity_of(it) == identity; });
+}
+
+flow_actions request_flow::attempt_failed(const protocol::work_identity& identity,
+                                          problem_kind kind, common::execution outcome,
+                                          std::string detail, std::int64_t retry_after_us,
+                                          common::time_point now) {
+    end_attempt(identity, outcome);
+    if (!m_attempts.empty()) {
+        // The other attempt of a hedge goes on.
+        return {};
+    }
+    const auto delay = m_may_retry({stage(), m_next_attempt, outcome == common::execution::not_run,
+                                    m_plan.deadline - now, now});
+    if (!delay) {
         return fail(kind, std::move(detail), retry_after_us);
     }
-    ++m_attempt;
-    return start_attempt();
+    return start_attempt(*delay);
 }
 
 flow_actions request_flow::deadline_passed() {
@@ -245,7 +310,7 @@
         return {};
     }
     flow_actions actions;
-    append_cancel(actions);
+    append_cancels(actions);
     append(actions, fail(problem_kind::deadline_exceeded, "the deadline has passed"));
     return actions;
 }
@@ -255,16 +320,14 @@
         return {};
     }
     flow_actions actions;
-    append_cancel(actions);
+    append_cancels(actions);
     m_finished = true;
     return actions;
 }
 
-void request_flow::append_cancel(flow_actions& actions) {
-    if (m_in_flight) {
-        actions.emplace_back(send_to_upstream{
-            m_instance, protocol::cancel{{m_plan.request_id, static_cast<std::uint32_t>(m_stage),
-                                          m_attempt, m_incarnation}}});
+void request_flow::append_cancels(flow_actions& actions) const {
+    for (const auto& it : m_attempts) {
+        actions.emplace_back(send_to_upstream{it.instance, protocol::cancel{identity_of(it)}});
     }
 }
 
--- a/source/core/entry/request_flow.h
+++ b/source/core/entry/request_flow.h
@@ -45,8 +45,10 @@
     std::uint32_t attempt = 0;
     std::string body;
     std::uint64_t resume_offset = 0;
-    /// Upstreams that have failed this stage.
+    /// Upstreams that have failed this stage or are already working on it.
     std::vector<std::string> excluded;
+    /// Time to wait before the dispatch.
+    common::duration delay = common::duration::zero();
 };
 
 /// Asks for a message to the upstream that holds this work.
@@ -75,14 +77,36 @@
     std::variant<dispatch_stage, send_to_upstream, deliver_piece, deliver_answer, deliver_problem>;
 using flow_actions = std::vector<flow_action>;
 
-/// Tells whether a failed stage may be tried again. `certainly_not_run` is true for work that an
-/// upstream has not executed.
-using retry_hook = std::function<bool(const tickets::stage_settings& stage, std::uint32_t attempts,
-                                      bool certainly_not_run, common::duration remaining)>;
+/// What a decision about a further attempt rests on.
+struct retry_question {
+    const tickets::stage_settings& stage;
+    /// Attempts made so far.
+    std::uint32_t attempts = 0;
+    /// The upstream has certainly not executed the last attempt.
+    bool certainly_not_run = false;
+    /// Time left until the deadline.
+    common::duration remaining = common::duration::zero();
+    common::time_point now;
+};
 
-/// Baseline: retries what is idempotent or certainly not run, up to the given number of attempts.
+/// Returns the wait before a further attempt, or nothing when there must be none.
+using retry_hook = std::function<std::optional<common::duration>(const retry_question&)>;
+
+/// Baseline: retries what is idempotent or certainly not run, at once, up to the given number of
+/// attempts.
 retry_hook make_bounded_retry(std::uint32_t max_attempts);
 
+/// Returns whether another attempt cannot run the stage twice and has time left.
+bool may_repeat(const retry_question& question);
+
+/// An attempt that was sent to an upstream and has not ended.
+struct attempt_in_progress {
+    std::uint32_t attempt = 0;
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    common::time_point sent_at;
+};
+
 /// The state machine of one request: takes events and returns what is to be done. Holds no socket
 /// and reads no clock.
 class request_flow {
@@ -91,11 +115,15 @@
 
     flow_actions begin(common::time_point now);
 
-    /// The stage was sent to this upstream.
-    void stage_dispatched(const std::string& instance, std::uint64_t incarnation,
-                          common::time_point now);
+    /// This attempt of the current stage was sent to this upstream.
+    void stage_dispatched(std::uint32_t attempt, const std::string& instance,
+                          std::uint64_t incarnation, common::time_point now);
     /// No upstream could take the stage.
     flow_actions stage_not_dispatched(common::time_point now);
+    /// Returns whether a second attempt may run beside the one that has not responded yet.
+    [[nodiscard]] bool may_hedge() const;
+    /// Asks for a second attempt; the first of both to respond wins and the other is cancelled.
+    flow_actions hedge();
 
     flow_actions chunk_received(const protocol::result_chunk& chunk, common::time_point now);
     flow_actions end_received(const protocol::result_end& end, common::time_point now);
@@ -108,32 +136,38 @@
 
     [[nodiscard]] bool finished() const { return m_finished; }
     [[nodiscard]] const request_plan& plan() const { return m_plan; }
-    /// The upstream that holds the current stage, if any.
-    [[nodiscard]] const std::string& assigned_instance() const { return m_instance; }
+    /// The index of the current stage and the attempts that are in progress for it.
+    [[nodiscard]] std::size_t stage_index() const { return m_stage; }
+    [[nodiscard]] const std::vector<attempt_in_progress>& attempts() const { return m_attempts; }
+    /// Whether the current stage has delivered any part of its result.
+    [[nodiscard]] bool responded() const { return m_next_sequence > 0; }
+    [[nodiscard]] bool is_assigned_to(const std::string& instance) const;
     /// Whether any stage was, may have been or was certainly not executed.
     [[nodiscard]] common::execution execution() const;
 
 private:
     [[nodiscard]] const tickets::stage_settings& stage() const;
-    [[nodiscard]] bool is_current(const protocol::work_identity& identity) const;
-    flow_actions start_attempt();
+    [[nodiscard]] protocol::work_identity identity_of(const attempt_in_progress& attempt) const;
+    [[nodiscard]] const attempt_in_progress* find(const protocol::work_identity& identity) const;
+    flow_actions start_attempt(common::duration delay);
+    void keep_only(const protocol::work_identity& winner, flow_actions& actions);
     flow_actions accept_pieces();
     void take_payload(const std::string& payload, flow_actions& actions);
     flow_actions check_complete(common::time_point now);
     flow_actions complete_stage(common::time_point now);
-    flow_actions attempt_failed(problem_kind kind, common::execution outcome, std::string detail,
+    flow_actions attempt_failed(const protocol::work_identity& identity, problem_kind kind,
+                                common::execution outcome, std::string detail,
                                 std::int64_t retry_after_us, common::time_point now);
+    void end_attempt(const protocol::work_identity& identity, common::execution outcome);
     flow_actions fail(problem_kind kind, std::string detail, std::int64_t retry_after_us = 0);
-    void append_cancel(flow_actions& actions);
+    void append_cancels(flow_actions& actions) const;
     [[nodiscard]] std::string stage_body() const;
 
     request_plan m_plan;
     retry_hook m_may_retry;
     std::size_t m_stage = 0;
-    std::uint32_t m_attempt = 0;
-    std::string m_instance;
-    std::uint64_t m_incarnation = 0;
-    bool m_in_flight = false;
+    std::uint32_t m_next_attempt = 0;
+    std::vector<attempt_in_progress> m_attempts;
     bool m_ran = false;
     bool m_unknown = false;
     bool m_finished = false;
--- /dev/null
+++ b/source/core/entry/upstream_set.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <boost/json/fwd.hpp>
+
+#include "entry/messages.h"
+#include "policy/outlier_detector.h"
+#include "policy/quantile_estimate.h"
+#include "policy/retry_budget.h"
+#include "policy/routing.h"
+
+namespace jujubemast::entry {
+
+struct upstream_set_options {
+    policy::outlier_options outliers;
+    policy::retry_budget_options retries;
+    /// Hedges are sent after this multiple of the 95th percentile of the stage's response time.
+    double hedge_factor = 1.5;
+    common::duration least_hedge_delay = std::chrono::milliseconds{30};
+    /// Hedges are sent only once the pool has answered this often.
+    std::uint64_t least_hedge_samples = 20;
+};
+
+/// What one entry knows of the upstreams it has links to, and the decisions that need it: routing,
+/// ejection, retry budgets and hedge delays. Owned by the coordinator.
+class upstream_set {
+public:
+    upstream_set(upstream_set_options options, policy::routing_hook route)
+        : m_options{options}, m_route{std::move(route)} {}
+
+    /// Takes over a link's status. Returns true when work sent before on this link is lost.
+    bool update(const link_status& status, common::time_point now);
+
+    void remove(const std::string& instance);
+
+    /// Returns the status of the upstream to send to, and counts the work as sent.
+    const link_status* choose(const tickets::stage_settings& stage,
+                              policy::routing_request request);
+
+    /// Records the time from the dispatch of a stage to the first part of its result.
+    void record_response(const std::string& pool, common::duration response_time);
+
+    /// Records a complete result with the upstream's service time for one part of it.
+    void record_success(const std::string& pool, const std::string& instance,
+                        common::duration service_time, common::time_point now);
+    void record_failure(const std::string& pool, const std::string& instance,
+                        common::time_point now);
+
+    /// Takes an extra attempt from the pool's budget; false when it is used up.
+    bool take_extra_attempt(const std::string& pool, common::time_point now);
+    void record_first_attempt(const std::string& pool);
+
+    /// Returns how long to wait for a first response before a hedge, or nothing when hedges make
+    /// no sense yet.
+    [[nodiscard]] std::optional<common::duration> hedge_delay(const std::string& pool) const;
+
+    [[nodiscard]] boost::json::value dump() const;
+
+private:
+    struct upstream_state {
+        link_status status;
+        std::uint32_t sent_since_report = 0;
+        common::time_point available_since;
+        bool available = false;
+    };
+
+    struct pool_state {
+        explicit pool_state(const upstream_set_options& options)
+            : outliers{options.outliers}, budget{options.retries} {}
+
+        policy::outlier_detector outliers;
+        policy::retry_budget budget;
+        policy::quantile_estimate response_s{0.95};
+    };
+
+    pool_state& pool(const std::string& name);
+
+    upstream_set_options m_options;
+    policy::routing_hook m_route;
+    std::map<std::string, upstream_state> m_upstreams;
+    std::map<std::string, pool_state> m_pools;
+};
+
+} // namespace jujubemast::entry
--- /dev/null
+++ b/source/core/policy/quantile_estimate.cpp
@@ -0,0 +1,21 @@
+#include "policy/quantile_estimate.h"
+
+#include <algorithm>
+
+namespace jujubemast::policy {
+
+void quantile_estimate::add(double sample) {
+    ++m_count;
+    if (m_count == 1) {
+        m_value = sample;
+        return;
+    }
+    // Large steps at first find the scale; later ones are small and keep the estimate steady.
+    constexpr double largest_step = 0.5;
+    constexpr double smallest_step = 0.02;
+    const double step =
+        std::max(smallest_step, largest_step / static_cast<double>(m_count)) * m_value;
+    m_value += sample > m_value ? step * m_quantile : -step * (1 - m_quantile);
+}
+
+} // namespace jujubemast::policy
--- /dev/null
+++ b/source/core/policy/retry_budget.cpp
@@ -0,0 +1,36 @@
+#include "policy/retry_budget.h"
+
+#include <algorithm>
+
+namespace jujubemast::policy {
+
+void retry_budget::record_first_attempt() {
+    m_balance = std::min(m_options.largest_balance, m_balance + m_options.ratio);
+}
+
+bool retry_budget::take(common::time_point now) {
+    refill(now);
+    if (m_balance < 1) {
+        return false;
+    }
+    m_balance -= 1;
+    return true;
+}
+
+void retry_budget::refill(common::time_point now) {
+    const std::chrono::duration<double> elapsed = now - m_refilled;
+    m_refilled = now;
+    if (m_balance < m_options.reserve) {
+        const double earned =
+            m_options.reserve * (elapsed / std::chrono::duration<double>(m_options.reserve_period));
+        m_balance = std::min(m_options.reserve, m_balance + earned);
+    }
+}
+
+common::duration retry_backoff(common::duration base, unsigned attempts, double random_unit) {
+    constexpr unsigned largest_exponent = 6;
+    const auto factor = static_cast<double>(1U << std::min(attempts, largest_exponent));
+    return std::chrono::duration_cast<common::duration>(base * factor * (0.5 + random_unit / 2));
+}
+
+} // namespace jujubemast::policy
--- a/source/core/policy/routing.cpp
+++ b/source/core/policy/routing.cpp
@@ -4,21 +4,115 @@
 #include <memory>
 #include <utility>
 
+#include "common/digest.h"
+
 namespace jujubemast::policy {
 
 namespace {
 
-std::vector<std::size_t> eligible_indices(const routing_request& request,
-                                          std::span<const upstream_view> upstreams) {
+std::vector<std::size_t> indices_where(std::span<const upstream_view> upstreams,
+                                       const std::function<bool(const upstream_view&)>& holds) {
     std::vector<std::size_t> indices;
     for (std::size_t n = 0; n < upstreams.size(); ++n) {
-        if (is_eligible(request, upstreams[n])) {
+        if (holds(upstreams[n])) {
             indices.push_back(n);
         }
     }
     return indices;
 }
 
+/// Returns the upstreams that may get the work. Ejected ones count only when no other is left: an
+/// upstream that may be bad is better than a certain refusal.
+std::vector<std::size_t> eligible_indices(const routing_request& request,
+                                          std::span<const upstream_view> upstreams) {
+    auto indices = indices_where(upstreams, [&](const upstream_view& it) {
+        return is_eligible(request, it) && !it.ejected;
+    });
+    if (indices.empty()) {
+        indices = indices_where(upstreams,
+                                [&](const upstream_view& it) { return is_eligible(request, it); });
+    }
+    return indices;
+}
+
+/// The decision of make_load_aware for one request.
+class load_aware_choice {
+public:
+    load_aware_choice(const load_aware_options& options, const common::random_hook& random,
+                      const routing_request& request, std::span<const upstream_view> upstreams)
+        : m_options{options}, m_random{random}, m_request{request}, m_upstreams{upstreams},
+          m_candidates{eligible_indices(request, upstreams)} {}
+
+    std::optional<std::size_t> choose() {
+        if (m_candidates.empty()) {
+            return std::nullopt;
+        }
+        if (m_request.prefix != 0) {
+            if (const auto preferred = choose_by_prefix()) {
+                return preferred;
+            }
+        }
+        return better_of(draw(), draw());
+    }
+
+private:
+    /// Returns the first upstream in the prefix's own order whose load is near the mean.
+    [[nodiscard]] std::optional<std::size_t> choose_by_prefix() const {
+        double sum = 0;
+        for (const auto n : m_candidates) {
+            sum += cost(n);
+        }
+        const double bound =
+            sum / static_cast<double>(m_candidates.size()) + m_options.affinity_margin;
+        std::optional<std::size_t> best;
+        std::uint64_t best_score = 0;
+        for (const auto n : m_candidates) {
+            const auto score = common::digest_of(m_upstreams[n].name) ^ m_request.prefix;
+            const auto mixed = score * 0x9e3779b97f4a7c15U;
+            if (cost(n) <= bound && (!best || mixed > best_score)) {
+                best = n;
+                best_score = mixed;
+            }
+        }
+        return best;
+    }
+
+    std::size_t draw() {
+        return m_candidates[common::uniform_below(m_random, m_candidates.size())];
+    }
+
+    [[nodiscard]] std::size_t better_of(std::size_t first, std::size_t second) const {
+        return preference_cost(second) < preference_cost(first) ? second : first;
+    }
+
+    /// Load as this request sees it: upstreams of another failure domain count as more loaded.
+    [[nodiscard]] double preference_cost(std::size_t n) const {
+        const bool same_domain = m_upstreams[n].failure_domain == m_request.failure_domain;
+        return cost(n) + (same_domain ? 0 : m_options.domain_margin);
+    }
+
+    /// Load, raised during slow start so that a newcomer gets a growing part of its share.
+    [[nodiscard]] double cost(std::size_t n) const {
+        const auto& upstream = m_upstreams[n];
+        const auto age = m_request.now - upstream.available_since;
+        const double load = relative_load(upstream);
+        if (age >= m_options.slow_start || m_options.slow_start <= common::duration::zero()) {
+            return load;
+        }
+        constexpr double smallest_share = 0.1;
+        const double share =
+            std::max(smallest_share, std::chrono::duration<double>(age) /
+                                         std::chrono::duration<double>(m_options.slow_start));
+        return (load + 1 / static_cast<double>(std::max(1U, upstream.limit))) / share;
+    }
+
+    const load_aware_options& m_options;
+    const common::random_hook& m_random;
+    const routing_request& m_request;
+    std::span<const upstream_view> m_upstreams;
+    std::vector<std::size_t> m_candidates;
+};
+
 } // namespace
 
 bool is_eligible(const routing_request& request, const upstream_view& upstream) {
@@ -58,4 +152,23 @@
     };
 }
 
+routing_hook make_load_aware(const load_aware_options& options, common::random_hook random) {
+    return [options, random = std::move(random)](const routing_request& request,
+                                                 std::span<const upstream_view> upstreams) {
+        return load_aware_choice{options, random, request, upstreams}.choose();
+    };
+}
+
+routing_hook make_routing(routing_policy which, const common::random_hook& random) {
+    switch (which) {
+    case routing_policy::round_robin:
+        return make_round_robin();
+    case routing_policy::two_choices:
+        return make_two_choices(random);
+    case routing_policy::load_aware:
+        return make_load_aware({}, random);
+    }
+    return make_round_robin();
+}
+
 } // namespace jujubemast::policy
--- a/tests/unit/entry/request_flow_test.cpp
+++ b/tests/unit/entry/request_flow_test.cpp
@@ -38,7 +38,7 @@
     }
 
     flow_actions complete(std::uint32_t stage, const std::string& output) {
-        flow.stage_dispatched("u", 1, now);
+        flow.stage_dispatched(0, "u", 1, now);
         flow.chunk_received({identity(stage), 0, payload(output)}, now);
         return flow.end_received(end_of(identity(stage), {payload(output)}), now);
     }
@@ -68,7 +68,7 @@
 BOOST_AUTO_TEST_CASE(request_flow_when_chunks_are_reordered_and_repeated_keeps_their_order) {
     flow.begin(now);
     complete(0, "a");
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched(0, "u", 1, now);
     flow.chunk_received({identity(1), 1, payload("2")}, now);
     flow.chunk_received({identity(1), 0, payload("1")}, now);
     flow.chunk_received({identity(1), 0, payload("1")}, now);
@@ -79,7 +79,7 @@
 // Guards against an answer with a hole being called whole.
 BOOST_AUTO_TEST_CASE(request_flow_when_a_chunk_is_missing_fetches_it) {
     flow.begin(now);
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched(0, "u", 1, now);
     flow.chunk_received({identity(0), 1, payload("2")}, now);
     const auto end = end_of(identity(0), {payload("1"), payload("2")});
     const auto actions = flow.end_received(end, now);
@@ -92,7 +92,7 @@
 // Guards against results of an earlier attempt or of another request being taken for this one.
 BOOST_AUTO_TEST_CASE(request_flow_when_identity_differs_ignores_the_result) {
     flow.begin(now);
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched(0, "u", 1, now);
     BOOST_TEST(flow.end_received(end_of(identity(0, 1), {}), now).empty());
     BOOST_TEST(flow.end_received(end_of({"other", 0, 0, 1}, {}), now).empty());
     BOOST_TEST(flow.end_received(end_of({"r", 0, 0, 2}, {}), now).empty());
@@ -100,7 +100,7 @@
 
 BOOST_AUTO_TEST_CASE(request_flow_when_digest_differs_tries_again) {
     flow.begin(now);
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched(0, "u", 1, now);
     flow.chunk_received({identity(0), 0, payload("x")}, now);
     const auto actions = flow.end_received(end_of(identity(0), {payload("a")}), now);
     BOOST_TEST(find<dispatch_stage>(actions)->attempt == 1U);
@@ -110,7 +110,7 @@
 BOOST_AUTO_TEST_CASE(request_flow_when_non_idempotent_stage_may_have_run_fails_as_unknown) {
     flow.begin(now);
     complete(0, "a");
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched(0, "u", 1, now);
     const auto actions = flow.link_lost("u", now);
     BOOST_TEST(find<dispatch_stage>(actions) == nullptr);
     BOOST_TEST(find<deliver_problem>(actions) != nullptr);
@@ -118,7 +118,7 @@
 
 BOOST_AUTO_TEST_CASE(request_flow_when_refused_as_not_run_tries_another_upstream) {
     flow.begin(now);
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched(0, "u", 1, now);
     const auto actions = flow.refusal_received(
         {identity(0), protocol::refusal_reason::draining, common::execution::not_run, 0, ""}, now);
     BOOST_TEST(find<dispatch_stage>(actions)->excluded.front() == "u");
@@ -128,13 +128,44 @@
 // Guards against a refusal that says "not run" while a stage may still run.
 BOOST_AUTO_TEST_CASE(request_flow_when_deadline_passes_in_flight_reports_unknown_and_cancels) {
     flow.begin(now);
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched(0, "u", 1, now);
     const auto actions = flow.deadline_passed();
     BOOST_TEST((find<deliver_problem>(actions)->content.execution == common::execution::unknown));
     const auto* message = find<send_to_upstream>(actions);
     BOOST_TEST(std::holds_alternative<protocol::cancel>(message->content));
 }
 
+// Guards against a hedge that delivers two results, or that keeps the slower upstream busy.
+BOOST_AUTO_TEST_CASE(request_flow_when_hedge_responds_first_takes_it_and_cancels_the_other) {
+    flow.begin(now);
+    flow.stage_dispatched(0, "slow", 1, now);
+    BOOST_TEST(find<dispatch_stage>(flow.hedge())->excluded.front() == "slow");
+    flow.stage_dispatched(1, "fast", 1, now);
+    const auto actions = flow.chunk_received({identity(0, 1), 0, payload("a")}, now);
+    const auto* message = find<send_to_upstream>(actions);
+    BOOST_TEST(message->instance == "slow");
+    BOOST_TEST(std::holds_alternative<protocol::cancel>(message->content));
+    BOOST_TEST(flow.chunk_received({identity(0, 0), 0, payload("a")}, now).empty());
+}
+
+// Guards against a hedge of a call that must not run twice.
+BOOST_AUTO_TEST_CASE(request_flow_when_stage_is_not_idempotent_does_not_hedge) {
+    flow.begin(now);
+    complete(0, "a");
+    flow.stage_dispatched(0, "u", 1, now);
+    BOOST_TEST(!flow.may_hedge());
+    BOOST_TEST(flow.hedge().empty());
+}
+
+BOOST_AUTO_TEST_CASE(request_flow_when_one_attempt_of_a_hedge_fails_waits_for_the_other) {
+    flow.begin(now);
+    flow.stage_dispatched(0, "a", 1, now);
+    flow.hedge();
+    flow.stage_dispatched(1, "b", 1, now);
+    BOOST_TEST(flow.link_lost("a", now).empty());
+    BOOST_TEST(!flow.finished());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- /dev/null
+++ b/tests/unit/policy/outlier_detector_test.cpp
@@ -0,0 +1,96 @@
+#include "policy/outlier_detector.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jujubemast::tests {
+
+using namespace jujubemast::policy;
+
+struct outlier_detector_fixture {
+    outlier_detector detector;
+    common::time_point now{};
+
+    outlier_detector_fixture() {
+        for (const auto* name : {"a", "b", "c", "d", "e"}) {
+            detector.add_member(name);
+        }
+    }
+
+    void fail(const std::string& name, int times) {
+        for (int n = 0; n < times; ++n) {
+            detector.record_failure(name, now);
+        }
+    }
+
+    void succeed(const std::string& name, int milliseconds, int times = 10) {
+        for (int n = 0; n < times; ++n) {
+            detector.record_success(name, std::chrono::milliseconds{milliseconds}, now);
+        }
+    }
+
+    /// Ejects the upstream, waits for the end of the ejection and sends the probe.
+    void send_probe(const std::string& name) {
+        fail(name, 3);
+        now += std::chrono::seconds{3};
+        BOOST_TEST((detector.state(name, now) == rotation_state::probing));
+        detector.record_dispatch(name, now);
+        BOOST_TEST((detector.state(name, now) == rotation_state::ejected));
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(outlier_detector_test, outlier_detector_fixture)
+
+BOOST_AUTO_TEST_CASE(outlier_detector_when_failures_follow_each_other_ejects) {
+    fail("a", 2);
+    BOOST_TEST((detector.state("a", now) == rotation_state::in_rotation));
+    fail("a", 1);
+    BOOST_TEST((detector.state("a", now) == rotation_state::ejected));
+}
+
+BOOST_AUTO_TEST_CASE(outlier_detector_when_upstream_is_much_slower_than_its_pool_ejects) {
+    for (const auto* name : {"b", "c", "d", "e"}) {
+        succeed(name, 10);
+    }
+    succeed("a", 100);
+    BOOST_TEST((detector.state("a", now) == rotation_state::ejected));
+    BOOST_TEST((detector.state("b", now) == rotation_state::in_rotation));
+}
+
+// Guards against a fault of all upstreams that empties the pool.
+BOOST_AUTO_TEST_CASE(outlier_detector_when_many_fail_keeps_most_of_the_pool) {
+    int ejected = 0;
+    for (const auto* name : {"a", "b", "c", "d", "e"}) {
+        fail(name, 10);
+        ejected += detector.state(name, now) == rotation_state::ejected ? 1 : 0;
+    }
+    BOOST_TEST(ejected == 2);
+}
+
+// Guards against a flood of work to an upstream that has not shown that it works again.
+BOOST_AUTO_TEST_CASE(outlier_detector_when_ejection_is_over_lets_one_probe_through) {
+    send_probe("a");
+    succeed("a", 10, 1);
+    BOOST_TEST((detector.state("a", now) == rotation_state::in_rotation));
+}
+
+BOOST_AUTO_TEST_CASE(outlier_detector_when_probe_fails_ejects_for_longer) {
+    send_probe("a");
+    fail("a", 1);
+    now += std::chrono::seconds{3};
+    BOOST_TEST((detector.state("a", now) == rotation_state::ejected));
+    now += std::chrono::seconds{2};
+    BOOST_TEST((detector.state("a", now) == rotation_state::probing));
+}
+
+// Guards against an upstream that stays out for good because its probe was never answered.
+BOOST_AUTO_TEST_CASE(outlier_detector_when_probe_gets_no_answer_probes_again_later) {
+    send_probe("a");
+    now += std::chrono::seconds{3};
+    BOOST_TEST((detector.state("a", now) == rotation_state::ejected));
+    now += std::chrono::seconds{60};
+    BOOST_TEST((detector.state("a", now) == rotation_state::probing));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
