tickets: configurations spread between entries and sidecars

Cause: only entries held a configuration, from the store alone, so a ticket did not spread during an outage and an entry could not start in one. Change: one replica task in entries and sidecars holds revision, digest and document. Heartbeats name revisions; the lower side fetches the document once. An entry without the store takes the highest revision that its sidecars name; seed addresses (membership.static) stand in for the first membership list. The state outlives restarts of the task, so that a restart does not go back.

--- a/source/core/admin/admin_server.cpp
+++ b/source/core/admin/admin_server.cpp
@@ -34,7 +34,9 @@
         "admin", {.listen = listen, .limits = {.max_connections = 64}},
         [health = std::move(health), hooks = std::move(hooks)](
             const http::request& request, const http::responder& reply) -> http::disconnect_hook {
-            if (!forward_health_query(request, reply, health)) {
+            const bool forwarded = forward_health_query(request, reply, health) ||
+                                   (hooks.query && hooks.query(request, reply));
+            if (!forwarded) {
                 reply.respond(answer(request, hooks));
             }
             return {};
--- a/source/core/admin/admin_server.h
+++ b/source/core/admin/admin_server.h
@@ -12,9 +12,13 @@
 /// Returns the metrics in the Prometheus text format.
 using metrics_hook = std::function<std::string()>;
 
+/// Passes a request on to the task that answers it. Returns false for other paths.
+using query_hook = std::function<bool(const http::request&, const http::responder&)>;
+
 struct admin_hooks {
     runtime::dump_hook dump;
     metrics_hook metrics;
+    query_hook query;
 };
 
 /// Describes the admin server: GET /livez, /readyz, /dump and /metrics.
--- a/source/core/entry/entry_settings.cpp
+++ b/source/core/entry/entry_settings.cpp
@@ -1,5 +1,7 @@
 #include "entry/entry_settings.h"
 
+#include <sstream>
+
 namespace jujubemast::entry {
 
 using settings::check_address;
@@ -7,6 +9,28 @@
 using settings::check_positive_duration;
 using std::chrono::milliseconds;
 
+std::vector<std::string> split_addresses(const std::string& list) {
+    std::vector<std::string> addresses;
+    std::istringstream input{list};
+    for (std::string it; std::getline(input, it, ',');) {
+        addresses.push_back(it);
+    }
+    return addresses;
+}
+
+namespace {
+
+std::string check_addresses(const std::string& value) {
+    for (const auto& it : split_addresses(value)) {
+        if (auto complaint = check_address(it); !complaint.empty()) {
+            return complaint;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
 const settings::setting<std::string> entry_settings::name{
     "instance", "name", "", "name of this instance, unique in the deployment", true};
 const settings::setting<std::string> entry_settings::failure_domain{
@@ -41,6 +65,13 @@
     "time between two reads of the membership list, in ms",
     false,
     check_positive_duration};
+const settings::setting<std::string> entry_settings::membership_static{
+    "membership",
+    "static",
+    "",
+    "sidecars to learn the configuration from before the first list, as IP:PORT with commas",
+    false,
+    check_addresses};
 const settings::setting<milliseconds> entry_settings::link_ping_interval{
     "links", "ping_interval_ms",     milliseconds{250}, "time between two heartbeats, in ms",
     false,   check_positive_duration};
@@ -66,6 +97,7 @@
     &platform_address,
     &platform_poll_interval,
     &membership_poll_interval,
+    &membership_static,
     &link_ping_interval,
     &link_silence_limit,
     &retry_max_attempts,
--- a/source/core/entry/entry_settings.h
+++ b/source/core/entry/entry_settings.h
@@ -17,6 +17,7 @@
     static const settings::setting<std::string> platform_address;
     static const settings::setting<std::chrono::milliseconds> platform_poll_interval;
     static const settings::setting<std::chrono::milliseconds> membership_poll_interval;
+    static const settings::setting<std::string> membership_static;
     static const settings::setting<std::chrono::milliseconds> link_ping_interval;
     static const settings::setting<std::chrono::milliseconds> link_silence_limit;
     static const settings::setting<std::int64_t> retry_max_attempts;
@@ -24,4 +25,7 @@
     static const settings::table table;
 };
 
+/// Splits a list of addresses at its commas.
+std::vector<std::string> split_addresses(const std::string& list);
+
 } // namespace jujubemast::entry
--- a/source/core/entry/entry_tree.cpp
+++ b/source/core/entry/entry_tree.cpp
@@ -22,6 +22,7 @@
 using coordinator_mailbox = std::shared_ptr<runtime::mailbox<coordinator_message>>;
 using links_mailbox = std::shared_ptr<runtime::mailbox<links_message>>;
 
+using replica_mailbox = std::shared_ptr<runtime::mailbox<tickets::replica_message>>;
 using health_address = runtime::address<admin::health_message>;
 
 constexpr const char* configuration_condition = "configuration";
@@ -52,6 +53,15 @@
     };
 }
 
+/// Answers GET /v1/revision with the revisions of this process and of all linked sidecars.
+admin::query_hook make_revision_handler(const links_mailbox& links) {
+    return [target = runtime::address<links_message>{links}](const http::request& message,
+                                                             const http::responder& reply) {
+        return http::split_target(message.target).path == "/v1/revision" &&
+               target.send(revision_query{reply});
+    };
+}
+
 http::server_options api_options(const settings::values& values, const health_address& health) {
     http::server_options options;
     options.listen = http::parse_endpoint(values.get(entry_settings::api_listen));
@@ -66,20 +76,29 @@
     return options;
 }
 
-runtime::child_spec make_replica(const settings::values& values, const http::endpoint& platform,
-                                 const coordinator_mailbox& coordinator,
+runtime::child_spec make_replica(const settings::values& values, const replica_mailbox& inbox,
+                                 const coordinator_mailbox& coordinator, const links_mailbox& links,
                                  const health_address& health) {
     tickets::replica_options options;
-    options.platform = platform;
+    options.platform = http::parse_endpoint(values.get(entry_settings::platform_address));
     options.poll_interval = values.get(entry_settings::platform_poll_interval);
-    const runtime::address<coordinator_message> target{coordinator};
-    return {"replica", [options, target, health](runtime::task_context context) {
-                return std::make_shared<tickets::replica>(
-                    std::move(context), options,
-                    [target, health](tickets::configuration_pointer it) {
-                        target.send(configuration_changed{std::move(it)});
-                        health.send(admin::set_condition{configuration_condition, ""});
-                    });
+    const runtime::address<coordinator_message> users{coordinator};
+    const runtime::address<links_message> peers{links};
+    tickets::replica_hooks hooks;
+    hooks.publish = [users](tickets::configuration_pointer it) {
+        users.send(configuration_changed{std::move(it)});
+    };
+    hooks.announce = [peers](std::uint64_t revision) { peers.send(announce_revision{revision}); };
+    hooks.send = [peers](const std::string& peer, protocol::message content) {
+        peers.send(send_work{peer, std::move(content)});
+    };
+    hooks.set_not_ready_reason = [health](const std::string& reason) {
+        health.send(admin::set_condition{configuration_condition, reason});
+    };
+    const auto state = std::make_shared<tickets::spread>(tickets::spread_limits{});
+    return {"replica", [=](runtime::task_context context) {
+                return std::make_shared<tickets::replica>(std::move(context), inbox, state, options,
+                                                          hooks);
             }};
 }
 
@@ -98,14 +117,15 @@
 }
 
 runtime::child_spec make_links(const settings::values& values, const links_mailbox& inbox,
-                               const coordinator_mailbox& coordinator) {
+                               const coordinator_mailbox& coordinator,
+                               const replica_mailbox& replica) {
     const link_limits limits{values.get(entry_settings::link_ping_interval),
                              values.get(entry_settings::link_silence_limit)};
     const auto name = values.get(entry_settings::name);
-    return {"links", [inbox, coordinator, name, limits](runtime::task_context context) {
-                return std::make_shared<links>(std::move(context), inbox,
-                                               runtime::address<coordinator_message>{coordinator},
-                                               name, limits);
+    return {"links", [inbox, coordinator, replica, name, limits](runtime::task_context context) {
+                return std::make_shared<links>(
+                    std::move(context), inbox, runtime::address<coordinator_message>{coordinator},
+                    runtime::address<tickets::replica_message>{replica}, name, limits);
             }};
 }
 
@@ -119,6 +139,8 @@
     const auto links_inbox = runtime::make_mailbox<links_message>(loop, mailbox_capacity);
     const auto platform = http::parse_endpoint(values.get(entry_settings::platform_address));
     const auto health_inbox = runtime::make_mailbox<admin::health_message>(loop, mailbox_capacity);
+    const auto replica_inbox =
+        runtime::make_mailbox<tickets::replica_message>(loop, mailbox_capacity);
     const health_address health{health_inbox};
 
     // A failed child and those after it are restarted, so each child stands after the ones whose
@@ -132,19 +154,20 @@
                         }});
     children.push_back(
         admin::make_admin_server(http::parse_endpoint(values.get(entry_settings::admin_listen)),
-                                 health, {process.dump, {}}));
+                                 health, {process.dump, {}, make_revision_handler(links_inbox)}));
     children.push_back(make_coordinator(values, coordinator_inbox, links_inbox));
-    children.push_back(make_links(values, links_inbox, coordinator_inbox));
+    children.push_back(make_links(values, links_inbox, coordinator_inbox, replica_inbox));
     children.push_back(http::make_server(
         "api", api_options(values, health),
         make_api_handler(runtime::address<coordinator_message>{coordinator_inbox}, health)));
     const auto interval = values.get(entry_settings::membership_poll_interval);
-    children.push_back({"membership", [platform, interval, links_inbox](runtime::task_context it) {
-                            return std::make_shared<membership>(
-                                std::move(it), platform, interval,
-                                runtime::address<links_message>{links_inbox});
-                        }});
-    children.push_back(make_replica(values, platform, coordinator_inbox, health));
+    const auto seeds = split_addresses(values.get(entry_settings::membership_static));
+    children.push_back(
+        {"membership", [platform, interval, seeds, links_inbox](runtime::task_context it) {
+             return std::make_shared<membership>(std::move(it), platform, interval, seeds,
+                                                 runtime::address<links_message>{links_inbox});
+         }});
+    children.push_back(make_replica(values, replica_inbox, coordinator_inbox, links_inbox, health));
     return children;
 }
 
--- a/source/core/entry/links.cpp
+++ b/source/core/entry/links.cpp
@@ -11,10 +11,11 @@
 namespace jujubemast::entry {
 
 links::links(runtime::task_context context, std::shared_ptr<runtime::mailbox<links_message>> inbox,
-             runtime::address<coordinator_message> coordinator, std::string entry_name,
+             runtime::address<coordinator_message> coordinator,
+             runtime::address<tickets::replica_message> replica, std::string entry_name,
              link_limits limits)
-    : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_coordinator{std::move(
-                                                                    coordinator)},
+    : m_context{std::move(context)}, m_inbox{std::move(inbox)},
+      m_coordinator{std::move(coordinator)}, m_replica{std::move(replica)},
       m_entry_name{std::move(entry_name)}, m_limits{limits}, m_timer{m_context.loop()} {}
 
 void links::start() {
@@ -61,6 +62,29 @@
     m_revision = message.revision;
 }
 
+void links::handle(const seed_addresses& message) {
+    if (!m_links.empty()) {
+        return;
+    }
+    std::vector<platform::instance> seeds;
+    for (const auto& it : message.addresses) {
+        // Without a pool, no request is routed to it.
+        seeds.push_back({"seed:" + it, "", "", it, platform::instance_state::live});
+    }
+    handle(members_changed{std::move(seeds)});
+}
+
+void links::handle(const revision_query& message) const {
+    boost::json::array sidecars;
+    for (const auto& [name, it] : m_links) {
+        sidecars.push_back(
+            boost::json::object{{"name", name}, {"up", it.status.up}, {"revision", it.revision}});
+    }
+    const boost::json::object body{
+        {"name", m_entry_name}, {"revision", m_revision}, {"sidecars", std::move(sidecars)}};
+    message.reply.respond(http::json_response(200, boost::json::serialize(body) + "\n"));
+}
+
 void links::handle(const send_work& message) {
     const auto it = m_links.find(message.instance);
     const auto* dispatch = std::get_if<protocol::dispatch>(&message.content);
@@ -124,12 +148,22 @@
             pong_received(it->second, *pong);
             return;
         }
-        m_coordinator.send(work_message{instance, message});
+        pass_on(instance, message);
     } catch (const common::format_error& e) {
         m_log.warn("Dropped a message.", {{"instance", instance}, {"reason", e.what()}});
     }
 }
 
+void links::pass_on(const std::string& instance, const protocol::message& message) {
+    if (const auto* fetch = std::get_if<protocol::configuration_fetch>(&message)) {
+        m_replica.send(tickets::peer_fetch{instance, *fetch});
+    } else if (const auto* state = std::get_if<protocol::configuration_state>(&message)) {
+        m_replica.send(tickets::peer_state{instance, *state});
+    } else {
+        m_coordinator.send(work_message{instance, message});
+    }
+}
+
 void links::pong_received(link& target, const protocol::pong& pong) {
     if (pong.nonce != target.nonce) {
         return;
@@ -145,6 +179,10 @@
     status.clock_offset_us = pong.clock_us - common::to_microseconds(now);
     status.load = pong.load;
     report(target);
+    target.revision = pong.revision;
+    if (pong.revision > m_revision) {
+        m_replica.send(tickets::peer_revision{target.instance.name, pong.revision});
+    }
 }
 
 void links::set_down(link& target) {
@@ -156,7 +194,9 @@
 }
 
 void links::report(const link& target) {
-    m_coordinator.send(target.status);
+    if (!target.instance.pool.empty()) {
+        m_coordinator.send(target.status);
+    }
 }
 
 boost::json::value links::dump() const {
@@ -164,6 +204,7 @@
     for (const auto& [name, it] : m_links) {
         entries[name] = boost::json::object{{"address", it.instance.address},
                                             {"up", it.status.up},
+                                            {"revision", it.revision},
                                             {"incarnation", it.status.incarnation},
                                             {"clock_offset_us", it.status.clock_offset_us},
                                             {"replacements", it.replacements}};
--- a/source/core/entry/links.h
+++ b/source/core/entry/links.h
@@ -10,6 +10,7 @@
 #include "logging/logger.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
+#include "tickets/replica.h"
 #include "wire/socket.h"
 
 namespace jujubemast::entry {
@@ -26,7 +27,8 @@
 class links final : public runtime::task {
 public:
     links(runtime::task_context context, std::shared_ptr<runtime::mailbox<links_message>> inbox,
-          runtime::address<coordinator_message> coordinator, std::string entry_name,
+          runtime::address<coordinator_message> coordinator,
+          runtime::address<tickets::replica_message> replica, std::string entry_name,
           link_limits limits);
 
     void start() override;
@@ -43,11 +45,16 @@
         common::time_point last_pong;
         common::time_point opened;
         std::uint64_t replacements = 0;
+        /// Revision of the configuration that the sidecar holds.
+        std::uint64_t revision = 0;
     };
 
     void handle(const members_changed& message);
     void handle(const send_work& message);
     void handle(const announce_revision& message);
+    void handle(const seed_addresses& message);
+    void handle(const revision_query& message) const;
+    void pass_on(const std::string& instance, const protocol::message& message);
     void open(link& target);
     void tick();
     void ping(link& target, common::time_point now);
@@ -59,6 +66,7 @@
     runtime::task_context m_context;
     runtime::inbox<links_message> m_inbox;
     runtime::address<coordinator_message> m_coordinator;
+    runtime::address<tickets::replica_message> m_replica;
     std::string m_entry_name;
     link_limits m_limits;
     runtime::timer m_timer;
--- a/source/core/entry/membership.cpp
+++ b/source/core/entry/membership.cpp
@@ -7,14 +7,17 @@
 namespace jujubemast::entry {
 
 membership::membership(runtime::task_context context, const http::endpoint& platform,
-                       common::duration interval, runtime::address<links_message> links)
+                       common::duration interval, std::vector<std::string> seeds,
+                       runtime::address<links_message> links)
     : m_context{std::move(context)}, m_store{m_context,
                                              platform,
                                              {.head_timeout = std::chrono::seconds{2},
                                               .progress_timeout = std::chrono::seconds{2}}},
-      m_interval{interval}, m_links{std::move(links)}, m_timer{m_context.loop()} {}
+      m_interval{interval}, m_seeds{std::move(seeds)}, m_links{std::move(links)},
+      m_timer{m_context.loop()} {}
 
 void membership::start() {
+    m_links.send(seed_addresses{m_seeds});
     poll();
 }
 
--- a/source/core/entry/membership.h
+++ b/source/core/entry/membership.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "entry/messages.h"
 #include "platform/store.h"
@@ -10,11 +12,12 @@
 namespace jujubemast::entry {
 
 /// Polls the platform's membership list and passes it to the links. While the platform does not
-/// answer, the last list stays in use.
+/// answer, the last list stays in use; before the first list, the seed addresses of the settings.
 class membership final : public runtime::task {
 public:
     membership(runtime::task_context context, const http::endpoint& platform,
-               common::duration interval, runtime::address<links_message> links);
+               common::duration interval, std::vector<std::string> seeds,
+               runtime::address<links_message> links);
 
     void start() override;
     void close() noexcept override;
@@ -27,6 +30,7 @@
     runtime::task_context m_context;
     platform::store m_store;
     common::duration m_interval;
+    std::vector<std::string> m_seeds;
     runtime::address<links_message> m_links;
     runtime::timer m_timer;
     std::uint64_t m_polls = 0;
--- a/source/core/entry/messages.h
+++ b/source/core/entry/messages.h
@@ -93,6 +93,17 @@
     std::uint64_t revision = 0;
 };
 
-using links_message = std::variant<members_changed, send_work, announce_revision>;
+/// Addresses of sidecars from the settings, for the time before the first membership list.
+struct seed_addresses {
+    std::vector<std::string> addresses;
+};
+
+/// Asks for the revisions of this process and of all linked sidecars, as last heard.
+struct revision_query {
+    http::responder reply;
+};
+
+using links_message =
+    std::variant<members_changed, send_work, announce_revision, seed_addresses, revision_query>;
 
 } // namespace jujubemast::entry
--- a/source/core/sidecar/messages.h
+++ b/source/core/sidecar/messages.h
@@ -48,7 +48,12 @@
     protocol::load_report load;
 };
 
-using link_command = std::variant<send_to_entry, status_changed>;
+/// The revision of the configuration to announce in heartbeat answers.
+struct announce_revision {
+    std::uint64_t revision = 0;
+};
+
+using link_command = std::variant<send_to_entry, status_changed, announce_revision>;
 
 /// Runs a stage at the upstream.
 struct start_call {
--- a/source/core/sidecar/sidecar_tree.cpp
+++ b/source/core/sidecar/sidecar_tree.cpp
@@ -10,6 +10,7 @@
 #include "sidecar/link.h"
 #include "sidecar/sidecar_settings.h"
 #include "sidecar/upstream.h"
+#include "tickets/replica.h"
 
 namespace jujubemast::sidecar {
 
@@ -19,6 +20,7 @@
 
 using admission_mailbox = std::shared_ptr<runtime::mailbox<admission_message>>;
 using link_mailbox = std::shared_ptr<runtime::mailbox<link_command>>;
+using replica_mailbox = std::shared_ptr<runtime::mailbox<tickets::replica_message>>;
 using upstream_mailbox = std::shared_ptr<runtime::mailbox<upstream_command>>;
 
 runtime::child_spec make_admission(const settings::values& values, const admission_mailbox& inbox,
@@ -51,6 +53,26 @@
             }};
 }
 
+/// The configuration comes from entries only, so that sidecars cost the store nothing.
+runtime::child_spec make_replica(const replica_mailbox& inbox, const link_mailbox& link) {
+    const runtime::address<link_command> peers{link};
+    tickets::replica_hooks hooks;
+    hooks.publish = [](const tickets::configuration_pointer& /*current*/) {};
+    hooks.announce = [peers](std::uint64_t revision) { peers.send(announce_revision{revision}); };
+    hooks.send = [peers](const std::string& peer, protocol::message content) {
+        peers.send(send_to_entry{peer, std::move(content)});
+    };
+    // A sidecar is ready without a configuration: an entry is what decides to send it work.
+    hooks.set_not_ready_reason = [](const std::string& /*reason*/) {};
+    tickets::spread_limits limits;
+    limits.settle_period = common::duration::zero();
+    const auto state = std::make_shared<tickets::spread>(limits);
+    return {"replica", [=](runtime::task_context context) {
+                return std::make_shared<tickets::replica>(std::move(context), inbox, state,
+                                                          tickets::replica_options{}, hooks);
+            }};
+}
+
 } // namespace
 
 std::vector<runtime::child_spec> make_sidecar_tree(const runtime::executor& loop,
@@ -59,6 +81,8 @@
     const auto health_inbox = runtime::make_mailbox<admin::health_message>(loop, mailbox_capacity);
     const auto admission_inbox = runtime::make_mailbox<admission_message>(loop, mailbox_capacity);
     const auto link_inbox = runtime::make_mailbox<link_command>(loop, mailbox_capacity);
+    const auto replica_inbox =
+        runtime::make_mailbox<tickets::replica_message>(loop, mailbox_capacity);
     const auto upstream_inbox = runtime::make_mailbox<upstream_command>(loop, mailbox_capacity);
 
     std::vector<runtime::child_spec> children;
@@ -70,11 +94,14 @@
         http::parse_endpoint(values.get(sidecar_settings::admin_listen)),
         runtime::address<admin::health_message>{health_inbox}, {process.dump, {}}));
     const auto listen = values.get(sidecar_settings::link_listen);
-    children.push_back({"link", [link_inbox, admission_inbox, listen](runtime::task_context it) {
+    children.push_back({"link", [=](runtime::task_context it) {
                             return std::make_shared<link>(
                                 std::move(it), link_inbox,
-                                runtime::address<admission_message>{admission_inbox}, listen);
+                                runtime::address<admission_message>{admission_inbox},
+                                runtime::address<tickets::replica_message>{replica_inbox}, listen);
                         }});
+    // After the link, so that a restarted link is told the revision again.
+    children.push_back(make_replica(replica_inbox, link_inbox));
     children.push_back(make_upstream(values, upstream_inbox, admission_inbox));
     // Stops first, while the link and the upstream calls still work for it.
     children.push_back(make_admission(values, admission_inbox, link_inbox, upstream_inbox));
--- a/source/core/tickets/acceptance.cpp
+++ b/source/core/tickets/acceptance.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "common/error.h"
+#include "tickets/object_record.h"
 #include "tickets/schema.h"
 
 namespace jujubemast::tickets {
@@ -27,31 +28,12 @@
     for (const auto& [name, state] : change.objects) {
         const platform::row_key target{objects_table, object_row_key(name)};
         work.conditions.push_back({target, version_of(view.objects, target.key)});
-        if (state.is_null()) {
-            work.writes.push_back({target, std::nullopt});
-        } else {
-            work.writes.push_back({target, boost::json::object{{"name", name}, {"state", state}}});
-        }
+        work.writes.push_back({target, to_json(name, {state, change.number, change.revision})});
     }
 }
 
 } // namespace
 
-std::string object_row_key(const std::string& object_name) {
-    auto key = object_name;
-    std::replace(key.begin(), key.end(), '/', ':');
-    return key;
-}
-
-object_states states_of(const std::vector<platform::row>& rows) {
-    object_states objects;
-    for (const auto& it : rows) {
-        const auto& state = it.value.as_object();
-        objects.emplace(std::string{state.at("name").as_string()}, state.at("state"));
-    }
-    return objects;
-}
-
 acceptance_decision plan_acceptance(const acceptance_view& view, const std::string& token) {
     if (view.ticket.value.is_null()) {
         return acceptance_refusal{"there is no such ticket"};
--- a/source/core/tickets/acceptance.h
+++ b/source/core/tickets/acceptance.h
@@ -39,10 +39,4 @@
 /// acceptance in the ticket's row.
 acceptance_decision plan_acceptance(const acceptance_view& view, const std::string& token);
 
-/// Returns the key of an object's row.
-std::string object_row_key(const std::string& object_name);
-
-/// Returns the states of all objects from their rows.
-object_states states_of(const std::vector<platform::row>& rows);
-
 } // namespace jujubemast::tickets
--- /dev/null
+++ b/source/core/tickets/object_record.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "platform/store.h"
+#include "tickets/configuration.h"
+
+namespace jujubemast::tickets {
+
+/// The state of one object and the ticket that set it. A removed object has a null state and keeps
+/// its row, so that its revision still tells that it has changed.
+struct object_record {
+    boost::json::value state;
+    /// Number of the ticket that set the state; zero when no ticket has.
+    std::uint64_t ticket = 0;
+    /// Revision at which the state came into force.
+    std::uint64_t revision = 0;
+};
+
+using object_records = std::map<std::string, object_record, std::less<>>;
+
+/// Returns the key of an object's row.
+std::string object_row_key(const std::string& object_name);
+
+/// Returns the value of an object's row.
+boost::json::value to_json(const std::string& object_name, const object_record& record);
+
+/// Returns the records of all objects from their rows, removed ones included.
+object_records records_of(const std::vector<platform::row>& rows);
+
+/// Returns the states of all objects in force.
+object_states states_of(const object_records& records);
+object_states states_of(const std::vector<platform::row>& rows);
+
+} // namespace jujubemast::tickets
--- a/source/core/tickets/replica.cpp
+++ b/source/core/tickets/replica.cpp
@@ -5,38 +5,92 @@
 #include <boost/json.hpp>
 
 #include "common/error.h"
-#include "tickets/acceptance.h"
+#include "tickets/object_record.h"
 #include "tickets/schema.h"
 
 namespace jujubemast::tickets {
 
-replica::replica(runtime::task_context context, replica_options options, publish_hook publish)
-    : m_context{std::move(context)}, m_options{std::move(options)}, m_publish{std::move(publish)},
-      m_store{
-          m_context,
-          m_options.platform,
-          {.head_timeout = std::chrono::seconds{2}, .progress_timeout = std::chrono::seconds{2}}},
-      m_timer{m_context.loop()} {}
+namespace {
+
+// Readiness depends on time that passes without a message: the settle period and the lag limit.
+constexpr std::chrono::milliseconds check_interval{250};
+
+} // namespace
+
+replica::replica(runtime::task_context context,
+                 std::shared_ptr<runtime::mailbox<replica_message>> inbox,
+                 std::shared_ptr<spread> state, replica_options options, replica_hooks hooks)
+    : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_state{std::move(state)},
+      m_options{std::move(options)}, m_hooks{std::move(hooks)}, m_poll_timer{m_context.loop()},
+      m_check_timer{m_context.loop()} {
+    if (m_options.platform) {
+        const http::client_limits limits{.head_timeout = std::chrono::seconds{2},
+                                         .progress_timeout = std::chrono::seconds{2}};
+        m_store = std::make_unique<platform::store>(m_context, *m_options.platform, limits);
+    }
+}
+
+replica::~replica() = default;
 
 void replica::start() {
-    poll();
+    m_inbox.receive(m_context.wrap([this](const replica_message& message) {
+        std::visit([this](const auto& it) { handle(it); }, message);
+    }));
+    if (m_state->held()) {
+        m_hooks.announce(m_state->held_revision());
+        m_state->repeat_service();
+    }
+    evaluate();
+    if (m_store) {
+        poll();
+    }
 }
 
 void replica::close() noexcept {
-    m_timer.cancel();
-    m_store.close();
+    m_inbox.close();
+    m_poll_timer.cancel();
+    m_check_timer.cancel();
+    if (m_store) {
+        m_store->close();
+    }
+}
+
+void replica::handle(const peer_revision& message) {
+    if (m_state->told_by_peer(message.revision, common::monotonic_clock::now())) {
+        ++m_fetches_sent;
+        m_hooks.send(message.peer, protocol::configuration_fetch{m_state->held_revision()});
+    }
+    evaluate();
+}
+
+void replica::handle(const peer_fetch& message) {
+    const auto& held = m_state->held();
+    if (!held || held->revision() <= message.content.revision) {
+        return;
+    }
+    ++m_documents_sent;
+    m_hooks.send(message.peer,
+                 protocol::configuration_state{held->revision(), held->digest(), held->document});
+}
+
+void replica::handle(const peer_state& message) {
+    const auto& state = message.content;
+    if (state.revision <= m_state->held_revision()) {
+        return;
+    }
+    offer("peer", [&] { return parse_snapshot(state.revision, state.digest, state.document); });
 }
 
 void replica::wait() {
     // Jitter keeps the processes from reading the head row at the same moment.
     const auto percent = 50 + static_cast<int>(common::uniform_below(m_options.random, 101));
-    m_timer.start(m_options.poll_interval * percent / 100, m_context.wrap([this] { poll(); }));
+    m_poll_timer.start(m_options.poll_interval * percent / 100, m_context.wrap([this] { poll(); }));
 }
 
 void replica::poll() {
     ++m_polls;
-    m_store.read({head_table, head_key},
-                 [this](const platform::rows_result& result) { head_received(result); });
+    m_store->read({head_table, head_key},
+                  [this](const platform::rows_result& result) { head_received(result); });
 }
 
 void replica::head_received(const platform::rows_result& result) {
@@ -46,53 +100,76 @@
         return;
     }
     const auto* head = result.rows.front().value.if_object();
-    if (head == nullptr) {
-        wait();
-        return;
-    }
-    const auto revision = head->at("revision").to_number<std::uint64_t>();
-    if (m_current && revision <= m_current->revision) {
+    const auto revision = head == nullptr ? 0 : head->at("revision").to_number<std::uint64_t>();
+    const bool newer = m_state->told_by_store(revision, common::monotonic_clock::now());
+    evaluate();
+    if (!newer) {
         wait();
         return;
     }
-    read_objects(revision, head->at("digest").to_number<std::uint64_t>());
-}
-
-void replica::read_objects(std::uint64_t revision, std::uint64_t digest) {
-    m_store.scan(objects_table, "", [this, revision, digest](const platform::rows_result& result) {
-        objects_received(revision, digest, result);
-    });
+    m_store->scan(
+        objects_table, "",
+        [this, revision, digest = head->at("digest").to_number<std::uint64_t>()](
+            const platform::rows_result& objects) { objects_received(revision, digest, objects); });
 }
 
 void replica::objects_received(std::uint64_t revision, std::uint64_t digest,
                                const platform::rows_result& result) {
+    wait();
     if (result.status != platform::store_status::done) {
         ++m_failed_polls;
-        wait();
         return;
     }
     const auto objects = states_of(result.rows);
     // A ticket accepted between the two reads shows as another digest; the next poll reads again.
     if (digest_of(objects) == digest) {
-        try {
-            m_current =
-                std::make_shared<const configuration>(parse_configuration(revision, objects));
-            m_log.info("Configuration in force.", {{"revision", std::to_string(revision)},
-                                                   {"digest", std::to_string(digest)}});
-            m_publish(m_current);
-        } catch (const common::format_error& e) {
-            m_log.error("Configuration not applied.",
-                        {{"revision", std::to_string(revision)}, {"reason", e.what()}});
+        offer("store", [&] { return make_snapshot(revision, objects); });
+    }
+}
+
+void replica::offer(const std::string& source, const std::function<snapshot_pointer()>& make) {
+    try {
+        if (m_state->offer(make(), common::monotonic_clock::now())) {
+            m_log.info("Configuration received.",
+                       {{"revision", std::to_string(m_state->held_revision())},
+                        {"digest", std::to_string(m_state->held()->digest())},
+                        {"source", source}});
+            m_hooks.announce(m_state->held_revision());
+            evaluate();
         }
+    } catch (const common::format_error& e) {
+        ++m_documents_rejected;
+        m_log.error("Configuration not applied.", {{"source", source}, {"reason", e.what()}});
+    }
+}
+
+void replica::evaluate() {
+    const auto now = common::monotonic_clock::now();
+    if (const auto taken = m_state->take_for_service(now)) {
+        m_log.info("Configuration in force.", {{"revision", std::to_string(taken->revision())}});
+        m_hooks.publish(taken->content);
+    }
+    auto reason = m_state->not_ready_reason(now);
+    if (m_reason != reason) {
+        m_hooks.set_not_ready_reason(reason);
+        m_reason = std::move(reason);
+    }
+    const bool pending = m_state->known_revision() > m_state->served_revision();
+    if (pending) {
+        m_check_timer.start(check_interval, m_context.wrap([this] { evaluate(); }));
     }
-    wait();
 }
 
 boost::json::value replica::dump() const {
-    return boost::json::object{{"revision", m_current ? m_current->revision : 0},
-                               {"digest", m_current ? m_current->digest : 0},
+    return boost::json::object{{"revision", m_state->held_revision()},
+                               {"digest", m_state->held() ? m_state->held()->digest() : 0},
+                               {"served_revision", m_state->served_revision()},
+                               {"known_revision", m_state->known_revision()},
                                {"polls", m_polls},
-                               {"failed_polls", m_failed_polls}};
+                               {"failed_polls", m_failed_polls},
+                               {"fetches_sent", m_fetches_sent},
+                               {"documents_sent", m_documents_sent},
+                               {"documents_rejected", m_documents_rejected}};
 }
 
 } // namespace jujubemast::tickets
--- /dev/null
+++ b/source/core/tickets/spread.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "common/time.h"
+#include "tickets/snapshot.h"
+
+namespace jujubemast::tickets {
+
+struct spread_limits {
+    /// A fetch without an answer for this time is made again, from whichever peer tells next.
+    common::duration fetch_timeout = std::chrono::milliseconds{500};
+    /// How long a process that has not served yet listens to its peers before it takes the highest
+    /// revision among them, while the store does not answer.
+    common::duration settle_period = std::chrono::milliseconds{1000};
+    /// A serving process that has been behind a known revision for this time is not ready. A fetch
+    /// normally takes one round trip, so shorter lags do not show in health checks.
+    common::duration lag_limit = std::chrono::milliseconds{1000};
+};
+
+/// Decides how one process learns of configurations: what to fetch, what to apply and when to
+/// serve. It never goes back to a lower revision and never begins to serve from a lower revision
+/// than it has been told of.
+class spread {
+public:
+    explicit spread(const spread_limits& limits) : m_limits{limits} {}
+
+    /// Notes the revision of a peer. Returns true when it is to be fetched from this peer now.
+    bool told_by_peer(std::uint64_t revision, common::time_point now);
+
+    /// Notes the revision of the head row, zero when there is none. Returns true when the objects
+    /// are to be read.
+    bool told_by_store(std::uint64_t revision, common::time_point now);
+
+    /// Takes the snapshot when its revision is higher than the one held. Returns whether it was.
+    bool offer(snapshot_pointer candidate, common::time_point now);
+
+    /// Returns the snapshot to serve from, once for each change; null when there is no new one.
+    snapshot_pointer take_for_service(common::time_point now);
+
+    /// Why the process is not ready; empty when it is.
+    [[nodiscard]] std::string not_ready_reason(common::time_point now) const;
+
+    /// Makes `take_for_service` return the snapshot in service once more, for tasks that have been
+    /// restarted.
+    void repeat_service() { m_repeat = true; }
+
+    [[nodiscard]] const snapshot_pointer& held() const { return m_held; }
+    [[nodiscard]] std::uint64_t held_revision() const { return m_held ? m_held->revision() : 0; }
+    [[nodiscard]] std::uint64_t known_revision() const { return m_known; }
+    [[nodiscard]] std::uint64_t served_revision() const { return m_served; }
+
+private:
+    void note(std::uint64_t revision, common::time_point now);
+    [[nodiscard]] bool may_serve(common::time_point now) const;
+
+    spread_limits m_limits;
+    snapshot_pointer m_held;
+    /// Highest revision that the store or a peer has named.
+    std::uint64_t m_known = 0;
+    std::uint64_t m_served = 0;
+    bool m_repeat = false;
+    bool m_store_answered = false;
+    std::optional<common::time_point> m_first_told;
+    std::optional<common::time_point> m_fetch_sent;
+    std::optional<common::time_point> m_behind_since;
+};
+
+} // namespace jujubemast::tickets
--- /dev/null
+++ b/tests/unit/tickets/spread_test.cpp
@@ -0,0 +1,93 @@
+#include "tickets/spread.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "common/error.h"
+#include "tickets/ticket.h"
+
+namespace jujubemast::tests {
+
+using namespace jujubemast::tickets;
+
+struct spread_fixture {
+    spread state{spread_limits{}};
+    common::time_point now;
+
+    static snapshot_pointer at(std::uint64_t revision) {
+        return make_snapshot(revision, parse_ticket_file("pools: {encoders: {kind: service}}"));
+    }
+
+    void pass(std::chrono::milliseconds time) { now += time; }
+};
+
+BOOST_FIXTURE_TEST_SUITE(spread_test, spread_fixture)
+
+// Guards against a document that is fetched from every peer that names its revision.
+BOOST_AUTO_TEST_CASE(spread_when_several_peers_name_a_revision_fetches_once) {
+    BOOST_TEST(state.told_by_peer(3, now));
+    BOOST_TEST(!state.told_by_peer(3, now));
+    pass(std::chrono::milliseconds{600});
+    BOOST_TEST(state.told_by_peer(3, now));
+}
+
+// Guards against a late or stale answer that takes a process back.
+BOOST_AUTO_TEST_CASE(spread_when_offered_a_lower_revision_keeps_the_higher_one) {
+    BOOST_TEST(state.offer(at(5), now));
+    BOOST_TEST(!state.offer(at(4), now));
+    BOOST_TEST(!state.told_by_store(4, now));
+    BOOST_TEST(state.held_revision() == 5U);
+}
+
+// Guards against an entry that starts during an outage and serves from the first sidecar's older
+// revision.
+BOOST_AUTO_TEST_CASE(spread_when_starting_without_store_serves_the_highest_revision_named) {
+    state.told_by_peer(4, now);
+    state.offer(at(4), now);
+    BOOST_TEST(state.take_for_service(now) == nullptr);
+    state.told_by_peer(5, now);
+    pass(std::chrono::milliseconds{5000});
+    BOOST_TEST(state.take_for_service(now) == nullptr);
+    BOOST_TEST(!state.not_ready_reason(now).empty());
+    state.offer(at(5), now);
+    BOOST_TEST_REQUIRE(state.take_for_service(now));
+    BOOST_TEST(state.served_revision() == 5U);
+    BOOST_TEST(state.not_ready_reason(now).empty());
+}
+
+BOOST_AUTO_TEST_CASE(spread_when_nothing_answers_is_not_ready_and_names_both_sources) {
+    BOOST_TEST(state.not_ready_reason(now).find("neither") != std::string::npos);
+}
+
+// Guards against a serving entry that stays in rotation while it cannot get a known revision.
+BOOST_AUTO_TEST_CASE(spread_when_behind_longer_than_the_limit_is_not_ready) {
+    state.told_by_store(1, now);
+    state.offer(at(1), now);
+    state.take_for_service(now);
+    state.told_by_peer(2, now);
+    BOOST_TEST(state.not_ready_reason(now).empty());
+    pass(std::chrono::milliseconds{1500});
+    BOOST_TEST(!state.not_ready_reason(now).empty());
+    state.offer(at(2), now);
+    BOOST_TEST(state.not_ready_reason(now).empty());
+}
+
+// Guards against a restarted coordinator that never gets the configuration again.
+BOOST_AUTO_TEST_CASE(spread_when_service_is_repeated_gives_the_snapshot_again) {
+    state.told_by_store(1, now);
+    state.offer(at(1), now);
+    BOOST_TEST(state.take_for_service(now) != nullptr);
+    BOOST_TEST(state.take_for_service(now) == nullptr);
+    state.repeat_service();
+    BOOST_TEST(state.take_for_service(now) != nullptr);
+}
+
+// Guards against a document that was damaged or belongs to another revision.
+BOOST_AUTO_TEST_CASE(snapshot_when_digest_differs_is_refused) {
+    const auto made = at(7);
+    BOOST_TEST(parse_snapshot(7, made->digest(), made->document)->digest() == made->digest());
+    BOOST_CHECK_THROW(parse_snapshot(7, made->digest() + 1, made->document), common::format_error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
