entry: claims of idempotency keys before the first dispatch

Non-idempotent requests with an Idempotency-Key are claimed by a conditional write in the table service. Claims and outcomes share transactions; a conflict or a lost answer is settled row by row with the token of the claim.

--- a/source/core/common/time.h
+++ b/source/core/common/time.h
@@ -18,6 +18,18 @@
     return [] { return monotonic_clock::now(); };
 }
 
+/// Source of the current wall-clock time in milliseconds since 1970, replaceable in tests. Only for
+/// records that outlive a process; no decision about safety depends on it.
+using wall_clock_hook = std::function<std::int64_t()>;
+
+/// Returns the hook that reads the system's wall clock.
+inline wall_clock_hook system_wall_clock_hook() {
+    return [] {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    };
+}
+
 /// Returns the time since the clock's epoch in microseconds, as sent between processes.
 inline std::int64_t to_microseconds(time_point time) {
     return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
--- /dev/null
+++ b/source/core/entry/claim_decision.cpp
@@ -0,0 +1,56 @@
+#include "entry/claim_decision.h"
+
+namespace jujubemast::entry {
+
+problem claim_not_confirmed() {
+    return {problem_kind::store_unavailable, common::execution::not_run,
+            "the claim of the idempotency key could not be recorded", 1};
+}
+
+problem outcome_not_known() {
+    return {problem_kind::unknown_outcome, common::execution::unknown,
+            "the outcome of the first request with this idempotency key is not known"};
+}
+
+claim_view judge_record(const claim_record& record, const std::string& digest,
+                        std::int64_t wall_ms) {
+    if (record.digest != digest) {
+        return claim_refused{{problem_kind::idempotency_conflict, common::execution::not_run,
+                              "the idempotency key was used with another request"}};
+    }
+    switch (record.outcome.state) {
+    case claim_state::in_progress:
+        if (wall_ms > record.deadline_ms) {
+            return claim_refused{outcome_not_known()};
+        }
+        // The first request may have run already, so the repeat must not say "not run".
+        return claim_refused{{problem_kind::request_in_progress, common::execution::unknown,
+                              "the first request with this idempotency key is in progress", 1}};
+    case claim_state::done:
+    case claim_state::failed:
+        return claim_settled{record.outcome};
+    case claim_state::unknown:
+        break;
+    }
+    return claim_refused{outcome_not_known()};
+}
+
+claim_view judge_claim(const platform::row& row, const std::string& digest,
+                       const std::string& token, std::int64_t wall_ms) {
+    if (row.value.is_null()) {
+        return claim_free{row.version};
+    }
+    const auto record = claim_from_json(row.value);
+    if (!record) {
+        return claim_refused{outcome_not_known()};
+    }
+    if (record->token == token && record->outcome.state == claim_state::in_progress) {
+        return claim_owned{row.version};
+    }
+    if (wall_ms > record->expiry_ms) {
+        return claim_free{row.version};
+    }
+    return judge_record(*record, digest, wall_ms);
+}
+
+} // namespace jujubemast::entry
--- /dev/null
+++ b/source/core/entry/claim_ledger.cpp
@@ -0,0 +1,343 @@
+#include "entry/claim_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubemast::entry {
+
+namespace {
+
+constexpr const char* claims_table = "claims";
+
+claim_denied denied(std::uint64_t id, const claim_view& view) {
+    if (const auto* settled = std::get_if<claim_settled>(&view)) {
+        return {id, settled->outcome};
+    }
+    const auto* refused = std::get_if<claim_refused>(&view);
+    return {id, refused != nullptr ? refused->content : claim_not_confirmed()};
+}
+
+} // namespace
+
+claim_ledger::claim_ledger(claim_limits limits, common::random_hook random)
+    : m_limits{limits}, m_random{std::move(random)} {}
+
+claim_actions claim_ledger::request(const claim_request& message, common::time_point now,
+                                    std::int64_t wall_ms) {
+    auto row_key = claim_row_key(message.workspace, message.key);
+    if (const auto first = m_ids.find(row_key); first != m_ids.end()) {
+        // Two writes of one row in one transaction would both be confirmed, so a repeat never
+        // reaches the store while the first request is known here.
+        const auto& record = m_claims.at(first->second).record;
+        return {denied(message.id, judge_record(record, message.digest, wall_ms))};
+    }
+    if (m_claims.size() >= m_limits.max_claims) {
+        return {
+            claim_denied{message.id, problem{problem_kind::overloaded, common::execution::not_run,
+                                             "too many claims are in progress", 1}}};
+    }
+    const auto remaining =
+        std::chrono::duration_cast<std::chrono::milliseconds>(message.deadline - now).count();
+    auto& added = m_claims[message.id];
+    added.row_key = row_key;
+    added.record = {message.digest, common::random_identifier(m_random), wall_ms + remaining,
+                    wall_ms + m_limits.lifetime.count()};
+    added.answer_by = std::min(now + m_limits.wait, message.deadline);
+    // The coordinator closes each claim soon after its deadline unless it has failed itself.
+    added.give_up_at = message.deadline + m_limits.give_up;
+    m_ids.emplace(std::move(row_key), message.id);
+    schedule(message.id, added);
+    enqueue(message.id, added, now);
+    return time_passed(now);
+}
+
+claim_actions claim_ledger::close(const close_claim& message, common::time_point now) {
+    const auto position = m_claims.find(message.id);
+    if (position == m_claims.end()) {
+        return {claim_closed{message.id, false}};
+    }
+    auto& it = position->second;
+    if (it.phase != claim_phase::held) {
+        if (it.phase == claim_phase::taking && !it.answered) {
+            // The request has ended before its claim was confirmed.
+            abandon(message.id, it);
+        }
+        return {claim_closed{message.id, false}};
+    }
+    it.phase = message.outcome ? claim_phase::settling : claim_phase::releasing;
+    it.record.outcome = message.outcome.value_or(it.record.outcome);
+    it.answered = false;
+    it.answer_by = now + m_limits.wait;
+    it.give_up_at = now + m_limits.give_up;
+    schedule(message.id, it);
+    enqueue(message.id, it, now);
+    return time_passed(now);
+}
+
+void claim_ledger::enqueue(std::uint64_t id, claim& it, common::time_point now) {
+    if (m_queue.empty()) {
+        m_flush_at = now + m_limits.flush_delay;
+    }
+    it.place = write_place::queued;
+    m_queue.push_back(id);
+}
+
+void claim_ledger::retry_later(std::uint64_t id, claim& it, write_place place,
+                               common::time_point now) {
+    it.place = place;
+    it.retry_at = now + m_limits.retry_interval;
+    schedule(id, it);
+}
+
+void claim_ledger::flush(common::time_point now, claim_actions& actions) {
+    while (!m_queue.empty() && m_groups.size() < m_limits.max_groups_in_progress &&
+           (m_queue.size() >= m_limits.max_group || now >= m_flush_at)) {
+        commit_group action{++m_groups_sent, {}};
+        auto& members = m_groups[action.group];
+        while (!m_queue.empty() && members.size() < m_limits.max_group) {
+            const auto id = m_queue.front();
+            m_queue.pop_front();
+            const auto position = m_claims.find(id);
+            if (position == m_claims.end() || position->second.place != write_place::queued) {
+                continue;
+            }
+            position->second.place = write_place::in_group;
+            position->second.sent = true;
+            add_write(position->second, action.work);
+            members.push_back(id);
+        }
+        if (members.empty()) {
+            m_groups.erase(action.group);
+            return;
+        }
+        m_writes_sent += members.size();
+        actions.emplace_back(std::move(action));
+    }
+}
+
+void claim_ledger::add_write(const claim& it, platform::transaction& work) const {
+    const platform::row_key target{claims_table, it.row_key};
+    work.conditions.push_back({target, it.version});
+    if (it.phase == claim_phase::releasing) {
+        work.writes.push_back({target, std::nullopt});
+    } else {
+        work.writes.push_back({target, to_json(it.record)});
+    }
+}
+
+claim_actions claim_ledger::group_committed(std::uint64_t group, platform::store_status status,
+                                            common::time_point now) {
+    claim_actions actions;
+    const auto node = m_groups.extract(group);
+    if (node.empty()) {
+        return actions;
+    }
+    for (const auto id : node.mapped()) {
+        const auto position = m_claims.find(id);
+        if (position == m_claims.end()) {
+            continue;
+        }
+        auto& it = position->second;
+        switch (status) {
+        case platform::store_status::done:
+            ++it.version;
+            write_applied(id, it, now, actions);
+            break;
+        case platform::store_status::unavailable:
+            write_refused(id, it, now, actions);
+            break;
+        case platform::store_status::conflict:
+        case platform::store_status::unknown:
+            read_back(id, it, actions);
+            break;
+        }
+    }
+    flush(now, actions);
+    return actions;
+}
+
+void claim_ledger::read_back(std::uint64_t id, claim& it, claim_actions& actions) {
+    ++m_read_backs;
+    it.place = write_place::reading;
+    actions.emplace_back(read_claim{id, {claims_table, it.row_key}});
+}
+
+void claim_ledger::write_refused(std::uint64_t id, claim& it, common::time_point now,
+                                 claim_actions& actions) {
+    if (it.phase != claim_phase::taking) {
+        retry_later(id, it, write_place::waiting_to_write, now);
+        return;
+    }
+    if (!it.answered) {
+        actions.emplace_back(claim_denied{id, claim_not_confirmed()});
+    }
+    erase(id);
+}
+
+void claim_ledger::write_applied(std::uint64_t id, claim& it, common::time_point now,
+                                 claim_actions& actions) {
+    if (it.phase != claim_phase::taking) {
+        if (!it.answered) {
+            actions.emplace_back(claim_closed{id, true});
+        }
+        erase(id);
+        return;
+    }
+    if (it.answered) {
+        it.phase = claim_phase::releasing;
+        enqueue(id, it, now);
+        return;
+    }
+    it.phase = claim_phase::held;
+    it.place = write_place::none;
+    it.answered = true;
+    actions.emplace_back(claim_granted{id});
+}
+
+claim_actions claim_ledger::row_received(std::uint64_t id, const platform::rows_result& result,
+                                         common::time_point now, std::int64_t wall_ms) {
+    claim_actions actions;
+    const auto position = m_claims.find(id);
+    if (position == m_claims.end() || position->second.place != write_place::reading) {
+        return actions;
+    }
+    auto& it = position->second;
+    if (result.status != platform::store_status::done || result.rows.empty()) {
+        retry_later(id, it, write_place::waiting_to_read, now);
+        return actions;
+    }
+    if (it.phase == claim_phase::taking) {
+        settle_taking(id, it, result.rows.front(), now, wall_ms, actions);
+    } else {
+        settle_closing(id, it, result.rows.front(), now, actions);
+    }
+    flush(now, actions);
+    return actions;
+}
+
+void claim_ledger::settle_taking(std::uint64_t id, claim& it, const platform::row& row,
+                                 common::time_point now, std::int64_t wall_ms,
+                                 claim_actions& actions) {
+    const auto view = judge_claim(row, it.record.digest, it.record.token, wall_ms);
+    if (const auto* owned = std::get_if<claim_owned>(&view)) {
+        it.version = owned->version;
+        write_applied(id, it, now, actions);
+        return;
+    }
+    if (const auto* free = std::get_if<claim_free>(&view)) {
+        it.version = free->version;
+        if (it.answered) {
+            // The caller was refused, but the transaction may still take effect. Deleting the
+            // absent row on the condition of its version makes that transaction fail.
+            it.phase = claim_phase::releasing;
+        }
+        enqueue(id, it, now);
+        return;
+    }
+    if (!it.answered) {
+        actions.emplace_back(denied(id, view));
+    }
+    erase(id);
+}
+
+void claim_ledger::settle_closing(std::uint64_t id, claim& it, const platform::row& row,
+                                  common::time_point now, claim_actions& actions) {
+    const auto record = claim_from_json(row.value);
+    const bool own = record && record->token == it.record.token;
+    const bool unchanged =
+        (own && record->outcome.state == claim_state::in_progress) ||
+        (row.value.is_null() && it.phase == claim_phase::releasing && row.version == it.version);
+    if (unchanged) {
+        it.version = row.version;
+        enqueue(id, it, now);
+        return;
+    }
+    if (own || it.phase == claim_phase::releasing) {
+        write_applied(id, it, now, actions);
+        return;
+    }
+    if (!it.answered) {
+        actions.emplace_back(claim_closed{id, false});
+    }
+    erase(id);
+}
+
+claim_actions claim_ledger::time_passed(common::time_point now) {
+    claim_actions actions;
+    while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
+        wake(m_wakes.begin()->second, now, actions);
+    }
+    flush(now, actions);
+    return actions;
+}
+
+void claim_ledger::wake(std::uint64_t id, common::time_point now, claim_actions& actions) {
+    auto& it = m_claims.at(id);
+    if (now >= it.give_up_at) {
+        erase(id);
+        return;
+    }
+    if (!it.answered && now >= it.answer_by) {
+        wait_is_over(id, it, actions);
+        if (!m_claims.contains(id)) {
+            return;
+        }
+    }
+    if (it.place == write_place::waiting_to_write && now >= it.retry_at) {
+        enqueue(id, it, now);
+    } else if (it.place == write_place::waiting_to_read && now >= it.retry_at) {
+        read_back(id, it, actions);
+    }
+    schedule(id, it);
+}
+
+void claim_ledger::schedule(std::uint64_t id, claim& it) {
+    m_wakes.erase({it.wake_at, id});
+    it.wake_at = it.give_up_at;
+    if (!it.answered) {
+        it.wake_at = std::min(it.wake_at, it.answer_by);
+    }
+    if (it.place == write_place::waiting_to_write || it.place == write_place::waiting_to_read) {
+        it.wake_at = std::min(it.wake_at, it.retry_at);
+    }
+    m_wakes.emplace(it.wake_at, id);
+}
+
+void claim_ledger::wait_is_over(std::uint64_t id, claim& it, claim_actions& actions) {
+    it.answered = true;
+    if (it.phase != claim_phase::taking) {
+        actions.emplace_back(claim_closed{id, false});
+        return;
+    }
+    actions.emplace_back(claim_denied{id, claim_not_confirmed()});
+    abandon(id, it);
+}
+
+void claim_ledger::abandon(std::uint64_t id, claim& it) {
+    it.answered = true;
+    if (!it.sent) {
+        erase(id);
+    } else if (it.place == write_place::queued) {
+        it.phase = claim_phase::releasing;
+    }
+}
+
+std::optional<common::time_point> claim_ledger::next_wake() const {
+    std::optional<common::time_point> next;
+    if (!m_wakes.empty()) {
+        next = m_wakes.begin()->first;
+    }
+    if (!m_queue.empty() && m_groups.size() < m_limits.max_groups_in_progress) {
+        next = std::min(next.value_or(m_flush_at), m_flush_at);
+    }
+    return next;
+}
+
+void claim_ledger::erase(std::uint64_t id) {
+    const auto position = m_claims.find(id);
+    m_wakes.erase({position->second.wake_at, id});
+    m_ids.erase(position->second.row_key);
+    m_claims.erase(position);
+}
+
+} // namespace jujubemast::entry
--- /dev/null
+++ b/source/core/entry/claim_ledger.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "common/enum_names.h"
+#include "common/random.h"
+#include "common/time.h"
+#include "entry/claim_decision.h"
+#include "entry/messages.h"
+#include "platform/store.h"
+
+namespace jujubemast::entry {
+
+/// Bounds of the claims of one entry.
+struct claim_limits {
+    /// Longest wait of a caller for the store, once for its claim and once for its outcome.
+    common::duration wait = std::chrono::milliseconds{300};
+    /// Longest time that a write waits for others to share its transaction.
+    common::duration flush_delay = std::chrono::milliseconds{3};
+    std::size_t max_group = 64;
+    /// More than one, so that a transaction without an answer does not hold up the others.
+    std::size_t max_groups_in_progress = 4;
+    std::size_t max_claims = 8192;
+    /// Time between two attempts to settle a write when the store is down.
+    common::duration retry_interval = std::chrono::milliseconds{100};
+    /// Outcomes and releases that the store has not taken after this time are given up.
+    common::duration give_up = std::chrono::minutes{5};
+    std::chrono::milliseconds lifetime = std::chrono::hours{24};
+};
+
+/// What a claim's pending write is to do, or that there is none.
+enum class claim_phase { taking, held, settling, releasing };
+
+/// Asks for a transaction; its end is reported to `group_committed`.
+struct commit_group {
+    std::uint64_t group = 0;
+    platform::transaction work;
+};
+
+/// Asks for the row of a claim; its content is reported to `row_received`.
+struct read_claim {
+    std::uint64_t id = 0;
+    platform::row_key target;
+};
+
+using claim_action =
+    std::variant<commit_group, read_claim, claim_granted, claim_denied, claim_closed>;
+using claim_actions = std::vector<claim_action>;
+
+/// The claims of one entry: takes events and returns what is to be done. Writes are grouped into
+/// transactions. When a transaction is in conflict or its answer is lost, the rows are read back
+/// and each write is settled by the token of its claim, so that one row in conflict does not fail
+/// the others. Holds no socket and reads no clock.
+class claim_ledger {
+public:
+    claim_ledger(claim_limits limits, common::random_hook random);
+
+    claim_actions request(const claim_request& message, common::time_point now,
+                          std::int64_t wall_ms);
+    claim_actions close(const close_claim& message, common::time_point now);
+    claim_actions group_committed(std::uint64_t group, platform::store_status status,
+                                  common::time_point now);
+    claim_actions row_received(std::uint64_t id, const platform::rows_result& result,
+                               common::time_point now, std::int64_t wall_ms);
+    /// Does what is due: sends a group, gives up waits, tries again.
+    claim_actions time_passed(common::time_point now);
+
+    /// When `time_passed` is to be called next.
+    [[nodiscard]] std::optional<common::time_point> next_wake() const;
+
+    [[nodiscard]] std::size_t size() const { return m_claims.size(); }
+    [[nodiscard]] std::uint64_t groups() const { return m_groups_sent; }
+    [[nodiscard]] std::uint64_t writes() const { return m_writes_sent; }
+    [[nodiscard]] std::uint64_t read_backs() const { return m_read_backs; }
+
+private:
+    /// Where the pending write of a claim is.
+    enum class write_place { none, queued, in_group, reading, waiting_to_write, waiting_to_read };
+
+    struct claim {
+        std::string row_key;
+        claim_record record;
+        std::uint64_t version = 0;
+        claim_phase phase = claim_phase::taking;
+        write_place place = write_place::none;
+        /// Whether a transaction with this claim was sent, so that the row may exist.
+        bool sent = false;
+        /// Whether the coordinator has its answer to the current message.
+        bool answered = false;
+        common::time_point answer_by;
+        common::time_point retry_at;
+        common::time_point give_up_at;
+        common::time_point wake_at;
+    };
+
+    void enqueue(std::uint64_t id, claim& it, common::time_point now);
+    void retry_later(std::uint64_t id, claim& it, write_place place, common::time_point now);
+    void read_back(std::uint64_t id, claim& it, claim_actions& actions);
+    void settle_taking(std::uint64_t id, claim& it, const platform::row& row,
+                       common::time_point now, std::int64_t wall_ms, claim_actions& actions);
+    void settle_closing(std::uint64_t id, claim& it, const platform::row& row,
+                        common::time_point now, claim_actions& actions);
+    void write_applied(std::uint64_t id, claim& it, common::time_point now, claim_actions& actions);
+    void write_refused(std::uint64_t id, claim& it, common::time_point now, claim_actions& actions);
+    void wake(std::uint64_t id, common::time_point now, claim_actions& actions);
+    void wait_is_over(std::uint64_t id, claim& it, claim_actions& actions);
+    /// Gives up a claim that is not confirmed yet; if its row appears, it is released.
+    void abandon(std::uint64_t id, claim& it);
+    void flush(common::time_point now, claim_actions& actions);
+    void add_write(const claim& it, platform::transaction& work) const;
+    void schedule(std::uint64_t id, claim& it);
+    void erase(std::uint64_t id);
+
+    claim_limits m_limits;
+    common::random_hook m_random;
+    std::unordered_map<std::uint64_t, claim> m_claims;
+    std::unordered_map<std::string, std::uint64_t> m_ids;
+    std::deque<std::uint64_t> m_queue;
+    common::time_point m_flush_at;
+    std::map<std::uint64_t, std::vector<std::uint64_t>> m_groups;
+    /// When each claim needs attention next.
+    std::set<std::pair<common::time_point, std::uint64_t>> m_wakes;
+    std::uint64_t m_groups_sent = 0;
+    std::uint64_t m_writes_sent = 0;
+    std::uint64_t m_read_backs = 0;
+};
+
+} // namespace jujubemast::entry
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<entry::claim_phase> {
+    static constexpr std::array<std::string_view, 4> table{"taking", "held", "settling",
+                                                           "releasing"};
+};
+
+} // namespace jujubemast::common
--- a/source/core/entry/coordinator.cpp
+++ b/source/core/entry/coordinator.cpp
@@ -29,10 +29,12 @@
 
 coordinator::coordinator(runtime::task_context context,
                          std::shared_ptr<runtime::mailbox<coordinator_message>> inbox,
-                         runtime::address<links_message> links, std::string failure_domain,
-                         coordinator_hooks hooks)
+                         runtime::address<links_message> links,
+                         runtime::address<claims_message> claims, std::string failure_domain,
+                         coordinator_hooks hooks, coordinator_limits limits)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_links{std::move(links)},
-      m_failure_domain{std::move(failure_domain)}, m_hooks{std::move(hooks)} {}
+      m_claims{std::move(claims)},
+      m_failure_domain{std::move(failure_domain)}, m_hooks{std::move(hooks)}, m_limits{limits} {}
 
 void coordinator::start() {
     m_inbox.receive(m_context.wrap([this](coordinator_message message) {
@@ -56,6 +58,11 @@
 }
 
 void coordinator::handle(submit message) {
+    if (m_requests.size() >= m_limits.max_requests) {
+        refuse(message.reply, {problem_kind::overloaded, common::execution::not_run,
+                               "too many requests are in progress at this instance", 1});
+        return;
+    }
     if (!m_configuration) {
         refuse(message.reply, {problem_kind::unavailable, common::execution::not_run,
                                "no configuration is known yet", 1});
@@ -108,7 +115,15 @@
             perform(id, position->second.flow.deadline_passed());
         }
     }));
-    perform(id, it->second.flow.begin(now));
+    if (pipeline.idempotent() || request.idempotency_key.empty()) {
+        start_flow(id, it->second);
+    } else {
+        request_claim(id, it->second, request.idempotency_key);
+    }
+}
+
+void coordinator::start_flow(std::uint64_t id, active_request& request) {
+    perform(id, request.flow.begin(m_hooks.clock()));
 }
 
 void coordinator::refuse(const http::responder& reply, const problem& content) {
@@ -117,9 +132,22 @@
 }
 
 void coordinator::handle(const caller_disconnected& message) {
-    if (const auto it = m_requests.find(message.id); it != m_requests.end()) {
-        perform(message.id, it->second.flow.caller_gone());
+    const auto it = m_requests.find(message.id);
+    if (it == m_requests.end()) {
+        return;
     }
+    switch (it->second.claim) {
+    case claim_use::granted:
+    case claim_use::closing:
+        // The work goes on, so that a repeat of the request gets its outcome.
+        return;
+    case claim_use::waiting:
+        m_claims.send(close_claim{message.id, std::nullopt});
+        break;
+    case claim_use::none:
+        break;
+    }
+    perform(message.id, it->second.flow.caller_gone());
 }
 
 void coordinator::handle(const configuration_changed& message) {
@@ -275,20 +303,15 @@
     request.reply.write(http::encode_event("token", to_document(action)));
 }
 
-void coordinator::perform_one(std::uint64_t /*id*/, active_request& request,
+void coordinator::perform_one(std::uint64_t id, active_request& request,
                               const deliver_answer& action) {
     ++m_answered;
-    const auto document = to_document(request.flow.plan().request_id, action);
-    if (!request.flow.plan().stream) {
-        request.reply.respond(http::json_response(200, document));
-        return;
-    }
-    begin_stream(request);
-    request.reply.write(http::encode_event("done", document));
-    request.reply.end();
+    finish(id, request,
+           http::json_response(200, to_document(request.flow.plan().request_id, action)),
+           common::execution::ran);
 }
 
-void coordinator::perform_one(std::uint64_t /*id*/, active_request& request,
+void coordinator::perform_one(std::uint64_t id, active_request& request,
                               const deliver_problem& action) {
     ++m_failed;
     m_log.info("Request failed.",
@@ -296,20 +319,35 @@
                 {"problem", std::string{common::to_name(action.content.kind)}},
                 {"execution", std::string{common::to_name(action.content.execution)}},
                 {"detail", action.content.detail}});
-    if (!request.stream_begun) {
-        request.reply.respond(to_response(action.content));
+    finish(id, request, to_response(action.content), action.content.execution);
+}
+
+void coordinator::send_answer(active_request& request, http::response answer) {
+    const bool complete = answer.status == 200;
+    if (!request.stream_begun && !(complete && request.flow.plan().stream)) {
+        request.reply.respond(std::move(answer));
         return;
     }
-    request.reply.write(http::encode_event("error", to_document(action.content)));
-    // Without the end of the body the caller's HTTP library reports an incomplete answer, too.
-    request.reply.abort();
+    begin_stream(request);
+    request.reply.write(http::encode_event(complete ? "done" : "error", answer.body));
+    if (complete) {
+        request.reply.end();
+    } else {
+        // Without the end of the body the caller's HTTP library reports an incomplete answer, too.
+        request.reply.abort();
+    }
 }
 
 void coordinator::remove_if_finished(std::uint64_t id) {
     const auto it = m_requests.find(id);
-    if (it == m_requests.end() || !it->second.flow.finished()) {
-        return;
+    if (it != m_requests.end() && it->second.flow.finished() &&
+        it->second.claim != claim_use::closing) {
+        remove(id);
     }
+}
+
+void coordinator::remove(std::uint64_t id) {
+    const auto it = m_requests.find(id);
     m_ids.erase(it->second.flow.plan().request_id);
     m_requests.erase(it);
     if (m_requests.empty()) {
@@ -333,6 +371,7 @@
                                {"requests", m_requests.size()},
                                {"answered", m_answered},
                                {"failed", m_failed},
+                               {"repeated", m_repeated},
                                {"rejected_messages", m_inbox.rejected()},
                                {"upstreams", std::move(upstreams)}};
 }
--- a/source/core/entry/coordinator.h
+++ b/source/core/entry/coordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -7,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "common/enum_names.h"
 #include "common/random.h"
 #include "entry/messages.h"
 #include "entry/request_flow.h"
@@ -25,14 +27,25 @@
     common::random_hook random = common::system_random();
 };
 
+/// Bounds of one coordinator.
+struct coordinator_limits {
+    std::size_t max_requests = 3072;
+    /// Larger answers are not stored with their claim.
+    std::size_t max_outcome_bytes = std::size_t{64} * 1024;
+};
+
+/// Where a request stands with its idempotency claim. A request with the use `none` needs no claim.
+enum class claim_use { none, waiting, granted, closing };
+
 /// Owns the state of all requests of one entry: authenticates them, runs their stages one after
 /// the other and answers their callers.
 class coordinator final : public runtime::task {
 public:
     coordinator(runtime::task_context context,
                 std::shared_ptr<runtime::mailbox<coordinator_message>> inbox,
-                runtime::address<links_message> links, std::string failure_domain,
-                coordinator_hooks hooks);
+                runtime::address<links_message> links, runtime::address<claims_message> claims,
+                std::string failure_domain, coordinator_hooks hooks,
+                coordinator_limits limits = {});
 
     void start() override;
     void stop(const runtime::stop_done& done) override;
@@ -45,6 +58,9 @@
         http::responder reply;
         std::unique_ptr<runtime::timer> deadline_timer;
         bool stream_begun = false;
+        claim_use claim = claim_use::none;
+        /// The answer that waits for the outcome to be recorded.
+        http::response held_answer;
     };
 
     struct upstream_state {
@@ -59,6 +75,9 @@
     void handle(const link_status& message);
     void handle(const link_removed& message);
     void handle(const work_not_sent& message);
+    void handle(const claim_granted& message);
+    void handle(const claim_denied& message);
+    void handle(const claim_closed& message);
 
     void begin_request(submit message, const tickets::workspace_settings& workspace,
                        const tickets::pipeline_settings& pipeline);
@@ -70,6 +89,14 @@
     void perform_one(std::uint64_t id, active_request& request, const deliver_answer& action);
     void perform_one(std::uint64_t id, active_request& request, const deliver_problem& action);
     void begin_stream(active_request& request);
+    void start_flow(std::uint64_t id, active_request& request);
+    void request_claim(std::uint64_t id, active_request& request, const std::string& key);
+    /// Answers the caller; a claimed request first records its outcome.
+    void finish(std::uint64_t id, active_request& request, http::response answer,
+                common::execution execution);
+    void send_answer(active_request& request, http::response answer);
+    void answer_repeat(active_request& request, const stored_outcome& outcome);
+    void remove(std::uint64_t id);
     void remove_if_finished(std::uint64_t id);
     void fail_work_on(const std::string& instance);
     [[nodiscard]] upstream_state* choose(const request_flow& flow, const dispatch_stage& action);
@@ -77,8 +104,10 @@
     runtime::task_context m_context;
     runtime::inbox<coordinator_message> m_inbox;
     runtime::address<links_message> m_links;
+    runtime::address<claims_message> m_claims;
     std::string m_failure_domain;
     coordinator_hooks m_hooks;
+    coordinator_limits m_limits;
     logging::logger m_log{"coordinator"};
     tickets::configuration_pointer m_configuration;
     std::unordered_map<std::uint64_t, active_request> m_requests;
@@ -86,7 +115,18 @@
     std::map<std::string, upstream_state> m_upstreams;
     std::uint64_t m_answered = 0;
     std::uint64_t m_failed = 0;
+    /// Repeats of a claimed request that got its recorded answer.
+    std::uint64_t m_repeated = 0;
     runtime::stop_done m_done;
 };
 
 } // namespace jujubemast::entry
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<entry::claim_use> {
+    static constexpr std::array<std::string_view, 4> table{"none", "waiting", "granted", "closing"};
+};
+
+} // namespace jujubemast::common
--- a/source/core/entry/entry_settings.cpp
+++ b/source/core/entry/entry_settings.cpp
@@ -53,6 +53,29 @@
     check_positive_duration};
 const settings::setting<std::int64_t> entry_settings::retry_max_attempts{
     "retry", "max_attempts", 3, "attempts for one stage of a request", false, check_positive};
+const settings::setting<std::int64_t> entry_settings::requests_max_in_progress{
+    "requests", "max_in_progress", 3072, "further requests are refused as overloaded",
+    false,      check_positive};
+const settings::setting<milliseconds> entry_settings::claims_wait{
+    "claims",
+    "wait_ms",
+    milliseconds{300},
+    "longest wait of a caller for the store, for its claim and for its outcome, in ms",
+    false,
+    check_positive_duration};
+const settings::setting<milliseconds> entry_settings::claims_flush_delay{
+    "claims",        "flush_delay_ms",
+    milliseconds{3}, "time in which claims share a transaction, in ms",
+    false,           check_positive_duration};
+const settings::setting<std::int64_t> entry_settings::claims_max_group{
+    "claims", "max_group", 64, "claims and outcomes in one transaction", false, check_positive};
+const settings::setting<std::int64_t> entry_settings::claims_max_outcome_bytes{
+    "claims",
+    "max_outcome_bytes",
+    std::int64_t{64} * 1024,
+    "larger answers are not stored with their claim",
+    false,
+    check_positive};
 
 const settings::table entry_settings::table{
     &name,
@@ -69,6 +92,11 @@
     &link_ping_interval,
     &link_silence_limit,
     &retry_max_attempts,
+    &requests_max_in_progress,
+    &claims_wait,
+    &claims_flush_delay,
+    &claims_max_group,
+    &claims_max_outcome_bytes,
 };
 
 } // namespace jujubemast::entry
--- a/source/core/entry/entry_settings.h
+++ b/source/core/entry/entry_settings.h
@@ -20,6 +20,11 @@
     static const settings::setting<std::chrono::milliseconds> link_ping_interval;
     static const settings::setting<std::chrono::milliseconds> link_silence_limit;
     static const settings::setting<std::int64_t> retry_max_attempts;
+    static const settings::setting<std::int64_t> requests_max_in_progress;
+    static const settings::setting<std::chrono::milliseconds> claims_wait;
+    static const settings::setting<std::chrono::milliseconds> claims_flush_delay;
+    static const settings::setting<std::int64_t> claims_max_group;
+    static const settings::setting<std::int64_t> claims_max_outcome_bytes;
 
     static const settings::table table;
 };
--- a/source/core/entry/entry_tree.cpp
+++ b/source/core/entry/entry_tree.cpp
@@ -7,6 +7,7 @@
 #include "admin/admin_server.h"
 #include "admin/health.h"
 #include "entry/caller_request.h"
+#include "entry/claims.h"
 #include "entry/coordinator.h"
 #include "entry/entry_settings.h"
 #include "entry/links.h"
@@ -21,6 +22,7 @@
 
 using coordinator_mailbox = std::shared_ptr<runtime::mailbox<coordinator_message>>;
 using links_mailbox = std::shared_ptr<runtime::mailbox<links_message>>;
+using claims_mailbox = std::shared_ptr<runtime::mailbox<claims_message>>;
 
 using health_address = runtime::address<admin::health_message>;
 
@@ -84,16 +86,37 @@
 }
 
 runtime::child_spec make_coordinator(const settings::values& values,
-                                     const coordinator_mailbox& inbox, const links_mailbox& links) {
+                                     const coordinator_mailbox& inbox, const links_mailbox& links,
+                                     const claims_mailbox& claims) {
     coordinator_hooks hooks;
     hooks.route = policy::make_two_choices(common::system_random());
     hooks.may_retry = make_bounded_retry(
         static_cast<std::uint32_t>(values.get(entry_settings::retry_max_attempts)));
     const auto domain = values.get(entry_settings::failure_domain);
-    return {"coordinator", [inbox, links, domain, hooks](runtime::task_context context) {
-                return std::make_shared<coordinator>(std::move(context), inbox,
-                                                     runtime::address<links_message>{links}, domain,
-                                                     hooks);
+    coordinator_limits limits;
+    limits.max_requests =
+        static_cast<std::size_t>(values.get(entry_settings::requests_max_in_progress));
+    limits.max_outcome_bytes =
+        static_cast<std::size_t>(values.get(entry_settings::claims_max_outcome_bytes));
+    return {"coordinator",
+            [inbox, links, claims, domain, hooks, limits](runtime::task_context context) {
+                return std::make_shared<coordinator>(
+                    std::move(context), inbox, runtime::address<links_message>{links},
+                    runtime::address<claims_message>{claims}, domain, hooks, limits);
+            }};
+}
+
+runtime::child_spec make_claims(const settings::values& values, const http::endpoint& platform,
+                                const claims_mailbox& inbox,
+                                const coordinator_mailbox& coordinator) {
+    claim_limits limits;
+    limits.wait = values.get(entry_settings::claims_wait);
+    limits.flush_delay = values.get(entry_settings::claims_flush_delay);
+    limits.max_group = static_cast<std::size_t>(values.get(entry_settings::claims_max_group));
+    return {"claims", [inbox, coordinator, platform, limits](runtime::task_context context) {
+                return std::make_shared<claims>(std::move(context), inbox,
+                                                runtime::address<coordinator_message>{coordinator},
+                                                platform, limits);
             }};
 }
 
@@ -117,6 +140,7 @@
     const auto coordinator_inbox =
         runtime::make_mailbox<coordinator_message>(loop, mailbox_capacity);
     const auto links_inbox = runtime::make_mailbox<links_message>(loop, mailbox_capacity);
+    const auto claims_inbox = runtime::make_mailbox<claims_message>(loop, mailbox_capacity);
     const auto platform = http::parse_endpoint(values.get(entry_settings::platform_address));
     const auto health_inbox = runtime::make_mailbox<admin::health_message>(loop, mailbox_capacity);
     const health_address health{health_inbox};
@@ -133,7 +157,8 @@
     children.push_back(
         admin::make_admin_server(http::parse_endpoint(values.get(entry_settings::admin_listen)),
                                  health, {process.dump, {}}));
-    children.push_back(make_coordinator(values, coordinator_inbox, links_inbox));
+    children.push_back(make_claims(values, platform, claims_inbox, coordinator_inbox));
+    children.push_back(make_coordinator(values, coordinator_inbox, links_inbox, claims_inbox));
     children.push_back(make_links(values, links_inbox, coordinator_inbox));
     children.push_back(http::make_server(
         "api", api_options(values, health),
--- a/source/core/entry/messages.h
+++ b/source/core/entry/messages.h
@@ -8,6 +8,8 @@
 
 #include "common/time.h"
 #include "common/types.h"
+#include "entry/claim_record.h"
+#include "entry/problem.h"
 #include "http/server.h"
 #include "platform/store.h"
 #include "protocol/messages.h"
@@ -74,8 +76,45 @@
     protocol::work_identity identity;
 };
 
-using coordinator_message = std::variant<submit, caller_disconnected, configuration_changed,
-                                         work_message, link_status, link_removed, work_not_sent>;
+/// The claim for a request is recorded in the store; the request may be dispatched.
+struct claim_granted {
+    std::uint64_t id = 0;
+};
+
+/// The request must not be dispatched: it repeats another one, or the store did not answer in time.
+struct claim_denied {
+    std::uint64_t id = 0;
+    std::variant<problem, stored_outcome> content;
+};
+
+/// The end of a claimed request is recorded, or the store did not answer in time.
+struct claim_closed {
+    std::uint64_t id = 0;
+    bool recorded = false;
+};
+
+using coordinator_message =
+    std::variant<submit, caller_disconnected, configuration_changed, work_message, link_status,
+                 link_removed, work_not_sent, claim_granted, claim_denied, claim_closed>;
+
+/// Asks for the claim that lets a request run. Answered by claim_granted or claim_denied.
+struct claim_request {
+    std::uint64_t id = 0;
+    std::string workspace;
+    std::string key;
+    /// Digest of what makes two requests the same.
+    std::string digest;
+    common::time_point deadline;
+};
+
+/// Ends a claim. Without an outcome the request has not run, and the claim is released so that a
+/// repeat may run. Answered by claim_closed.
+struct close_claim {
+    std::uint64_t id = 0;
+    std::optional<stored_outcome> outcome;
+};
+
+using claims_message = std::variant<claim_request, close_claim>;
 
 /// The platform's list of instances.
 struct members_changed {
--- a/source/core/entry/problem.cpp
+++ b/source/core/entry/problem.cpp
@@ -14,6 +14,7 @@
     case problem_kind::unknown_path:
         return 404;
     case problem_kind::request_in_progress:
+    case problem_kind::unknown_outcome:
         return 409;
     case problem_kind::idempotency_conflict:
         return 422;
--- a/source/core/entry/problem.h
+++ b/source/core/entry/problem.h
@@ -23,7 +23,8 @@
     stopping,
     idempotency_conflict,
     request_in_progress,
-    store_unavailable
+    store_unavailable,
+    unknown_outcome
 };
 
 /// A refusal or failure as a caller sees it.
@@ -50,10 +51,11 @@
 
 template <>
 struct enum_names<entry::problem_kind> {
-    static constexpr std::array<std::string_view, 12> table{
+    static constexpr std::array<std::string_view, 13> table{
         "malformed_request", "not_authenticated",    "unknown_pipeline",    "unknown_path",
         "deadline_exceeded", "overloaded",           "upstream_failed",     "unavailable",
-        "stopping",          "idempotency_conflict", "request_in_progress", "store_unavailable"};
+        "stopping",          "idempotency_conflict", "request_in_progress", "store_unavailable",
+        "unknown_outcome"};
 };
 
 } // namespace jujubemast::common
