load: open-loop measuring client

The targets need a client that sends at the intended times, whatever became of earlier requests, and that counts latency from those times.

jujubemast-load reads phases, traffic classes and workspaces from a YAML file, draws seeded Poisson or burst arrivals, sends to the ready entries in turn and reports by phase, priority, workspace, traffic class and stage. checked-load is the same program with the stand-ins' functions as content check.

--- /dev/null
+++ b/source/core/load/arrival_schedule.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+#include "common/time.h"
+#include "load/experiment.h"
+
+namespace jujubemast::load {
+
+/// One request that is to be sent at a given time, whatever became of the earlier ones.
+struct planned_request {
+    /// Number within the run, from 0.
+    std::uint64_t number = 0;
+    std::size_t phase = 0;
+    /// Intended send time, counted from the start of the run.
+    common::duration at = common::duration::zero();
+    const traffic_class* traffic = nullptr;
+    const pipeline_target* pipeline = nullptr;
+    const workspace_credential* workspace = nullptr;
+    common::priority priority = common::priority::standard;
+    std::string input;
+    std::uint64_t max_tokens = 0;
+};
+
+/// Draws the arrivals of an experiment in the order of their times. Each traffic class has its own
+/// arrival process: single requests or whole bursts at exponentially distributed distances. Equal
+/// seeds give equal schedules. The experiment must outlive the schedule.
+class arrival_schedule {
+public:
+    explicit arrival_schedule(const experiment& source);
+
+    /// Returns the next request, or nothing after the last phase.
+    std::optional<planned_request> next();
+
+    /// Returns when the last phase ends, counted from the start of the run.
+    [[nodiscard]] common::duration length() const { return m_length; }
+
+private:
+    /// A burst of one class, or a single request as a burst of one.
+    struct arrival {
+        common::duration at;
+        std::size_t traffic;
+        std::uint64_t left;
+
+        friend bool operator>(const arrival& left, const arrival& right) {
+            return left.at != right.at ? left.at > right.at : left.traffic > right.traffic;
+        }
+    };
+
+    void begin_phase();
+    void draw_burst(std::size_t traffic);
+    [[nodiscard]] double bursts_per_s(std::size_t traffic) const;
+    [[nodiscard]] common::duration exponential(double rate_per_s) const;
+    [[nodiscard]] const workspace_credential& draw_workspace(const traffic_class& traffic) const;
+    [[nodiscard]] planned_request plan(const arrival& next);
+
+    const experiment& m_experiment;
+    common::random_hook m_random;
+    double m_shares = 0.0;
+    common::duration m_length = common::duration::zero();
+    std::size_t m_phase = 0;
+    common::duration m_phase_begin = common::duration::zero();
+    common::duration m_phase_end = common::duration::zero();
+    std::vector<common::duration> m_last;
+    std::priority_queue<arrival, std::vector<arrival>, std::greater<>> m_arrivals;
+    std::uint64_t m_next_number = 0;
+};
+
+/// Returns the input with this number and size of a traffic class.
+std::string make_input(const std::string& traffic, std::uint64_t number, std::uint64_t bytes);
+
+} // namespace jujubemast::load
--- /dev/null
+++ b/source/core/load/messages.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <variant>
+
+#include "load/outcome.h"
+
+namespace jujubemast::load {
+
+/// The result of a health check of an entry.
+struct entry_state {
+    std::size_t entry = 0;
+    bool ready = false;
+};
+
+using sender_message = std::variant<entry_state>;
+
+/// An answer whose content is wrong.
+struct answer_complaint {
+    std::string text;
+};
+
+/// All requests of the run have ended.
+struct run_ended {};
+
+using reporter_message = std::variant<request_outcome, answer_complaint, run_ended>;
+
+} // namespace jujubemast::load
