policy: fair queue with floors, shares by cost and deadlines

First in, first out lets a flood of any priority or workspace displace all other work. The first-in, first-out queue stays as the baseline.

--- a/source/core/policy/work_queue.h
+++ b/source/core/policy/work_queue.h
@@ -7,11 +7,16 @@
 #include <string>
 #include <vector>
 
+#include "common/enum_names.h"
 #include "common/time.h"
 #include "common/types.h"
+#include "policy/shares.h"
 
 namespace jujubemast::policy {
 
+/// The order in which waiting work is served.
+enum class queue_order { fifo, fair };
+
 /// A piece of work that waits for an upstream.
 struct queued_work {
     /// Handle of the owner; unique within a queue.
@@ -34,9 +39,29 @@
     std::function<bool(std::uint64_t id)> remove;
     /// Number of waiting pieces of work of a priority.
     std::function<std::size_t(common::priority)> size;
+    /// Expected service time of all waiting work of a priority.
+    std::function<common::duration(common::priority)> cost;
+    /// Expected service time of the waiting work that would be served before this work, were it
+    /// added now. Counts work of the same priority only, unless the order ignores priorities.
+    std::function<common::duration(const queued_work&)> ahead;
+    /// Corrects what was charged for work that was taken, once its true service time is known.
+    std::function<void(const queued_work&, common::duration actual)> settle;
+    /// Changes floors and weights; queued work stays.
+    std::function<void(const shares&)> set_shares;
+    /// Whether the order honours priorities.
+    bool by_priority = true;
 };
 
-/// Baseline: first in, first out; refuses new work when full.
+/// Baseline: first in, first out; refuses new work when full. Ignores floors and weights.
 queue_hooks make_fifo_queue(std::size_t capacity);
 
 } // namespace jujubemast::policy
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<policy::queue_order> {
+    static constexpr std::array<std::string_view, 2> table{"fifo", "fair"};
+};
+
+} // namespace jujubemast::common
--- /dev/null
+++ b/source/core/policy/workspace_queue.cpp
@@ -0,0 +1,185 @@
+#include "policy/workspace_queue.h"
+
+#include <algorithm>
+
+namespace jujubemast::policy {
+
+namespace {
+
+// At most this many idle workspaces are forgotten for each that becomes idle, so that no single
+// decision pays for all of them.
+constexpr int forgotten_at_once = 2;
+
+double seconds(common::duration value) {
+    return std::chrono::duration<double>(value).count();
+}
+
+common::duration from_seconds(double value) {
+    return std::chrono::duration_cast<common::duration>(std::chrono::duration<double>{value});
+}
+
+} // namespace
+
+workspace_queue::~workspace_queue() {
+    m_by_backlog.clear();
+    m_backlogged.clear();
+    m_idle.clear();
+    for (auto& [name, flow] : m_flows) {
+        flow.work.clear();
+    }
+}
+
+double workspace_queue::weight_of(const std::string& workspace) const {
+    const auto it = m_weights.find(workspace);
+    return it == m_weights.end() ? 1.0 : it->second;
+}
+
+workspace_flow& workspace_queue::flow_of(const std::string& workspace) {
+    const auto it = m_flows.find(workspace);
+    if (it != m_flows.end()) {
+        return it->second;
+    }
+    auto& added = m_flows[workspace];
+    added.name = workspace;
+    added.weight = weight_of(workspace);
+    added.tag = m_virtual_time;
+    m_idle.insert(added);
+    return added;
+}
+
+void workspace_queue::activate(workspace_flow& flow) {
+    m_idle.erase(m_idle.iterator_to(flow));
+    flow.tag = std::max(flow.tag, m_virtual_time);
+    m_backlogged.insert(flow);
+    m_by_backlog.insert(flow);
+    m_backlogged_weight += flow.weight;
+}
+
+void workspace_queue::change_backlog(workspace_flow& flow, common::duration change) {
+    m_by_backlog.erase(m_by_backlog.iterator_to(flow));
+    flow.backlog += change;
+    m_by_backlog.insert(flow);
+    m_cost += change;
+}
+
+void workspace_queue::add(waiting_work& added) {
+    auto& flow = flow_of(added.work.workspace);
+    if (flow.work.empty()) {
+        activate(flow);
+    }
+    added.flow = &flow;
+    flow.work.insert(added);
+    ++m_size;
+    change_backlog(flow, added.work.cost);
+}
+
+waiting_work& workspace_queue::front() {
+    return *m_backlogged.begin()->work.begin();
+}
+
+waiting_work& workspace_queue::back() {
+    return *m_by_backlog.rbegin()->work.rbegin();
+}
+
+void workspace_queue::unlink(waiting_work& node) {
+    node.flow->work.erase(node.flow->work.iterator_to(node));
+    --m_size;
+    change_backlog(*node.flow, -node.work.cost);
+}
+
+void workspace_queue::take(waiting_work& taken) {
+    auto& flow = *taken.flow;
+    unlink(taken);
+    m_virtual_time = std::max(m_virtual_time, flow.tag);
+    m_backlogged.erase(m_backlogged.iterator_to(flow));
+    flow.tag += seconds(taken.work.cost) / flow.weight;
+    m_backlogged.insert(flow);
+    settle_idle(flow);
+}
+
+void workspace_queue::erase(waiting_work& erased) {
+    auto& flow = *erased.flow;
+    unlink(erased);
+    settle_idle(flow);
+}
+
+void workspace_queue::settle_idle(workspace_flow& flow) {
+    if (!flow.work.empty()) {
+        return;
+    }
+    m_backlogged.erase(m_backlogged.iterator_to(flow));
+    m_by_backlog.erase(m_by_backlog.iterator_to(flow));
+    m_backlogged_weight = m_backlogged.empty() ? 0.0 : m_backlogged_weight - flow.weight;
+    m_idle.insert(flow);
+    forget_idle();
+}
+
+void workspace_queue::forget_idle() {
+    // Without a backlog the virtual time moves on to the last finish tag, which clears all charges.
+    if (m_backlogged.empty()) {
+        m_virtual_time = std::max(m_virtual_time, m_idle.rbegin()->tag);
+    }
+    for (int n = 0; n < forgotten_at_once && !m_idle.empty(); ++n) {
+        auto& oldest = *m_idle.begin();
+        if (oldest.tag > m_virtual_time) {
+            return;
+        }
+        m_idle.erase(m_idle.iterator_to(oldest));
+        m_flows.erase(m_flows.find(oldest.name));
+    }
+}
+
+void workspace_queue::charge(const std::string& workspace, common::duration extra) {
+    const auto it = m_flows.find(workspace);
+    if (it == m_flows.end()) {
+        return;
+    }
+    auto& flow = it->second;
+    auto& set = flow.work.empty() ? m_idle : m_backlogged;
+    set.erase(set.iterator_to(flow));
+    flow.tag = std::max(m_virtual_time, flow.tag + seconds(extra) / flow.weight);
+    set.insert(flow);
+}
+
+common::duration workspace_queue::ahead(const queued_work& work) const {
+    const auto it = m_flows.find(work.workspace);
+    double own = 0.0;
+    double weight = weight_of(work.workspace);
+    double lead = 0.0;
+    double other_weight = m_backlogged_weight;
+    double other_cost = seconds(m_cost);
+    if (it != m_flows.end()) {
+        const auto& flow = it->second;
+        weight = flow.weight;
+        lead = std::max(0.0, flow.tag - m_virtual_time);
+        if (!flow.work.empty()) {
+            const auto first = flow.work.begin()->work.deadline;
+            const auto last = flow.work.rbegin()->work.deadline;
+            const double part = work.deadline >= last ? 1.0
+                                : work.deadline <= first
+                                    ? 0.0
+                                    : seconds(work.deadline - first) / seconds(last - first);
+            own = seconds(flow.backlog) * part;
+            other_weight -= flow.weight;
+            other_cost -= seconds(flow.backlog);
+        }
+    }
+    // While this workspace is served up to the new work, each other gets at most its fair share.
+    const double others = std::min(other_cost, (lead + own / weight) * other_weight);
+    return from_seconds(own + std::max(0.0, others));
+}
+
+void workspace_queue::set_weights(const std::unordered_map<std::string, double>& weights) {
+    m_weights = weights;
+    m_by_backlog.clear();
+    m_backlogged_weight = 0.0;
+    for (auto& [name, flow] : m_flows) {
+        flow.weight = weight_of(name);
+        if (!flow.work.empty()) {
+            m_by_backlog.insert(flow);
+            m_backlogged_weight += flow.weight;
+        }
+    }
+}
+
+} // namespace jujubemast::policy
--- /dev/null
+++ b/source/core/policy/workspace_queue.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include <boost/intrusive/set.hpp>
+
+#include "policy/work_queue.h"
+
+namespace jujubemast::policy {
+
+struct workspace_flow;
+
+/// A node of waiting work, owned by the user of `workspace_queue`.
+struct waiting_work {
+    queued_work work;
+    std::uint64_t sequence = 0;
+    workspace_flow* flow = nullptr;
+    boost::intrusive::set_member_hook<> by_deadline;
+};
+
+struct earlier_deadline {
+    bool operator()(const waiting_work& a, const waiting_work& b) const {
+        return a.work.deadline != b.work.deadline ? a.work.deadline < b.work.deadline
+                                                  : a.sequence < b.sequence;
+    }
+};
+
+/// What one workspace has waiting, earliest deadline first.
+struct workspace_flow {
+    using work_set = boost::intrusive::set<
+        waiting_work,
+        boost::intrusive::member_hook<waiting_work, boost::intrusive::set_member_hook<>,
+                                      &waiting_work::by_deadline>,
+        boost::intrusive::compare<earlier_deadline>>;
+
+    std::string name;
+    double weight = 1.0;
+    /// Start tag of the next piece of work in virtual time; the last finish tag while idle.
+    double tag = 0.0;
+    common::duration backlog = common::duration::zero();
+    work_set work;
+    boost::intrusive::set_member_hook<> by_tag;
+    boost::intrusive::set_member_hook<> by_backlog;
+};
+
+/// The waiting work of one priority: weighted fair shares between workspaces by cost, and earliest
+/// deadline first within a workspace. The order is start-time fair queueing (Goyal, Vin and Cheng,
+/// "Start-time Fair Queueing", SIGCOMM 1996), which needs no rate of the server and stays fair with
+/// several calls in progress (Jin, Chase and Kaur, "Interposed Proportional Sharing for a Storage
+/// Service Utility", SIGMETRICS 2004). Every operation but `set_weights` takes O(log n).
+class workspace_queue {
+public:
+    workspace_queue() = default;
+    ~workspace_queue();
+    workspace_queue(const workspace_queue&) = delete;
+    workspace_queue& operator=(const workspace_queue&) = delete;
+
+    /// Adds work; the node must stay in place until it is taken or erased.
+    void add(waiting_work& added);
+
+    /// The work to serve next. The queue must not be empty.
+    [[nodiscard]] waiting_work& front();
+
+    /// The work to refuse first: the latest deadline of the workspace with the largest backlog
+    /// relative to its weight. The queue must not be empty.
+    [[nodiscard]] waiting_work& back();
+
+    /// Takes work out and charges its workspace for it.
+    void take(waiting_work& taken);
+
+    /// Takes work out without a charge.
+    void erase(waiting_work& erased);
+
+    /// Charges the workspace for further service time; a negative one is a refund.
+    void charge(const std::string& workspace, common::duration extra);
+
+    /// Expected service time of what would be served before this work. An estimate from totals:
+    /// exact while each workspace's deadlines are evenly spread.
+    [[nodiscard]] common::duration ahead(const queued_work& work) const;
+
+    void set_weights(const std::unordered_map<std::string, double>& weights);
+
+    [[nodiscard]] std::size_t size() const { return m_size; }
+    [[nodiscard]] common::duration cost() const { return m_cost; }
+
+    /// Number of workspaces that are remembered.
+    [[nodiscard]] std::size_t workspaces() const { return m_flows.size(); }
+
+private:
+    struct smaller_tag {
+        bool operator()(const workspace_flow& a, const workspace_flow& b) const {
+            return a.tag < b.tag;
+        }
+    };
+    struct smaller_backlog {
+        bool operator()(const workspace_flow& a, const workspace_flow& b) const {
+            return static_cast<double>(a.backlog.count()) * b.weight <
+                   static_cast<double>(b.backlog.count()) * a.weight;
+        }
+    };
+    using tag_set = boost::intrusive::multiset<
+        workspace_flow,
+        boost::intrusive::member_hook<workspace_flow, boost::intrusive::set_member_hook<>,
+                                      &workspace_flow::by_tag>,
+        boost::intrusive::compare<smaller_tag>>;
+    using backlog_set = boost::intrusive::multiset<
+        workspace_flow,
+        boost::intrusive::member_hook<workspace_flow, boost::intrusive::set_member_hook<>,
+                                      &workspace_flow::by_backlog>,
+        boost::intrusive::compare<smaller_backlog>>;
+
+    workspace_flow& flow_of(const std::string& workspace);
+    [[nodiscard]] double weight_of(const std::string& workspace) const;
+    void activate(workspace_flow& flow);
+    void unlink(waiting_work& node);
+    void change_backlog(workspace_flow& flow, common::duration change);
+    void settle_idle(workspace_flow& flow);
+    void forget_idle();
+
+    std::unordered_map<std::string, double> m_weights;
+    std::unordered_map<std::string, workspace_flow> m_flows;
+    tag_set m_backlogged;
+    tag_set m_idle;
+    backlog_set m_by_backlog;
+    double m_virtual_time = 0.0;
+    double m_backlogged_weight = 0.0;
+    std::size_t m_size = 0;
+    common::duration m_cost = common::duration::zero();
+};
+
+} // namespace jujubemast::policy
