--- /dev/null
+++ b/source/core/policy/cost_model.cpp
@@ -0,0 +1,108 @@
+#include "policy/cost_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace jujubemast::policy {
+
+namespace {
+
+// Fewer observations than this are no ground to refuse work.
+constexpr std::uint64_t least_observations = 8;
+
+// Sizes are scaled so that the squares of common inputs are near one, as the ridge expects.
+constexpr double bytes_per_unit = 1024.0;
+constexpr double tokens_per_unit = 64.0;
+constexpr double ridge = 1e-3;
+
+} // namespace
+
+cost_model::vector cost_model::terms_of(const work_size& size) {
+    const auto uncached = size.input_bytes - std::min(size.input_bytes, size.cached_bytes);
+    return {1.0, static_cast<double>(uncached) / bytes_per_unit,
+            static_cast<double>(size.output_tokens) / tokens_per_unit};
+}
+
+double cost_model::evaluate(const operation_state& state, const vector& terms) {
+    double sum = 0.0;
+    for (std::size_t n = 0; n < term_count; ++n) {
+        sum += state.factors[n] * terms[n];
+    }
+    // Extrapolation to small sizes may not fall far below anything seen.
+    return std::max(sum, state.least / 2.0);
+}
+
+double cost_model::weight_of(operation_state& state, double residual) const {
+    const double size = std::abs(residual);
+    const double bound = m_options.outlier_bound * state.deviation;
+    double weight = residual > 0.0 ? m_options.weight_above : 1.0;
+    if (state.count >= least_observations && size > bound) {
+        weight *= bound / size;
+    }
+    // The deviation follows a lasting change within a few tens of observations, since even an
+    // outlier may raise it a little.
+    const double bounded =
+        state.count < least_observations ? size : std::min(size, 2.0 * bound + 1e-6);
+    state.deviation = m_options.memory * state.deviation + (1.0 - m_options.memory) * bounded;
+    return weight;
+}
+
+void cost_model::observe(const std::string& operation, const work_size& size,
+                         common::duration actual) {
+    auto& state = m_operations[operation];
+    const auto terms = terms_of(size);
+    const double value = std::chrono::duration<double>(actual).count();
+    if (state.count == 0) {
+        state.deviation = value / 2.0;
+        state.least = value;
+    }
+    const double weight = weight_of(state, value - evaluate(state, terms));
+    for (std::size_t n = 0; n < term_count; ++n) {
+        for (std::size_t m = 0; m < term_count; ++m) {
+            state.moments[n][m] =
+                m_options.memory * state.moments[n][m] + weight * terms[n] * terms[m];
+        }
+        state.products[n] = m_options.memory * state.products[n] + weight * terms[n] * value;
+    }
+    // The least value is forgotten slowly, so that one lucky observation does not stay for good.
+    state.least = std::min(value, state.least * 1.01);
+    ++state.count;
+    solve(state);
+}
+
+void cost_model::solve(operation_state& state) {
+    auto rows = state.moments;
+    auto values = state.products;
+    // The ridge holds the slopes towards zero in proportion to the weight of all observations.
+    for (std::size_t n = 1; n < term_count; ++n) {
+        rows[n][n] += ridge * state.moments[0][0] + 1e-9;
+    }
+    for (std::size_t n = 0; n < term_count; ++n) {
+        for (std::size_t m = n + 1; m < term_count; ++m) {
+            const double factor = rows[m][n] / rows[n][n];
+            for (std::size_t k = n; k < term_count; ++k) {
+                rows[m][k] -= factor * rows[n][k];
+            }
+            values[m] -= factor * values[n];
+        }
+    }
+    for (std::size_t n = term_count; n-- > 0;) {
+        for (std::size_t k = n + 1; k < term_count; ++k) {
+            values[n] -= rows[n][k] * state.factors[k];
+        }
+        state.factors[n] = values[n] / rows[n][n];
+    }
+}
+
+std::optional<common::duration> cost_model::expect(const std::string& operation,
+                                                   const work_size& size) const {
+    const auto it = m_operations.find(operation);
+    if (it == m_operations.end() || it->second.count < least_observations) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double> value{evaluate(it->second, terms_of(size))};
+    return std::chrono::duration_cast<common::duration>(value);
+}
+
+} // namespace jujubemast::policy
