--- /dev/null
+++ b/bench/bench_admission.cpp
@@ -0,0 +1,156 @@
+#include <string>
+#include <vector>
+
+#include <benchmark/benchmark.h>
+
+#include "common/random.h"
+#include "policy/admission_control.h"
+#include "policy/fair_queue.h"
+#include "support/upstream_simulation.h"
+
+namespace {
+
+using namespace jujubemast;
+
+constexpr std::size_t queued_requests = 10000;
+constexpr std::uint64_t seed = 1;
+
+/// Work with ids from one on, spread over workspaces and priorities at random.
+class work_source {
+public:
+    explicit work_source(std::int64_t workspaces) {
+        for (std::int64_t n = 0; n < workspaces; ++n) {
+            m_names.push_back("workspace-" + std::to_string(n));
+        }
+    }
+
+    policy::queued_work next(common::time_point now) {
+        const auto number = m_random();
+        return {m_next_id++, m_names[number % m_names.size()],
+                static_cast<common::priority>((number >> 32U) % 3U),
+                now + std::chrono::milliseconds{1000 + (number >> 40U) % 4000U},
+                std::chrono::milliseconds{1 + (number >> 52U) % 40U}};
+    }
+
+private:
+    std::vector<std::string> m_names;
+    common::random_hook m_random = common::seeded_random(seed);
+    std::uint64_t m_next_id = 1;
+};
+
+policy::shares default_shares() {
+    return {{0.3, 0.2, 0.1}, {}};
+}
+
+policy::queue_hooks make_queue(std::size_t capacity) {
+    return policy::make_fair_queue({capacity, std::chrono::hours{24}}, default_shares());
+}
+
+/// One push and one pop with a standing queue of 10,000.
+void queue_push_and_pop(benchmark::State& state) {
+    work_source source{state.range(0)};
+    const auto queue = make_queue(queued_requests + 1);
+    const common::time_point now{};
+    for (std::size_t n = 0; n < queued_requests; ++n) {
+        queue.push(source.next(now));
+    }
+    for (auto step : state) {
+        queue.push(source.next(now));
+        benchmark::DoNotOptimize(queue.pop(now));
+    }
+}
+
+/// One push into a full queue, which refuses one piece of work.
+void queue_push_when_full(benchmark::State& state) {
+    work_source source{state.range(0)};
+    const auto queue = make_queue(queued_requests);
+    const common::time_point now{};
+    for (std::size_t n = 0; n < queued_requests; ++n) {
+        queue.push(source.next(now));
+    }
+    for (auto step : state) {
+        benchmark::DoNotOptimize(queue.push(source.next(now)));
+    }
+}
+
+/// The whole life of a request: arrival with deadline check, start and completion.
+void control_arrive_start_complete(benchmark::State& state) {
+    work_source source{state.range(0)};
+    policy::admission_control control{make_queue(queued_requests + 1),
+                                      policy::make_fixed_limit(1U << 20U), policy::deadline_check{},
+                                      default_shares()};
+    const common::time_point start{std::chrono::hours{1}};
+    auto now = start;
+    const auto arrive = [&] {
+        const auto work = source.next(now);
+        // The deadline is far enough that nothing is refused or dropped.
+        control.arrive({work.id,
+                        work.workspace,
+                        work.priority,
+                        work.deadline + std::chrono::hours{10000},
+                        {},
+                        "generate",
+                        {2048, 0, 64},
+                        work.cost},
+                       now);
+    };
+    for (std::size_t n = 0; n < queued_requests; ++n) {
+        arrive();
+    }
+    for (auto step : state) {
+        arrive();
+        const auto next = control.next(0, now);
+        now += std::chrono::milliseconds{2};
+        control.completed(*next.started, 1, now);
+    }
+}
+
+/// Overload of ten times the capacity by one workspace among small ones, for the choice of the
+/// safety factors: arguments are the factors of wait and service on arrival, the factor of the drop
+/// and the error of the expected service time, in percent.
+void overload_by_factors(benchmark::State& state) {
+    using common::priority;
+    policy::deadline_check_options factors;
+    factors.wait_factor = static_cast<double>(state.range(0)) / 100.0;
+    factors.service_factor = static_cast<double>(state.range(1)) / 100.0;
+    factors.drop_factor = static_cast<double>(state.range(2)) / 100.0;
+    tests::simulation_options options;
+    options.noise = static_cast<double>(state.range(3)) / 100.0;
+    std::vector<tests::simulated_demand> demands{
+        {"small", priority::urgent, 100, std::chrono::seconds{1}},
+        {"large", priority::standard, 2000, std::chrono::seconds{1}},
+        {"small", priority::standard, 60, std::chrono::seconds{1}},
+        {"small", priority::background, 2000, std::chrono::seconds{1}}};
+    for (auto step : state) {
+        policy::admission_control control{make_queue(1000), policy::make_fixed_limit(options.slots),
+                                          policy::deadline_check{factors}, default_shares()};
+        tests::upstream_simulation run{control, options};
+        run.run(demands);
+        double late = 0.0;
+        double finished = 0.0;
+        for (const auto it : {priority::urgent, priority::standard, priority::background}) {
+            const auto outcome = run.outcome(it);
+            late += static_cast<double>(outcome.late);
+            finished += static_cast<double>(outcome.late + outcome.in_time);
+        }
+        const auto urgent = run.outcome(priority::urgent);
+        const auto small = run.outcome(priority::standard, "small");
+        state.counters["useful"] = run.useful_share();
+        state.counters["late"] = late / finished;
+        state.counters["urgent"] =
+            static_cast<double>(urgent.in_time) / static_cast<double>(urgent.offered);
+        state.counters["small"] =
+            static_cast<double>(small.in_time) / static_cast<double>(small.offered);
+    }
+}
+
+BENCHMARK(queue_push_and_pop)->Arg(10)->Arg(100)->Arg(1000)->Arg(3300);
+BENCHMARK(queue_push_when_full)->Arg(10)->Arg(100)->Arg(1000)->Arg(3300);
+BENCHMARK(control_arrive_start_complete)->Arg(10)->Arg(100)->Arg(1000)->Arg(3300);
+BENCHMARK(overload_by_factors)
+    ->ArgNames({"wait", "service", "drop", "noise"})
+    ->ArgsProduct({{100, 120, 150}, {100, 130}, {70, 100, 110, 130}, {10, 30}})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
+} // namespace
