--- a/source/core/entry/entry_settings.cpp
+++ b/source/core/entry/entry_settings.cpp
@@ -1,5 +1,9 @@
 #include "entry/entry_settings.h"
 
+#include <sstream>
+
+#include "policy/routing.h"
+
 namespace jujubemast::entry {
 
 using settings::check_address;
@@ -7,6 +11,34 @@
 using settings::check_positive_duration;
 using std::chrono::milliseconds;
 
+std::vector<std::string> split_addresses(const std::string& list) {
+    std::vector<std::string> addresses;
+    std::istringstream input{list};
+    for (std::string it; std::getline(input, it, ',');) {
+        addresses.push_back(it);
+    }
+    return addresses;
+}
+
+namespace {
+
+std::string check_addresses(const std::string& value) {
+    for (const auto& it : split_addresses(value)) {
+        if (auto complaint = check_address(it); !complaint.empty()) {
+            return complaint;
+        }
+    }
+    return {};
+}
+
+std::string check_routing_policy(const std::string& value) {
+    return common::from_name<policy::routing_policy>(value)
+               ? ""
+               : "must be round_robin, two_choices or load_aware";
+}
+
+} // namespace
+
 const settings::setting<std::string> entry_settings::name{
     "instance", "name", "", "name of this instance, unique in the deployment", true};
 const settings::setting<std::string> entry_settings::failure_domain{
@@ -41,6 +73,13 @@
     "time between two reads of the membership list, in ms",
     false,
     check_positive_duration};
+const settings::setting<std::string> entry_settings::membership_static{
+    "membership",
+    "static",
+    "",
+    "sidecars to learn the configuration from before the first list, as IP:PORT with commas",
+    false,
+    check_addresses};
 const settings::setting<milliseconds> entry_settings::link_ping_interval{
     "links", "ping_interval_ms",     milliseconds{250}, "time between two heartbeats, in ms",
     false,   check_positive_duration};
@@ -51,6 +90,16 @@
     "a link without a heartbeat answer for this time is replaced, in ms",
     false,
     check_positive_duration};
+const settings::setting<std::int64_t> entry_settings::link_subset_size{
+    "links", "subset_size", 24, "upstreams of one pool that this instance keeps links to",
+    false,   check_positive};
+const settings::setting<std::string> entry_settings::routing_policy{
+    "routing",           "policy", "load_aware", "round_robin, two_choices or load_aware", false,
+    check_routing_policy};
+const settings::setting<bool> entry_settings::retry_budget{
+    "retry", "budget", true, "bound extra attempts to 10% of the first ones, with backoff"};
+const settings::setting<bool> entry_settings::hedge_enabled{
+    "hedge", "enabled", true, "send a second attempt of an idempotent stage that is slow"};
 const settings::setting<std::int64_t> entry_settings::retry_max_attempts{
     "retry", "max_attempts", 3, "attempts for one stage of a request", false, check_positive};
 
@@ -66,9 +115,14 @@
     &platform_address,
     &platform_poll_interval,
     &membership_poll_interval,
+    &membership_static,
     &link_ping_interval,
     &link_silence_limit,
+    &link_subset_size,
+    &routing_policy,
     &retry_max_attempts,
+    &retry_budget,
+    &hedge_enabled,
 };
 
 } // namespace jujubemast::entry
