tickets, ctl: base per object, supersession, withdrawal, and one command in one place

Cause: a ticket had no base, so one created earlier could undo a later one; there was no way to supersede, withdraw or follow a ticket, and a repeated creation made a second ticket. Change: a ticket records the revision of each object that it touches, and each object keeps ticket and revision that set it.

--- /dev/null
+++ b/source/core/ctl/create_command.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "ctl/command.h"
+
+namespace jujubemast::ctl {
+
+/// Stores the ticket of a file after checking it on the configuration in force.
+std::shared_ptr<runtime::task> make_create_command(runtime::task_context context,
+                                                   const invocation& call, report_hook report);
+
+} // namespace jujubemast::ctl
--- /dev/null
+++ b/source/core/ctl/status_command.cpp
@@ -0,0 +1,118 @@
+#include "ctl/status_command.h"
+
+#include <map>
+#include <optional>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "common/time.h"
+#include "ctl/progress.h"
+#include "ctl/store_command.h"
+#include "http/client.h"
+#include "tickets/ticket.h"
+
+namespace jujubemast::ctl {
+
+namespace {
+
+constexpr std::chrono::milliseconds ask_interval{100};
+
+class status_command final : public store_command {
+public:
+    status_command(runtime::task_context owner, const invocation& call, report_hook report)
+        : store_command{std::move(owner), call, std::move(report)}, m_timer{context().loop()} {
+        const http::client_limits limits{.connect_timeout = std::chrono::seconds{1},
+                                         .head_timeout = std::chrono::seconds{2}};
+        for (const auto& it : call.entries) {
+            m_clients[http::to_string(it)] = std::make_unique<http::client>(context(), it, limits);
+        }
+    }
+
+    void start() override {
+        m_started = common::monotonic_clock::now();
+        read(ticket_row(ticket_number()), [this](const platform::row& row) { found(row); });
+    }
+
+    void close() noexcept override {
+        m_timer.cancel();
+        for (auto& it : m_clients) {
+            it.second->close();
+        }
+        store_command::close();
+    }
+
+private:
+    void found(const platform::row& row) {
+        if (row.value.is_null()) {
+            finish(command_result::refused, "there is no such ticket");
+            return;
+        }
+        const auto change = tickets::ticket_from_json(row.value);
+        m_state = std::string{common::to_name(change.state)};
+        m_revision = change.end_revision != 0 ? change.end_revision : change.revision;
+        if (m_revision == 0) {
+            finish(command_result::done, "ticket is " + m_state + " and has no revision",
+                   {{"state", m_state}, {"revision", 0}});
+            return;
+        }
+        ask();
+    }
+
+    void ask() {
+        m_reports.clear();
+        if (m_clients.empty()) {
+            finish(command_result::usage, "--entries names no entry to ask");
+            return;
+        }
+        for (auto& [address, client] : m_clients) {
+            client->send({"GET", "/v1/revision", {}, {}},
+                         [this, key = address](const http::call_result& result) {
+                             const auto* answer = std::get_if<http::response>(&result);
+                             m_reports[key] = answer != nullptr && answer->status == 200
+                                                  ? parse_entry_revisions(answer->body)
+                                                  : std::nullopt;
+                             if (m_reports.size() == m_clients.size()) {
+                                 judge();
+                             }
+                         });
+        }
+    }
+
+    void judge() {
+        const auto seen = measure_progress(m_revision, m_reports);
+        const bool over = common::monotonic_clock::now() - m_started >= call().timeout;
+        if (!seen.lagging.empty() && call().wait && !over) {
+            m_timer.start(ask_interval, context().wrap([this] { ask(); }));
+            return;
+        }
+        auto text = "ticket is " + m_state + ", revision " + std::to_string(m_revision) +
+                    " applied on " + std::to_string(seen.applied) + " of " +
+                    std::to_string(seen.live) + " live processes";
+        for (const auto& it : seen.lagging) {
+            text += "\n  " + it;
+        }
+        finish(seen.lagging.empty() ? command_result::done : command_result::lagging, text,
+               {{"state", m_state},
+                {"revision", m_revision},
+                {"live", seen.live},
+                {"applied", seen.applied},
+                {"lagging", boost::json::value_from(seen.lagging)}});
+    }
+
+    runtime::timer m_timer;
+    std::map<std::string, std::unique_ptr<http::client>> m_clients;
+    std::map<std::string, std::optional<entry_revisions>> m_reports;
+    common::time_point m_started;
+    std::string m_state;
+    std::uint64_t m_revision = 0;
+};
+
+} // namespace
+
+std::shared_ptr<runtime::task> make_status_command(runtime::task_context context,
+                                                   const invocation& call, report_hook report) {
+    return std::make_shared<status_command>(std::move(context), call, std::move(report));
+}
+
+} // namespace jujubemast::ctl
--- /dev/null
+++ b/source/core/ctl/store_command.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "ctl/command.h"
+#include "platform/store.h"
+#include "runtime/task.h"
+
+namespace jujubemast::ctl {
+
+/// Base of the commands that read and write the platform's table service. A read without an answer
+/// ends the command as unavailable.
+class store_command : public runtime::task {
+public:
+    store_command(runtime::task_context context, invocation call, report_hook report);
+
+    void close() noexcept override;
+
+protected:
+    void read(const platform::row_key& target, std::function<void(const platform::row&)> use);
+    void scan(const std::string& table, std::function<void(const std::vector<platform::row>&)> use);
+    void commit(const platform::transaction& work,
+                std::function<void(platform::store_status)> done);
+
+    /// Reads without ending the command when there is no answer.
+    void try_read(const platform::row_key& target,
+                  std::function<void(const platform::rows_result&)> use);
+
+    void finish(command_result result, std::string text, boost::json::object data = {});
+    void finish_unavailable();
+
+    /// The ticket number in the first argument.
+    [[nodiscard]] std::uint64_t ticket_number() const;
+    static platform::row_key ticket_row(std::uint64_t number);
+
+    [[nodiscard]] const invocation& call() const { return m_call; }
+    [[nodiscard]] const runtime::task_context& context() const { return m_context; }
+
+private:
+    runtime::task_context m_context;
+    invocation m_call;
+    report_hook m_report;
+    platform::store m_store;
+};
+
+} // namespace jujubemast::ctl
--- a/source/core/tickets/acceptance.cpp
+++ b/source/core/tickets/acceptance.cpp
@@ -1,76 +1,132 @@
 #include "tickets/acceptance.h"
 
-#include <algorithm>
+#include <optional>
 
-#include <boost/json.hpp>
-
-#include "common/error.h"
-#include "tickets/object_record.h"
 #include "tickets/schema.h"
 
 namespace jujubemast::tickets {
 
 namespace {
 
-std::uint64_t head_revision(const platform::row& head) {
-    const auto* value = head.value.if_object();
-    return value == nullptr ? 0 : value->at("revision").to_number<std::uint64_t>();
+std::optional<change_decision> decide_by_state(const ticket& change) {
+    switch (change.state) {
+    case ticket_state::created:
+        return std::nullopt;
+    case ticket_state::in_force:
+        return change_done{change.revision};
+    case ticket_state::superseded:
+        return change_refusal{{"ticket " + std::to_string(change.number) +
+                               " is superseded by ticket " + std::to_string(change.superseded_by)}};
+    case ticket_state::withdrawn:
+        return change_refusal{{"ticket " + std::to_string(change.number) + " is withdrawn"}};
+    }
+    return std::nullopt;
 }
 
-std::uint64_t version_of(const std::vector<platform::row>& rows, const std::string& key) {
-    const auto it = std::find_if(rows.begin(), rows.end(),
-                                 [&](const platform::row& row) { return row.key == key; });
-    return it == rows.end() ? 0 : it->version;
+std::vector<std::string> moved_bases(const ticket& change, const object_records& records) {
+    std::vector<std::string> reasons;
+    for (const auto& [name, base] : change.bases) {
+        const auto it = records.find(name);
+        const auto revision = it == records.end() ? 0 : it->second.revision;
+        if (revision != base) {
+            reasons.push_back(name + " was changed at revision " + std::to_string(revision) +
+                              " by ticket " + std::to_string(it->second.ticket) +
+                              "; this ticket was created on its revision " + std::to_string(base));
+        }
+    }
+    return reasons;
 }
 
-void add_object_writes(const acceptance_view& view, const ticket& change,
-                       platform::transaction& work) {
+change_decision plan(const change_view& view, ticket change, std::optional<ticket> replaced,
+                     const std::string& token) {
+    const auto records = records_of(view.objects);
+    const auto revision = head_revision(view.head) + 1;
+    change.state = ticket_state::in_force;
+    change.revision = revision;
+    change.token = token;
     for (const auto& [name, state] : change.objects) {
-        const platform::row_key target{objects_table, object_row_key(name)};
-        work.conditions.push_back({target, version_of(view.objects, target.key)});
-        work.writes.push_back({target, to_json(name, {state, change.number, change.revision})});
+        const auto it = records.find(name);
+        change.previous[name] = it == records.end() ? object_record{} : it->second;
+    }
+    const auto after = apply_ticket(records, change);
+    auto reasons = moved_bases(change, records);
+    for (auto& it : faults_of(states_of(after))) {
+        reasons.push_back(std::move(it));
+    }
+    if (!reasons.empty()) {
+        return change_refusal{std::move(reasons)};
+    }
+    change_plan result{{}, revision};
+    if (replaced) {
+        change.supersedes = replaced->state == ticket_state::in_force ? replaced->number : 0;
+        replaced->state = ticket_state::superseded;
+        replaced->superseded_by = change.number;
+        replaced->end_revision = revision;
+        replaced->end_token = token;
+        add_ticket(result.work, view.other, *replaced);
     }
+    add_ticket(result.work, view.ticket, change);
+    add_configuration(result.work, view, revision, after, change.objects);
+    return result;
+}
+
+std::vector<std::string> untouched_objects(const ticket& change, const ticket& replaced) {
+    std::vector<std::string> reasons;
+    for (const auto& [name, state] : replaced.objects) {
+        if (!change.objects.contains(name)) {
+            reasons.push_back("ticket " + std::to_string(change.number) + " does not touch " +
+                              name + " of ticket " + std::to_string(replaced.number));
+        }
+    }
+    return reasons;
 }
 
 } // namespace
 
-acceptance_decision plan_acceptance(const acceptance_view& view, const std::string& token) {
+change_decision plan_acceptance(const change_view& view, const std::string& token) {
     if (view.ticket.value.is_null()) {
-        return acceptance_refusal{"there is no such ticket"};
+        return change_refusal{{"there is no such ticket"}};
     }
     auto change = ticket_from_json(view.ticket.value);
-    switch (change.state) {
+    if (auto decided = decide_by_state(change)) {
+        return *decided;
+    }
+    return plan(view, std::move(change), std::nullopt, token);
+}
+
+change_decision plan_supersession(const change_view& view, const std::string& token) {
+    if (view.ticket.value.is_null() || view.other.value.is_null()) {
+        return change_refusal{{"there is no such ticket"}};
+    }
+    auto change = ticket_from_json(view.ticket.value);
+    auto replaced = ticket_from_json(view.other.value);
+    if (change.number == replaced.number) {
+        return change_refusal{{"a ticket cannot supersede itself"}};
+    }
+    if (replaced.superseded_by == change.number && change.state == ticket_state::in_force) {
+        return change_done{change.revision};
+    }
+    if (change.state == ticket_state::in_force) {
+        return change_refusal{{"ticket " + std::to_string(change.number) +
+                               " is in force already, and did not supersede ticket " +
+                               std::to_string(replaced.number)}};
+    }
+    if (auto decided = decide_by_state(change)) {
+        return *decided;
+    }
+    switch (replaced.state) {
+    case ticket_state::created:
     case ticket_state::in_force:
-        return already_accepted{change.revision};
+        break;
     case ticket_state::superseded:
-        return acceptance_refusal{"the ticket is superseded"};
     case ticket_state::withdrawn:
-        return acceptance_refusal{"the ticket is withdrawn"};
-    case ticket_state::created:
-        break;
+        return change_refusal{{"ticket " + std::to_string(replaced.number) + " is " +
+                               std::string{common::to_name(replaced.state)}}};
     }
-    const auto after = apply_ticket(states_of(view.objects), change);
-    const auto revision = head_revision(view.head) + 1;
-    try {
-        parse_configuration(revision, after);
-    } catch (const common::format_error& e) {
-        return acceptance_refusal{e.what()};
+    if (auto reasons = untouched_objects(change, replaced); !reasons.empty()) {
+        return change_refusal{std::move(reasons)};
     }
-    change.state = ticket_state::in_force;
-    change.revision = revision;
-    change.token = token;
-
-    acceptance_plan plan;
-    plan.revision = revision;
-    const platform::row_key head{head_table, head_key};
-    const platform::row_key row{tickets_table, view.ticket.key};
-    plan.work.conditions = {{head, view.head.version}, {row, view.ticket.version}};
-    plan.work.writes = {{head, boost::json::object{{"revision", revision},
-                                                   {"digest", digest_of(after)},
-                                                   {"ticket", change.number}}},
-                        {row, to_json(change)}};
-    add_object_writes(view, change, plan.work);
-    return plan;
+    return plan(view, std::move(change), std::move(replaced), token);
 }
 
 } // namespace jujubemast::tickets
--- a/source/core/tickets/object_record.cpp
+++ b/source/core/tickets/object_record.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include "tickets/schema.h"
+
 namespace jujubemast::tickets {
 
 std::string object_row_key(const std::string& object_name) {
@@ -19,13 +21,17 @@
                                {"revision", record.revision}};
 }
 
+std::pair<std::string, object_record> record_from_json(const boost::json::value& value) {
+    const auto& row = value.as_object();
+    return {std::string{row.at("name").as_string()},
+            {row.at("state"), row.at("ticket").to_number<std::uint64_t>(),
+             row.at("revision").to_number<std::uint64_t>()}};
+}
+
 object_records records_of(const std::vector<platform::row>& rows) {
     object_records records;
     for (const auto& it : rows) {
-        const auto& row = it.value.as_object();
-        records.emplace(std::string{row.at("name").as_string()},
-                        object_record{row.at("state"), row.at("ticket").to_number<std::uint64_t>(),
-                                      row.at("revision").to_number<std::uint64_t>()});
+        records.insert(record_from_json(it.value));
     }
     return records;
 }
@@ -44,4 +50,10 @@
     return states_of(records_of(rows));
 }
 
+std::string ticket_row_key(std::uint64_t number) {
+    constexpr std::size_t width = 12;
+    const auto digits = std::to_string(number);
+    return std::string(width - std::min(width, digits.size()), '0') + digits;
+}
+
 } // namespace jujubemast::tickets
--- a/source/core/tickets/object_record.h
+++ b/source/core/tickets/object_record.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "platform/store.h"
@@ -28,6 +29,9 @@
 /// Returns the value of an object's row.
 boost::json::value to_json(const std::string& object_name, const object_record& record);
 
+/// Reads the value of an object's row. Throws an exception for a value of another form.
+std::pair<std::string, object_record> record_from_json(const boost::json::value& value);
+
 /// Returns the records of all objects from their rows, removed ones included.
 object_records records_of(const std::vector<platform::row>& rows);
 
--- a/source/core/tickets/ticket.cpp
+++ b/source/core/tickets/ticket.cpp
@@ -1,5 +1,9 @@
 #include "tickets/ticket.h"
 
+#include <optional>
+#include <string_view>
+#include <utility>
+
 #include <boost/json.hpp>
 #include <yaml-cpp/yaml.h>
 
@@ -61,14 +65,13 @@
     return nullptr;
 }
 
-object_kind kind_of_section(const YAML::Node& node) {
+std::optional<object_kind> kind_of_section(const YAML::Node& node) {
     for (const auto& it : sections) {
         if (it.name == node.Scalar()) {
             return it.kind;
         }
     }
-    throw common::format_error{"line " + std::to_string(node.Mark().line + 1) +
-                               ": unknown section " + node.Scalar()};
+    return std::nullopt;
 }
 
 } // namespace
@@ -78,55 +81,100 @@
     for (const auto& [name, state] : value.objects) {
         objects[name] = state;
     }
+    boost::json::object bases;
+    for (const auto& [name, revision] : value.bases) {
+        bases[name] = revision;
+    }
+    boost::json::array previous;
+    for (const auto& [name, record] : value.previous) {
+        previous.push_back(to_json(name, record));
+    }
     return boost::json::object{{"number", value.number},
                                {"state", common::to_name(value.state)},
                                {"objects", std::move(objects)},
+                               {"bases", std::move(bases)},
+                               {"previous", std::move(previous)},
                                {"revision", value.revision},
-                               {"token", value.token}};
+                               {"end_revision", value.end_revision},
+                               {"supersedes", value.supersedes},
+                               {"superseded_by", value.superseded_by},
+                               {"creation_token", value.creation_token},
+                               {"token", value.token},
+                               {"end_token", value.end_token}};
 }
 
 ticket ticket_from_json(const boost::json::value& value) {
     try {
         const auto& row = value.as_object();
+        const auto number = [&](std::string_view key) {
+            return row.at(key).to_number<std::uint64_t>();
+        };
+        const auto text = [&](std::string_view key) {
+            return std::string{row.at(key).as_string()};
+        };
         ticket result;
-        result.number = row.at("number").to_number<std::uint64_t>();
+        result.number = number("number");
         result.state = common::from_name<ticket_state>(row.at("state").as_string()).value();
-        result.revision = row.at("revision").to_number<std::uint64_t>();
-        result.token = std::string{row.at("token").as_string()};
+        result.revision = number("revision");
+        result.end_revision = number("end_revision");
+        result.supersedes = number("supersedes");
+        result.superseded_by = number("superseded_by");
+        result.creation_token = text("creation_token");
+        result.token = text("token");
+        result.end_token = text("end_token");
         for (const auto& it : row.at("objects").as_object()) {
             result.objects.emplace(it.key(), it.value());
         }
+        for (const auto& it : row.at("bases").as_object()) {
+            result.bases.emplace(it.key(), it.value().to_number<std::uint64_t>());
+        }
+        for (const auto& it : row.at("previous").as_array()) {
+            result.previous.insert(record_from_json(it));
+        }
         return result;
     } catch (const std::exception& e) {
         throw common::format_error{std::string{"not a ticket: "} + e.what()};
     }
 }
 
-object_states apply_ticket(object_states objects, const ticket& change) {
+object_records apply_ticket(object_records records, const ticket& change) {
     for (const auto& [name, state] : change.objects) {
-        if (state.is_null()) {
-            objects.erase(name);
-        } else {
-            objects[name] = state;
-        }
+        records[name] = {state, change.number, change.revision};
     }
-    return objects;
+    return records;
 }
 
 object_states parse_ticket_file(const std::string& text) {
+    object_states objects;
+    std::string faults;
+    const auto complain = [&](const YAML::Mark& mark, const std::string& fault) {
+        faults +=
+            (faults.empty() ? "line " : "\nline ") + std::to_string(mark.line + 1) + ": " + fault;
+    };
     try {
-        object_states objects;
         for (const auto& part : YAML::Load(text)) {
             const auto kind = kind_of_section(part.first);
+            if (!kind) {
+                complain(part.first.Mark(), "unknown section " + part.first.Scalar());
+                continue;
+            }
             for (const auto& it : part.second) {
-                objects.emplace(std::string{common::to_name(kind)} + "/" + it.first.Scalar(),
-                                to_json(it.second));
+                const auto name = std::string{common::to_name(*kind)} + "/" + it.first.Scalar();
+                if (!objects.emplace(name, to_json(it.second)).second) {
+                    complain(it.first.Mark(), name + " is given twice");
+                }
             }
         }
-        return objects;
     } catch (const YAML::Exception& e) {
-        throw common::format_error{"line " + std::to_string(e.mark.line + 1) + ": " + e.msg};
+        complain(e.mark, e.msg);
+    }
+    if (faults.empty() && objects.empty()) {
+        faults = "the ticket touches no object";
     }
+    if (!faults.empty()) {
+        throw common::format_error{faults};
+    }
+    return objects;
 }
 
 } // namespace jujubemast::tickets
--- a/source/programs/ctl_main.cpp
+++ b/source/programs/ctl_main.cpp
@@ -1,61 +1,109 @@
 #include <iostream>
 #include <memory>
+#include <sstream>
 
+#include <boost/json.hpp>
 #include <gflags/gflags.h>
 
 #include "common/error.h"
-#include "ctl/ticket_commands.h"
+#include "ctl/command_table.h"
 #include "logging/logger.h"
 #include "program/command_line.h"
 #include "runtime/process.h"
 
 DEFINE_string(platform, "127.0.0.1:9000", "address of the platform's service");
+DEFINE_string(entries, "", "admin addresses of the entries, with commas; for ticket status");
+DEFINE_string(output, "text", "text or json");
+DEFINE_uint64(with, 0, "the ticket that takes over; for ticket supersede");
+DEFINE_bool(wait, false, "wait until no live process lags; for ticket status");
+DEFINE_uint64(timeout_ms, 30000, "longest wait in ms");
 
 namespace {
 
 using namespace jujubemast;
 
-constexpr const char* usage = "the operator's program\n\n"
-                              "Commands:\n"
-                              "  ticket create FILE   stores a ticket and prints its number\n"
-                              "  ticket accept N      brings a ticket into force\n"
-                              "  ticket in-force      shows the revision in force\n";
+/// How a report is printed.
+enum class output_format { text, json };
 
-int run_ticket_command(const ctl::ticket_request& request) {
+int fail_usage(const std::string& fault) {
+    std::cerr << fault << "\n\n" << ctl::usage_text();
+    return static_cast<int>(ctl::command_result::usage);
+}
+
+ctl::invocation make_invocation(std::vector<std::string> arguments) {
+    ctl::invocation call;
+    call.arguments = std::move(arguments);
+    call.platform = http::parse_endpoint(FLAGS_platform);
+    std::istringstream list{FLAGS_entries};
+    for (std::string it; std::getline(list, it, ',');) {
+        call.entries.push_back(http::parse_endpoint(it));
+    }
+    call.with = FLAGS_with;
+    call.wait = FLAGS_wait;
+    call.timeout = std::chrono::milliseconds{FLAGS_timeout_ms};
+    return call;
+}
+
+void print(const ctl::command_report& report, output_format format) {
+    auto& stream = report.result == ctl::command_result::done ? std::cout : std::cerr;
+    switch (format) {
+    case output_format::text:
+        stream << report.text << std::endl;
+        return;
+    case output_format::json: {
+        // Scripts read one document from standard output, whatever the outcome.
+        auto data = report.data;
+        if (report.result != ctl::command_result::done && data.is_object()) {
+            data.as_object()["message"] = report.text;
+        }
+        std::cout << data << std::endl;
+        return;
+    }
+    }
+}
+
+int run_command(const ctl::command_factory& make, const ctl::invocation& call,
+                output_format format) {
     return runtime::run_process(
         "jujubemast-ctl", [&](const runtime::executor&, const runtime::process_hooks& process) {
-            const auto report = [process](const ctl::command_report& it) {
-                (it.result == ctl::command_result::done ? std::cout : std::cerr)
-                    << it.text << std::endl;
+            const auto report = [process, format](const ctl::command_report& it) {
+                print(it, format);
                 process.exit(static_cast<int>(it.result));
             };
-            const auto make = [request, report](runtime::task_context context) {
-                return std::make_shared<ctl::ticket_task>(std::move(context), request, report);
+            const auto start = [make, call, report](runtime::task_context context) {
+                return make(std::move(context), call, report);
             };
-            return std::vector<runtime::child_spec>{{"command", make}};
+            return std::vector<runtime::child_spec>{{"command", start}};
         });
 }
 
 } // namespace
 
+template <>
+struct jujubemast::common::enum_names<output_format> {
+    static constexpr std::array<std::string_view, 2> table{"text", "json"};
+};
+
 int main(int argc, char** argv) {
-    if (const auto code = program::parse_command_line(argc, argv, {"jujubemast-ctl", usage})) {
+    if (const auto code =
+            program::parse_command_line(argc, argv, {"jujubemast-ctl", ctl::usage_text()})) {
         return *code;
     }
     try {
         logging::initialize("warn");
-        const std::vector<std::string> arguments{argv + 1, argv + argc};
-        const auto command = arguments.size() > 1
-                                 ? common::from_name<ctl::ticket_command>(arguments[1])
-                                 : std::nullopt;
-        if (!command || arguments[0] != "ticket") {
-            std::cerr << usage;
-            return static_cast<int>(ctl::command_result::usage);
+        const auto format = common::from_name<output_format>(FLAGS_output);
+        if (!format) {
+            return fail_usage("--output must be text or json");
+        }
+        const auto found = ctl::match_command({argv + 1, argv + argc});
+        if (!found) {
+            return fail_usage("unknown command or wrong arguments");
+        }
+        if (found->description->name == ctl::command::ticket_supersede && FLAGS_with == 0) {
+            return fail_usage("ticket supersede needs --with");
         }
-        return run_ticket_command({*command, arguments.size() > 2 ? arguments[2] : std::string{},
-                                   http::parse_endpoint(FLAGS_platform)});
+        return run_command(found->description->make, make_invocation(found->arguments), *format);
     } catch (const common::error& e) {
-        std::cerr << e.what() << "\n";
-        return static_cast<int>(ctl::command_result::usage);
+        return fail_usage(e.what());
     }
 }
--- a/tests/unit/tickets/acceptance_test.cpp
+++ b/tests/unit/tickets/acceptance_test.cpp
@@ -5,18 +5,20 @@
 
 #include "common/digest.h"
 #include "common/error.h"
+#include "tickets/creation.h"
 
 namespace jujubemast::tests {
 
 using namespace jujubemast::tickets;
 
 struct acceptance_fixture {
-    acceptance_view view{{"configuration", 0, nullptr}, {"1", 1, nullptr}, {}};
+    change_view view{{"configuration", 0, nullptr}, {"1", 1, nullptr}, {}, {}};
 
     void set_ticket(const std::string& yaml) {
         ticket change;
         change.number = 1;
         change.objects = parse_ticket_file(yaml);
+        change.bases = bases_of(change.objects, records_of(view.objects));
         view.ticket.value = to_json(change);
     }
 };
@@ -25,7 +27,7 @@
 
 BOOST_AUTO_TEST_CASE(acceptance_when_ticket_is_valid_plans_the_next_revision) {
     set_ticket("pools: {encoders: {kind: service}}");
-    const auto plan = std::get<acceptance_plan>(plan_acceptance(view, "token"));
+    const auto plan = std::get<change_plan>(plan_acceptance(view, "token"));
     BOOST_TEST(plan.revision == 1U);
     BOOST_TEST(plan.work.conditions.size() == 3U);
     BOOST_TEST(plan.work.writes.size() == 3U);
@@ -35,8 +37,9 @@
 BOOST_AUTO_TEST_CASE(acceptance_when_reference_is_absent_refuses_and_names_it) {
     set_ticket("pipelines: {draft: {priority: standard, deadline_ms: 5000, "
                "stages: [{name: encode, pool: nowhere, operation: encode}]}}");
-    const auto refusal = std::get<acceptance_refusal>(plan_acceptance(view, "token"));
-    BOOST_TEST(refusal.reason == "pipeline/draft refers to the absent pool/nowhere");
+    const auto refusal = std::get<change_refusal>(plan_acceptance(view, "token"));
+    BOOST_TEST_REQUIRE(refusal.reasons.size() == 1U);
+    BOOST_TEST(refusal.reasons.front() == "pipeline/draft refers to the absent pool/nowhere");
 }
 
 BOOST_AUTO_TEST_CASE(acceptance_when_repeated_reports_the_revision_in_force) {
@@ -46,7 +49,7 @@
     change.revision = 4;
     view.ticket.value = to_json(change);
     const auto decision = plan_acceptance(view, "token");
-    BOOST_TEST(std::get<already_accepted>(decision).revision == 4U);
+    BOOST_TEST(std::get<change_done>(decision).revision == 4U);
 }
 
 BOOST_AUTO_TEST_CASE(configuration_when_key_is_unknown_names_it) {
