--- a/source/core/entry/links.cpp
+++ b/source/core/entry/links.cpp
@@ -6,17 +6,18 @@
 #include <boost/json.hpp>
 
 #include "common/error.h"
+#include "policy/subset.h"
 #include "wire/codec.h"
 
 namespace jujubemast::entry {
 
 links::links(runtime::task_context context, std::shared_ptr<runtime::mailbox<links_message>> inbox,
              runtime::address<coordinator_message> coordinator,
-             runtime::address<tickets::replica_message> replica, std::string entry_name,
+             runtime::address<tickets::replica_message> replica, link_identity identity,
              link_limits limits)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)},
       m_coordinator{std::move(coordinator)}, m_replica{std::move(replica)},
-      m_entry_name{std::move(entry_name)}, m_limits{limits}, m_timer{m_context.loop()} {}
+      m_identity{std::move(identity)}, m_limits{limits}, m_timer{m_context.loop()} {}
 
 void links::start() {
     m_inbox.receive(m_context.wrap([this](const links_message& message) {
@@ -33,7 +34,7 @@
 
 void links::handle(const members_changed& message) {
     std::set<std::string> present;
-    for (const auto& member : message.members) {
+    for (const auto& member : subset_of(message.members)) {
         present.insert(member.name);
         auto& target = m_links[member.name];
         if (target.instance == member) {
@@ -58,6 +59,27 @@
     }
 }
 
+std::vector<platform::instance>
+links::subset_of(const std::vector<platform::instance>& members) const {
+    std::map<std::string, std::vector<platform::instance>> pools;
+    for (const auto& it : members) {
+        pools[it.pool].push_back(it);
+    }
+    std::vector<platform::instance> chosen;
+    for (const auto& [name, pool] : pools) {
+        std::vector<policy::subset_member> candidates;
+        candidates.reserve(pool.size());
+        for (const auto& it : pool) {
+            candidates.push_back({it.name, it.failure_domain});
+        }
+        for (const auto n : policy::choose_subset(m_identity.name, m_identity.failure_domain,
+                                                  candidates, m_limits.subset_size)) {
+            chosen.push_back(pool[n]);
+        }
+    }
+    return chosen;
+}
+
 void links::handle(const announce_revision& message) {
     m_revision = message.revision;
 }
@@ -81,7 +103,7 @@
             boost::json::object{{"name", name}, {"up", it.status.up}, {"revision", it.revision}});
     }
     const boost::json::object body{
-        {"name", m_entry_name}, {"revision", m_revision}, {"sidecars", std::move(sidecars)}};
+        {"name", m_identity.name}, {"revision", m_revision}, {"sidecars", std::move(sidecars)}};
     message.reply.respond(http::json_response(200, boost::json::serialize(body) + "\n"));
 }
 
@@ -130,7 +152,7 @@
     if (!target.socket) {
         return;
     }
-    const protocol::ping message{m_entry_name, m_next_nonce, m_revision};
+    const protocol::ping message{m_identity.name, m_next_nonce, m_revision};
     if (target.socket->send(wire::encode(message))) {
         target.nonce = m_next_nonce++;
         target.ping_sent = now;
