tests: tickets with real operators, outages, pauses and restarts

Guards: lost answers, racing operators, outages around an acceptance, paused, killed and starting processes. The stand-in platform can begin an outage with a lost answer, so that the outcome cannot be read back.

--- a/source/standins/platform_service.cpp
+++ b/source/standins/platform_service.cpp
@@ -129,6 +129,7 @@
     }
     if (m_faults.lost_answers > 0) {
         --m_faults.lost_answers;
+        m_faults.outage = m_faults.outage_after_loss;
         call.reply.abort();
         return;
     }
@@ -191,6 +192,7 @@
     m_faults.silent = number_of(body, "silent", 0) != 0;
     m_faults.delay = milliseconds("delay_ms");
     m_faults.lost_answers = number_of(body, "lost_answers", 0);
+    m_faults.outage_after_loss = number_of(body, "outage_after_loss", 0) != 0;
     m_faults.membership_lag = milliseconds("membership_lag_ms");
     m_weights_per_second = number_of(body, "weights_per_second", m_weights_per_second);
     call.reply.respond({204, {}, {}});
--- a/source/standins/platform_service.h
+++ b/source/standins/platform_service.h
@@ -23,6 +23,8 @@
     common::duration delay = common::duration::zero();
     /// So many transactions take effect without an answer.
     std::int64_t lost_answers = 0;
+    /// An outage begins with the next lost answer, so that its outcome cannot be read back.
+    bool outage_after_loss = false;
     /// The membership list shows a change after this time.
     common::duration membership_lag = common::duration::zero();
 };
--- /dev/null
+++ b/tests/integration/ticket_spread_test.cpp
@@ -0,0 +1,186 @@
+#include <string>
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "support/http_call.h"
+#include "support/ticket_deployment.h"
+
+namespace jujubemast::tests {
+
+struct ticket_spread_fixture {
+    ticket_deployment system;
+
+    ticket_spread_fixture() {
+        system.add_pool("encoders", "service", 2);
+        system.add_pool("retrievers", "service", 1);
+        system.add_pool("rerankers", "service", 1);
+        system.add_pool("jujube-pool", "engine", 2);
+        system.add_entry();
+        system.add_entry();
+        system.publish_membership();
+        system.accept_ticket(standard_ticket());
+        system.wait_until_ready();
+        wait_everywhere(1);
+    }
+
+    void accept(const std::string& number) {
+        const auto outcome = system.ctl({"ticket", "accept", number});
+        BOOST_TEST_REQUIRE(outcome.code == 0, outcome.text);
+    }
+
+    void wait_everywhere(std::uint64_t revision) {
+        for (std::size_t n = 0; n < system.entry_count(); ++n) {
+            wait_for(system.entry_admin_address(n), revision);
+        }
+        for (const auto& it : system.sidecar_admins()) {
+            wait_for(it, revision);
+        }
+    }
+
+    static void wait_for(const std::string& admin, std::uint64_t revision) {
+        wait_until("revision " + std::to_string(revision) + " at " + admin,
+                   [&] { return ticket_deployment::served_revision(admin) >= revision; });
+    }
+
+    static http::response ready(const std::string& api) {
+        return call(api, {"GET", "/readyz", {}, {}});
+    }
+
+    std::string sidecar_addresses() {
+        std::string list;
+        for (const auto& it : system.upstreams()) {
+            list += (list.empty() ? "" : ",") + it.sidecar_address;
+        }
+        return list;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(ticket_spread_test, ticket_spread_fixture)
+
+// Guards against sidecars that never learn of a ticket, and a status that does not name laggards.
+BOOST_AUTO_TEST_CASE(status_when_waiting_reports_every_live_process) {
+    const auto number = system.create(weight_ticket(1));
+    accept(number);
+    const auto status = system.wait_in_force(number);
+    BOOST_TEST(status.code == 0, status.text);
+    BOOST_TEST(status.text == "ticket is in_force, revision 2 applied on 8 of 8 live processes\n");
+    wait_everywhere(2);
+    const auto restored = system.ctl({"ticket", "withdraw", number});
+    BOOST_TEST(restored.code == 0, restored.text);
+    wait_everywhere(3);
+}
+
+// Guards against an entry that misses a ticket accepted while it was paused and cannot learn of it
+// while the store is down.
+BOOST_AUTO_TEST_CASE(paused_processes_when_waking_in_an_outage_learn_from_the_others) {
+    const auto number = system.create(weight_ticket(1));
+    system.entry(1).send_signal(SIGSTOP);
+    auto& sidecar = *system.upstreams().front().sidecar;
+    const auto sidecar_admin = sidecar.listening_address("jujubemast-sidecar/admin/listener");
+    sidecar.send_signal(SIGSTOP);
+    accept(number);
+    wait_for(system.entry_admin_address(0), 2);
+    for (std::size_t n = 1; n < system.upstreams().size(); ++n) {
+        wait_for(system.sidecar_admins()[n], 2);
+    }
+    system.set_faults("\"outage\": 1");
+    system.entry(1).send_signal(SIGCONT);
+    wait_for(system.entry_admin_address(1), 2);
+    sidecar.send_signal(SIGCONT);
+    wait_for(sidecar_admin, 2);
+    const auto replica = ticket_deployment::replica_of(system.entry_admin_address(1));
+    BOOST_TEST(replica.at("fetches_sent").to_number<int>() == 1);
+}
+
+// Guards against an acceptance in an outage that takes effect later, and against a spread that
+// stops when the store goes down right after the acceptance.
+BOOST_AUTO_TEST_CASE(ticket_when_store_is_down_around_acceptance_spreads_after_it) {
+    const auto number = system.create(weight_ticket(1));
+    system.set_faults("\"outage\": 1");
+    BOOST_TEST(system.ctl({"ticket", "accept", number}).code == 3);
+    system.set_faults("");
+    BOOST_TEST(system.store_revision() == 1U);
+    accept(number);
+    wait_until("one entry holds the ticket", [&] {
+        return ticket_deployment::served_revision(system.entry_admin_address(0)) == 2 ||
+               ticket_deployment::served_revision(system.entry_admin_address(1)) == 2;
+    });
+    system.set_faults("\"outage\": 1");
+    wait_everywhere(2);
+    BOOST_TEST(ready(system.entry_address(0)).status == 200U);
+}
+
+// Guards against processes that come back empty or with an older revision when they are killed
+// while a ticket spreads.
+BOOST_AUTO_TEST_CASE(processes_when_killed_while_a_ticket_spreads_come_back_with_it) {
+    for (int n = 0; n < 3; ++n) {
+        const auto number = system.create(weight_ticket(n + 1));
+        auto extra = system.start_entry("extra-" + std::to_string(n), "");
+        const auto accepting = system.start_ctl({"ticket", "accept", number});
+        extra.process->send_signal(SIGKILL);
+        auto& target = system.upstreams()[static_cast<std::size_t>(n)];
+        target.sidecar->send_signal(SIGKILL);
+        target.sidecar->wait();
+        system.start_sidecar(target);
+        system.publish_membership();
+        BOOST_TEST(accepting->wait() == 0, accepting->log());
+        const auto revision = static_cast<std::uint64_t>(n) + 2;
+        const auto again = system.start_entry("again-" + std::to_string(n), "");
+        wait_for(again.admin, revision);
+        wait_everywhere(revision);
+    }
+}
+
+// Guards against an entry that cannot start in an outage although sidecars hold the configuration,
+// and against one that serves without any.
+BOOST_AUTO_TEST_CASE(entry_when_starting_in_an_outage_learns_from_seed_sidecars) {
+    accept(system.create(weight_ticket(1)));
+    wait_everywhere(2);
+    system.set_faults("\"outage\": 1");
+    auto& empty = system.upstreams().front();
+    empty.sidecar->send_signal(SIGKILL);
+    empty.sidecar->wait();
+    system.start_sidecar(empty);
+    const auto blind = system.start_entry("blind", "");
+    const auto seeded =
+        system.start_entry("seeded", "membership: {static: \"" + sidecar_addresses() + "\"}\n");
+    wait_until("the seeded entry is ready", [&] { return ready(seeded.api).status == 200; });
+    BOOST_TEST(ticket_deployment::served_revision(seeded.admin) == 2U);
+    // The sidecar that was started in the outage learns from the new entry.
+    wait_for(system.sidecar_admins().front(), 2);
+    const auto answer = ready(blind.api);
+    BOOST_TEST(answer.status == 503U);
+    BOOST_TEST(answer.body.find("neither the platform's table service nor a sidecar") !=
+               std::string::npos);
+    system.set_faults("");
+    wait_until("the blind entry is ready", [&] { return ready(blind.api).status == 200; });
+}
+
+// Guards against sidecars that load the store, and documents that are sent more often than once.
+BOOST_AUTO_TEST_CASE(spread_when_idle_or_changing_fetches_each_document_once) {
+    accept(system.create(weight_ticket(1)));
+    wait_everywhere(2);
+    const auto reads = system.store_reads();
+    const auto polls = [&] {
+        std::uint64_t sum = 0;
+        for (std::size_t n = 0; n < system.entry_count(); ++n) {
+            sum += ticket_deployment::replica_of(system.entry_admin_address(n))
+                       .at("polls")
+                       .to_number<std::uint64_t>();
+        }
+        return sum;
+    };
+    const auto before = polls();
+    wait_until("ten polls", [&] { return polls() >= before + 10; });
+    BOOST_TEST(system.store_reads() - reads <= polls() - before + 2);
+    for (const auto& it : system.sidecar_admins()) {
+        const auto replica = ticket_deployment::replica_of(it);
+        BOOST_TEST(replica.at("polls").to_number<int>() == 0);
+        BOOST_TEST(replica.at("fetches_sent").to_number<int>() == 2);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -57,6 +57,7 @@
     /// Writes a settings file and returns its path.
     std::string write_file(const std::string& name, const std::string& text) const;
 
+    [[nodiscard]] std::size_t entry_count() const { return m_entries.size(); }
     [[nodiscard]] child_process& entry(std::size_t n) { return *m_entries.at(n); }
     [[nodiscard]] const std::string& entry_address(std::size_t n) const {
         return m_entry_addresses.at(n);
--- /dev/null
+++ b/tests/support/ticket_deployment.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/json/value.hpp>
+
+#include "support/deployment.h"
+
+namespace jujubemast::tests {
+
+/// How a run of jujubemast-ctl ended.
+struct ctl_outcome {
+    int code = 0;
+    std::string text;
+};
+
+/// An entry that a test starts and ends by itself.
+struct separate_entry {
+    std::unique_ptr<child_process> process;
+    std::string api;
+    std::string admin;
+};
+
+/// A deployment with what tests of tickets need: operators, store faults and the revision that
+/// each process serves from.
+class ticket_deployment : public deployment {
+public:
+    /// Switches the faults of the stand-in platform, given as the members of a JSON object.
+    void set_faults(const std::string& faults) const;
+
+    ctl_outcome ctl(const std::vector<std::string>& arguments);
+
+    /// Starts a run of jujubemast-ctl without waiting for it.
+    std::unique_ptr<child_process> start_ctl(const std::vector<std::string>& arguments);
+
+    /// Creates a ticket and returns its number.
+    std::string create(const std::string& yaml);
+
+    /// Runs "ticket status N --wait" against all entries of the deployment.
+    ctl_outcome wait_in_force(const std::string& number);
+
+    /// Starts an entry with further lines of settings.
+    separate_entry start_entry(const std::string& name, const std::string& settings);
+
+    /// The replica's part of the state dump of the process with this admin address.
+    static boost::json::value replica_of(const std::string& admin);
+    static std::uint64_t served_revision(const std::string& admin);
+
+    /// The admin addresses of all live sidecars.
+    std::vector<std::string> sidecar_admins();
+
+    [[nodiscard]] std::uint64_t store_revision() const;
+    [[nodiscard]] std::uint64_t store_reads() const;
+
+private:
+    int m_next = 1;
+};
+
+/// A ticket that sets the weight of the workspace "other".
+std::string weight_ticket(int weight);
+
+} // namespace jujubemast::tests
