entry: routing without copies; a monitor for link heartbeats

Authentication compared the key with every workspace, so its time grew with their number.

Change: upstream_set keeps the views of a pool and updates them in place; names are hashed once. Workspaces are found by the hash of their key. policy/link_monitor decides on heartbeats, silence and trust; the links do not use it yet.

--- a/source/core/entry/upstream_set.cpp
+++ b/source/core/entry/upstream_set.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/json.hpp>
 
+#include "common/digest.h"
+
 namespace jujubemast::entry {
 
 namespace {
@@ -24,48 +26,65 @@
 } // namespace
 
 bool upstream_set::update(const link_status& status, common::time_point now) {
-    auto [it, added] = m_upstreams.try_emplace(status.instance.name);
-    auto& upstream = it->second;
-    if (added) {
-        pool(status.instance.pool).outliers.add_member(status.instance.name);
+    const auto& name = status.instance.name;
+    if (const auto it = m_pool_of.find(name);
+        it != m_pool_of.end() && it->second != status.instance.pool) {
+        remove(name);
     }
-    const bool lost =
-        upstream.status.up && (!status.up || status.incarnation != upstream.status.incarnation);
+    m_pool_of.insert_or_assign(name, status.instance.pool);
+    auto& target = pool(status.instance.pool);
+    const auto n = index_of(target, name);
+    auto& view = target.members.views[n];
+    auto& known = target.members.statuses[n];
+    const bool lost = known.up && (!status.up || status.incarnation != known.incarnation);
     const bool available = takes_new_work(status);
-    if (available && !upstream.available) {
-        upstream.available_since = now;
+    if (available && !view.available) {
+        view.available_since = now;
     }
-    upstream.available = available;
-    upstream.status = status;
-    upstream.sent_since_report = 0;
+    view.available = available;
+    view.failure_domain = status.instance.failure_domain;
+    view.reported_queued = status.load.queued;
+    view.reported_in_progress = status.load.in_progress;
+    view.limit = status.load.limit;
+    view.sent_since_report = 0;
+    known = status;
     return lost;
 }
 
+std::size_t upstream_set::index_of(pool_state& target, const std::string& name) {
+    auto& [statuses, views] = target.members;
+    const auto it = std::find_if(views.begin(), views.end(),
+                                 [&](const policy::upstream_view& at) { return at.name == name; });
+    if (it != views.end()) {
+        return static_cast<std::size_t>(it - views.begin());
+    }
+    views.push_back({.name = name, .name_digest = common::digest_of(name)});
+    statuses.emplace_back();
+    target.outliers.add_member(name);
+    return views.size() - 1;
+}
+
 void upstream_set::remove(const std::string& instance) {
-    const auto it = m_upstreams.find(instance);
-    if (it == m_upstreams.end()) {
+    const auto it = m_pool_of.find(instance);
+    if (it == m_pool_of.end()) {
         return;
     }
-    pool(it->second.status.instance.pool).outliers.remove_member(instance);
-    m_upstreams.erase(it);
+    auto& target = pool(it->second);
+    const auto n = static_cast<std::ptrdiff_t>(index_of(target, instance));
+    target.members.views.erase(target.members.views.begin() + n);
+    target.members.statuses.erase(target.members.statuses.begin() + n);
+    target.outliers.remove_member(instance);
+    m_pool_of.erase(it);
 }
 
 const link_status* upstream_set::choose(const tickets::stage_settings& stage,
                                         policy::routing_request request) {
-    auto& members = pool(stage.pool);
-    std::vector<policy::upstream_view> views;
-    std::vector<upstream_state*> states;
-    for (auto& [name, it] : m_upstreams) {
-        if (it.status.instance.pool != stage.pool) {
-            continue;
-        }
-        const auto rotation = members.outliers.state(name, request.now);
-        views.push_back({name, it.status.instance.failure_domain,
-                         it.available && holds_model(it.status, stage.model),
-                         rotation == policy::rotation_state::ejected, it.status.load.queued,
-                         it.status.load.in_progress, it.status.load.limit, it.sent_since_report,
-                         it.available_since});
-        states.push_back(&it);
+    auto& target = pool(stage.pool);
+    auto& [statuses, views] = target.members;
+    for (std::size_t n = 0; n < views.size(); ++n) {
+        views[n].holds_model = holds_model(statuses[n], stage.model);
+        views[n].ejected =
+            target.outliers.state(views[n].name, request.now) == policy::rotation_state::ejected;
     }
     auto index = m_route(request, views);
     if (!index && !request.excluded.empty()) {
@@ -76,10 +95,9 @@
     if (!index) {
         return nullptr;
     }
-    auto& chosen = *states[*index];
-    ++chosen.sent_since_report;
-    members.outliers.record_dispatch(chosen.status.instance.name, request.now);
-    return &chosen.status;
+    ++views[*index].sent_since_report;
+    target.outliers.record_dispatch(views[*index].name, request.now);
+    return &statuses[*index];
 }
 
 void upstream_set::record_response(const std::string& pool_name, common::duration response_time) {
@@ -121,13 +139,20 @@
 
 boost::json::value upstream_set::dump() const {
     boost::json::object upstreams;
-    for (const auto& [name, it] : m_upstreams) {
-        const auto rotation = m_pools.at(it.status.instance.pool).outliers.last_state(name);
-        upstreams[name] = boost::json::object{
-            {"pool", it.status.instance.pool}, {"up", it.status.up},
-            {"draining", it.status.draining},  {"rotation", common::to_name(rotation)},
-            {"queued", it.status.load.queued}, {"in_progress", it.status.load.in_progress},
-            {"limit", it.status.load.limit},   {"sent_since_report", it.sent_since_report}};
+    for (const auto& [pool_name, target] : m_pools) {
+        for (std::size_t n = 0; n < target.members.views.size(); ++n) {
+            const auto& view = target.members.views[n];
+            const auto& status = target.members.statuses[n];
+            upstreams[view.name] = boost::json::object{
+                {"pool", pool_name},
+                {"up", status.up},
+                {"draining", status.draining},
+                {"rotation", common::to_name(target.outliers.last_state(view.name))},
+                {"queued", view.reported_queued},
+                {"in_progress", view.reported_in_progress},
+                {"limit", view.limit},
+                {"sent_since_report", view.sent_since_report}};
+        }
     }
     return upstreams;
 }
--- a/source/core/entry/upstream_set.h
+++ b/source/core/entry/upstream_set.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/json/fwd.hpp>
 
@@ -61,27 +62,30 @@
     [[nodiscard]] boost::json::value dump() const;
 
 private:
-    struct upstream_state {
-        link_status status;
-        std::uint32_t sent_since_report = 0;
-        common::time_point available_since;
-        bool available = false;
+    /// The upstreams of a pool, with what routing sees of them at the same index.
+    struct pool_members {
+        std::vector<link_status> statuses;
+        std::vector<policy::upstream_view> views;
     };
 
     struct pool_state {
         explicit pool_state(const upstream_set_options& options)
             : outliers{options.outliers}, budget{options.retries} {}
 
+        pool_members members;
         policy::outlier_detector outliers;
         policy::retry_budget budget;
         policy::quantile_estimate response_s{0.95};
     };
 
     pool_state& pool(const std::string& name);
+    /// Returns the index of a member, which is added when it is unknown.
+    static std::size_t index_of(pool_state& target, const std::string& name);
 
     upstream_set_options m_options;
     policy::routing_hook m_route;
-    std::map<std::string, upstream_state> m_upstreams;
+    /// Pool of each instance.
+    std::map<std::string, std::string> m_pool_of;
     std::map<std::string, pool_state> m_pools;
 };
 
--- /dev/null
+++ b/source/core/policy/link_monitor.cpp
@@ -0,0 +1,42 @@
+#include "policy/link_monitor.h"
+
+#include <algorithm>
+
+namespace jujubemast::policy {
+
+void link_monitor::opened(common::time_point now) {
+    m_heard = false;
+    m_last_heard = now;
+    m_last_heartbeat = {};
+    // Also an attempt to connect must end in a sign of life within the silence limit.
+    m_awaiting_since = now;
+}
+
+void link_monitor::heartbeat_sent(common::time_point now) {
+    m_last_heartbeat = now;
+    if (!m_awaiting_since) {
+        m_awaiting_since = now;
+    }
+}
+
+void link_monitor::message_received(common::time_point now) {
+    m_heard = true;
+    m_last_heard = now;
+    m_awaiting_since.reset();
+}
+
+link_step link_monitor::next_step(common::time_point now, bool active) const {
+    if (m_awaiting_since && now - *m_awaiting_since > m_options.silence_limit) {
+        return link_step::replace;
+    }
+    const bool urgent = active || m_awaiting_since.has_value();
+    const auto interval = urgent ? m_options.active_interval : m_options.idle_interval;
+    const auto last_contact = std::max(m_last_heard, m_last_heartbeat);
+    return now - last_contact >= interval ? link_step::send_heartbeat : link_step::none;
+}
+
+bool link_monitor::trusted(common::time_point now) const {
+    return m_heard && now - m_last_heard <= m_options.trust_limit;
+}
+
+} // namespace jujubemast::policy
--- /dev/null
+++ b/source/core/policy/link_monitor.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+#include "common/enum_names.h"
+#include "common/time.h"
+
+namespace jujubemast::policy {
+
+struct link_monitor_options {
+    /// Time between heartbeats while work is in progress and nothing else arrives.
+    common::duration active_interval = std::chrono::milliseconds{250};
+    /// Time between heartbeats on a link without work. It bounds the control traffic of an entry
+    /// with many links; see docs/CAPACITY.md.
+    common::duration idle_interval = std::chrono::milliseconds{1000};
+    /// A heartbeat without an answer for this time means that the link is silent.
+    common::duration silence_limit = std::chrono::milliseconds{1000};
+    /// A link on which nothing has arrived for this time is checked before work is sent on it.
+    common::duration trust_limit = std::chrono::milliseconds{500};
+};
+
+/// What the owner of a link has to do next.
+enum class link_step { none, send_heartbeat, replace };
+
+/// Decides when a link needs a heartbeat, when it is silent and when it can be trusted with work.
+/// Any message from the peer counts as a sign of life, so busy links need few heartbeats. A link
+/// that has been idle is checked before its first use: something between the two ends may have lost
+/// track of the connection.
+class link_monitor {
+public:
+    explicit link_monitor(const link_monitor_options& options = {}) : m_options{options} {}
+
+    /// The connection was opened or replaced.
+    void opened(common::time_point now);
+    void heartbeat_sent(common::time_point now);
+    void message_received(common::time_point now);
+
+    /// Returns the next step; `active` says whether work is in progress or waits on the link.
+    [[nodiscard]] link_step next_step(common::time_point now, bool active) const;
+
+    /// Returns whether the peer has been heard of recently enough to send work.
+    [[nodiscard]] bool trusted(common::time_point now) const;
+
+    /// Returns whether a heartbeat is on its way.
+    [[nodiscard]] bool awaits_answer() const { return m_awaiting_since.has_value(); }
+
+private:
+    link_monitor_options m_options;
+    common::time_point m_last_heard;
+    common::time_point m_last_heartbeat;
+    /// When the oldest heartbeat without a sign of life since was sent.
+    std::optional<common::time_point> m_awaiting_since;
+    bool m_heard = false;
+};
+
+} // namespace jujubemast::policy
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<policy::link_step> {
+    static constexpr std::array<std::string_view, 3> table{"none", "send_heartbeat", "replace"};
+};
+
+} // namespace jujubemast::common
--- a/source/core/policy/routing.cpp
+++ b/source/core/policy/routing.cpp
@@ -4,15 +4,22 @@
 #include <memory>
 #include <utility>
 
-#include "common/digest.h"
-
 namespace jujubemast::policy {
 
 namespace {
 
+/// Spreads the bits of a 64-bit number (the finalizer of SplitMix64, Steele, Lea and Flood, 2014).
+std::uint64_t mix(std::uint64_t value) {
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31U);
+}
+
+template <typename Condition>
 std::vector<std::size_t> indices_where(std::span<const upstream_view> upstreams,
-                                       const std::function<bool(const upstream_view&)>& holds) {
+                                       const Condition& holds) {
     std::vector<std::size_t> indices;
+    indices.reserve(upstreams.size());
     for (std::size_t n = 0; n < upstreams.size(); ++n) {
         if (holds(upstreams[n])) {
             indices.push_back(n);
@@ -67,8 +74,7 @@
         std::optional<std::size_t> best;
         std::uint64_t best_score = 0;
         for (const auto n : m_candidates) {
-            const auto score = common::digest_of(m_upstreams[n].name) ^ m_request.prefix;
-            const auto mixed = score * 0x9e3779b97f4a7c15U;
+            const auto mixed = mix(m_upstreams[n].name_digest ^ m_request.prefix);
             if (cost(n) <= bound && (!best || mixed > best_score)) {
                 best = n;
                 best_score = mixed;
--- a/source/core/policy/routing.h
+++ b/source/core/policy/routing.h
@@ -19,9 +19,13 @@
 /// What an entry knows of one upstream when it routes.
 struct upstream_view {
     std::string name;
+    /// Digest of the name, which orders the upstreams for each prefix.
+    std::uint64_t name_digest = 0;
     std::string failure_domain;
-    /// The link to its sidecar is up, it takes new work and holds the model that is needed.
+    /// The link to its sidecar is up and it takes new work.
     bool available = false;
+    /// It holds the model that the work needs.
+    bool holds_model = true;
     /// Taken out of rotation after failures or because it is much slower than its pool.
     bool ejected = false;
     /// Work queued and in progress according to the last report.
--- a/source/core/tickets/configuration.cpp
+++ b/source/core/tickets/configuration.cpp
@@ -169,6 +169,9 @@
         auto& workspace = result.workspaces[name];
         workspace = read_workspace(reader);
         workspace.name = name;
+        if (!result.workspace_of_key.emplace(workspace.key_sha256, name).second) {
+            reader.complain("has the key of another workspace");
+        }
         return;
     }
     case object_kind::priority: {
@@ -213,14 +216,11 @@
 
 const workspace_settings* configuration::authenticate(std::string_view key) const {
     const auto hash = common::sha256_hex(key);
-    const workspace_settings* found = nullptr;
-    // Every workspace is compared, so that the time does not tell which one matched.
-    for (const auto& it : workspaces) {
-        if (common::equal_constant_time(it.second.key_sha256, hash)) {
-            found = &it.second;
-        }
+    const auto name = workspace_of_key.find(hash);
+    if (name == workspace_of_key.end() || !common::equal_constant_time(name->first, hash)) {
+        return nullptr;
     }
-    return found;
+    return &workspaces.find(name->second)->second;
 }
 
 configuration parse_configuration(std::uint64_t revision, const object_states& objects) {
--- a/source/core/tickets/configuration.h
+++ b/source/core/tickets/configuration.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include <boost/json/fwd.hpp>
@@ -67,9 +68,12 @@
     std::map<std::string, pool_settings, std::less<>> pools;
     std::map<std::string, pipeline_settings, std::less<>> pipelines;
     std::map<std::string, workspace_settings, std::less<>> workspaces;
+    /// Names of the workspaces by the SHA-256 of their credential.
+    std::unordered_map<std::string, std::string> workspace_of_key;
     std::array<priority_settings, 3> priorities;
 
-    /// Returns the workspace whose credential this is, or null.
+    /// Returns the workspace whose credential this is, or null. The look-up is by the hash, whose
+    /// digits a caller cannot choose, so its time tells nothing of the credentials.
     [[nodiscard]] const workspace_settings* authenticate(std::string_view key) const;
 };
 
--- /dev/null
+++ b/tests/unit/policy/link_monitor_test.cpp
@@ -0,0 +1,75 @@
+#include "policy/link_monitor.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jujubemast::tests {
+
+using namespace jujubemast::policy;
+using std::chrono::milliseconds;
+
+struct link_monitor_fixture {
+    common::time_point now = common::time_point{} + std::chrono::hours{1};
+    link_monitor monitor;
+
+    link_monitor_fixture() {
+        monitor.opened(now);
+        monitor.message_received(now);
+    }
+
+    /// Returns how many heartbeats ten seconds take when each is answered at once.
+    int heartbeats_in_ten_seconds(bool active) {
+        int sent = 0;
+        for (int n = 0; n < 1000; ++n, now += milliseconds{10}) {
+            if (monitor.next_step(now, active) == link_step::send_heartbeat) {
+                ++sent;
+                monitor.heartbeat_sent(now);
+                monitor.message_received(now);
+            }
+        }
+        return sent;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(link_monitor_test, link_monitor_fixture)
+
+// Guards against control traffic that grows with the number of unused links.
+BOOST_AUTO_TEST_CASE(link_monitor_when_idle_sends_few_heartbeats) {
+    BOOST_TEST(heartbeats_in_ten_seconds(false) <= 10);
+    BOOST_TEST(heartbeats_in_ten_seconds(true) >= 38);
+}
+
+BOOST_AUTO_TEST_CASE(link_monitor_when_results_arrive_sends_no_heartbeat) {
+    for (int n = 0; n < 100; ++n, now += milliseconds{20}) {
+        monitor.message_received(now);
+        BOOST_TEST((monitor.next_step(now, true) == link_step::none));
+    }
+}
+
+// Guards against a request that waits longer than the silence limit on a dead connection.
+BOOST_AUTO_TEST_CASE(link_monitor_when_heartbeat_stays_unanswered_replaces_the_link) {
+    now += milliseconds{250};
+    monitor.heartbeat_sent(now);
+    now += milliseconds{990};
+    monitor.heartbeat_sent(now);
+    BOOST_TEST((monitor.next_step(now, true) != link_step::replace));
+    now += milliseconds{20};
+    BOOST_TEST((monitor.next_step(now, true) == link_step::replace));
+}
+
+// Guards against work sent on a connection that died while it was idle.
+BOOST_AUTO_TEST_CASE(link_monitor_when_nothing_was_heard_for_a_while_is_not_trusted) {
+    BOOST_TEST(monitor.trusted(now));
+    now += milliseconds{600};
+    BOOST_TEST(!monitor.trusted(now));
+    monitor.message_received(now);
+    BOOST_TEST(monitor.trusted(now));
+}
+
+BOOST_AUTO_TEST_CASE(link_monitor_when_connection_is_new_is_not_trusted) {
+    monitor.opened(now);
+    BOOST_TEST(!monitor.trusted(now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
--- a/tests/unit/policy/routing_test.cpp
+++ b/tests/unit/policy/routing_test.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "common/digest.h"
+
 namespace jujubemast::tests {
 
 using namespace jujubemast::policy;
@@ -19,7 +21,10 @@
     routing_fixture() {
         request.now = common::time_point{} + std::chrono::hours{1};
         for (const auto* name : {"a", "b", "c", "d"}) {
-            upstreams.push_back({.name = name, .available = true, .limit = 10});
+            upstreams.push_back({.name = name,
+                                 .name_digest = common::digest_of(name),
+                                 .available = true,
+                                 .limit = 10});
         }
     }
 
