metrics: counters, gauges and quantiles at /metrics

A registry is owned by the task whose events it counts: the coordinator of an entry and the admission task of a sidecar. The admin server passes GET /metrics to that task as a message, and the task answers in the Prometheus text format.

--- a/source/core/admin/admin_server.cpp
+++ b/source/core/admin/admin_server.cpp
@@ -12,7 +12,7 @@
     return {status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(body)};
 }
 
-http::response answer(const http::request& request, const admin_hooks& hooks) {
+http::response answer_directly(const http::request& request, const admin_hooks& hooks) {
     if (request.method != "GET") {
         return text_response(405, "only GET is supported\n");
     }
@@ -20,12 +20,22 @@
     if (path == "/dump") {
         return http::json_response(200, boost::json::serialize(hooks.dump()) + "\n");
     }
-    if (path == "/metrics" && hooks.metrics) {
-        return text_response(200, hooks.metrics());
-    }
     return text_response(404, "paths: /livez /readyz /dump /metrics\n");
 }
 
+/// Passes a request for metrics on. Returns false when the request is not one.
+bool forward_metrics_query(const http::request& request, const http::responder& reply,
+                           const admin_hooks& hooks) {
+    if (!hooks.metrics || request.method != "GET" ||
+        http::split_target(request.target).path != "/metrics") {
+        return false;
+    }
+    if (!hooks.metrics({reply})) {
+        reply.respond(text_response(503, "the task that owns the metrics does not answer\n"));
+    }
+    return true;
+}
+
 } // namespace
 
 runtime::child_spec make_admin_server(const http::endpoint& listen,
@@ -34,8 +44,9 @@
         "admin", {.listen = listen, .limits = {.max_connections = 64}},
         [health = std::move(health), hooks = std::move(hooks)](
             const http::request& request, const http::responder& reply) -> http::disconnect_hook {
-            if (!forward_health_query(request, reply, health)) {
-                reply.respond(answer(request, hooks));
+            if (!forward_health_query(request, reply, health) &&
+                !forward_metrics_query(request, reply, hooks)) {
+                reply.respond(answer_directly(request, hooks));
             }
             return {};
         });
--- a/source/core/admin/admin_server.h
+++ b/source/core/admin/admin_server.h
@@ -4,13 +4,15 @@
 #include <string>
 
 #include "admin/health.h"
+#include "admin/metrics_query.h"
 #include "http/server.h"
 #include "runtime/process.h"
 
 namespace jujubemast::admin {
 
-/// Returns the metrics in the Prometheus text format.
-using metrics_hook = std::function<std::string()>;
+/// Passes the query to the task that owns the metrics. Returns false when the task does not take
+/// it.
+using metrics_hook = std::function<bool(const metrics_query&)>;
 
 struct admin_hooks {
     runtime::dump_hook dump;
--- /dev/null
+++ b/source/core/admin/metrics_query.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+
+#include "http/server.h"
+
+namespace jujubemast::admin {
+
+/// A request for the metrics that a task owns; the task answers it itself.
+struct metrics_query {
+    http::responder reply;
+};
+
+/// Answers with metrics in the Prometheus text format.
+inline void answer(const metrics_query& query, std::string text) {
+    query.reply.respond(
+        {200, {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}}, std::move(text)});
+}
+
+} // namespace jujubemast::admin
--- a/source/core/entry/coordinator.cpp
+++ b/source/core/entry/coordinator.cpp
@@ -113,6 +113,7 @@
 
 void coordinator::refuse(const http::responder& reply, const problem& content) {
     ++m_failed;
+    m_metrics.refused(content);
     reply.respond(to_response(content));
 }
 
@@ -173,6 +174,10 @@
                     m_hooks.clock()));
 }
 
+void coordinator::handle(const admin::metrics_query& message) {
+    admin::answer(message, m_metrics.text(m_requests.size()));
+}
+
 void coordinator::fail_work_on(const std::string& instance) {
     std::vector<std::uint64_t> affected;
     for (const auto& [id, request] : m_requests) {
@@ -278,6 +283,7 @@
 void coordinator::perform_one(std::uint64_t /*id*/, active_request& request,
                               const deliver_answer& action) {
     ++m_answered;
+    m_metrics.answered(request.flow.plan().priority, action.stages);
     const auto document = to_document(request.flow.plan().request_id, action);
     if (!request.flow.plan().stream) {
         request.reply.respond(http::json_response(200, document));
@@ -291,6 +297,7 @@
 void coordinator::perform_one(std::uint64_t /*id*/, active_request& request,
                               const deliver_problem& action) {
     ++m_failed;
+    m_metrics.failed(request.flow.plan().priority, action.content);
     m_log.info("Request failed.",
                {{"request", request.flow.plan().request_id},
                 {"problem", std::string{common::to_name(action.content.kind)}},
--- a/source/core/entry/coordinator.h
+++ b/source/core/entry/coordinator.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "common/random.h"
+#include "entry/entry_metrics.h"
 #include "entry/messages.h"
 #include "entry/request_flow.h"
 #include "logging/logger.h"
@@ -59,6 +60,7 @@
     void handle(const link_status& message);
     void handle(const link_removed& message);
     void handle(const work_not_sent& message);
+    void handle(const admin::metrics_query& message);
 
     void begin_request(submit message, const tickets::workspace_settings& workspace,
                        const tickets::pipeline_settings& pipeline);
@@ -86,6 +88,7 @@
     std::map<std::string, upstream_state> m_upstreams;
     std::uint64_t m_answered = 0;
     std::uint64_t m_failed = 0;
+    entry_metrics m_metrics;
     runtime::stop_done m_done;
 };
 
--- a/source/core/entry/entry_tree.cpp
+++ b/source/core/entry/entry_tree.cpp
@@ -130,9 +130,11 @@
                                 std::map<std::string, std::string>{
                                     {configuration_condition, "no configuration is known yet"}});
                         }});
-    children.push_back(
-        admin::make_admin_server(http::parse_endpoint(values.get(entry_settings::admin_listen)),
-                                 health, {process.dump, {}}));
+    children.push_back(admin::make_admin_server(
+        http::parse_endpoint(values.get(entry_settings::admin_listen)), health,
+        {process.dump, [coordinator_inbox](const admin::metrics_query& it) {
+             return coordinator_inbox->post(it);
+         }}));
     children.push_back(make_coordinator(values, coordinator_inbox, links_inbox));
     children.push_back(make_links(values, links_inbox, coordinator_inbox));
     children.push_back(http::make_server(
--- a/source/core/entry/messages.h
+++ b/source/core/entry/messages.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "admin/metrics_query.h"
 #include "common/time.h"
 #include "common/types.h"
 #include "http/server.h"
@@ -74,8 +75,9 @@
     protocol::work_identity identity;
 };
 
-using coordinator_message = std::variant<submit, caller_disconnected, configuration_changed,
-                                         work_message, link_status, link_removed, work_not_sent>;
+using coordinator_message =
+    std::variant<submit, caller_disconnected, configuration_changed, work_message, link_status,
+                 link_removed, work_not_sent, admin::metrics_query>;
 
 /// The platform's list of instances.
 struct members_changed {
--- a/source/core/sidecar/admission.cpp
+++ b/source/core/sidecar/admission.cpp
@@ -96,6 +96,7 @@
     record.queued_at = now;
     m_ids.emplace(dispatch.identity, id);
     m_deadlines.emplace(deadline, id);
+    m_metrics.accepted(dispatch.priority, dispatch.identity.attempt);
     enqueue(record);
     run_next();
 }
@@ -222,11 +223,12 @@
     };
     --m_running;
     ++m_completed;
-    finish(*record, protocol::result_end{record->dispatch.identity,
-                                         static_cast<std::uint32_t>(record->chunks.size()),
-                                         record->digest.value(),
-                                         microseconds(record->started_at - record->queued_at),
-                                         microseconds(now - record->started_at)});
+    const protocol::result_end end{
+        record->dispatch.identity, static_cast<std::uint32_t>(record->chunks.size()),
+        record->digest.value(), microseconds(record->started_at - record->queued_at),
+        microseconds(now - record->started_at)};
+    m_metrics.completed(record->dispatch.priority, end);
+    finish(*record, end);
     run_next();
 }
 
@@ -244,6 +246,7 @@
 
 void admission::refuse(work_record& record, protocol::refusal_reason reason,
                        common::execution execution, std::string detail) {
+    m_metrics.refused(reason, execution);
     finish(record,
            protocol::refusal{record.dispatch.identity, reason, execution,
                              std::int64_t{m_options.retry_after_ms} * 1000, std::move(detail)});
@@ -258,12 +261,22 @@
 void admission::send_refusal(const std::string& routing_id, const protocol::work_identity& identity,
                              protocol::refusal_reason reason, common::execution execution,
                              std::string detail) {
+    m_metrics.refused(reason, execution);
     m_link.send(
         send_to_entry{routing_id, protocol::refusal{identity, reason, execution,
                                                     std::int64_t{m_options.retry_after_ms} * 1000,
                                                     std::move(detail)}});
 }
 
+void admission::handle(const admin::metrics_query& message) {
+    admission_gauges current;
+    for (std::size_t n = 0; n < current.queued.size(); ++n) {
+        current.queued.at(n) = m_hooks.queue.size(static_cast<common::priority>(n));
+    }
+    current.running = m_running;
+    admin::answer(message, m_metrics.text(current));
+}
+
 void admission::schedule_expiry() {
     m_expiry_timer.start(expiry_interval, m_context.wrap([this] {
         expire();
--- a/source/core/sidecar/admission.h
+++ b/source/core/sidecar/admission.h
@@ -15,6 +15,7 @@
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
 #include "sidecar/messages.h"
+#include "sidecar/sidecar_metrics.h"
 
 namespace jujubemast::sidecar {
 
@@ -66,6 +67,7 @@
     void handle(const call_piece& message);
     void handle(const call_done& message);
     void handle(const call_failed& message);
+    void handle(const admin::metrics_query& message);
 
     void dispatch_received(const std::string& routing_id, const protocol::dispatch& dispatch);
     void cancel_received(const std::string& routing_id, const protocol::cancel& cancel);
@@ -106,6 +108,7 @@
     std::uint32_t m_running = 0;
     std::uint64_t m_completed = 0;
     std::uint64_t m_failed = 0;
+    sidecar_metrics m_metrics;
     bool m_draining = false;
     runtime::stop_done m_done;
 };
--- a/source/core/sidecar/messages.h
+++ b/source/core/sidecar/messages.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <variant>
 
+#include "admin/metrics_query.h"
 #include "common/time.h"
 #include "protocol/messages.h"
 
@@ -33,7 +34,8 @@
     std::string detail;
 };
 
-using admission_message = std::variant<entry_message, call_piece, call_done, call_failed>;
+using admission_message =
+    std::variant<entry_message, call_piece, call_done, call_failed, admin::metrics_query>;
 
 /// Sends a message to an entry.
 struct send_to_entry {
--- a/source/core/sidecar/sidecar_tree.cpp
+++ b/source/core/sidecar/sidecar_tree.cpp
@@ -66,9 +66,12 @@
                             return std::make_shared<admin::health>(
                                 std::move(it), health_inbox, std::map<std::string, std::string>{});
                         }});
-    children.push_back(admin::make_admin_server(
-        http::parse_endpoint(values.get(sidecar_settings::admin_listen)),
-        runtime::address<admin::health_message>{health_inbox}, {process.dump, {}}));
+    children.push_back(
+        admin::make_admin_server(http::parse_endpoint(values.get(sidecar_settings::admin_listen)),
+                                 runtime::address<admin::health_message>{health_inbox},
+                                 {process.dump, [admission_inbox](const admin::metrics_query& it) {
+                                      return admission_inbox->post(it);
+                                  }}));
     const auto listen = values.get(sidecar_settings::link_listen);
     children.push_back({"link", [link_inbox, admission_inbox, listen](runtime::task_context it) {
                             return std::make_shared<link>(
