--- a/source/core/admin/admin_server.h
+++ b/source/core/admin/admin_server.h
@@ -14,9 +14,13 @@
 /// it.
 using metrics_hook = std::function<bool(const metrics_query&)>;
 
+/// Passes a request on to the task that answers it. Returns false for other paths.
+using query_hook = std::function<bool(const http::request&, const http::responder&)>;
+
 struct admin_hooks {
     runtime::dump_hook dump;
     metrics_hook metrics;
+    query_hook query;
 };
 
 /// Describes the admin server: GET /livez, /readyz, /dump and /metrics.
--- a/source/core/entry/links.h
+++ b/source/core/entry/links.h
@@ -4,12 +4,14 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "common/random.h"
 #include "entry/messages.h"
 #include "logging/logger.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
+#include "tickets/replica.h"
 #include "wire/socket.h"
 
 namespace jujubemast::entry {
@@ -19,6 +21,14 @@
     common::duration ping_interval = std::chrono::milliseconds{250};
     /// A link without a heartbeat answer for this time is down and its socket is replaced.
     common::duration silence_limit = std::chrono::milliseconds{1000};
+    /// Upstreams of one pool that one entry keeps links to.
+    std::size_t subset_size = 24;
+};
+
+/// This instance, as the choice of its links needs it.
+struct link_identity {
+    std::string name;
+    std::string failure_domain;
 };
 
 /// Owns one ZeroMQ socket for each sidecar: sends heartbeats, measures the clock offset, passes
@@ -26,7 +36,8 @@
 class links final : public runtime::task {
 public:
     links(runtime::task_context context, std::shared_ptr<runtime::mailbox<links_message>> inbox,
-          runtime::address<coordinator_message> coordinator, std::string entry_name,
+          runtime::address<coordinator_message> coordinator,
+          runtime::address<tickets::replica_message> replica, link_identity identity,
           link_limits limits);
 
     void start() override;
@@ -43,11 +54,18 @@
         common::time_point last_pong;
         common::time_point opened;
         std::uint64_t replacements = 0;
+        /// Revision of the configuration that the sidecar holds.
+        std::uint64_t revision = 0;
     };
 
     void handle(const members_changed& message);
+    [[nodiscard]] std::vector<platform::instance>
+    subset_of(const std::vector<platform::instance>& members) const;
     void handle(const send_work& message);
     void handle(const announce_revision& message);
+    void handle(const seed_addresses& message);
+    void handle(const revision_query& message) const;
+    void pass_on(const std::string& instance, const protocol::message& message);
     void open(link& target);
     void tick();
     void ping(link& target, common::time_point now);
@@ -59,7 +77,8 @@
     runtime::task_context m_context;
     runtime::inbox<links_message> m_inbox;
     runtime::address<coordinator_message> m_coordinator;
-    std::string m_entry_name;
+    runtime::address<tickets::replica_message> m_replica;
+    link_identity m_identity;
     link_limits m_limits;
     runtime::timer m_timer;
     logging::logger m_log{"links"};
--- a/source/core/entry/messages.h
+++ b/source/core/entry/messages.h
@@ -9,6 +9,8 @@
 #include "admin/metrics_query.h"
 #include "common/time.h"
 #include "common/types.h"
+#include "entry/claim_record.h"
+#include "entry/problem.h"
 #include "http/server.h"
 #include "platform/store.h"
 #include "protocol/messages.h"
@@ -75,9 +77,46 @@
     protocol::work_identity identity;
 };
 
+/// The claim for a request is recorded in the store; the request may be dispatched.
+struct claim_granted {
+    std::uint64_t id = 0;
+};
+
+/// The request must not be dispatched: it repeats another one, or the store did not answer in time.
+struct claim_denied {
+    std::uint64_t id = 0;
+    std::variant<problem, stored_outcome> content;
+};
+
+/// The end of a claimed request is recorded, or the store did not answer in time.
+struct claim_closed {
+    std::uint64_t id = 0;
+    bool recorded = false;
+};
+
 using coordinator_message =
     std::variant<submit, caller_disconnected, configuration_changed, work_message, link_status,
-                 link_removed, work_not_sent, admin::metrics_query>;
+                 link_removed, work_not_sent, claim_granted, claim_denied, claim_closed,
+                 admin::metrics_query>;
+
+/// Asks for the claim that lets a request run. Answered by claim_granted or claim_denied.
+struct claim_request {
+    std::uint64_t id = 0;
+    std::string workspace;
+    std::string key;
+    /// Digest of what makes two requests the same.
+    std::string digest;
+    common::time_point deadline;
+};
+
+/// Ends a claim. Without an outcome the request has not run, and the claim is released so that a
+/// repeat may run. Answered by claim_closed.
+struct close_claim {
+    std::uint64_t id = 0;
+    std::optional<stored_outcome> outcome;
+};
+
+using claims_message = std::variant<claim_request, close_claim>;
 
 /// The platform's list of instances.
 struct members_changed {
@@ -95,6 +134,17 @@
     std::uint64_t revision = 0;
 };
 
-using links_message = std::variant<members_changed, send_work, announce_revision>;
+/// Addresses of sidecars from the settings, for the time before the first membership list.
+struct seed_addresses {
+    std::vector<std::string> addresses;
+};
+
+/// Asks for the revisions of this process and of all linked sidecars, as last heard.
+struct revision_query {
+    http::responder reply;
+};
+
+using links_message =
+    std::variant<members_changed, send_work, announce_revision, seed_addresses, revision_query>;
 
 } // namespace jujubemast::entry
