--- /dev/null
+++ b/scripts/experiment_targets.py
@@ -0,0 +1,87 @@
+"""Compares the result of an experiment with the targets in its file, for scripts/experiment.
+
+A target names a phase, a group ("all", "priorities/urgent", "stages/*", ...; "*" stands for every
+group and "others" for every workspace but the first) and a value in it, and bounds it by "at_least"
+or "at_most". "times" multiplies the bound by the capacity, by the floor of the group's priority
+("floor"), or by the same value in another phase ("phase:NAME").
+"""
+
+
+def phase_of(result, name):
+    return next(it for it in result["phases"] if it["name"] == name)
+
+
+def groups_of(phase, path, deployment):
+    """Returns the groups that a path names, by their own paths."""
+    kind, _, name = path.partition("/")
+    if not name:
+        return {kind: phase[kind]}
+    if name == "*":
+        return {f"{kind}/{it}": group for it, group in phase[kind].items()}
+    if name == "others":
+        first = next(iter(deployment["workspaces"]))
+        return {f"{kind}/{it}": group for it, group in phase[kind].items() if it != first}
+    # A group that got no request is absent from the result, which is a miss.
+    return {path: phase[kind].get(name)}
+
+
+def value_of(group, path):
+    for key in path.split("."):
+        if group is None:
+            return None
+        group = group[key]
+    return group
+
+
+def reference(result, deployment, target, group_path):
+    times = target.get("times")
+    if times is None:
+        return 1.0
+    capacity = deployment["load"]["capacity_per_s"]
+    if times == "capacity":
+        return capacity
+    if times == "floor":
+        return capacity * deployment["priorities"][group_path.split("/")[1]]["floor"]
+    phase = phase_of(result, times.removeprefix("phase:"))
+    return value_of(groups_of(phase, group_path, deployment)[group_path], target["value"])
+
+
+def check_target(result, deployment, target):
+    """Yields a verdict for each group that the target names."""
+    phase = phase_of(result, target["phase"])
+    groups = groups_of(phase, target["of"], deployment)
+    if not groups:
+        yield {"what": f"{target['phase']} {target['of']} {target['value']}", "measured": None,
+               "bound": None, "met": False}
+    for path, group in groups.items():
+        measured = value_of(group, target["value"])
+        factor = reference(result, deployment, target, path)
+        lower = "at_least" in target
+        bound = (target["at_least"] if lower else target["at_most"]) * factor
+        met = measured is not None and (measured >= bound if lower else measured <= bound)
+        yield {"what": f"{target['phase']} {path} {target['value']}", "measured": measured,
+               "bound": f"{'>=' if lower else '<='} {bound:.4g}", "met": met}
+
+
+def always(result, deployment):
+    """Yields verdicts on what must hold in every experiment."""
+    yield {"what": "wrong answers", "measured": result["wrong_answers"], "bound": "<= 0",
+           "met": result["wrong_answers"] == 0}
+    for stage, it in deployment["stages"].items():
+        if not it.get("idempotent", True):
+            repeated = result["executions"].get(it["pool"], {}).get("repeated")
+            yield {"what": f"repeated executions of {stage}", "measured": repeated,
+                   "bound": "<= 0", "met": repeated == 0}
+    not_sent = sum(it["all"]["results"]["not_sent"] for it in result["phases"])
+    yield {"what": "requests held back by the client", "measured": not_sent, "bound": "<= 0",
+           "met": not_sent == 0}
+    faults = len(result["bad_stops"]) + len(result["fault_failures"])
+    yield {"what": "failed stops and fault actions", "measured": faults, "bound": "<= 0",
+           "met": faults == 0}
+
+
+def check(result, experiment, deployment):
+    verdicts = list(always(result, deployment))
+    for target in experiment.get("targets", []):
+        verdicts.extend(check_target(result, deployment, target))
+    return verdicts
