--- a/source/core/load/outcome.h
+++ b/source/core/load/outcome.h
@@ -45,6 +45,8 @@
     request_result result = request_result::unknown;
     /// Why a request was refused or failed: the problem's name or the transport's fault.
     std::string reason;
+    /// From the intended to the actual send time; shows whether the client keeps up.
+    common::duration send_lag = common::duration::zero();
     /// From the intended send time to the end of the answer.
     common::duration latency = common::duration::zero();
     /// From the intended send time to the first token of a streamed answer; zero without one.
--- a/source/core/load/statistics.h
+++ b/source/core/load/statistics.h
@@ -69,6 +69,7 @@
 private:
     struct phase_statistics {
         group_statistics all;
+        std::vector<float> send_lag_ms;
         std::map<std::string, group_statistics> priorities;
         std::map<std::string, group_statistics> workspaces;
         std::map<std::string, group_statistics> traffic;
