sidecar: admission by fair order, deadlines and an adaptive limit

The sidecar queued first in, first out, refused only what had already missed its deadline, ran a fixed number of calls and sent its status after every message. It now decides through policy::admission_control: floors and weights come from the configuration (settings until there is one), work that cannot make its deadline is refused as not_run with deadline_unreachable, the report carries the expected wait of each priority, and the status is sent only when it has changed, at most every 5 ms. admission.order and admission.limit select the baselines. Dispatches gain reserve_us and max_output_tokens.

--- a/source/core/entry/coordinator.cpp
+++ b/source/core/entry/coordinator.cpp
@@ -308,6 +308,8 @@
     message.model = stage.model;
     message.body = action.body;
     message.resume_offset = action.resume_offset;
+    // Only stages that name a model generate tokens.
+    message.max_output_tokens = stage.model.empty() ? 0 : plan.max_tokens;
     message.trace_parent = plan.trace_parent;
     const auto instance = status->instance.name;
     flow.stage_dispatched(action.attempt, instance, status->incarnation, now);
--- a/source/core/protocol/messages.h
+++ b/source/core/protocol/messages.h
@@ -47,6 +47,8 @@
     std::uint64_t completed = 0;
     std::uint64_t failed = 0;
     std::vector<std::string> models;
+
+    friend bool operator==(const load_report&, const load_report&) = default;
 };
 
 /// Heartbeat from entry to sidecar.
@@ -83,6 +85,10 @@
     /// Expected service time in microseconds; zero when nothing is known.
     std::int64_t estimated_cost_us = 0;
     std::string trace_parent;
+    /// Time that later stages need before the deadline, in microseconds.
+    std::int64_t reserve_us = 0;
+    /// Most tokens that the stage may generate; zero when it generates none.
+    std::uint32_t max_output_tokens = 0;
 };
 
 /// A piece of a result; sequence numbers start at zero.
--- a/source/core/sidecar/admission.cpp
+++ b/source/core/sidecar/admission.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/admission.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/json.hpp>
@@ -11,6 +12,10 @@
 // Results and tombstones are looked through for passed deadlines at this interval.
 constexpr common::duration expiry_interval = std::chrono::milliseconds{50};
 
+std::int64_t to_count(common::duration value) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+}
+
 } // namespace
 
 admission::admission(runtime::task_context context,
@@ -19,22 +24,25 @@
                      runtime::address<upstream_command> upstream, admission_options options,
                      admission_hooks hooks)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_link{std::move(link)},
-      m_upstream{std::move(upstream)}, m_options{options}, m_hooks{std::move(hooks)},
+      m_upstream{std::move(upstream)}, m_options{std::move(options)}, m_hooks{std::move(hooks)},
+      m_control{m_hooks.queue, m_hooks.limit, policy::deadline_check{m_options.deadlines},
+                m_options.shares},
+      m_status{m_context, m_link, m_options.status_interval, [this] { return read_status(); }},
       m_expiry_timer{m_context.loop()}, m_incarnation{m_hooks.random()} {}
 
 void admission::start() {
     m_inbox.receive(m_context.wrap([this](const admission_message& message) {
         std::visit([this](const auto& it) { handle(it); }, message);
-        announce_status();
+        m_status.changed();
     }));
-    announce_status();
+    m_status.send();
     schedule_expiry();
 }
 
 void admission::stop(const runtime::stop_done& done) {
     m_draining = true;
     m_done = done;
-    announce_status();
+    m_status.send();
     // Queued work has not run, so the entries can send it elsewhere.
     while (const auto next = m_hooks.queue.pop(m_hooks.clock())) {
         refuse(m_records.at(next->id), protocol::refusal_reason::draining,
@@ -46,6 +54,7 @@
 void admission::close() noexcept {
     m_inbox.close();
     m_expiry_timer.cancel();
+    m_status.close();
 }
 
 void admission::handle(const entry_message& message) {
@@ -101,22 +110,41 @@
 }
 
 void admission::enqueue(work_record& record) {
-    const policy::queued_work work{record.id, record.dispatch.workspace, record.dispatch.priority,
-                                   record.deadline,
-                                   std::chrono::microseconds{record.dispatch.estimated_cost_us}};
-    for (const auto id : m_hooks.queue.push(work)) {
+    const auto& dispatch = record.dispatch;
+    policy::arriving_work work;
+    work.id = record.id;
+    work.workspace = dispatch.workspace;
+    work.priority = dispatch.priority;
+    work.deadline = record.deadline;
+    work.reserve = std::chrono::microseconds{dispatch.reserve_us};
+    work.operation = dispatch.operation;
+    work.size.input_bytes = dispatch.body.size();
+    work.size.output_tokens =
+        dispatch.max_output_tokens -
+        std::min<std::uint64_t>(dispatch.max_output_tokens, dispatch.resume_offset);
+    work.hint = std::chrono::microseconds{dispatch.estimated_cost_us};
+    const auto decision = m_control.arrive(work, record.queued_at);
+    if (decision.unreachable) {
+        refuse(record, protocol::refusal_reason::deadline_unreachable, common::execution::not_run,
+               "the expected wait and service time exceed the deadline");
+    }
+    for (const auto id : decision.refused) {
         refuse(m_records.at(id), protocol::refusal_reason::overloaded, common::execution::not_run,
                "the queue is full");
     }
 }
 
 void admission::run_next() {
-    while (m_running < m_options.concurrency) {
-        const auto next = m_hooks.queue.pop(m_hooks.clock());
-        if (!next) {
+    while (true) {
+        const auto decision = m_control.next(m_running, m_hooks.clock());
+        for (const auto id : decision.hopeless) {
+            refuse(m_records.at(id), protocol::refusal_reason::deadline_unreachable,
+                   common::execution::not_run, "too little time was left in the queue");
+        }
+        if (!decision.started) {
             return;
         }
-        start_call(m_records.at(next->id));
+        start_call(m_records.at(*decision.started));
     }
 }
 
@@ -217,16 +245,14 @@
         return;
     }
     const auto now = m_hooks.clock();
-    const auto microseconds = [](common::duration it) {
-        return std::chrono::duration_cast<std::chrono::microseconds>(it).count();
-    };
+    m_control.completed(record->id, m_running, now);
     --m_running;
     ++m_completed;
     finish(*record, protocol::result_end{record->dispatch.identity,
                                          static_cast<std::uint32_t>(record->chunks.size()),
                                          record->digest.value(),
-                                         microseconds(record->started_at - record->queued_at),
-                                         microseconds(now - record->started_at)});
+                                         to_count(record->started_at - record->queued_at),
+                                         to_count(now - record->started_at)});
     run_next();
 }
 
@@ -242,15 +268,22 @@
     check_drained();
 }
 
+void admission::handle(const shares_changed& message) {
+    m_control.set_shares(*message.current);
+}
+
 void admission::refuse(work_record& record, protocol::refusal_reason reason,
                        common::execution execution, std::string detail) {
-    finish(record,
-           protocol::refusal{record.dispatch.identity, reason, execution,
-                             std::int64_t{m_options.retry_after_ms} * 1000, std::move(detail)});
+    const auto wait = m_control.expected_wait(record.dispatch.priority, m_hooks.clock());
+    const auto retry_after =
+        std::max<common::duration>(std::chrono::milliseconds{m_options.retry_after_ms}, wait);
+    finish(record, protocol::refusal{record.dispatch.identity, reason, execution,
+                                     to_count(retry_after), std::move(detail)});
 }
 
 void admission::finish(work_record& record, protocol::message outcome) {
     record.state = work_state::finished;
+    m_control.forget(record.id);
     record.outcome = std::make_unique<protocol::message>(std::move(outcome));
     m_link.send(send_to_entry{record.routing_id, *record.outcome});
 }
@@ -288,7 +321,7 @@
         forget(id);
     }
     run_next();
-    announce_status();
+    m_status.changed();
     check_drained();
 }
 
@@ -301,6 +334,7 @@
             break;
         }
     }
+    m_control.forget(id);
     m_ids.erase(it->second.dispatch.identity);
     m_records.erase(it);
 }
@@ -315,19 +349,21 @@
     return it == m_records.end() || it->second.state != work_state::running ? nullptr : &it->second;
 }
 
-void admission::announce_status() {
+status_changed admission::read_status() const {
     status_changed status;
     status.incarnation = m_incarnation;
     status.draining = m_draining;
+    const auto now = m_hooks.clock();
     for (std::size_t n = 0; n < common::enumerator_count<common::priority>(); ++n) {
-        status.load.queued +=
-            static_cast<std::uint32_t>(m_hooks.queue.size(static_cast<common::priority>(n)));
+        const auto priority = static_cast<common::priority>(n);
+        status.load.queued += static_cast<std::uint32_t>(m_hooks.queue.size(priority));
+        status.load.queue_wait_us.at(n) = to_count(m_control.expected_wait(priority, now));
     }
     status.load.in_progress = m_running;
-    status.load.limit = m_options.concurrency;
+    status.load.limit = m_control.limit();
     status.load.completed = m_completed;
     status.load.failed = m_failed;
-    m_link.send(std::move(status));
+    return status;
 }
 
 void admission::check_drained() {
@@ -349,11 +385,10 @@
         const auto priority = static_cast<common::priority>(n);
         queued[common::to_name(priority)] = m_hooks.queue.size(priority);
     }
-    return boost::json::object{
-        {"incarnation", m_incarnation}, {"draining", m_draining},
-        {"running", m_running},         {"concurrency", m_options.concurrency},
-        {"queued", std::move(queued)},  {"records", m_records.size()},
-        {"completed", m_completed},     {"failed", m_failed}};
+    return boost::json::object{{"incarnation", m_incarnation}, {"draining", m_draining},
+                               {"running", m_running},         {"limit", m_control.limit()},
+                               {"queued", std::move(queued)},  {"records", m_records.size()},
+                               {"completed", m_completed},     {"failed", m_failed}};
 }
 
 } // namespace jujubemast::sidecar
--- a/source/core/sidecar/admission.h
+++ b/source/core/sidecar/admission.h
@@ -11,10 +11,11 @@
 #include "common/enum_names.h"
 #include "common/random.h"
 #include "logging/logger.h"
-#include "policy/work_queue.h"
+#include "policy/admission_control.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
 #include "sidecar/messages.h"
+#include "sidecar/status_reporter.h"
 
 namespace jujubemast::sidecar {
 
@@ -22,13 +23,16 @@
 enum class work_state { queued, running, finished, cancelled };
 
 struct admission_options {
-    /// Calls to the upstream at the same time.
-    std::uint32_t concurrency = 8;
     std::uint32_t retry_after_ms = 1000;
+    /// Shortest time between two reports of a changed load.
+    common::duration status_interval = std::chrono::milliseconds{5};
+    policy::shares shares;
+    policy::deadline_check_options deadlines;
 };
 
 struct admission_hooks {
     policy::queue_hooks queue;
+    policy::limit_hooks limit;
     common::clock_hook clock = common::system_clock_hook();
     common::random_hook random = common::system_random();
 };
@@ -66,6 +70,7 @@
     void handle(const call_piece& message);
     void handle(const call_done& message);
     void handle(const call_failed& message);
+    void handle(const shares_changed& message);
 
     void dispatch_received(const std::string& routing_id, const protocol::dispatch& dispatch);
     void cancel_received(const std::string& routing_id, const protocol::cancel& cancel);
@@ -84,7 +89,7 @@
     void cancel_running(work_record& record);
     void expire();
     void schedule_expiry();
-    void announce_status();
+    [[nodiscard]] status_changed read_status() const;
     void check_drained();
     work_record* find(const protocol::work_identity& identity);
     work_record* find_call(std::uint64_t id);
@@ -96,6 +101,8 @@
     runtime::address<upstream_command> m_upstream;
     admission_options m_options;
     admission_hooks m_hooks;
+    policy::admission_control m_control;
+    status_reporter m_status;
     logging::logger m_log{"admission"};
     runtime::timer m_expiry_timer;
     std::uint64_t m_incarnation = 0;
--- a/source/core/sidecar/messages.h
+++ b/source/core/sidecar/messages.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 
 #include "common/time.h"
+#include "policy/shares.h"
 #include "protocol/messages.h"
 
 namespace jujubemast::sidecar {
@@ -33,7 +35,13 @@
     std::string detail;
 };
 
-using admission_message = std::variant<entry_message, call_piece, call_done, call_failed>;
+/// Floors and weights of a new configuration.
+struct shares_changed {
+    std::shared_ptr<const policy::shares> current;
+};
+
+using admission_message =
+    std::variant<entry_message, call_piece, call_done, call_failed, shares_changed>;
 
 /// Sends a message to an entry.
 struct send_to_entry {
@@ -46,6 +54,8 @@
     std::uint64_t incarnation = 0;
     bool draining = false;
     protocol::load_report load;
+
+    friend bool operator==(const status_changed&, const status_changed&) = default;
 };
 
 /// The revision of the configuration to announce in heartbeat answers.
--- a/source/core/sidecar/sidecar_settings.cpp
+++ b/source/core/sidecar/sidecar_settings.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/sidecar_settings.h"
 
+#include "policy/concurrency_limit.h"
+#include "policy/work_queue.h"
 #include "tickets/configuration.h"
 
 namespace jujubemast::sidecar {
@@ -15,6 +17,22 @@
     return common::from_name<tickets::pool_kind>(value) ? "" : "must be service or engine";
 }
 
+std::string check_order(const std::string& value) {
+    return common::from_name<policy::queue_order>(value) ? "" : "must be fifo or fair";
+}
+
+std::string check_limit(const std::string& value) {
+    return common::from_name<policy::limit_kind>(value) ? "" : "must be fixed or adaptive";
+}
+
+std::string check_share(double value) {
+    return value >= 0.0 && value <= 1.0 ? "" : "must be between 0 and 1";
+}
+
+std::string check_tolerance(double value) {
+    return value > 1.0 ? "" : "must be above 1";
+}
+
 } // namespace
 
 const settings::setting<std::string> sidecar_settings::name{
@@ -39,9 +57,41 @@
     false,
     check_positive_duration};
 const settings::setting<std::int64_t> sidecar_settings::admission_concurrency{
-    "admission", "concurrency", 8, "calls to the upstream at the same time", false, check_positive};
+    "admission", "concurrency", 8, "most calls to the upstream at the same time",
+    false,       check_positive};
 const settings::setting<std::int64_t> sidecar_settings::admission_queue_capacity{
     "admission", "queue_capacity", 1000, "pieces of work that may wait", false, check_positive};
+const settings::setting<milliseconds> sidecar_settings::admission_queue_cost{
+    "admission",
+    "queue_cost_ms",
+    milliseconds{600000},
+    "expected service time of all work that may wait, in ms",
+    false,
+    check_positive_duration};
+const settings::setting<std::string> sidecar_settings::admission_order{
+    "admission", "order", "fair", "order of waiting work, fifo or fair", false, check_order};
+const settings::setting<std::string> sidecar_settings::admission_limit{
+    "admission", "limit", "adaptive", "limit of calls, fixed or adaptive", false, check_limit};
+const settings::setting<double> sidecar_settings::admission_latency_tolerance{
+    "admission", "latency_tolerance",
+    2.0,         "service time relative to that without load at which the adaptive limit falls",
+    false,       check_tolerance};
+const settings::setting<double> sidecar_settings::admission_floor_urgent{
+    "admission", "floor_urgent",
+    0.3,         "share of urgent work that no flood takes, until a ticket sets floors",
+    false,       check_share};
+const settings::setting<double> sidecar_settings::admission_floor_standard{
+    "admission", "floor_standard",
+    0.2,         "share of standard work that no flood takes, until a ticket sets floors",
+    false,       check_share};
+const settings::setting<double> sidecar_settings::admission_floor_background{
+    "admission", "floor_background",
+    0.1,         "share of background work that no flood takes, until a ticket sets floors",
+    false,       check_share};
+const settings::setting<milliseconds> sidecar_settings::admission_status_interval{
+    "admission",     "status_interval_ms",
+    milliseconds{5}, "shortest time between two reports of a changed load, in ms",
+    false,           check_positive_duration};
 
 const settings::table sidecar_settings::table{
     &name,
@@ -54,6 +104,14 @@
     &upstream_progress_timeout,
     &admission_concurrency,
     &admission_queue_capacity,
+    &admission_queue_cost,
+    &admission_order,
+    &admission_limit,
+    &admission_latency_tolerance,
+    &admission_floor_urgent,
+    &admission_floor_standard,
+    &admission_floor_background,
+    &admission_status_interval,
 };
 
 } // namespace jujubemast::sidecar
--- a/source/core/sidecar/sidecar_settings.h
+++ b/source/core/sidecar/sidecar_settings.h
@@ -16,6 +16,14 @@
     static const settings::setting<std::chrono::milliseconds> upstream_progress_timeout;
     static const settings::setting<std::int64_t> admission_concurrency;
     static const settings::setting<std::int64_t> admission_queue_capacity;
+    static const settings::setting<std::chrono::milliseconds> admission_queue_cost;
+    static const settings::setting<std::string> admission_order;
+    static const settings::setting<std::string> admission_limit;
+    static const settings::setting<double> admission_latency_tolerance;
+    static const settings::setting<double> admission_floor_urgent;
+    static const settings::setting<double> admission_floor_standard;
+    static const settings::setting<double> admission_floor_background;
+    static const settings::setting<std::chrono::milliseconds> admission_status_interval;
 
     static const settings::table table;
 };
--- a/source/core/sidecar/sidecar_tree.cpp
+++ b/source/core/sidecar/sidecar_tree.cpp
@@ -7,6 +7,7 @@
 #include "admin/admin_server.h"
 #include "admin/health.h"
 #include "sidecar/admission.h"
+#include "sidecar/admission_parts.h"
 #include "sidecar/link.h"
 #include "sidecar/sidecar_settings.h"
 #include "sidecar/upstream.h"
@@ -23,16 +24,18 @@
 using replica_mailbox = std::shared_ptr<runtime::mailbox<tickets::replica_message>>;
 using upstream_mailbox = std::shared_ptr<runtime::mailbox<upstream_command>>;
 
+using shares_pointer = std::shared_ptr<const policy::shares>;
+
 runtime::child_spec make_admission(const settings::values& values, const admission_mailbox& inbox,
-                                   const link_mailbox& link, const upstream_mailbox& upstream) {
-    admission_options options;
-    options.concurrency =
-        static_cast<std::uint32_t>(values.get(sidecar_settings::admission_concurrency));
-    const auto capacity =
-        static_cast<std::size_t>(values.get(sidecar_settings::admission_queue_capacity));
+                                   const link_mailbox& link, const upstream_mailbox& upstream,
+                                   const std::shared_ptr<shares_pointer>& shares) {
     return {"admission", [=](runtime::task_context context) {
+                admission_options options;
+                options.status_interval = values.get(sidecar_settings::admission_status_interval);
+                options.shares = **shares;
                 admission_hooks hooks;
-                hooks.queue = policy::make_fifo_queue(capacity);
+                hooks.queue = make_queue(values, options.shares);
+                hooks.limit = make_limit(values);
                 return std::make_shared<admission>(
                     std::move(context), inbox, runtime::address<link_command>{link},
                     runtime::address<upstream_command>{upstream}, options, hooks);
@@ -54,10 +57,18 @@
 }
 
 /// The configuration comes from entries only, so that sidecars cost the store nothing.
-runtime::child_spec make_replica(const replica_mailbox& inbox, const link_mailbox& link) {
+runtime::child_spec make_replica(const replica_mailbox& inbox, const link_mailbox& link,
+                                 const admission_mailbox& admission,
+                                 const std::shared_ptr<shares_pointer>& shares) {
     const runtime::address<link_command> peers{link};
     tickets::replica_hooks hooks;
-    hooks.publish = [](const tickets::configuration_pointer& /*current*/) {};
+    const runtime::address<admission_message> queue{admission};
+    const auto defaults = *shares;
+    hooks.publish = [=](const tickets::configuration_pointer& current) {
+        // Kept as well, for an admission task that is restarted later.
+        *shares = std::make_shared<const policy::shares>(shares_of(*current, *defaults));
+        queue.send(shares_changed{*shares});
+    };
     hooks.announce = [peers](std::uint64_t revision) { peers.send(announce_revision{revision}); };
     hooks.send = [peers](const std::string& peer, protocol::message content) {
         peers.send(send_to_entry{peer, std::move(content)});
@@ -85,6 +96,9 @@
         runtime::make_mailbox<tickets::replica_message>(loop, mailbox_capacity);
     const auto upstream_inbox = runtime::make_mailbox<upstream_command>(loop, mailbox_capacity);
 
+    const auto shares = std::make_shared<shares_pointer>(
+        std::make_shared<const policy::shares>(default_shares(values)));
+
     std::vector<runtime::child_spec> children;
     children.push_back({"health", [health_inbox](runtime::task_context it) {
                             return std::make_shared<admin::health>(
@@ -101,10 +115,10 @@
                                 runtime::address<tickets::replica_message>{replica_inbox}, listen);
                         }});
     // After the link, so that a restarted link is told the revision again.
-    children.push_back(make_replica(replica_inbox, link_inbox));
+    children.push_back(make_replica(replica_inbox, link_inbox, admission_inbox, shares));
     children.push_back(make_upstream(values, upstream_inbox, admission_inbox));
     // Stops first, while the link and the upstream calls still work for it.
-    children.push_back(make_admission(values, admission_inbox, link_inbox, upstream_inbox));
+    children.push_back(make_admission(values, admission_inbox, link_inbox, upstream_inbox, shares));
     return children;
 }
 
--- /dev/null
+++ b/source/core/sidecar/status_reporter.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include "runtime/mailbox.h"
+#include "runtime/task.h"
+#include "sidecar/messages.h"
+
+namespace jujubemast::sidecar {
+
+/// Tells the link what heartbeats report, when it has changed and at most once per interval.
+class status_reporter {
+public:
+    status_reporter(runtime::task_context context, runtime::address<link_command> link,
+                    common::duration interval, std::function<status_changed()> read);
+
+    /// Notes that the status may have changed.
+    void changed();
+
+    /// Sends the status at once.
+    void send();
+
+    void close() noexcept;
+
+private:
+    void send_if_changed();
+
+    runtime::task_context m_context;
+    runtime::address<link_command> m_link;
+    common::duration m_interval;
+    std::function<status_changed()> m_read;
+    runtime::timer m_timer;
+    bool m_waiting = false;
+    std::optional<status_changed> m_sent;
+};
+
+} // namespace jujubemast::sidecar
--- a/source/core/wire/codec.cpp
+++ b/source/core/wire/codec.cpp
@@ -91,6 +91,8 @@
     it.set_resume_offset(in.resume_offset);
     it.set_estimated_cost_us(in.estimated_cost_us);
     it.set_trace_parent(in.trace_parent);
+    it.set_reserve_us(in.reserve_us);
+    it.set_max_output_tokens(in.max_output_tokens);
 }
 
 void put(pb::Envelope& out, const protocol::result_chunk& in) {
@@ -168,6 +170,8 @@
     out.resume_offset = in.resume_offset();
     out.estimated_cost_us = in.estimated_cost_us();
     out.trace_parent = in.trace_parent();
+    out.reserve_us = in.reserve_us();
+    out.max_output_tokens = in.max_output_tokens();
     return out;
 }
 
--- a/tests/unit/wire/codec_test.cpp
+++ b/tests/unit/wire/codec_test.cpp
@@ -32,6 +32,8 @@
     message.resume_offset = 9;
     message.estimated_cost_us = 11;
     message.trace_parent = "t";
+    message.reserve_us = 12;
+    message.max_output_tokens = 13;
     const auto copy = round_trip(message);
     BOOST_TEST((copy.identity == identity));
     BOOST_TEST(copy.deadline_us == -5);
@@ -45,6 +47,8 @@
     BOOST_TEST(copy.resume_offset == 9U);
     BOOST_TEST(copy.estimated_cost_us == 11);
     BOOST_TEST(copy.trace_parent == "t");
+    BOOST_TEST(copy.reserve_us == 12);
+    BOOST_TEST(copy.max_output_tokens == 13U);
 }
 
 BOOST_AUTO_TEST_CASE(codec_when_refusal_is_decoded_keeps_reason_and_execution) {
