--- /dev/null
+++ b/tests/unit/entry/claim_ledger_test.cpp
@@ -0,0 +1,259 @@
+#include "entry/claim_ledger.h"
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "standins/table_storage.h"
+
+namespace jujubemast::tests {
+
+using namespace jujubemast::entry;
+using platform::store_status;
+
+struct claim_ledger_fixture {
+    common::time_point now = common::time_point{} + std::chrono::hours{1};
+    std::int64_t wall = 1000000;
+    standins::table_storage rows;
+    claim_limits limits;
+    claim_ledger ledger = make();
+    std::vector<commit_group> groups;
+    std::vector<read_claim> reads;
+    std::vector<std::uint64_t> granted;
+    std::map<std::uint64_t, claim_denied> denied;
+    std::map<std::uint64_t, bool> closed;
+
+    claim_ledger make(std::uint64_t seed = 1) const {
+        return {limits, common::seeded_random(seed)};
+    }
+
+    void take(const claim_actions& actions) {
+        for (const auto& action : actions) {
+            if (const auto* group = std::get_if<commit_group>(&action)) {
+                groups.push_back(*group);
+            } else if (const auto* read = std::get_if<read_claim>(&action)) {
+                reads.push_back(*read);
+            } else if (const auto* grant = std::get_if<claim_granted>(&action)) {
+                granted.push_back(grant->id);
+            } else if (const auto* refusal = std::get_if<claim_denied>(&action)) {
+                denied[refusal->id] = *refusal;
+            } else {
+                const auto& end = std::get<claim_closed>(action);
+                closed[end.id] = end.recorded;
+            }
+        }
+    }
+
+    void request(claim_ledger& target, std::uint64_t id, const std::string& key,
+                 const std::string& digest = "d") {
+        take(target.request({id, "w", key, digest, now + std::chrono::seconds{5}}, now, wall));
+    }
+
+    void pass(claim_ledger& target, common::duration time) {
+        now += time;
+        wall += std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+        take(target.time_passed(now));
+    }
+
+    /// Lets the table answer everything that is asked for, until nothing more is.
+    void serve(claim_ledger& target) {
+        pass(target, limits.flush_delay);
+        while (!groups.empty() || !reads.empty()) {
+            for (const auto& it : std::exchange(groups, {})) {
+                const auto status =
+                    rows.commit(it.work) ? store_status::done : store_status::conflict;
+                take(target.group_committed(it.group, status, now));
+            }
+            for (const auto& it : std::exchange(reads, {})) {
+                take(target.row_received(it.id, {store_status::done, {rows.read(it.target)}}, now,
+                                         wall));
+            }
+            pass(target, limits.flush_delay);
+        }
+    }
+
+    [[nodiscard]] bool is_granted(std::uint64_t id) const {
+        return std::find(granted.begin(), granted.end(), id) != granted.end();
+    }
+
+    [[nodiscard]] problem_kind kind_of(std::uint64_t id) const {
+        return std::get<problem>(denied.at(id).content).kind;
+    }
+
+    void close(claim_ledger& target, std::uint64_t id, std::optional<stored_outcome> outcome) {
+        take(target.close({id, std::move(outcome)}, now));
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(claim_ledger_test, claim_ledger_fixture)
+
+BOOST_AUTO_TEST_CASE(claim_ledger_when_requests_arrive_together_shares_one_transaction) {
+    for (std::uint64_t id = 1; id <= 10; ++id) {
+        request(ledger, id, "key-" + std::to_string(id));
+    }
+    BOOST_TEST(groups.empty());
+    pass(ledger, limits.flush_delay);
+    BOOST_TEST_REQUIRE(groups.size() == 1U);
+    BOOST_TEST(groups.front().work.writes.size() == 10U);
+    serve(ledger);
+    BOOST_TEST(granted.size() == 10U);
+}
+
+// Guards against one repeated key that fails the other claims of its transaction.
+BOOST_AUTO_TEST_CASE(claim_ledger_when_one_row_conflicts_grants_the_others) {
+    auto other = make(2);
+    request(other, 100, "key-3");
+    serve(other);
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        request(ledger, id, "key-" + std::to_string(id));
+    }
+    serve(ledger);
+    BOOST_TEST(granted.size() == 5U);
+    BOOST_TEST(!is_granted(3));
+    BOOST_TEST((kind_of(3) == problem_kind::request_in_progress));
+}
+
+// Guards against a second run through another entry, in every state of the first.
+BOOST_AUTO_TEST_CASE(claim_ledger_when_key_repeats_through_another_entry_never_grants) {
+    auto other = make(2);
+    request(ledger, 1, "k");
+    serve(ledger);
+    request(other, 2, "k");
+    request(other, 3, "l", "d");
+    serve(other);
+    BOOST_TEST((kind_of(2) == problem_kind::request_in_progress));
+    request(other, 4, "k", "another digest");
+    serve(other);
+    BOOST_TEST((kind_of(4) == problem_kind::idempotency_conflict));
+    close(ledger, 1, stored_outcome{claim_state::done, 200, "answer"});
+    serve(ledger);
+    BOOST_TEST(closed.at(1));
+    request(other, 5, "k");
+    serve(other);
+    BOOST_TEST(std::get<stored_outcome>(denied.at(5).content).document == "answer");
+}
+
+BOOST_AUTO_TEST_CASE(claim_ledger_when_key_repeats_through_the_same_entry_never_grants) {
+    request(ledger, 1, "k");
+    request(ledger, 2, "k");
+    serve(ledger);
+    BOOST_TEST((granted == std::vector<std::uint64_t>{1}));
+    BOOST_TEST((kind_of(2) == problem_kind::request_in_progress));
+}
+
+// Guards against a takeover of the claim of an entry that has died.
+BOOST_AUTO_TEST_CASE(claim_ledger_when_owner_is_gone_past_the_deadline_reports_unknown_outcome) {
+    auto owner = make(2);
+    request(owner, 1, "k");
+    serve(owner);
+    pass(ledger, std::chrono::seconds{6});
+    request(ledger, 2, "k");
+    serve(ledger);
+    BOOST_TEST((kind_of(2) == problem_kind::unknown_outcome));
+    pass(ledger, std::chrono::hours{25});
+    request(ledger, 3, "k");
+    serve(ledger);
+    BOOST_TEST(is_granted(3));
+}
+
+// Guards against a claim that is refused, or taken for another's, because its answer was lost.
+BOOST_AUTO_TEST_CASE(claim_ledger_when_answer_is_lost_settles_by_the_token) {
+    for (const bool took_effect : {true, false}) {
+        const std::string key = took_effect ? "a" : "b";
+        const std::uint64_t id = took_effect ? 1 : 2;
+        request(ledger, id, key);
+        pass(ledger, limits.flush_delay);
+        const auto lost = std::exchange(groups, {}).front();
+        if (took_effect) {
+            rows.commit(lost.work);
+        }
+        take(ledger.group_committed(lost.group, store_status::unknown, now));
+        serve(ledger);
+        BOOST_TEST(is_granted(id));
+        // The transaction arrives again or late; it must not change the row.
+        BOOST_TEST(!rows.commit(lost.work));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(claim_ledger_when_store_is_down_refuses_at_once_as_not_run) {
+    request(ledger, 1, "k");
+    pass(ledger, limits.flush_delay);
+    take(ledger.group_committed(groups.front().group, store_status::unavailable, now));
+    BOOST_TEST((kind_of(1) == problem_kind::store_unavailable));
+    BOOST_TEST(ledger.size() == 0U);
+}
+
+// Guards against a refused request whose late claim blocks its repeat until the claim expires.
+BOOST_AUTO_TEST_CASE(claim_ledger_when_refused_claim_takes_effect_late_releases_it) {
+    request(ledger, 1, "k");
+    pass(ledger, limits.flush_delay);
+    const auto slow = std::exchange(groups, {}).front();
+    pass(ledger, limits.wait);
+    BOOST_TEST((kind_of(1) == problem_kind::store_unavailable));
+    rows.commit(slow.work);
+    take(ledger.group_committed(slow.group, store_status::done, now));
+    serve(ledger);
+    BOOST_TEST(!is_granted(1));
+    BOOST_TEST(ledger.size() == 0U);
+    request(ledger, 2, "k");
+    serve(ledger);
+    BOOST_TEST(is_granted(2));
+}
+
+// Guards against a transaction that takes effect after its refused claim was read as absent.
+BOOST_AUTO_TEST_CASE(claim_ledger_when_refused_claim_is_absent_fences_its_transaction) {
+    request(ledger, 1, "k");
+    pass(ledger, limits.flush_delay);
+    const auto lost = std::exchange(groups, {}).front();
+    pass(ledger, limits.wait);
+    take(ledger.group_committed(lost.group, store_status::unknown, now));
+    serve(ledger);
+    BOOST_TEST(ledger.size() == 0U);
+    BOOST_TEST(!rows.commit(lost.work));
+}
+
+BOOST_AUTO_TEST_CASE(claim_ledger_when_request_has_not_run_lets_its_repeat_run) {
+    request(ledger, 1, "k");
+    serve(ledger);
+    close(ledger, 1, std::nullopt);
+    serve(ledger);
+    BOOST_TEST(closed.at(1));
+    request(ledger, 2, "k");
+    serve(ledger);
+    BOOST_TEST(is_granted(2));
+}
+
+// Guards against a caller that waits for a store in an outage, and against a lost outcome.
+BOOST_AUTO_TEST_CASE(claim_ledger_when_store_fails_before_the_outcome_answers_and_records_later) {
+    request(ledger, 1, "k");
+    serve(ledger);
+    close(ledger, 1, stored_outcome{claim_state::done, 200, "answer"});
+    const auto begin = now;
+    while (now - begin < std::chrono::seconds{60}) {
+        pass(ledger, std::chrono::milliseconds{20});
+        for (const auto& it : std::exchange(groups, {})) {
+            take(ledger.group_committed(it.group, store_status::unavailable, now));
+        }
+        BOOST_TEST(closed.contains(1) == (now - begin >= limits.wait));
+    }
+    BOOST_TEST(!closed.at(1));
+    pass(ledger, limits.retry_interval);
+    serve(ledger);
+    auto other = make(2);
+    request(other, 2, "k");
+    serve(other);
+    BOOST_TEST(std::get<stored_outcome>(denied.at(2).content).document == "answer");
+}
+
+// Guards against claims that pile up while nothing answers.
+BOOST_AUTO_TEST_CASE(claim_ledger_when_full_refuses_as_overloaded) {
+    for (std::uint64_t id = 0; id <= limits.max_claims; ++id) {
+        request(ledger, id, "key-" + std::to_string(id));
+    }
+    BOOST_TEST((kind_of(limits.max_claims) == problem_kind::overloaded));
+    BOOST_TEST(groups.size() == limits.max_groups_in_progress);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
