http, entry: slow and excess callers get an answer

A request that arrives too slowly is answered 408: the limit of the stream closed its socket, so the answer was never sent. The longer idle limit no longer covers a second request that has begun. Connections past the limit are answered 503, a bounded number at a time, instead of being closed without a word; a refused caller is read out for up to 1 s so that a reset does not discard the refusal.

--- a/source/core/entry/entry_settings.cpp
+++ b/source/core/entry/entry_settings.cpp
@@ -55,6 +55,27 @@
     false, check_positive};
 const settings::setting<std::int64_t> entry_settings::api_max_connections{
     "api", "max_connections", 4096, "callers connected at the same time", false, check_positive};
+const settings::setting<milliseconds> entry_settings::api_read_timeout{
+    "api",
+    "read_timeout_ms",
+    milliseconds{10000},
+    "longest time for a request to arrive, in ms",
+    false,
+    check_positive_duration};
+const settings::setting<milliseconds> entry_settings::api_write_timeout{
+    "api",
+    "write_timeout_ms",
+    milliseconds{10000},
+    "longest time for a piece of an answer to leave, in ms",
+    false,
+    check_positive_duration};
+const settings::setting<milliseconds> entry_settings::api_idle_timeout{
+    "api",
+    "idle_timeout_ms",
+    milliseconds{60000},
+    "longest time between two requests of a connection, in ms",
+    false,
+    check_positive_duration};
 const settings::setting<std::string> entry_settings::admin_listen{
     "admin", "listen", "127.0.0.1:0", "address for health, dump and metrics", false, check_address};
 const settings::setting<std::string> entry_settings::platform_address{
@@ -134,6 +155,9 @@
     &api_stop_grace,
     &api_max_body_bytes,
     &api_max_connections,
+    &api_read_timeout,
+    &api_write_timeout,
+    &api_idle_timeout,
     &admin_listen,
     &platform_address,
     &platform_poll_interval,
--- a/source/core/entry/entry_settings.h
+++ b/source/core/entry/entry_settings.h
@@ -13,6 +13,9 @@
     static const settings::setting<std::chrono::milliseconds> api_stop_grace;
     static const settings::setting<std::int64_t> api_max_body_bytes;
     static const settings::setting<std::int64_t> api_max_connections;
+    static const settings::setting<std::chrono::milliseconds> api_read_timeout;
+    static const settings::setting<std::chrono::milliseconds> api_write_timeout;
+    static const settings::setting<std::chrono::milliseconds> api_idle_timeout;
     static const settings::setting<std::string> admin_listen;
     static const settings::setting<std::string> platform_address;
     static const settings::setting<std::chrono::milliseconds> platform_poll_interval;
--- a/source/core/entry/entry_tree.cpp
+++ b/source/core/entry/entry_tree.cpp
@@ -71,6 +71,9 @@
         static_cast<std::size_t>(values.get(entry_settings::api_max_body_bytes));
     options.limits.max_connections =
         static_cast<std::size_t>(values.get(entry_settings::api_max_connections));
+    options.limits.read_timeout = values.get(entry_settings::api_read_timeout);
+    options.limits.write_timeout = values.get(entry_settings::api_write_timeout);
+    options.limits.idle_timeout = values.get(entry_settings::api_idle_timeout);
     options.stop_grace = values.get(entry_settings::api_stop_grace);
     options.on_stopping = [health] {
         health.send(admin::set_condition{listener_condition, "stopping"});
--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -17,6 +17,11 @@
 // command for each piece.
 constexpr std::size_t mailbox_capacity = 4096;
 
+// After an early refusal the caller may still be sending. Closing at once would reset the
+// connection and could discard the refusal before the caller has read it.
+constexpr common::duration linger_time = std::chrono::seconds{1};
+constexpr std::size_t discard_bytes = std::size_t{16} * 1024;
+
 request to_request(beast_http::request<beast_http::string_body>&& message) {
     request result;
     result.method = std::string{message.method_string()};
@@ -55,17 +60,21 @@
 } // namespace
 
 connection::connection(runtime::task_context context, boost::asio::ip::tcp::socket socket,
-                       const server_limits& limits, handler handle)
+                       const server_limits& limits, handler handle, connection_role role)
     : m_context{std::move(context)}, m_stream{std::move(socket)}, m_limits{limits},
       m_handle{std::move(handle)}, m_inbox{runtime::make_mailbox<reply_command>(m_context.loop(),
-                                                                                mailbox_capacity)} {
-}
+                                                                                mailbox_capacity)},
+      m_read_timer{m_context.loop()}, m_role{role} {}
 
 void connection::start() {
     boost::system::error_code ec;
     m_stream.socket().set_option(boost::asio::ip::tcp::no_delay{true}, ec);
     m_inbox.receive(
         m_context.wrap([this](reply_command command) { command_received(std::move(command)); }));
+    if (m_role == connection_role::refusing) {
+        reject(beast_http::status::service_unavailable, "too many connections");
+        return;
+    }
     read_request();
 }
 
@@ -74,14 +83,44 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.max_header_bytes));
     m_parser->body_limit(m_limits.max_body_bytes);
+    if (m_served_one && m_input.size() == 0) {
+        wait_for_next_request();
+    } else {
+        read_rest();
+    }
+}
+
+void connection::wait_for_next_request() {
     // A kept-alive connection may be idle between requests for longer than a request may take.
-    m_stream.expires_after(m_served_one ? m_limits.idle_timeout : m_limits.read_timeout);
+    start_read_timer(m_limits.idle_timeout);
+    m_stream.socket().async_wait(boost::asio::socket_base::wait_read,
+                                 m_context.wrap([this](const boost::system::error_code& ec) {
+                                     if (ec) {
+                                         m_context.finish();
+                                         return;
+                                     }
+                                     read_rest();
+                                 }));
+}
+
+void connection::read_rest() {
+    start_read_timer(m_limits.read_timeout);
     beast_http::async_read(m_stream, m_input, *m_parser,
                            m_context.wrap([this](const boost::system::error_code& ec,
                                                  std::size_t /*size*/) { request_read(ec); }));
 }
 
+void connection::start_read_timer(common::duration limit) {
+    // The stream's own limit closes the socket, after which the caller cannot be told the reason.
+    m_read_timed_out = false;
+    m_read_timer.start(limit, m_context.wrap([this] {
+        m_read_timed_out = true;
+        m_stream.socket().cancel();
+    }));
+}
+
 void connection::request_read(const boost::system::error_code& ec) {
+    m_read_timer.cancel();
     if (ec == beast_http::error::body_limit) {
         reject(beast_http::status::payload_too_large, "body too large");
         return;
@@ -90,7 +129,7 @@
         reject(beast_http::status::request_header_fields_too_large, "header too large");
         return;
     }
-    if (ec == boost::beast::error::timeout && m_parser->got_some()) {
+    if (ec && m_read_timed_out && (m_parser->got_some() || m_input.size() > 0)) {
         reject(beast_http::status::request_timeout, "request too slow");
         return;
     }
@@ -106,13 +145,13 @@
     m_served_one = true;
     m_phase = connection_phase::handling;
     m_keep_alive = m_parser->get().keep_alive();
-    m_stream.expires_never();
     m_on_disconnect = m_handle(to_request(m_parser->release()), responder{m_inbox.address()});
     watch_for_disconnect();
 }
 
 void connection::reject(beast_http::status status, const std::string& title) {
     m_keep_alive = false;
+    m_rejected = true;
     const auto code = static_cast<unsigned>(status);
     respond_whole({code,
                    {{"Content-Type", "application/problem+json"}},
@@ -137,7 +176,8 @@
 }
 
 void connection::command_received(reply_command command) {
-    if (m_phase == connection_phase::reading || m_phase == connection_phase::finishing) {
+    if (m_phase == connection_phase::reading || m_phase == connection_phase::finishing ||
+        m_phase == connection_phase::lingering) {
         return;
     }
     if (auto* whole = std::get_if<send_response>(&command)) {
@@ -223,6 +263,12 @@
     if (m_done || m_stopping || !m_keep_alive) {
         boost::system::error_code ec;
         m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+        if (m_rejected && !m_stopping) {
+            m_phase = connection_phase::lingering;
+            m_stream.expires_after(linger_time);
+            discard_input();
+            return;
+        }
         m_context.finish();
         return;
     }
@@ -231,6 +277,20 @@
     read_request();
 }
 
+void connection::discard_input() {
+    m_input.clear();
+    m_stream.async_read_some(
+        m_input.prepare(discard_bytes),
+        m_context.wrap([this](const boost::system::error_code& ec, std::size_t size) {
+            m_discarded_bytes += size;
+            if (ec || m_discarded_bytes > m_limits.max_body_bytes) {
+                m_context.finish();
+                return;
+            }
+            discard_input();
+        }));
+}
+
 void connection::disconnected() {
     if (auto hook = std::exchange(m_on_disconnect, nullptr)) {
         hook();
@@ -240,7 +300,8 @@
 
 void connection::stop(const runtime::stop_done& done) {
     m_stopping = true;
-    if (m_phase == connection_phase::reading && !(m_parser && m_parser->got_some())) {
+    const bool idle = m_phase == connection_phase::reading && !(m_parser && m_parser->got_some());
+    if (idle || m_phase == connection_phase::lingering) {
         done();
         return;
     }
@@ -249,6 +310,7 @@
 
 void connection::close() noexcept {
     m_inbox.close();
+    m_read_timer.cancel();
     boost::system::error_code ec;
     m_stream.socket().close(ec);
     if (auto hook = std::exchange(m_on_disconnect, nullptr)) {
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -18,13 +18,17 @@
 namespace jujubemast::http {
 
 /// What a server connection is doing.
-enum class connection_phase { reading, handling, streaming, finishing };
+enum class connection_phase { reading, handling, streaming, finishing, lingering };
+
+/// Whether a connection serves requests or only tells its caller that there are too many.
+enum class connection_role { serving, refusing };
 
 /// Serves the requests of one accepted connection, one after the other.
 class connection final : public runtime::task {
 public:
     connection(runtime::task_context context, boost::asio::ip::tcp::socket socket,
-               const server_limits& limits, handler handle);
+               const server_limits& limits, handler handle,
+               connection_role role = connection_role::serving);
 
     void start() override;
     void stop(const runtime::stop_done& done) override;
@@ -35,6 +39,9 @@
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void read_request();
+    void wait_for_next_request();
+    void read_rest();
+    void start_read_timer(common::duration limit);
     void request_read(const boost::system::error_code& ec);
     void reject(boost::beast::http::status status, const std::string& title);
     void watch_for_disconnect();
@@ -46,6 +53,8 @@
     void write_next();
     void written(const boost::system::error_code& ec);
     void answer_complete();
+    /// Reads and drops what the caller still sends, so that closing does not discard the answer.
+    void discard_input();
     void disconnected();
 
     runtime::task_context m_context;
@@ -55,12 +64,17 @@
     runtime::inbox<reply_command> m_inbox;
     boost::beast::flat_buffer m_input;
     std::optional<parser> m_parser;
+    runtime::timer m_read_timer;
+    bool m_read_timed_out = false;
     std::deque<std::string> m_output;
     std::size_t m_output_bytes = 0;
     bool m_writing = false;
     bool m_keep_alive = false;
     bool m_stopping = false;
     bool m_served_one = false;
+    bool m_rejected = false;
+    std::size_t m_discarded_bytes = 0;
+    connection_role m_role;
     connection_phase m_phase = connection_phase::reading;
     disconnect_hook m_on_disconnect;
     runtime::stop_done m_done;
@@ -72,8 +86,13 @@
 
 template <>
 struct enum_names<http::connection_phase> {
-    static constexpr std::array<std::string_view, 4> table{"reading", "handling", "streaming",
-                                                           "finishing"};
+    static constexpr std::array<std::string_view, 5> table{"reading", "handling", "streaming",
+                                                           "finishing", "lingering"};
+};
+
+template <>
+struct enum_names<http::connection_role> {
+    static constexpr std::array<std::string_view, 2> table{"serving", "refusing"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -19,10 +19,11 @@
 class listener final : public runtime::task {
 public:
     listener(runtime::task_context context, server_options options, handler handle,
-             std::shared_ptr<runtime::supervisor> connections)
+             std::shared_ptr<runtime::supervisor> connections,
+             std::shared_ptr<runtime::supervisor> refusals)
         : m_context{std::move(context)}, m_options{std::move(options)}, m_handle{std::move(handle)},
-          m_connections{std::move(connections)}, m_acceptor{m_context.loop().context()},
-          m_grace_timer{m_context.loop()} {}
+          m_connections{std::move(connections)}, m_refusals{std::move(refusals)},
+          m_acceptor{m_context.loop().context()}, m_grace_timer{m_context.loop()} {}
 
     void start() override {
         const tcp::endpoint local{boost::asio::ip::make_address(m_options.listen.host),
@@ -66,7 +67,8 @@
 
     [[nodiscard]] boost::json::value dump() const override {
         return boost::json::object{{"address", to_string(m_options.listen)},
-                                   {"accepted", m_accepted}};
+                                   {"accepted", m_accepted},
+                                   {"refused", m_refused}};
     }
 
 private:
@@ -86,33 +88,53 @@
             return;
         }
         if (m_connections->child_count() < m_options.limits.max_connections) {
-            start_connection(std::move(socket));
+            start_connection(std::move(socket), *m_connections, connection_role::serving);
+        } else {
+            ++m_refused;
+            // Past this bound a socket closes without an answer, which limits what a flood of
+            // connections costs.
+            if (m_refusals->child_count() < m_options.limits.max_refusals) {
+                start_connection(std::move(socket), *m_refusals, connection_role::refusing);
+            }
         }
         accept();
     }
 
-    void start_connection(tcp::socket socket) {
+    void start_connection(tcp::socket socket, runtime::supervisor& parent, connection_role role) {
         ++m_accepted;
         auto holder = std::make_shared<tcp::socket>(std::move(socket));
-        m_connections->add_child(
-            {"connection-" + std::to_string(m_accepted),
-             [holder, limits = m_options.limits, handle = m_handle](runtime::task_context context) {
-                 return std::make_shared<connection>(std::move(context), std::move(*holder), limits,
-                                                     handle);
-             },
-             runtime::restart_policy::temporary});
+        parent.add_child({"connection-" + std::to_string(m_accepted),
+                          [holder, limits = m_options.limits, handle = m_handle,
+                           role](runtime::task_context context) {
+                              return std::make_shared<connection>(
+                                  std::move(context), std::move(*holder), limits, handle, role);
+                          },
+                          runtime::restart_policy::temporary});
     }
 
     runtime::task_context m_context;
     server_options m_options;
     handler m_handle;
     std::shared_ptr<runtime::supervisor> m_connections;
+    std::shared_ptr<runtime::supervisor> m_refusals;
     tcp::acceptor m_acceptor;
     runtime::timer m_grace_timer;
     logging::logger m_log{"http"};
     std::uint64_t m_accepted = 0;
+    std::uint64_t m_refused = 0;
 };
 
+/// Returns the factory of a supervisor for connections, which is put into `place`.
+runtime::task_factory
+make_holder(const std::shared_ptr<std::shared_ptr<runtime::supervisor>>& place) {
+    return [place](runtime::task_context context) {
+        *place = std::make_shared<runtime::supervisor>(
+            std::move(context), runtime::supervisor_options{.order = runtime::stop_order::together},
+            std::vector<runtime::child_spec>{});
+        return *place;
+    };
+}
+
 } // namespace
 
 runtime::child_spec make_server(std::string name, server_options options, handler handle) {
@@ -120,20 +142,16 @@
                  handle = std::move(handle)](runtime::task_context context) {
         // The factory of the listener runs after that of the connections, which start first.
         auto connections = std::make_shared<std::shared_ptr<runtime::supervisor>>();
-        auto make_connections = [connections](runtime::task_context child) {
-            *connections = std::make_shared<runtime::supervisor>(
-                std::move(child),
-                runtime::supervisor_options{.order = runtime::stop_order::together},
-                std::vector<runtime::child_spec>{});
-            return *connections;
-        };
-        auto make_listener = [connections, options, handle](runtime::task_context child) {
-            return std::make_shared<listener>(std::move(child), options, handle, *connections);
+        auto refusals = std::make_shared<std::shared_ptr<runtime::supervisor>>();
+        auto make_listener = [connections, refusals, options, handle](runtime::task_context child) {
+            return std::make_shared<listener>(std::move(child), options, handle, *connections,
+                                              *refusals);
         };
         return std::make_shared<runtime::supervisor>(
             std::move(context),
             runtime::supervisor_options{.strategy = runtime::restart_strategy::rest_for_one},
-            std::vector<runtime::child_spec>{{"connections", make_connections},
+            std::vector<runtime::child_spec>{{"connections", make_holder(connections)},
+                                             {"refusals", make_holder(refusals)},
                                              {"listener", make_listener}});
     };
     return {std::move(name), make};
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -68,6 +68,8 @@
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{1024} * 1024;
     std::size_t max_connections = 4096;
+    /// Connections past the limit that are being told so at the same time.
+    std::size_t max_refusals = 64;
     /// A connection whose unsent output exceeds this size is closed.
     std::size_t max_buffered_bytes = std::size_t{1024} * 1024;
     common::duration read_timeout = std::chrono::seconds{10};
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -100,7 +100,7 @@
     instance.sidecar_address = instance.sidecar->listening_address("jujubemast-sidecar/link");
 }
 
-void deployment::add_entry() {
+void deployment::add_entry(const std::string& further_settings) {
     const auto name = "entry-" + std::to_string(m_entries.size());
     const auto path =
         write_file(name + ".yaml", "instance: {name: " + name +
@@ -108,7 +108,8 @@
                                        "platform: {address: \"" +
                                        m_platform_address +
                                        "\", poll_interval_ms: 100}\n"
-                                       "membership: {poll_interval_ms: 100}\n");
+                                       "membership: {poll_interval_ms: 100}\n" +
+                                       further_settings);
     m_entries.push_back(std::make_unique<child_process>(
         "jujubemast-entry", std::vector<std::string>{"--settings=" + path}, log_path(name)));
     m_entry_addresses.push_back(
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -35,8 +35,9 @@
     void add_pool(const std::string& pool, const std::string& kind, int count,
                   const std::vector<std::string>& flags = {});
 
-    /// Starts an entry; it becomes ready once a ticket is in force.
-    void add_entry();
+    /// Starts an entry; it becomes ready once a ticket is in force. Further lines go to its
+    /// settings.
+    void add_entry(const std::string& further_settings = {});
 
     /// Creates and accepts a ticket from YAML. Throws when the program does not report success.
     void accept_ticket(const std::string& yaml);
--- /dev/null
+++ b/tests/unit/http/server_test.cpp
@@ -0,0 +1,265 @@
+#include "http/server.h"
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "support/child_process.h"
+#include "support/event_loop.h"
+
+namespace jujubemast::tests {
+
+using boost::asio::ip::tcp;
+
+/// A caller that sends what it likes. Reads give up after 20 s.
+class raw_caller {
+public:
+    explicit raw_caller(const http::endpoint& server) {
+        m_socket.connect({boost::asio::ip::make_address(server.host), server.port});
+        const timeval limit{20, 0};
+        ::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    }
+
+    raw_caller& send(const std::string& text) {
+        boost::system::error_code ec;
+        boost::asio::write(m_socket, boost::asio::buffer(text), ec);
+        return *this;
+    }
+
+    /// Reads until the server closes the connection, or until `end` has arrived.
+    std::string read(const std::string& end = "\x01") {
+        std::string text;
+        std::array<char, 4096> buf{};
+        while (text.find(end) == std::string::npos) {
+            const auto n = ::recv(m_socket.native_handle(), buf.data(), buf.size(), 0);
+            if (n <= 0) {
+                m_closed = n == 0 || errno == ECONNRESET;
+                break;
+            }
+            text.append(buf.data(), static_cast<std::size_t>(n));
+        }
+        return text;
+    }
+
+    /// Whether the last read ended because the server closed the connection.
+    [[nodiscard]] bool closed() const { return m_closed; }
+    void close() { m_socket.close(); }
+
+private:
+    boost::asio::io_context m_context;
+    tcp::socket m_socket{m_context};
+    bool m_closed = false;
+};
+
+struct server_fixture {
+    http::server_options options;
+    std::atomic<int> handled = 0;
+    std::atomic<int> disconnects = 0;
+    /// Pieces of 16 KiB that the answer to GET /stream has.
+    int pieces = 0;
+
+    server_fixture() {
+        options.listen = {"127.0.0.1", 0};
+        options.limits.max_header_bytes = 2048;
+        options.limits.max_body_bytes = 4096;
+        options.limits.read_timeout = std::chrono::milliseconds{200};
+        options.limits.write_timeout = std::chrono::milliseconds{300};
+        options.limits.idle_timeout = std::chrono::seconds{10};
+        options.limits.max_buffered_bytes = std::size_t{256} * 1024;
+    }
+    server_fixture(const server_fixture&) = delete;
+    server_fixture& operator=(const server_fixture&) = delete;
+
+    ~server_fixture() {
+        boost::asio::post(m_context, [this] {
+            m_root->close();
+            m_context.stop();
+        });
+        m_thread.join();
+    }
+
+    http::endpoint start() {
+        std::promise<http::endpoint> bound;
+        options.on_listening = [&bound](const http::endpoint& it) { bound.set_value(it); };
+        m_life->on_failure = [](const std::exception_ptr& reason) {
+            std::rethrow_exception(reason);
+        };
+        m_root = std::make_shared<runtime::supervisor>(
+            runtime::task_context{m_executor, m_life}, runtime::supervisor_options{},
+            std::vector<runtime::child_spec>{http::make_server(
+                "api", options, [this](const http::request& message, const http::responder& reply) {
+                    return handle(message, reply);
+                })});
+        m_life->instance = m_root;
+        m_thread = std::thread{[this] {
+            m_root->start();
+            m_context.run();
+        }};
+        return bound.get_future().get();
+    }
+
+    http::disconnect_hook handle(const http::request& message, const http::responder& reply) {
+        ++handled;
+        if (message.target == "/stream") {
+            reply.begin({200, {}, {}});
+            for (int n = 0; n < pieces; ++n) {
+                reply.write(std::string(16384, 's'));
+            }
+        } else {
+            reply.respond({200, {}, "ok " + std::to_string(message.body.size())});
+        }
+        return [this] { ++disconnects; };
+    }
+
+    static std::string post(const std::string& fields, const std::string& body) {
+        return "POST / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" + body;
+    }
+
+    static constexpr const char* good_request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+private:
+    boost::asio::io_context m_context{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work{
+        m_context.get_executor()};
+    runtime::executor m_executor{m_context};
+    std::shared_ptr<runtime::task_life> m_life = make_life("test");
+    std::shared_ptr<runtime::supervisor> m_root;
+    std::thread m_thread;
+};
+
+BOOST_FIXTURE_TEST_SUITE(server_test, server_fixture)
+
+// Guards against callers that get no clear answer to a request that cannot be read, or whose answer
+// is lost because the server closes while they still send.
+BOOST_AUTO_TEST_CASE(server_when_request_is_malformed_or_oversized_answers_4xx_and_closes) {
+    const auto server = start();
+    const std::string large(std::size_t{1024} * 1024, 'x');
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"nonsense\r\n\r\n", "HTTP/1.1 400"},
+        {"GET / HTTP/9.9\r\n\r\n", "HTTP/1.1 400"},
+        {"GET / HTTP/1.1\r\nbad header\r\n\r\n", "HTTP/1.1 400"},
+        {post("Content-Length: -1\r\n", ""), "HTTP/1.1 400"},
+        {post("Content-Length: 1\r\nContent-Length: 2\r\n", "x"), "HTTP/1.1 400"},
+        {post("Transfer-Encoding: chunked\r\n", "zz\r\n"), "HTTP/1.1 400"},
+        {post("X: " + std::string(4096, 'x') + "\r\n", ""), "HTTP/1.1 431"},
+        {post("Content-Length: 1048576\r\n", large), "HTTP/1.1 413"},
+        {post("Content-Length: 99999999999\r\n", ""), "HTTP/1.1 413"},
+        {post("Transfer-Encoding: chunked\r\n", "100000\r\n" + large), "HTTP/1.1 413"}};
+    for (const auto& [text, status] : cases) {
+        raw_caller caller{server};
+        const auto answer = caller.send(text).read();
+        BOOST_TEST(answer.substr(0, status.size()) == status, text.substr(0, 60));
+        BOOST_TEST(answer.find("not_run") != std::string::npos);
+        BOOST_TEST(caller.closed());
+    }
+    BOOST_TEST(handled == 0);
+}
+
+// Guards against connections that are held by requests which never arrive whole.
+BOOST_AUTO_TEST_CASE(server_when_request_arrives_too_slowly_answers_408_and_closes) {
+    const auto server = start();
+    for (const auto& text : {std::string{"POST / HT"}, post("Content-Length: 10\r\n", "x")}) {
+        raw_caller caller{server};
+        BOOST_TEST(caller.send(text).read().starts_with("HTTP/1.1 408"));
+        BOOST_TEST(caller.closed());
+    }
+    raw_caller silent{server};
+    BOOST_TEST(silent.read().empty());
+    BOOST_TEST(silent.closed());
+}
+
+// Guards against the longer limit of idle connections being granted to a slow second request.
+BOOST_AUTO_TEST_CASE(server_when_second_request_is_slow_answers_408) {
+    const auto server = start();
+    raw_caller caller{server};
+    BOOST_TEST(caller.send(good_request).read("ok 0").starts_with("HTTP/1.1 200"));
+    const auto begin = common::monotonic_clock::now();
+    BOOST_TEST(caller.send("GET /").read().starts_with("HTTP/1.1 408"));
+    BOOST_TEST((common::monotonic_clock::now() - begin < options.limits.idle_timeout));
+}
+
+BOOST_AUTO_TEST_CASE(server_when_requests_are_pipelined_answers_each) {
+    const auto server = start();
+    raw_caller caller{server};
+    std::string text;
+    for (const int size : {1, 2, 3}) {
+        text += post("Content-Length: " + std::to_string(size) + "\r\n", std::string(size, 'x'));
+    }
+    const auto answers = caller.send(text).read("ok 3");
+    BOOST_TEST(answers.find("ok 1") < answers.find("ok 2"));
+    BOOST_TEST(answers.find("ok 2") < answers.find("ok 3"));
+}
+
+// Guards against a caller that does not read its answer and so holds the entry's memory.
+BOOST_AUTO_TEST_CASE(server_when_streamed_answer_exceeds_the_buffer_closes_the_connection) {
+    pieces = 2000;
+    options.limits.write_timeout = std::chrono::hours{1};
+    const auto server = start();
+    raw_caller caller{server};
+    caller.send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_until("the caller is given up", [&] { return disconnects == 1; });
+}
+
+// Guards against a caller that stops reading and holds its request open for good.
+BOOST_AUTO_TEST_CASE(server_when_streamed_answer_is_not_read_in_time_closes_the_connection) {
+    pieces = 2000;
+    options.limits.max_buffered_bytes = std::size_t{1024} * 1024 * 1024;
+    const auto server = start();
+    raw_caller caller{server};
+    caller.send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_until("the caller is given up", [&] { return disconnects == 1; });
+}
+
+// Guards against connections past the limit that hang or disappear without a word.
+BOOST_AUTO_TEST_CASE(server_when_connections_exceed_the_limit_answers_503_and_recovers) {
+    options.limits.max_connections = 2;
+    options.limits.read_timeout = std::chrono::seconds{20};
+    const auto server = start();
+    raw_caller first{server};
+    raw_caller second{server};
+    first.send(good_request).read("ok 0");
+    second.send(good_request).read("ok 0");
+    for (int n = 0; n < 3; ++n) {
+        raw_caller excess{server};
+        BOOST_TEST(excess.send(good_request).read().starts_with("HTTP/1.1 503"));
+        BOOST_TEST(excess.closed());
+    }
+    BOOST_TEST(first.send(good_request).read("ok 0").starts_with("HTTP/1.1 200"));
+    second.close();
+    wait_until("the place is free", [&] {
+        raw_caller next{server};
+        return next.send(good_request).read("0").starts_with("HTTP/1.1 200");
+    });
+}
+
+// Guards against a flood of connections that costs more than the two bounds allow.
+BOOST_AUTO_TEST_CASE(server_when_flooded_with_connections_refuses_a_bounded_number_with_503) {
+    options.limits.max_connections = 1;
+    options.limits.max_refusals = 4;
+    options.limits.read_timeout = std::chrono::seconds{20};
+    const auto server = start();
+    raw_caller served{server};
+    served.send(good_request).read("ok 0");
+    std::vector<std::unique_ptr<raw_caller>> flood(100);
+    for (auto& it : flood) {
+        it = std::make_unique<raw_caller>(server);
+    }
+    for (auto& it : flood) {
+        const auto answer = it->read();
+        BOOST_TEST((answer.empty() || answer.starts_with("HTTP/1.1 503")));
+        BOOST_TEST(it->closed());
+    }
+    BOOST_TEST(served.send(good_request).read("ok 0").starts_with("HTTP/1.1 200"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
