--- /dev/null
+++ b/tests/package/examples.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Installs into a new folder, builds the examples against the installed package and runs them.
+# Guards against a header or a dependency that the package lacks.
+set -euo pipefail
+source_dir=$1 build=$2 work=$2/package-test
+rm -rf "$work"
+cmake --install "$build" --prefix "$work/prefix" >"$work.log"
+[ -z "$(find "$work/prefix" -name '*.pb.h')" ] || { echo "generated headers are installed"; exit 1; }
+
+# The folder is copied, so that nothing of the source tree is found by a relative path.
+cp -r "$source_dir/examples" "$work/examples"
+launcher=()
+command -v ccache >/dev/null && launcher=(-DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
+cmake -S "$work/examples" -B "$work/build" -DCMAKE_PREFIX_PATH="$work/prefix" "${launcher[@]}" \
+    >>"$work.log"
+cmake --build "$work/build" >>"$work.log" || { tail -n 40 "$work.log"; exit 1; }
+
+expect() { # expect OUTPUT LINE: the output has this line
+    grep -qx "$2" <<<"$1" || { printf 'no line "%s" in:\n%s\n' "$2" "$1"; exit 1; }
+}
+queue=$("$work/build/example_admission_queue")
+echo "$queue"
+# The full queue refuses from the workspace with the larger backlog and serves the urgent work first.
+expect "$queue" "refused 2"
+expect "$(sed -n 2p <<<"$queue")" "serves 4 of cooperative"
+tickets=$("$work/build/example_ticket_decisions" "$work/examples/first-ticket.yaml")
+echo "$tickets"
+expect "$tickets" "status-lookup: 4 stages, urgent"
