--- a/source/core/load/statistics.cpp
+++ b/source/core/load/statistics.cpp
@@ -154,6 +154,7 @@
 void run_statistics::add(const request_outcome& outcome) {
     auto& phase = m_phases.at(outcome.phase);
     phase.all.add(outcome);
+    phase.send_lag_ms.push_back(milliseconds(outcome.send_lag));
     phase.priorities[std::string{common::to_name(outcome.priority)}].add(outcome);
     phase.workspaces[outcome.workspace].add(outcome);
     phase.traffic[outcome.traffic].add(outcome);
@@ -208,6 +209,7 @@
     }
     return {{"name", known.name},
             {"duration_ms", known.duration.count()},
+            {"send_lag_ms", load::to_json(quantiles_of(collected.send_lag_ms))},
             {"all", load::to_json(collected.all, seconds)},
             {"priorities", groups(collected.priorities)},
             {"workspaces", groups(collected.workspaces)},
@@ -233,7 +235,8 @@
     const auto& known = m_experiment.phases[phase];
     const auto& collected = m_phases[phase];
     const auto seconds = std::chrono::duration<double>(known.duration).count();
-    auto text = line("phase %s, %.1f s; times in ms\n", known.name.c_str(), seconds);
+    auto text = line("phase %s, %.1f s; times in ms; client late by %.1f (p99)\n",
+                     known.name.c_str(), seconds, quantiles_of(collected.send_lag_ms).p99);
     text += group_head;
     text += group_line("all", collected.all, seconds);
     const auto add_groups = [&](const char* kind,
