tests, standins: fault-injecting proxy between the processes

Failure tests need connections that are cut, silent, slow or lose an answer between any two processes. tests/support/fault_proxy does this on its own thread; the deployment takes address hooks that put it between entry and sidecar and between sidecar and upstream, restarts stand-ins and entries, and a caller can see a partial answer. The stand-in engine reports the offset at which an execution began, and ends a stream that is resumed at its last token, which it had dropped before.

--- a/source/standins/engine_service.cpp
+++ b/source/standins/engine_service.cpp
@@ -106,7 +106,9 @@
     while (!m_waiting.empty() && static_cast<std::int64_t>(m_running.size()) < m_behavior.slots) {
         m_running.splice(m_running.end(), m_waiting, m_waiting.begin());
         auto& begun = m_running.back();
-        ++m_executions[std::string{http::find_header(begun.call.request.fields, "X-Request-Id")}];
+        const std::string id{http::find_header(begun.call.request.fields, "X-Request-Id")};
+        ++m_executions[id];
+        m_offsets[id] = begun.first;
         begun.prefill_left = use_cache(begun.input);
         begun.call.reply.begin({200, {{"Content-Type", "text/event-stream"}}, {}});
     }
@@ -143,7 +145,7 @@
         if (!m_behavior.silent) {
             advance(*it);
         }
-        it = it->next >= it->limit ? m_running.erase(it) : std::next(it);
+        it = it->ended ? m_running.erase(it) : std::next(it);
     }
     fill_slots();
 }
@@ -164,6 +166,7 @@
         const boost::json::object done{{"count", it.next - it.first}};
         it.call.reply.write(http::encode_event("done", boost::json::serialize(done)));
         it.call.reply.end();
+        it.ended = true;
     }
 }
 
@@ -248,9 +251,9 @@
         call.reply.respond({204, {}, {}});
         return;
     }
-    if (what == "executions") {
+    if (what == "executions" || what == "offsets") {
         boost::json::object counts;
-        for (const auto& [id, n] : m_executions) {
+        for (const auto& [id, n] : what == "offsets" ? m_offsets : m_executions) {
             counts[id] = n;
         }
         call.reply.respond(http::json_response(200, boost::json::serialize(counts)));
--- a/source/standins/engine_service.h
+++ b/source/standins/engine_service.h
@@ -52,6 +52,7 @@
         std::uint64_t limit = 0;
         std::int64_t prefill_left = 0;
         int urgency = 3;
+        bool ended = false;
     };
 
     void received(http_call call);
@@ -75,6 +76,8 @@
     std::list<generation> m_waiting;
     std::list<generation> m_running;
     std::map<std::string, std::uint64_t> m_executions;
+    /// The offset at which the last execution of each request began.
+    std::map<std::string, std::uint64_t> m_offsets;
     std::deque<std::string> m_cache;
     std::deque<std::pair<std::uint64_t, std::string>> m_cache_events;
     std::uint64_t m_next_event = 1;
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -1,5 +1,6 @@
 #include "support/deployment.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -51,7 +52,27 @@
            common::sha256_hex(workspace_key) + "\"}\n";
 }
 
-deployment::deployment() : m_folder{make_folder()} {
+std::string failure_ticket() {
+    return "pools:\n"
+           "  encoders: {kind: service}\n"
+           "  ledger: {kind: service}\n"
+           "  jujube-pool: {kind: engine}\n"
+           "pipelines:\n"
+           "  answer: {priority: standard, deadline_ms: 20000, stages: ["
+           "{name: encode, pool: encoders, operation: encode}, "
+           "{name: generate, pool: jujube-pool, operation: generate, model: base}]}\n"
+           "  read: {priority: urgent, deadline_ms: 20000, stages: ["
+           "{name: read, pool: ledger, operation: read}]}\n"
+           "  post: {priority: standard, deadline_ms: 20000, stages: ["
+           "{name: encode, pool: encoders, operation: encode}, "
+           "{name: post, pool: ledger, operation: post, idempotent: false}]}\n"
+           "workspaces:\n"
+           "  demo: {weight: 1, key_sha256: \"" +
+           common::sha256_hex(workspace_key) + "\"}\n";
+}
+
+deployment::deployment(deployment_hooks hooks)
+    : m_hooks{std::move(hooks)}, m_folder{make_folder()} {
     m_platform = std::make_unique<child_process>("standin-platform", std::vector<std::string>{},
                                                  log_path("platform"));
     m_platform_address = m_platform->listening_address("standin-platform/server-0/listener");
@@ -60,7 +81,6 @@
 deployment::~deployment() {
     m_entries.clear();
     m_upstreams.clear();
-    m_hosts.clear();
     m_platform.reset();
     std::error_code ec;
     std::filesystem::remove_all(m_folder, ec);
@@ -77,44 +97,88 @@
     const auto program = "standin-" + kind;
     std::vector<std::string> arguments{"--count=" + std::to_string(count)};
     arguments.insert(arguments.end(), flags.begin(), flags.end());
-    m_hosts.push_back(
-        std::make_unique<child_process>(program, arguments, log_path("host-" + pool)));
+    const auto host = std::make_shared<child_process>(
+        program, arguments, log_path("host-" + std::to_string(m_next_run++)));
+    const auto first = std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                                     [&](const auto& it) { return it.pool == pool; });
     for (int n = 0; n < count; ++n) {
         auto& added = m_upstreams.emplace_back();
-        added.name = pool + "-" + std::to_string(n);
+        added.name = pool + "-" + std::to_string(first + n);
         added.pool = pool;
-        added.upstream_address = m_hosts.back()->listening_address(program + "/server-" +
-                                                                   std::to_string(n) + "/listener");
+        added.host = host;
+        added.host_program = program;
+        added.host_arguments = arguments;
+        added.upstream_address =
+            host->listening_address(program + "/server-" + std::to_string(n) + "/listener");
+        const auto via = m_hooks.upstream_via
+                             ? m_hooks.upstream_via(added.name, added.upstream_address)
+                             : added.upstream_address;
         added.settings_path = write_file(
             added.name + ".yaml", "instance: {name: " + added.name + ", failure_domain: fd-" +
-                                      std::to_string(n % 3) + "}\nupstream: {address: \"" +
-                                      added.upstream_address + "\", kind: " + kind + "}\n");
+                                      std::to_string(n % 3) + "}\nupstream: {address: \"" + via +
+                                      "\", kind: " + kind + "}\n");
         start_sidecar(added);
     }
 }
 
 void deployment::start_sidecar(upstream_instance& instance) {
+    auto arguments = m_hooks.sidecar_flags;
+    arguments.push_back("--settings=" + instance.settings_path);
     instance.sidecar = std::make_unique<child_process>(
-        "jujubemast-sidecar", std::vector<std::string>{"--settings=" + instance.settings_path},
+        m_hooks.sidecar_program, arguments,
         log_path(instance.name + "-" + std::to_string(m_next_run++)));
-    instance.sidecar_address = instance.sidecar->listening_address("jujubemast-sidecar/link");
+    instance.sidecar_address =
+        instance.sidecar->listening_address(m_hooks.sidecar_program + "/link");
+    instance.admin_address =
+        instance.sidecar->listening_address(m_hooks.sidecar_program + "/admin/listener");
+    instance.link_address = m_hooks.link_via
+                                ? m_hooks.link_via(instance.name, instance.sidecar_address)
+                                : instance.sidecar_address;
+}
+
+void deployment::restart_upstream(upstream_instance& instance) {
+    auto arguments = instance.host_arguments;
+    arguments.push_back("--listen=" + instance.upstream_address);
+    instance.host = std::make_shared<child_process>(
+        instance.host_program, arguments, log_path("host-" + std::to_string(m_next_run++)));
+    instance.host->listening_address(instance.host_program + "/server-0/listener");
 }
 
 void deployment::add_entry() {
-    const auto name = "entry-" + std::to_string(m_entries.size());
+    m_entries.emplace_back();
+    m_entry_addresses.emplace_back();
+    m_entry_admin_addresses.emplace_back();
+    start_entry(m_entries.size() - 1);
+}
+
+void deployment::restart_entry(std::size_t n) {
+    start_entry(n);
+}
+
+void deployment::start_entry(std::size_t n) {
+    const auto name = "entry-" + std::to_string(n);
     const auto path =
         write_file(name + ".yaml", "instance: {name: " + name +
-                                       ", failure_domain: fd-0}\napi: {listen: \"127.0.0.1:0\"}\n"
+                                       ", failure_domain: fd-0}\napi: {listen: \"127.0.0.1:0\", "
+                                       "stop_grace_ms: 500}\n"
                                        "platform: {address: \"" +
                                        m_platform_address +
                                        "\", poll_interval_ms: 100}\n"
                                        "membership: {poll_interval_ms: 100}\n");
-    m_entries.push_back(std::make_unique<child_process>(
-        "jujubemast-entry", std::vector<std::string>{"--settings=" + path}, log_path(name)));
-    m_entry_addresses.push_back(
-        m_entries.back()->listening_address("jujubemast-entry/api/listener"));
-    m_entry_admin_addresses.push_back(
-        m_entries.back()->listening_address("jujubemast-entry/admin/listener"));
+    m_entries[n] = std::make_unique<child_process>(
+        "jujubemast-entry", std::vector<std::string>{"--settings=" + path},
+        log_path(name + "-" + std::to_string(m_next_run++)));
+    m_entry_addresses[n] = m_entries[n]->listening_address("jujubemast-entry/api/listener");
+    m_entry_admin_addresses[n] = m_entries[n]->listening_address("jujubemast-entry/admin/listener");
+}
+
+boost::json::value deployment::dump(const std::string& admin_address) {
+    return boost::json::parse(call(admin_address, {"GET", "/dump", {}, {}}).body);
+}
+
+upstream_instance& deployment::upstream(const std::string& name) {
+    return *std::find_if(m_upstreams.begin(), m_upstreams.end(),
+                         [&](const auto& it) { return it.name == name; });
 }
 
 int deployment::run_ctl(const std::vector<std::string>& arguments, std::string& output) {
@@ -146,7 +210,7 @@
         instances.push_back(boost::json::object{{"name", it.name},
                                                 {"pool", it.pool},
                                                 {"failure_domain", "fd-" + std::to_string(n % 3)},
-                                                {"address", it.sidecar_address},
+                                                {"address", it.link_address},
                                                 {"state", leaves ? "leaving" : "live"}});
     }
     call(m_platform_address,
@@ -162,10 +226,9 @@
             return call(m_entry_addresses[n], {"GET", "/readyz", {}, {}}).status == 200;
         });
         wait_until("entry has all links", [&] {
-            const auto dump =
-                boost::json::parse(call(m_entry_admin_addresses[n], {"GET", "/dump", {}, {}}).body);
+            const auto state = dump(m_entry_admin_addresses[n]);
             const auto& upstreams =
-                dump.at("children").at("coordinator").at("detail").at("upstreams").as_object();
+                state.at("children").at("coordinator").at("detail").at("upstreams").as_object();
             std::size_t up = 0;
             for (const auto& it : upstreams) {
                 up += it.value().at("up").as_bool() ? 1 : 0;
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <boost/json/value.hpp>
+
 #include "http/message.h"
 #include "support/child_process.h"
 
@@ -17,15 +20,37 @@
     /// Address of the stand-in itself, for its control calls.
     std::string upstream_address;
     std::string sidecar_address;
+    /// Address in the membership list.
+    std::string link_address;
+    std::string admin_address;
     std::string settings_path;
     std::unique_ptr<child_process> sidecar;
+    /// The process of the stand-in, shared by the instances that were added together.
+    std::shared_ptr<child_process> host;
+    /// How to start that process again at the same address.
+    std::string host_program;
+    std::vector<std::string> host_arguments;
+};
+
+/// Returns the address to use instead of the given one, for example that of a proxy in between.
+using address_hook =
+    std::function<std::string(const std::string& instance, const std::string& address)>;
+
+struct deployment_hooks {
+    /// Between a sidecar and its upstream.
+    address_hook upstream_via;
+    /// Between the entries and a sidecar.
+    address_hook link_via;
+    /// Program and further flags of the sidecars.
+    std::string sidecar_program = "jujubemast-sidecar";
+    std::vector<std::string> sidecar_flags;
 };
 
 /// A small deployment of real processes on loopback: the stand-in platform, pools of stand-in
 /// upstreams with a sidecar each, and entries. Everything ends with this object.
 class deployment {
 public:
-    deployment();
+    explicit deployment(deployment_hooks hooks = {});
     ~deployment();
     deployment(const deployment&) = delete;
     deployment& operator=(const deployment&) = delete;
@@ -57,6 +82,17 @@
     /// Writes a settings file and returns its path.
     std::string write_file(const std::string& name, const std::string& text) const;
 
+    /// Starts a killed stand-in again at its address; only for stand-ins with their own process.
+    void restart_upstream(upstream_instance& instance);
+
+    /// Starts an entry again, at new addresses.
+    void restart_entry(std::size_t n);
+
+    /// Returns the state dump of a process from its admin address.
+    [[nodiscard]] static boost::json::value dump(const std::string& admin_address);
+
+    [[nodiscard]] upstream_instance& upstream(const std::string& name);
+    [[nodiscard]] std::size_t entry_count() const { return m_entries.size(); }
     [[nodiscard]] child_process& entry(std::size_t n) { return *m_entries.at(n); }
     [[nodiscard]] const std::string& entry_address(std::size_t n) const {
         return m_entry_addresses.at(n);
@@ -74,10 +110,12 @@
     void start_sidecar(upstream_instance& instance);
 
 private:
+    void start_entry(std::size_t n);
+
+    deployment_hooks m_hooks;
     std::string m_folder;
     std::unique_ptr<child_process> m_platform;
     std::string m_platform_address;
-    std::vector<std::unique_ptr<child_process>> m_hosts;
     std::vector<upstream_instance> m_upstreams;
     std::vector<std::unique_ptr<child_process>> m_entries;
     std::vector<std::string> m_entry_addresses;
@@ -89,4 +127,9 @@
 /// the workspace "demo".
 std::string standard_ticket();
 
+/// The ticket of the failure tests: three pools. Pipeline
+/// "answer" encodes and generates, "read" is one idempotent call to the ledger, "post" encodes and
+/// then makes a non-idempotent call to the ledger.
+std::string failure_ticket();
+
 } // namespace jujubemast::tests
--- a/tests/support/http_call.cpp
+++ b/tests/support/http_call.cpp
@@ -12,12 +12,12 @@
 
 namespace beast_http = boost::beast::http;
 
-http::response call(const std::string& address, const http::request& request,
-                    std::chrono::seconds timeout) {
-    boost::asio::io_context context;
-    boost::beast::tcp_stream stream{context};
-    const auto target = http::parse_endpoint(address);
-    beast_http::request<beast_http::string_body> message;
+namespace {
+
+using request_message = beast_http::request<beast_http::string_body>;
+
+request_message to_message(const std::string& address, const http::request& request) {
+    request_message message;
     message.method_string(request.method);
     message.target(request.target);
     message.version(11);
@@ -28,37 +28,93 @@
     }
     message.body() = request.body;
     message.prepare_payload();
+    return message;
+}
+
+/// One call on its own connection and event loop.
+class exchange {
+public:
+    exchange(const std::string& address, const http::request& request,
+             std::function<void(const std::string&)> on_body)
+        : m_message{to_message(address, request)}, m_on_body{std::move(on_body)} {
+        const auto target = http::parse_endpoint(address);
+        m_remote = {boost::asio::ip::make_address(target.host), target.port};
+    }
+
+    boost::system::error_code run(std::chrono::seconds timeout) {
+        m_stream.expires_after(timeout);
+        m_stream.async_connect(m_remote, [this](boost::system::error_code ec) {
+            if (!failed(ec)) {
+                write();
+            }
+        });
+        m_context.run();
+        return m_result;
+    }
+
+    const beast_http::response_parser<beast_http::string_body>& answer() { return m_parser; }
+
+private:
+    bool failed(boost::system::error_code ec) {
+        m_result = ec;
+        return static_cast<bool>(ec);
+    }
 
-    beast_http::response<beast_http::string_body> answer;
-    boost::beast::flat_buffer buffer;
-    boost::system::error_code result = boost::asio::error::would_block;
-    stream.expires_after(timeout);
-    stream.async_connect({boost::asio::ip::make_address(target.host), target.port},
-                         [&](boost::system::error_code connected) {
-                             result = connected;
-                             if (connected) {
-                                 return;
-                             }
-                             beast_http::async_write(
-                                 stream, message, [&](boost::system::error_code ec, std::size_t) {
-                                     result = ec;
-                                     if (ec) {
-                                         return;
-                                     }
-                                     beast_http::async_read(stream, buffer, answer,
-                                                            [&](boost::system::error_code read,
-                                                                std::size_t) { result = read; });
-                                 });
-                         });
-    context.run();
-    if (result) {
-        throw std::runtime_error{request.method + " " + request.target + ": " + result.message()};
+    void write() {
+        beast_http::async_write(m_stream, m_message,
+                                [this](boost::system::error_code ec, std::size_t /*size*/) {
+                                    if (!failed(ec)) {
+                                        read();
+                                    }
+                                });
     }
-    http::response converted{answer.result_int(), {}, std::move(answer.body())};
-    for (const auto& it : answer) {
-        converted.fields.push_back({std::string{it.name_string()}, std::string{it.value()}});
+
+    void read() {
+        beast_http::async_read_some(m_stream, m_buffer, m_parser,
+                                    [this](boost::system::error_code ec, std::size_t /*size*/) {
+                                        if (m_on_body && !m_parser.get().body().empty()) {
+                                            m_on_body(m_parser.get().body());
+                                        }
+                                        if (!failed(ec) && !m_parser.is_done()) {
+                                            read();
+                                        }
+                                    });
+    }
+
+    boost::asio::io_context m_context;
+    boost::beast::tcp_stream m_stream{m_context};
+    boost::asio::ip::tcp::endpoint m_remote;
+    request_message m_message;
+    std::function<void(const std::string&)> m_on_body;
+    boost::beast::flat_buffer m_buffer;
+    beast_http::response_parser<beast_http::string_body> m_parser;
+    boost::system::error_code m_result;
+};
+
+} // namespace
+
+http::response call(const std::string& address, const http::request& request,
+                    std::chrono::seconds timeout) {
+    exchange it{address, request, {}};
+    if (const auto ec = it.run(timeout)) {
+        throw std::runtime_error{request.method + " " + request.target + ": " + ec.message()};
+    }
+    const auto& answer = it.answer().get();
+    http::response converted{answer.result_int(), {}, answer.body()};
+    for (const auto& field : answer) {
+        converted.fields.push_back({std::string{field.name_string()}, std::string{field.value()}});
     }
     return converted;
 }
 
+received_answer receive(const std::string& address, const http::request& request,
+                        const std::function<void(const std::string&)>& on_body,
+                        std::chrono::seconds timeout) {
+    exchange it{address, request, on_body};
+    const auto ec = it.run(timeout);
+    const auto& parser = it.answer();
+    const auto status = parser.is_header_done() ? parser.get().result_int() : 0U;
+    return {status, parser.get().body(), !ec && parser.is_done()};
+}
+
 } // namespace jujubemast::tests
--- a/tests/support/http_call.h
+++ b/tests/support/http_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <string>
 
 #include "http/message.h"
@@ -12,4 +13,18 @@
 http::response call(const std::string& address, const http::request& request,
                     std::chrono::seconds timeout = std::chrono::seconds{30});
 
+/// What a caller has received of an answer, whole or not.
+struct received_answer {
+    unsigned status = 0;
+    std::string body;
+    /// The answer ended as HTTP demands. False when it was cut off.
+    bool complete = false;
+};
+
+/// Like `call`, but a failure ends the answer instead of throwing. `on_body` is called with all of
+/// the body so far whenever some arrives.
+received_answer receive(const std::string& address, const http::request& request,
+                        const std::function<void(const std::string&)>& on_body = {},
+                        std::chrono::seconds timeout = std::chrono::seconds{30});
+
 } // namespace jujubemast::tests
