--- a/source/core/entry/coordinator.cpp
+++ b/source/core/entry/coordinator.cpp
@@ -130,7 +130,14 @@
 void coordinator::handle(const work_message& message) {
     const auto identity = identity_of(message.content);
     const auto position = m_ids.find(identity.request_id);
-    if (position == m_ids.end()) {
+    const bool current =
+        position != m_ids.end() && m_requests.at(position->second).flow.is_current(identity);
+    const bool refused = std::holds_alternative<protocol::refusal>(message.content);
+    if (refused || (!current && std::holds_alternative<protocol::result_end>(message.content))) {
+        // Nothing more is needed of this work, so the sidecar need not send its outcome again.
+        m_links.send(send_work{message.instance, protocol::acknowledge{identity}});
+    }
+    if (!current) {
         return;
     }
     const auto id = position->second;
@@ -149,10 +156,14 @@
     auto& upstream = m_upstreams[message.instance.name];
     const bool lost =
         upstream.status.up && (!message.up || message.incarnation != upstream.status.incarnation);
+    const bool reconnected =
+        upstream.status.up && message.up && message.connection != upstream.status.connection;
     upstream.status = message;
     upstream.sent_since_report = 0;
     if (lost) {
         fail_work_on(message.instance.name);
+    } else if (reconnected) {
+        ask_for_work_on(message.instance.name);
     }
 }
 
@@ -173,14 +184,26 @@
                     m_hooks.clock()));
 }
 
-void coordinator::fail_work_on(const std::string& instance) {
+std::vector<std::uint64_t> coordinator::requests_on(const std::string& instance) const {
     std::vector<std::uint64_t> affected;
     for (const auto& [id, request] : m_requests) {
         if (request.flow.assigned_instance() == instance) {
             affected.push_back(id);
         }
     }
-    for (const auto id : affected) {
+    return affected;
+}
+
+void coordinator::ask_for_work_on(const std::string& instance) {
+    for (const auto id : requests_on(instance)) {
+        if (const auto it = m_requests.find(id); it != m_requests.end()) {
+            perform(id, it->second.flow.link_reconnected(instance));
+        }
+    }
+}
+
+void coordinator::fail_work_on(const std::string& instance) {
+    for (const auto id : requests_on(instance)) {
         if (const auto it = m_requests.find(id); it != m_requests.end()) {
             perform(id, it->second.flow.link_lost(instance, m_hooks.clock()));
         }
@@ -250,7 +273,7 @@
     message.resume_offset = action.resume_offset;
     message.trace_parent = plan.trace_parent;
     ++upstream->sent_since_report;
-    flow.stage_dispatched(status.instance.name, status.incarnation, now);
+    flow.stage_dispatched(status.instance.name, status.incarnation, message.deadline_us);
     if (!m_links.send(send_work{status.instance.name, message})) {
         handle(work_not_sent{status.instance.name, message.identity});
     }
--- a/source/core/entry/coordinator.h
+++ b/source/core/entry/coordinator.h
@@ -72,6 +72,8 @@
     void begin_stream(active_request& request);
     void remove_if_finished(std::uint64_t id);
     void fail_work_on(const std::string& instance);
+    void ask_for_work_on(const std::string& instance);
+    [[nodiscard]] std::vector<std::uint64_t> requests_on(const std::string& instance) const;
     [[nodiscard]] upstream_state* choose(const request_flow& flow, const dispatch_stage& action);
 
     runtime::task_context m_context;
--- a/source/core/entry/links.cpp
+++ b/source/core/entry/links.cpp
@@ -1,5 +1,7 @@
 #include "entry/links.h"
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -76,7 +78,7 @@
 void links::open(link& target) {
     const auto name = target.instance.name;
     target.socket.reset();
-    target.nonce = 0;
+    target.unanswered.clear();
     target.opened = common::monotonic_clock::now();
     try {
         target.socket = std::make_unique<wire::dealer>(
@@ -106,10 +108,14 @@
     if (!target.socket) {
         return;
     }
-    const protocol::ping message{m_entry_name, m_next_nonce, m_revision};
-    if (target.socket->send(wire::encode(message))) {
-        target.nonce = m_next_nonce++;
-        target.ping_sent = now;
+    while (!target.unanswered.empty() &&
+           now - target.unanswered.front().sent > m_limits.silence_limit) {
+        target.unanswered.pop_front();
+    }
+    const bool leaving = target.instance.state == platform::instance_state::leaving;
+    if (target.socket->send(
+            wire::encode(protocol::ping{m_entry_name, m_next_nonce, m_revision, leaving}))) {
+        target.unanswered.push_back({m_next_nonce++, now});
     }
 }
 
@@ -131,10 +137,16 @@
 }
 
 void links::pong_received(link& target, const protocol::pong& pong) {
-    if (pong.nonce != target.nonce) {
+    const auto now = common::monotonic_clock::now();
+    auto& unanswered = target.unanswered;
+    const auto answered = std::find_if(unanswered.begin(), unanswered.end(),
+                                       [&](const auto& it) { return it.nonce == pong.nonce; });
+    // An answer that is older than the silence limit, for example because one of the processes was
+    // stopped, says nothing of the link and would give a deadline that is much too early.
+    if (answered == unanswered.end() || now - answered->sent > m_limits.silence_limit) {
         return;
     }
-    const auto now = common::monotonic_clock::now();
+    unanswered.erase(unanswered.begin(), std::next(answered));
     target.last_pong = now;
     auto& status = target.status;
     status.up = true;
@@ -144,6 +156,7 @@
     // never later than the true one.
     status.clock_offset_us = pong.clock_us - common::to_microseconds(now);
     status.load = pong.load;
+    status.connection = pong.connection;
     report(target);
 }
 
--- a/source/core/entry/links.h
+++ b/source/core/entry/links.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,12 +35,17 @@
     [[nodiscard]] boost::json::value dump() const override;
 
 private:
+    struct sent_ping {
+        std::uint64_t nonce = 0;
+        common::time_point sent;
+    };
+
     struct link {
         platform::instance instance;
         std::unique_ptr<wire::dealer> socket;
         link_status status;
-        std::uint64_t nonce = 0;
-        common::time_point ping_sent;
+        /// Heartbeats without an answer yet, oldest first.
+        std::deque<sent_ping> unanswered;
         common::time_point last_pong;
         common::time_point opened;
         std::uint64_t replacements = 0;
--- a/source/core/entry/messages.h
+++ b/source/core/entry/messages.h
@@ -61,6 +61,8 @@
     /// What to add to this process's monotonic clock to get the sidecar's, in microseconds.
     std::int64_t clock_offset_us = 0;
     protocol::load_report load;
+    /// Number of the connection at the sidecar; changes when the transport reconnects.
+    std::uint64_t connection = 0;
 };
 
 /// The instance has left the membership list and its link is closed.
--- a/source/core/entry/request_flow.cpp
+++ b/source/core/entry/request_flow.cpp
@@ -13,12 +13,17 @@
 // Bounds the memory that chunks received ahead of a gap may take.
 constexpr std::size_t max_early_chunks = 1024;
 
+// A bound on how often work can be handed back, should all sidecars of a pool leave in turn.
+constexpr std::uint32_t max_moves = 16;
+
 constexpr std::int64_t microseconds_per_second = 1000000;
 
 /// What one payload of an upstream contributes to the stage's output.
 struct payload_content {
     std::string text;
     std::uint64_t tokens = 0;
+    /// Position of the first token in the whole output.
+    std::optional<std::uint64_t> offset;
 };
 
 payload_content parse_payload(const std::string& payload) {
@@ -26,14 +31,18 @@
     const auto value = boost::json::parse(payload, ec);
     const auto* object = ec ? nullptr : value.if_object();
     if (object == nullptr) {
-        return {payload, 0};
+        return {payload, 0, std::nullopt};
     }
     if (const auto* output = object->if_contains("output"); output != nullptr) {
         return {output->is_string() ? std::string{output->as_string()}
                                     : boost::json::serialize(*output),
-                0};
+                0, std::nullopt};
     }
     payload_content content;
+    if (const auto* offset = object->if_contains("offset");
+        offset != nullptr && offset->is_number()) {
+        content.offset = offset->to_number<std::uint64_t>();
+    }
     if (const auto* tokens = object->if_contains("tokens");
         tokens != nullptr && tokens->is_array()) {
         for (const auto& it : tokens->as_array()) {
@@ -84,6 +93,13 @@
 }
 
 flow_actions request_flow::start_attempt() {
+    if (m_output_tokens == 0) {
+        // Only tokens are resumed; any other output is produced again from its beginning.
+        m_output.clear();
+    }
+    m_output_before = m_output.size();
+    m_tokens_before = m_output_tokens;
+    m_damaged = false;
     m_next_sequence = 0;
     m_early_chunks.clear();
     m_digest = {};
@@ -100,9 +116,10 @@
 }
 
 void request_flow::stage_dispatched(const std::string& instance, std::uint64_t incarnation,
-                                    common::time_point /*now*/) {
+                                    std::int64_t deadline_us) {
     m_instance = instance;
     m_incarnation = incarnation;
+    m_deadline_us = deadline_us;
     m_in_flight = true;
 }
 
@@ -142,10 +159,16 @@
 void request_flow::take_payload(const std::string& payload, flow_actions& actions) {
     m_digest.update(payload);
     auto content = parse_payload(payload);
+    // An upstream that does not resume where it was asked to would repeat or skip tokens.
+    m_damaged = m_damaged || (content.offset && *content.offset != m_output_tokens);
+    if (m_damaged) {
+        return;
+    }
     m_output += content.text;
     m_output_tokens += content.tokens;
     const bool last_stage = m_stage + 1 == m_plan.pipeline.stages.size();
-    if (m_plan.stream && last_stage && !content.text.empty()) {
+    // Output without tokens cannot be resumed, so a piece of it might be delivered twice.
+    if (m_plan.stream && last_stage && content.tokens > 0 && !content.text.empty()) {
         actions.emplace_back(deliver_piece{std::move(content.text)});
     }
 }
@@ -160,18 +183,37 @@
 
 flow_actions request_flow::check_complete(common::time_point now) {
     if (m_next_sequence < m_end->chunk_count) {
-        return {send_to_upstream{m_instance, protocol::fetch{m_end->identity, m_next_sequence}}};
+        return {send_to_upstream{m_instance,
+                                 protocol::fetch{m_end->identity, m_next_sequence, m_deadline_us}}};
     }
-    if (m_digest.value() != m_end->digest || m_next_sequence > m_end->chunk_count) {
-        return attempt_failed(problem_kind::upstream_failed, common::execution::ran,
-                              "result does not match its digest", 0, now);
+    if (m_damaged || m_digest.value() != m_end->digest || m_next_sequence > m_end->chunk_count) {
+        return result_damaged(now);
     }
     return complete_stage(now);
 }
 
+flow_actions request_flow::result_damaged(common::time_point now) {
+    const protocol::refusal refusal{identity(), protocol::refusal_reason::upstream_failed,
+                                    common::execution::ran, 0, "result does not match its digest"};
+    const bool last_stage = m_stage + 1 == m_plan.pipeline.stages.size();
+    if (m_plan.stream && last_stage && m_output_tokens > m_tokens_before) {
+        // The caller already has a part of the damaged output.
+        m_in_flight = false;
+        m_ran = true;
+        return fail(problem_kind::upstream_failed, refusal.detail);
+    }
+    m_output.resize(m_output_before);
+    m_output_tokens = m_tokens_before;
+    return attempt_failed(problem_kind::upstream_failed, refusal, now);
+}
+
 flow_actions request_flow::complete_stage(common::time_point now) {
     flow_actions actions{send_to_upstream{m_instance, protocol::acknowledge{m_end->identity}}};
     m_ran = true;
+    const bool last_stage = m_stage + 1 == m_plan.pipeline.stages.size();
+    if (m_plan.stream && last_stage && m_output_tokens == 0 && !m_output.empty()) {
+        actions.emplace_back(deliver_piece{m_output});
+    }
     m_reports.push_back({stage().name, m_instance, m_attempt + 1, now - m_stage_begin,
                          m_end->queue_us, m_end->service_us});
     m_context = std::exchange(m_output, {});
@@ -179,6 +221,7 @@
     m_in_flight = false;
     ++m_stage;
     m_attempt = 0;
+    m_moves = 0;
     m_excluded.clear();
     m_stage_begin = now;
     if (m_stage == m_plan.pipeline.stages.size()) {
@@ -203,16 +246,14 @@
         m_ran = m_ran || refusal.execution == common::execution::ran;
         return fail(problem_kind::deadline_exceeded, refusal.detail);
     case protocol::refusal_reason::overloaded:
-        return attempt_failed(problem_kind::overloaded, refusal.execution, refusal.detail,
-                              refusal.retry_after_us, now);
+        return attempt_failed(problem_kind::overloaded, refusal, now);
     case protocol::refusal_reason::wrong_incarnation:
     case protocol::refusal_reason::cancelled:
     case protocol::refusal_reason::draining:
     case protocol::refusal_reason::model_unavailable:
     case protocol::refusal_reason::not_found:
     case protocol::refusal_reason::upstream_failed:
-        return attempt_failed(problem_kind::upstream_failed, refusal.execution, refusal.detail,
-                              refusal.retry_after_us, now);
+        return attempt_failed(problem_kind::upstream_failed, refusal, now);
     }
     return {};
 }
@@ -221,20 +262,42 @@
     if (m_finished || !m_in_flight || m_instance != instance) {
         return {};
     }
-    return attempt_failed(problem_kind::upstream_failed, common::execution::unknown,
-                          "lost the link to the upstream", 0, now);
+    return attempt_failed(problem_kind::upstream_failed,
+                          {identity(), protocol::refusal_reason::upstream_failed,
+                           common::execution::unknown, 0, "lost the link to the upstream"},
+                          now);
+}
+
+flow_actions request_flow::link_reconnected(const std::string& instance) const {
+    if (m_finished || !m_in_flight || m_instance != instance) {
+        return {};
+    }
+    return {
+        send_to_upstream{m_instance, protocol::fetch{identity(), m_next_sequence, m_deadline_us}}};
+}
+
+protocol::work_identity request_flow::identity() const {
+    return {m_plan.request_id, static_cast<std::uint32_t>(m_stage), m_attempt, m_incarnation};
+}
+
+bool request_flow::may_retry(protocol::refusal_reason reason, bool not_run,
+                             common::time_point now) {
+    if (reason == protocol::refusal_reason::draining && not_run && m_moves < max_moves) {
+        ++m_moves;
+    }
+    return m_may_retry(stage(), m_attempt + 1 - m_moves, not_run, m_plan.deadline - now);
 }
 
-flow_actions request_flow::attempt_failed(problem_kind kind, common::execution outcome,
-                                          std::string detail, std::int64_t retry_after_us,
+flow_actions request_flow::attempt_failed(problem_kind kind, const protocol::refusal& refusal,
                                           common::time_point now) {
+    const auto outcome = refusal.execution;
     m_in_flight = false;
     m_ran = m_ran || outcome == common::execution::ran;
     m_unknown = m_unknown || outcome == common::execution::unknown;
     m_excluded.push_back(m_instance);
     const bool not_run = outcome == common::execution::not_run;
-    if (!m_may_retry(stage(), m_attempt + 1, not_run, m_plan.deadline - now)) {
-        return fail(kind, std::move(detail), retry_after_us);
+    if (!may_retry(refusal.reason, not_run, now)) {
+        return fail(kind, refusal.detail, refusal.retry_after_us);
     }
     ++m_attempt;
     return start_attempt();
@@ -262,9 +325,8 @@
 
 void request_flow::append_cancel(flow_actions& actions) {
     if (m_in_flight) {
-        actions.emplace_back(send_to_upstream{
-            m_instance, protocol::cancel{{m_plan.request_id, static_cast<std::uint32_t>(m_stage),
-                                          m_attempt, m_incarnation}}});
+        actions.emplace_back(
+            send_to_upstream{m_instance, protocol::cancel{identity(), m_deadline_us}});
     }
 }
 
--- a/source/core/entry/request_flow.h
+++ b/source/core/entry/request_flow.h
@@ -91,9 +91,9 @@
 
     flow_actions begin(common::time_point now);
 
-    /// The stage was sent to this upstream.
+    /// The stage was sent to this upstream, with this deadline in the sidecar's clock.
     void stage_dispatched(const std::string& instance, std::uint64_t incarnation,
-                          common::time_point now);
+                          std::int64_t deadline_us);
     /// No upstream could take the stage.
     flow_actions stage_not_dispatched(common::time_point now);
 
@@ -102,11 +102,15 @@
     flow_actions refusal_received(const protocol::refusal& refusal, common::time_point now);
     /// The link to an upstream was lost, or its sidecar has restarted.
     flow_actions link_lost(const std::string& instance, common::time_point now);
+    /// The connection to the upstream was replaced and may have lost messages.
+    flow_actions link_reconnected(const std::string& instance) const;
     flow_actions deadline_passed();
     /// The caller has closed its connection.
     flow_actions caller_gone();
 
     [[nodiscard]] bool finished() const { return m_finished; }
+    /// Whether this names the attempt that is in progress.
+    [[nodiscard]] bool is_current(const protocol::work_identity& identity) const;
     [[nodiscard]] const request_plan& plan() const { return m_plan; }
     /// The upstream that holds the current stage, if any.
     [[nodiscard]] const std::string& assigned_instance() const { return m_instance; }
@@ -115,14 +119,17 @@
 
 private:
     [[nodiscard]] const tickets::stage_settings& stage() const;
-    [[nodiscard]] bool is_current(const protocol::work_identity& identity) const;
+    [[nodiscard]] protocol::work_identity identity() const;
+    [[nodiscard]] bool may_retry(protocol::refusal_reason reason, bool not_run,
+                                 common::time_point now);
     flow_actions start_attempt();
     flow_actions accept_pieces();
     void take_payload(const std::string& payload, flow_actions& actions);
     flow_actions check_complete(common::time_point now);
     flow_actions complete_stage(common::time_point now);
-    flow_actions attempt_failed(problem_kind kind, common::execution outcome, std::string detail,
-                                std::int64_t retry_after_us, common::time_point now);
+    flow_actions result_damaged(common::time_point now);
+    flow_actions attempt_failed(problem_kind kind, const protocol::refusal& refusal,
+                                common::time_point now);
     flow_actions fail(problem_kind kind, std::string detail, std::int64_t retry_after_us = 0);
     void append_cancel(flow_actions& actions);
     [[nodiscard]] std::string stage_body() const;
@@ -133,6 +140,7 @@
     std::uint32_t m_attempt = 0;
     std::string m_instance;
     std::uint64_t m_incarnation = 0;
+    std::int64_t m_deadline_us = 0;
     bool m_in_flight = false;
     bool m_ran = false;
     bool m_unknown = false;
@@ -143,6 +151,12 @@
     /// Output of the current stage so far, over all of its attempts.
     std::string m_output;
     std::uint64_t m_output_tokens = 0;
+    /// Size of the output, and of its part in tokens, when the current attempt began.
+    std::size_t m_output_before = 0;
+    std::uint64_t m_tokens_before = 0;
+    bool m_damaged = false;
+    /// Attempts that a leaving sidecar has handed back; they do not count as failures.
+    std::uint32_t m_moves = 0;
     std::uint32_t m_next_sequence = 0;
     std::map<std::uint32_t, std::string> m_early_chunks;
     common::content_digest m_digest;
--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -231,6 +231,10 @@
         m_ended = true;
         boost::system::error_code ignored;
         m_stream->socket().close(ignored);
+        if (fault == call_fault::timeout) {
+            // Connections that have gone silent look like idle ones; new connections may work.
+            owner->idle.clear();
+        }
         owner->calls.erase(m_id);
         if (m_hooks.on_error) {
             m_hooks.on_error({fault, m_sent, std::move(detail)});
--- a/source/core/protocol/messages.h
+++ b/source/core/protocol/messages.h
@@ -54,6 +54,8 @@
     std::string entry;
     std::uint64_t nonce = 0;
     std::uint64_t revision = 0;
+    /// The membership list that the entry holds says that this instance is leaving.
+    bool leaving = false;
 };
 
 /// Answer to a heartbeat, with what routing needs to know.
@@ -65,6 +67,9 @@
     std::uint64_t revision = 0;
     bool draining = false;
     load_report load;
+    /// Number of the connection that the heartbeat came over. A new number tells the entry that
+    /// the transport has reconnected and may have lost messages in both directions.
+    std::uint64_t connection = 0;
 };
 
 /// Asks a sidecar to run one stage.
@@ -112,6 +117,8 @@
 
 struct cancel {
     work_identity identity;
+    /// The deadline of the cancelled dispatch; until then a late copy of it has to be refused.
+    std::int64_t deadline_us = 0;
 };
 
 /// Confirms a cancellation and says whether the work was executed.
@@ -125,10 +132,13 @@
     work_identity identity;
 };
 
-/// Asks for the chunks of a result again, from this sequence number on.
+/// Asks for the chunks of a result again, from this sequence number on. Work that the sidecar does
+/// not know is refused as not run and stays refused until the deadline.
 struct fetch {
     work_identity identity;
     std::uint32_t from_sequence = 0;
+    /// The deadline of the dispatch.
+    std::int64_t deadline_us = 0;
 };
 
 struct configuration_fetch {
--- a/source/core/sidecar/admission.cpp
+++ b/source/core/sidecar/admission.cpp
@@ -11,6 +11,11 @@
 // Results and tombstones are looked through for passed deadlines at this interval.
 constexpr common::duration expiry_interval = std::chrono::milliseconds{50};
 
+// The translated deadline is early by at most the age of the heartbeat answer it was derived from,
+// which is bounded by the entries' silence limit. Records are kept for longer than that, so that a
+// late copy of a dispatch is not called "not run" while an entry still waits for its outcome.
+constexpr common::duration record_grace = std::chrono::seconds{2};
+
 } // namespace
 
 admission::admission(runtime::task_context context,
@@ -35,14 +40,77 @@
     m_draining = true;
     m_done = done;
     announce_status();
+    give_up_queue("the sidecar is stopping");
+    check_drained();
+}
+
+void admission::give_up_queue(const std::string& detail) {
     // Queued work has not run, so the entries can send it elsewhere.
     while (const auto next = m_hooks.queue.pop(m_hooks.clock())) {
         refuse(m_records.at(next->id), protocol::refusal_reason::draining,
-               common::execution::not_run, "the sidecar is stopping");
+               common::execution::not_run, detail);
+    }
+}
+
+void admission::handle(const leaving_changed& message) {
+    m_leaving = message.leaving;
+    m_log.info(m_leaving ? "Instance is leaving." : "Instance is no longer leaving.");
+    if (m_leaving) {
+        give_up_queue("the instance is leaving");
+    }
+}
+
+void admission::handle(const connection_lost& message) {
+    for (auto& [id, record] : m_records) {
+        if (record.routing_id == message.routing_id) {
+            abandon(record);
+        }
     }
+    run_next();
     check_drained();
 }
 
+void admission::abandon(work_record& record) {
+    auto execution = common::execution::not_run;
+    switch (record.state) {
+    case work_state::queued:
+        m_hooks.queue.remove(record.id);
+        break;
+    case work_state::running:
+        if (!record.dispatch.idempotent) {
+            // Cutting off a call does not undo it, and its outcome would stay open at the upstream.
+            record.orphaned = true;
+            return;
+        }
+        execution = common::execution::unknown;
+        cancel_running(record);
+        break;
+    case work_state::finished:
+        execution = common::execution::ran;
+        break;
+    case work_state::cancelled:
+    case work_state::released:
+        return;
+    }
+    bury(record, execution, "the connection was silent");
+}
+
+void admission::bury(work_record& record, common::execution execution, std::string detail) {
+    release(record);
+    record.state = work_state::cancelled;
+    record.outcome = std::make_unique<protocol::message>(
+        protocol::refusal{record.dispatch.identity, protocol::refusal_reason::cancelled, execution,
+                          0, std::move(detail)});
+}
+
+void admission::release(work_record& record) {
+    record.state = work_state::released;
+    record.chunks.clear();
+    record.dispatch.body.clear();
+    record.outcome.reset();
+    m_unacknowledged.erase(record.id);
+}
+
 void admission::close() noexcept {
     m_inbox.close();
     m_expiry_timer.cancel();
@@ -64,8 +132,9 @@
                                   const protocol::dispatch& dispatch) {
     const auto now = m_hooks.clock();
     if (dispatch.identity.incarnation != m_incarnation) {
+        // A copy of this dispatch may have run in that process.
         send_refusal(routing_id, dispatch.identity, protocol::refusal_reason::wrong_incarnation,
-                     common::execution::not_run, "addressed to an earlier process");
+                     common::execution::unknown, "addressed to an earlier process");
         return;
     }
     if (auto* known = find(dispatch.identity)) {
@@ -82,9 +151,9 @@
                      common::execution::not_run, "the deadline had passed on arrival");
         return;
     }
-    if (m_draining) {
+    if (!takes_work()) {
         send_refusal(routing_id, dispatch.identity, protocol::refusal_reason::draining,
-                     common::execution::not_run, "the sidecar is stopping");
+                     common::execution::not_run, "the instance is leaving or stopping");
         return;
     }
     const auto id = m_next_id++;
@@ -141,41 +210,52 @@
     auto execution = common::execution::not_run;
     if (record == nullptr) {
         // The tombstone refuses the dispatch, should it arrive after its cancellation.
-        const auto id = m_next_id++;
-        record = &m_records[id];
-        record->id = id;
-        record->dispatch.identity = cancel.identity;
-        record->deadline = m_hooks.clock() + std::chrono::minutes{1};
-        m_ids.emplace(cancel.identity, id);
-        m_deadlines.emplace(record->deadline, id);
+        record = &add_tombstone(cancel.identity, cancel.deadline_us);
     } else if (record->state == work_state::queued) {
         m_hooks.queue.remove(record->id);
     } else if (record->state == work_state::running) {
         execution = common::execution::unknown;
         cancel_running(*record);
+    } else if (record->state == work_state::cancelled) {
+        m_link.send(send_to_entry{routing_id, *record->outcome});
+        return;
     } else {
         execution = common::execution::ran;
     }
     record->routing_id = routing_id;
-    record->state = work_state::cancelled;
-    record->chunks.clear();
-    record->outcome = std::make_unique<protocol::message>(
-        protocol::refusal{cancel.identity, protocol::refusal_reason::cancelled, execution, 0,
-                          "cancelled by the entry"});
+    bury(*record, execution, "cancelled by the entry");
     m_link.send(send_to_entry{routing_id, protocol::cancelled{cancel.identity, execution}});
     run_next();
     check_drained();
 }
 
+admission::work_record& admission::add_tombstone(const protocol::work_identity& identity,
+                                                 std::int64_t deadline_us) {
+    // A dispatch that arrives after its deadline is refused without a tombstone.
+    const auto id = m_next_id++;
+    auto& record = m_records[id];
+    record.id = id;
+    record.dispatch.identity = identity;
+    record.state = work_state::cancelled;
+    record.deadline = common::from_microseconds(deadline_us);
+    record.outcome = std::make_unique<protocol::message>(
+        protocol::refusal{identity, protocol::refusal_reason::not_found, common::execution::not_run,
+                          0, "the work had not arrived when it was asked for"});
+    m_ids.emplace(identity, id);
+    m_deadlines.emplace(record.deadline, id);
+    return record;
+}
+
 void admission::cancel_running(work_record& record) {
     --m_running;
     m_upstream.send(cancel_call{record.id});
 }
 
 void admission::acknowledge_received(const protocol::acknowledge& acknowledge) {
-    if (const auto* record = find(acknowledge.identity)) {
+    if (auto* record = find(acknowledge.identity)) {
         if (record->state == work_state::finished) {
-            forget(record->id);
+            // The record stays until the deadline; without it a repeated dispatch would run again.
+            release(*record);
             check_drained();
         }
     }
@@ -183,12 +263,18 @@
 
 void admission::fetch_received(const std::string& routing_id, const protocol::fetch& fetch) {
     auto* record = find(fetch.identity);
-    if (record == nullptr) {
-        send_refusal(routing_id, fetch.identity, protocol::refusal_reason::not_found,
-                     common::execution::unknown, "no such result is held");
+    if (record == nullptr && fetch.identity.incarnation != m_incarnation) {
+        send_refusal(routing_id, fetch.identity, protocol::refusal_reason::wrong_incarnation,
+                     common::execution::unknown, "addressed to an earlier process");
         return;
     }
+    if (record == nullptr) {
+        // All work is known until its deadline, so this dispatch was lost on its way. The tombstone
+        // keeps the promise that it has not run, should it arrive later.
+        record = &add_tombstone(fetch.identity, fetch.deadline_us);
+    }
     record->routing_id = routing_id;
+    record->orphaned = false;
     for (auto n = fetch.from_sequence; n < record->chunks.size(); ++n) {
         m_link.send(send_to_entry{
             routing_id, protocol::result_chunk{record->dispatch.identity, n, record->chunks[n]}});
@@ -251,6 +337,11 @@
 
 void admission::finish(work_record& record, protocol::message outcome) {
     record.state = work_state::finished;
+    if (record.orphaned) {
+        release(record);
+        return;
+    }
+    m_unacknowledged[record.id] = m_hooks.clock();
     record.outcome = std::make_unique<protocol::message>(std::move(outcome));
     m_link.send(send_to_entry{record.routing_id, *record.outcome});
 }
@@ -271,11 +362,28 @@
     }));
 }
 
+void admission::resend_outcomes(common::time_point now) {
+    for (auto& [id, sent] : m_unacknowledged) {
+        if (now - sent >= m_options.resend_interval) {
+            sent = now;
+            const auto& record = m_records.at(id);
+            m_link.send(send_to_entry{record.routing_id, *record.outcome});
+        }
+    }
+}
+
 void admission::expire() {
     const auto now = m_hooks.clock();
+    resend_outcomes(now);
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const auto id = m_deadlines.begin()->second;
         auto& record = m_records.at(id);
+        m_deadlines.erase(m_deadlines.begin());
+        if (record.deadline + record_grace <= now) {
+            forget(record);
+            continue;
+        }
+        m_deadlines.emplace(record.deadline + record_grace, id);
         if (record.state == work_state::queued) {
             m_hooks.queue.remove(id);
             refuse(record, protocol::refusal_reason::deadline_passed, common::execution::not_run,
@@ -285,24 +393,18 @@
             refuse(record, protocol::refusal_reason::deadline_passed, common::execution::unknown,
                    "the deadline passed at the upstream");
         }
-        forget(id);
+        m_unacknowledged.erase(id);
     }
     run_next();
     announce_status();
     check_drained();
 }
 
-void admission::forget(std::uint64_t id) {
-    const auto it = m_records.find(id);
-    auto [first, last] = m_deadlines.equal_range(it->second.deadline);
-    for (auto entry = first; entry != last; ++entry) {
-        if (entry->second == id) {
-            m_deadlines.erase(entry);
-            break;
-        }
-    }
-    m_ids.erase(it->second.dispatch.identity);
-    m_records.erase(it);
+void admission::forget(const work_record& record) {
+    const auto id = record.id;
+    m_ids.erase(record.dispatch.identity);
+    m_unacknowledged.erase(id);
+    m_records.erase(id);
 }
 
 admission::work_record* admission::find(const protocol::work_identity& identity) {
@@ -318,7 +420,7 @@
 void admission::announce_status() {
     status_changed status;
     status.incarnation = m_incarnation;
-    status.draining = m_draining;
+    status.draining = !takes_work();
     for (std::size_t n = 0; n < common::enumerator_count<common::priority>(); ++n) {
         status.load.queued +=
             static_cast<std::uint32_t>(m_hooks.queue.size(static_cast<common::priority>(n)));
@@ -331,15 +433,10 @@
 }
 
 void admission::check_drained() {
-    if (!m_done || m_running > 0) {
+    // An outcome that is not acknowledged yet may have to be sent again.
+    if (!m_done || m_running > 0 || !m_unacknowledged.empty()) {
         return;
     }
-    for (const auto& [id, record] : m_records) {
-        // A result that is not acknowledged yet may have to be sent again.
-        if (record.state == work_state::finished && !record.chunks.empty()) {
-            return;
-        }
-    }
     std::exchange(m_done, nullptr)();
 }
 
@@ -351,6 +448,7 @@
     }
     return boost::json::object{
         {"incarnation", m_incarnation}, {"draining", m_draining},
+        {"leaving", m_leaving},         {"unacknowledged", m_unacknowledged.size()},
         {"running", m_running},         {"concurrency", m_options.concurrency},
         {"queued", std::move(queued)},  {"records", m_records.size()},
         {"completed", m_completed},     {"failed", m_failed}};
--- a/source/core/sidecar/admission.h
+++ b/source/core/sidecar/admission.h
@@ -19,12 +19,14 @@
 namespace jujubemast::sidecar {
 
 /// Where a piece of work is in its life at a sidecar.
-enum class work_state { queued, running, finished, cancelled };
+enum class work_state { queued, running, finished, cancelled, released };
 
 struct admission_options {
     /// Calls to the upstream at the same time.
     std::uint32_t concurrency = 8;
     std::uint32_t retry_after_ms = 1000;
+    /// An outcome that is not acknowledged is sent again after this time.
+    common::duration resend_interval = std::chrono::milliseconds{500};
 };
 
 struct admission_hooks {
@@ -34,7 +36,8 @@
 };
 
 /// Decides which work runs at the upstream and when. Keeps results until they are acknowledged or
-/// their deadline has passed, and remembers cancelled work for as long.
+/// their deadline has passed. The identity of all work is remembered until its deadline, so that a
+/// late copy of a dispatch never runs.
 class admission final : public runtime::task {
 public:
     admission(runtime::task_context context,
@@ -57,6 +60,8 @@
         common::time_point queued_at;
         common::time_point started_at;
         std::vector<std::string> chunks;
+        /// The connection it came over is gone, so nobody will acknowledge its outcome.
+        bool orphaned = false;
         common::content_digest digest;
         /// The final message, once there is one.
         std::unique_ptr<protocol::message> outcome;
@@ -66,6 +71,8 @@
     void handle(const call_piece& message);
     void handle(const call_done& message);
     void handle(const call_failed& message);
+    void handle(const connection_lost& message);
+    void handle(const leaving_changed& message);
 
     void dispatch_received(const std::string& routing_id, const protocol::dispatch& dispatch);
     void cancel_received(const std::string& routing_id, const protocol::cancel& cancel);
@@ -82,13 +89,20 @@
                       std::string detail);
     void finish(work_record& record, protocol::message outcome);
     void cancel_running(work_record& record);
+    work_record& add_tombstone(const protocol::work_identity& identity, std::int64_t deadline_us);
+    void abandon(work_record& record);
+    void bury(work_record& record, common::execution execution, std::string detail);
+    void release(work_record& record);
+    void give_up_queue(const std::string& detail);
+    void resend_outcomes(common::time_point now);
+    [[nodiscard]] bool takes_work() const { return !m_draining && !m_leaving; }
     void expire();
     void schedule_expiry();
     void announce_status();
     void check_drained();
     work_record* find(const protocol::work_identity& identity);
     work_record* find_call(std::uint64_t id);
-    void forget(std::uint64_t id);
+    void forget(const work_record& record);
 
     runtime::task_context m_context;
     runtime::inbox<admission_message> m_inbox;
@@ -103,10 +117,14 @@
     std::map<std::uint64_t, work_record> m_records;
     std::map<protocol::work_identity, std::uint64_t> m_ids;
     std::multimap<common::time_point, std::uint64_t> m_deadlines;
+    /// Outcomes without acknowledgement, with the time when each was sent last.
+    std::map<std::uint64_t, common::time_point> m_unacknowledged;
     std::uint32_t m_running = 0;
     std::uint64_t m_completed = 0;
     std::uint64_t m_failed = 0;
     bool m_draining = false;
+    /// The membership list says that this instance is leaving.
+    bool m_leaving = false;
     runtime::stop_done m_done;
 };
 
@@ -116,8 +134,8 @@
 
 template <>
 struct enum_names<sidecar::work_state> {
-    static constexpr std::array<std::string_view, 4> table{"queued", "running", "finished",
-                                                           "cancelled"};
+    static constexpr std::array<std::string_view, 5> table{"queued", "running", "finished",
+                                                           "cancelled", "released"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/sidecar/link.cpp
+++ b/source/core/sidecar/link.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/link.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/json.hpp>
@@ -10,30 +11,54 @@
 
 namespace jujubemast::sidecar {
 
+namespace {
+
+// Fraction of the silence limit between two looks at the connections.
+constexpr int checks_per_limit = 8;
+
+} // namespace
+
 link::link(runtime::task_context context, std::shared_ptr<runtime::mailbox<link_command>> inbox,
-           runtime::address<admission_message> admission, std::string listen)
-    : m_context{std::move(context)}, m_inbox{std::move(inbox)},
-      m_admission{std::move(admission)}, m_listen{std::move(listen)} {}
+           runtime::address<admission_message> admission, link_options options, link_hooks hooks)
+    : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_admission{std::move(admission)},
+      m_options{std::move(options)}, m_hooks{std::move(hooks)}, m_timer{m_context.loop()} {}
 
 void link::start() {
+    m_accept = m_context.wrap([this](const std::string& routing_id, const protocol::message& it) {
+        accept(routing_id, it);
+    });
+    m_send = m_context.wrap([this](const std::string& routing_id, const protocol::message& it) {
+        send(routing_id, it);
+    });
     m_inbox.receive(m_context.wrap([this](const link_command& command) {
         std::visit([this](const auto& it) { handle(it); }, command);
     }));
     m_socket = std::make_unique<wire::router>(
-        m_context, m_listen,
+        m_context, m_options.listen,
         m_context.wrap([this](const std::string& routing_id, const std::string& bytes) {
             received(routing_id, bytes);
         }));
     m_log.info("Listening.", {{"task", m_context.path()}, {"address", m_socket->address()}});
+    m_last_check = common::monotonic_clock::now();
+    schedule_check();
 }
 
 void link::close() noexcept {
     m_inbox.close();
+    m_timer.cancel();
     m_socket.reset();
 }
 
 void link::handle(const send_to_entry& command) {
-    if (!m_socket->send(command.routing_id, wire::encode(command.content))) {
+    if (m_hooks.outbound) {
+        m_hooks.outbound(command.routing_id, command.content, m_send);
+        return;
+    }
+    send(command.routing_id, command.content);
+}
+
+void link::send(const std::string& routing_id, const protocol::message& message) {
+    if (!m_socket->send(routing_id, wire::encode(message))) {
         // The entry asks again for what it misses, or has given up.
         ++m_unsent;
     }
@@ -46,31 +71,89 @@
 void link::received(const std::string& routing_id, const std::string& bytes) {
     ++m_received;
     try {
-        auto message = wire::decode(bytes);
-        if (const auto* ping = std::get_if<protocol::ping>(&message)) {
-            answer(routing_id, *ping);
+        const auto message = wire::decode(bytes);
+        if (m_hooks.inbound) {
+            m_hooks.inbound(routing_id, message, m_accept);
             return;
         }
-        if (!m_admission.send(entry_message{routing_id, std::move(message)})) {
-            m_log.warn("Dropped a message; the admission task does not keep up.");
-        }
+        accept(routing_id, message);
     } catch (const common::format_error& e) {
         m_log.warn("Dropped a message.", {{"reason", e.what()}});
     }
 }
 
+void link::accept(const std::string& routing_id, const protocol::message& message) {
+    if (const auto* ping = std::get_if<protocol::ping>(&message)) {
+        note_ping(routing_id, *ping);
+        answer(routing_id, *ping);
+        return;
+    }
+    if (!m_admission.send(entry_message{routing_id, message})) {
+        m_log.warn("Dropped a message; the admission task does not keep up.");
+    }
+}
+
+void link::note_ping(const std::string& routing_id, const protocol::ping& ping) {
+    auto& it = m_connections[routing_id];
+    if (it.number == 0) {
+        it.number = m_next_connection++;
+        it.entry = ping.entry;
+    }
+    it.last_ping = common::monotonic_clock::now();
+    it.leaving = ping.leaving;
+    announce_leaving();
+}
+
+void link::announce_leaving() {
+    const bool leaving = std::any_of(m_connections.begin(), m_connections.end(),
+                                     [](const auto& it) { return it.second.leaving; });
+    if (leaving != m_leaving) {
+        m_leaving = leaving;
+        m_admission.send(leaving_changed{leaving});
+    }
+}
+
+void link::check_silence() {
+    const auto now = common::monotonic_clock::now();
+    // After a pause of this process the heartbeats of live entries still wait in the socket.
+    const bool paused = now - std::exchange(m_last_check, now) > m_options.silence_limit / 2;
+    for (auto it = m_connections.begin(); it != m_connections.end();) {
+        if (paused) {
+            it->second.last_ping = now;
+        }
+        if (now - it->second.last_ping <= m_options.silence_limit) {
+            ++it;
+            continue;
+        }
+        m_log.warn("Connection is silent.", {{"entry", it->second.entry}});
+        m_admission.send(connection_lost{it->first});
+        it = m_connections.erase(it);
+    }
+    announce_leaving();
+}
+
+void link::schedule_check() {
+    m_timer.start(m_options.silence_limit / checks_per_limit, m_context.wrap([this] {
+        check_silence();
+        schedule_check();
+    }));
+}
+
 void link::answer(const std::string& routing_id, const protocol::ping& ping) {
     if (!m_status) {
         return;
     }
     const auto now = common::monotonic_clock::now();
-    handle(send_to_entry{routing_id, protocol::pong{ping.nonce, m_status->incarnation,
-                                                    common::to_microseconds(now), 0,
-                                                    m_status->draining, m_status->load}});
+    handle(send_to_entry{routing_id,
+                         protocol::pong{ping.nonce, m_status->incarnation,
+                                        common::to_microseconds(now), 0, m_status->draining,
+                                        m_status->load, m_connections.at(routing_id).number}});
 }
 
 boost::json::value link::dump() const {
-    return boost::json::object{{"address", m_socket ? m_socket->address() : m_listen},
+    return boost::json::object{{"address", m_socket ? m_socket->address() : m_options.listen},
+                               {"connections", m_connections.size()},
+                               {"leaving", m_leaving},
                                {"received", m_received},
                                {"unsent", m_unsent}};
 }
--- a/source/core/sidecar/link.h
+++ b/source/core/sidecar/link.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,30 +15,69 @@
 
 namespace jujubemast::sidecar {
 
+/// Passes a message on, now, later, several times or never.
+using forward_hook = std::function<void(const std::string& routing_id, const protocol::message&)>;
+using message_filter = std::function<void(const std::string& routing_id, const protocol::message&,
+                                          const forward_hook& forward)>;
+
+/// What tests put between the socket and the task; unset hooks pass every message on at once.
+struct link_hooks {
+    message_filter inbound;
+    message_filter outbound;
+};
+
+struct link_options {
+    std::string listen;
+    /// A connection without a heartbeat for this time is given up. It is longer than the limit of
+    /// the entries, which give up first and then send the work elsewhere.
+    common::duration silence_limit = std::chrono::milliseconds{2000};
+};
+
 /// Owns the ZeroMQ socket towards all entries: answers heartbeats and passes messages on in both
 /// directions. It answers no heartbeat before the admission task has announced its incarnation.
 class link final : public runtime::task {
 public:
     link(runtime::task_context context, std::shared_ptr<runtime::mailbox<link_command>> inbox,
-         runtime::address<admission_message> admission, std::string listen);
+         runtime::address<admission_message> admission, link_options options, link_hooks hooks);
 
     void start() override;
     void close() noexcept override;
     [[nodiscard]] boost::json::value dump() const override;
 
 private:
+    struct connection {
+        std::uint64_t number = 0;
+        std::string entry;
+        common::time_point last_ping;
+        bool leaving = false;
+    };
+
     void handle(const send_to_entry& command);
     void handle(const status_changed& command);
+    void send(const std::string& routing_id, const protocol::message& message);
     void received(const std::string& routing_id, const std::string& bytes);
+    void accept(const std::string& routing_id, const protocol::message& message);
     void answer(const std::string& routing_id, const protocol::ping& ping);
+    void note_ping(const std::string& routing_id, const protocol::ping& ping);
+    void check_silence();
+    void announce_leaving();
+    void schedule_check();
 
     runtime::task_context m_context;
     runtime::inbox<link_command> m_inbox;
     runtime::address<admission_message> m_admission;
-    std::string m_listen;
+    link_options m_options;
+    link_hooks m_hooks;
+    forward_hook m_accept;
+    forward_hook m_send;
     std::unique_ptr<wire::router> m_socket;
+    runtime::timer m_timer;
     logging::logger m_log{"link"};
     std::optional<status_changed> m_status;
+    std::map<std::string, connection> m_connections;
+    std::uint64_t m_next_connection = 1;
+    common::time_point m_last_check;
+    bool m_leaving = false;
     std::uint64_t m_received = 0;
     std::uint64_t m_unsent = 0;
 };
--- a/source/core/sidecar/messages.h
+++ b/source/core/sidecar/messages.h
@@ -33,7 +33,19 @@
     std::string detail;
 };
 
-using admission_message = std::variant<entry_message, call_piece, call_done, call_failed>;
+/// No heartbeat has come over this connection for the silence limit; its entry has vanished or has
+/// given up the connection, and with it the work that it had sent.
+struct connection_lost {
+    std::string routing_id;
+};
+
+/// Whether an entry holds a membership list in which this instance is leaving.
+struct leaving_changed {
+    bool leaving = false;
+};
+
+using admission_message = std::variant<entry_message, call_piece, call_done, call_failed,
+                                       connection_lost, leaving_changed>;
 
 /// Sends a message to an entry.
 struct send_to_entry {
--- a/source/core/sidecar/sidecar_settings.cpp
+++ b/source/core/sidecar/sidecar_settings.cpp
@@ -25,6 +25,13 @@
                                                                  "debug, info, warn or error"};
 const settings::setting<std::string> sidecar_settings::link_listen{
     "link", "listen", "127.0.0.1:0", "address for entries", false, check_address};
+const settings::setting<milliseconds> sidecar_settings::link_silence_limit{
+    "link",
+    "silence_limit_ms",
+    milliseconds{2000},
+    "work of an entry that sends no heartbeat for this time is cancelled, in ms",
+    false,
+    check_positive_duration};
 const settings::setting<std::string> sidecar_settings::admin_listen{
     "admin", "listen", "127.0.0.1:0", "address for health, dump and metrics", false, check_address};
 const settings::setting<std::string> sidecar_settings::upstream_address{
@@ -48,6 +55,7 @@
     &failure_domain,
     &log_level,
     &link_listen,
+    &link_silence_limit,
     &admin_listen,
     &upstream_address,
     &upstream_kind,
--- a/source/core/sidecar/sidecar_settings.h
+++ b/source/core/sidecar/sidecar_settings.h
@@ -10,6 +10,7 @@
     static const settings::setting<std::string> failure_domain;
     static const settings::setting<std::string> log_level;
     static const settings::setting<std::string> link_listen;
+    static const settings::setting<std::chrono::milliseconds> link_silence_limit;
     static const settings::setting<std::string> admin_listen;
     static const settings::setting<std::string> upstream_address;
     static const settings::setting<std::string> upstream_kind;
--- a/source/core/sidecar/sidecar_tree.cpp
+++ b/source/core/sidecar/sidecar_tree.cpp
@@ -56,6 +56,13 @@
 std::vector<runtime::child_spec> make_sidecar_tree(const runtime::executor& loop,
                                                    const runtime::process_hooks& process,
                                                    const settings::values& values) {
+    return make_hooked_sidecar_tree(loop, process, values, {});
+}
+
+std::vector<runtime::child_spec> make_hooked_sidecar_tree(const runtime::executor& loop,
+                                                          const runtime::process_hooks& process,
+                                                          const settings::values& values,
+                                                          const link_hooks& hooks) {
     const auto health_inbox = runtime::make_mailbox<admin::health_message>(loop, mailbox_capacity);
     const auto admission_inbox = runtime::make_mailbox<admission_message>(loop, mailbox_capacity);
     const auto link_inbox = runtime::make_mailbox<link_command>(loop, mailbox_capacity);
@@ -69,12 +76,14 @@
     children.push_back(admin::make_admin_server(
         http::parse_endpoint(values.get(sidecar_settings::admin_listen)),
         runtime::address<admin::health_message>{health_inbox}, {process.dump, {}}));
-    const auto listen = values.get(sidecar_settings::link_listen);
-    children.push_back({"link", [link_inbox, admission_inbox, listen](runtime::task_context it) {
-                            return std::make_shared<link>(
-                                std::move(it), link_inbox,
-                                runtime::address<admission_message>{admission_inbox}, listen);
-                        }});
+    const link_options options{values.get(sidecar_settings::link_listen),
+                               values.get(sidecar_settings::link_silence_limit)};
+    children.push_back(
+        {"link", [link_inbox, admission_inbox, options, hooks](runtime::task_context it) {
+             return std::make_shared<link>(std::move(it), link_inbox,
+                                           runtime::address<admission_message>{admission_inbox},
+                                           options, hooks);
+         }});
     children.push_back(make_upstream(values, upstream_inbox, admission_inbox));
     // Stops first, while the link and the upstream calls still work for it.
     children.push_back(make_admission(values, admission_inbox, link_inbox, upstream_inbox));
--- a/source/core/sidecar/sidecar_tree.h
+++ b/source/core/sidecar/sidecar_tree.h
@@ -4,6 +4,7 @@
 
 #include "runtime/process.h"
 #include "settings/settings.h"
+#include "sidecar/link.h"
 
 namespace jujubemast::sidecar {
 
@@ -12,4 +13,10 @@
                                                    const runtime::process_hooks& process,
                                                    const settings::values& values);
 
+/// The same with hooks between the link's socket and its task, for tests of message faults.
+std::vector<runtime::child_spec> make_hooked_sidecar_tree(const runtime::executor& loop,
+                                                          const runtime::process_hooks& process,
+                                                          const settings::values& values,
+                                                          const link_hooks& hooks);
+
 } // namespace jujubemast::sidecar
--- a/source/core/sidecar/upstream.cpp
+++ b/source/core/sidecar/upstream.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/upstream.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/json.hpp>
@@ -80,9 +81,17 @@
     hooks.on_data = [this, id](std::string_view bytes) { data_received(id, bytes); };
     hooks.on_done = [this, id] { ended(id); };
     hooks.on_error = [this, id](const http::call_error& error) { failed(id, error); };
-    added.http_call =
-        m_client.start(make_request(command), std::move(hooks),
-                       {.repeatable = command.work.idempotent, .head_timeout = command.remaining});
+    added.http_call = m_client.start(
+        make_request(command), std::move(hooks),
+        {.repeatable = command.work.idempotent, .head_timeout = head_limit(command)});
+}
+
+common::duration upstream::head_limit(const start_call& command) const {
+    if (!command.work.idempotent) {
+        return command.remaining;
+    }
+    // Half of the time is left for an attempt elsewhere when the connection has gone silent.
+    return std::min<common::duration>(m_options.progress_timeout, command.remaining / 2);
 }
 
 void upstream::handle(const cancel_call& command) {
--- a/source/core/sidecar/upstream.h
+++ b/source/core/sidecar/upstream.h
@@ -48,6 +48,7 @@
     void handle(const start_call& command);
     void handle(const cancel_call& command);
     [[nodiscard]] http::request make_request(const start_call& command) const;
+    [[nodiscard]] common::duration head_limit(const start_call& command) const;
     void data_received(std::uint64_t id, std::string_view bytes);
     void event_received(std::uint64_t id, const http::stream_event& event);
     void ended(std::uint64_t id);
--- a/source/core/wire/codec.cpp
+++ b/source/core/wire/codec.cpp
@@ -65,6 +65,7 @@
     it.set_entry(in.entry);
     it.set_nonce(in.nonce);
     it.set_revision(in.revision);
+    it.set_leaving(in.leaving);
 }
 
 void put(pb::Envelope& out, const protocol::pong& in) {
@@ -75,6 +76,7 @@
     it.set_revision(in.revision);
     it.set_draining(in.draining);
     put(*it.mutable_load(), in.load);
+    it.set_connection(in.connection);
 }
 
 void put(pb::Envelope& out, const protocol::dispatch& in) {
@@ -119,7 +121,9 @@
 }
 
 void put(pb::Envelope& out, const protocol::cancel& in) {
-    put(*out.mutable_cancel()->mutable_identity(), in.identity);
+    auto& it = *out.mutable_cancel();
+    put(*it.mutable_identity(), in.identity);
+    it.set_deadline_us(in.deadline_us);
 }
 
 void put(pb::Envelope& out, const protocol::cancelled& in) {
@@ -136,6 +140,7 @@
     auto& it = *out.mutable_fetch();
     put(*it.mutable_identity(), in.identity);
     it.set_from_sequence(in.from_sequence);
+    it.set_deadline_us(in.deadline_us);
 }
 
 void put(pb::Envelope& out, const protocol::configuration_fetch& in) {
@@ -150,8 +155,8 @@
 }
 
 protocol::pong get(const pb::Pong& in) {
-    return {in.nonce(),    in.incarnation(), in.clock_us(),
-            in.revision(), in.draining(),    get(in.load())};
+    return {in.nonce(),    in.incarnation(), in.clock_us(),  in.revision(),
+            in.draining(), get(in.load()),   in.connection()};
 }
 
 protocol::dispatch get(const pb::Dispatch& in) {
@@ -183,7 +188,8 @@
 protocol::message get(const pb::Envelope& in) {
     switch (in.content_case()) {
     case pb::Envelope::kPing:
-        return protocol::ping{in.ping().entry(), in.ping().nonce(), in.ping().revision()};
+        return protocol::ping{in.ping().entry(), in.ping().nonce(), in.ping().revision(),
+                              in.ping().leaving()};
     case pb::Envelope::kPong:
         return get(in.pong());
     case pb::Envelope::kDispatch:
@@ -196,14 +202,15 @@
     case pb::Envelope::kRefusal:
         return get(in.refusal());
     case pb::Envelope::kCancel:
-        return protocol::cancel{get(in.cancel().identity())};
+        return protocol::cancel{get(in.cancel().identity()), in.cancel().deadline_us()};
     case pb::Envelope::kCancelled:
         return protocol::cancelled{get(in.cancelled().identity()),
                                    to_enum<common::execution>(in.cancelled().execution())};
     case pb::Envelope::kAcknowledge:
         return protocol::acknowledge{get(in.acknowledge().identity())};
     case pb::Envelope::kFetch:
-        return protocol::fetch{get(in.fetch().identity()), in.fetch().from_sequence()};
+        return protocol::fetch{get(in.fetch().identity()), in.fetch().from_sequence(),
+                               in.fetch().deadline_us()};
     case pb::Envelope::kConfigurationFetch:
         return protocol::configuration_fetch{in.configuration_fetch().revision()};
     case pb::Envelope::kConfigurationState:
--- /dev/null
+++ b/tests/support/programs/faulty_sidecar_main.cpp
@@ -0,0 +1,72 @@
+// A sidecar whose link repeats and reorders messages. The faults follow from the seed.
+#include <list>
+#include <memory>
+
+#include <gflags/gflags.h>
+
+#include "common/random.h"
+#include "program/daemon.h"
+#include "runtime/executor.h"
+#include "sidecar/sidecar_settings.h"
+#include "sidecar/sidecar_tree.h"
+
+DEFINE_uint64(seed, 1, "seed of the message faults");
+DEFINE_uint64(repeat_percent, 20, "messages that are passed on twice, in percent");
+DEFINE_uint64(hold_percent, 30, "messages that are held back, in percent");
+DEFINE_uint64(max_hold_ms, 40, "longest time for which a message is held back, in ms");
+
+namespace {
+
+using namespace jujubemast;
+
+/// Holds back some copies of messages, so that later ones overtake them.
+class message_faults {
+public:
+    explicit message_faults(const runtime::executor& loop)
+        : m_loop{loop}, m_random{common::seeded_random(FLAGS_seed)} {}
+
+    void pass(const std::string& routing_id, const protocol::message& message,
+              const sidecar::forward_hook& forward) {
+        const bool repeated = drawn(FLAGS_repeat_percent);
+        for (int copy = 0; copy < (repeated ? 2 : 1); ++copy) {
+            if (!drawn(FLAGS_hold_percent)) {
+                forward(routing_id, message);
+                continue;
+            }
+            const auto delay = 1 + common::uniform_below(m_random, FLAGS_max_hold_ms);
+            const auto held = m_held.emplace(m_held.end(), m_loop);
+            held->start(std::chrono::milliseconds{delay},
+                        [this, held, routing_id, message, forward] {
+                            forward(routing_id, message);
+                            m_held.erase(held);
+                        });
+        }
+    }
+
+private:
+    bool drawn(std::uint64_t percent) { return common::uniform_below(m_random, 100) < percent; }
+
+    runtime::executor m_loop;
+    common::random_hook m_random;
+    std::list<runtime::timer> m_held;
+};
+
+std::vector<runtime::child_spec> make_tree(const runtime::executor& loop,
+                                           const runtime::process_hooks& process,
+                                           const settings::values& values) {
+    // Lives until the process ends, as the timers refer to it.
+    static const auto faults = std::make_unique<message_faults>(loop);
+    const sidecar::message_filter filter =
+        [](const std::string& routing_id, const protocol::message& message,
+           const sidecar::forward_hook& forward) { faults->pass(routing_id, message, forward); };
+    return sidecar::make_hooked_sidecar_tree(loop, process, values, {filter, filter});
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    return program::run_daemon(argc, argv,
+                               {"faulty-sidecar", "a sidecar whose link repeats and reorders",
+                                sidecar::sidecar_settings::table,
+                                sidecar::sidecar_settings::log_level, make_tree});
+}
--- a/tests/unit/entry/request_flow_test.cpp
+++ b/tests/unit/entry/request_flow_test.cpp
@@ -38,7 +38,7 @@
     }
 
     flow_actions complete(std::uint32_t stage, const std::string& output) {
-        flow.stage_dispatched("u", 1, now);
+        flow.stage_dispatched("u", 1, 7);
         flow.chunk_received({identity(stage), 0, payload(output)}, now);
         return flow.end_received(end_of(identity(stage), {payload(output)}), now);
     }
@@ -68,7 +68,7 @@
 BOOST_AUTO_TEST_CASE(request_flow_when_chunks_are_reordered_and_repeated_keeps_their_order) {
     flow.begin(now);
     complete(0, "a");
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched("u", 1, 7);
     flow.chunk_received({identity(1), 1, payload("2")}, now);
     flow.chunk_received({identity(1), 0, payload("1")}, now);
     flow.chunk_received({identity(1), 0, payload("1")}, now);
@@ -79,7 +79,7 @@
 // Guards against an answer with a hole being called whole.
 BOOST_AUTO_TEST_CASE(request_flow_when_a_chunk_is_missing_fetches_it) {
     flow.begin(now);
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched("u", 1, 7);
     flow.chunk_received({identity(0), 1, payload("2")}, now);
     const auto end = end_of(identity(0), {payload("1"), payload("2")});
     const auto actions = flow.end_received(end, now);
@@ -92,7 +92,7 @@
 // Guards against results of an earlier attempt or of another request being taken for this one.
 BOOST_AUTO_TEST_CASE(request_flow_when_identity_differs_ignores_the_result) {
     flow.begin(now);
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched("u", 1, 7);
     BOOST_TEST(flow.end_received(end_of(identity(0, 1), {}), now).empty());
     BOOST_TEST(flow.end_received(end_of({"other", 0, 0, 1}, {}), now).empty());
     BOOST_TEST(flow.end_received(end_of({"r", 0, 0, 2}, {}), now).empty());
@@ -100,7 +100,7 @@
 
 BOOST_AUTO_TEST_CASE(request_flow_when_digest_differs_tries_again) {
     flow.begin(now);
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched("u", 1, 7);
     flow.chunk_received({identity(0), 0, payload("x")}, now);
     const auto actions = flow.end_received(end_of(identity(0), {payload("a")}), now);
     BOOST_TEST(find<dispatch_stage>(actions)->attempt == 1U);
@@ -110,7 +110,7 @@
 BOOST_AUTO_TEST_CASE(request_flow_when_non_idempotent_stage_may_have_run_fails_as_unknown) {
     flow.begin(now);
     complete(0, "a");
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched("u", 1, 7);
     const auto actions = flow.link_lost("u", now);
     BOOST_TEST(find<dispatch_stage>(actions) == nullptr);
     BOOST_TEST(find<deliver_problem>(actions) != nullptr);
@@ -118,7 +118,7 @@
 
 BOOST_AUTO_TEST_CASE(request_flow_when_refused_as_not_run_tries_another_upstream) {
     flow.begin(now);
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched("u", 1, 7);
     const auto actions = flow.refusal_received(
         {identity(0), protocol::refusal_reason::draining, common::execution::not_run, 0, ""}, now);
     BOOST_TEST(find<dispatch_stage>(actions)->excluded.front() == "u");
@@ -128,7 +128,7 @@
 // Guards against a refusal that says "not run" while a stage may still run.
 BOOST_AUTO_TEST_CASE(request_flow_when_deadline_passes_in_flight_reports_unknown_and_cancels) {
     flow.begin(now);
-    flow.stage_dispatched("u", 1, now);
+    flow.stage_dispatched("u", 1, 7);
     const auto actions = flow.deadline_passed();
     BOOST_TEST((find<deliver_problem>(actions)->content.execution == common::execution::unknown));
     const auto* message = find<send_to_upstream>(actions);
