--- /dev/null
+++ b/tests/integration/connection_failure_test.cpp
@@ -0,0 +1,169 @@
+#include "failure_fixture.h"
+
+namespace jujubemast::tests {
+
+BOOST_FIXTURE_TEST_SUITE(connection_failure_test, proxied_failure_fixture)
+
+// Guards against work that is lost with the messages of a broken connection: without the number of
+// the connection in heartbeat answers, the request waits until its deadline.
+BOOST_AUTO_TEST_CASE(request_when_its_link_is_cut_keeps_its_work_at_the_same_upstream) {
+    auto answer = send_later(0, "answer", "r1", 150);
+    auto& holder = wait_until_runs("jujube-pool", "r1");
+    link_proxies.at(holder.name)->cut();
+    check_answer(answer.get(), "answer", "r1", 150);
+    BOOST_TEST(executions("jujube-pool", "r1") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(posts_when_links_are_cut_again_and_again_run_once_each) {
+    for (int n = 0; n < 12; ++n) {
+        const auto id = "p" + std::to_string(n);
+        auto answer = send_later(static_cast<std::size_t>(n % 2), "post", id);
+        for (const auto& [name, proxy] : link_proxies) {
+            if (name.starts_with("ledger")) {
+                proxy->cut();
+            }
+        }
+        const auto outcome = answer.get();
+        const auto count = executions("ledger", id);
+        BOOST_TEST(count <= 1U);
+        if (outcome.status == 200) {
+            check_answer(outcome, "post", id);
+        } else {
+            BOOST_TEST((outcome.execution != "not_run" || count == 0));
+        }
+    }
+}
+
+// Guards against requests that hang on a link that goes silent while new connections work.
+BOOST_AUTO_TEST_CASE(requests_when_links_go_silent_are_answered_over_new_links) {
+    for (const auto& [name, proxy] : link_proxies) {
+        proxy->stall_existing();
+    }
+    const auto begin = std::chrono::steady_clock::now();
+    auto first = send_later(0, "answer", "r1");
+    auto second = send_later(1, "read", "r2");
+    check_answer(first.get(), "answer", "r1");
+    check_answer(second.get(), "read", "r2");
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
+    BOOST_TEST_MESSAGE("answered after " << elapsed.count() << " s");
+    // Well before the deadline of 20 s.
+    BOOST_TEST(elapsed.count() < 10.0);
+}
+
+// Guards against a heartbeat answer older than the next heartbeat being taken for silence.
+BOOST_AUTO_TEST_CASE(link_when_slower_than_the_heartbeat_interval_stays_up) {
+    for (const auto& [name, proxy] : link_proxies) {
+        proxy->set_delay(std::chrono::milliseconds{150});
+    }
+    for (int n = 0; n < 4; ++n) {
+        const auto id = "r" + std::to_string(n);
+        check_answer(send(0, "read", id), "read", id);
+    }
+    const auto state = deployment::dump(system.entry_admin_address(0));
+    const auto& links = state.at("children").at("links").at("detail").at("links").as_object();
+    for (const auto& it : links) {
+        BOOST_TEST(it.value().at("replacements").to_number<int>() == 0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(streams_when_links_are_throttled_are_answered_whole) {
+    for (const auto& [name, proxy] : link_proxies) {
+        proxy->set_rate(20000);
+    }
+    std::vector<std::future<request_outcome>> answers;
+    for (int n = 0; n < 4; ++n) {
+        answers.push_back(send_later(0, "answer", "r" + std::to_string(n), 60));
+    }
+    for (int n = 0; n < 4; ++n) {
+        check_answer(answers[static_cast<std::size_t>(n)].get(), "answer", "r" + std::to_string(n),
+                     60);
+    }
+}
+
+// Guards against a non-idempotent call on a pooled connection, whose silence could not be told from
+// a call that has run.
+BOOST_AUTO_TEST_CASE(post_when_idle_connections_are_silent_uses_a_new_one_and_completes) {
+    for (int n = 0; n < 8; ++n) {
+        const auto id = "r" + std::to_string(n);
+        check_answer(send(0, "read", id), "read", id);
+    }
+    for (const auto* name : {"ledger-0", "ledger-1"}) {
+        BOOST_TEST(upstream_proxies.at(name)->connections() > 0U);
+        upstream_proxies.at(name)->stall_existing();
+    }
+    for (int n = 0; n < 4; ++n) {
+        const auto id = "p" + std::to_string(n);
+        check_answer(send(0, "post", id), "post", id);
+        BOOST_TEST(executions("ledger", id) == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(read_when_idle_connections_are_silent_is_answered_before_its_deadline) {
+    check_answer(send(0, "read", "warm"), "read", "warm");
+    for (const auto* name : {"ledger-0", "ledger-1"}) {
+        upstream_proxies.at(name)->stall_existing();
+    }
+    check_answer(send(0, "read", "r1", 1, 6000), "read", "r1");
+}
+
+BOOST_AUTO_TEST_CASE(generation_when_its_upstream_connection_goes_silent_resumes) {
+    auto answer = send_later(0, "answer", "r1", 150);
+    auto& holder = wait_until_runs("jujube-pool", "r1");
+    upstream_proxies.at(holder.name)->stall_existing();
+    check_answer(answer.get(), "answer", "r1", 150);
+}
+
+// Guards against a second execution after an answer that is lost behind the execution.
+BOOST_AUTO_TEST_CASE(post_when_its_answer_is_dropped_is_unknown_and_ran_once) {
+    for (const auto* name : {"ledger-0", "ledger-1"}) {
+        upstream_proxies.at(name)->drop_answers(1);
+    }
+    const auto outcome = send(0, "post", "p1");
+    BOOST_TEST(outcome.status >= 500U);
+    BOOST_TEST(outcome.execution != "not_run");
+    BOOST_TEST(executions("ledger", "p1") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(read_when_its_answer_is_dropped_is_tried_again) {
+    for (const auto* name : {"ledger-0", "ledger-1"}) {
+        upstream_proxies.at(name)->drop_answers(1);
+    }
+    check_answer(send(0, "read", "r1"), "read", "r1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+struct message_fault_fixture : failure_fixture {
+    static constexpr int seed = 20261204;
+
+    message_fault_fixture() : failure_fixture{faulty(), 1000} {
+        BOOST_TEST_MESSAGE("seed " << seed);
+    }
+
+    static deployment_hooks faulty() {
+        deployment_hooks hooks;
+        hooks.sidecar_program = "faulty-sidecar";
+        hooks.sidecar_flags = {"--seed=" + std::to_string(seed)};
+        return hooks;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(message_fault_test, message_fault_fixture)
+
+// Guards against repeated and reordered messages that change an answer or run a call twice.
+BOOST_AUTO_TEST_CASE(requests_when_messages_are_repeated_and_reordered_get_right_answers) {
+    const std::vector<std::string> pipelines{"answer", "post", "read"};
+    std::vector<std::future<request_outcome>> answers;
+    for (std::size_t n = 0; n < 60; ++n) {
+        answers.push_back(send_later(n % 2, pipelines[n % 3], "r" + std::to_string(n), 20));
+    }
+    for (std::size_t n = 0; n < answers.size(); ++n) {
+        const auto id = "r" + std::to_string(n);
+        check_answer(answers[n].get(), pipelines[n % 3], id, 20);
+        BOOST_TEST(executions("ledger", id) == (n % 3 == 0 ? 0U : 1U));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
--- /dev/null
+++ b/tests/integration/planned_stop_test.cpp
@@ -0,0 +1,159 @@
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+#include "failure_fixture.h"
+
+namespace jujubemast::tests {
+
+/// Sends requests one after the other until it is stopped, always to an entry that is ready, as a
+/// load balancer does.
+class trickle {
+public:
+    explicit trickle(failure_fixture& fixture) : m_fixture{fixture} {
+        for (int n = 0; n < 3; ++n) {
+            m_threads.emplace_back([this, n] { run(n); });
+        }
+    }
+    ~trickle() { stop(); }
+    trickle(const trickle&) = delete;
+    trickle& operator=(const trickle&) = delete;
+
+    /// The entry for new requests.
+    void set_entry(std::size_t entry) { m_entry = entry; }
+
+    void stop() {
+        m_stopped = true;
+        for (auto& it : m_threads) {
+            if (it.joinable()) {
+                it.join();
+            }
+        }
+    }
+
+    struct record {
+        std::string pipeline;
+        std::string id;
+        request_outcome outcome;
+    };
+    std::vector<record>& records() { return m_records; }
+
+private:
+    void run(int worker) {
+        static const std::vector<std::string> pipelines{"answer", "post", "read"};
+        for (int n = 0; !m_stopped; ++n) {
+            const auto& pipeline = pipelines[static_cast<std::size_t>(worker)];
+            const auto id = "w" + std::to_string(worker) + "-" + std::to_string(n);
+            auto outcome = m_fixture.send(m_entry, pipeline, id, 20);
+            const std::lock_guard lock{m_mutex};
+            m_records.push_back({pipeline, id, std::move(outcome)});
+        }
+    }
+
+    failure_fixture& m_fixture;
+    std::atomic<std::size_t> m_entry = 0;
+    std::atomic<bool> m_stopped = false;
+    std::mutex m_mutex;
+    std::vector<record> m_records;
+    std::vector<std::thread> m_threads;
+};
+
+BOOST_FIXTURE_TEST_SUITE(planned_stop_test, failure_fixture)
+
+// Guards against new work for an upstream that the membership list calls leaving.
+BOOST_AUTO_TEST_CASE(instance_when_listed_as_leaving_finishes_its_work_and_gets_no_more) {
+    auto answer = send_later(0, "answer", "r1", 200);
+    auto& holder = wait_until_runs("jujube-pool", "r1");
+    system.publish_membership({holder.name});
+    wait_until("the sidecar knows", [&] { return admission_of(holder).at("leaving").as_bool(); });
+    for (int n = 0; n < 8; ++n) {
+        const auto id = "n" + std::to_string(n);
+        check_answer(send(static_cast<std::size_t>(n % 2), "answer", id), "answer", id);
+    }
+    check_answer(answer.get(), "answer", "r1", 200);
+    const auto counts = control(holder.upstream_address, "executions");
+    BOOST_TEST(counts.size() == 1U);
+    BOOST_TEST(executions("jujube-pool", "r1") == 1U);
+    system.publish_membership();
+    wait_until("it takes work again",
+               [&] { return !admission_of(holder).at("leaving").as_bool(); });
+}
+
+// Guards against queued work that waits for an upstream that is leaving.
+BOOST_AUTO_TEST_CASE(queued_work_when_its_instance_leaves_moves_to_another) {
+    std::vector<std::future<request_outcome>> answers;
+    for (int n = 0; n < 40; ++n) {
+        answers.push_back(send_later(0, "answer", "r" + std::to_string(n), 100));
+    }
+    auto& leaving = system.upstream("jujube-pool-0");
+    wait_until("work is queued", [&] {
+        return admission_of(leaving).at("queued").at("standard").to_number<int>() > 0;
+    });
+    system.publish_membership({leaving.name});
+    wait_until("the sidecar knows", [&] { return admission_of(leaving).at("leaving").as_bool(); });
+    BOOST_TEST(admission_of(leaving).at("queued").at("standard").to_number<int>() == 0);
+    for (int n = 0; n < 40; ++n) {
+        check_answer(answers[static_cast<std::size_t>(n)].get(), "answer", "r" + std::to_string(n),
+                     100);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(sidecar_when_terminated_finishes_its_work_and_ends_with_code_zero) {
+    auto answer = send_later(0, "answer", "r1", 200);
+    auto& holder = wait_until_runs("jujube-pool", "r1");
+    holder.sidecar->send_signal(SIGTERM);
+    wait_until("the sidecar drains", [&] { return admission_of(holder).at("draining").as_bool(); });
+    for (int n = 0; n < 6; ++n) {
+        const auto id = "n" + std::to_string(n);
+        check_answer(send(0, "answer", id), "answer", id);
+    }
+    check_answer(answer.get(), "answer", "r1", 200);
+    BOOST_TEST(holder.sidecar->wait() == 0);
+    BOOST_TEST(control(holder.upstream_address, "executions").size() == 1U);
+    BOOST_TEST(executions("jujube-pool", "r1") == 1U);
+}
+
+// Guards against a stop that waits for acknowledgements of an entry that no longer exists.
+BOOST_AUTO_TEST_CASE(sidecar_when_terminated_after_its_entry_died_ends_before_the_deadline) {
+    auto answer = send_later(0, "answer", "r1", 32000);
+    auto& holder = wait_until_runs("jujube-pool", "r1");
+    const auto begin = std::chrono::steady_clock::now();
+    system.entry(0).send_signal(SIGKILL);
+    holder.sidecar->send_signal(SIGTERM);
+    BOOST_TEST(holder.sidecar->wait() == 0);
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < std::chrono::seconds{15}));
+    BOOST_TEST(!answer.get().complete);
+}
+
+// Guards against any request that a rolling restart cuts off, refuses or runs twice.
+BOOST_AUTO_TEST_CASE(requests_when_all_processes_restart_in_turn_are_all_answered) {
+    trickle requests{*this};
+    for (auto& it : system.upstreams()) {
+        it.sidecar->send_signal(SIGTERM);
+        BOOST_TEST(it.sidecar->wait() == 0);
+        system.start_sidecar(it);
+        system.publish_membership();
+        system.wait_until_ready();
+    }
+    for (std::size_t n = 0; n < 2; ++n) {
+        // Requests in progress are finished by the entry that is stopped.
+        requests.set_entry(1 - n);
+        system.entry(n).send_signal(SIGTERM);
+        BOOST_TEST(system.entry(n).wait() == 0);
+        system.restart_entry(n);
+        system.wait_until_ready();
+    }
+    requests.stop();
+    BOOST_TEST_MESSAGE(requests.records().size() << " requests");
+    BOOST_TEST(requests.records().size() > 20U);
+    for (const auto& it : requests.records()) {
+        check_answer(it.outcome, it.pipeline, it.id, 20);
+        if (it.pipeline == "post") {
+            BOOST_TEST(executions("ledger", it.id) == 1U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
