tests, entry: failure tests with real processes; a stage waits for an upstream

A stage that found no upstream failed at once, so that a moment in which all links are silent or the only upstream of a pool restarts refused requests. It now asks again every 100 ms for up to 3 s.

--- a/source/core/entry/coordinator.cpp
+++ b/source/core/entry/coordinator.cpp
@@ -284,6 +284,16 @@
     m_links.send(send_work{action.instance, action.content});
 }
 
+void coordinator::perform_one(std::uint64_t id, active_request& request,
+                              const wait_for_upstream& action) {
+    request.wait_timer = std::make_unique<runtime::timer>(m_context.loop());
+    request.wait_timer->start(action.delay, m_context.wrap([this, id] {
+        if (const auto it = m_requests.find(id); it != m_requests.end()) {
+            perform(id, it->second.flow.try_again());
+        }
+    }));
+}
+
 void coordinator::begin_stream(active_request& request) {
     if (std::exchange(request.stream_begun, true)) {
         return;
--- a/source/core/entry/coordinator.h
+++ b/source/core/entry/coordinator.h
@@ -45,6 +45,7 @@
         http::responder reply;
         std::unique_ptr<runtime::timer> deadline_timer;
         bool stream_begun = false;
+        std::unique_ptr<runtime::timer> wait_timer;
     };
 
     struct upstream_state {
@@ -69,6 +70,7 @@
     void perform_one(std::uint64_t id, active_request& request, const deliver_piece& action);
     void perform_one(std::uint64_t id, active_request& request, const deliver_answer& action);
     void perform_one(std::uint64_t id, active_request& request, const deliver_problem& action);
+    void perform_one(std::uint64_t id, active_request& request, const wait_for_upstream& action);
     void begin_stream(active_request& request);
     void remove_if_finished(std::uint64_t id);
     void fail_work_on(const std::string& instance);
--- a/source/core/entry/request_flow.cpp
+++ b/source/core/entry/request_flow.cpp
@@ -16,6 +16,11 @@
 // A bound on how often work can be handed back, should all sidecars of a pool leave in turn.
 constexpr std::uint32_t max_moves = 16;
 
+// Links that have all gone silent, or the only upstream of a pool that restarts, are back within
+// about a second; the caller of a pool without upstreams should not wait for its whole deadline.
+constexpr common::duration upstream_patience = std::chrono::seconds{3};
+constexpr common::duration upstream_retry_interval = std::chrono::milliseconds{100};
+
 constexpr std::int64_t microseconds_per_second = 1000000;
 
 /// What one payload of an upstream contributes to the stage's output.
@@ -120,17 +125,26 @@
     m_instance = instance;
     m_incarnation = incarnation;
     m_deadline_us = deadline_us;
+    m_waiting_since.reset();
     m_in_flight = true;
 }
 
-flow_actions request_flow::stage_not_dispatched(common::time_point /*now*/) {
+flow_actions request_flow::stage_not_dispatched(common::time_point now) {
     if (m_finished) {
         return {};
     }
+    if (now - m_waiting_since.value_or(now) < upstream_patience) {
+        m_waiting_since = m_waiting_since.value_or(now);
+        return {wait_for_upstream{upstream_retry_interval}};
+    }
     return fail(problem_kind::unavailable, "no upstream of pool " + stage().pool + " is available",
                 microseconds_per_second);
 }
 
+flow_actions request_flow::try_again() {
+    return m_finished || m_in_flight ? flow_actions{} : start_attempt();
+}
+
 flow_actions request_flow::chunk_received(const protocol::result_chunk& chunk,
                                           common::time_point now) {
     if (!is_current(chunk.identity) || chunk.sequence < m_next_sequence ||
--- a/source/core/entry/request_flow.h
+++ b/source/core/entry/request_flow.h
@@ -71,8 +71,13 @@
     problem content;
 };
 
-using flow_action =
-    std::variant<dispatch_stage, send_to_upstream, deliver_piece, deliver_answer, deliver_problem>;
+/// No upstream is available; asks for `request_flow::try_again` after the delay.
+struct wait_for_upstream {
+    common::duration delay;
+};
+
+using flow_action = std::variant<dispatch_stage, send_to_upstream, deliver_piece, deliver_answer,
+                                 deliver_problem, wait_for_upstream>;
 using flow_actions = std::vector<flow_action>;
 
 /// Tells whether a failed stage may be tried again. `certainly_not_run` is true for work that an
@@ -96,6 +101,8 @@
                           std::int64_t deadline_us);
     /// No upstream could take the stage.
     flow_actions stage_not_dispatched(common::time_point now);
+    /// The time to wait for an upstream is over.
+    flow_actions try_again();
 
     flow_actions chunk_received(const protocol::result_chunk& chunk, common::time_point now);
     flow_actions end_received(const protocol::result_end& end, common::time_point now);
@@ -142,6 +149,8 @@
     std::uint64_t m_incarnation = 0;
     std::int64_t m_deadline_us = 0;
     bool m_in_flight = false;
+    /// Since when the current attempt has found no upstream.
+    std::optional<common::time_point> m_waiting_since;
     bool m_ran = false;
     bool m_unknown = false;
     bool m_finished = false;
--- a/tests/integration/process_failure_test.cpp
+++ b/tests/integration/process_failure_test.cpp
@@ -2,26 +2,55 @@
 
 namespace jujubemast::tests {
 
-BOOST_FIXTURE_TEST_SUITE(process_failure_test, failure_fixture)
+struct process_failure_fixture : failure_fixture {
+    /// Streams an answer, kills when its first token arrives, and checks the output. Returns the
+    /// instance that had the stream.
+    upstream_instance& kill_at_first_token(const std::function<void(upstream_instance&)>& kill) {
+        upstream_instance* holder = nullptr;
+        const auto answer =
+            receive(system.entry_address(0), request("answer", "r1", 150, true),
+                    [&](const std::string& body) {
+                        if (holder == nullptr && body.find("event: token") != std::string::npos) {
+                            holder = &wait_until_runs("jujube-pool", "r1");
+                            kill(*holder);
+                        }
+                    });
+        BOOST_TEST(answer.complete);
+        const std::string marker = "event: done\ndata: ";
+        const auto begin = answer.body.find(marker) + marker.size();
+        const auto document =
+            boost::json::parse(answer.body.substr(begin, answer.body.find('\n', begin) - begin));
+        BOOST_TEST(document.at("output").as_string() == expected("answer", "input of r1", 150));
+        BOOST_TEST(streamed_text(answer.body) == expected("answer", "input of r1", 150));
+        return *holder;
+    }
+
+    /// The pieces of all token events.
+    static std::string streamed_text(const std::string& body) {
+        const std::string marker = "event: token\ndata: ";
+        std::string text;
+        for (auto at = body.find(marker); at != std::string::npos; at = body.find(marker, at + 1)) {
+            const auto begin = at + marker.size();
+            const auto data =
+                boost::json::parse(body.substr(begin, body.find('\n', begin) - begin));
+            text += data.at("text").as_string();
+        }
+        return text;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(process_failure_test, process_failure_fixture)
 
 // Guards against a lost stream, and against one that begins again from its first token.
 BOOST_AUTO_TEST_CASE(request_when_sidecar_is_killed_in_generation_resumes_elsewhere) {
-    auto answer = send_later(0, "answer", "r1", 150);
-    auto& holder = wait_until_runs("jujube-pool", "r1");
-    wait_until("some tokens are out", [&] { return streams(holder) == 1; });
-    holder.sidecar->send_signal(SIGKILL);
-    check_answer(answer.get(), "answer", "r1", 150);
+    auto& holder = kill_at_first_token([](auto& it) { it.sidecar->send_signal(SIGKILL); });
     auto& second = other(holder);
     BOOST_TEST(control(second.upstream_address, "executions")["r1"] == 1U);
     BOOST_TEST(control(second.upstream_address, "offsets")["r1"] > 0U);
 }
 
 BOOST_AUTO_TEST_CASE(request_when_engine_is_killed_in_generation_resumes_elsewhere) {
-    auto answer = send_later(0, "answer", "r1", 150);
-    auto& holder = wait_until_runs("jujube-pool", "r1");
-    wait_until("some tokens are out", [&] { return streams(holder) == 1; });
-    holder.host->send_signal(SIGKILL);
-    check_answer(answer.get(), "answer", "r1", 150);
+    auto& holder = kill_at_first_token([](auto& it) { it.host->send_signal(SIGKILL); });
     BOOST_TEST(control(other(holder).upstream_address, "offsets")["r1"] > 0U);
 }
 
--- a/tests/unit/entry/request_flow_test.cpp
+++ b/tests/unit/entry/request_flow_test.cpp
@@ -135,6 +135,63 @@
     BOOST_TEST(std::holds_alternative<protocol::cancel>(message->content));
 }
 
+// Guards against a refusal when all links are down for a moment, and against an endless wait.
+BOOST_AUTO_TEST_CASE(request_flow_when_no_upstream_is_available_waits_for_a_bounded_time) {
+    flow.begin(now);
+    BOOST_TEST(find<wait_for_upstream>(flow.stage_not_dispatched(now)) != nullptr);
+    BOOST_TEST(find<dispatch_stage>(flow.try_again())->attempt == 0U);
+    const auto actions = flow.stage_not_dispatched(now + std::chrono::seconds{4});
+    BOOST_TEST((find<deliver_problem>(actions)->content.execution == common::execution::not_run));
+}
+
+// Guards against output that is appended to what an earlier attempt had delivered.
+BOOST_AUTO_TEST_CASE(request_flow_when_link_is_lost_before_the_end_does_not_repeat_output) {
+    flow.begin(now);
+    flow.stage_dispatched("u", 1, 7);
+    flow.chunk_received({identity(0), 0, payload("a")}, now);
+    flow.link_lost("u", now);
+    flow.stage_dispatched("v", 1, 7);
+    flow.chunk_received({identity(0, 1), 0, payload("a")}, now);
+    const auto actions = flow.end_received(end_of(identity(0, 1), {payload("a")}), now);
+    BOOST_TEST(find<dispatch_stage>(actions)->body.find(R"("context":"a")") != std::string::npos);
+}
+
+// Guards against tokens taken twice from an engine that does not resume where it was asked to.
+BOOST_AUTO_TEST_CASE(request_flow_when_tokens_have_a_wrong_offset_tries_again_without_them) {
+    flow.begin(now);
+    flow.stage_dispatched("u", 1, 7);
+    const std::string first = R"({"offset":0,"tokens":["a"]})";
+    const std::string wrong = R"({"offset":5,"tokens":["b"]})";
+    flow.chunk_received({identity(0), 0, first}, now);
+    flow.link_lost("u", now);
+    flow.stage_dispatched("v", 1, 7);
+    flow.chunk_received({identity(0, 1), 0, wrong}, now);
+    const auto actions = flow.end_received(end_of(identity(0, 1), {wrong}), now);
+    BOOST_TEST(find<dispatch_stage>(actions)->resume_offset == 1U);
+}
+
+// Guards against work that waits until its deadline after its connection was replaced.
+BOOST_AUTO_TEST_CASE(request_flow_when_link_has_reconnected_fetches_with_the_deadline) {
+    flow.begin(now);
+    flow.stage_dispatched("u", 1, 7);
+    const auto actions = flow.link_reconnected("u");
+    const auto fetch = std::get<protocol::fetch>(find<send_to_upstream>(actions)->content);
+    BOOST_TEST(fetch.deadline_us == 7);
+    BOOST_TEST(flow.link_reconnected("v").empty());
+}
+
+// Guards against a rolling restart that uses up the attempts of queued work.
+BOOST_AUTO_TEST_CASE(request_flow_when_handed_back_by_leaving_sidecars_does_not_count_attempts) {
+    flow.begin(now);
+    for (std::uint32_t n = 0; n < 10; ++n) {
+        flow.stage_dispatched("u", 1, 7);
+        const auto actions = flow.refusal_received(
+            {identity(0, n), protocol::refusal_reason::draining, common::execution::not_run, 0, ""},
+            now);
+        BOOST_TEST(find<dispatch_stage>(actions)->attempt == n + 1);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
