--- a/source/core/entry/entry_settings.h
+++ b/source/core/entry/entry_settings.h
@@ -17,11 +17,24 @@
     static const settings::setting<std::string> platform_address;
     static const settings::setting<std::chrono::milliseconds> platform_poll_interval;
     static const settings::setting<std::chrono::milliseconds> membership_poll_interval;
+    static const settings::setting<std::string> membership_static;
     static const settings::setting<std::chrono::milliseconds> link_ping_interval;
     static const settings::setting<std::chrono::milliseconds> link_silence_limit;
+    static const settings::setting<std::int64_t> link_subset_size;
+    static const settings::setting<std::string> routing_policy;
     static const settings::setting<std::int64_t> retry_max_attempts;
+    static const settings::setting<bool> retry_budget;
+    static const settings::setting<bool> hedge_enabled;
+    static const settings::setting<std::int64_t> requests_max_in_progress;
+    static const settings::setting<std::chrono::milliseconds> claims_wait;
+    static const settings::setting<std::chrono::milliseconds> claims_flush_delay;
+    static const settings::setting<std::int64_t> claims_max_group;
+    static const settings::setting<std::int64_t> claims_max_outcome_bytes;
 
     static const settings::table table;
 };
 
+/// Splits a list of addresses at its commas.
+std::vector<std::string> split_addresses(const std::string& list);
+
 } // namespace jujubemast::entry
--- a/source/core/entry/request_flow.cpp
+++ b/source/core/entry/request_flow.cpp
@@ -15,6 +15,8 @@
 
 // A bound on how often work can be handed back, should all sidecars of a pool leave in turn.
 constexpr std::uint32_t max_moves = 16;
+constexpr std::uint32_t moves_without_wait = 2;
+constexpr common::duration move_wait = std::chrono::milliseconds{50};
 
 // Links that have all gone silent, or the only upstream of a pool that restarts, are back within
 // about a second; the caller of a pool without upstreams should not wait for its whole deadline.
@@ -64,11 +66,17 @@
 
 } // namespace
 
+bool may_repeat(const retry_question& question) {
+    return question.remaining > common::duration::zero() &&
+           (question.stage.idempotent || question.certainly_not_run);
+}
+
 retry_hook make_bounded_retry(std::uint32_t max_attempts) {
-    return [max_attempts](const tickets::stage_settings& stage, std::uint32_t attempts,
-                          bool certainly_not_run, common::duration remaining) {
-        return attempts < max_attempts && remaining > common::duration::zero() &&
-               (stage.idempotent || certainly_not_run);
+    return [max_attempts](const retry_question& question) -> std::optional<common::duration> {
+        if (question.attempts >= max_attempts || !may_repeat(question)) {
+            return std::nullopt;
+        }
+        return common::duration::zero();
     };
 }
 
@@ -83,21 +91,33 @@
     if (m_ran) {
         return common::execution::ran;
     }
-    return m_unknown || m_in_flight ? common::execution::unknown : common::execution::not_run;
+    return m_unknown || !m_attempts.empty() ? common::execution::unknown
+                                            : common::execution::not_run;
+}
+
+protocol::work_identity request_flow::identity_of(const attempt_in_progress& attempt) const {
+    return {m_plan.request_id, static_cast<std::uint32_t>(m_stage), attempt.attempt,
+            attempt.incarnation};
 }
 
-bool request_flow::is_current(const protocol::work_identity& identity) const {
-    return !m_finished && m_in_flight && identity.request_id == m_plan.request_id &&
-           identity.stage == m_stage && identity.attempt == m_attempt &&
-           identity.incarnation == m_incarnation;
+const attempt_in_progress* request_flow::find(const protocol::work_identity& identity) const {
+    const auto it =
+        std::find_if(m_attempts.begin(), m_attempts.end(),
+                     [&](const attempt_in_progress& at) { return identity_of(at) == identity; });
+    return m_finished || it == m_attempts.end() ? nullptr : &*it;
+}
+
+bool request_flow::is_assigned_to(const std::string& instance) const {
+    return std::any_of(m_attempts.begin(), m_attempts.end(),
+                       [&](const attempt_in_progress& it) { return it.instance == instance; });
 }
 
 flow_actions request_flow::begin(common::time_point now) {
     m_stage_begin = now;
-    return start_attempt();
+    return start_attempt(common::duration::zero());
 }
 
-flow_actions request_flow::start_attempt() {
+flow_actions request_flow::start_attempt(common::duration delay) {
     if (m_output_tokens == 0) {
         // Only tokens are resumed; any other output is produced again from its beginning.
         m_output.clear();
@@ -109,10 +129,23 @@
     m_early_chunks.clear();
     m_digest = {};
     m_end.reset();
-    m_instance.clear();
-    m_in_flight = false;
-    return {dispatch_stage{static_cast<std::uint32_t>(m_stage), m_attempt, stage_body(),
-                           m_output_tokens, m_excluded}};
+    return {dispatch_stage{static_cast<std::uint32_t>(m_stage), m_next_attempt++, stage_body(),
+                           m_output_tokens, m_excluded, delay}};
+}
+
+bool request_flow::may_hedge() const {
+    return !m_finished && m_attempts.size() == 1 && !responded() && m_early_chunks.empty() &&
+           stage().idempotent;
+}
+
+flow_actions request_flow::hedge() {
+    if (!may_hedge()) {
+        return {};
+    }
+    auto excluded = m_excluded;
+    excluded.push_back(m_attempts.front().instance);
+    return {dispatch_stage{static_cast<std::uint32_t>(m_stage), m_next_attempt++, stage_body(),
+                           m_output_tokens, std::move(excluded)}};
 }
 
 std::string request_flow::stage_body() const {
@@ -120,17 +153,14 @@
         {"input", m_plan.input}, {"context", m_context}, {"max_tokens", m_plan.max_tokens}});
 }
 
-void request_flow::stage_dispatched(const std::string& instance, std::uint64_t incarnation,
-                                    std::int64_t deadline_us) {
-    m_instance = instance;
-    m_incarnation = incarnation;
-    m_deadline_us = deadline_us;
+void request_flow::stage_dispatched(attempt_in_progress attempt) {
+    m_attempts.push_back(std::move(attempt));
     m_waiting_since.reset();
-    m_in_flight = true;
 }
 
 flow_actions request_flow::stage_not_dispatched(common::time_point now) {
-    if (m_finished) {
+    // A hedge that finds no upstream changes nothing for the attempt it was to help.
+    if (m_finished || !m_attempts.empty()) {
         return {};
     }
     if (now - m_waiting_since.value_or(now) < upstream_patience) {
@@ -142,17 +172,37 @@
 }
 
 flow_actions request_flow::try_again() {
-    return m_finished || m_in_flight ? flow_actions{} : start_attempt();
+    if (m_finished || !m_attempts.empty()) {
+        return {};
+    }
+    // The number of the attempt has not been used.
+    --m_next_attempt;
+    return start_attempt(common::duration::zero());
+}
+
+void request_flow::keep_only(const protocol::work_identity& winner, flow_actions& actions) {
+    for (const auto& it : m_attempts) {
+        if (identity_of(it) != winner) {
+            actions.emplace_back(
+                send_to_upstream{it.instance, protocol::cancel{identity_of(it), it.deadline_us}});
+            // The cancelled attempt is of an idempotent stage and may or may not have run.
+            m_unknown = true;
+        }
+    }
+    std::erase_if(m_attempts,
+                  [&](const attempt_in_progress& it) { return identity_of(it) != winner; });
 }
 
 flow_actions request_flow::chunk_received(const protocol::result_chunk& chunk,
                                           common::time_point now) {
-    if (!is_current(chunk.identity) || chunk.sequence < m_next_sequence ||
+    if (find(chunk.identity) == nullptr || chunk.sequence < m_next_sequence ||
         m_early_chunks.size() >= max_early_chunks) {
         return {};
     }
+    flow_actions actions;
+    keep_only(chunk.identity, actions);
     m_early_chunks.emplace(chunk.sequence, chunk.payload);
-    auto actions = accept_pieces();
+    append(actions, accept_pieces());
     if (m_end && m_next_sequence >= m_end->chunk_count) {
         append(actions, check_complete(now));
     }
@@ -188,17 +238,21 @@
 }
 
 flow_actions request_flow::end_received(const protocol::result_end& end, common::time_point now) {
-    if (!is_current(end.identity)) {
+    if (find(end.identity) == nullptr) {
         return {};
     }
+    flow_actions actions;
+    keep_only(end.identity, actions);
     m_end = end;
-    return check_complete(now);
+    append(actions, check_complete(now));
+    return actions;
 }
 
 flow_actions request_flow::check_complete(common::time_point now) {
     if (m_next_sequence < m_end->chunk_count) {
-        return {send_to_upstream{m_instance,
-                                 protocol::fetch{m_end->identity, m_next_sequence, m_deadline_us}}};
+        const auto& holder = m_attempts.front();
+        return {send_to_upstream{holder.instance, protocol::fetch{m_end->identity, m_next_sequence,
+                                                                  holder.deadline_us}}};
     }
     if (m_damaged || m_digest.value() != m_end->digest || m_next_sequence > m_end->chunk_count) {
         return result_damaged(now);
@@ -207,13 +261,12 @@
 }
 
 flow_actions request_flow::result_damaged(common::time_point now) {
-    const protocol::refusal refusal{identity(), protocol::refusal_reason::upstream_failed,
+    const protocol::refusal refusal{m_end->identity, protocol::refusal_reason::upstream_failed,
                                     common::execution::ran, 0, "result does not match its digest"};
     const bool last_stage = m_stage + 1 == m_plan.pipeline.stages.size();
     if (m_plan.stream && last_stage && m_output_tokens > m_tokens_before) {
         // The caller already has a part of the damaged output.
-        m_in_flight = false;
-        m_ran = true;
+        end_attempt(refusal.identity, refusal.execution);
         return fail(problem_kind::upstream_failed, refusal.detail);
     }
     m_output.resize(m_output_before);
@@ -222,19 +275,20 @@
 }
 
 flow_actions request_flow::complete_stage(common::time_point now) {
-    flow_actions actions{send_to_upstream{m_instance, protocol::acknowledge{m_end->identity}}};
+    const auto instance = m_attempts.front().instance;
+    flow_actions actions{send_to_upstream{instance, protocol::acknowledge{m_end->identity}}};
     m_ran = true;
     const bool last_stage = m_stage + 1 == m_plan.pipeline.stages.size();
     if (m_plan.stream && last_stage && m_output_tokens == 0 && !m_output.empty()) {
         actions.emplace_back(deliver_piece{m_output});
     }
-    m_reports.push_back({stage().name, m_instance, m_attempt + 1, now - m_stage_begin,
+    m_reports.push_back({stage().name, instance, m_next_attempt, now - m_stage_begin,
                          m_end->queue_us, m_end->service_us});
     m_context = std::exchange(m_output, {});
     m_output_tokens = 0;
-    m_in_flight = false;
+    m_attempts.clear();
     ++m_stage;
-    m_attempt = 0;
+    m_next_attempt = 0;
     m_moves = 0;
     m_excluded.clear();
     m_stage_begin = now;
@@ -243,22 +297,24 @@
         actions.emplace_back(deliver_answer{std::move(m_context), std::move(m_reports)});
         return actions;
     }
-    append(actions, start_attempt());
+    append(actions, start_attempt(common::duration::zero()));
     return actions;
 }
 
 flow_actions request_flow::refusal_received(const protocol::refusal& refusal,
                                             common::time_point now) {
-    if (!is_current(refusal.identity)) {
+    if (find(refusal.identity) == nullptr) {
         return {};
     }
     switch (refusal.reason) {
     case protocol::refusal_reason::deadline_passed:
-    case protocol::refusal_reason::deadline_unreachable:
-        m_in_flight = false;
-        m_unknown = m_unknown || refusal.execution == common::execution::unknown;
-        m_ran = m_ran || refusal.execution == common::execution::ran;
-        return fail(problem_kind::deadline_exceeded, refusal.detail);
+    case protocol::refusal_reason::deadline_unreachable: {
+        end_attempt(refusal.identity, refusal.execution);
+        flow_actions actions;
+        append_cancels(actions);
+        append(actions, fail(problem_kind::deadline_exceeded, refusal.detail));
+        return actions;
+    }
     case protocol::refusal_reason::overloaded:
         return attempt_failed(problem_kind::overloaded, refusal, now);
     case protocol::refusal_reason::wrong_incarnation:
@@ -273,48 +329,65 @@
 }
 
 flow_actions request_flow::link_lost(const std::string& instance, common::time_point now) {
-    if (m_finished || !m_in_flight || m_instance != instance) {
+    const auto it =
+        std::find_if(m_attempts.begin(), m_attempts.end(),
+                     [&](const attempt_in_progress& at) { return at.instance == instance; });
+    if (m_finished || it == m_attempts.end()) {
         return {};
     }
     return attempt_failed(problem_kind::upstream_failed,
-                          {identity(), protocol::refusal_reason::upstream_failed,
+                          {identity_of(*it), protocol::refusal_reason::upstream_failed,
                            common::execution::unknown, 0, "lost the link to the upstream"},
                           now);
 }
 
 flow_actions request_flow::link_reconnected(const std::string& instance) const {
-    if (m_finished || !m_in_flight || m_instance != instance) {
-        return {};
+    flow_actions actions;
+    for (const auto& it : m_attempts) {
+        if (!m_finished && it.instance == instance) {
+            actions.emplace_back(send_to_upstream{
+                instance, protocol::fetch{identity_of(it), m_next_sequence, it.deadline_us}});
+        }
     }
-    return {
-        send_to_upstream{m_instance, protocol::fetch{identity(), m_next_sequence, m_deadline_us}}};
-}
-
-protocol::work_identity request_flow::identity() const {
-    return {m_plan.request_id, static_cast<std::uint32_t>(m_stage), m_attempt, m_incarnation};
+    return actions;
 }
 
-bool request_flow::may_retry(protocol::refusal_reason reason, bool not_run,
-                             common::time_point now) {
-    if (reason == protocol::refusal_reason::draining && not_run && m_moves < max_moves) {
+std::optional<common::duration> request_flow::retry_delay(const protocol::refusal& refusal,
+                                                          common::time_point now) {
+    const bool not_run = refusal.execution == common::execution::not_run;
+    const retry_question question{stage(), m_next_attempt - m_moves, not_run, m_plan.deadline - now,
+                                  now};
+    if (refusal.reason == protocol::refusal_reason::draining && not_run && m_moves < max_moves &&
+        may_repeat(question)) {
+        // Work that was handed back, or not sent at all, is no extra work and needs no budget. The
+        // wait gives the news time to arrive that an upstream takes no work.
         ++m_moves;
+        return m_moves <= moves_without_wait ? common::duration::zero() : move_wait;
     }
-    return m_may_retry(stage(), m_attempt + 1 - m_moves, not_run, m_plan.deadline - now);
+    return m_may_retry(question);
 }
 
-flow_actions request_flow::attempt_failed(problem_kind kind, const protocol::refusal& refusal,
-                                          common::time_point now) {
-    const auto outcome = refusal.execution;
-    m_in_flight = false;
+void request_flow::end_attempt(const protocol::work_identity& identity, common::execution outcome) {
     m_ran = m_ran || outcome == common::execution::ran;
     m_unknown = m_unknown || outcome == common::execution::unknown;
-    m_excluded.push_back(m_instance);
-    const bool not_run = outcome == common::execution::not_run;
-    if (!may_retry(refusal.reason, not_run, now)) {
+    const auto* attempt = find(identity);
+    m_excluded.push_back(attempt->instance);
+    std::erase_if(m_attempts,
+                  [&](const attempt_in_progress& it) { return identity_of(it) == identity; });
+}
+
+flow_actions request_flow::attempt_failed(problem_kind kind, const protocol::refusal& refusal,
+                                          common::time_point now) {
+    end_attempt(refusal.identity, refusal.execution);
+    if (!m_attempts.empty()) {
+        // The other attempt of a hedge goes on.
+        return {};
+    }
+    const auto delay = retry_delay(refusal, now);
+    if (!delay) {
         return fail(kind, refusal.detail, refusal.retry_after_us);
     }
-    ++m_attempt;
-    return start_attempt();
+    return start_attempt(*delay);
 }
 
 flow_actions request_flow::deadline_passed() {
@@ -322,7 +395,7 @@
         return {};
     }
     flow_actions actions;
-    append_cancel(actions);
+    append_cancels(actions);
     append(actions, fail(problem_kind::deadline_exceeded, "the deadline has passed"));
     return actions;
 }
@@ -332,15 +405,15 @@
         return {};
     }
     flow_actions actions;
-    append_cancel(actions);
+    append_cancels(actions);
     m_finished = true;
     return actions;
 }
 
-void request_flow::append_cancel(flow_actions& actions) {
-    if (m_in_flight) {
+void request_flow::append_cancels(flow_actions& actions) const {
+    for (const auto& it : m_attempts) {
         actions.emplace_back(
-            send_to_upstream{m_instance, protocol::cancel{identity(), m_deadline_us}});
+            send_to_upstream{it.instance, protocol::cancel{identity_of(it), it.deadline_us}});
     }
 }
 
--- a/source/core/sidecar/admission.cpp
+++ b/source/core/sidecar/admission.cpp
@@ -60,6 +60,11 @@
     }
 }
 
+void admission::handle(const drain_announced& message) {
+    m_drain_announced = message.everywhere;
+    check_drained();
+}
+
 void admission::handle(const connection_lost& message) {
     for (auto& [id, record] : m_records) {
         if (record.routing_id == message.routing_id) {
@@ -434,7 +439,7 @@
 
 void admission::check_drained() {
     // An outcome that is not acknowledged yet may have to be sent again.
-    if (!m_done || m_running > 0 || !m_unacknowledged.empty()) {
+    if (!m_done || !m_drain_announced || m_running > 0 || !m_unacknowledged.empty()) {
         return;
     }
     std::exchange(m_done, nullptr)();
--- a/source/core/sidecar/admission.h
+++ b/source/core/sidecar/admission.h
@@ -73,6 +73,7 @@
     void handle(const call_failed& message);
     void handle(const connection_lost& message);
     void handle(const leaving_changed& message);
+    void handle(const drain_announced& message);
 
     void dispatch_received(const std::string& routing_id, const protocol::dispatch& dispatch);
     void cancel_received(const std::string& routing_id, const protocol::cancel& cancel);
@@ -125,6 +126,8 @@
     bool m_draining = false;
     /// The membership list says that this instance is leaving.
     bool m_leaving = false;
+    /// No entry sends further work, and what was on its way has arrived.
+    bool m_drain_announced = false;
     runtime::stop_done m_done;
 };
 
--- a/source/core/sidecar/link.cpp
+++ b/source/core/sidecar/link.cpp
@@ -16,11 +16,17 @@
 // Fraction of the silence limit between two looks at the connections.
 constexpr int checks_per_limit = 8;
 
+// The heartbeat that follows an answer shows that what the entry had sent before it knew has come.
+constexpr std::uint32_t drain_answers_needed = 2;
+
 } // namespace
 
 link::link(runtime::task_context context, std::shared_ptr<runtime::mailbox<link_command>> inbox,
-           runtime::address<admission_message> admission, link_options options, link_hooks hooks)
-    : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_admission{std::move(admission)},
+           runtime::address<admission_message> admission,
+           runtime::address<tickets::replica_message> replica, link_options options,
+           link_hooks hooks)
+    : m_context{std::move(context)}, m_inbox{std::move(inbox)},
+      m_admission{std::move(admission)}, m_replica{std::move(replica)},
       m_options{std::move(options)}, m_hooks{std::move(hooks)}, m_timer{m_context.loop()} {}
 
 void link::start() {
@@ -66,6 +72,27 @@
 
 void link::handle(const status_changed& command) {
     m_status = command;
+    if (!command.draining) {
+        for (auto& [routing_id, it] : m_connections) {
+            it.drain_answers = 0;
+        }
+    }
+    announce_drain();
+}
+
+void link::announce_drain() {
+    const bool announced =
+        m_status && m_status->draining &&
+        std::all_of(m_connections.begin(), m_connections.end(),
+                    [](const auto& it) { return it.second.drain_answers >= drain_answers_needed; });
+    if (announced != m_drain_announced) {
+        m_drain_announced = announced;
+        m_admission.send(drain_announced{announced});
+    }
+}
+
+void link::handle(const announce_revision& command) {
+    m_revision = command.revision;
 }
 
 void link::received(const std::string& routing_id, const std::string& bytes) {
@@ -86,9 +113,11 @@
     if (const auto* ping = std::get_if<protocol::ping>(&message)) {
         note_ping(routing_id, *ping);
         answer(routing_id, *ping);
-        return;
-    }
-    if (!m_admission.send(entry_message{routing_id, message})) {
+    } else if (const auto* fetch = std::get_if<protocol::configuration_fetch>(&message)) {
+        m_replica.send(tickets::peer_fetch{routing_id, *fetch});
+    } else if (const auto* state = std::get_if<protocol::configuration_state>(&message)) {
+        m_replica.send(tickets::peer_state{routing_id, *state});
+    } else if (!m_admission.send(entry_message{routing_id, message})) {
         m_log.warn("Dropped a message; the admission task does not keep up.");
     }
 }
@@ -130,6 +159,7 @@
         it = m_connections.erase(it);
     }
     announce_leaving();
+    announce_drain();
 }
 
 void link::schedule_check() {
@@ -140,20 +170,29 @@
 }
 
 void link::answer(const std::string& routing_id, const protocol::ping& ping) {
+    if (ping.revision > m_revision) {
+        m_replica.send(tickets::peer_revision{routing_id, ping.revision});
+    }
     if (!m_status) {
         return;
     }
     const auto now = common::monotonic_clock::now();
+    auto& connection = m_connections.at(routing_id);
     handle(send_to_entry{routing_id,
                          protocol::pong{ping.nonce, m_status->incarnation,
-                                        common::to_microseconds(now), 0, m_status->draining,
-                                        m_status->load, m_connections.at(routing_id).number}});
+                                        common::to_microseconds(now), m_revision,
+                                        m_status->draining, m_status->load, connection.number}});
+    if (m_status->draining) {
+        ++connection.drain_answers;
+        announce_drain();
+    }
 }
 
 boost::json::value link::dump() const {
     return boost::json::object{{"address", m_socket ? m_socket->address() : m_options.listen},
                                {"connections", m_connections.size()},
                                {"leaving", m_leaving},
+                               {"revision", m_revision},
                                {"received", m_received},
                                {"unsent", m_unsent}};
 }
--- a/source/core/sidecar/link.h
+++ b/source/core/sidecar/link.h
@@ -11,6 +11,7 @@
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
 #include "sidecar/messages.h"
+#include "tickets/replica.h"
 #include "wire/socket.h"
 
 namespace jujubemast::sidecar {
@@ -38,7 +39,9 @@
 class link final : public runtime::task {
 public:
     link(runtime::task_context context, std::shared_ptr<runtime::mailbox<link_command>> inbox,
-         runtime::address<admission_message> admission, link_options options, link_hooks hooks);
+         runtime::address<admission_message> admission,
+         runtime::address<tickets::replica_message> replica, link_options options,
+         link_hooks hooks);
 
     void start() override;
     void close() noexcept override;
@@ -50,10 +53,13 @@
         std::string entry;
         common::time_point last_ping;
         bool leaving = false;
+        /// Heartbeats answered with the news that this sidecar is draining.
+        std::uint32_t drain_answers = 0;
     };
 
     void handle(const send_to_entry& command);
     void handle(const status_changed& command);
+    void handle(const announce_revision& command);
     void send(const std::string& routing_id, const protocol::message& message);
     void received(const std::string& routing_id, const std::string& bytes);
     void accept(const std::string& routing_id, const protocol::message& message);
@@ -61,11 +67,13 @@
     void note_ping(const std::string& routing_id, const protocol::ping& ping);
     void check_silence();
     void announce_leaving();
+    void announce_drain();
     void schedule_check();
 
     runtime::task_context m_context;
     runtime::inbox<link_command> m_inbox;
     runtime::address<admission_message> m_admission;
+    runtime::address<tickets::replica_message> m_replica;
     link_options m_options;
     link_hooks m_hooks;
     forward_hook m_accept;
@@ -78,6 +86,8 @@
     std::uint64_t m_next_connection = 1;
     common::time_point m_last_check;
     bool m_leaving = false;
+    bool m_drain_announced = false;
+    std::uint64_t m_revision = 0;
     std::uint64_t m_received = 0;
     std::uint64_t m_unsent = 0;
 };
--- a/source/core/sidecar/messages.h
+++ b/source/core/sidecar/messages.h
@@ -44,8 +44,13 @@
     bool leaving = false;
 };
 
+/// Whether every entry knows that this sidecar takes no new work.
+struct drain_announced {
+    bool everywhere = false;
+};
+
 using admission_message = std::variant<entry_message, call_piece, call_done, call_failed,
-                                       connection_lost, leaving_changed>;
+                                       connection_lost, leaving_changed, drain_announced>;
 
 /// Sends a message to an entry.
 struct send_to_entry {
@@ -60,7 +65,12 @@
     protocol::load_report load;
 };
 
-using link_command = std::variant<send_to_entry, status_changed>;
+/// The revision of the configuration to announce in heartbeat answers.
+struct announce_revision {
+    std::uint64_t revision = 0;
+};
+
+using link_command = std::variant<send_to_entry, status_changed, announce_revision>;
 
 /// Runs a stage at the upstream.
 struct start_call {
