--- a/tests/integration/connection_failure_test.cpp
+++ b/tests/integration/connection_failure_test.cpp
@@ -71,6 +71,7 @@
         proxy->set_rate(20000);
     }
     std::vector<std::future<request_outcome>> answers;
+    answers.reserve(4);
     for (int n = 0; n < 4; ++n) {
         answers.push_back(send_later(0, "answer", "r" + std::to_string(n), 60));
     }
--- a/tests/integration/message_fault_test.cpp
+++ b/tests/integration/message_fault_test.cpp
@@ -23,6 +23,7 @@
 BOOST_AUTO_TEST_CASE(requests_when_messages_are_repeated_and_reordered_get_right_answers) {
     const std::vector<std::string> pipelines{"answer", "post", "read"};
     std::vector<std::future<request_outcome>> answers;
+    answers.reserve(60);
     for (std::size_t n = 0; n < 60; ++n) {
         answers.push_back(send_later(n % 2, pipelines[n % 3], "r" + std::to_string(n), 20));
     }
--- a/tests/integration/mixed_failure_test.cpp
+++ b/tests/integration/mixed_failure_test.cpp
@@ -80,6 +80,8 @@
     }
 
     ~mixed_failure_fixture() { stop_load(); }
+    mixed_failure_fixture(const mixed_failure_fixture&) = delete;
+    mixed_failure_fixture& operator=(const mixed_failure_fixture&) = delete;
 
     void stop_load() {
         loading = false;
--- a/tests/integration/planned_stop_test.cpp
+++ b/tests/integration/planned_stop_test.cpp
@@ -82,6 +82,7 @@
 // Guards against queued work that waits for an upstream that is leaving.
 BOOST_AUTO_TEST_CASE(queued_work_when_its_instance_leaves_moves_to_another) {
     std::vector<std::future<request_outcome>> answers;
+    answers.reserve(40);
     for (int n = 0; n < 40; ++n) {
         answers.push_back(send_later(0, "answer", "r" + std::to_string(n), 100));
     }
--- a/tests/integration/process_failure_test.cpp
+++ b/tests/integration/process_failure_test.cpp
@@ -119,6 +119,7 @@
 
 BOOST_AUTO_TEST_CASE(requests_when_entry_is_stopped_and_continued_get_right_answers) {
     std::vector<std::future<request_outcome>> answers;
+    answers.reserve(6);
     for (int n = 0; n < 6; ++n) {
         answers.push_back(
             send_later(0, n % 2 == 0 ? "answer" : "post", "r" + std::to_string(n), 100));
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -113,10 +113,11 @@
         const auto via = m_hooks.upstream_via
                              ? m_hooks.upstream_via(added.name, added.upstream_address)
                              : added.upstream_address;
-        added.settings_path = write_file(
-            added.name + ".yaml", "instance: {name: " + added.name + ", failure_domain: fd-" +
-                                      std::to_string(n % 3) + "}\nupstream: {address: \"" + via +
-                                      "\", kind: " + kind + "}\n");
+        std::string text = "instance: {name: " + added.name;
+        text += ", failure_domain: fd-" + std::to_string(n % 3);
+        text += "}\nupstream: {address: \"" + via;
+        text += "\", kind: " + kind + "}\n";
+        added.settings_path = write_file(added.name + ".yaml", text);
         start_sidecar(added);
     }
 }
