--- a/source/core/entry/coordinator.cpp
+++ b/source/core/entry/coordinator.cpp
@@ -135,6 +135,7 @@
 
 void coordinator::refuse(const http::responder& reply, const problem& content) {
     ++m_failed;
+    m_metrics.refused(content);
     reply.respond(to_response(content));
 }
 
@@ -254,6 +255,10 @@
                     m_hooks.clock()));
 }
 
+void coordinator::handle(const admin::metrics_query& message) {
+    admin::answer(message, m_metrics.text(m_requests.size()));
+}
+
 std::vector<std::uint64_t> coordinator::requests_on(const std::string& instance) const {
     std::vector<std::uint64_t> affected;
     for (const auto& [id, request] : m_requests) {
@@ -356,6 +361,8 @@
     message.model = stage.model;
     message.body = action.body;
     message.resume_offset = action.resume_offset;
+    // Only stages that name a model generate tokens.
+    message.max_output_tokens = stage.model.empty() ? 0 : plan.max_tokens;
     message.trace_parent = plan.trace_parent;
     const auto instance = status->instance.name;
     flow.stage_dispatched(
@@ -416,6 +423,7 @@
 void coordinator::perform_one(std::uint64_t id, active_request& request,
                               const deliver_answer& action) {
     ++m_answered;
+    m_metrics.answered(request.flow.plan().priority, action.stages);
     finish(id, request,
            http::json_response(200, to_document(request.flow.plan().request_id, action)),
            common::execution::ran);
@@ -424,6 +432,7 @@
 void coordinator::perform_one(std::uint64_t id, active_request& request,
                               const deliver_problem& action) {
     ++m_failed;
+    m_metrics.failed(request.flow.plan().priority, action.content);
     m_log.info("Request failed.",
                {{"request", request.flow.plan().request_id},
                 {"problem", std::string{common::to_name(action.content.kind)}},
--- a/source/core/entry/entry_tree.cpp
+++ b/source/core/entry/entry_tree.cpp
@@ -185,9 +185,13 @@
                                 std::map<std::string, std::string>{
                                     {configuration_condition, "no configuration is known yet"}});
                         }});
-    children.push_back(
-        admin::make_admin_server(http::parse_endpoint(values.get(entry_settings::admin_listen)),
-                                 health, {process.dump, {}, make_revision_handler(links_inbox)}));
+    children.push_back(admin::make_admin_server(
+        http::parse_endpoint(values.get(entry_settings::admin_listen)), health,
+        {process.dump,
+         [coordinator_inbox](const admin::metrics_query& it) {
+             return coordinator_inbox->post(it);
+         },
+         make_revision_handler(links_inbox)}));
     children.push_back(make_claims(values, platform, claims_inbox, coordinator_inbox));
     children.push_back(make_coordinator(values, coordinator_inbox, links_inbox, claims_inbox));
     children.push_back(make_links(values, links_inbox, coordinator_inbox, replica_inbox));
--- a/source/core/sidecar/admission.cpp
+++ b/source/core/sidecar/admission.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/admission.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/json.hpp>
@@ -15,6 +16,9 @@
 // which is bounded by the entries' silence limit. Records are kept for longer than that, so that a
 // late copy of a dispatch is not called "not run" while an entry still waits for its outcome.
 constexpr common::duration record_grace = std::chrono::seconds{2};
+std::int64_t to_count(common::duration value) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+}
 
 } // namespace
 
@@ -24,101 +28,33 @@
                      runtime::address<upstream_command> upstream, admission_options options,
                      admission_hooks hooks)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_link{std::move(link)},
-      m_upstream{std::move(upstream)}, m_options{options}, m_hooks{std::move(hooks)},
+      m_upstream{std::move(upstream)}, m_options{std::move(options)}, m_hooks{std::move(hooks)},
+      m_control{m_hooks.queue, m_hooks.limit, policy::deadline_check{m_options.deadlines},
+                m_options.shares},
+      m_status{m_context, m_link, m_options.status_interval, [this] { return read_status(); }},
       m_expiry_timer{m_context.loop()}, m_incarnation{m_hooks.random()} {}
 
 void admission::start() {
     m_inbox.receive(m_context.wrap([this](const admission_message& message) {
         std::visit([this](const auto& it) { handle(it); }, message);
-        announce_status();
+        m_status.changed();
     }));
-    announce_status();
+    m_status.send();
     schedule_expiry();
 }
 
 void admission::stop(const runtime::stop_done& done) {
     m_draining = true;
     m_done = done;
-    announce_status();
+    m_status.send();
     give_up_queue("the sidecar is stopping");
     check_drained();
 }
 
-void admission::give_up_queue(const std::string& detail) {
-    // Queued work has not run, so the entries can send it elsewhere.
-    while (const auto next = m_hooks.queue.pop(m_hooks.clock())) {
-        refuse(m_records.at(next->id), protocol::refusal_reason::draining,
-               common::execution::not_run, detail);
-    }
-}
-
-void admission::handle(const leaving_changed& message) {
-    m_leaving = message.leaving;
-    m_log.info(m_leaving ? "Instance is leaving." : "Instance is no longer leaving.");
-    if (m_leaving) {
-        give_up_queue("the instance is leaving");
-    }
-}
-
-void admission::handle(const drain_announced& message) {
-    m_drain_announced = message.everywhere;
-    check_drained();
-}
-
-void admission::handle(const connection_lost& message) {
-    for (auto& [id, record] : m_records) {
-        if (record.routing_id == message.routing_id) {
-            abandon(record);
-        }
-    }
-    run_next();
-    check_drained();
-}
-
-void admission::abandon(work_record& record) {
-    auto execution = common::execution::not_run;
-    switch (record.state) {
-    case work_state::queued:
-        m_hooks.queue.remove(record.id);
-        break;
-    case work_state::running:
-        if (!record.dispatch.idempotent) {
-            // Cutting off a call does not undo it, and its outcome would stay open at the upstream.
-            record.orphaned = true;
-            return;
-        }
-        execution = common::execution::unknown;
-        cancel_running(record);
-        break;
-    case work_state::finished:
-        execution = common::execution::ran;
-        break;
-    case work_state::cancelled:
-    case work_state::released:
-        return;
-    }
-    bury(record, execution, "the connection was silent");
-}
-
-void admission::bury(work_record& record, common::execution execution, std::string detail) {
-    release(record);
-    record.state = work_state::cancelled;
-    record.outcome = std::make_unique<protocol::message>(
-        protocol::refusal{record.dispatch.identity, protocol::refusal_reason::cancelled, execution,
-                          0, std::move(detail)});
-}
-
-void admission::release(work_record& record) {
-    record.state = work_state::released;
-    record.chunks.clear();
-    record.dispatch.body.clear();
-    record.outcome.reset();
-    m_unacknowledged.erase(record.id);
-}
-
 void admission::close() noexcept {
     m_inbox.close();
     m_expiry_timer.cancel();
+    m_status.close();
 }
 
 void admission::handle(const entry_message& message) {
@@ -170,27 +106,47 @@
     record.queued_at = now;
     m_ids.emplace(dispatch.identity, id);
     m_deadlines.emplace(deadline, id);
+    m_metrics.accepted(dispatch.priority, dispatch.identity.attempt);
     enqueue(record);
     run_next();
 }
 
 void admission::enqueue(work_record& record) {
-    const policy::queued_work work{record.id, record.dispatch.workspace, record.dispatch.priority,
-                                   record.deadline,
-                                   std::chrono::microseconds{record.dispatch.estimated_cost_us}};
-    for (const auto id : m_hooks.queue.push(work)) {
+    const auto& dispatch = record.dispatch;
+    policy::arriving_work work;
+    work.id = record.id;
+    work.workspace = dispatch.workspace;
+    work.priority = dispatch.priority;
+    work.deadline = record.deadline;
+    work.reserve = std::chrono::microseconds{dispatch.reserve_us};
+    work.operation = dispatch.operation;
+    work.size.input_bytes = dispatch.body.size();
+    work.size.output_tokens =
+        dispatch.max_output_tokens -
+        std::min<std::uint64_t>(dispatch.max_output_tokens, dispatch.resume_offset);
+    work.hint = std::chrono::microseconds{dispatch.estimated_cost_us};
+    const auto decision = m_control.arrive(work, record.queued_at);
+    if (decision.unreachable) {
+        refuse(record, protocol::refusal_reason::deadline_unreachable, common::execution::not_run,
+               "the expected wait and service time exceed the deadline");
+    }
+    for (const auto id : decision.refused) {
         refuse(m_records.at(id), protocol::refusal_reason::overloaded, common::execution::not_run,
                "the queue is full");
     }
 }
 
 void admission::run_next() {
-    while (m_running < m_options.concurrency) {
-        const auto next = m_hooks.queue.pop(m_hooks.clock());
-        if (!next) {
+    while (true) {
+        const auto decision = m_control.next(m_running, m_hooks.clock());
+        for (const auto id : decision.hopeless) {
+            refuse(m_records.at(id), protocol::refusal_reason::deadline_unreachable,
+                   common::execution::not_run, "too little time was left in the queue");
+        }
+        if (!decision.started) {
             return;
         }
-        start_call(m_records.at(next->id));
+        start_call(m_records.at(*decision.started));
     }
 }
 
@@ -207,88 +163,11 @@
     m_upstream.send(sidecar::start_call{record.id, record.dispatch, record.deadline - now});
 }
 
-void admission::cancel_received(const std::string& routing_id, const protocol::cancel& cancel) {
-    if (cancel.identity.incarnation != m_incarnation) {
-        return;
-    }
-    auto* record = find(cancel.identity);
-    auto execution = common::execution::not_run;
-    if (record == nullptr) {
-        // The tombstone refuses the dispatch, should it arrive after its cancellation.
-        record = &add_tombstone(cancel.identity, cancel.deadline_us);
-    } else if (record->state == work_state::queued) {
-        m_hooks.queue.remove(record->id);
-    } else if (record->state == work_state::running) {
-        execution = common::execution::unknown;
-        cancel_running(*record);
-    } else if (record->state == work_state::cancelled) {
-        m_link.send(send_to_entry{routing_id, *record->outcome});
-        return;
-    } else {
-        execution = common::execution::ran;
-    }
-    record->routing_id = routing_id;
-    bury(*record, execution, "cancelled by the entry");
-    m_link.send(send_to_entry{routing_id, protocol::cancelled{cancel.identity, execution}});
-    run_next();
-    check_drained();
-}
-
-admission::work_record& admission::add_tombstone(const protocol::work_identity& identity,
-                                                 std::int64_t deadline_us) {
-    // A dispatch that arrives after its deadline is refused without a tombstone.
-    const auto id = m_next_id++;
-    auto& record = m_records[id];
-    record.id = id;
-    record.dispatch.identity = identity;
-    record.state = work_state::cancelled;
-    record.deadline = common::from_microseconds(deadline_us);
-    record.outcome = std::make_unique<protocol::message>(
-        protocol::refusal{identity, protocol::refusal_reason::not_found, common::execution::not_run,
-                          0, "the work had not arrived when it was asked for"});
-    m_ids.emplace(identity, id);
-    m_deadlines.emplace(record.deadline, id);
-    return record;
-}
-
 void admission::cancel_running(work_record& record) {
     --m_running;
     m_upstream.send(cancel_call{record.id});
 }
 
-void admission::acknowledge_received(const protocol::acknowledge& acknowledge) {
-    if (auto* record = find(acknowledge.identity)) {
-        if (record->state == work_state::finished) {
-            // The record stays until the deadline; without it a repeated dispatch would run again.
-            release(*record);
-            check_drained();
-        }
-    }
-}
-
-void admission::fetch_received(const std::string& routing_id, const protocol::fetch& fetch) {
-    auto* record = find(fetch.identity);
-    if (record == nullptr && fetch.identity.incarnation != m_incarnation) {
-        send_refusal(routing_id, fetch.identity, protocol::refusal_reason::wrong_incarnation,
-                     common::execution::unknown, "addressed to an earlier process");
-        return;
-    }
-    if (record == nullptr) {
-        // All work is known until its deadline, so this dispatch was lost on its way. The tombstone
-        // keeps the promise that it has not run, should it arrive later.
-        record = &add_tombstone(fetch.identity, fetch.deadline_us);
-    }
-    record->routing_id = routing_id;
-    record->orphaned = false;
-    for (auto n = fetch.from_sequence; n < record->chunks.size(); ++n) {
-        m_link.send(send_to_entry{
-            routing_id, protocol::result_chunk{record->dispatch.identity, n, record->chunks[n]}});
-    }
-    if (record->outcome) {
-        m_link.send(send_to_entry{routing_id, *record->outcome});
-    }
-}
-
 void admission::handle(const call_piece& message) {
     auto* record = find_call(message.call);
     if (record == nullptr) {
@@ -308,16 +187,15 @@
         return;
     }
     const auto now = m_hooks.clock();
-    const auto microseconds = [](common::duration it) {
-        return std::chrono::duration_cast<std::chrono::microseconds>(it).count();
-    };
+    m_control.completed(record->id, m_running, now);
     --m_running;
     ++m_completed;
-    finish(*record, protocol::result_end{record->dispatch.identity,
-                                         static_cast<std::uint32_t>(record->chunks.size()),
-                                         record->digest.value(),
-                                         microseconds(record->started_at - record->queued_at),
-                                         microseconds(now - record->started_at)});
+    const protocol::result_end end{
+        record->dispatch.identity, static_cast<std::uint32_t>(record->chunks.size()),
+        record->digest.value(), to_count(record->started_at - record->queued_at),
+        to_count(now - record->started_at)};
+    m_metrics.completed(record->dispatch.priority, end);
+    finish(*record, end);
     run_next();
 }
 
@@ -333,15 +211,23 @@
     check_drained();
 }
 
+void admission::handle(const shares_changed& message) {
+    m_control.set_shares(*message.current);
+}
+
 void admission::refuse(work_record& record, protocol::refusal_reason reason,
                        common::execution execution, std::string detail) {
-    finish(record,
-           protocol::refusal{record.dispatch.identity, reason, execution,
-                             std::int64_t{m_options.retry_after_ms} * 1000, std::move(detail)});
+    m_metrics.refused(reason, execution);
+    const auto wait = m_control.expected_wait(record.dispatch.priority, m_hooks.clock());
+    const auto retry_after =
+        std::max<common::duration>(std::chrono::milliseconds{m_options.retry_after_ms}, wait);
+    finish(record, protocol::refusal{record.dispatch.identity, reason, execution,
+                                     to_count(retry_after), std::move(detail)});
 }
 
 void admission::finish(work_record& record, protocol::message outcome) {
     record.state = work_state::finished;
+    m_control.forget(record.id);
     if (record.orphaned) {
         release(record);
         return;
@@ -354,12 +240,22 @@
 void admission::send_refusal(const std::string& routing_id, const protocol::work_identity& identity,
                              protocol::refusal_reason reason, common::execution execution,
                              std::string detail) {
+    m_metrics.refused(reason, execution);
     m_link.send(
         send_to_entry{routing_id, protocol::refusal{identity, reason, execution,
                                                     std::int64_t{m_options.retry_after_ms} * 1000,
                                                     std::move(detail)}});
 }
 
+void admission::handle(const admin::metrics_query& message) {
+    admission_gauges current;
+    for (std::size_t n = 0; n < current.queued.size(); ++n) {
+        current.queued.at(n) = m_hooks.queue.size(static_cast<common::priority>(n));
+    }
+    current.running = m_running;
+    admin::answer(message, m_metrics.text(current));
+}
+
 void admission::schedule_expiry() {
     m_expiry_timer.start(expiry_interval, m_context.wrap([this] {
         expire();
@@ -367,16 +263,6 @@
     }));
 }
 
-void admission::resend_outcomes(common::time_point now) {
-    for (auto& [id, sent] : m_unacknowledged) {
-        if (now - sent >= m_options.resend_interval) {
-            sent = now;
-            const auto& record = m_records.at(id);
-            m_link.send(send_to_entry{record.routing_id, *record.outcome});
-        }
-    }
-}
-
 void admission::expire() {
     const auto now = m_hooks.clock();
     resend_outcomes(now);
@@ -401,12 +287,13 @@
         m_unacknowledged.erase(id);
     }
     run_next();
-    announce_status();
+    m_status.changed();
     check_drained();
 }
 
 void admission::forget(const work_record& record) {
     const auto id = record.id;
+    m_control.forget(id);
     m_ids.erase(record.dispatch.identity);
     m_unacknowledged.erase(id);
     m_records.erase(id);
@@ -422,27 +309,21 @@
     return it == m_records.end() || it->second.state != work_state::running ? nullptr : &it->second;
 }
 
-void admission::announce_status() {
+status_changed admission::read_status() const {
     status_changed status;
     status.incarnation = m_incarnation;
     status.draining = !takes_work();
+    const auto now = m_hooks.clock();
     for (std::size_t n = 0; n < common::enumerator_count<common::priority>(); ++n) {
-        status.load.queued +=
-            static_cast<std::uint32_t>(m_hooks.queue.size(static_cast<common::priority>(n)));
+        const auto priority = static_cast<common::priority>(n);
+        status.load.queued += static_cast<std::uint32_t>(m_hooks.queue.size(priority));
+        status.load.queue_wait_us.at(n) = to_count(m_control.expected_wait(priority, now));
     }
     status.load.in_progress = m_running;
-    status.load.limit = m_options.concurrency;
+    status.load.limit = m_control.limit();
     status.load.completed = m_completed;
     status.load.failed = m_failed;
-    m_link.send(std::move(status));
-}
-
-void admission::check_drained() {
-    // An outcome that is not acknowledged yet may have to be sent again.
-    if (!m_done || !m_drain_announced || m_running > 0 || !m_unacknowledged.empty()) {
-        return;
-    }
-    std::exchange(m_done, nullptr)();
+    return status;
 }
 
 boost::json::value admission::dump() const {
@@ -454,7 +335,7 @@
     return boost::json::object{
         {"incarnation", m_incarnation}, {"draining", m_draining},
         {"leaving", m_leaving},         {"unacknowledged", m_unacknowledged.size()},
-        {"running", m_running},         {"concurrency", m_options.concurrency},
+        {"running", m_running},         {"limit", m_control.limit()},
         {"queued", std::move(queued)},  {"records", m_records.size()},
         {"completed", m_completed},     {"failed", m_failed}};
 }
