--- a/source/core/sidecar/admission.cpp
+++ b/source/core/sidecar/admission.cpp
@@ -12,6 +12,10 @@
 // Results and tombstones are looked through for passed deadlines at this interval.
 constexpr common::duration expiry_interval = std::chrono::milliseconds{50};
 
+// The translated deadline is early by at most the age of the heartbeat answer it was derived from,
+// which is bounded by the entries' silence limit. Records are kept for longer than that, so that a
+// late copy of a dispatch is not called "not run" while an entry still waits for its outcome.
+constexpr common::duration record_grace = std::chrono::seconds{2};
 std::int64_t to_count(common::duration value) {
     return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
 }
@@ -43,11 +47,7 @@
     m_draining = true;
     m_done = done;
     m_status.send();
-    // Queued work has not run, so the entries can send it elsewhere.
-    while (const auto next = m_hooks.queue.pop(m_hooks.clock())) {
-        refuse(m_records.at(next->id), protocol::refusal_reason::draining,
-               common::execution::not_run, "the sidecar is stopping");
-    }
+    give_up_queue("the sidecar is stopping");
     check_drained();
 }
 
@@ -73,8 +73,9 @@
                                   const protocol::dispatch& dispatch) {
     const auto now = m_hooks.clock();
     if (dispatch.identity.incarnation != m_incarnation) {
+        // A copy of this dispatch may have run in that process.
         send_refusal(routing_id, dispatch.identity, protocol::refusal_reason::wrong_incarnation,
-                     common::execution::not_run, "addressed to an earlier process");
+                     common::execution::unknown, "addressed to an earlier process");
         return;
     }
     if (auto* known = find(dispatch.identity)) {
@@ -91,9 +92,9 @@
                      common::execution::not_run, "the deadline had passed on arrival");
         return;
     }
-    if (m_draining) {
+    if (!takes_work()) {
         send_refusal(routing_id, dispatch.identity, protocol::refusal_reason::draining,
-                     common::execution::not_run, "the sidecar is stopping");
+                     common::execution::not_run, "the instance is leaving or stopping");
         return;
     }
     const auto id = m_next_id++;
@@ -162,71 +163,11 @@
     m_upstream.send(sidecar::start_call{record.id, record.dispatch, record.deadline - now});
 }
 
-void admission::cancel_received(const std::string& routing_id, const protocol::cancel& cancel) {
-    if (cancel.identity.incarnation != m_incarnation) {
-        return;
-    }
-    auto* record = find(cancel.identity);
-    auto execution = common::execution::not_run;
-    if (record == nullptr) {
-        // The tombstone refuses the dispatch, should it arrive after its cancellation.
-        const auto id = m_next_id++;
-        record = &m_records[id];
-        record->id = id;
-        record->dispatch.identity = cancel.identity;
-        record->deadline = m_hooks.clock() + std::chrono::minutes{1};
-        m_ids.emplace(cancel.identity, id);
-        m_deadlines.emplace(record->deadline, id);
-    } else if (record->state == work_state::queued) {
-        m_hooks.queue.remove(record->id);
-    } else if (record->state == work_state::running) {
-        execution = common::execution::unknown;
-        cancel_running(*record);
-    } else {
-        execution = common::execution::ran;
-    }
-    record->routing_id = routing_id;
-    record->state = work_state::cancelled;
-    record->chunks.clear();
-    record->outcome = std::make_unique<protocol::message>(
-        protocol::refusal{cancel.identity, protocol::refusal_reason::cancelled, execution, 0,
-                          "cancelled by the entry"});
-    m_link.send(send_to_entry{routing_id, protocol::cancelled{cancel.identity, execution}});
-    run_next();
-    check_drained();
-}
-
 void admission::cancel_running(work_record& record) {
     --m_running;
     m_upstream.send(cancel_call{record.id});
 }
 
-void admission::acknowledge_received(const protocol::acknowledge& acknowledge) {
-    if (const auto* record = find(acknowledge.identity)) {
-        if (record->state == work_state::finished) {
-            forget(record->id);
-            check_drained();
-        }
-    }
-}
-
-void admission::fetch_received(const std::string& routing_id, const protocol::fetch& fetch) {
-    auto* record = find(fetch.identity);
-    if (record == nullptr) {
-        send_refusal(routing_id, fetch.identity, protocol::refusal_reason::not_found,
-                     common::execution::unknown, "no such result is held");
-        return;
-    }
-    record->routing_id = routing_id;
-    for (auto n = fetch.from_sequence; n < record->chunks.size(); ++n) {
-        m_link.send(send_to_entry{
-            routing_id, protocol::result_chunk{record->dispatch.identity, n, record->chunks[n]}});
-    }
-    if (record->outcome) {
-        m_link.send(send_to_entry{routing_id, *record->outcome});
-    }
-}
-
 void admission::handle(const call_piece& message) {
     auto* record = find_call(message.call);
     if (record == nullptr) {
@@ -287,6 +228,11 @@
 void admission::finish(work_record& record, protocol::message outcome) {
     record.state = work_state::finished;
     m_control.forget(record.id);
+    if (record.orphaned) {
+        release(record);
+        return;
+    }
+    m_unacknowledged[record.id] = m_hooks.clock();
     record.outcome = std::make_unique<protocol::message>(std::move(outcome));
     m_link.send(send_to_entry{record.routing_id, *record.outcome});
 }
@@ -319,9 +265,16 @@
 
 void admission::expire() {
     const auto now = m_hooks.clock();
+    resend_outcomes(now);
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const auto id = m_deadlines.begin()->second;
         auto& record = m_records.at(id);
+        m_deadlines.erase(m_deadlines.begin());
+        if (record.deadline + record_grace <= now) {
+            forget(record);
+            continue;
+        }
+        m_deadlines.emplace(record.deadline + record_grace, id);
         if (record.state == work_state::queued) {
             m_hooks.queue.remove(id);
             refuse(record, protocol::refusal_reason::deadline_passed, common::execution::not_run,
@@ -331,25 +284,19 @@
             refuse(record, protocol::refusal_reason::deadline_passed, common::execution::unknown,
                    "the deadline passed at the upstream");
         }
-        forget(id);
+        m_unacknowledged.erase(id);
     }
     run_next();
     m_status.changed();
     check_drained();
 }
 
-void admission::forget(std::uint64_t id) {
-    const auto it = m_records.find(id);
-    auto [first, last] = m_deadlines.equal_range(it->second.deadline);
-    for (auto entry = first; entry != last; ++entry) {
-        if (entry->second == id) {
-            m_deadlines.erase(entry);
-            break;
-        }
-    }
+void admission::forget(const work_record& record) {
+    const auto id = record.id;
     m_control.forget(id);
-    m_ids.erase(it->second.dispatch.identity);
-    m_records.erase(it);
+    m_ids.erase(record.dispatch.identity);
+    m_unacknowledged.erase(id);
+    m_records.erase(id);
 }
 
 admission::work_record* admission::find(const protocol::work_identity& identity) {
@@ -365,7 +312,7 @@
 status_changed admission::read_status() const {
     status_changed status;
     status.incarnation = m_incarnation;
-    status.draining = m_draining;
+    status.draining = !takes_work();
     const auto now = m_hooks.clock();
     for (std::size_t n = 0; n < common::enumerator_count<common::priority>(); ++n) {
         const auto priority = static_cast<common::priority>(n);
@@ -379,29 +326,18 @@
     return status;
 }
 
-void admission::check_drained() {
-    if (!m_done || m_running > 0) {
-        return;
-    }
-    for (const auto& [id, record] : m_records) {
-        // A result that is not acknowledged yet may have to be sent again.
-        if (record.state == work_state::finished && !record.chunks.empty()) {
-            return;
-        }
-    }
-    std::exchange(m_done, nullptr)();
-}
-
 boost::json::value admission::dump() const {
     boost::json::object queued;
     for (std::size_t n = 0; n < common::enumerator_count<common::priority>(); ++n) {
         const auto priority = static_cast<common::priority>(n);
         queued[common::to_name(priority)] = m_hooks.queue.size(priority);
     }
-    return boost::json::object{{"incarnation", m_incarnation}, {"draining", m_draining},
-                               {"running", m_running},         {"limit", m_control.limit()},
-                               {"queued", std::move(queued)},  {"records", m_records.size()},
-                               {"completed", m_completed},     {"failed", m_failed}};
+    return boost::json::object{
+        {"incarnation", m_incarnation}, {"draining", m_draining},
+        {"leaving", m_leaving},         {"unacknowledged", m_unacknowledged.size()},
+        {"running", m_running},         {"limit", m_control.limit()},
+        {"queued", std::move(queued)},  {"records", m_records.size()},
+        {"completed", m_completed},     {"failed", m_failed}};
 }
 
 } // namespace jujubemast::sidecar
