policy: probes, quiet phases of the limit and measured factors

Simulated floods showed two faults. With calls longer than their deadline at first, the expectation refused all work and was never corrected: after the upstream had recovered, 0% of the requests finished. And the service time without load was learned under load, so that the adaptive limit rose to its maximum of 64 at eight slots. Now one piece of work in 500 ms is let through when nothing completes, and a result faster than expected scales the expectation. The limit falls for a few calls now and then to learn the service time without load.

--- a/bench/bench_admission.cpp
+++ b/bench/bench_admission.cpp
@@ -144,12 +144,58 @@
     }
 }
 
+/// A flood of ten times the capacity in one priority beside steady work in the others. The
+/// arguments are the flooding priority, the tolerance of the adaptive limit in percent (zero for a
+/// limit equal to the slots), the mean service time in ms and the seed.
+void flood_by_limit(benchmark::State& state) {
+    using common::priority;
+    tests::simulation_options options;
+    options.mean_service = std::chrono::milliseconds{state.range(2)};
+    options.length = options.mean_service * 250 + std::chrono::seconds{30};
+    options.warm_up = std::chrono::seconds{20};
+    options.seed = static_cast<std::uint64_t>(state.range(3));
+    options.noise = 0.3;
+    const double capacity = 8000.0 / static_cast<double>(state.range(2));
+    const common::duration deadline =
+        std::max<common::duration>(std::chrono::seconds{1}, options.mean_service * 4);
+    std::vector<tests::simulated_demand> demands{
+        {"w", priority::urgent, 0.4 * capacity, deadline},
+        {"w", priority::standard, 0.3 * capacity, deadline},
+        {"w", priority::background, 0.3 * capacity, deadline}};
+    demands.at(static_cast<std::size_t>(state.range(0))).per_second = 10.0 * capacity;
+    const double tolerance = static_cast<double>(state.range(1)) / 100.0;
+    for (auto step : state) {
+        const auto limit =
+            state.range(1) == 0
+                ? policy::make_fixed_limit(options.slots)
+                : policy::make_adaptive_limit({.maximum = 64, .tolerance = tolerance});
+        policy::admission_control control{make_queue(1000), limit, policy::deadline_check{},
+                                          default_shares()};
+        tests::upstream_simulation run{control, options};
+        run.run(demands);
+        state.counters["limit"] = control.limit();
+        state.counters["useful"] = run.useful_share();
+        for (const auto it : {priority::urgent, priority::standard, priority::background}) {
+            const auto outcome = run.outcome(it);
+            const std::string name{common::to_name(it)};
+            state.counters[name + "_share"] = run.useful_share(it);
+            state.counters[name + "_in_time"] =
+                static_cast<double>(outcome.in_time) / static_cast<double>(outcome.offered);
+        }
+    }
+}
+
 BENCHMARK(queue_push_and_pop)->Arg(10)->Arg(100)->Arg(1000)->Arg(3300);
 BENCHMARK(queue_push_when_full)->Arg(10)->Arg(100)->Arg(1000)->Arg(3300);
 BENCHMARK(control_arrive_start_complete)->Arg(10)->Arg(100)->Arg(1000)->Arg(3300);
 BENCHMARK(overload_by_factors)
     ->ArgNames({"wait", "service", "drop", "noise"})
-    ->ArgsProduct({{100, 120, 150}, {100, 130}, {70, 100, 110, 130}, {10, 30}})
+    ->ArgsProduct({{100, 120, 150}, {100, 115, 130}, {70, 100, 110, 130}, {10, 30}})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+BENCHMARK(flood_by_limit)
+    ->ArgNames({"flood", "tolerance", "service", "seed"})
+    ->ArgsProduct({{0, 2}, {0, 150, 200}, {20, 1500}, {1, 2, 3}})
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
--- a/source/core/policy/admission_control.cpp
+++ b/source/core/policy/admission_control.cpp
@@ -9,8 +9,13 @@
 // Cost of work of which nothing is known. It only orders the queue; it is no ground for a refusal.
 constexpr common::duration unknown_cost = std::chrono::milliseconds{10};
 
-// Learns the service time without load: slow calls count little, and the estimate rises slowly.
-constexpr cost_model_options unloaded_options{.memory = 0.99, .weight_above = 0.05};
+// Learns the service time without load from the few calls of quiet phases.
+constexpr cost_model_options unloaded_options{.memory = 0.95};
+
+// When nothing of an operation has completed for this time, one piece of work is let through
+// although it is expected to miss its deadline. Without it, an expectation that refuses all work
+// would never be corrected.
+constexpr common::duration probe_interval = std::chrono::milliseconds{500};
 
 } // namespace
 
@@ -38,17 +43,19 @@
     const auto deadline = work.deadline - work.reserve;
     queued_work queued{work.id, work.workspace, work.priority, deadline, cost};
     decision.wait = wait_of(queued, now);
-    if (expected && !m_check.reachable(now, deadline, decision.wait, cost)) {
+    const bool reachable = !expected || m_check.reachable(now, deadline, decision.wait, cost);
+    const bool probe = !reachable && take_probe(work.operation, now);
+    if (!reachable && !probe) {
         decision.unreachable = true;
         return decision;
     }
     // Without experience, queued work is hopeless only when no time is left at all.
-    const auto latest_start =
-        m_check.latest_start(deadline, expected.value_or(common::duration::zero()));
+    const auto service = probe ? common::duration::zero() : expected.value_or(common::duration{});
+    const auto latest_start = m_check.latest_start(deadline, service);
     m_latest_starts.emplace(latest_start, work.id);
     decision.refused = m_queue.push(queued);
     m_work.insert_or_assign(work.id, known_work{std::move(queued), work.operation, work.size,
-                                                latest_start, std::nullopt});
+                                                latest_start, std::nullopt, false, probe});
     for (const auto id : decision.refused) {
         forget(id);
     }
@@ -83,6 +90,7 @@
     if (const auto it = m_work.find(work->id); it != m_work.end()) {
         not_waiting(it->second);
         it->second.started = now;
+        it->second.quiet = in_progress < m_limit.quiet();
     }
     return decision;
 }
@@ -93,14 +101,35 @@
     if (it == m_work.end() || !it->second.started) {
         return;
     }
-    const auto& work = it->second;
+    learn(it->second, in_progress, now);
+    forget(id);
+}
+
+void admission_control::learn(const known_work& work, std::uint32_t in_progress,
+                              common::time_point now) {
     const auto actual = now - *work.started;
     m_queue.settle(work.queued, actual);
+    m_last_trial[work.operation] = now;
+    if (work.probe && actual < work.queued.cost) {
+        m_expected.scale(work.operation, std::chrono::duration<double>(actual) /
+                                             std::chrono::duration<double>(work.queued.cost));
+    }
     m_expected.observe(work.operation, work.size, actual);
-    m_unloaded.observe(work.operation, work.size, actual);
+    if (work.quiet) {
+        m_unloaded.observe(work.operation, work.size, actual);
+    }
     const auto unloaded = m_unloaded.expect(work.operation, work.size);
-    m_limit.completed({actual, unloaded.value_or(common::duration::zero()), in_progress, now});
-    forget(id);
+    m_limit.completed(
+        {actual, unloaded.value_or(common::duration::zero()), in_progress, work.quiet, now});
+}
+
+bool admission_control::take_probe(const std::string& operation, common::time_point now) {
+    auto& last = m_last_trial[operation];
+    if (now - last < probe_interval) {
+        return false;
+    }
+    last = now;
+    return true;
 }
 
 void admission_control::not_waiting(const known_work& work) {
--- a/source/core/policy/admission_control.h
+++ b/source/core/policy/admission_control.h
@@ -85,9 +85,13 @@
         work_size size;
         common::time_point latest_start;
         std::optional<common::time_point> started;
+        bool quiet = false;
+        bool probe = false;
     };
 
     [[nodiscard]] common::duration wait_of(const queued_work& work, common::time_point now) const;
+    bool take_probe(const std::string& operation, common::time_point now);
+    void learn(const known_work& work, std::uint32_t in_progress, common::time_point now);
     void not_waiting(const known_work& work);
 
     queue_hooks m_queue;
@@ -97,6 +101,8 @@
     cost_model m_expected;
     cost_model m_unloaded;
     std::unordered_map<std::uint64_t, known_work> m_work;
+    /// When work of an operation last completed or was let through as a probe.
+    std::unordered_map<std::string, common::time_point> m_last_trial;
     std::set<std::pair<common::time_point, std::uint64_t>> m_latest_starts;
 };
 
--- a/source/core/policy/concurrency_limit.h
+++ b/source/core/policy/concurrency_limit.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "common/enum_names.h"
 #include "common/time.h"
@@ -18,6 +19,8 @@
     common::duration unloaded;
     /// Calls in progress when this one completed, itself included.
     std::uint32_t in_progress = 0;
+    /// The call began with no more than `limit_hooks::quiet` calls in progress.
+    bool quiet = false;
     common::time_point now;
 };
 
@@ -25,6 +28,8 @@
 struct limit_hooks {
     std::function<std::uint32_t()> current;
     std::function<void(const call_sample&)> completed;
+    /// Up to this many calls in progress, the service time counts as that without load.
+    std::function<std::uint32_t()> quiet;
 };
 
 /// Baseline: always the same bound.
@@ -34,7 +39,7 @@
     std::uint32_t maximum = 8;
     std::uint32_t initial = 4;
     /// The bound falls when service takes this many times as long as without load.
-    double tolerance = 2.0;
+    double tolerance = 1.5;
     /// What is left of the bound after it falls.
     double decrease = 0.9;
 };
@@ -44,17 +49,29 @@
 /// Algorithms for Congestion Avoidance in Computer Networks", 1989) on the service time relative to
 /// the learned service time without load (as TCP Vegas does with round trips: Brakmo and Peterson,
 /// 1995). Before the first decrease the bound doubles per service time (slow start).
+///
+/// Under lasting overload every call is slow, and a service time learned then would justify any
+/// bound. So the bound now and then falls to a part for a few calls (as BBR does to measure the
+/// round trip time: Cardwell et al., "BBR: Congestion-Based Congestion Control", 2016). The part is
+/// smaller than one by the tolerance; then an upstream that serves n calls at a time settles at the
+/// tolerance times n, and at no larger bound.
 class concurrency_limit {
 public:
     explicit concurrency_limit(concurrency_limit_options options);
 
     [[nodiscard]] std::uint32_t current() const;
 
+    [[nodiscard]] std::uint32_t quiet() const;
+
     void completed(const call_sample& sample);
 
 private:
+    void adapt(const call_sample& sample);
     void increase();
     void reduce(const call_sample& sample);
+    [[nodiscard]] bool must_measure(const call_sample& sample) const;
+    void begin_quiet_phase(const call_sample& sample);
+    void count_quiet(const call_sample& sample);
 
     concurrency_limit_options m_options;
     double m_limit;
@@ -62,6 +79,12 @@
     double m_ratio = 1.0;
     bool m_slow_start = true;
     common::time_point m_next_decrease;
+    /// Until the first quiet phase is over, the initial bound counts as quiet.
+    bool m_measured = false;
+    bool m_quiet_phase = true;
+    std::uint32_t m_quiet_calls = 0;
+    std::optional<common::time_point> m_phase_end;
+    common::time_point m_next_phase;
 };
 
 limit_hooks make_adaptive_limit(const concurrency_limit_options& options);
--- a/source/core/policy/cost_model.cpp
+++ b/source/core/policy/cost_model.cpp
@@ -36,10 +36,9 @@
 double cost_model::weight_of(operation_state& state, double residual) const {
     const double size = std::abs(residual);
     const double bound = m_options.outlier_bound * state.deviation;
-    double weight = residual > 0.0 ? m_options.weight_above : 1.0;
-    if (state.count >= least_observations && size > bound) {
-        weight *= bound / size;
-    }
+    // Work stalls for many reasons, but nothing makes it finish too early.
+    const bool outlier = state.count >= least_observations && residual > bound;
+    const double weight = outlier ? bound / residual : 1.0;
     // The deviation follows a lasting change within a few tens of observations, since even an
     // outlier may raise it a little.
     const double bounded =
@@ -71,6 +70,20 @@
     solve(state);
 }
 
+void cost_model::scale(const std::string& operation, double factor) {
+    const auto it = m_operations.find(operation);
+    if (it == m_operations.end()) {
+        return;
+    }
+    auto& state = it->second;
+    for (std::size_t n = 0; n < term_count; ++n) {
+        state.products[n] *= factor;
+        state.factors[n] *= factor;
+    }
+    state.deviation *= factor;
+    state.least *= factor;
+}
+
 void cost_model::solve(operation_state& state) {
     auto rows = state.moments;
     auto values = state.products;
--- a/source/core/policy/cost_model.h
+++ b/source/core/policy/cost_model.h
@@ -22,12 +22,7 @@
 struct cost_model_options {
     /// Weight that an observation keeps after the next one. 0.98 averages over about 50.
     double memory = 0.98;
-    /// Weight of observations above the prediction relative to those below. One learns the mean; a
-    /// small value learns the lower edge, which is the service time of an upstream without load
-    /// (expectile regression, Newey and Powell, "Asymmetric Least Squares Estimation and Testing",
-    /// 1987).
-    double weight_above = 1.0;
-    /// Residuals beyond this many mean absolute residuals count as outliers.
+    /// Observations this many mean absolute residuals above the expectation count as outliers.
     double outlier_bound = 3.0;
 };
 
@@ -42,6 +37,9 @@
     /// Learns from completed work.
     void observe(const std::string& operation, const work_size& size, common::duration actual);
 
+    /// Scales what is known of the operation, after a sign that it has become faster as a whole.
+    void scale(const std::string& operation, double factor);
+
     /// Returns the expected service time, or nothing while too little is known of the operation.
     [[nodiscard]] std::optional<common::duration> expect(const std::string& operation,
                                                          const work_size& size) const;
--- a/source/core/policy/deadline_check.h
+++ b/source/core/policy/deadline_check.h
@@ -14,8 +14,9 @@
     /// The expected wait counts this many times on arrival. docs/measurements-admission.md has the
     /// runs that led to the three values.
     double wait_factor = 1.2;
-    /// The expected service time counts this many times on arrival.
-    double service_factor = 1.3;
+    /// The expected service time counts this many times on arrival. More than the drop factor needs
+    /// would refuse long work with a tight deadline even while the upstream is idle.
+    double service_factor = 1.15;
     /// Accepted work is dropped when this many times its expected service time no longer fit. Below
     /// one, an overloaded queue serves mostly work that finishes just too late. The factor on
     /// arrival is larger, so that small errors of the estimate do not drop work that has just been
--- a/source/core/sidecar/sidecar_settings.cpp
+++ b/source/core/sidecar/sidecar_settings.cpp
@@ -74,7 +74,7 @@
     "admission", "limit", "adaptive", "limit of calls, fixed or adaptive", false, check_limit};
 const settings::setting<double> sidecar_settings::admission_latency_tolerance{
     "admission", "latency_tolerance",
-    2.0,         "service time relative to that without load at which the adaptive limit falls",
+    1.5,         "service time relative to that without load at which the adaptive limit falls",
     false,       check_tolerance};
 const settings::setting<double> sidecar_settings::admission_floor_urgent{
     "admission", "floor_urgent",
--- a/tests/support/upstream_simulation.cpp
+++ b/tests/support/upstream_simulation.cpp
@@ -112,10 +112,16 @@
         const auto id = m_waiting.front();
         m_waiting.pop();
         ++m_busy;
-        schedule(m_now + m_requests.at(id).service, [this, id] { complete(id); });
+        schedule(m_now + service_of(m_requests.at(id)), [this, id] { complete(id); });
     }
 }
 
+common::duration upstream_simulation::service_of(const request& served) const {
+    const auto elapsed = m_now - (m_end - m_options.length);
+    const bool slow = elapsed >= m_options.slow_begin && elapsed < m_options.slow_end;
+    return from_seconds(seconds(served.service) * (slow ? m_options.slow_factor : 1.0));
+}
+
 void upstream_simulation::complete(std::uint64_t id) {
     m_control.completed(id, m_in_progress, m_now);
     --m_busy;
--- a/tests/support/upstream_simulation.h
+++ b/tests/support/upstream_simulation.h
@@ -41,6 +41,11 @@
     common::duration warm_up = std::chrono::seconds{5};
     common::duration length = std::chrono::seconds{35};
     std::uint64_t seed = 1;
+    /// From `slow_begin` to `slow_end` after the start, calls begin with this many times their
+    /// service time.
+    double slow_factor = 1.0;
+    common::duration slow_begin = common::duration::zero();
+    common::duration slow_end = common::duration::zero();
 };
 
 /// An upstream with a number of slots behind an admission control, in virtual time. Calls beyond
@@ -85,6 +90,7 @@
     void complete(std::uint64_t id);
     void refuse(std::uint64_t id);
     simulated_outcome* counter(const request& of);
+    [[nodiscard]] common::duration service_of(const request& served) const;
 
     policy::admission_control& m_control;
     simulation_options m_options;
--- a/tests/unit/policy/admission_control_test.cpp
+++ b/tests/unit/policy/admission_control_test.cpp
@@ -15,14 +15,22 @@
 
     policy::shares shares{{0.3, 0.2, 0.1}, {}};
     simulation_options options;
+    std::uint32_t limit_at_end = 0;
+    std::function<policy::limit_hooks()> make_limit = [this] {
+        return policy::make_fixed_limit(options.slots);
+    };
+
+    void use_adaptive_limit() {
+        make_limit = [] { return policy::make_adaptive_limit({.maximum = 64, .initial = 4}); };
+    }
 
     upstream_simulation simulate(const std::vector<simulated_demand>& demands) {
         BOOST_TEST_MESSAGE("seed " << options.seed);
-        policy::admission_control control{policy::make_fair_queue({}, shares),
-                                          policy::make_fixed_limit(options.slots),
+        policy::admission_control control{policy::make_fair_queue({}, shares), make_limit(),
                                           policy::deadline_check{}, shares};
         upstream_simulation run{control, options};
         run.run(demands);
+        limit_at_end = control.limit();
         for (std::size_t n = 0; n < 3; ++n) {
             const auto it = run.outcome(static_cast<priority>(n));
             BOOST_TEST_MESSAGE(common::to_name(static_cast<priority>(n))
@@ -108,6 +116,33 @@
     }
 }
 
+// Guards against a limit that learns the service time under overload as normal and grows with it.
+BOOST_AUTO_TEST_CASE(admission_control_with_adaptive_limit_in_flood_protects_urgent) {
+    use_adaptive_limit();
+    const auto run = simulate({demand(priority::urgent, 0.4), demand(priority::standard, 0.3),
+                               demand(priority::background, 10.0)});
+    BOOST_TEST(in_time(run.outcome(priority::urgent)) >= 0.99);
+    BOOST_TEST(in_time(run.outcome(priority::standard)) >= 0.95);
+    BOOST_TEST(run.useful_share() >= 0.9);
+    BOOST_TEST(limit_at_end >= options.slots);
+    BOOST_TEST(limit_at_end <= 3 * options.slots);
+}
+
+// Guards against refusing everything for good: work that is refused teaches nothing.
+BOOST_AUTO_TEST_CASE(admission_control_after_upstream_was_too_slow_serves_again_within_seconds) {
+    options.slow_factor = 100.0;
+    options.slow_end = std::chrono::seconds{15};
+    options.warm_up = std::chrono::seconds{20};
+    for (const bool adaptive : {false, true}) {
+        if (adaptive) {
+            use_adaptive_limit();
+        }
+        const auto run = simulate({demand(priority::urgent, 0.3), demand(priority::standard, 0.3)});
+        BOOST_TEST(in_time(run.outcome(priority::urgent)) >= 0.99);
+        BOOST_TEST(in_time(run.outcome(priority::standard)) >= 0.99);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/policy/concurrency_limit_test.cpp
+++ b/tests/unit/policy/concurrency_limit_test.cpp
@@ -19,7 +19,7 @@
                 std::max(1.0, static_cast<double>(in_progress) / static_cast<double>(slots));
             now += unloaded / std::min(in_progress, slots);
             limit.completed({std::chrono::duration_cast<common::duration>(unloaded * slowdown),
-                             unloaded, in_progress, now});
+                             unloaded, in_progress, in_progress <= limit.quiet(), now});
         }
     }
 };
@@ -49,7 +49,7 @@
 // Guards against a limit that grows while idle and lets a burst through later.
 BOOST_AUTO_TEST_CASE(concurrency_limit_while_not_in_use_does_not_rise) {
     for (int n = 0; n < 1000; ++n) {
-        limit.completed({unloaded, unloaded, 1, now});
+        limit.completed({unloaded, unloaded, 1, true, now});
     }
     BOOST_TEST(limit.current() == 4U);
 }
@@ -57,7 +57,7 @@
 BOOST_AUTO_TEST_CASE(concurrency_limit_never_falls_below_one) {
     for (int n = 0; n < 1000; ++n) {
         now += std::chrono::seconds{1};
-        limit.completed({unloaded * 100, unloaded, 1, now});
+        limit.completed({unloaded * 100, unloaded, 1, false, now});
     }
     BOOST_TEST(limit.current() == 1U);
 }
