--- a/source/core/entry/coordinator.h
+++ b/source/core/entry/coordinator.h
@@ -9,6 +9,7 @@
 
 #include "common/enum_names.h"
 #include "common/random.h"
+#include "entry/entry_metrics.h"
 #include "entry/messages.h"
 #include "entry/request_flow.h"
 #include "entry/upstream_set.h"
@@ -76,6 +77,7 @@
     void handle(const link_status& message);
     void handle(const link_removed& message);
     void handle(const work_not_sent& message);
+    void handle(const admin::metrics_query& message);
     void handle(const claim_granted& message);
     void handle(const claim_denied& message);
     void handle(const claim_closed& message);
@@ -121,6 +123,7 @@
     upstream_set m_upstreams;
     std::uint64_t m_answered = 0;
     std::uint64_t m_failed = 0;
+    entry_metrics m_metrics;
     std::uint64_t m_hedges = 0;
     /// Repeats of a claimed request that got its recorded answer.
     std::uint64_t m_repeated = 0;
--- a/source/core/entry/entry_tree.cpp
+++ b/source/core/entry/entry_tree.cpp
@@ -71,6 +71,9 @@
         static_cast<std::size_t>(values.get(entry_settings::api_max_body_bytes));
     options.limits.max_connections =
         static_cast<std::size_t>(values.get(entry_settings::api_max_connections));
+    options.limits.read_timeout = values.get(entry_settings::api_read_timeout);
+    options.limits.write_timeout = values.get(entry_settings::api_write_timeout);
+    options.limits.idle_timeout = values.get(entry_settings::api_idle_timeout);
     options.stop_grace = values.get(entry_settings::api_stop_grace);
     options.on_stopping = [health] {
         health.send(admin::set_condition{listener_condition, "stopping"});
@@ -185,9 +188,13 @@
                                 std::map<std::string, std::string>{
                                     {configuration_condition, "no configuration is known yet"}});
                         }});
-    children.push_back(
-        admin::make_admin_server(http::parse_endpoint(values.get(entry_settings::admin_listen)),
-                                 health, {process.dump, {}, make_revision_handler(links_inbox)}));
+    children.push_back(admin::make_admin_server(
+        http::parse_endpoint(values.get(entry_settings::admin_listen)), health,
+        {process.dump,
+         [coordinator_inbox](const admin::metrics_query& it) {
+             return coordinator_inbox->post(it);
+         },
+         make_revision_handler(links_inbox)}));
     children.push_back(make_claims(values, platform, claims_inbox, coordinator_inbox));
     children.push_back(make_coordinator(values, coordinator_inbox, links_inbox, claims_inbox));
     children.push_back(make_links(values, links_inbox, coordinator_inbox, replica_inbox));
--- a/source/core/entry/messages.h
+++ b/source/core/entry/messages.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "admin/metrics_query.h"
 #include "common/time.h"
 #include "common/types.h"
 #include "entry/claim_record.h"
@@ -95,7 +96,8 @@
 
 using coordinator_message =
     std::variant<submit, caller_disconnected, configuration_changed, work_message, link_status,
-                 link_removed, work_not_sent, claim_granted, claim_denied, claim_closed>;
+                 link_removed, work_not_sent, claim_granted, claim_denied, claim_closed,
+                 admin::metrics_query>;
 
 /// Asks for the claim that lets a request run. Answered by claim_granted or claim_denied.
 struct claim_request {
--- a/source/core/load/sender.cpp
+++ b/source/core/load/sender.cpp
@@ -98,6 +98,7 @@
     added.outcome.workspace = plan.workspace->name;
     added.outcome.priority = plan.priority;
     added.outcome.deadline = plan.pipeline->deadline;
+    added.outcome.send_lag = m_hooks.clock() - added.intended;
     added.plan = std::move(plan);
     if (m_exchanges.size() >= m_experiment->max_in_progress) {
         added.outcome.result = request_result::not_sent;
--- a/source/core/sidecar/admission.h
+++ b/source/core/sidecar/admission.h
@@ -15,6 +15,7 @@
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
 #include "sidecar/messages.h"
+#include "sidecar/sidecar_metrics.h"
 #include "sidecar/status_reporter.h"
 
 namespace jujubemast::sidecar {
@@ -70,6 +71,7 @@
     void handle(const call_piece& message);
     void handle(const call_done& message);
     void handle(const call_failed& message);
+    void handle(const admin::metrics_query& message);
     void handle(const shares_changed& message);
 
     void dispatch_received(const std::string& routing_id, const protocol::dispatch& dispatch);
@@ -113,6 +115,7 @@
     std::uint32_t m_running = 0;
     std::uint64_t m_completed = 0;
     std::uint64_t m_failed = 0;
+    sidecar_metrics m_metrics;
     bool m_draining = false;
     runtime::stop_done m_done;
 };
--- a/source/core/sidecar/messages.h
+++ b/source/core/sidecar/messages.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <variant>
 
+#include "admin/metrics_query.h"
 #include "common/time.h"
 #include "policy/shares.h"
 #include "protocol/messages.h"
@@ -40,8 +41,8 @@
     std::shared_ptr<const policy::shares> current;
 };
 
-using admission_message =
-    std::variant<entry_message, call_piece, call_done, call_failed, shares_changed>;
+using admission_message = std::variant<entry_message, call_piece, call_done, call_failed,
+                                       shares_changed, admin::metrics_query>;
 
 /// Sends a message to an entry.
 struct send_to_entry {
