--- a/source/core/entry/request_flow.cpp
+++ b/source/core/entry/request_flow.cpp
@@ -102,6 +102,10 @@
 }
 
 flow_actions request_flow::start_attempt(common::duration delay) {
+    if (m_output_tokens == 0) {
+        // Only tokens are resumed; any other output is produced again from its beginning.
+        m_output.clear();
+    }
     m_next_sequence = 0;
     m_early_chunks.clear();
     m_digest = {};
@@ -112,7 +116,7 @@
 
 bool request_flow::may_hedge() const {
     return !m_finished && m_attempts.size() == 1 && !responded() && m_early_chunks.empty() &&
-           stage().idempotent;
+           !m_end && stage().idempotent;
 }
 
 flow_actions request_flow::hedge() {
--- a/tests/unit/entry/request_flow_test.cpp
+++ b/tests/unit/entry/request_flow_test.cpp
@@ -166,6 +166,16 @@
     BOOST_TEST(!flow.finished());
 }
 
+// Guards against a hedge whose result is judged by the end of the attempt that it replaced, which
+// ended the process.
+BOOST_AUTO_TEST_CASE(request_flow_when_end_has_arrived_before_its_chunks_does_not_hedge) {
+    flow.begin(now);
+    flow.stage_dispatched(0, "u", 1, now);
+    BOOST_TEST(flow.may_hedge());
+    flow.end_received(end_of(identity(0), {payload("1")}), now);
+    BOOST_TEST(!flow.may_hedge());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
