--- a/source/core/entry/entry_settings.cpp
+++ b/source/core/entry/entry_settings.cpp
@@ -168,13 +168,13 @@
     &link_subset_size,
     &routing_policy,
     &retry_max_attempts,
+    &retry_budget,
+    &hedge_enabled,
     &requests_max_in_progress,
     &claims_wait,
     &claims_flush_delay,
     &claims_max_group,
     &claims_max_outcome_bytes,
-    &retry_budget,
-    &hedge_enabled,
 };
 
 } // namespace jujubemast::entry
