--- a/source/core/entry/coordinator.h
+++ b/source/core/entry/coordinator.h
@@ -91,6 +91,7 @@
     void perform_one(std::uint64_t id, active_request& request, const deliver_piece& action);
     void perform_one(std::uint64_t id, active_request& request, const deliver_answer& action);
     void perform_one(std::uint64_t id, active_request& request, const deliver_problem& action);
+    void perform_one(std::uint64_t id, active_request& request, const wait_for_upstream& action);
     void begin_stream(active_request& request);
     void start_flow(std::uint64_t id, active_request& request);
     void request_claim(std::uint64_t id, active_request& request, const std::string& key);
@@ -102,6 +103,8 @@
     void remove(std::uint64_t id);
     void remove_if_finished(std::uint64_t id);
     void fail_work_on(const std::string& instance);
+    void ask_for_work_on(const std::string& instance);
+    [[nodiscard]] std::vector<std::uint64_t> requests_on(const std::string& instance) const;
     void dispatch_now(std::uint64_t id, active_request& request, const dispatch_stage& action);
     void dispatch_later(std::uint64_t id, active_request& request, const dispatch_stage& action);
     void schedule_hedge(std::uint64_t id, active_request& request);
--- a/source/core/entry/upstream_set.h
+++ b/source/core/entry/upstream_set.h
@@ -26,6 +26,9 @@
     std::uint64_t least_hedge_samples = 20;
 };
 
+/// What has become of the work on a link: nothing, its messages may be lost, or the work itself is.
+enum class link_change { none, reconnected, lost };
+
 /// What one entry knows of the upstreams it has links to, and the decisions that need it: routing,
 /// ejection, retry budgets and hedge delays. Owned by the coordinator.
 class upstream_set {
@@ -33,8 +36,8 @@
     upstream_set(upstream_set_options options, policy::routing_hook route)
         : m_options{options}, m_route{std::move(route)} {}
 
-    /// Takes over a link's status. Returns true when work sent before on this link is lost.
-    bool update(const link_status& status, common::time_point now);
+    /// Takes over a link's status. Returns what it means for the work sent before on this link.
+    link_change update(const link_status& status, common::time_point now);
 
     void remove(const std::string& instance);
 
--- a/tests/unit/entry/request_flow_property_test.cpp
+++ b/tests/unit/entry/request_flow_property_test.cpp
@@ -142,7 +142,7 @@
         }
         const auto instance = "u" + std::to_string(action.attempt % 4);
         m_attempts[key] = {instance};
-        m_flow.stage_dispatched(action.attempt, instance, 1, m_now);
+        m_flow.stage_dispatched({action.attempt, instance, 1, m_now, 0});
     }
 
     common::time_point m_now{};
