--- a/source/core/entry/request_flow.cpp
+++ b/source/core/entry/request_flow.cpp
@@ -135,7 +135,7 @@
 
 bool request_flow::may_hedge() const {
     return !m_finished && m_attempts.size() == 1 && !responded() && m_early_chunks.empty() &&
-           stage().idempotent;
+           !m_end && stage().idempotent;
 }
 
 flow_actions request_flow::hedge() {
