load: useful work in slots, totals of extra work

The client now reports the service time that went into timely answers, and the target compares it with the slots of the busiest stage. Unit tests of load and metrics pass.

--- a/scripts/experiment_targets.py
+++ b/scripts/experiment_targets.py
@@ -3,16 +3,43 @@
 A target names a phase, a group ("all", "priorities/urgent", "stages/*", ...; "*" stands for every
 group and "others" for every workspace but the first) and a value in it, and bounds it by "at_least"
 or "at_most". "times" multiplies the bound by the capacity, by the floor of the group's priority
-("floor"), or by the same value in another phase ("phase:NAME").
+("floor"), or by the same value in another phase ("phase:NAME"). The phase "total" stands for all
+measured phases and holds stages only. The value "useful_share" of "bottleneck" is the service time
+that went into answers in time, as a share of all slots of the stage where this share is largest;
+unlike a number of requests, it does not depend on the mix of cheap and dear ones.
 """
 
 
+def total_of(phases):
+    stages = {}
+    for phase in phases:
+        for name, it in phase["stages"].items():
+            total = stages.setdefault(name, {"completed": 0, "attempts": 0})
+            for key in total:
+                total[key] += it[key]
+    for it in stages.values():
+        it["extra_work"] = it["attempts"] / it["completed"] - 1
+    return {"name": "total", "stages": stages}
+
+
+def bottleneck_of(phase, deployment):
+    shares = []
+    for name, it in phase["stages"].items():
+        pool = deployment["pools"][deployment["stages"][name]["pool"]]
+        shares.append(it["useful_slots"] / (pool["count"] * pool["slots"]))
+    return {"useful_share": max(shares, default=0.0)}
+
+
 def phase_of(result, name):
+    if name == "total":
+        return total_of(result["phases"])
     return next(it for it in result["phases"] if it["name"] == name)
 
 
 def groups_of(phase, path, deployment):
     """Returns the groups that a path names, by their own paths."""
+    if path == "bottleneck":
+        return {path: bottleneck_of(phase, deployment)}
     kind, _, name = path.partition("/")
     if not name:
         return {kind: phase[kind]}
--- a/source/core/load/statistics.cpp
+++ b/source/core/load/statistics.cpp
@@ -58,10 +58,11 @@
                  static_cast<double>(stage.completed));
 }
 
-json::object to_json(const stage_statistics& stage) {
+json::object to_json(const stage_statistics& stage, double seconds) {
     return {{"completed", stage.completed},
             {"attempts", stage.attempts},
             {"extra_work", extra_work(stage)},
+            {"useful_slots", ratio(stage.useful_ms / 1000.0, seconds)},
             {"queue_ms", to_json(quantiles_of(stage.queue_ms))},
             {"service_ms", to_json(quantiles_of(stage.service_ms))}};
 }
@@ -164,6 +165,9 @@
         stage.attempts += std::max<std::uint32_t>(1, it.attempts);
         stage.queue_ms.push_back(milliseconds(it.queue));
         stage.service_ms.push_back(milliseconds(it.service));
+        if (outcome.within_deadline()) {
+            stage.useful_ms += common::to_milliseconds(it.service);
+        }
     }
 }
 
@@ -205,7 +209,7 @@
     };
     json::object stages;
     for (const auto& [name, stage] : collected.stages) {
-        stages[name] = load::to_json(stage);
+        stages[name] = load::to_json(stage, seconds);
     }
     return {{"name", known.name},
             {"duration_ms", known.duration.count()},
--- a/source/core/load/statistics.h
+++ b/source/core/load/statistics.h
@@ -32,6 +32,8 @@
 struct stage_statistics {
     std::uint64_t completed = 0;
     std::uint64_t attempts = 0;
+    /// Service time that went into answers within the deadline.
+    double useful_ms = 0.0;
     std::vector<float> queue_ms;
     std::vector<float> service_ms;
 };
--- a/tests/unit/load/statistics_test.cpp
+++ b/tests/unit/load/statistics_test.cpp
@@ -1,5 +1,7 @@
 #include "load/statistics.h"
 
+#include <cmath>
+
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -80,6 +82,8 @@
     const auto& stage = document.at("phases").at(0).at("stages").at("encode");
     BOOST_TEST(stage.at("extra_work").as_double() == 0.5);
     BOOST_TEST(stage.at("service_ms").at("p50").as_double() == 4.0);
+    // Two answers in time with 4 ms each, in a phase of 60 s.
+    BOOST_TEST(std::abs(stage.at("useful_slots").as_double() - 0.008 / 60.0) < 1e-9);
 }
 
 // Guards against answers of other requests, which is what the check exists for.
