--- a/source/core/entry/request_flow.h
+++ b/source/core/entry/request_flow.h
@@ -73,8 +73,13 @@
     problem content;
 };
 
-using flow_action =
-    std::variant<dispatch_stage, send_to_upstream, deliver_piece, deliver_answer, deliver_problem>;
+/// No upstream is available; asks for `request_flow::try_again` after the delay.
+struct wait_for_upstream {
+    common::duration delay;
+};
+
+using flow_action = std::variant<dispatch_stage, send_to_upstream, deliver_piece, deliver_answer,
+                                 deliver_problem, wait_for_upstream>;
 using flow_actions = std::vector<flow_action>;
 
 /// What a decision about a further attempt rests on.
@@ -105,6 +110,8 @@
     std::string instance;
     std::uint64_t incarnation = 0;
     common::time_point sent_at;
+    /// The deadline of the dispatch, in the sidecar's clock.
+    std::int64_t deadline_us = 0;
 };
 
 /// The state machine of one request: takes events and returns what is to be done. Holds no socket
@@ -115,11 +122,12 @@
 
     flow_actions begin(common::time_point now);
 
-    /// This attempt of the current stage was sent to this upstream.
-    void stage_dispatched(std::uint32_t attempt, const std::string& instance,
-                          std::uint64_t incarnation, common::time_point now);
+    /// The attempt of the current stage was sent to its upstream.
+    void stage_dispatched(attempt_in_progress attempt);
     /// No upstream could take the stage.
     flow_actions stage_not_dispatched(common::time_point now);
+    /// The time to wait for an upstream is over.
+    flow_actions try_again();
     /// Returns whether a second attempt may run beside the one that has not responded yet.
     [[nodiscard]] bool may_hedge() const;
     /// Asks for a second attempt; the first of both to respond wins and the other is cancelled.
@@ -130,11 +138,17 @@
     flow_actions refusal_received(const protocol::refusal& refusal, common::time_point now);
     /// The link to an upstream was lost, or its sidecar has restarted.
     flow_actions link_lost(const std::string& instance, common::time_point now);
+    /// The connection to the upstream was replaced and may have lost messages.
+    flow_actions link_reconnected(const std::string& instance) const;
     flow_actions deadline_passed();
     /// The caller has closed its connection.
     flow_actions caller_gone();
 
     [[nodiscard]] bool finished() const { return m_finished; }
+    /// Whether this names an attempt that is in progress.
+    [[nodiscard]] bool is_current(const protocol::work_identity& identity) const {
+        return find(identity) != nullptr;
+    }
     [[nodiscard]] const request_plan& plan() const { return m_plan; }
     /// The index of the current stage and the attempts that are in progress for it.
     [[nodiscard]] std::size_t stage_index() const { return m_stage; }
@@ -149,15 +163,17 @@
     [[nodiscard]] const tickets::stage_settings& stage() const;
     [[nodiscard]] protocol::work_identity identity_of(const attempt_in_progress& attempt) const;
     [[nodiscard]] const attempt_in_progress* find(const protocol::work_identity& identity) const;
+    [[nodiscard]] std::optional<common::duration> retry_delay(const protocol::refusal& refusal,
+                                                              common::time_point now);
     flow_actions start_attempt(common::duration delay);
     void keep_only(const protocol::work_identity& winner, flow_actions& actions);
     flow_actions accept_pieces();
     void take_payload(const std::string& payload, flow_actions& actions);
     flow_actions check_complete(common::time_point now);
     flow_actions complete_stage(common::time_point now);
-    flow_actions attempt_failed(const protocol::work_identity& identity, problem_kind kind,
-                                common::execution outcome, std::string detail,
-                                std::int64_t retry_after_us, common::time_point now);
+    flow_actions result_damaged(common::time_point now);
+    flow_actions attempt_failed(problem_kind kind, const protocol::refusal& refusal,
+                                common::time_point now);
     void end_attempt(const protocol::work_identity& identity, common::execution outcome);
     flow_actions fail(problem_kind kind, std::string detail, std::int64_t retry_after_us = 0);
     void append_cancels(flow_actions& actions) const;
@@ -168,6 +184,8 @@
     std::size_t m_stage = 0;
     std::uint32_t m_next_attempt = 0;
     std::vector<attempt_in_progress> m_attempts;
+    /// Since when the current attempt has found no upstream.
+    std::optional<common::time_point> m_waiting_since;
     bool m_ran = false;
     bool m_unknown = false;
     bool m_finished = false;
@@ -177,6 +195,12 @@
     /// Output of the current stage so far, over all of its attempts.
     std::string m_output;
     std::uint64_t m_output_tokens = 0;
+    /// Size of the output, and of its part in tokens, when the current attempt began.
+    std::size_t m_output_before = 0;
+    std::uint64_t m_tokens_before = 0;
+    bool m_damaged = false;
+    /// Attempts that a leaving sidecar has handed back; they do not count as failures.
+    std::uint32_t m_moves = 0;
     std::uint32_t m_next_sequence = 0;
     std::map<std::uint32_t, std::string> m_early_chunks;
     common::content_digest m_digest;
--- a/source/core/entry/upstream_set.cpp
+++ b/source/core/entry/upstream_set.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-bool upstream_set::update(const link_status& status, common::time_point now) {
+link_change upstream_set::update(const link_status& status, common::time_point now) {
     const auto& name = status.instance.name;
     if (const auto it = m_pool_of.find(name);
         it != m_pool_of.end() && it->second != status.instance.pool) {
@@ -37,6 +37,7 @@
     auto& view = target.members.views[n];
     auto& known = target.members.statuses[n];
     const bool lost = known.up && (!status.up || status.incarnation != known.incarnation);
+    const bool reconnected = known.up && status.connection != known.connection;
     const bool available = takes_new_work(status);
     if (available && !view.available) {
         view.available_since = now;
@@ -48,7 +49,10 @@
     view.limit = status.load.limit;
     view.sent_since_report = 0;
     known = status;
-    return lost;
+    if (lost) {
+        return link_change::lost;
+    }
+    return reconnected ? link_change::reconnected : link_change::none;
 }
 
 std::size_t upstream_set::index_of(pool_state& target, const std::string& name) {
--- a/source/core/sidecar/sidecar_tree.cpp
+++ b/source/core/sidecar/sidecar_tree.cpp
@@ -89,6 +89,13 @@
 std::vector<runtime::child_spec> make_sidecar_tree(const runtime::executor& loop,
                                                    const runtime::process_hooks& process,
                                                    const settings::values& values) {
+    return make_hooked_sidecar_tree(loop, process, values, {});
+}
+
+std::vector<runtime::child_spec> make_hooked_sidecar_tree(const runtime::executor& loop,
+                                                          const runtime::process_hooks& process,
+                                                          const settings::values& values,
+                                                          const link_hooks& hooks) {
     const auto health_inbox = runtime::make_mailbox<admin::health_message>(loop, mailbox_capacity);
     const auto admission_inbox = runtime::make_mailbox<admission_message>(loop, mailbox_capacity);
     const auto link_inbox = runtime::make_mailbox<link_command>(loop, mailbox_capacity);
@@ -110,13 +117,14 @@
                                  {process.dump, [admission_inbox](const admin::metrics_query& it) {
                                       return admission_inbox->post(it);
                                   }}));
-    const auto listen = values.get(sidecar_settings::link_listen);
-    children.push_back({"link", [=](runtime::task_context it) {
-                            return std::make_shared<link>(
-                                std::move(it), link_inbox,
-                                runtime::address<admission_message>{admission_inbox},
-                                runtime::address<tickets::replica_message>{replica_inbox}, listen);
-                        }});
+    const link_options options{values.get(sidecar_settings::link_listen),
+                               values.get(sidecar_settings::link_silence_limit)};
+    children.push_back(
+        {"link", [=](runtime::task_context it) {
+             return std::make_shared<link>(
+                 std::move(it), link_inbox, runtime::address<admission_message>{admission_inbox},
+                 runtime::address<tickets::replica_message>{replica_inbox}, options, hooks);
+         }});
     // After the link, so that a restarted link is told the revision again.
     children.push_back(make_replica(replica_inbox, link_inbox, admission_inbox, shares));
     children.push_back(make_upstream(values, upstream_inbox, admission_inbox));
