--- a/tests/unit/docs/reference_page_test.cpp
+++ b/tests/unit/docs/reference_page_test.cpp
@@ -104,6 +104,48 @@
                  find_in_sources(std::regex{R"re(path [!=]= "(/[a-z0-9/]+)")re"}));
 }
 
+// Guards against pages that send operators after log lines that no program writes.
+BOOST_AUTO_TEST_CASE(operations_pages_when_compared_quote_only_existing_log_lines) {
+    const std::regex quoted{R"re(`([a-z]+): ([A-Z][^`.]*\.)[ `])re"};
+    const auto sentences = find_in_sources(std::regex{R"re(log\.[a-z]+\(\s*"([^"]+)")re"});
+    std::size_t n = 0;
+    for (const auto* name : {"failures.md", "tickets.md", "rolling-upgrade.md"}) {
+        const auto text = read_source(std::string{"docs/operations/"} + name);
+        for (std::sregex_iterator it{text.begin(), text.end(), quoted}, end; it != end; ++it, ++n) {
+            BOOST_TEST(sentences.contains((*it)[2].str()), "no program logs " + it->str());
+        }
+    }
+    BOOST_TEST(n >= 20U);
+}
+
+// Guards against names of metrics and dump members that the programs do not have.
+BOOST_AUTO_TEST_CASE(health_page_when_compared_names_the_metrics_of_the_programs) {
+    const auto text = read_source("docs/operations/health.md");
+    std::set<std::string> named;
+    const std::regex metric{"`(jujubemast_[a-z_]+)`"};
+    for (std::sregex_iterator it{text.begin(), text.end(), metric}, end; it != end; ++it) {
+        named.insert((*it)[1].str());
+    }
+    const auto offered = find_in_sources(std::regex{R"re("(jujubemast_[a-z_]+)")re"});
+    BOOST_TEST(named == offered, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(health_page_when_compared_names_existing_dump_members) {
+    const auto text = read_source("docs/operations/health.md");
+    const auto members = find_in_sources(std::regex{R"re(\{"([a-z_]+)", )re"});
+    const auto first = text.find("| program, task |");
+    const auto table = text.substr(first, text.find("\n\n", first) - first);
+    const std::regex word{"`([a-z_]+)`"};
+    std::size_t n = 0;
+    for (std::sregex_iterator it{table.begin(), table.end(), word}, end; it != end; ++it, ++n) {
+        const auto name = (*it)[1].str();
+        const bool is_task = table.find("entry `" + name) != std::string::npos ||
+                             table.find("sidecar `" + name) != std::string::npos;
+        BOOST_TEST((is_task || members.contains(name)), "no dump has the member " + name);
+    }
+    BOOST_TEST(n >= 20U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/docs/settings_page_test.cpp
+++ b/tests/unit/docs/settings_page_test.cpp
@@ -30,7 +30,7 @@
         for (std::string line; std::getline(lines, line); ++n) {
             const auto row = row_of(line);
             const bool found = page.find("\n" + row + "\n") != std::string::npos;
-            BOOST_TEST(found, "the page lacks this row: " + row);
+            BOOST_TEST(found, "the page lacks this row (run scripts/settings-tables): " + row);
         }
         const auto rows = table_rows(page, "## " + program);
         BOOST_TEST(rows.size() == n);
