examples: a ticket that removes an object

The example handed the removed object's null state to the configuration, which refused it. It now applies the ticket as an acceptance does.

Measured: package.examples passes with a ticket that removes an object; the former example ended with code 1 on it.

--- a/examples/ticket_decisions.cpp
+++ b/examples/ticket_decisions.cpp
@@ -24,7 +24,10 @@
             }
             return 1;
         }
-        const auto snapshot = tickets::make_snapshot(1, objects);
+        tickets::ticket change;
+        change.objects = objects;
+        const auto states = tickets::states_of(tickets::apply_ticket({}, change));
+        const auto snapshot = tickets::make_snapshot(1, states);
         for (const auto& [name, pipeline] : snapshot->content->pipelines) {
             std::cout << name << ": " << pipeline.stages.size() << " stages, "
                       << common::to_name(pipeline.priority) << "\n";
--- a/tests/package/examples.sh
+++ b/tests/package/examples.sh
@@ -26,3 +26,7 @@
 tickets=$("$work/build/example_ticket_decisions" "$work/examples/first-ticket.yaml")
 echo "$tickets"
 expect "$tickets" "status-lookup: 4 stages, urgent"
+# A removed object is no part of the configuration.
+cp "$work/examples/first-ticket.yaml" "$work/removal.yaml"
+sed -i 's/^pools:/pools:\n  former: null/' "$work/removal.yaml"
+[ "$("$work/build/example_ticket_decisions" "$work/removal.yaml")" = "$tickets" ]
