sidecar: engines follow the placement of their pool

Change: a new object kind placement (pool, models, role). The task orders reads the engine's state right before each order, uses the revision as fencing number, gives none to an engine that has taken a higher one, holds back after a pause of its own, spreads the first order after a change and honours Retry-After. Models are loaded one at a time before any is dropped, and a ticket that takes a model away from a pipeline in force is refused. A wider guard over the instances of a pool is not there.

--- /dev/null
+++ b/source/core/sidecar/orders.cpp
@@ -0,0 +1,159 @@
+#include "sidecar/orders.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json.hpp>
+
+namespace jujubemast::sidecar {
+
+namespace {
+
+// An order is given only when the engine's state was asked for at most this long ago; a longer
+// time means that this process was paused, and another may have given orders since.
+constexpr std::chrono::milliseconds longest_read{1000};
+
+std::optional<engine_state> parse_state(const http::call_result& result) {
+    const auto* answer = std::get_if<http::response>(&result);
+    if (answer == nullptr || answer->status != 200) {
+        return std::nullopt;
+    }
+    try {
+        const auto value = boost::json::parse(answer->body);
+        engine_state state;
+        for (const auto& it : value.at("models").as_array()) {
+            state.models.emplace(it.as_string());
+        }
+        state.role = std::string{value.at("role").as_string()};
+        state.fencing = value.at("fencing").to_number<std::uint64_t>();
+        return state;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string to_body(const engine_order& order) {
+    boost::json::array models;
+    for (const auto& it : order.models) {
+        models.push_back(boost::json::string{it});
+    }
+    return boost::json::serialize(boost::json::object{
+        {"models", std::move(models)}, {"role", order.role}, {"fencing", order.fencing}});
+}
+
+} // namespace
+
+orders::orders(runtime::task_context context,
+               std::shared_ptr<runtime::mailbox<orders_message>> inbox, orders_options options)
+    : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_options{std::move(options)},
+      m_client{m_context, m_options.engine, {.head_timeout = std::chrono::seconds{5}}},
+      m_timer{m_context.loop()}, m_pause{m_options.interval + longest_read} {}
+
+void orders::start() {
+    m_inbox.receive(m_context.wrap([this](const orders_message& message) {
+        std::visit([this](const auto& it) { handle(it); }, message);
+    }));
+    tick();
+}
+
+void orders::close() noexcept {
+    m_inbox.close();
+    m_timer.cancel();
+    m_client.close();
+}
+
+void orders::handle(const placement_changed& message) {
+    const auto* placement = message.current->placement_of(m_options.pool);
+    if (placement == nullptr) {
+        m_target.reset();
+        return;
+    }
+    const bool same =
+        m_target && m_target->models == placement->models && m_target->role == placement->role;
+    m_target = {placement->models, placement->role, message.current->revision};
+    if (!same) {
+        // The engines of a pool do not load at the same time.
+        const auto spread =
+            std::chrono::duration_cast<std::chrono::microseconds>(m_options.spread).count();
+        hold_back(std::chrono::microseconds{
+            common::uniform_below(m_options.random, static_cast<std::uint64_t>(spread) + 1)});
+    }
+}
+
+void orders::hold_back(common::duration time) {
+    m_not_before = common::monotonic_clock::now() + time;
+}
+
+void orders::tick() {
+    const auto now = common::monotonic_clock::now();
+    if (m_pause.beat(now)) {
+        // The configuration may be old as well; heartbeats tell of a newer one within this time.
+        ++m_pauses;
+        hold_back(m_options.interval);
+    }
+    if (m_target && !m_busy && now >= m_not_before) {
+        read_engine();
+    }
+    m_timer.start(m_options.interval, m_context.wrap([this] { tick(); }));
+}
+
+void orders::read_engine() {
+    m_busy = true;
+    m_read_begun = common::monotonic_clock::now();
+    m_client.send({"GET", "/v1/load", {}, {}},
+                  [this](const http::call_result& result) { engine_read(result); });
+}
+
+void orders::engine_read(const http::call_result& result) {
+    m_busy = false;
+    const auto state = parse_state(result);
+    if (!state || !m_target) {
+        return;
+    }
+    m_engine_fencing = state->fencing;
+    const auto now = common::monotonic_clock::now();
+    if (now - m_read_begun > longest_read || now < m_not_before) {
+        return;
+    }
+    if (const auto order = next_order(*state, *m_target)) {
+        give(*order);
+    }
+}
+
+void orders::give(const engine_order& order) {
+    m_busy = true;
+    ++m_orders_given;
+    m_log.info("Order given.", {{"fencing", std::to_string(order.fencing)},
+                                {"models", std::to_string(order.models.size())},
+                                {"role", order.role}});
+    m_client.send({"POST", "/v1/orders", {{"Content-Type", "application/json"}}, to_body(order)},
+                  [this](const http::call_result& result) { answered(result); },
+                  {.repeatable = false});
+}
+
+void orders::answered(const http::call_result& result) {
+    m_busy = false;
+    const auto* answer = std::get_if<http::response>(&result);
+    if (answer == nullptr || answer->status == 200) {
+        // After a lost answer, the next read shows whether the engine has taken the order.
+        return;
+    }
+    ++m_orders_refused;
+    m_log.warn("Order refused.", {{"status", std::to_string(answer->status)}});
+    if (answer->status == 429) {
+        const std::string after{http::find_header(answer->fields, "Retry-After")};
+        const auto seconds = std::max(1L, std::strtol(after.c_str(), nullptr, 10));
+        hold_back(std::chrono::seconds{seconds});
+    }
+}
+
+boost::json::value orders::dump() const {
+    return boost::json::object{{"pool", m_options.pool},
+                               {"target_revision", m_target ? m_target->revision : 0},
+                               {"engine_fencing", m_engine_fencing},
+                               {"orders_given", m_orders_given},
+                               {"orders_refused", m_orders_refused},
+                               {"pauses", m_pauses}};
+}
+
+} // namespace jujubemast::sidecar
--- a/source/core/sidecar/sidecar_settings.cpp
+++ b/source/core/sidecar/sidecar_settings.cpp
@@ -39,6 +39,8 @@
     "instance", "name", "", "name of this instance, unique in the deployment", true};
 const settings::setting<std::string> sidecar_settings::failure_domain{
     "instance", "failure_domain", "", "failure domain of this instance", true};
+const settings::setting<std::string> sidecar_settings::pool{
+    "instance", "pool", "", "pool of the upstream; without it, no orders are given to an engine"};
 const settings::setting<std::string> sidecar_settings::log_level{"log", "level", "info",
                                                                  "debug, info, warn or error"};
 const settings::setting<std::string> sidecar_settings::link_listen{
@@ -93,9 +95,25 @@
     milliseconds{5}, "shortest time between two reports of a changed load, in ms",
     false,           check_positive_duration};
 
+const settings::setting<milliseconds> sidecar_settings::orders_interval{
+    "orders",
+    "interval_ms",
+    milliseconds{1000},
+    "time between two comparisons of the engine with its placement, in ms",
+    false,
+    check_positive_duration};
+const settings::setting<milliseconds> sidecar_settings::orders_spread{
+    "orders",
+    "spread_ms",
+    milliseconds{10000},
+    "the first order after a change waits for a random part of this time, in ms",
+    false,
+    check_positive_duration};
+
 const settings::table sidecar_settings::table{
     &name,
     &failure_domain,
+    &pool,
     &log_level,
     &link_listen,
     &admin_listen,
@@ -112,6 +130,8 @@
     &admission_floor_standard,
     &admission_floor_background,
     &admission_status_interval,
+    &orders_interval,
+    &orders_spread,
 };
 
 } // namespace jujubemast::sidecar
--- a/source/core/sidecar/sidecar_settings.h
+++ b/source/core/sidecar/sidecar_settings.h
@@ -8,6 +8,7 @@
 struct sidecar_settings {
     static const settings::setting<std::string> name;
     static const settings::setting<std::string> failure_domain;
+    static const settings::setting<std::string> pool;
     static const settings::setting<std::string> log_level;
     static const settings::setting<std::string> link_listen;
     static const settings::setting<std::string> admin_listen;
@@ -25,6 +26,9 @@
     static const settings::setting<double> admission_floor_background;
     static const settings::setting<std::chrono::milliseconds> admission_status_interval;
 
+    static const settings::setting<std::chrono::milliseconds> orders_interval;
+    static const settings::setting<std::chrono::milliseconds> orders_spread;
+
     static const settings::table table;
 };
 
--- a/source/core/sidecar/sidecar_tree.cpp
+++ b/source/core/sidecar/sidecar_tree.cpp
@@ -9,6 +9,7 @@
 #include "sidecar/admission.h"
 #include "sidecar/admission_parts.h"
 #include "sidecar/link.h"
+#include "sidecar/orders.h"
 #include "sidecar/sidecar_settings.h"
 #include "sidecar/upstream.h"
 #include "tickets/replica.h"
@@ -22,6 +23,7 @@
 using admission_mailbox = std::shared_ptr<runtime::mailbox<admission_message>>;
 using link_mailbox = std::shared_ptr<runtime::mailbox<link_command>>;
 using replica_mailbox = std::shared_ptr<runtime::mailbox<tickets::replica_message>>;
+using orders_mailbox = std::shared_ptr<runtime::mailbox<orders_message>>;
 using upstream_mailbox = std::shared_ptr<runtime::mailbox<upstream_command>>;
 
 using shares_pointer = std::shared_ptr<const policy::shares>;
@@ -58,16 +60,18 @@
 
 /// The configuration comes from entries only, so that sidecars cost the store nothing.
 runtime::child_spec make_replica(const replica_mailbox& inbox, const link_mailbox& link,
-                                 const admission_mailbox& admission,
+                                 const admission_mailbox& admission, const orders_mailbox& orders,
                                  const std::shared_ptr<shares_pointer>& shares) {
     const runtime::address<link_command> peers{link};
     tickets::replica_hooks hooks;
     const runtime::address<admission_message> queue{admission};
+    const runtime::address<orders_message> engine{orders};
     const auto defaults = *shares;
     hooks.publish = [=](const tickets::configuration_pointer& current) {
         // Kept as well, for an admission task that is restarted later.
         *shares = std::make_shared<const policy::shares>(shares_of(*current, *defaults));
         queue.send(shares_changed{*shares});
+        engine.send(placement_changed{current});
     };
     hooks.announce = [peers](std::uint64_t revision) { peers.send(announce_revision{revision}); };
     hooks.send = [peers](const std::string& peer, protocol::message content) {
@@ -84,6 +88,17 @@
             }};
 }
 
+runtime::child_spec make_orders(const settings::values& values, const orders_mailbox& inbox) {
+    orders_options options;
+    options.engine = http::parse_endpoint(values.get(sidecar_settings::upstream_address));
+    options.pool = values.get(sidecar_settings::pool);
+    options.interval = values.get(sidecar_settings::orders_interval);
+    options.spread = values.get(sidecar_settings::orders_spread);
+    return {"orders", [=](runtime::task_context context) {
+                return std::make_shared<orders>(std::move(context), inbox, options);
+            }};
+}
+
 } // namespace
 
 std::vector<runtime::child_spec> make_sidecar_tree(const runtime::executor& loop,
@@ -94,6 +109,7 @@
     const auto link_inbox = runtime::make_mailbox<link_command>(loop, mailbox_capacity);
     const auto replica_inbox =
         runtime::make_mailbox<tickets::replica_message>(loop, mailbox_capacity);
+    const auto orders_inbox = runtime::make_mailbox<orders_message>(loop, mailbox_capacity);
     const auto upstream_inbox = runtime::make_mailbox<upstream_command>(loop, mailbox_capacity);
 
     const auto shares = std::make_shared<shares_pointer>(
@@ -118,7 +134,14 @@
                                 runtime::address<tickets::replica_message>{replica_inbox}, listen);
                         }});
     // After the link, so that a restarted link is told the revision again.
-    children.push_back(make_replica(replica_inbox, link_inbox, admission_inbox, shares));
+    const auto kind = values.get(sidecar_settings::upstream_kind);
+    if (kind == common::to_name(tickets::pool_kind::engine) &&
+        !values.get(sidecar_settings::pool).empty()) {
+        // Before the replica, which sends it the placement again after a restart.
+        children.push_back(make_orders(values, orders_inbox));
+    }
+    children.push_back(
+        make_replica(replica_inbox, link_inbox, admission_inbox, orders_inbox, shares));
     children.push_back(make_upstream(values, upstream_inbox, admission_inbox));
     // Stops first, while the link and the upstream calls still work for it.
     children.push_back(make_admission(values, admission_inbox, link_inbox, upstream_inbox, shares));
--- a/source/core/tickets/configuration.cpp
+++ b/source/core/tickets/configuration.cpp
@@ -140,6 +140,25 @@
     return pipeline;
 }
 
+placement_settings read_placement(object_reader& reader) {
+    placement_settings placement;
+    reader.text("pool", true, placement.pool);
+    reader.text("role", true, placement.role);
+    reader.member("models", true, [&](const boost::json::value& it) {
+        if (!it.is_array() || it.as_array().empty()) {
+            return false;
+        }
+        for (const auto& model : it.as_array()) {
+            if (!model.is_string()) {
+                return false;
+            }
+            placement.models.emplace(model.as_string());
+        }
+        return true;
+    });
+    return placement;
+}
+
 workspace_settings read_workspace(object_reader& reader) {
     workspace_settings workspace;
     reader.number("weight", false, 0.001, 1000, workspace.weight);
@@ -184,6 +203,39 @@
                       result.priorities.at(static_cast<std::size_t>(*priority)).floor);
         return;
     }
+    case object_kind::placement: {
+        auto& placement = result.placements[name];
+        placement = read_placement(reader);
+        placement.name = name;
+        return;
+    }
+    }
+}
+
+/// A model that a pipeline uses must stay in the placement of its pool, so that no engine is told
+/// to drop it.
+void check_placements(const configuration& result,
+                      const std::function<void(const std::string&)>& complain) {
+    std::set<std::string> pools;
+    for (const auto& [name, placement] : result.placements) {
+        const auto pool = result.pools.find(placement.pool);
+        if (pool == result.pools.end() || pool->second.kind != pool_kind::engine) {
+            complain("placement/" + name + " needs a pool of engines, which pool/" +
+                     placement.pool + " is not");
+        }
+        if (!pools.insert(placement.pool).second) {
+            complain("placement/" + name + " is not the only one of pool/" + placement.pool);
+        }
+    }
+    for (const auto& [name, pipeline] : result.pipelines) {
+        for (const auto& stage : pipeline.stages) {
+            const auto* placement = result.placement_of(stage.pool);
+            if (placement != nullptr && !stage.model.empty() &&
+                !placement->models.contains(stage.model)) {
+                complain("pipeline/" + name + " uses the model " + stage.model +
+                         ", which placement/" + placement->name + " lacks");
+            }
+        }
     }
 }
 
@@ -198,6 +250,7 @@
             }
         }
     }
+    check_placements(result, complain);
     double floors = 0;
     for (const auto& it : result.priorities) {
         floors += it.floor;
@@ -209,6 +262,12 @@
 
 } // namespace
 
+const placement_settings* configuration::placement_of(std::string_view pool) const {
+    const auto it = std::find_if(placements.begin(), placements.end(),
+                                 [&](const auto& entry) { return entry.second.pool == pool; });
+    return it == placements.end() ? nullptr : &it->second;
+}
+
 bool pipeline_settings::idempotent() const {
     return std::all_of(stages.begin(), stages.end(),
                        [](const stage_settings& it) { return it.idempotent; });
--- a/source/core/tickets/configuration.h
+++ b/source/core/tickets/configuration.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -21,7 +22,7 @@
 enum class pool_kind { service, engine };
 
 /// The kinds of objects that tickets carry.
-enum class object_kind { pool, pipeline, workspace, priority };
+enum class object_kind { pool, pipeline, workspace, priority, placement };
 
 struct pool_settings {
     std::string name;
@@ -61,6 +62,14 @@
     double floor = 0.0;
 };
 
+/// What the engines of a pool are to hold.
+struct placement_settings {
+    std::string name;
+    std::string pool;
+    std::set<std::string> models;
+    std::string role;
+};
+
 /// The whole configuration in force at one revision. Immutable once published.
 struct configuration {
     std::uint64_t revision = 0;
@@ -68,10 +77,15 @@
     std::map<std::string, pool_settings, std::less<>> pools;
     std::map<std::string, pipeline_settings, std::less<>> pipelines;
     std::map<std::string, workspace_settings, std::less<>> workspaces;
+    /// At most one for each pool.
+    std::map<std::string, placement_settings, std::less<>> placements;
     /// Names of the workspaces by the SHA-256 of their credential.
     std::unordered_map<std::string, std::string> workspace_of_key;
     std::array<priority_settings, 3> priorities;
 
+    /// Returns the placement of a pool, or null.
+    [[nodiscard]] const placement_settings* placement_of(std::string_view pool) const;
+
     /// Returns the workspace whose credential this is, or null. The look-up is by the hash, whose
     /// digits a caller cannot choose, so its time tells nothing of the credentials.
     [[nodiscard]] const workspace_settings* authenticate(std::string_view key) const;
@@ -100,8 +114,8 @@
 
 template <>
 struct enum_names<tickets::object_kind> {
-    static constexpr std::array<std::string_view, 4> table{"pool", "pipeline", "workspace",
-                                                           "priority"};
+    static constexpr std::array<std::string_view, 5> table{"pool", "pipeline", "workspace",
+                                                           "priority", "placement"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/tickets/replica.cpp
+++ b/source/core/tickets/replica.cpp
@@ -30,8 +30,6 @@
     }
 }
 
-replica::~replica() = default;
-
 void replica::start() {
     m_inbox.receive(m_context.wrap([this](const replica_message& message) {
         std::visit([this](const auto& it) { handle(it); }, message);
--- a/source/core/tickets/replica.h
+++ b/source/core/tickets/replica.h
@@ -64,7 +64,6 @@
     /// The state outlives restarts of the task, so that a restarted task does not go back.
     replica(runtime::task_context context, std::shared_ptr<runtime::mailbox<replica_message>> inbox,
             std::shared_ptr<spread> state, replica_options options, replica_hooks hooks);
-    ~replica() override;
 
     void start() override;
     void close() noexcept override;
--- a/source/core/tickets/ticket.cpp
+++ b/source/core/tickets/ticket.cpp
@@ -18,10 +18,11 @@
     object_kind kind;
 };
 
-constexpr std::array<section, 4> sections{{{"pools", object_kind::pool},
+constexpr std::array<section, 5> sections{{{"pools", object_kind::pool},
                                            {"pipelines", object_kind::pipeline},
                                            {"workspaces", object_kind::workspace},
-                                           {"priorities", object_kind::priority}}};
+                                           {"priorities", object_kind::priority},
+                                           {"placements", object_kind::placement}}};
 
 /// Converts a scalar to the JSON type that its text has; quoted text stays a string.
 boost::json::value scalar_to_json(const YAML::Node& node) {
--- a/source/core/tickets/ticket.h
+++ b/source/core/tickets/ticket.h
@@ -49,7 +49,8 @@
 /// Returns the records of all objects after the ticket has come into force at its revision.
 object_records apply_ticket(object_records records, const ticket& change);
 
-/// Reads the objects of a ticket from YAML: sections pools, pipelines, workspaces and priorities,
+/// Reads the objects of a ticket from YAML: sections pools, pipelines, workspaces, priorities and
+/// placements,
 /// each a map from names to states. Throws `common::format_error` with the lines of all faults.
 object_states parse_ticket_file(const std::string& text);
 
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -85,10 +85,13 @@
         added.pool = pool;
         added.upstream_address = m_hosts.back()->listening_address(program + "/server-" +
                                                                    std::to_string(n) + "/listener");
-        added.settings_path = write_file(
-            added.name + ".yaml", "instance: {name: " + added.name + ", failure_domain: fd-" +
-                                      std::to_string(n % 3) + "}\nupstream: {address: \"" +
-                                      added.upstream_address + "\", kind: " + kind + "}\n");
+        added.settings_path =
+            write_file(added.name + ".yaml", "instance: {name: " + added.name + ", pool: " + pool +
+                                                 ", failure_domain: fd-" + std::to_string(n % 3) +
+                                                 "}\nupstream: {address: \"" +
+                                                 added.upstream_address + "\", kind: " + kind +
+                                                 "}\n"
+                                                 "orders: {interval_ms: 100, spread_ms: 200}\n");
         start_sidecar(added);
     }
 }
--- /dev/null
+++ b/tests/unit/sidecar/placement_plan_test.cpp
@@ -0,0 +1,73 @@
+#include "sidecar/placement_plan.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "common/error.h"
+#include "tickets/ticket.h"
+
+namespace jujubemast::tests {
+
+using namespace jujubemast::sidecar;
+
+struct placement_plan_fixture {
+    engine_state state{{"base"}, "generate", 3};
+    placement_target target{{"base", "next"}, "generate", 5};
+
+    void take(const engine_order& order) {
+        state.models = order.models;
+        state.role = order.role;
+        state.fencing = order.fencing;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(placement_plan_test, placement_plan_fixture)
+
+// Guards against an engine that drops a model before the new one is loaded.
+BOOST_AUTO_TEST_CASE(engine_when_models_change_loads_before_it_drops) {
+    target.models = {"next"};
+    auto order = next_order(state, target);
+    BOOST_TEST_REQUIRE(order.has_value());
+    BOOST_TEST((order->models == std::set<std::string>{"base", "next"}));
+    BOOST_TEST(order->fencing == 5U);
+    take(*order);
+    order = next_order(state, target);
+    BOOST_TEST_REQUIRE(order.has_value());
+    BOOST_TEST((order->models == target.models));
+    take(*order);
+    BOOST_TEST(!next_order(state, target).has_value());
+}
+
+// Guards against a late sidecar that undoes the orders of a newer one at an engine that ignores
+// fencing numbers.
+BOOST_AUTO_TEST_CASE(engine_when_ordered_by_a_higher_revision_gets_no_order) {
+    state.fencing = 6;
+    BOOST_TEST(!next_order(state, target).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(pause_when_beats_are_far_apart_is_noticed_once) {
+    pause_detector pause{std::chrono::seconds{2}};
+    common::time_point now;
+    BOOST_TEST(!pause.beat(now));
+    BOOST_TEST(!pause.beat(now += std::chrono::seconds{1}));
+    BOOST_TEST(pause.beat(now += std::chrono::seconds{3}));
+    BOOST_TEST(!pause.beat(now += std::chrono::seconds{1}));
+}
+
+// Guards against a placement that takes away a model which a pipeline in force uses.
+BOOST_AUTO_TEST_CASE(placement_when_it_lacks_a_used_model_is_refused) {
+    const std::string start = "pools: {p: {kind: engine}, s: {kind: service}}\n"
+                              "pipelines: {d: {priority: urgent, deadline_ms: 9, stages: [{name: "
+                              "g, pool: p, operation: generate, model: base}]}}\n";
+    const auto parse = [&](const std::string& placements) {
+        tickets::parse_configuration(1, tickets::parse_ticket_file(start + placements));
+    };
+    BOOST_CHECK_NO_THROW(parse("placements: {a: {pool: p, models: [base, next], role: generate}}"));
+    BOOST_CHECK_THROW(parse("placements: {a: {pool: p, models: [next], role: generate}}"),
+                      common::format_error);
+    BOOST_CHECK_THROW(parse("placements: {a: {pool: s, models: [base], role: generate}}"),
+                      common::format_error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
