--- a/source/core/ctl/command.h
+++ b/source/core/ctl/command.h
@@ -19,6 +19,9 @@
 /// How a command ended; the values are the exit codes of jujubemast-ctl.
 enum class command_result { done, refused, usage, unavailable, unknown_outcome, lagging };
 
+/// How a report is printed.
+enum class output_format { text, json };
+
 /// The commands of jujubemast-ctl.
 enum class command {
     ticket_create,
@@ -69,6 +72,11 @@
         "done", "refused", "usage", "unavailable", "unknown_outcome", "lagging"};
 };
 
+template <>
+struct enum_names<ctl::output_format> {
+    static constexpr std::array<std::string_view, 2> table{"text", "json"};
+};
+
 template <>
 struct enum_names<ctl::command> {
     static constexpr std::array<std::string_view, 10> table{
--- a/source/core/ctl/dump_command.cpp
+++ b/source/core/ctl/dump_command.cpp
@@ -13,9 +13,9 @@
 
 class dump_command final : public runtime::task {
 public:
-    dump_command(const runtime::task_context& context, const invocation& call, report_hook report)
-        : m_client{context, http::parse_endpoint(call.arguments.front())}, m_report{
-                                                                               std::move(report)} {}
+    dump_command(runtime::task_context context, const invocation& call, report_hook report)
+        : m_client{std::move(context), http::parse_endpoint(call.arguments.front())},
+          m_report{std::move(report)} {}
 
     void start() override {
         m_client.send({"GET", "/dump", {}, {}},
@@ -47,7 +47,7 @@
 
 std::shared_ptr<runtime::task> make_dump_command(runtime::task_context context,
                                                  const invocation& call, report_hook report) {
-    return std::make_shared<dump_command>(context, call, std::move(report));
+    return std::make_shared<dump_command>(std::move(context), call, std::move(report));
 }
 
 } // namespace jujubemast::ctl
--- a/source/programs/ctl_main.cpp
+++ b/source/programs/ctl_main.cpp
@@ -22,9 +22,6 @@
 
 using namespace jujubemast;
 
-/// How a report is printed.
-enum class output_format { text, json };
-
 int fail_usage(const std::string& fault) {
     std::cerr << fault << "\n\n" << ctl::usage_text();
     return static_cast<int>(ctl::command_result::usage);
@@ -44,13 +41,13 @@
     return call;
 }
 
-void print(const ctl::command_report& report, output_format format) {
+void print(const ctl::command_report& report, ctl::output_format format) {
     auto& stream = report.result == ctl::command_result::done ? std::cout : std::cerr;
     switch (format) {
-    case output_format::text:
+    case ctl::output_format::text:
         stream << report.text << std::endl;
         return;
-    case output_format::json: {
+    case ctl::output_format::json: {
         // Scripts read one document from standard output, whatever the outcome.
         auto data = report.data;
         if (report.result != ctl::command_result::done && data.is_object()) {
@@ -63,7 +60,7 @@
 }
 
 int run_command(const ctl::command_factory& make, const ctl::invocation& call,
-                output_format format) {
+                ctl::output_format format) {
     return runtime::run_process(
         "jujubemast-ctl", [&](const runtime::executor&, const runtime::process_hooks& process) {
             const auto report = [process, format](const ctl::command_report& it) {
@@ -79,11 +76,6 @@
 
 } // namespace
 
-template <>
-struct jujubemast::common::enum_names<output_format> {
-    static constexpr std::array<std::string_view, 2> table{"text", "json"};
-};
-
 int main(int argc, char** argv) {
     if (const auto code =
             program::parse_command_line(argc, argv, {"jujubemast-ctl", ctl::usage_text()})) {
@@ -91,7 +83,7 @@
     }
     try {
         logging::initialize("warn");
-        const auto format = common::from_name<output_format>(FLAGS_output);
+        const auto format = common::from_name<ctl::output_format>(FLAGS_output);
         if (!format) {
             return fail_usage("--output must be text or json");
         }
--- a/tests/integration/ticket_operators_test.cpp
+++ b/tests/integration/ticket_operators_test.cpp
@@ -75,7 +75,10 @@
 BOOST_AUTO_TEST_CASE(disjoint_tickets_when_accepted_together_are_all_in_force) {
     std::vector<std::unique_ptr<child_process>> operators;
     std::vector<std::string> numbers;
-    for (int n = 0; n < 8; ++n) {
+    constexpr int count = 8;
+    numbers.reserve(count);
+    operators.reserve(count);
+    for (int n = 0; n < count; ++n) {
         numbers.push_back(system.create("pools: {p" + std::to_string(n) + ": {kind: service}}\n"));
     }
     for (const auto& it : numbers) {
