--- a/source/core/entry/coordinator.cpp
+++ b/source/core/entry/coordinator.cpp
@@ -166,7 +166,14 @@
 void coordinator::handle(const work_message& message) {
     const auto identity = identity_of(message.content);
     const auto position = m_ids.find(identity.request_id);
-    if (position == m_ids.end()) {
+    const bool current =
+        position != m_ids.end() && m_requests.at(position->second).flow.is_current(identity);
+    const bool refused = std::holds_alternative<protocol::refusal>(message.content);
+    if (refused || (!current && std::holds_alternative<protocol::result_end>(message.content))) {
+        // Nothing more is needed of this work, so the sidecar need not send its outcome again.
+        m_links.send(send_work{message.instance, protocol::acknowledge{identity}});
+    }
+    if (!current) {
         return;
     }
     const auto id = position->second;
@@ -223,8 +230,11 @@
 }
 
 void coordinator::handle(const link_status& message) {
-    if (m_upstreams.update(message, m_hooks.clock())) {
+    const auto change = m_upstreams.update(message, m_hooks.clock());
+    if (change == link_change::lost) {
         fail_work_on(message.instance.name);
+    } else if (change == link_change::reconnected) {
+        ask_for_work_on(message.instance.name);
     }
 }
 
@@ -240,7 +250,7 @@
     }
     const auto id = position->second;
     perform(id, m_requests.at(id).flow.refusal_received(
-                    {message.identity, protocol::refusal_reason::upstream_failed,
+                    {message.identity, protocol::refusal_reason::draining,
                      common::execution::not_run, 0, "the link to the upstream is down"},
                     m_hooks.clock()));
 }
@@ -249,14 +259,26 @@
     admin::answer(message, m_metrics.text(m_requests.size()));
 }
 
-void coordinator::fail_work_on(const std::string& instance) {
+std::vector<std::uint64_t> coordinator::requests_on(const std::string& instance) const {
     std::vector<std::uint64_t> affected;
     for (const auto& [id, request] : m_requests) {
         if (request.flow.is_assigned_to(instance)) {
             affected.push_back(id);
         }
     }
-    for (const auto id : affected) {
+    return affected;
+}
+
+void coordinator::ask_for_work_on(const std::string& instance) {
+    for (const auto id : requests_on(instance)) {
+        if (const auto it = m_requests.find(id); it != m_requests.end()) {
+            perform(id, it->second.flow.link_reconnected(instance));
+        }
+    }
+}
+
+void coordinator::fail_work_on(const std::string& instance) {
+    for (const auto id : requests_on(instance)) {
         if (const auto it = m_requests.find(id); it != m_requests.end()) {
             perform(id, it->second.flow.link_lost(instance, m_hooks.clock()));
         }
@@ -343,7 +365,8 @@
     message.max_output_tokens = stage.model.empty() ? 0 : plan.max_tokens;
     message.trace_parent = plan.trace_parent;
     const auto instance = status->instance.name;
-    flow.stage_dispatched(action.attempt, instance, status->incarnation, now);
+    flow.stage_dispatched(
+        {action.attempt, instance, status->incarnation, now, message.deadline_us});
     schedule_hedge(id, request);
     if (!m_links.send(send_work{instance, message})) {
         handle(work_not_sent{instance, message.identity});
@@ -374,6 +397,15 @@
     m_links.send(send_work{action.instance, action.content});
 }
 
+void coordinator::perform_one(std::uint64_t id, active_request& request,
+                              const wait_for_upstream& action) {
+    request.attempt_timer->start(action.delay, m_context.wrap([this, id] {
+        if (const auto it = m_requests.find(id); it != m_requests.end()) {
+            perform(id, it->second.flow.try_again());
+        }
+    }));
+}
+
 void coordinator::begin_stream(active_request& request) {
     if (std::exchange(request.stream_begun, true)) {
         return;
--- a/source/core/entry/request_flow.cpp
+++ b/source/core/entry/request_flow.cpp
@@ -13,12 +13,24 @@
 // Bounds the memory that chunks received ahead of a gap may take.
 constexpr std::size_t max_early_chunks = 1024;
 
+// A bound on how often work can be handed back, should all sidecars of a pool leave in turn.
+constexpr std::uint32_t max_moves = 16;
+constexpr std::uint32_t moves_without_wait = 2;
+constexpr common::duration move_wait = std::chrono::milliseconds{50};
+
+// Links that have all gone silent, or the only upstream of a pool that restarts, are back within
+// about a second; the caller of a pool without upstreams should not wait for its whole deadline.
+constexpr common::duration upstream_patience = std::chrono::seconds{3};
+constexpr common::duration upstream_retry_interval = std::chrono::milliseconds{100};
+
 constexpr std::int64_t microseconds_per_second = 1000000;
 
 /// What one payload of an upstream contributes to the stage's output.
 struct payload_content {
     std::string text;
     std::uint64_t tokens = 0;
+    /// Position of the first token in the whole output.
+    std::optional<std::uint64_t> offset;
 };
 
 payload_content parse_payload(const std::string& payload) {
@@ -26,14 +38,18 @@
     const auto value = boost::json::parse(payload, ec);
     const auto* object = ec ? nullptr : value.if_object();
     if (object == nullptr) {
-        return {payload, 0};
+        return {payload, 0, std::nullopt};
     }
     if (const auto* output = object->if_contains("output"); output != nullptr) {
         return {output->is_string() ? std::string{output->as_string()}
                                     : boost::json::serialize(*output),
-                0};
+                0, std::nullopt};
     }
     payload_content content;
+    if (const auto* offset = object->if_contains("offset");
+        offset != nullptr && offset->is_number()) {
+        content.offset = offset->to_number<std::uint64_t>();
+    }
     if (const auto* tokens = object->if_contains("tokens");
         tokens != nullptr && tokens->is_array()) {
         for (const auto& it : tokens->as_array()) {
@@ -102,6 +118,13 @@
 }
 
 flow_actions request_flow::start_attempt(common::duration delay) {
+    if (m_output_tokens == 0) {
+        // Only tokens are resumed; any other output is produced again from its beginning.
+        m_output.clear();
+    }
+    m_output_before = m_output.size();
+    m_tokens_before = m_output_tokens;
+    m_damaged = false;
     m_next_sequence = 0;
     m_early_chunks.clear();
     m_digest = {};
@@ -130,24 +153,38 @@
         {"input", m_plan.input}, {"context", m_context}, {"max_tokens", m_plan.max_tokens}});
 }
 
-void request_flow::stage_dispatched(std::uint32_t attempt, const std::string& instance,
-                                    std::uint64_t incarnation, common::time_point now) {
-    m_attempts.push_back({attempt, instance, incarnation, now});
+void request_flow::stage_dispatched(attempt_in_progress attempt) {
+    m_attempts.push_back(std::move(attempt));
+    m_waiting_since.reset();
 }
 
-flow_actions request_flow::stage_not_dispatched(common::time_point /*now*/) {
+flow_actions request_flow::stage_not_dispatched(common::time_point now) {
     // A hedge that finds no upstream changes nothing for the attempt it was to help.
     if (m_finished || !m_attempts.empty()) {
         return {};
     }
+    if (now - m_waiting_since.value_or(now) < upstream_patience) {
+        m_waiting_since = m_waiting_since.value_or(now);
+        return {wait_for_upstream{upstream_retry_interval}};
+    }
     return fail(problem_kind::unavailable, "no upstream of pool " + stage().pool + " is available",
                 microseconds_per_second);
 }
 
+flow_actions request_flow::try_again() {
+    if (m_finished || !m_attempts.empty()) {
+        return {};
+    }
+    // The number of the attempt has not been used.
+    --m_next_attempt;
+    return start_attempt(common::duration::zero());
+}
+
 void request_flow::keep_only(const protocol::work_identity& winner, flow_actions& actions) {
     for (const auto& it : m_attempts) {
         if (identity_of(it) != winner) {
-            actions.emplace_back(send_to_upstream{it.instance, protocol::cancel{identity_of(it)}});
+            actions.emplace_back(
+                send_to_upstream{it.instance, protocol::cancel{identity_of(it), it.deadline_us}});
             // The cancelled attempt is of an idempotent stage and may or may not have run.
             m_unknown = true;
         }
@@ -186,10 +223,16 @@
 void request_flow::take_payload(const std::string& payload, flow_actions& actions) {
     m_digest.update(payload);
     auto content = parse_payload(payload);
+    // An upstream that does not resume where it was asked to would repeat or skip tokens.
+    m_damaged = m_damaged || (content.offset && *content.offset != m_output_tokens);
+    if (m_damaged) {
+        return;
+    }
     m_output += content.text;
     m_output_tokens += content.tokens;
     const bool last_stage = m_stage + 1 == m_plan.pipeline.stages.size();
-    if (m_plan.stream && last_stage && !content.text.empty()) {
+    // Output without tokens cannot be resumed, so a piece of it might be delivered twice.
+    if (m_plan.stream && last_stage && content.tokens > 0 && !content.text.empty()) {
         actions.emplace_back(deliver_piece{std::move(content.text)});
     }
 }
@@ -207,20 +250,38 @@
 
 flow_actions request_flow::check_complete(common::time_point now) {
     if (m_next_sequence < m_end->chunk_count) {
-        return {send_to_upstream{m_attempts.front().instance,
-                                 protocol::fetch{m_end->identity, m_next_sequence}}};
+        const auto& holder = m_attempts.front();
+        return {send_to_upstream{holder.instance, protocol::fetch{m_end->identity, m_next_sequence,
+                                                                  holder.deadline_us}}};
     }
-    if (m_digest.value() != m_end->digest || m_next_sequence > m_end->chunk_count) {
-        return attempt_failed(m_end->identity, problem_kind::upstream_failed,
-                              common::execution::ran, "result does not match its digest", 0, now);
+    if (m_damaged || m_digest.value() != m_end->digest || m_next_sequence > m_end->chunk_count) {
+        return result_damaged(now);
     }
     return complete_stage(now);
 }
 
+flow_actions request_flow::result_damaged(common::time_point now) {
+    const protocol::refusal refusal{m_end->identity, protocol::refusal_reason::upstream_failed,
+                                    common::execution::ran, 0, "result does not match its digest"};
+    const bool last_stage = m_stage + 1 == m_plan.pipeline.stages.size();
+    if (m_plan.stream && last_stage && m_output_tokens > m_tokens_before) {
+        // The caller already has a part of the damaged output.
+        end_attempt(refusal.identity, refusal.execution);
+        return fail(problem_kind::upstream_failed, refusal.detail);
+    }
+    m_output.resize(m_output_before);
+    m_output_tokens = m_tokens_before;
+    return attempt_failed(problem_kind::upstream_failed, refusal, now);
+}
+
 flow_actions request_flow::complete_stage(common::time_point now) {
     const auto instance = m_attempts.front().instance;
     flow_actions actions{send_to_upstream{instance, protocol::acknowledge{m_end->identity}}};
     m_ran = true;
+    const bool last_stage = m_stage + 1 == m_plan.pipeline.stages.size();
+    if (m_plan.stream && last_stage && m_output_tokens == 0 && !m_output.empty()) {
+        actions.emplace_back(deliver_piece{m_output});
+    }
     m_reports.push_back({stage().name, instance, m_next_attempt, now - m_stage_begin,
                          m_end->queue_us, m_end->service_us});
     m_context = std::exchange(m_output, {});
@@ -228,6 +289,7 @@
     m_attempts.clear();
     ++m_stage;
     m_next_attempt = 0;
+    m_moves = 0;
     m_excluded.clear();
     m_stage_begin = now;
     if (m_stage == m_plan.pipeline.stages.size()) {
@@ -254,16 +316,14 @@
         return actions;
     }
     case protocol::refusal_reason::overloaded:
-        return attempt_failed(refusal.identity, problem_kind::overloaded, refusal.execution,
-                              refusal.detail, refusal.retry_after_us, now);
+        return attempt_failed(problem_kind::overloaded, refusal, now);
     case protocol::refusal_reason::wrong_incarnation:
     case protocol::refusal_reason::cancelled:
     case protocol::refusal_reason::draining:
     case protocol::refusal_reason::model_unavailable:
     case protocol::refusal_reason::not_found:
     case protocol::refusal_reason::upstream_failed:
-        return attempt_failed(refusal.identity, problem_kind::upstream_failed, refusal.execution,
-                              refusal.detail, refusal.retry_after_us, now);
+        return attempt_failed(problem_kind::upstream_failed, refusal, now);
     }
     return {};
 }
@@ -275,8 +335,36 @@
     if (m_finished || it == m_attempts.end()) {
         return {};
     }
-    return attempt_failed(identity_of(*it), problem_kind::upstream_failed,
-                          common::execution::unknown, "lost the link to the upstream", 0, now);
+    return attempt_failed(problem_kind::upstream_failed,
+                          {identity_of(*it), protocol::refusal_reason::upstream_failed,
+                           common::execution::unknown, 0, "lost the link to the upstream"},
+                          now);
+}
+
+flow_actions request_flow::link_reconnected(const std::string& instance) const {
+    flow_actions actions;
+    for (const auto& it : m_attempts) {
+        if (!m_finished && it.instance == instance) {
+            actions.emplace_back(send_to_upstream{
+                instance, protocol::fetch{identity_of(it), m_next_sequence, it.deadline_us}});
+        }
+    }
+    return actions;
+}
+
+std::optional<common::duration> request_flow::retry_delay(const protocol::refusal& refusal,
+                                                          common::time_point now) {
+    const bool not_run = refusal.execution == common::execution::not_run;
+    const retry_question question{stage(), m_next_attempt - m_moves, not_run, m_plan.deadline - now,
+                                  now};
+    if (refusal.reason == protocol::refusal_reason::draining && not_run && m_moves < max_moves &&
+        may_repeat(question)) {
+        // Work that was handed back, or not sent at all, is no extra work and needs no budget. The
+        // wait gives the news time to arrive that an upstream takes no work.
+        ++m_moves;
+        return m_moves <= moves_without_wait ? common::duration::zero() : move_wait;
+    }
+    return m_may_retry(question);
 }
 
 void request_flow::end_attempt(const protocol::work_identity& identity, common::execution outcome) {
@@ -288,19 +376,16 @@
                   [&](const attempt_in_progress& it) { return identity_of(it) == identity; });
 }
 
-flow_actions request_flow::attempt_failed(const protocol::work_identity& identity,
-                                          problem_kind kind, common::execution outcome,
-                                          std::string detail, std::int64_t retry_after_us,
+flow_actions request_flow::attempt_failed(problem_kind kind, const protocol::refusal& refusal,
                                           common::time_point now) {
-    end_attempt(identity, outcome);
+    end_attempt(refusal.identity, refusal.execution);
     if (!m_attempts.empty()) {
         // The other attempt of a hedge goes on.
         return {};
     }
-    const auto delay = m_may_retry({stage(), m_next_attempt, outcome == common::execution::not_run,
-                                    m_plan.deadline - now, now});
+    const auto delay = retry_delay(refusal, now);
     if (!delay) {
-        return fail(kind, std::move(detail), retry_after_us);
+        return fail(kind, refusal.detail, refusal.retry_after_us);
     }
     return start_attempt(*delay);
 }
@@ -327,7 +412,8 @@
 
 void request_flow::append_cancels(flow_actions& actions) const {
     for (const auto& it : m_attempts) {
-        actions.emplace_back(send_to_upstream{it.instance, protocol::cancel{identity_of(it)}});
+        actions.emplace_back(
+            send_to_upstream{it.instance, protocol::cancel{identity_of(it), it.deadline_us}});
     }
 }
 
--- a/source/core/sidecar/messages.h
+++ b/source/core/sidecar/messages.h
@@ -36,13 +36,30 @@
     std::string detail;
 };
 
+/// No heartbeat has come over this connection for the silence limit; its entry has vanished or has
+/// given up the connection, and with it the work that it had sent.
+struct connection_lost {
+    std::string routing_id;
+};
+
+/// Whether an entry holds a membership list in which this instance is leaving.
+struct leaving_changed {
+    bool leaving = false;
+};
+
+/// Whether every entry knows that this sidecar takes no new work.
+struct drain_announced {
+    bool everywhere = false;
+};
+
 /// Floors and weights of a new configuration.
 struct shares_changed {
     std::shared_ptr<const policy::shares> current;
 };
 
-using admission_message = std::variant<entry_message, call_piece, call_done, call_failed,
-                                       shares_changed, admin::metrics_query>;
+using admission_message =
+    std::variant<entry_message, call_piece, call_done, call_failed, connection_lost,
+                 leaving_changed, drain_announced, shares_changed, admin::metrics_query>;
 
 /// Sends a message to an entry.
 struct send_to_entry {
