--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -114,9 +114,10 @@
                              ? m_hooks.upstream_via(added.name, added.upstream_address)
                              : added.upstream_address;
         std::string text = "instance: {name: " + added.name;
-        text += ", failure_domain: fd-" + std::to_string(n % 3);
+        text += ", pool: " + pool + ", failure_domain: fd-" + std::to_string(n % 3);
         text += "}\nupstream: {address: \"" + via;
         text += "\", kind: " + kind + "}\n";
+        text += "orders: {interval_ms: 100, spread_ms: 200}\n";
         added.settings_path = write_file(added.name + ".yaml", text);
         start_sidecar(added);
     }
