links: heartbeats only where nothing else shows life

Cause: every link carried a heartbeat and an answer with the load report every 250 ms. With 48 links at a node that is about 190 pairs a second, above the bound of 11 KB/s for control; and a connection that died while idle was only noticed after work had been sent on it.

Change: policy/link_monitor decides. Results that arrive replace most heartbeats; idle links get one a second (links.idle_interval_ms), a change of the revision or of the membership one at once. A link on which nothing was heard for 500 ms is checked before work is sent; a non-idempotent call needs an answered heartbeat. Work that waits for the check goes back after 300 ms as not run. result_end carries the load at most every 100 ms, so that routing does not depend on heartbeats.

--- a/source/core/entry/entry_settings.cpp
+++ b/source/core/entry/entry_settings.cpp
@@ -102,13 +102,24 @@
     false,
     check_addresses};
 const settings::setting<milliseconds> entry_settings::link_ping_interval{
-    "links", "ping_interval_ms",     milliseconds{250}, "time between two heartbeats, in ms",
-    false,   check_positive_duration};
+    "links",
+    "ping_interval_ms",
+    milliseconds{250},
+    "time between two heartbeats while work is in progress and nothing arrives, in ms",
+    false,
+    check_positive_duration};
+const settings::setting<milliseconds> entry_settings::link_idle_interval{
+    "links",
+    "idle_interval_ms",
+    milliseconds{1000},
+    "longest time between two heartbeats, also on a link without work, in ms",
+    false,
+    check_positive_duration};
 const settings::setting<milliseconds> entry_settings::link_silence_limit{
     "links",
     "silence_limit_ms",
     milliseconds{1000},
-    "a link without a heartbeat answer for this time is replaced, in ms",
+    "a link that leaves a heartbeat unanswered for this time is replaced, in ms",
     false,
     check_positive_duration};
 const settings::setting<std::int64_t> entry_settings::link_subset_size{
@@ -164,6 +175,7 @@
     &membership_poll_interval,
     &membership_static,
     &link_ping_interval,
+    &link_idle_interval,
     &link_silence_limit,
     &link_subset_size,
     &routing_policy,
--- a/source/core/entry/entry_settings.h
+++ b/source/core/entry/entry_settings.h
@@ -22,6 +22,7 @@
     static const settings::setting<std::chrono::milliseconds> membership_poll_interval;
     static const settings::setting<std::string> membership_static;
     static const settings::setting<std::chrono::milliseconds> link_ping_interval;
+    static const settings::setting<std::chrono::milliseconds> link_idle_interval;
     static const settings::setting<std::chrono::milliseconds> link_silence_limit;
     static const settings::setting<std::int64_t> link_subset_size;
     static const settings::setting<std::string> routing_policy;
--- a/source/core/entry/entry_tree.cpp
+++ b/source/core/entry/entry_tree.cpp
@@ -150,10 +150,11 @@
 runtime::child_spec make_links(const settings::values& values, const links_mailbox& inbox,
                                const coordinator_mailbox& coordinator,
                                const replica_mailbox& replica) {
-    const link_limits limits{
-        values.get(entry_settings::link_ping_interval),
-        values.get(entry_settings::link_silence_limit),
-        static_cast<std::size_t>(values.get(entry_settings::link_subset_size))};
+    link_limits limits;
+    limits.monitor.active_interval = values.get(entry_settings::link_ping_interval);
+    limits.monitor.idle_interval = values.get(entry_settings::link_idle_interval);
+    limits.monitor.silence_limit = values.get(entry_settings::link_silence_limit);
+    limits.subset_size = static_cast<std::size_t>(values.get(entry_settings::link_subset_size));
     const link_identity identity{values.get(entry_settings::name),
                                  values.get(entry_settings::failure_domain)};
     return {"links",
--- a/source/core/entry/links.cpp
+++ b/source/core/entry/links.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 #include <boost/json.hpp>
@@ -38,7 +37,7 @@
     std::set<std::string> present;
     for (const auto& member : subset_of(message.members)) {
         present.insert(member.name);
-        auto& target = m_links[member.name];
+        auto& target = m_links.try_emplace(member.name, m_limits.monitor).first->second;
         if (target.instance == member) {
             continue;
         }
@@ -49,6 +48,8 @@
             set_down(target);
             open(target);
         }
+        // The sidecar learns at once that its instance is leaving.
+        ping(target, common::monotonic_clock::now());
         report(target);
     }
     for (auto it = m_links.begin(); it != m_links.end();) {
@@ -84,6 +85,10 @@
 
 void links::handle(const announce_revision& message) {
     m_revision = message.revision;
+    const auto now = common::monotonic_clock::now();
+    for (auto& [name, target] : m_links) {
+        ping(target, now);
+    }
 }
 
 void links::handle(const seed_addresses& message) {
@@ -111,13 +116,52 @@
 
 void links::handle(const send_work& message) {
     const auto it = m_links.find(message.instance);
-    const auto* dispatch = std::get_if<protocol::dispatch>(&message.content);
+    if (const auto* work = std::get_if<protocol::dispatch>(&message.content)) {
+        if (it == m_links.end()) {
+            m_coordinator.send(work_not_sent{message.instance, work->identity});
+        } else {
+            dispatch(it->second, *work);
+        }
+        return;
+    }
+    if (it != m_links.end() && it->second.status.up) {
+        it->second.socket->send(wire::encode(message.content));
+    }
+}
+
+void links::dispatch(link& target, const protocol::dispatch& message) {
+    const auto now = common::monotonic_clock::now();
+    const bool ready =
+        message.idempotent ? target.monitor.trusted(now) : target.monitor.verified(now);
+    if (ready || !target.status.up) {
+        send_dispatch(target, message);
+        return;
+    }
+    target.waiting.push_back({message, now});
+    ping(target, now);
+}
+
+void links::send_dispatch(link& target, const protocol::dispatch& message) {
     const bool usable =
-        it != m_links.end() && it->second.status.up &&
-        (dispatch == nullptr || dispatch->identity.incarnation == it->second.status.incarnation);
-    const bool sent = usable && it->second.socket->send(wire::encode(message.content));
-    if (!sent && dispatch != nullptr) {
-        m_coordinator.send(work_not_sent{message.instance, dispatch->identity});
+        target.status.up && message.identity.incarnation == target.status.incarnation;
+    if (usable && target.socket->send(wire::encode(message))) {
+        target.in_progress.insert(message.identity);
+        return;
+    }
+    m_coordinator.send(work_not_sent{target.instance.name, message.identity});
+}
+
+void links::send_waiting(link& target) {
+    for (const auto& it : std::exchange(target.waiting, {})) {
+        send_dispatch(target, it.content);
+    }
+}
+
+void links::give_back_waiting(link& target, common::time_point sent_before) {
+    while (!target.waiting.empty() && target.waiting.front().since <= sent_before) {
+        m_coordinator.send(
+            work_not_sent{target.instance.name, target.waiting.front().content.identity});
+        target.waiting.pop_front();
     }
 }
 
@@ -125,7 +169,7 @@
     const auto name = target.instance.name;
     target.socket.reset();
     target.unanswered.clear();
-    target.opened = common::monotonic_clock::now();
+    target.monitor.opened(common::monotonic_clock::now());
     try {
         target.socket = std::make_unique<wire::dealer>(
             m_context, target.instance.address,
@@ -138,16 +182,27 @@
 void links::tick() {
     const auto now = common::monotonic_clock::now();
     for (auto& [name, target] : m_links) {
-        const auto last = std::max(target.last_pong, target.opened);
-        if (now - last > m_limits.silence_limit) {
-            // A connection may have gone silent for good while new ones work.
-            set_down(target);
-            ++target.replacements;
-            open(target);
-        }
-        ping(target, now);
+        check(target, now);
     }
-    m_timer.start(m_limits.ping_interval, m_context.wrap([this] { tick(); }));
+    m_timer.start(m_limits.monitor.active_interval, m_context.wrap([this] { tick(); }));
+}
+
+void links::check(link& target, common::time_point now) {
+    give_back_waiting(target, now - m_limits.check_limit);
+    const bool active = !target.in_progress.empty() || !target.waiting.empty();
+    switch (target.monitor.next_step(now, active)) {
+    case policy::link_step::none:
+        return;
+    case policy::link_step::replace:
+        // A connection may have gone silent for good while new ones work.
+        set_down(target);
+        ++target.replacements;
+        open(target);
+        break;
+    case policy::link_step::send_heartbeat:
+        break;
+    }
+    ping(target, now);
 }
 
 void links::ping(link& target, common::time_point now) {
@@ -155,13 +210,17 @@
         return;
     }
     while (!target.unanswered.empty() &&
-           now - target.unanswered.front().sent > m_limits.silence_limit) {
+           now - target.unanswered.front().sent > m_limits.monitor.silence_limit) {
         target.unanswered.pop_front();
     }
     const bool leaving = target.instance.state == platform::instance_state::leaving;
-    if (target.socket->send(
-            wire::encode(protocol::ping{m_identity.name, m_next_nonce, m_revision, leaving}))) {
+    const auto bytes =
+        wire::encode(protocol::ping{m_identity.name, m_next_nonce, m_revision, leaving});
+    // A heartbeat that finds no peer counts as sent, so that its missing answer ends the link.
+    target.monitor.heartbeat_sent(now);
+    if (target.socket->send(bytes)) {
         target.unanswered.push_back({m_next_nonce++, now});
+        m_heartbeat_bytes += bytes.size();
     }
 }
 
@@ -173,15 +232,32 @@
     try {
         const auto message = wire::decode(bytes);
         if (const auto* pong = std::get_if<protocol::pong>(&message)) {
+            m_heartbeat_bytes += bytes.size();
             pong_received(it->second, *pong);
             return;
         }
+        work_received(it->second, message);
         pass_on(instance, message);
     } catch (const common::format_error& e) {
         m_log.warn("Dropped a message.", {{"instance", instance}, {"reason", e.what()}});
     }
 }
 
+void links::work_received(link& target, const protocol::message& message) {
+    target.monitor.message_received(common::monotonic_clock::now());
+    if (const auto* end = std::get_if<protocol::result_end>(&message)) {
+        target.in_progress.erase(end->identity);
+        if (end->load) {
+            target.status.load = *end->load;
+            report(target);
+        }
+    } else if (const auto* refusal = std::get_if<protocol::refusal>(&message)) {
+        target.in_progress.erase(refusal->identity);
+    } else if (const auto* cancelled = std::get_if<protocol::cancelled>(&message)) {
+        target.in_progress.erase(cancelled->identity);
+    }
+}
+
 void links::pass_on(const std::string& instance, const protocol::message& message) {
     if (const auto* fetch = std::get_if<protocol::configuration_fetch>(&message)) {
         m_replica.send(tickets::peer_fetch{instance, *fetch});
@@ -199,11 +275,11 @@
                                        [&](const auto& it) { return it.nonce == pong.nonce; });
     // An answer that is older than the silence limit, for example because one of the processes was
     // stopped, says nothing of the link and would give a deadline that is much too early.
-    if (answered == unanswered.end() || now - answered->sent > m_limits.silence_limit) {
+    if (answered == unanswered.end() || now - answered->sent > m_limits.monitor.silence_limit) {
         return;
     }
     unanswered.erase(unanswered.begin(), std::next(answered));
-    target.last_pong = now;
+    target.monitor.heartbeat_answered(now);
     auto& status = target.status;
     status.up = true;
     status.incarnation = pong.incarnation;
@@ -218,9 +294,12 @@
     if (pong.revision > m_revision) {
         m_replica.send(tickets::peer_revision{target.instance.name, pong.revision});
     }
+    send_waiting(target);
 }
 
 void links::set_down(link& target) {
+    target.in_progress.clear();
+    give_back_waiting(target, common::monotonic_clock::now());
     if (!std::exchange(target.status.up, false)) {
         return;
     }
@@ -237,14 +316,15 @@
 boost::json::value links::dump() const {
     boost::json::object entries;
     for (const auto& [name, it] : m_links) {
-        entries[name] = boost::json::object{{"address", it.instance.address},
-                                            {"up", it.status.up},
-                                            {"revision", it.revision},
-                                            {"incarnation", it.status.incarnation},
-                                            {"clock_offset_us", it.status.clock_offset_us},
-                                            {"replacements", it.replacements}};
-    }
-    return boost::json::object{{"revision", m_revision}, {"links", std::move(entries)}};
+        entries[name] = boost::json::object{
+            {"address", it.instance.address},       {"up", it.status.up},
+            {"in_progress", it.in_progress.size()}, {"revision", it.revision},
+            {"incarnation", it.status.incarnation}, {"clock_offset_us", it.status.clock_offset_us},
+            {"replacements", it.replacements}};
+    }
+    return boost::json::object{{"revision", m_revision},
+                               {"heartbeat_bytes", m_heartbeat_bytes},
+                               {"links", std::move(entries)}};
 }
 
 } // namespace jujubemast::entry
--- a/source/core/entry/links.h
+++ b/source/core/entry/links.h
@@ -4,12 +4,14 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "common/random.h"
 #include "entry/messages.h"
 #include "logging/logger.h"
+#include "policy/link_monitor.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
 #include "tickets/replica.h"
@@ -19,9 +21,9 @@
 
 /// Timing of the links between an entry and the sidecars.
 struct link_limits {
-    common::duration ping_interval = std::chrono::milliseconds{250};
-    /// A link without a heartbeat answer for this time is down and its socket is replaced.
-    common::duration silence_limit = std::chrono::milliseconds{1000};
+    policy::link_monitor_options monitor;
+    /// Work that waits for the check of an idle link goes back to the coordinator after this time.
+    common::duration check_limit = std::chrono::milliseconds{300};
     /// Upstreams of one pool that one entry keeps links to.
     std::size_t subset_size = 24;
 };
@@ -51,14 +53,24 @@
         common::time_point sent;
     };
 
+    struct waiting_dispatch {
+        protocol::dispatch content;
+        common::time_point since;
+    };
+
     struct link {
+        explicit link(const policy::link_monitor_options& options) : monitor{options} {}
+
+        policy::link_monitor monitor;
+        /// Work sent whose end has not been reported.
+        std::set<protocol::work_identity> in_progress;
+        /// Work that waits for the link to be checked.
+        std::deque<waiting_dispatch> waiting;
         platform::instance instance;
         std::unique_ptr<wire::dealer> socket;
         link_status status;
         /// Heartbeats without an answer yet, oldest first.
         std::deque<sent_ping> unanswered;
-        common::time_point last_pong;
-        common::time_point opened;
         std::uint64_t replacements = 0;
         /// Revision of the configuration that the sidecar holds.
         std::uint64_t revision = 0;
@@ -77,6 +89,12 @@
     void ping(link& target, common::time_point now);
     void received(const std::string& instance, const std::string& bytes);
     void pong_received(link& target, const protocol::pong& pong);
+    void work_received(link& target, const protocol::message& message);
+    void dispatch(link& target, const protocol::dispatch& message);
+    void send_dispatch(link& target, const protocol::dispatch& message);
+    void send_waiting(link& target);
+    void give_back_waiting(link& target, common::time_point sent_before);
+    void check(link& target, common::time_point now);
     void set_down(link& target);
     void report(const link& target);
 
@@ -91,6 +109,8 @@
     std::map<std::string, link> m_links;
     std::uint64_t m_revision = 0;
     std::uint64_t m_next_nonce = 1;
+    /// Encoded heartbeats and answers, in bytes.
+    std::uint64_t m_heartbeat_bytes = 0;
 };
 
 } // namespace jujubemast::entry
--- a/source/core/policy/link_monitor.cpp
+++ b/source/core/policy/link_monitor.cpp
@@ -5,10 +5,10 @@
 namespace jujubemast::policy {
 
 void link_monitor::opened(common::time_point now) {
-    m_heard = false;
-    m_last_heard = now;
+    m_last_heard.reset();
+    m_last_answer.reset();
     m_last_heartbeat = {};
-    // Also an attempt to connect must end in a sign of life within the silence limit.
+    // Also an attempt to connect must end in an answer within the silence limit.
     m_awaiting_since = now;
 }
 
@@ -19,24 +19,33 @@
     }
 }
 
-void link_monitor::message_received(common::time_point now) {
-    m_heard = true;
+void link_monitor::heartbeat_answered(common::time_point now) {
     m_last_heard = now;
+    m_last_answer = now;
     m_awaiting_since.reset();
 }
 
+void link_monitor::message_received(common::time_point now) {
+    m_last_heard = now;
+}
+
 link_step link_monitor::next_step(common::time_point now, bool active) const {
     if (m_awaiting_since && now - *m_awaiting_since > m_options.silence_limit) {
         return link_step::replace;
     }
     const bool urgent = active || m_awaiting_since.has_value();
-    const auto interval = urgent ? m_options.active_interval : m_options.idle_interval;
-    const auto last_contact = std::max(m_last_heard, m_last_heartbeat);
-    return now - last_contact >= interval ? link_step::send_heartbeat : link_step::none;
+    const auto last_contact = std::max(m_last_heard.value_or(m_last_heartbeat), m_last_heartbeat);
+    const bool due = now - m_last_heartbeat >= m_options.idle_interval ||
+                     (urgent && now - last_contact >= m_options.active_interval);
+    return due ? link_step::send_heartbeat : link_step::none;
 }
 
 bool link_monitor::trusted(common::time_point now) const {
-    return m_heard && now - m_last_heard <= m_options.trust_limit;
+    return m_last_heard && now - *m_last_heard <= m_options.trust_limit;
+}
+
+bool link_monitor::verified(common::time_point now) const {
+    return m_last_answer && now - *m_last_answer <= m_options.trust_limit;
 }
 
 } // namespace jujubemast::policy
--- a/source/core/policy/link_monitor.h
+++ b/source/core/policy/link_monitor.h
@@ -12,7 +12,7 @@
 struct link_monitor_options {
     /// Time between heartbeats while work is in progress and nothing else arrives.
     common::duration active_interval = std::chrono::milliseconds{250};
-    /// Time between heartbeats on a link without work. It bounds the control traffic of an entry
+    /// Longest time between heartbeats. It bounds the control traffic of an entry
     /// with many links; see docs/CAPACITY.md.
     common::duration idle_interval = std::chrono::milliseconds{1000};
     /// A heartbeat without an answer for this time means that the link is silent.
@@ -25,9 +25,9 @@
 enum class link_step { none, send_heartbeat, replace };
 
 /// Decides when a link needs a heartbeat, when it is silent and when it can be trusted with work.
-/// Any message from the peer counts as a sign of life, so busy links need few heartbeats. A link
-/// that has been idle is checked before its first use: something between the two ends may have lost
-/// track of the connection.
+/// Results that arrive take the place of most heartbeats; some are sent all the same, because only
+/// their answers show that the other direction works. A link that has been idle is checked before
+/// its first use: something between the two ends may have lost track of the connection.
 class link_monitor {
 public:
     explicit link_monitor(const link_monitor_options& options = {}) : m_options{options} {}
@@ -35,24 +35,27 @@
     /// The connection was opened or replaced.
     void opened(common::time_point now);
     void heartbeat_sent(common::time_point now);
+    void heartbeat_answered(common::time_point now);
+    /// Any other message has arrived.
     void message_received(common::time_point now);
 
     /// Returns the next step; `active` says whether work is in progress or waits on the link.
     [[nodiscard]] link_step next_step(common::time_point now, bool active) const;
 
-    /// Returns whether the peer has been heard of recently enough to send work.
+    /// Returns whether the peer has been heard of recently enough to send work that may be
+    /// repeated.
     [[nodiscard]] bool trusted(common::time_point now) const;
 
-    /// Returns whether a heartbeat is on its way.
-    [[nodiscard]] bool awaits_answer() const { return m_awaiting_since.has_value(); }
+    /// Returns whether a heartbeat was answered recently enough to send work that must not be lost.
+    [[nodiscard]] bool verified(common::time_point now) const;
 
 private:
     link_monitor_options m_options;
-    common::time_point m_last_heard;
+    std::optional<common::time_point> m_last_heard;
+    std::optional<common::time_point> m_last_answer;
     common::time_point m_last_heartbeat;
-    /// When the oldest heartbeat without a sign of life since was sent.
+    /// When the oldest heartbeat was sent since the last answer, or the connection was opened.
     std::optional<common::time_point> m_awaiting_since;
-    bool m_heard = false;
 };
 
 } // namespace jujubemast::policy
--- a/source/core/protocol/messages.h
+++ b/source/core/protocol/messages.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -110,6 +111,8 @@
     std::uint64_t digest = 0;
     std::int64_t queue_us = 0;
     std::int64_t service_us = 0;
+    /// Load of the upstream, added from time to time so that heartbeats can be rare.
+    std::optional<load_report> load = {};
 };
 
 /// Ends a piece of work without a result.
--- a/source/core/sidecar/link.cpp
+++ b/source/core/sidecar/link.cpp
@@ -19,6 +19,9 @@
 // The heartbeat that follows an answer shows that what the entry had sent before it knew has come.
 constexpr std::uint32_t drain_answers_needed = 2;
 
+// Bounds the bytes that load reports add to results.
+constexpr common::duration report_interval = std::chrono::milliseconds{100};
+
 } // namespace
 
 link::link(runtime::task_context context, std::shared_ptr<runtime::mailbox<link_command>> inbox,
@@ -56,11 +59,26 @@
 }
 
 void link::handle(const send_to_entry& command) {
+    auto message = command.content;
+    auto* end = std::get_if<protocol::result_end>(&message);
+    if (end != nullptr && m_status &&
+        report_is_due(command.routing_id, common::monotonic_clock::now())) {
+        end->load = m_status->load;
+    }
     if (m_hooks.outbound) {
-        m_hooks.outbound(command.routing_id, command.content, m_send);
+        m_hooks.outbound(command.routing_id, message, m_send);
         return;
     }
-    send(command.routing_id, command.content);
+    send(command.routing_id, message);
+}
+
+bool link::report_is_due(const std::string& routing_id, common::time_point now) {
+    const auto it = m_connections.find(routing_id);
+    if (it == m_connections.end() || now - it->second.last_report < report_interval) {
+        return false;
+    }
+    it->second.last_report = now;
+    return true;
 }
 
 void link::send(const std::string& routing_id, const protocol::message& message) {
--- a/source/core/sidecar/link.h
+++ b/source/core/sidecar/link.h
@@ -52,6 +52,8 @@
         std::uint64_t number = 0;
         std::string entry;
         common::time_point last_ping;
+        /// When the load was last reported over this connection.
+        common::time_point last_report;
         bool leaving = false;
         /// Heartbeats answered with the news that this sidecar is draining.
         std::uint32_t drain_answers = 0;
@@ -66,6 +68,7 @@
     void answer(const std::string& routing_id, const protocol::ping& ping);
     void note_ping(const std::string& routing_id, const protocol::ping& ping);
     void check_silence();
+    [[nodiscard]] bool report_is_due(const std::string& routing_id, common::time_point now);
     void announce_leaving();
     void announce_drain();
     void schedule_check();
--- a/source/core/wire/codec.cpp
+++ b/source/core/wire/codec.cpp
@@ -111,6 +111,9 @@
     it.set_digest(in.digest);
     it.set_queue_us(in.queue_us);
     it.set_service_us(in.service_us);
+    if (in.load) {
+        put(*it.mutable_load(), *in.load);
+    }
 }
 
 void put(pb::Envelope& out, const protocol::refusal& in) {
@@ -181,7 +184,12 @@
 }
 
 protocol::result_end get(const pb::ResultEnd& in) {
-    return {get(in.identity()), in.chunk_count(), in.digest(), in.queue_us(), in.service_us()};
+    protocol::result_end out{get(in.identity()), in.chunk_count(), in.digest(), in.queue_us(),
+                             in.service_us()};
+    if (in.has_load()) {
+        out.load = get(in.load());
+    }
+    return out;
 }
 
 protocol::refusal get(const pb::Refusal& in) {
