--- a/source/core/sidecar/link.cpp
+++ b/source/core/sidecar/link.cpp
@@ -195,13 +195,12 @@
         return;
     }
     const auto now = common::monotonic_clock::now();
-    auto& connection = m_connections.at(routing_id);
-    handle(send_to_entry{routing_id,
-                         protocol::pong{ping.nonce, m_status->incarnation,
-                                        common::to_microseconds(now), m_revision,
-                                        m_status->draining, m_status->load, connection.number}});
+    auto& target = m_connections.at(routing_id);
+    handle(send_to_entry{
+        routing_id, protocol::pong{ping.nonce, m_status->incarnation, common::to_microseconds(now),
+                                   m_revision, m_status->draining, m_status->load, target.number}});
     if (m_status->draining) {
-        ++connection.drain_answers;
+        ++target.drain_answers;
         announce_drain();
     }
 }
