entry: hedges by pipeline, retries without them, early refusal by what is left

The hedge delay came only from attempts that won, so each hedge lowered it; and background work that waits in a queue shared it with urgent work.

Change: policy/stage_timing keeps response and service times for each pipeline and counts overtaken attempts. Hedges (4%) and retries (5%) have budgets of their own; work that a dead upstream certainly did not run is moved without a budget, except on 429. Dispatches reserve the expected service and queue time of the later stages, so that a sidecar refuses early what cannot finish. The unused problem kind "stopping" is gone.

--- a/source/core/entry/coordinator.cpp
+++ b/source/core/entry/coordinator.cpp
@@ -199,19 +199,22 @@
         return;
     }
     const auto now = m_hooks.clock();
-    const auto& pool = flow.plan().pipeline.stages[identity.stage].pool;
+    const auto& pipeline = flow.plan().pipeline;
+    const auto& pool = pipeline.stages[identity.stage].pool;
     if (std::holds_alternative<protocol::result_chunk>(message.content) && !flow.responded()) {
-        m_upstreams.record_response(pool, now - it->sent_at);
+        m_timing.record_response(pipeline.name, identity.stage, now - it->sent_at);
         for (const auto& other : attempts) {
             if (other.sent_at < it->sent_at) {
                 // A later attempt has overtaken this one.
+                m_timing.record_response(pipeline.name, identity.stage, now - other.sent_at);
                 m_upstreams.record_failure(pool, other.instance, now);
             }
         }
     } else if (const auto* end = std::get_if<protocol::result_end>(&message.content)) {
+        const std::chrono::microseconds service{end->service_us};
         const auto parts = std::max<std::int64_t>(1, end->chunk_count);
-        m_upstreams.record_success(pool, it->instance,
-                                   std::chrono::microseconds{end->service_us / parts}, now);
+        m_timing.record_service(pipeline.name, identity.stage, service);
+        m_upstreams.record_success(pool, it->instance, service / parts, now);
     } else if (const auto* refusal = std::get_if<protocol::refusal>(&message.content)) {
         if (refusal->reason == protocol::refusal_reason::upstream_failed) {
             m_upstreams.record_failure(pool, it->instance, now);
@@ -302,7 +305,7 @@
     }
     return [this](const retry_question& question) -> std::optional<common::duration> {
         const auto allowed = m_hooks.may_retry(question);
-        if (!allowed || !m_upstreams.take_extra_attempt(question.stage.pool, question.now)) {
+        if (!allowed || !m_upstreams.take_retry(question.stage.pool, question.now)) {
             return std::nullopt;
         }
         constexpr double random_range = 1 << 20;
@@ -363,6 +366,9 @@
     message.resume_offset = action.resume_offset;
     // Only stages that name a model generate tokens.
     message.max_output_tokens = stage.model.empty() ? 0 : plan.max_tokens;
+    message.reserve_us =
+        std::chrono::duration_cast<std::chrono::microseconds>(reserve_after(plan, action.stage))
+            .count();
     message.trace_parent = plan.trace_parent;
     const auto instance = status->instance.name;
     flow.stage_dispatched(
@@ -373,18 +379,26 @@
     }
 }
 
+common::duration coordinator::reserve_after(const request_plan& plan, std::size_t stage) const {
+    auto reserve = common::duration::zero();
+    for (auto n = stage + 1; n < plan.pipeline.stages.size(); ++n) {
+        reserve += m_timing.expected_service(plan.pipeline.name, n) +
+                   m_upstreams.expected_wait(plan.pipeline.stages[n].pool, plan.priority);
+    }
+    return reserve;
+}
+
 void coordinator::schedule_hedge(std::uint64_t id, active_request& request) {
     const auto stage = request.flow.stage_index();
     const auto pool = request.flow.plan().pipeline.stages[stage].pool;
-    const auto delay = m_upstreams.hedge_delay(pool);
+    const auto delay = m_timing.hedge_delay(request.flow.plan().pipeline.name, stage);
     if (!m_hooks.hedge || !delay || !request.flow.may_hedge()) {
         return;
     }
     request.attempt_timer->start(*delay, m_context.wrap([this, id, stage, pool] {
         const auto it = m_requests.find(id);
         if (it == m_requests.end() || it->second.flow.stage_index() != stage ||
-            !it->second.flow.may_hedge() ||
-            !m_upstreams.take_extra_attempt(pool, m_hooks.clock())) {
+            !it->second.flow.may_hedge() || !m_upstreams.take_hedge(pool, m_hooks.clock())) {
             return;
         }
         ++m_hedges;
--- a/source/core/entry/coordinator.h
+++ b/source/core/entry/coordinator.h
@@ -15,6 +15,7 @@
 #include "entry/upstream_set.h"
 #include "logging/logger.h"
 #include "policy/routing.h"
+#include "policy/stage_timing.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
 
@@ -111,6 +112,8 @@
     void observe(const request_flow& flow, const work_message& message);
     void record_silent_attempts(const request_flow& flow);
     [[nodiscard]] retry_hook make_retry_hook();
+    /// Returns the time that the stages after this one are expected to need.
+    [[nodiscard]] common::duration reserve_after(const request_plan& plan, std::size_t stage) const;
 
     runtime::task_context m_context;
     runtime::inbox<coordinator_message> m_inbox;
@@ -124,6 +127,7 @@
     std::unordered_map<std::uint64_t, active_request> m_requests;
     std::unordered_map<std::string, std::uint64_t> m_ids;
     upstream_set m_upstreams;
+    policy::stage_timing m_timing;
     std::uint64_t m_answered = 0;
     std::uint64_t m_failed = 0;
     entry_metrics m_metrics;
--- a/source/core/entry/problem.cpp
+++ b/source/core/entry/problem.cpp
@@ -23,7 +23,6 @@
     case problem_kind::upstream_failed:
         return 502;
     case problem_kind::unavailable:
-    case problem_kind::stopping:
     case problem_kind::store_unavailable:
         return 503;
     case problem_kind::deadline_exceeded:
--- a/source/core/entry/problem.h
+++ b/source/core/entry/problem.h
@@ -20,7 +20,6 @@
     overloaded,
     upstream_failed,
     unavailable,
-    stopping,
     idempotency_conflict,
     request_in_progress,
     store_unavailable,
@@ -51,11 +50,10 @@
 
 template <>
 struct enum_names<entry::problem_kind> {
-    static constexpr std::array<std::string_view, 13> table{
-        "malformed_request", "not_authenticated",    "unknown_pipeline",    "unknown_path",
-        "deadline_exceeded", "overloaded",           "upstream_failed",     "unavailable",
-        "stopping",          "idempotency_conflict", "request_in_progress", "store_unavailable",
-        "unknown_outcome"};
+    static constexpr std::array<std::string_view, 12> table{
+        "malformed_request",    "not_authenticated",   "unknown_pipeline",  "unknown_path",
+        "deadline_exceeded",    "overloaded",          "upstream_failed",   "unavailable",
+        "idempotency_conflict", "request_in_progress", "store_unavailable", "unknown_outcome"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/entry/request_flow.cpp
+++ b/source/core/entry/request_flow.cpp
@@ -357,10 +357,12 @@
     const bool not_run = refusal.execution == common::execution::not_run;
     const retry_question question{stage(), m_next_attempt - m_moves, not_run, m_plan.deadline - now,
                                   now};
-    if (refusal.reason == protocol::refusal_reason::draining && not_run && m_moves < max_moves &&
-        may_repeat(question)) {
-        // Work that was handed back, or not sent at all, is no extra work and needs no budget. The
-        // wait gives the news time to arrive that an upstream takes no work.
+    const bool given_back = refusal.reason == protocol::refusal_reason::draining ||
+                            refusal.reason == protocol::refusal_reason::upstream_failed;
+    if (given_back && not_run && m_moves < max_moves && may_repeat(question)) {
+        // Work that was handed back, not sent at all, or refused by a dead upstream is no extra
+        // work and needs no budget. The wait gives the news time to arrive that an upstream takes
+        // no work.
         ++m_moves;
         return m_moves <= moves_without_wait ? common::duration::zero() : move_wait;
     }
--- a/source/core/entry/upstream_set.cpp
+++ b/source/core/entry/upstream_set.cpp
@@ -104,10 +104,6 @@
     return &statuses[*index];
 }
 
-void upstream_set::record_response(const std::string& pool_name, common::duration response_time) {
-    pool(pool_name).response_s.add(std::chrono::duration<double>(response_time).count());
-}
-
 void upstream_set::record_success(const std::string& pool_name, const std::string& instance,
                                   common::duration service_time, common::time_point now) {
     pool(pool_name).outliers.record_success(instance, service_time, now);
@@ -118,23 +114,35 @@
     pool(pool_name).outliers.record_failure(instance, now);
 }
 
-bool upstream_set::take_extra_attempt(const std::string& pool_name, common::time_point now) {
-    return pool(pool_name).budget.take(now);
+bool upstream_set::take_retry(const std::string& pool_name, common::time_point now) {
+    return pool(pool_name).retries.take(now);
+}
+
+bool upstream_set::take_hedge(const std::string& pool_name, common::time_point now) {
+    return pool(pool_name).hedges.take(now);
 }
 
 void upstream_set::record_first_attempt(const std::string& pool_name) {
-    pool(pool_name).budget.record_first_attempt();
+    auto& target = pool(pool_name);
+    target.retries.record_first_attempt();
+    target.hedges.record_first_attempt();
 }
 
-std::optional<common::duration> upstream_set::hedge_delay(const std::string& pool_name) const {
+common::duration upstream_set::expected_wait(const std::string& pool_name,
+                                             common::priority priority) const {
     const auto it = m_pools.find(pool_name);
-    if (it == m_pools.end() || it->second.response_s.count() < m_options.least_hedge_samples) {
-        return std::nullopt;
+    std::optional<std::int64_t> shortest_us;
+    if (it != m_pools.end()) {
+        const auto& [statuses, views] = it->second.members;
+        for (std::size_t n = 0; n < views.size(); ++n) {
+            const auto wait_us =
+                statuses[n].load.queue_wait_us.at(static_cast<std::size_t>(priority));
+            if (views[n].available && !views[n].ejected) {
+                shortest_us = std::min(shortest_us.value_or(wait_us), wait_us);
+            }
+        }
     }
-    const std::chrono::duration<double> delay{it->second.response_s.value() *
-                                              m_options.hedge_factor};
-    return std::max(std::chrono::duration_cast<common::duration>(delay),
-                    m_options.least_hedge_delay);
+    return std::chrono::microseconds{shortest_us.value_or(0)};
 }
 
 upstream_set::pool_state& upstream_set::pool(const std::string& name) {
--- a/source/core/entry/upstream_set.h
+++ b/source/core/entry/upstream_set.h
@@ -10,7 +10,6 @@
 
 #include "entry/messages.h"
 #include "policy/outlier_detector.h"
-#include "policy/quantile_estimate.h"
 #include "policy/retry_budget.h"
 #include "policy/routing.h"
 
@@ -18,19 +17,17 @@
 
 struct upstream_set_options {
     policy::outlier_options outliers;
-    policy::retry_budget_options retries;
-    /// Hedges are sent after this multiple of the 95th percentile of the stage's response time.
-    double hedge_factor = 1.5;
-    common::duration least_hedge_delay = std::chrono::milliseconds{30};
-    /// Hedges are sent only once the pool has answered this often.
-    std::uint64_t least_hedge_samples = 20;
+    /// Retries and hedges have budgets of their own, so that hedges do not use up what a failing
+    /// upstream makes necessary. Together they stay below 10% of the first attempts.
+    policy::retry_budget_options retries{.ratio = 0.05, .reserve = 2};
+    policy::retry_budget_options hedges{.ratio = 0.04, .reserve = 1};
 };
 
 /// What has become of the work on a link: nothing, its messages may be lost, or the work itself is.
 enum class link_change { none, reconnected, lost };
 
 /// What one entry knows of the upstreams it has links to, and the decisions that need it: routing,
-/// ejection, retry budgets and hedge delays. Owned by the coordinator.
+/// ejection, and budgets for retries and hedges. Owned by the coordinator.
 class upstream_set {
 public:
     upstream_set(upstream_set_options options, policy::routing_hook route)
@@ -45,22 +42,20 @@
     const link_status* choose(const tickets::stage_settings& stage,
                               policy::routing_request request);
 
-    /// Records the time from the dispatch of a stage to the first part of its result.
-    void record_response(const std::string& pool, common::duration response_time);
-
     /// Records a complete result with the upstream's service time for one part of it.
     void record_success(const std::string& pool, const std::string& instance,
                         common::duration service_time, common::time_point now);
     void record_failure(const std::string& pool, const std::string& instance,
                         common::time_point now);
 
-    /// Takes an extra attempt from the pool's budget; false when it is used up.
-    bool take_extra_attempt(const std::string& pool, common::time_point now);
+    /// Takes an attempt from the pool's budget of retries or hedges; false when it is used up.
+    bool take_retry(const std::string& pool, common::time_point now);
+    bool take_hedge(const std::string& pool, common::time_point now);
     void record_first_attempt(const std::string& pool);
 
-    /// Returns how long to wait for a first response before a hedge, or nothing when hedges make
-    /// no sense yet.
-    [[nodiscard]] std::optional<common::duration> hedge_delay(const std::string& pool) const;
+    /// Returns the shortest wait that an available upstream of the pool expects for new work.
+    [[nodiscard]] common::duration expected_wait(const std::string& pool,
+                                                 common::priority priority) const;
 
     [[nodiscard]] boost::json::value dump() const;
 
@@ -73,12 +68,12 @@
 
     struct pool_state {
         explicit pool_state(const upstream_set_options& options)
-            : outliers{options.outliers}, budget{options.retries} {}
+            : outliers{options.outliers}, retries{options.retries}, hedges{options.hedges} {}
 
         pool_members members;
         policy::outlier_detector outliers;
-        policy::retry_budget budget;
-        policy::quantile_estimate response_s{0.95};
+        policy::retry_budget retries;
+        policy::retry_budget hedges;
     };
 
     pool_state& pool(const std::string& name);
--- a/source/core/sidecar/admission.cpp
+++ b/source/core/sidecar/admission.cpp
@@ -206,7 +206,7 @@
     }
     --m_running;
     ++m_failed;
-    refuse(*record, protocol::refusal_reason::upstream_failed, message.execution, message.detail);
+    refuse(*record, message.reason, message.execution, message.detail);
     run_next();
     check_drained();
 }
--- a/source/core/sidecar/messages.h
+++ b/source/core/sidecar/messages.h
@@ -34,6 +34,7 @@
     std::uint64_t call = 0;
     common::execution execution = common::execution::unknown;
     std::string detail;
+    protocol::refusal_reason reason = protocol::refusal_reason::upstream_failed;
 };
 
 /// No heartbeat has come over this connection for the silence limit; its entry has vanished or has
--- a/source/core/sidecar/upstream.cpp
+++ b/source/core/sidecar/upstream.cpp
@@ -140,14 +140,18 @@
 void upstream::ended(std::uint64_t id) {
     auto& target = m_calls.at(id);
     if (target.status != 200) {
-        // 429 is sent before any work begins; other errors leave the outcome open.
-        const auto execution =
-            target.status == 429 ? common::execution::not_run : common::execution::unknown;
-        report_failure(id, execution, "upstream answered " + std::to_string(target.status));
+        call_failed failure{id, common::execution::unknown,
+                            "upstream answered " + std::to_string(target.status)};
+        if (target.status == 429) {
+            // This status is sent before any work begins; others leave the outcome open.
+            failure.execution = common::execution::not_run;
+            failure.reason = protocol::refusal_reason::overloaded;
+        }
+        report_failure(std::move(failure));
         return;
     }
     if (target.events && !target.complete) {
-        report_failure(id, common::execution::unknown, "upstream ended its stream early");
+        report_failure({id, common::execution::unknown, "upstream ended its stream early"});
         return;
     }
     if (!target.events) {
@@ -159,13 +163,15 @@
 
 void upstream::failed(std::uint64_t id, const http::call_error& error) {
     const auto execution = error.sent ? common::execution::unknown : common::execution::not_run;
-    report_failure(id, execution, std::string{common::to_name(error.fault)} + ": " + error.detail);
+    report_failure(
+        {id, execution, std::string{common::to_name(error.fault)} + ": " + error.detail});
 }
 
-void upstream::report_failure(std::uint64_t id, common::execution execution, std::string detail) {
-    m_log.warn("Call failed.",
-               {{"execution", execution_name(m_calls.at(id).identity)}, {"detail", detail}});
-    m_admission.send(call_failed{id, execution, std::move(detail)});
+void upstream::report_failure(call_failed failure) {
+    const auto id = failure.call;
+    m_log.warn("Call failed.", {{"execution", execution_name(m_calls.at(id).identity)},
+                                {"detail", failure.detail}});
+    m_admission.send(std::move(failure));
     m_calls.erase(id);
 }
 
--- a/source/core/sidecar/upstream.h
+++ b/source/core/sidecar/upstream.h
@@ -53,7 +53,7 @@
     void event_received(std::uint64_t id, const http::stream_event& event);
     void ended(std::uint64_t id);
     void failed(std::uint64_t id, const http::call_error& error);
-    void report_failure(std::uint64_t id, common::execution execution, std::string detail);
+    void report_failure(call_failed failure);
 
     runtime::task_context m_context;
     runtime::inbox<upstream_command> m_inbox;
