--- a/source/core/entry/entry_settings.cpp
+++ b/source/core/entry/entry_settings.cpp
@@ -40,123 +40,195 @@
 } // namespace
 
 const settings::setting<std::string> entry_settings::name{
-    "instance", "name", "", "name of this instance, unique in the deployment", true};
+    .section = "instance",
+    .key = "name",
+    .help = "name of this instance, unique in the deployment",
+    .required = true,
+};
 const settings::setting<std::string> entry_settings::failure_domain{
-    "instance", "failure_domain", "", "failure domain of this instance", true};
-const settings::setting<std::string> entry_settings::log_level{"log", "level", "info",
-                                                               "debug, info, warn or error"};
+    .section = "instance",
+    .key = "failure_domain",
+    .help = "failure domain of this instance",
+    .required = true,
+};
+const settings::setting<std::string> entry_settings::log_level{
+    .section = "log",
+    .key = "level",
+    .fallback = "info",
+    .help = "debug, info, warn or error",
+};
 const settings::setting<std::string> entry_settings::api_listen{
-    "api", "listen", "127.0.0.1:8080", "address for callers", false, check_address};
+    .section = "api",
+    .key = "listen",
+    .fallback = "127.0.0.1:8080",
+    .help = "address for callers",
+    .check = check_address,
+};
 const settings::setting<milliseconds> entry_settings::api_stop_grace{
-    "api", "stop_grace_ms", milliseconds{0},
-    "time between the loss of readiness and the end of listening, in ms"};
+    .section = "api",
+    .key = "stop_grace_ms",
+    .fallback = milliseconds{0},
+    .help = "time between the loss of readiness and the end of listening, in ms",
+};
 const settings::setting<std::int64_t> entry_settings::api_max_body_bytes{
-    "api", "max_body_bytes", std::int64_t{1024} * 1024, "largest request body in bytes",
-    false, check_positive};
+    .section = "api",
+    .key = "max_body_bytes",
+    .fallback = std::int64_t{1024} * 1024,
+    .help = "largest request body in bytes",
+    .check = check_positive,
+};
 const settings::setting<std::int64_t> entry_settings::api_max_connections{
-    "api", "max_connections", 4096, "callers connected at the same time", false, check_positive};
+    .section = "api",
+    .key = "max_connections",
+    .fallback = 4096,
+    .help = "callers connected at the same time",
+    .check = check_positive,
+};
 const settings::setting<milliseconds> entry_settings::api_read_timeout{
-    "api",
-    "read_timeout_ms",
-    milliseconds{10000},
-    "longest time for a request to arrive, in ms",
-    false,
-    check_positive_duration};
+    .section = "api",
+    .key = "read_timeout_ms",
+    .fallback = milliseconds{10000},
+    .help = "longest time for a request to arrive, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<milliseconds> entry_settings::api_write_timeout{
-    "api",
-    "write_timeout_ms",
-    milliseconds{10000},
-    "longest time for a piece of an answer to leave, in ms",
-    false,
-    check_positive_duration};
+    .section = "api",
+    .key = "write_timeout_ms",
+    .fallback = milliseconds{10000},
+    .help = "longest time for a piece of an answer to leave, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<milliseconds> entry_settings::api_idle_timeout{
-    "api",
-    "idle_timeout_ms",
-    milliseconds{60000},
-    "longest time between two requests of a connection, in ms",
-    false,
-    check_positive_duration};
+    .section = "api",
+    .key = "idle_timeout_ms",
+    .fallback = milliseconds{60000},
+    .help = "longest time between two requests of a connection, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<std::string> entry_settings::admin_listen{
-    "admin", "listen", "127.0.0.1:0", "address for health, dump and metrics", false, check_address};
+    .section = "admin",
+    .key = "listen",
+    .fallback = "127.0.0.1:0",
+    .help = "address for health, dump and metrics",
+    .check = check_address,
+};
 const settings::setting<std::string> entry_settings::platform_address{
-    "platform", "address", "", "address of the platform's service", true, check_address};
+    .section = "platform",
+    .key = "address",
+    .help = "address of the platform's service",
+    .required = true,
+    .check = check_address,
+};
 const settings::setting<milliseconds> entry_settings::platform_poll_interval{
-    "platform",
-    "poll_interval_ms",
-    milliseconds{500},
-    "average time between two reads of the head row, in ms",
-    false,
-    check_positive_duration};
+    .section = "platform",
+    .key = "poll_interval_ms",
+    .fallback = milliseconds{500},
+    .help = "average time between two reads of the head row, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<milliseconds> entry_settings::membership_poll_interval{
-    "membership",
-    "poll_interval_ms",
-    milliseconds{1000},
-    "time between two reads of the membership list, in ms",
-    false,
-    check_positive_duration};
+    .section = "membership",
+    .key = "poll_interval_ms",
+    .fallback = milliseconds{1000},
+    .help = "time between two reads of the membership list, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<std::string> entry_settings::membership_static{
-    "membership",
-    "static",
-    "",
-    "sidecars to learn the configuration from before the first list, as IP:PORT with commas",
-    false,
-    check_addresses};
+    .section = "membership",
+    .key = "static",
+    .help =
+        "sidecars to learn the configuration from before the first list, as IP:PORT with commas",
+    .check = check_addresses,
+};
 const settings::setting<milliseconds> entry_settings::link_ping_interval{
-    "links",
-    "ping_interval_ms",
-    milliseconds{250},
-    "time between two heartbeats while work is in progress and nothing arrives, in ms",
-    false,
-    check_positive_duration};
+    .section = "links",
+    .key = "ping_interval_ms",
+    .fallback = milliseconds{250},
+    .help = "time between two heartbeats while work is in progress and nothing arrives, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<milliseconds> entry_settings::link_idle_interval{
-    "links",
-    "idle_interval_ms",
-    milliseconds{1000},
-    "longest time between two heartbeats, also on a link without work, in ms",
-    false,
-    check_positive_duration};
+    .section = "links",
+    .key = "idle_interval_ms",
+    .fallback = milliseconds{1000},
+    .help = "longest time between two heartbeats, also on a link without work, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<milliseconds> entry_settings::link_silence_limit{
-    "links",
-    "silence_limit_ms",
-    milliseconds{1000},
-    "a link that leaves a heartbeat unanswered for this time is replaced, in ms",
-    false,
-    check_positive_duration};
+    .section = "links",
+    .key = "silence_limit_ms",
+    .fallback = milliseconds{1000},
+    .help = "a link that leaves a heartbeat unanswered for this time is replaced, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<std::int64_t> entry_settings::link_subset_size{
-    "links", "subset_size", 24, "upstreams of one pool that this instance keeps links to",
-    false,   check_positive};
+    .section = "links",
+    .key = "subset_size",
+    .fallback = 24,
+    .help = "upstreams of one pool that this instance keeps links to",
+    .check = check_positive,
+};
 const settings::setting<std::string> entry_settings::routing_policy{
-    "routing",           "policy", "load_aware", "round_robin, two_choices or load_aware", false,
-    check_routing_policy};
+    .section = "routing",
+    .key = "policy",
+    .fallback = "load_aware",
+    .help = "round_robin, two_choices or load_aware",
+    .check = check_routing_policy,
+};
 const settings::setting<bool> entry_settings::retry_budget{
-    "retry", "budget", true, "bound extra attempts to 10% of the first ones, with backoff"};
+    .section = "retry",
+    .key = "budget",
+    .fallback = true,
+    .help = "bound extra attempts to 10% of the first ones, with backoff",
+};
 const settings::setting<bool> entry_settings::hedge_enabled{
-    "hedge", "enabled", true, "send a second attempt of an idempotent stage that is slow"};
+    .section = "hedge",
+    .key = "enabled",
+    .fallback = true,
+    .help = "send a second attempt of an idempotent stage that is slow",
+};
 const settings::setting<std::int64_t> entry_settings::retry_max_attempts{
-    "retry", "max_attempts", 3, "attempts for one stage of a request", false, check_positive};
+    .section = "retry",
+    .key = "max_attempts",
+    .fallback = 3,
+    .help = "attempts for one stage of a request",
+    .check = check_positive,
+};
 const settings::setting<std::int64_t> entry_settings::requests_max_in_progress{
-    "requests", "max_in_progress", 3072, "further requests are refused as overloaded",
-    false,      check_positive};
+    .section = "requests",
+    .key = "max_in_progress",
+    .fallback = 3072,
+    .help = "further requests are refused as overloaded",
+    .check = check_positive,
+};
 const settings::setting<milliseconds> entry_settings::claims_wait{
-    "claims",
-    "wait_ms",
-    milliseconds{300},
-    "longest wait of a caller for the store, for its claim and for its outcome, in ms",
-    false,
-    check_positive_duration};
+    .section = "claims",
+    .key = "wait_ms",
+    .fallback = milliseconds{300},
+    .help = "longest wait of a caller for the store, for its claim and for its outcome, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<milliseconds> entry_settings::claims_flush_delay{
-    "claims",        "flush_delay_ms",
-    milliseconds{3}, "time in which claims share a transaction, in ms",
-    false,           check_positive_duration};
+    .section = "claims",
+    .key = "flush_delay_ms",
+    .fallback = milliseconds{3},
+    .help = "time in which claims share a transaction, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<std::int64_t> entry_settings::claims_max_group{
-    "claims", "max_group", 64, "claims and outcomes in one transaction", false, check_positive};
+    .section = "claims",
+    .key = "max_group",
+    .fallback = 64,
+    .help = "claims and outcomes in one transaction",
+    .check = check_positive,
+};
 const settings::setting<std::int64_t> entry_settings::claims_max_outcome_bytes{
-    "claims",
-    "max_outcome_bytes",
-    std::int64_t{64} * 1024,
-    "larger answers are not stored with their claim",
-    false,
-    check_positive};
+    .section = "claims",
+    .key = "max_outcome_bytes",
+    .fallback = std::int64_t{64} * 1024,
+    .help = "larger answers are not stored with their claim",
+    .check = check_positive,
+};
 
 const settings::table entry_settings::table{
     &name,
--- a/source/core/protocol/messages.h
+++ b/source/core/protocol/messages.h
@@ -165,6 +165,9 @@
     std::variant<ping, pong, dispatch, result_chunk, result_end, refusal, cancel, cancelled,
                  acknowledge, fetch, configuration_fetch, configuration_state>;
 
+/// Returns the identity of the work that a message is about; an empty one for other messages.
+work_identity identity_of(const message& content);
+
 } // namespace jujubemast::protocol
 
 namespace jujubemast::common {
--- a/source/core/sidecar/sidecar_settings.cpp
+++ b/source/core/sidecar/sidecar_settings.cpp
@@ -36,86 +36,155 @@
 } // namespace
 
 const settings::setting<std::string> sidecar_settings::name{
-    "instance", "name", "", "name of this instance, unique in the deployment", true};
+    .section = "instance",
+    .key = "name",
+    .help = "name of this instance, unique in the deployment",
+    .required = true,
+};
 const settings::setting<std::string> sidecar_settings::failure_domain{
-    "instance", "failure_domain", "", "failure domain of this instance", true};
+    .section = "instance",
+    .key = "failure_domain",
+    .help = "failure domain of this instance",
+    .required = true,
+};
 const settings::setting<std::string> sidecar_settings::pool{
-    "instance", "pool", "", "pool of the upstream; without it, no orders are given to an engine"};
-const settings::setting<std::string> sidecar_settings::log_level{"log", "level", "info",
-                                                                 "debug, info, warn or error"};
+    .section = "instance",
+    .key = "pool",
+    .help = "pool of the upstream; without it, no orders are given to an engine",
+};
+const settings::setting<std::string> sidecar_settings::log_level{
+    .section = "log",
+    .key = "level",
+    .fallback = "info",
+    .help = "debug, info, warn or error",
+};
 const settings::setting<std::string> sidecar_settings::link_listen{
-    "link", "listen", "127.0.0.1:0", "address for entries", false, check_address};
+    .section = "link",
+    .key = "listen",
+    .fallback = "127.0.0.1:0",
+    .help = "address for entries",
+    .check = check_address,
+};
 const settings::setting<milliseconds> sidecar_settings::link_silence_limit{
-    "link",
-    "silence_limit_ms",
-    milliseconds{2000},
-    "work of an entry that sends no heartbeat for this time is cancelled, in ms",
-    false,
-    check_positive_duration};
+    .section = "link",
+    .key = "silence_limit_ms",
+    .fallback = milliseconds{2000},
+    .help = "work of an entry that sends no heartbeat for this time is cancelled, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<std::string> sidecar_settings::admin_listen{
-    "admin", "listen", "127.0.0.1:0", "address for health, dump and metrics", false, check_address};
+    .section = "admin",
+    .key = "listen",
+    .fallback = "127.0.0.1:0",
+    .help = "address for health, dump and metrics",
+    .check = check_address,
+};
 const settings::setting<std::string> sidecar_settings::upstream_address{
-    "upstream", "address", "", "address of the upstream beside this process", true, check_address};
+    .section = "upstream",
+    .key = "address",
+    .help = "address of the upstream beside this process",
+    .required = true,
+    .check = check_address,
+};
 const settings::setting<std::string> sidecar_settings::upstream_kind{
-    "upstream", "kind", "service", "service or engine", false, check_kind};
+    .section = "upstream",
+    .key = "kind",
+    .fallback = "service",
+    .help = "service or engine",
+    .check = check_kind,
+};
 const settings::setting<milliseconds> sidecar_settings::upstream_progress_timeout{
-    "upstream",
-    "progress_timeout_ms",
-    milliseconds{5000},
-    "longest wait between two pieces of a result, in ms",
-    false,
-    check_positive_duration};
+    .section = "upstream",
+    .key = "progress_timeout_ms",
+    .fallback = milliseconds{5000},
+    .help = "longest wait between two pieces of a result, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<std::int64_t> sidecar_settings::admission_concurrency{
-    "admission", "concurrency", 8, "most calls to the upstream at the same time",
-    false,       check_positive};
+    .section = "admission",
+    .key = "concurrency",
+    .fallback = 8,
+    .help = "most calls to the upstream at the same time",
+    .check = check_positive,
+};
 const settings::setting<std::int64_t> sidecar_settings::admission_queue_capacity{
-    "admission", "queue_capacity", 1000, "pieces of work that may wait", false, check_positive};
+    .section = "admission",
+    .key = "queue_capacity",
+    .fallback = 1000,
+    .help = "pieces of work that may wait",
+    .check = check_positive,
+};
 const settings::setting<milliseconds> sidecar_settings::admission_queue_cost{
-    "admission",
-    "queue_cost_ms",
-    milliseconds{600000},
-    "expected service time of all work that may wait, in ms",
-    false,
-    check_positive_duration};
+    .section = "admission",
+    .key = "queue_cost_ms",
+    .fallback = milliseconds{600000},
+    .help = "expected service time of all work that may wait, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<std::string> sidecar_settings::admission_order{
-    "admission", "order", "fair", "order of waiting work, fifo or fair", false, check_order};
+    .section = "admission",
+    .key = "order",
+    .fallback = "fair",
+    .help = "order of waiting work, fifo or fair",
+    .check = check_order,
+};
 const settings::setting<std::string> sidecar_settings::admission_limit{
-    "admission", "limit", "adaptive", "limit of calls, fixed or adaptive", false, check_limit};
+    .section = "admission",
+    .key = "limit",
+    .fallback = "adaptive",
+    .help = "limit of calls, fixed or adaptive",
+    .check = check_limit,
+};
 const settings::setting<double> sidecar_settings::admission_latency_tolerance{
-    "admission", "latency_tolerance",
-    1.5,         "service time relative to that without load at which the adaptive limit falls",
-    false,       check_tolerance};
+    .section = "admission",
+    .key = "latency_tolerance",
+    .fallback = 1.5,
+    .help = "service time relative to that without load at which the adaptive limit falls",
+    .check = check_tolerance,
+};
 const settings::setting<double> sidecar_settings::admission_floor_urgent{
-    "admission", "floor_urgent",
-    0.3,         "share of urgent work that no flood takes, until a ticket sets floors",
-    false,       check_share};
+    .section = "admission",
+    .key = "floor_urgent",
+    .fallback = 0.3,
+    .help = "share of urgent work that no flood takes, until a ticket sets floors",
+    .check = check_share,
+};
 const settings::setting<double> sidecar_settings::admission_floor_standard{
-    "admission", "floor_standard",
-    0.2,         "share of standard work that no flood takes, until a ticket sets floors",
-    false,       check_share};
+    .section = "admission",
+    .key = "floor_standard",
+    .fallback = 0.2,
+    .help = "share of standard work that no flood takes, until a ticket sets floors",
+    .check = check_share,
+};
 const settings::setting<double> sidecar_settings::admission_floor_background{
-    "admission", "floor_background",
-    0.1,         "share of background work that no flood takes, until a ticket sets floors",
-    false,       check_share};
+    .section = "admission",
+    .key = "floor_background",
+    .fallback = 0.1,
+    .help = "share of background work that no flood takes, until a ticket sets floors",
+    .check = check_share,
+};
 const settings::setting<milliseconds> sidecar_settings::admission_status_interval{
-    "admission",     "status_interval_ms",
-    milliseconds{5}, "shortest time between two reports of a changed load, in ms",
-    false,           check_positive_duration};
+    .section = "admission",
+    .key = "status_interval_ms",
+    .fallback = milliseconds{5},
+    .help = "shortest time between two reports of a changed load, in ms",
+    .check = check_positive_duration,
+};
 
 const settings::setting<milliseconds> sidecar_settings::orders_interval{
-    "orders",
-    "interval_ms",
-    milliseconds{1000},
-    "time between two comparisons of the engine with its placement, in ms",
-    false,
-    check_positive_duration};
+    .section = "orders",
+    .key = "interval_ms",
+    .fallback = milliseconds{1000},
+    .help = "time between two comparisons of the engine with its placement, in ms",
+    .check = check_positive_duration,
+};
 const settings::setting<milliseconds> sidecar_settings::orders_spread{
-    "orders",
-    "spread_ms",
-    milliseconds{10000},
-    "the first order after a change waits for a random part of this time, in ms",
-    false,
-    check_positive_duration};
+    .section = "orders",
+    .key = "spread_ms",
+    .fallback = milliseconds{10000},
+    .help = "the first order after a change waits for a random part of this time, in ms",
+    .check = check_positive_duration,
+};
 
 const settings::table sidecar_settings::table{
     &name,
