--- a/source/core/entry/upstream_set.h
+++ b/source/core/entry/upstream_set.h
@@ -18,9 +18,9 @@
 struct upstream_set_options {
     policy::outlier_options outliers;
     /// Retries and hedges have budgets of their own, so that hedges do not use up what a failing
-    /// upstream makes necessary. Together they stay below 10% of the first attempts. The reserve of
+    /// upstream makes necessary; the ratios together leave room for the reserves. The reserve of
     /// the hedges covers the requests that a silent upstream takes before it is ejected.
-    policy::retry_budget_options retries{.ratio = 0.03, .reserve = 1};
+    policy::retry_budget_options retries{.ratio = 0.03, .reserve = 3};
     policy::retry_budget_options hedges{.ratio = 0.04, .reserve = 4};
 };
 
--- a/tests/unit/policy/stage_timing_test.cpp
+++ b/tests/unit/policy/stage_timing_test.cpp
@@ -7,7 +7,8 @@
 using std::chrono::milliseconds;
 
 struct stage_timing_fixture {
-    policy::stage_timing timing;
+    /// With this factor the bounds below do not depend on the default.
+    policy::stage_timing timing{{.hedge_factor = 1.5}};
 
     void respond(const std::string& pipeline, int milliseconds_each, int times) {
         for (int n = 0; n < times; ++n) {
