--- /dev/null
+++ b/source/core/gateway/attempt_decision.cpp
@@ -0,0 +1,48 @@
+#include "gateway/attempt_decision.h"
+
+namespace jujubemast::gateway {
+
+namespace {
+
+/// Whether a request that may have run may run once more.
+bool may_repeat(const attempt_facts& facts) {
+    return facts.kind == repeatability::idempotent ||
+           (facts.kind == repeatability::stream && facts.resumable);
+}
+
+} // namespace
+
+next_step decide_next_step(const attempt_facts& facts) {
+    const bool certainly_not_run = facts.end == attempt_end::not_sent ||
+                                   facts.end == attempt_end::refused ||
+                                   facts.end == attempt_end::input_gone;
+    const bool can_send = facts.time_left && facts.sends < max_sends && facts.budget_left;
+    if (certainly_not_run) {
+        if (can_send && facts.end == attempt_end::input_gone) {
+            return next_step::remake_inputs;
+        }
+        if (can_send && facts.other_upstream) {
+            return next_step::retry;
+        }
+        return facts.possible_runs == 0 ? next_step::refuse : next_step::fail;
+    }
+    const bool again = can_send && facts.other_upstream && may_repeat(facts) &&
+                       facts.possible_runs < facts.max_attempts;
+    if (again) {
+        return next_step::retry;
+    }
+    switch (facts.end) {
+    case attempt_end::failed:
+        return next_step::pass_on;
+    case attempt_end::broken_midway:
+        return next_step::abort;
+    case attempt_end::broken:
+    case attempt_end::not_sent:
+    case attempt_end::refused:
+    case attempt_end::input_gone:
+        return next_step::fail;
+    }
+    return next_step::fail;
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/catalog.cpp
@@ -0,0 +1,218 @@
+#include "gateway/catalog.h"
+
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "common/error.h"
+
+namespace jujubemast::gateway {
+
+namespace {
+
+constexpr common::duration register_retry = std::chrono::seconds{1};
+// A stop does not wait longer for the store.
+constexpr common::duration unregister_limit = std::chrono::milliseconds{500};
+
+http::client_limits store_limits() {
+    http::client_limits limits;
+    limits.connect_timeout = std::chrono::milliseconds{800};
+    limits.head_timeout = std::chrono::milliseconds{1500};
+    limits.progress_timeout = std::chrono::milliseconds{1500};
+    return limits;
+}
+
+} // namespace
+
+catalog::catalog(runtime::task_context context, http::endpoint store,
+                 std::shared_ptr<const adapter> translate, gateway_record self, catalog_hooks hooks)
+    : m_context{std::move(context)}, m_translate{std::move(translate)}, m_self{std::move(self)},
+      m_hooks{std::move(hooks)}, m_client{m_context, std::move(store), store_limits()},
+      m_expiry_timer{m_context.loop()}, m_register_timer{m_context.loop()} {}
+
+void catalog::start() {
+    const auto make = [this](store_table table, auto on_update, auto on_state) {
+        return std::make_unique<table_watch>(m_context, m_client, m_translate, table,
+                                             table_watch_hooks{on_update, on_state});
+    };
+    m_configurations = make(
+        store_table::configuration, [this](const table_update& it) { configuration_rows(it); },
+        [](bool /*available*/) {});
+    m_upstream_rows = make(
+        store_table::upstreams, [this](const table_update& it) { upstream_rows(it); },
+        [this](bool available) { store_state(available); });
+    m_gateway_rows = make(
+        store_table::gateways, [this](const table_update& it) { gateway_rows(it); },
+        [](bool /*available*/) {});
+    m_configurations->begin();
+    m_upstream_rows->begin();
+    m_gateway_rows->begin();
+    register_self();
+}
+
+void catalog::stop(const runtime::stop_done& done) {
+    m_client.send(m_translate->encode_unregister(m_self.name),
+                  [this, done](const http::call_result& result) {
+                      const auto* answer = std::get_if<http::response>(&result);
+                      if (answer == nullptr || answer->status != 200) {
+                          // The row stays; the others find this gateway silent.
+                          m_log.info("Not unregistered.", {{"gateway", m_self.name}});
+                      }
+                      done();
+                  },
+                  {.repeatable = true, .head_timeout = unregister_limit});
+}
+
+void catalog::close() noexcept {
+    m_expiry_timer.cancel();
+    m_register_timer.cancel();
+    m_client.close();
+    m_configurations.reset();
+    m_upstream_rows.reset();
+    m_gateway_rows.reset();
+}
+
+void catalog::register_self() {
+    m_client.send(m_translate->encode_register(m_self), [this](const http::call_result& result) {
+        const auto* answer = std::get_if<http::response>(&result);
+        m_registered = answer != nullptr && answer->status == 200;
+        m_log.info(m_registered ? "Registered." : "Not registered yet.",
+                   {{"gateway", m_self.name}, {"address", m_self.address}});
+        if (!m_registered) {
+            m_register_timer.start(register_retry, m_context.wrap([this] { register_self(); }));
+        }
+    });
+}
+
+void catalog::configuration_rows(const table_update& update) {
+    for (const auto& row : update.rows) {
+        std::optional<configuration> read;
+        try {
+            read = m_translate->decode_configuration(row);
+        } catch (const common::format_error& e) {
+            m_log.error("Configuration not understood; the one in force stays.",
+                        {{"row_version", std::to_string(row.version)}, {"reason", e.what()}});
+            continue;
+        }
+        if (!read || (m_configuration && read->version <= m_configuration->version)) {
+            continue;
+        }
+        index_routes(*read);
+        m_configuration = std::make_shared<const configuration>(std::move(*read));
+        m_log.info("Configuration in force.",
+                   {{"version", std::to_string(m_configuration->version)},
+                    {"routes", std::to_string(m_configuration->routes.size())},
+                    {"row_version", std::to_string(row.version)}});
+        publish();
+    }
+}
+
+void catalog::upstream_rows(const table_update& update) {
+    const auto now = common::monotonic_clock::now();
+    upstream_map whole;
+    bool changed = false;
+    for (const auto& row : update.rows) {
+        std::optional<upstream_instance> read;
+        try {
+            if (row.value) {
+                read = m_translate->decode_upstream(row);
+            }
+        } catch (const common::format_error& e) {
+            m_log.warn("Entry of an upstream not understood.",
+                       {{"key", row.key}, {"reason", e.what()}});
+        }
+        if (!read) {
+            if (!update.complete && m_upstreams.remove(row.key, now)) {
+                changed = true;
+                m_log.info("Upstream is gone.", {{"upstream", row.key}});
+            }
+            continue;
+        }
+        if (update.complete) {
+            whole.emplace(row.key, std::move(*read));
+        } else {
+            const auto phase = read->phase;
+            if (m_upstreams.put(std::move(*read))) {
+                changed = true;
+                m_log.info("Upstream changed.", {{"upstream", row.key},
+                                                 {"phase", std::string{common::to_name(phase)}},
+                                                 {"row_version", std::to_string(row.version)}});
+            }
+        }
+    }
+    if (update.complete) {
+        changed = m_upstreams.replace(std::move(whole), now) || changed;
+        m_log.info("Upstreams read.", {{"count", std::to_string(m_upstreams.entries().size())}});
+    }
+    schedule_expiry();
+    if (changed || !m_upstreams_read) {
+        m_upstreams_read = true;
+        publish();
+    }
+}
+
+void catalog::store_state(bool available) {
+    if (available) {
+        m_upstreams.record_store_return(common::monotonic_clock::now());
+    } else {
+        m_upstreams.record_store_loss();
+    }
+    schedule_expiry();
+}
+
+void catalog::schedule_expiry() {
+    const auto next = m_upstreams.next_expiry();
+    if (!next) {
+        return;
+    }
+    m_expiry_timer.start(*next - common::monotonic_clock::now(), m_context.wrap([this] {
+        if (m_upstreams.expire(common::monotonic_clock::now())) {
+            m_log.info("Lapsed upstreams are given up.");
+            publish();
+        }
+        schedule_expiry();
+    }));
+}
+
+void catalog::gateway_rows(const table_update& update) {
+    if (update.complete) {
+        m_gateways.clear();
+    }
+    for (const auto& row : update.rows) {
+        m_gateways.erase(row.key);
+        try {
+            if (row.value) {
+                m_gateways.emplace(row.key, m_translate->decode_gateway(row));
+            }
+        } catch (const common::format_error& e) {
+            m_log.warn("Entry of a gateway not understood.",
+                       {{"key", row.key}, {"reason", e.what()}});
+        }
+    }
+    std::vector<gateway_record> known;
+    for (const auto& [name, it] : m_gateways) {
+        known.push_back(it);
+    }
+    m_hooks.publish_gateways(known);
+}
+
+void catalog::publish() {
+    m_hooks.set_not_ready_reason(m_configuration ? "" : "no configuration is known yet");
+    m_hooks.publish({m_configuration, std::make_shared<const upstream_map>(m_upstreams.entries())});
+}
+
+boost::json::value catalog::dump() const {
+    boost::json::array upstreams;
+    for (const auto& [id, it] : m_upstreams.entries()) {
+        upstreams.emplace_back(boost::json::object{{"id", id},
+                                                   {"service", it.service},
+                                                   {"address", http::to_string(it.address)},
+                                                   {"phase", common::to_name(it.phase)}});
+    }
+    return boost::json::object{{"configuration", m_configuration ? m_configuration->version : 0},
+                               {"registered", m_registered},
+                               {"upstreams", std::move(upstreams)},
+                               {"gateways", m_gateways.size()}};
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/catalog.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/adapter.h"
+#include "gateway/messages.h"
+#include "gateway/table_watch.h"
+#include "http/client.h"
+#include "logging/logger.h"
+#include "runtime/task.h"
+
+namespace jujubemast::gateway {
+
+/// Where the catalog tells what it knows.
+struct catalog_hooks {
+    std::function<void(const world_changed&)> publish;
+    std::function<void(const std::vector<gateway_record>&)> publish_gateways;
+    /// An empty reason means that requests can be served.
+    std::function<void(const std::string& reason)> set_not_ready_reason;
+};
+
+/// Reads the configuration, the upstreams and the other gateways from the platform's store, follows
+/// their changes, and registers this gateway there.
+class catalog final : public runtime::task {
+public:
+    catalog(runtime::task_context context, http::endpoint store,
+            std::shared_ptr<const adapter> translate, gateway_record self, catalog_hooks hooks);
+
+    void start() override;
+    void stop(const runtime::stop_done& done) override;
+    void close() noexcept override;
+    [[nodiscard]] boost::json::value dump() const override;
+
+private:
+    void configuration_rows(const table_update& update);
+    void upstream_rows(const table_update& update);
+    void gateway_rows(const table_update& update);
+    void store_state(bool available);
+    void register_self();
+    void publish();
+    void schedule_expiry();
+
+    runtime::task_context m_context;
+    std::shared_ptr<const adapter> m_translate;
+    gateway_record m_self;
+    catalog_hooks m_hooks;
+    http::client m_client;
+    std::unique_ptr<table_watch> m_configurations;
+    std::unique_ptr<table_watch> m_upstream_rows;
+    std::unique_ptr<table_watch> m_gateway_rows;
+    configuration_pointer m_configuration;
+    upstream_list m_upstreams;
+    bool m_upstreams_read = false;
+    std::map<std::string, gateway_record> m_gateways;
+    runtime::timer m_expiry_timer;
+    runtime::timer m_register_timer;
+    bool m_registered = false;
+    logging::logger m_log{"catalog"};
+};
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/dispatcher.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/adapter.h"
+#include "gateway/messages.h"
+#include "gateway/result_room.h"
+#include "http/client.h"
+#include "logging/logger.h"
+#include "policy/outlier_detector.h"
+#include "runtime/mailbox.h"
+#include "runtime/task.h"
+
+namespace jujubemast::gateway {
+
+/// Makes the pieces of stages: keeps the queue of each service that has orders here, fills calls
+/// for its free instances, and tells the end of each order once. An order that comes again is
+/// answered from memory.
+class dispatcher final : public runtime::task {
+public:
+    dispatcher(runtime::task_context context,
+               std::shared_ptr<runtime::mailbox<dispatcher_message>> inbox,
+               runtime::address<peers_message> peers, std::shared_ptr<const adapter> translate);
+
+    void start() override;
+    void close() noexcept override;
+    [[nodiscard]] boost::json::value dump() const override;
+
+private:
+    struct order_state {
+        piece_order order;
+        std::vector<std::string> handles;
+        std::uint32_t missing = 0;
+        unsigned failures = 0;
+        bool settled = false;
+        order_outcome outcome;
+        common::time_point settled_at;
+    };
+
+    struct instance_state {
+        upstream_instance identity;
+        std::unique_ptr<http::client> client;
+        std::size_t calls = 0;
+        /// No call before this time, after the instance refused one.
+        common::time_point resting_until;
+        result_room room;
+        std::vector<std::string> to_release;
+        bool leaving = false;
+    };
+
+    struct service_state {
+        piece_queue queue;
+        std::map<std::string, std::shared_ptr<instance_state>> instances;
+        policy::outlier_detector health;
+    };
+
+    struct call_state {
+        std::string service;
+        std::shared_ptr<instance_state> instance;
+        std::vector<queued_piece> pieces;
+        common::time_point sent;
+        std::unique_ptr<runtime::timer> limit;
+        http::call_id id = 0;
+    };
+
+    void handle(const world_changed& message);
+    void handle(const piece_order& message);
+    void handle(const withdraw_order& message);
+    void handle(const release_results& message);
+
+    void update_instances(const std::string& name, service_state& target);
+    [[nodiscard]] const piece_limits* limits_of(const std::string& service) const;
+    [[nodiscard]] bool is_overloaded(const piece_order& order, common::duration& retry_after);
+    [[nodiscard]] std::size_t usable_instances(service_state& target) const;
+
+    void dispatch(const std::string& name);
+    std::shared_ptr<instance_state> free_instance(service_state& target,
+                                                  const piece_limits& limits);
+    void send_call(const std::string& name, const piece_limits& limits,
+                   const std::shared_ptr<instance_state>& instance,
+                   std::vector<queued_piece> pieces);
+    void call_ended(std::uint64_t number, const http::call_result& result);
+    void call_answered(call_state& call, const http::response& answer);
+    void call_lost(call_state& call, const std::string& reason, bool not_run);
+    void piece_ended(call_state& call, const queued_piece& piece, const piece_result& result);
+    void retry_piece(order_state& state, std::uint32_t piece);
+    void settle(order_state& state, order_outcome outcome);
+    void discard(const std::string& service, const std::vector<std::string>& handles);
+    void schedule_release();
+    void send_releases();
+    void retry_later(const std::string& name, common::duration delay);
+    void forget_settled();
+
+    runtime::task_context m_context;
+    runtime::inbox<dispatcher_message> m_inbox;
+    runtime::address<peers_message> m_peers;
+    std::shared_ptr<const adapter> m_translate;
+    configuration_pointer m_configuration;
+    upstream_map_pointer m_upstreams;
+    std::map<std::string, service_state> m_services;
+    std::map<order_key, order_state> m_orders;
+    std::deque<std::pair<common::time_point, order_key>> m_settled;
+    std::map<std::uint64_t, call_state> m_calls;
+    std::uint64_t m_next_call = 1;
+    std::map<std::string, std::unique_ptr<runtime::timer>> m_retry_timers;
+    runtime::timer m_release_timer;
+    bool m_release_scheduled = false;
+    logging::logger m_log{"dispatcher"};
+};
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/forwarder.cpp
@@ -0,0 +1,258 @@
+#include "gateway/forwarder.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "common/error.h"
+
+namespace jujubemast::gateway {
+
+namespace {
+
+// A caller without a deadline waits this long at most.
+constexpr common::duration default_deadline = std::chrono::seconds{30};
+// The final answer leaves this long before the caller gives up.
+constexpr common::duration answer_margin = std::chrono::milliseconds{25};
+// When a refused caller is told to come back, without a better estimate.
+constexpr common::duration default_retry_after = std::chrono::milliseconds{300};
+
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+
+} // namespace
+
+forwarder::forwarder(runtime::task_context context,
+                     std::shared_ptr<runtime::mailbox<forwarder_message>> inbox,
+                     runtime::address<peers_message> peers,
+                     std::shared_ptr<const adapter> translate, forwarder_options options)
+    : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_peers{std::move(peers)},
+      m_translate{std::move(translate)}, m_options{std::move(options)},
+      // Another gateway may still remember the orders of this one's previous start.
+      m_next_order{m_options.random() >> 1U} {}
+
+void forwarder::start() {
+    m_inbox.receive(m_context.wrap([this](const forwarder_message& message) {
+        std::visit([this](const auto& it) { handle(it); }, message);
+    }));
+}
+
+void forwarder::close() noexcept {
+    m_inbox.close();
+    m_exchanges.clear();
+    m_pools.clear();
+}
+
+void forwarder::handle(const world_changed& message) {
+    m_configuration = message.configuration;
+    m_upstreams = message.upstreams;
+    const auto now = common::monotonic_clock::now();
+    if (m_upstreams) {
+        for (auto& [name, pool] : m_pools) {
+            pool->update(name, *m_upstreams, now);
+        }
+    }
+}
+
+void forwarder::handle(const gateway_count_changed& message) {
+    m_gateways = std::max<std::size_t>(1, message.count);
+    update_budgets();
+}
+
+void forwarder::update_budgets() {
+    // Each gateway keeps to its part, so that the sum holds whatever the others do. Half of the
+    // reserve may be saved up and is earned again in one window.
+    policy::retry_budget_options options;
+    options.ratio = 0.75 * m_options.retries.ratio;
+    options.reserve = 0.4 * m_options.retries.reserve / static_cast<double>(m_gateways);
+    options.largest_balance = 0.5 * m_options.retries.reserve / static_cast<double>(m_gateways);
+    options.reserve_period = m_options.retries.window;
+    for (auto& [name, pool] : m_pools) {
+        pool->set_budget(options);
+    }
+}
+
+service_pool& forwarder::pool_of(const std::string& service) {
+    auto& pool = m_pools[service];
+    if (!pool) {
+        pool = std::make_unique<service_pool>(m_context, m_options.route);
+        if (m_upstreams) {
+            pool->update(service, *m_upstreams, common::monotonic_clock::now());
+        }
+        update_budgets();
+    }
+    return *pool;
+}
+
+forwarder::exchange* forwarder::find(std::uint64_t id) {
+    const auto it = m_exchanges.find(id);
+    return it == m_exchanges.end() ? nullptr : it->second.get();
+}
+
+void forwarder::handle(const submit& message) {
+    auto& place = m_exchanges[message.id];
+    place = std::make_unique<exchange>();
+    auto& added = *place;
+    added.id = message.id;
+    added.reply = message.reply;
+    added.arrived = common::monotonic_clock::now();
+    added.configuration = m_configuration;
+    try {
+        added.request = m_translate->decode_request(message.message);
+    } catch (const common::format_error& e) {
+        refuse(added, status_bad_request, e.what());
+        return;
+    }
+    if (const auto status = look_up(added); status != 0) {
+        refuse(added, status,
+               status == status_unavailable ? "no configuration yet" : "not in the configuration");
+        return;
+    }
+    admit(added);
+}
+
+unsigned forwarder::look_up(exchange& target) const {
+    if (!m_configuration) {
+        return status_unavailable;
+    }
+    target.target = find_route(*m_configuration, target.request.host, target.request.path);
+    if (target.target == nullptr) {
+        return status_not_found;
+    }
+    target.priority = target.target->priority;
+    const auto* owner = find_workspace(*m_configuration, target.request.api_key);
+    if (owner == nullptr && m_configuration->keys_required && !target.target->open_to_all) {
+        return status_unauthorized;
+    }
+    if (owner != nullptr) {
+        target.workspace = owner->name;
+        target.priority = owner->priority.value_or(target.priority);
+    }
+    const double unit =
+        static_cast<double>(common::uniform_below(m_options.random, 1U << 20U)) / (1U << 20U);
+    target.service = choose_service(*target.target, unit);
+    return 0;
+}
+
+void forwarder::admit(exchange& target) {
+    target.deadline = target.arrived + target.request.deadline.value_or(default_deadline);
+    target.final_at =
+        std::min(target.deadline - answer_margin, target.arrived + target.target->timeout);
+    target.final_timer = std::make_unique<runtime::timer>(m_context.loop());
+    target.final_timer->start(target.final_at - target.arrived,
+                              m_context.wrap([this, id = target.id] { final_time_reached(id); }));
+    target.events = event_relay{target.request.last_event};
+    target.stages = stage_progress{target.target->stages, target.request.piece_counts};
+    pool_of(target.service).budget().record_first_attempt();
+    advance_stages(target);
+}
+
+void forwarder::final_time_reached(std::uint64_t id) {
+    auto* target = find(id);
+    if (target == nullptr) {
+        return;
+    }
+    const bool offered = target->possible_runs > 0;
+    stop_call(*target);
+    if (target->relaying) {
+        target->reply.abort();
+        finish(*target, request_end::timed_out, 0, "the time was over during the stream");
+        return;
+    }
+    if (offered) {
+        respond(*target, m_translate->make_refusal(status_gateway_timeout, "time is over", {}),
+                request_end::timed_out, "no answer in time");
+        return;
+    }
+    refuse(*target, status_unavailable, "not started in time", default_retry_after);
+}
+
+void forwarder::handle(const caller_gone& message) {
+    auto* target = find(message.id);
+    if (target == nullptr) {
+        return;
+    }
+    stop_call(*target);
+    finish(*target, request_end::caller_left, 0, "the caller closed its connection");
+}
+
+void forwarder::refuse(exchange& target, unsigned status, const std::string& reason,
+                       std::optional<common::duration> retry_after) {
+    // Only an answer without a run may promise that the request has not run.
+    const bool promises = status == status_unavailable;
+    if (promises && target.possible_runs > 0) {
+        respond(target, m_translate->make_refusal(status_bad_gateway, reason, {}),
+                request_end::failed, reason);
+        return;
+    }
+    if (promises && !retry_after) {
+        retry_after = default_retry_after;
+    }
+    respond(target, m_translate->make_refusal(status, reason, retry_after), request_end::refused,
+            reason);
+}
+
+void forwarder::respond(exchange& target, const http::response& answer, request_end end,
+                        const std::string& reason) {
+    target.reply.respond(answer);
+    finish(target, end, answer.status, reason);
+}
+
+void forwarder::finish(exchange& target, request_end end, unsigned status,
+                       const std::string& reason) {
+    withdraw_orders(target);
+    release_inputs(target);
+    const auto took = common::monotonic_clock::now() - target.arrived;
+    const auto kind =
+        target.target != nullptr ? target.target->kind : repeatability::non_idempotent;
+    m_metrics.record_end(kind, end, took);
+    m_log.info("Request ended.",
+               {{"attempt", target.request.attempt_id},
+                {"route", target.target != nullptr ? target.target->name : ""},
+                {"service", target.service},
+                {"upstream", target.member ? target.member->identity.id : ""},
+                {"configuration",
+                 std::to_string(target.configuration ? target.configuration->version : 0)},
+                {"end", std::string{common::to_name(end)}},
+                {"status", std::to_string(status)},
+                {"sends", std::to_string(target.sends)},
+                {"runs", std::to_string(target.possible_runs)},
+                {"ms", std::to_string(
+                           std::chrono::duration_cast<std::chrono::milliseconds>(took).count())},
+                {"reason", reason}});
+    m_exchanges.erase(target.id);
+}
+
+void forwarder::handle(const admin::metrics_query& message) {
+    m_metrics.set_in_progress(m_exchanges.size());
+    admin::answer(message, m_metrics.text());
+}
+
+boost::json::value forwarder::dump() const {
+    boost::json::array requests;
+    const auto now = common::monotonic_clock::now();
+    for (const auto& [id, it] : m_exchanges) {
+        requests.emplace_back(
+            boost::json::object{{"attempt", it->request.attempt_id},
+                                {"service", it->service},
+                                {"age_ms", common::to_milliseconds(now - it->arrived)},
+                                {"upstream", it->member ? it->member->identity.id : ""},
+                                {"orders", it->orders.size()}});
+    }
+    boost::json::object pools;
+    for (const auto& [name, it] : m_pools) {
+        pools[name] = boost::json::object{{"instances", it->size()},
+                                          {"retry_balance", it->budget().balance()}};
+    }
+    return boost::json::object{{"configuration", m_configuration ? m_configuration->version : 0},
+                               {"gateways", m_gateways},
+                               {"pools", std::move(pools)},
+                               {"requests", std::move(requests)}};
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/forwarder.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+#include "gateway/adapter.h"
+#include "gateway/attempt_decision.h"
+#include "gateway/event_relay.h"
+#include "gateway/forwarder_metrics.h"
+#include "gateway/messages.h"
+#include "gateway/service_pool.h"
+#include "gateway/stage_progress.h"
+#include "logging/logger.h"
+#include "runtime/mailbox.h"
+#include "runtime/task.h"
+
+namespace jujubemast::gateway {
+
+/// The part of the deployment's retry budget that all gateways share.
+struct retry_allowance {
+    /// Repetitions allowed for each request.
+    double ratio = 0.2;
+    /// Repetitions that are allowed besides in one window, over all gateways.
+    double reserve = 50;
+    common::duration window = std::chrono::seconds{10};
+};
+
+struct forwarder_options {
+    std::string failure_domain;
+    retry_allowance retries;
+    policy::routing_hook route;
+    common::random_hook random;
+};
+
+/// Owns the requests of this gateway's callers from their arrival to the end of their answer: finds
+/// the route, has the stages made, sends the request to an upstream and relays the answer.
+class forwarder final : public runtime::task {
+public:
+    forwarder(runtime::task_context context,
+              std::shared_ptr<runtime::mailbox<forwarder_message>> inbox,
+              runtime::address<peers_message> peers, std::shared_ptr<const adapter> translate,
+              forwarder_options options);
+
+    void start() override;
+    void close() noexcept override;
+    [[nodiscard]] boost::json::value dump() const override;
+
+private:
+    /// A request on its way, until its answer is complete.
+    struct exchange {
+        std::uint64_t id = 0;
+        caller_request request;
+        http::responder reply;
+        /// Keeps the route alive while the configuration changes.
+        configuration_pointer configuration;
+        const route* target = nullptr;
+        std::string service;
+        std::string workspace;
+        int priority = 0;
+        common::time_point arrived;
+        common::time_point final_at;
+        common::time_point deadline;
+        std::unique_ptr<runtime::timer> final_timer;
+        /// Bounds one attempt of a request that may be repeated.
+        std::unique_ptr<runtime::timer> attempt_timer;
+
+        stage_progress stages;
+        std::map<std::uint64_t, std::uint32_t> orders;
+
+        std::shared_ptr<pool_member> member;
+        http::call_id call = 0;
+        common::time_point sent_at;
+        unsigned sends = 0;
+        unsigned possible_runs = 0;
+        std::vector<std::string> tried;
+        answer_head head;
+        http::headers head_fields;
+        std::string body;
+        event_relay events;
+        bool relaying = false;
+    };
+
+    void handle(const world_changed& message);
+    void handle(const submit& message);
+    void handle(const caller_gone& message);
+    void handle(const order_ended& message);
+    void handle(const gateway_count_changed& message);
+    void handle(const admin::metrics_query& message);
+
+    /// Fills the exchange from the configuration. Returns the status to refuse with, or zero.
+    unsigned look_up(exchange& target) const;
+    void admit(exchange& target);
+    void final_time_reached(std::uint64_t id);
+
+    void advance_stages(exchange& target);
+    void order_stage(exchange& target, std::uint32_t stage);
+    void withdraw_orders(exchange& target);
+    void release_inputs(exchange& target);
+
+    void send(exchange& target);
+    http::call_hooks make_hooks(std::uint64_t id);
+    void head_received(exchange& target, unsigned status, const http::headers& fields);
+    void body_received(exchange& target, std::string_view bytes);
+    void answer_done(exchange& target);
+    void attempt_ended(exchange& target, attempt_end end, const std::string& detail);
+    void stop_call(exchange& target);
+    void bound_attempt(exchange& target);
+    [[nodiscard]] std::uint64_t prefix_of(const exchange& target) const;
+
+    void respond(exchange& target, const http::response& answer, request_end end,
+                 const std::string& reason);
+    void refuse(exchange& target, unsigned status, const std::string& reason,
+                std::optional<common::duration> retry_after = {});
+    void finish(exchange& target, request_end end, unsigned status, const std::string& reason);
+
+    exchange* find(std::uint64_t id);
+    service_pool& pool_of(const std::string& service);
+    void update_budgets();
+
+    runtime::task_context m_context;
+    runtime::inbox<forwarder_message> m_inbox;
+    runtime::address<peers_message> m_peers;
+    std::shared_ptr<const adapter> m_translate;
+    forwarder_options m_options;
+    configuration_pointer m_configuration;
+    upstream_map_pointer m_upstreams;
+    std::map<std::string, std::unique_ptr<service_pool>> m_pools;
+    std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
+    /// The request that waits for each order.
+    std::map<std::uint64_t, std::uint64_t> m_orders;
+    std::uint64_t m_next_order;
+    std::size_t m_gateways = 1;
+    forwarder_metrics m_metrics;
+    logging::logger m_log{"forwarder"};
+};
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/forwarder_metrics.cpp
@@ -0,0 +1,40 @@
+#include "gateway/forwarder_metrics.h"
+
+namespace jujubemast::gateway {
+
+void forwarder_metrics::record_end(repeatability kind, request_end end, common::duration time) {
+    const std::string kind_name{common::to_name(kind)};
+    m_registry
+        .add_counter("jujubemast_gateway_requests_total", "Requests of callers by their end.",
+                     {{"kind", kind_name}, {"end", std::string{common::to_name(end)}}})
+        .add();
+    m_registry
+        .add_summary("jujubemast_gateway_request_milliseconds",
+                     "Time from the arrival of a request to its end.", {{"kind", kind_name}})
+        .observe(common::to_milliseconds(time));
+}
+
+void forwarder_metrics::record_first_byte(repeatability kind, common::duration time) {
+    m_registry
+        .add_summary("jujubemast_gateway_first_byte_milliseconds",
+                     "Time from the arrival of a request to the head of its answer.",
+                     {{"kind", std::string{common::to_name(kind)}}})
+        .observe(common::to_milliseconds(time));
+}
+
+void forwarder_metrics::record_step(attempt_end end, next_step step) {
+    m_registry
+        .add_counter("jujubemast_gateway_attempts_not_answered_total",
+                     "Attempts that ended without a good answer, and what followed.",
+                     {{"end", std::string{common::to_name(end)}},
+                      {"step", std::string{common::to_name(step)}}})
+        .add();
+}
+
+void forwarder_metrics::set_in_progress(std::size_t n) {
+    m_registry
+        .add_gauge("jujubemast_gateway_requests_in_progress", "Requests without a whole answer.")
+        .set(static_cast<double>(n));
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/forwarder_metrics.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "common/enum_names.h"
+#include "common/time.h"
+#include "gateway/attempt_decision.h"
+#include "gateway/configuration.h"
+#include "metrics/registry.h"
+
+namespace jujubemast::gateway {
+
+/// How a caller's request ended.
+enum class request_end { answered, upstream_failure, refused, failed, timed_out, cut, caller_left };
+
+/// Counters and latencies of the requests of one gateway.
+class forwarder_metrics {
+public:
+    void record_end(repeatability kind, request_end end, common::duration time);
+    void record_first_byte(repeatability kind, common::duration time);
+    void record_step(attempt_end end, next_step step);
+    void set_in_progress(std::size_t n);
+
+    [[nodiscard]] std::string text() const { return m_registry.text(); }
+
+private:
+    metrics::registry m_registry;
+};
+
+} // namespace jujubemast::gateway
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<gateway::request_end> {
+    static constexpr std::array<std::string_view, 7> table{
+        "answered", "upstream_failure", "refused", "failed", "timed_out", "cut", "caller_left"};
+};
+
+} // namespace jujubemast::common
--- /dev/null
+++ b/source/core/gateway/forwarder_send.cpp
@@ -0,0 +1,281 @@
+#include <algorithm>
+#include <utility>
+
+#include "common/digest.h"
+#include "gateway/forwarder.h"
+
+// The attempts of a request at upstream instances, and the relay of the answer.
+
+namespace jujubemast::gateway {
+
+namespace {
+
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned first_error_status = 500;
+// Another attempt is worth it only with this much time left.
+constexpr common::duration least_time_left = std::chrono::milliseconds{60};
+// An idempotent request that takes this many times its latency target is tried elsewhere.
+constexpr int attempt_patience = 2;
+constexpr int least_urgent = 9;
+
+} // namespace
+
+std::uint64_t forwarder::prefix_of(const exchange& target) const {
+    // The last part belongs to this request alone, unless it is the only one.
+    const auto& parts = target.request.prompt;
+    if (parts.empty()) {
+        return 0;
+    }
+    return common::digest_of(parts.size() > 1 ? parts[parts.size() - 2].id : parts[0].id);
+}
+
+void forwarder::send(exchange& target) {
+    const auto now = common::monotonic_clock::now();
+    auto& pool = pool_of(target.service);
+    policy::routing_request wanted;
+    wanted.failure_domain = m_options.failure_domain;
+    wanted.excluded = target.tried;
+    wanted.prefix = prefix_of(target);
+    wanted.now = now;
+    target.member = pool.choose(wanted);
+    if (!target.member) {
+        refuse(target, status_unavailable, "no upstream takes work");
+        return;
+    }
+    forward_options options;
+    options.upstream_id = target.member->identity.id;
+    options.remaining = target.final_at - now;
+    options.workspace = target.workspace;
+    options.last_event =
+        target.events.started() ? target.events.last_event() : target.request.last_event;
+    options.inputs = target.stages.final_inputs();
+    if (target.target->kind == repeatability::stream) {
+        options.urgency = std::clamp(target.priority, 0, least_urgent);
+        const auto first = pool.first_choice(wanted.prefix);
+        if (wanted.prefix != 0 && first && first != target.member &&
+            first->identity.phase == upstream_phase::serving) {
+            options.cache_source = http::to_string(first->identity.address);
+        }
+    }
+    ++target.sends;
+    ++target.possible_runs;
+    ++target.member->in_progress;
+    target.tried.push_back(target.member->identity.id);
+    target.sent_at = now;
+    target.head = {};
+    target.body.clear();
+    m_log.info("Sent.", {{"attempt", target.request.attempt_id},
+                         {"upstream", options.upstream_id},
+                         {"send", std::to_string(target.sends)},
+                         {"in_progress", std::to_string(target.member->in_progress)}});
+    http::call_options call;
+    // On a kept connection it would stay open whether the request was read before a close.
+    call.repeatable = target.target->kind == repeatability::idempotent;
+    bound_attempt(target);
+    target.call = target.member->client->start(m_translate->encode_forward(target.request, options),
+                                               make_hooks(target.id), call);
+}
+
+void forwarder::bound_attempt(exchange& target) {
+    if (target.target->kind != repeatability::idempotent ||
+        target.possible_runs >= target.target->max_attempts) {
+        return;
+    }
+    target.attempt_timer = std::make_unique<runtime::timer>(m_context.loop());
+    target.attempt_timer->start(
+        target.target->latency_target * attempt_patience, m_context.wrap([this, id = target.id] {
+            auto* slow = find(id);
+            if (slow != nullptr && slow->member && pool_of(slow->service).has_other(slow->tried)) {
+                stop_call(*slow);
+                attempt_ended(*slow, attempt_end::broken, "no answer within the attempt's limit");
+            }
+        }));
+}
+
+http::call_hooks forwarder::make_hooks(std::uint64_t id) {
+    http::call_hooks hooks;
+    hooks.on_head = [this, id](unsigned status, const http::headers& fields) {
+        if (auto* it = find(id)) {
+            head_received(*it, status, fields);
+        }
+    };
+    hooks.on_data = [this, id](std::string_view bytes) {
+        if (auto* it = find(id)) {
+            body_received(*it, bytes);
+        }
+    };
+    hooks.on_done = [this, id] {
+        if (auto* it = find(id)) {
+            answer_done(*it);
+        }
+    };
+    hooks.on_error = [this, id](const http::call_error& error) {
+        auto* it = find(id);
+        if (it == nullptr) {
+            return;
+        }
+        --it->member->in_progress;
+        it->call = 0;
+        if (!error.sent) {
+            --it->possible_runs;
+        }
+        const auto end = !error.sent    ? attempt_end::not_sent
+                         : it->relaying ? attempt_end::broken_midway
+                                        : attempt_end::broken;
+        attempt_ended(*it, end, error.detail);
+    };
+    return hooks;
+}
+
+void forwarder::stop_call(exchange& target) {
+    if (target.call == 0) {
+        return;
+    }
+    target.member->client->cancel(target.call);
+    target.call = 0;
+    --target.member->in_progress;
+}
+
+void forwarder::head_received(exchange& target, unsigned status, const http::headers& fields) {
+    target.head = m_translate->decode_answer_head(status, fields);
+    target.head_fields = fields;
+    const bool good = status >= 200 && status < 300;
+    const bool foreign = target.head.attempt_id != target.request.attempt_id;
+    if ((foreign && !target.head.not_run) || (good && !target.head.sealed)) {
+        stop_call(target);
+        attempt_ended(target, target.relaying ? attempt_end::broken_midway : attempt_end::broken,
+                      foreign ? "the answer belongs to another request"
+                              : "the answer is not signed");
+        return;
+    }
+    if (!good || target.target->kind != repeatability::stream) {
+        return;
+    }
+    m_metrics.record_first_byte(target.target->kind,
+                                common::monotonic_clock::now() - target.arrived);
+    if (!target.relaying) {
+        target.relaying = true;
+        target.reply.begin({status, m_translate->answer_fields(fields), {}});
+    }
+}
+
+void forwarder::body_received(exchange& target, std::string_view bytes) {
+    const bool good = target.head.status >= 200 && target.head.status < 300;
+    if (!good || !target.relaying) {
+        target.body += bytes;
+        return;
+    }
+    std::string whole;
+    const auto status = target.events.add(bytes, whole);
+    if (!whole.empty()) {
+        target.reply.write(std::move(whole));
+        // The engine has read its inputs before the first event.
+        release_inputs(target);
+    }
+    if (status == relay_status::out_of_order) {
+        stop_call(target);
+        attempt_ended(target, attempt_end::broken_midway, "an event is missing");
+    }
+}
+
+void forwarder::answer_done(exchange& target) {
+    const auto now = common::monotonic_clock::now();
+    --target.member->in_progress;
+    target.call = 0;
+    auto& pool = pool_of(target.service);
+    const auto status = target.head.status;
+    if (target.head.not_run) {
+        --target.possible_runs;
+        attempt_ended(target, status == 409 ? attempt_end::input_gone : attempt_end::refused,
+                      "status " + std::to_string(status));
+        return;
+    }
+    if (status >= first_error_status) {
+        attempt_ended(target, attempt_end::failed, "status " + std::to_string(status));
+        return;
+    }
+    if (target.relaying && target.events.has_partial()) {
+        attempt_ended(target, attempt_end::broken_midway, "the last event is not whole");
+        return;
+    }
+    pool.record_success(*target.member, now - target.sent_at, now);
+    if (target.relaying) {
+        target.reply.end();
+        finish(target, request_end::answered, status, "");
+        return;
+    }
+    respond(target, {status, m_translate->answer_fields(target.head_fields), target.body},
+            request_end::answered, "");
+}
+
+void forwarder::attempt_ended(exchange& target, attempt_end end, const std::string& detail) {
+    const auto now = common::monotonic_clock::now();
+    target.attempt_timer.reset();
+    auto& pool = pool_of(target.service);
+    attempt_facts facts;
+    facts.end = end;
+    facts.kind = target.target->kind;
+    facts.resumable = target.target->resumable;
+    const bool not_run = end == attempt_end::not_sent || end == attempt_end::refused ||
+                         end == attempt_end::input_gone;
+    if (!not_run && target.member) {
+        pool.record_failure(*target.member, now);
+    }
+    facts.possible_runs = target.possible_runs;
+    facts.max_attempts = target.target->max_attempts;
+    facts.sends = target.sends;
+    facts.time_left = target.final_at - now > least_time_left;
+    facts.other_upstream = pool.has_other(target.tried);
+    facts.budget_left = true;
+    auto step = decide_next_step(facts);
+    const bool repeats = step == next_step::retry || step == next_step::remake_inputs;
+    if (repeats && !pool.budget().take(now)) {
+        facts.budget_left = false;
+        step = decide_next_step(facts);
+    }
+    m_metrics.record_step(end, step);
+    m_log.warn("Attempt failed.", {{"attempt", target.request.attempt_id},
+                                   {"upstream", target.member ? target.member->identity.id : ""},
+                                   {"end", std::string{common::to_name(end)}},
+                                   {"step", std::string{common::to_name(step)}},
+                                   {"runs", std::to_string(facts.possible_runs)},
+                                   {"budget", std::to_string(pool.budget().balance())},
+                                   {"detail", detail}});
+    switch (step) {
+    case next_step::retry:
+        target.events.restart();
+        if (target.target->stages.empty() || !target.stages.final_inputs().empty()) {
+            send(target);
+            return;
+        }
+        target.stages.restart();
+        advance_stages(target);
+        return;
+    case next_step::remake_inputs:
+        withdraw_orders(target);
+        release_inputs(target);
+        target.tried.clear();
+        target.stages.restart();
+        advance_stages(target);
+        return;
+    case next_step::pass_on:
+        respond(target,
+                {target.head.status, m_translate->answer_fields(target.head_fields), target.body},
+                request_end::upstream_failure, detail);
+        return;
+    case next_step::refuse:
+        refuse(target, status_unavailable, detail);
+        return;
+    case next_step::fail:
+        respond(target, m_translate->make_refusal(status_bad_gateway, detail, {}),
+                request_end::failed, detail);
+        return;
+    case next_step::abort:
+        target.reply.abort();
+        finish(target, request_end::cut, 0, detail);
+        return;
+    }
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/gateway_settings.cpp
@@ -0,0 +1,130 @@
+#include "gateway/gateway_settings.h"
+
+namespace jujubemast::gateway {
+
+using settings::check_address;
+using settings::check_positive;
+using settings::check_positive_duration;
+using std::chrono::milliseconds;
+
+namespace {
+
+std::string check_not_negative(double value) {
+    return value >= 0 ? "" : "must not be negative";
+}
+
+} // namespace
+
+const settings::setting<std::string> gateway_settings::name{
+    .section = "instance",
+    .key = "name",
+    .help = "name of this instance, unique in the deployment",
+    .required = true,
+};
+const settings::setting<std::string> gateway_settings::failure_domain{
+    .section = "instance",
+    .key = "failure_domain",
+    .help = "failure domain of this instance",
+    .required = true,
+};
+const settings::setting<std::string> gateway_settings::log_level{
+    .section = "log",
+    .key = "level",
+    .fallback = "info",
+    .help = "debug, info, warn or error",
+};
+const settings::setting<std::string> gateway_settings::callers_listen{
+    .section = "callers",
+    .key = "listen",
+    .help = "address for callers",
+    .required = true,
+    .check = check_address,
+};
+const settings::setting<milliseconds> gateway_settings::callers_stop_grace{
+    .section = "callers",
+    .key = "stop_grace_ms",
+    .fallback = milliseconds{2800},
+    .help = "time after SIGTERM in which new requests are still taken",
+};
+const settings::setting<milliseconds> gateway_settings::callers_stop_limit{
+    .section = "callers",
+    .key = "stop_limit_ms",
+    .fallback = milliseconds{7500},
+    .help = "time after SIGTERM at which requests in progress are cut off",
+    .check = check_positive_duration,
+};
+const settings::setting<std::int64_t> gateway_settings::callers_max_body_bytes{
+    .section = "callers",
+    .key = "max_body_bytes",
+    .fallback = std::int64_t{8} * 1024 * 1024,
+    .help = "largest body of a request",
+    .check = check_positive,
+};
+const settings::setting<std::string> gateway_settings::ready_listen{
+    .section = "ready",
+    .key = "listen",
+    .help = "address for the balancer's readiness checks",
+    .required = true,
+    .check = check_address,
+};
+const settings::setting<std::string> gateway_settings::peers_listen{
+    .section = "peers",
+    .key = "listen",
+    .help = "address for the other gateways (ZeroMQ)",
+    .required = true,
+    .check = check_address,
+};
+const settings::setting<std::string> gateway_settings::admin_listen{
+    .section = "admin",
+    .key = "listen",
+    .help = "address for metrics and state dumps",
+    .required = true,
+    .check = check_address,
+};
+const settings::setting<std::string> gateway_settings::store_address{
+    .section = "store",
+    .key = "address",
+    .help = "address of the platform's store",
+    .required = true,
+    .check = check_address,
+};
+const settings::setting<double> gateway_settings::retry_ratio{
+    .section = "retries",
+    .key = "ratio",
+    .fallback = 0.2,
+    .help = "repetitions allowed for each request, over all gateways",
+    .check = check_not_negative,
+};
+const settings::setting<double> gateway_settings::retry_reserve{
+    .section = "retries",
+    .key = "reserve",
+    .fallback = 50,
+    .help = "repetitions allowed besides in one window, over all gateways",
+    .check = check_not_negative,
+};
+const settings::setting<milliseconds> gateway_settings::retry_window{
+    .section = "retries",
+    .key = "window_ms",
+    .fallback = milliseconds{10000},
+    .help = "window in which repetitions are counted",
+    .check = check_positive_duration,
+};
+
+const settings::table gateway_settings::table{
+    &name,
+    &failure_domain,
+    &log_level,
+    &callers_listen,
+    &callers_stop_grace,
+    &callers_stop_limit,
+    &callers_max_body_bytes,
+    &ready_listen,
+    &peers_listen,
+    &admin_listen,
+    &store_address,
+    &retry_ratio,
+    &retry_reserve,
+    &retry_window,
+};
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/gateway_tree.cpp
@@ -0,0 +1,173 @@
+#include "gateway/gateway_tree.h"
+
+#include <utility>
+
+#include "admin/admin_server.h"
+#include "admin/health.h"
+#include "common/random.h"
+#include "gateway/catalog.h"
+#include "gateway/dispatcher.h"
+#include "gateway/forwarder.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/peers.h"
+
+namespace jujubemast::gateway {
+
+namespace {
+
+constexpr std::size_t mailbox_capacity = 16384;
+constexpr const char* configuration_condition = "configuration";
+constexpr const char* listener_condition = "listener";
+
+using forwarder_mailbox = std::shared_ptr<runtime::mailbox<forwarder_message>>;
+using dispatcher_mailbox = std::shared_ptr<runtime::mailbox<dispatcher_message>>;
+using peers_mailbox = std::shared_ptr<runtime::mailbox<peers_message>>;
+using health_address = runtime::address<admin::health_message>;
+
+/// Passes requests to the forwarder.
+http::handler make_caller_handler(const forwarder_mailbox& inbox,
+                                  const std::shared_ptr<const adapter>& translate) {
+    return [target = runtime::address<forwarder_message>{inbox}, translate,
+            next_id = std::make_shared<std::uint64_t>(1)](
+               http::request message, const http::responder& reply) -> http::disconnect_hook {
+        const auto id = (*next_id)++;
+        if (!target.send(submit{id, std::move(message), reply})) {
+            reply.respond(translate->make_refusal(503, "too many requests wait at this instance",
+                                                  std::chrono::milliseconds{500}));
+            return {};
+        }
+        return [target, id] { target.send(caller_gone{id}); };
+    };
+}
+
+/// Answers every request by the state of readiness.
+http::handler make_ready_handler(const health_address& health) {
+    return [health](const http::request& /*message*/,
+                    const http::responder& reply) -> http::disconnect_hook {
+        if (!health.send(admin::health_query{"/readyz", reply})) {
+            reply.respond({503, {}, "the health task does not answer\n"});
+        }
+        return {};
+    };
+}
+
+runtime::child_spec make_caller_server(const settings::values& values,
+                                       const forwarder_mailbox& inbox,
+                                       const std::shared_ptr<const adapter>& translate,
+                                       const health_address& health, const peers_mailbox& peers,
+                                       const std::shared_ptr<configuration_pointer>& current) {
+    http::server_options options;
+    options.listen = http::parse_endpoint(values.get(gateway_settings::callers_listen));
+    options.limits.max_body_bytes =
+        static_cast<std::size_t>(values.get(gateway_settings::callers_max_body_bytes));
+    options.limits.max_header_bytes = std::size_t{64} * 1024;
+    options.stop_grace = values.get(gateway_settings::callers_stop_grace);
+    options.idle_timeout = [current] {
+        return *current ? (*current)->limits.idle_timeout : caller_limits{}.idle_timeout;
+    };
+    options.on_stopping = [health, peers] {
+        health.send(admin::set_condition{listener_condition, "stopping"});
+        peers->post(stop_begun{});
+    };
+    auto server = http::make_server("callers", options, make_caller_handler(inbox, translate));
+    server.stop_limit = values.get(gateway_settings::callers_stop_limit);
+    return server;
+}
+
+catalog_hooks make_catalog_hooks(const forwarder_mailbox& forwarder,
+                                 const dispatcher_mailbox& dispatcher, const peers_mailbox& peers,
+                                 const health_address& health,
+                                 const std::shared_ptr<configuration_pointer>& current) {
+    catalog_hooks hooks;
+    hooks.publish = [=](const world_changed& it) {
+        *current = it.configuration;
+        forwarder->post(it);
+        dispatcher->post(it);
+    };
+    hooks.publish_gateways = [=](const std::vector<gateway_record>& it) {
+        peers->post(gateways_changed{it});
+        forwarder->post(gateway_count_changed{it.size()});
+    };
+    hooks.set_not_ready_reason = [health](const std::string& reason) {
+        health.send(admin::set_condition{configuration_condition, reason});
+    };
+    return hooks;
+}
+
+forwarder_options make_forwarder_options(const settings::values& values) {
+    policy::load_aware_options routing;
+    // Requests of all gateways add up at an engine, and each sees only its own.
+    routing.affinity_margin = 0.1;
+    routing.slow_start = std::chrono::seconds{2};
+    forwarder_options options;
+    options.failure_domain = values.get(gateway_settings::failure_domain);
+    options.retries = {values.get(gateway_settings::retry_ratio),
+                       values.get(gateway_settings::retry_reserve),
+                       values.get(gateway_settings::retry_window)};
+    options.random = common::system_random();
+    options.route = policy::make_load_aware(routing, common::system_random());
+    return options;
+}
+
+} // namespace
+
+std::vector<runtime::child_spec>
+make_gateway_tree(const runtime::executor& loop, const runtime::process_hooks& process,
+                  const settings::values& values, const std::shared_ptr<const adapter>& translate) {
+    const auto forwarder_inbox = runtime::make_mailbox<forwarder_message>(loop, mailbox_capacity);
+    const auto dispatcher_inbox = runtime::make_mailbox<dispatcher_message>(loop, mailbox_capacity);
+    const auto peers_inbox = runtime::make_mailbox<peers_message>(loop, mailbox_capacity);
+    const auto health_inbox = runtime::make_mailbox<admin::health_message>(loop, mailbox_capacity);
+    const health_address health{health_inbox};
+    const auto current = std::make_shared<configuration_pointer>();
+    const gateway_record self{values.get(gateway_settings::name),
+                              values.get(gateway_settings::peers_listen),
+                              common::system_random()() >> 1U};
+    const auto store = http::parse_endpoint(values.get(gateway_settings::store_address));
+
+    // A failed child and those after it are restarted, so each child stands after the ones whose
+    // state it depends on being complete. A stop begins with the last.
+    std::vector<runtime::child_spec> children;
+    children.push_back({"health", [health_inbox](runtime::task_context it) {
+                            return std::make_shared<admin::health>(
+                                std::move(it), health_inbox,
+                                std::map<std::string, std::string>{
+                                    {configuration_condition, "no configuration is known yet"}});
+                        }});
+    children.push_back(admin::make_admin_server(
+        http::parse_endpoint(values.get(gateway_settings::admin_listen)), health,
+        {process.dump,
+         [forwarder_inbox](const admin::metrics_query& it) { return forwarder_inbox->post(it); },
+         [](const http::request&, const http::responder&) { return false; }}));
+    http::server_options ready;
+    ready.listen = http::parse_endpoint(values.get(gateway_settings::ready_listen));
+    children.push_back(http::make_server("ready", ready, make_ready_handler(health)));
+    children.push_back({"dispatcher", [=](runtime::task_context it) {
+                            return std::make_shared<dispatcher>(
+                                std::move(it), dispatcher_inbox,
+                                runtime::address<peers_message>{peers_inbox}, translate);
+                        }});
+    children.push_back({"peers", [=](runtime::task_context it) {
+                            return std::make_shared<peers>(
+                                std::move(it), peers_inbox,
+                                runtime::address<forwarder_message>{forwarder_inbox},
+                                runtime::address<dispatcher_message>{dispatcher_inbox}, self);
+                        }});
+    children.push_back({"forwarder", [=](runtime::task_context it) {
+                            return std::make_shared<forwarder>(
+                                std::move(it), forwarder_inbox,
+                                runtime::address<peers_message>{peers_inbox}, translate,
+                                make_forwarder_options(values));
+                        }});
+    const auto hooks =
+        make_catalog_hooks(forwarder_inbox, dispatcher_inbox, peers_inbox, health, current);
+    children.push_back({"catalog", [=](runtime::task_context it) {
+                            return std::make_shared<catalog>(std::move(it), store, translate, self,
+                                                             hooks);
+                        }});
+    children.push_back(
+        make_caller_server(values, forwarder_inbox, translate, health, peers_inbox, current));
+    return children;
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/messages.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "admin/metrics_query.h"
+#include "gateway/adapter.h"
+#include "gateway/configuration.h"
+#include "gateway/piece_queue.h"
+#include "gateway/upstream_list.h"
+#include "http/server.h"
+
+namespace jujubemast::gateway {
+
+/// What the catalog knows of the world outside. Either pointer may be null before the first
+/// reading.
+struct world_changed {
+    configuration_pointer configuration;
+    upstream_map_pointer upstreams;
+};
+
+/// A request from a caller's connection.
+struct submit {
+    std::uint64_t id = 0;
+    http::request message;
+    http::responder reply;
+};
+
+/// The caller has closed its connection.
+struct caller_gone {
+    std::uint64_t id = 0;
+};
+
+/// The end of an order that the forwarder gave.
+struct order_ended {
+    std::uint64_t number = 0;
+    order_outcome outcome;
+};
+
+/// The number of gateways that share the retry budget has changed.
+struct gateway_count_changed {
+    std::size_t count = 1;
+};
+
+using forwarder_message = std::variant<world_changed, submit, caller_gone, order_ended,
+                                       gateway_count_changed, admin::metrics_query>;
+
+/// Drops an order; its results are freed.
+struct withdraw_order {
+    std::string service;
+    order_key key;
+};
+
+/// Results that nothing reads any more.
+struct release_results {
+    std::string service;
+    std::vector<std::string> handles;
+};
+
+/// The end of an order, on its way to the gateway that gave it.
+struct order_settled {
+    order_key key;
+    order_outcome outcome;
+};
+
+struct gateways_changed {
+    std::vector<gateway_record> gateways;
+};
+
+/// An ordered stop of this gateway has begun.
+struct stop_begun {};
+
+using peers_message = std::variant<piece_order, withdraw_order, release_results, order_settled,
+                                   gateways_changed, stop_begun>;
+
+using dispatcher_message =
+    std::variant<world_changed, piece_order, withdraw_order, release_results>;
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/ownership.cpp
@@ -0,0 +1,20 @@
+#include "gateway/ownership.h"
+
+#include <algorithm>
+#include <cstdint>
+
+#include "common/digest.h"
+
+namespace jujubemast::gateway {
+
+std::string choose_owner(const std::string& service, const std::vector<std::string>& gateways) {
+    const auto rank = [&](const std::string& gateway) {
+        return common::digest_of(service + '\n' + gateway);
+    };
+    const auto it = std::max_element(
+        gateways.begin(), gateways.end(),
+        [&](const std::string& a, const std::string& b) { return rank(a) < rank(b); });
+    return it == gateways.end() ? std::string{} : *it;
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/peers.cpp
@@ -0,0 +1,238 @@
+#include "gateway/peers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "common/error.h"
+#include "gateway/ownership.h"
+
+namespace jujubemast::gateway {
+
+peers::peers(runtime::task_context context, std::shared_ptr<runtime::mailbox<peers_message>> inbox,
+             runtime::address<forwarder_message> forwarder,
+             runtime::address<dispatcher_message> dispatcher, gateway_record self,
+             const peer_limits& limits)
+    : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_forwarder{std::move(forwarder)},
+      m_dispatcher{std::move(dispatcher)}, m_self{std::move(self)}, m_limits{limits},
+      m_timer{m_context.loop()} {}
+
+void peers::start() {
+    m_router = std::make_unique<wire::router>(
+        m_context, m_self.address,
+        [this](const std::string& /*routing_id*/, const std::string& bytes) { received(bytes); });
+    m_owners = {m_self.name};
+    m_inbox.receive(m_context.wrap([this](const peers_message& message) {
+        std::visit([this](const auto& it) { handle(it); }, message);
+    }));
+    tick();
+}
+
+void peers::close() noexcept {
+    m_inbox.close();
+    m_timer.cancel();
+    m_peers.clear();
+    m_router.reset();
+}
+
+void peers::handle(const gateways_changed& message) {
+    std::erase_if(m_peers, [&](const auto& it) {
+        return std::find(message.gateways.begin(), message.gateways.end(), it.second.record) ==
+               message.gateways.end();
+    });
+    for (const auto& it : message.gateways) {
+        if (it.name == m_self.name || m_peers.contains(it.name)) {
+            continue;
+        }
+        auto& added = m_peers[it.name];
+        added.record = it;
+        connect(added);
+    }
+    update_live();
+}
+
+void peers::connect(peer& target) {
+    target.connected = common::monotonic_clock::now();
+    try {
+        target.link = std::make_unique<wire::dealer>(m_context, target.record.address,
+                                                     [](const std::string& /*bytes*/) {});
+    } catch (const common::network_error& e) {
+        m_log.warn("No link to a gateway.",
+                   {{"gateway", target.record.name}, {"reason", e.what()}});
+    }
+}
+
+void peers::tick() {
+    const auto now = common::monotonic_clock::now();
+    for (auto& [name, it] : m_peers) {
+        const bool heard = now - it.heard < m_limits.silence_limit;
+        // A connection that has gone silent may be dead while a new one works.
+        if (!(heard && it.hears_us) && now - it.connected > m_limits.silence_limit) {
+            connect(it);
+        }
+        if (it.link) {
+            it.link->send(wire::encode(
+                {m_self.name, m_self.incarnation, wire::gateway_ping{heard, m_leaving}}, now));
+        }
+    }
+    update_live();
+    for (auto& [number, it] : m_pending) {
+        if (now - it.sent >= m_limits.repeat_interval) {
+            place(it);
+        }
+    }
+    m_timer.start(m_limits.ping_interval, m_context.wrap([this] { tick(); }));
+}
+
+void peers::update_live() {
+    const auto now = common::monotonic_clock::now();
+    std::vector<std::string> owners;
+    for (auto& [name, it] : m_peers) {
+        const bool is_live = it.hears_us && now - it.heard < m_limits.silence_limit;
+        if (is_live != it.live) {
+            it.live = is_live;
+            m_log.info(is_live ? "Gateway is live." : "Gateway is silent.",
+                       {{"gateway", name},
+                        {"address", it.record.address},
+                        {"hears_us", it.hears_us ? "yes" : "no"}});
+        }
+        if (is_live && !it.leaving) {
+            owners.push_back(name);
+        }
+    }
+    if (!m_leaving || owners.empty()) {
+        owners.push_back(m_self.name);
+    }
+    if (owners == m_owners) {
+        return;
+    }
+    m_owners = std::move(owners);
+    for (auto& [number, it] : m_pending) {
+        if (owner_of(it.order.service) != it.owner) {
+            // An owner that still lives need not make the pieces as well.
+            send_to(it.owner, withdraw_order{it.order.service, it.order.key});
+            place(it);
+        }
+    }
+}
+
+void peers::handle(const stop_begun& /*message*/) {
+    m_leaving = true;
+    update_live();
+    tick();
+}
+
+std::string peers::owner_of(const std::string& service) const {
+    return choose_owner(service, m_owners);
+}
+
+void peers::place(pending_order& pending) {
+    pending.owner = owner_of(pending.order.service);
+    pending.sent = common::monotonic_clock::now();
+    if (!send_to(pending.owner, pending.order)) {
+        // The link is down or full; this gateway makes the pieces itself.
+        pending.owner = m_self.name;
+        send_to(m_self.name, pending.order);
+    }
+}
+
+bool peers::send_to(const std::string& name, const wire::gateway_content& content) {
+    if (name == m_self.name) {
+        return std::visit(
+            [this](const auto& it) {
+                using content_type = std::decay_t<decltype(it)>;
+                if constexpr (std::is_same_v<content_type, wire::gateway_ping>) {
+                    return true;
+                } else if constexpr (std::is_same_v<content_type, order_settled>) {
+                    handle(it);
+                    return true;
+                } else {
+                    return m_dispatcher.send(it);
+                }
+            },
+            content);
+    }
+    const auto it = m_peers.find(name);
+    return it != m_peers.end() && it->second.link &&
+           it->second.link->send(wire::encode({m_self.name, m_self.incarnation, content},
+                                              common::monotonic_clock::now()));
+}
+
+void peers::handle(const piece_order& message) {
+    auto& pending = m_pending[message.key.number];
+    pending.order = message;
+    pending.order.key.origin = m_self.name;
+    place(pending);
+}
+
+void peers::handle(const withdraw_order& message) {
+    const auto it = m_pending.find(message.key.number);
+    if (it == m_pending.end()) {
+        return;
+    }
+    const withdraw_order content{message.service, {m_self.name, message.key.number}};
+    send_to(it->second.owner, content);
+    m_pending.erase(it);
+}
+
+void peers::handle(const release_results& message) {
+    const auto owner = owner_of(message.service);
+    if (!send_to(owner, message)) {
+        send_to(m_self.name, message);
+    }
+}
+
+void peers::handle(const order_settled& message) {
+    if (!message.key.origin.empty() && message.key.origin != m_self.name) {
+        // A lost outcome is asked for again by a repeated order.
+        send_to(message.key.origin, message);
+        return;
+    }
+    const auto it = m_pending.find(message.key.number);
+    if (it != m_pending.end()) {
+        m_pending.erase(it);
+        m_forwarder.send(order_ended{message.key.number, message.outcome});
+    }
+}
+
+void peers::received(const std::string& bytes) {
+    const auto now = common::monotonic_clock::now();
+    wire::gateway_message message;
+    try {
+        message = wire::decode_gateway_message(bytes, now);
+    } catch (const common::format_error& e) {
+        m_log.warn("Message of a gateway not understood.", {{"reason", e.what()}});
+        return;
+    }
+    const auto from = m_peers.find(message.sender);
+    if (from == m_peers.end() || from->second.record.incarnation != message.incarnation) {
+        return;
+    }
+    from->second.heard = now;
+    std::visit(
+        [&](const auto& it) {
+            using content_type = std::decay_t<decltype(it)>;
+            if constexpr (std::is_same_v<content_type, wire::gateway_ping>) {
+                from->second.hears_us = it.hears_receiver;
+                from->second.leaving = it.leaving;
+                update_live();
+            } else if constexpr (std::is_same_v<content_type, order_settled>) {
+                handle(it);
+            } else {
+                m_dispatcher.send(it);
+            }
+        },
+        message.content);
+}
+
+boost::json::value peers::dump() const {
+    boost::json::array owners;
+    for (const auto& it : m_owners) {
+        owners.emplace_back(it);
+    }
+    return boost::json::object{
+        {"owners", std::move(owners)}, {"known", m_peers.size()}, {"pending", m_pending.size()}};
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/peers.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/messages.h"
+#include "logging/logger.h"
+#include "runtime/mailbox.h"
+#include "runtime/task.h"
+#include "wire/gateway_codec.h"
+#include "wire/socket.h"
+
+namespace jujubemast::gateway {
+
+struct peer_limits {
+    common::duration ping_interval = std::chrono::milliseconds{500};
+    /// A gateway that was not heard for this long is not live.
+    common::duration silence_limit = std::chrono::milliseconds{1600};
+    /// An order without an outcome is sent again after this time.
+    common::duration repeat_interval = std::chrono::milliseconds{1500};
+};
+
+/// Links to the other gateways: sends orders to the owner of their service, again until their
+/// outcome is known, and passes on the outcomes of orders that came from others.
+class peers final : public runtime::task {
+public:
+    peers(runtime::task_context context, std::shared_ptr<runtime::mailbox<peers_message>> inbox,
+          runtime::address<forwarder_message> forwarder,
+          runtime::address<dispatcher_message> dispatcher, gateway_record self,
+          const peer_limits& limits = {});
+
+    void start() override;
+    void close() noexcept override;
+    [[nodiscard]] boost::json::value dump() const override;
+
+private:
+    struct peer {
+        gateway_record record;
+        std::unique_ptr<wire::dealer> link;
+        common::time_point heard;
+        common::time_point connected;
+        bool hears_us = false;
+        bool leaving = false;
+        bool live = false;
+    };
+
+    struct pending_order {
+        piece_order order;
+        std::string owner;
+        common::time_point sent;
+    };
+
+    void handle(const piece_order& message);
+    void handle(const withdraw_order& message);
+    void handle(const release_results& message);
+    void handle(const order_settled& message);
+    void handle(const gateways_changed& message);
+    void handle(const stop_begun& message);
+
+    void received(const std::string& bytes);
+    void tick();
+    void update_live();
+    void connect(peer& target);
+    void place(pending_order& pending);
+    /// Sends to a gateway by name; this one's own dispatcher is reached by its mailbox.
+    bool send_to(const std::string& name, const wire::gateway_content& content);
+    [[nodiscard]] std::string owner_of(const std::string& service) const;
+
+    runtime::task_context m_context;
+    runtime::inbox<peers_message> m_inbox;
+    runtime::address<forwarder_message> m_forwarder;
+    runtime::address<dispatcher_message> m_dispatcher;
+    gateway_record m_self;
+    peer_limits m_limits;
+    std::unique_ptr<wire::router> m_router;
+    std::map<std::string, peer> m_peers;
+    /// Gateways that may own services.
+    std::vector<std::string> m_owners;
+    bool m_leaving = false;
+    std::map<std::uint64_t, pending_order> m_pending;
+    runtime::timer m_timer;
+    logging::logger m_log{"peers"};
+};
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/piece_queue.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "common/enum_names.h"
+#include "common/time.h"
+#include "gateway/caller_request.h"
+#include "gateway/configuration.h"
+
+namespace jujubemast::gateway {
+
+/// Names an order: the gateway that gave it and its number there.
+struct order_key {
+    std::string origin;
+    std::uint64_t number = 0;
+
+    friend auto operator<=>(const order_key&, const order_key&) = default;
+};
+
+/// All pieces of one stage of one request, to be made by instances of the stage's service.
+struct piece_order {
+    order_key key;
+    std::string attempt_id;
+    std::string service;
+    std::uint32_t stage = 0;
+    std::uint32_t count = 0;
+    /// The request's input, for stages without predecessors; otherwise `inputs` is used.
+    std::string input_key;
+    std::vector<std::string> inputs;
+    int priority = 0;
+    double result_bytes = 0;
+    /// When the results must be there for an answer within the latency target.
+    common::time_point target;
+    /// When the results are of no more use.
+    common::time_point latest;
+};
+
+/// How an order ended.
+enum class order_status { made, overloaded, expired, input_gone, failed };
+
+struct order_outcome {
+    order_status status = order_status::failed;
+    /// The results in the order of the pieces; only when all were made.
+    std::vector<std::string> handles;
+    /// For an overloaded service, when to try again.
+    common::duration retry_after = common::duration::zero();
+};
+
+/// One piece of an order on its way to a call.
+struct queued_piece {
+    order_key order;
+    std::uint32_t piece = 0;
+
+    friend auto operator<=>(const queued_piece&, const queued_piece&) = default;
+};
+
+/// The pieces of one service that wait for a call. Serves the more urgent priority first and,
+/// within it, the earliest target; pieces that can no longer meet their target come after all that
+/// can.
+class piece_queue {
+public:
+    void push(const piece_order& order, std::uint32_t piece);
+
+    /// Removes the waiting pieces of an order.
+    void remove(const order_key& order);
+
+    /// Takes up to `most` pieces for a call that ends after `call_time` at the earliest. Pieces
+    /// whose results would come too late are left out and appended to `expired`.
+    std::vector<queued_piece> take(std::size_t most, common::time_point now,
+                                   common::duration call_time, std::vector<order_key>& expired);
+
+    /// Number of pieces that would be served before those of the order.
+    [[nodiscard]] std::size_t ahead(const piece_order& order) const;
+
+    [[nodiscard]] std::size_t size() const { return m_waiting.size(); }
+
+private:
+    struct waiting {
+        int priority = 0;
+        common::time_point target;
+        queued_piece piece;
+        common::time_point latest;
+
+        friend bool operator<(const waiting& a, const waiting& b) {
+            return std::tie(a.priority, a.target, a.piece) <
+                   std::tie(b.priority, b.target, b.piece);
+        }
+    };
+
+    std::set<waiting> m_waiting;
+};
+
+/// Returns how long a call with this many pieces takes.
+common::duration call_time(const piece_limits& limits, std::size_t pieces);
+
+/// Returns how long a newly ordered piece waits for the end of its call, when the instances are all
+/// busy and make full calls: the waiting pieces ahead, shared between the instances.
+common::duration expected_delay(const piece_limits& limits, std::size_t pieces_ahead,
+                                std::size_t instances);
+
+} // namespace jujubemast::gateway
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<gateway::order_status> {
+    static constexpr std::array<std::string_view, 5> table{"made", "overloaded", "expired",
+                                                           "input_gone", "failed"};
+};
+
+} // namespace jujubemast::common
--- /dev/null
+++ b/source/core/gateway/result_room.cpp
@@ -0,0 +1,22 @@
+#include "gateway/result_room.h"
+
+namespace jujubemast::gateway {
+
+void result_room::keep(const std::string& handle, double bytes, common::time_point until) {
+    m_results[handle] = {bytes, until};
+}
+
+bool result_room::release(const std::string& handle) {
+    return m_results.erase(handle) > 0;
+}
+
+double result_room::used(common::time_point now) {
+    std::erase_if(m_results, [&](const auto& it) { return it.second.until <= now; });
+    double total = m_reserved;
+    for (const auto& [handle, it] : m_results) {
+        total += it.bytes;
+    }
+    return total;
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/service_pool.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/upstream_list.h"
+#include "http/client.h"
+#include "policy/outlier_detector.h"
+#include "policy/retry_budget.h"
+#include "policy/routing.h"
+
+namespace jujubemast::gateway {
+
+/// One upstream instance as this gateway uses it.
+struct pool_member {
+    upstream_instance identity;
+    std::uint64_t digest = 0;
+    std::shared_ptr<http::client> client;
+    std::uint32_t in_progress = 0;
+    common::time_point available_since;
+};
+
+/// The instances of one service, the choice among them and the retry budget of the service.
+class service_pool {
+public:
+    service_pool(runtime::task_context context, policy::routing_hook route);
+
+    /// Takes the instances of this service from the list.
+    void update(const std::string& service, const upstream_map& known, common::time_point now);
+
+    /// Sets this gateway's part of the retry budget.
+    void set_budget(const policy::retry_budget_options& options);
+
+    /// Chooses an instance, or null.
+    std::shared_ptr<pool_member> choose(const policy::routing_request& request);
+
+    /// The instance that a prompt maps to when load does not matter, or null.
+    [[nodiscard]] std::shared_ptr<pool_member> first_choice(std::uint64_t prefix);
+
+    /// Whether an instance outside of the list takes work.
+    bool has_other(const std::vector<std::string>& excluded);
+
+    void record_success(const pool_member& member, common::duration service_time,
+                        common::time_point now);
+    void record_failure(const pool_member& member, common::time_point now);
+
+    [[nodiscard]] policy::retry_budget& budget() { return m_budget; }
+    [[nodiscard]] std::size_t size() const { return m_members.size(); }
+
+private:
+    std::vector<policy::upstream_view> views(common::time_point now);
+
+    runtime::task_context m_context;
+    policy::routing_hook m_route;
+    std::vector<std::shared_ptr<pool_member>> m_members;
+    policy::outlier_detector m_health;
+    policy::retry_budget m_budget;
+};
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/stage_progress.cpp
@@ -0,0 +1,111 @@
+#include "gateway/stage_progress.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubemast::gateway {
+
+stage_progress::stage_progress(const std::vector<stage_spec>& stages,
+                               const std::vector<std::uint32_t>& counts) {
+    for (std::size_t n = 0; n < stages.size(); ++n) {
+        stage added;
+        added.service = stages[n].service;
+        added.after = stages[n].after;
+        added.count = n < counts.size() ? counts[n] : 0;
+        added.state = added.count == 0 ? phase::made : phase::waiting;
+        m_stages.push_back(std::move(added));
+    }
+}
+
+std::vector<std::uint32_t> stage_progress::take_ready() {
+    std::vector<std::uint32_t> ready;
+    for (std::size_t n = 0; n < m_stages.size(); ++n) {
+        auto& it = m_stages[n];
+        const bool inputs_made = std::all_of(it.after.begin(), it.after.end(), [&](std::size_t m) {
+            return m_stages[m].state == phase::made;
+        });
+        if (it.state == phase::waiting && inputs_made) {
+            it.state = phase::ordered;
+            ready.push_back(static_cast<std::uint32_t>(n));
+        }
+    }
+    return ready;
+}
+
+std::vector<std::string> stage_progress::inputs_of(std::uint32_t stage) const {
+    std::vector<std::string> inputs;
+    for (const auto n : m_stages[stage].after) {
+        inputs.insert(inputs.end(), m_stages[n].handles.begin(), m_stages[n].handles.end());
+    }
+    return inputs;
+}
+
+std::uint32_t stage_progress::count_of(std::uint32_t stage) const {
+    return m_stages[stage].count;
+}
+
+void stage_progress::complete(std::uint32_t stage, std::vector<std::string> handles) {
+    m_stages[stage].state = phase::made;
+    m_stages[stage].handles = std::move(handles);
+}
+
+bool stage_progress::done() const {
+    return std::all_of(m_stages.begin(), m_stages.end(),
+                       [](const stage& it) { return it.state == phase::made; });
+}
+
+bool stage_progress::has_follower(std::size_t stage) const {
+    return std::any_of(m_stages.begin(), m_stages.end(), [&](const auto& it) {
+        return std::find(it.after.begin(), it.after.end(), stage) != it.after.end();
+    });
+}
+
+bool stage_progress::followers_made(std::size_t stage) const {
+    return std::all_of(m_stages.begin(), m_stages.end(), [&](const auto& it) {
+        return std::find(it.after.begin(), it.after.end(), stage) == it.after.end() ||
+               it.state == phase::made;
+    });
+}
+
+std::vector<std::string> stage_progress::final_inputs() const {
+    std::vector<std::string> inputs;
+    for (std::size_t n = 0; n < m_stages.size(); ++n) {
+        if (!has_follower(n)) {
+            inputs.insert(inputs.end(), m_stages[n].handles.begin(), m_stages[n].handles.end());
+        }
+    }
+    return inputs;
+}
+
+std::vector<stage_progress::spent_results> stage_progress::take_spent(bool all) {
+    std::vector<spent_results> spent;
+    for (std::size_t n = 0; n < m_stages.size(); ++n) {
+        auto& it = m_stages[n];
+        if (!it.handles.empty() && (all || (has_follower(n) && followers_made(n)))) {
+            spent.push_back({it.service, std::exchange(it.handles, {})});
+        }
+    }
+    return spent;
+}
+
+std::size_t stage_progress::stages_after(std::uint32_t stage) const {
+    std::size_t longest = 0;
+    for (std::size_t n = 0; n < m_stages.size(); ++n) {
+        const auto& after = m_stages[n].after;
+        // Stages are numbered so that each comes after those it needs.
+        if (n > stage && m_stages[n].count > 0 &&
+            std::find(after.begin(), after.end(), stage) != after.end()) {
+            longest = std::max(longest, 1 + stages_after(static_cast<std::uint32_t>(n)));
+        }
+    }
+    return longest;
+}
+
+void stage_progress::restart() {
+    for (auto& it : m_stages) {
+        it.state = it.count == 0 ? phase::made : phase::waiting;
+        it.handles.clear();
+    }
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/stage_progress.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "gateway/configuration.h"
+
+namespace jujubemast::gateway {
+
+/// How far the stages of one request are. Tells which stage may begin, which results are its
+/// inputs, and which results nothing needs any more.
+class stage_progress {
+public:
+    stage_progress() = default;
+
+    /// `counts` holds the number of pieces of each stage; a stage without pieces is left out.
+    stage_progress(const std::vector<stage_spec>& stages, const std::vector<std::uint32_t>& counts);
+
+    /// Stages that can be ordered now. Each is returned once.
+    std::vector<std::uint32_t> take_ready();
+
+    /// Results of all pieces of the stages that this one needs.
+    [[nodiscard]] std::vector<std::string> inputs_of(std::uint32_t stage) const;
+
+    [[nodiscard]] std::uint32_t count_of(std::uint32_t stage) const;
+
+    void complete(std::uint32_t stage, std::vector<std::string> handles);
+
+    /// All stages are made.
+    [[nodiscard]] bool done() const;
+
+    /// Results of the stages that no other stage follows: the inputs of the request itself.
+    [[nodiscard]] std::vector<std::string> final_inputs() const;
+
+    /// Results of one stage that nothing reads any more.
+    struct spent_results {
+        std::string service;
+        std::vector<std::string> handles;
+    };
+
+    /// Takes the results whose readers are all complete; with `all`, every result that is left.
+    std::vector<spent_results> take_spent(bool all);
+
+    /// Longest chain of stages that follow this one, in calls.
+    [[nodiscard]] std::size_t stages_after(std::uint32_t stage) const;
+
+    /// Forgets what was made, so that all stages are made again.
+    void restart();
+
+private:
+    enum class phase { waiting, ordered, made };
+
+    struct stage {
+        std::string service;
+        std::vector<std::size_t> after;
+        std::uint32_t count = 0;
+        phase state = phase::waiting;
+        std::vector<std::string> handles;
+    };
+
+    [[nodiscard]] bool has_follower(std::size_t stage) const;
+    [[nodiscard]] bool followers_made(std::size_t stage) const;
+
+    std::vector<stage> m_stages;
+};
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/table_watch.cpp
@@ -0,0 +1,123 @@
+#include "gateway/table_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubemast::gateway {
+
+table_watch::table_watch(const runtime::task_context& context, http::client& client,
+                         std::shared_ptr<const adapter> translate, store_table table,
+                         table_watch_hooks hooks, const table_watch_limits& limits)
+    : m_context{context}, m_client{client}, m_translate{std::move(translate)}, m_table{table},
+      m_hooks{std::move(hooks)}, m_limits{limits}, m_timer{context.loop()} {}
+
+void table_watch::cancel() {
+    m_timer.cancel();
+}
+
+store_answer table_watch::decode(const http::call_result& result) const {
+    if (const auto* error = std::get_if<http::call_error>(&result)) {
+        return {store_outcome::unavailable, {}, error->detail};
+    }
+    return m_translate->decode_rows(std::get<http::response>(result));
+}
+
+void table_watch::read_from(const std::string& key) {
+    if (key.empty()) {
+        m_page_rows.clear();
+        m_first_page_version = 0;
+    }
+    http::call_options options;
+    options.head_timeout = m_limits.answer_limit;
+    m_client.send(
+        m_translate->encode_read(m_table, key),
+        [this](const http::call_result& result) { page_read(result); }, options);
+}
+
+void table_watch::page_read(const http::call_result& result) {
+    auto answer = decode(result);
+    if (answer.outcome != store_outcome::done) {
+        m_whole = false;
+        call_failed(answer);
+        return;
+    }
+    set_available(true);
+    if (m_page_rows.empty()) {
+        // Changes between two pages are seen again by the watch, which goes on after the first.
+        m_first_page_version = answer.content.version;
+    }
+    for (auto& it : answer.content.rows) {
+        m_page_rows.push_back(std::move(it));
+    }
+    if (answer.content.has_more && !m_page_rows.empty()) {
+        // The smallest key after the last one.
+        read_from(m_page_rows.back().key + '\x01');
+        return;
+    }
+    m_version = m_first_page_version;
+    m_whole = true;
+    m_hooks.on_update({std::exchange(m_page_rows, {}), true});
+    watch();
+}
+
+void table_watch::watch() {
+    http::call_options options;
+    options.head_timeout = m_limits.wait + m_limits.answer_limit;
+    m_client.send(
+        m_translate->encode_watch(m_table, m_version, m_limits.wait),
+        [this](const http::call_result& result) { changes_read(result); }, options);
+}
+
+void table_watch::changes_read(const http::call_result& result) {
+    auto answer = decode(result);
+    if (answer.outcome == store_outcome::history_lost) {
+        m_log.info("History of a table is lost; it is read whole.",
+                   {{"table", std::string{common::to_name(m_table)}},
+                    {"version", std::to_string(m_version)}});
+        m_whole = false;
+        read_from({});
+        return;
+    }
+    if (answer.outcome != store_outcome::done) {
+        call_failed(answer);
+        return;
+    }
+    set_available(true);
+    m_version = std::max(m_version, answer.content.version);
+    if (answer.content.rows.empty()) {
+        watch();
+        return;
+    }
+    m_hooks.on_update({std::move(answer.content.rows), false});
+    m_timer.start(m_limits.bundle_time, m_context.wrap([this] { watch(); }));
+}
+
+void table_watch::call_failed(const store_answer& answer) {
+    if (m_available) {
+        m_log.warn("Store does not answer.",
+                   {{"table", std::string{common::to_name(m_table)}},
+                    {"outcome", std::string{common::to_name(answer.outcome)}},
+                    {"detail", answer.detail}});
+    }
+    set_available(false);
+    m_timer.start(m_limits.retry_pause, m_context.wrap([this] {
+        if (m_whole) {
+            watch();
+        } else {
+            read_from({});
+        }
+    }));
+}
+
+void table_watch::set_available(bool available) {
+    if (available == m_available) {
+        return;
+    }
+    m_available = available;
+    if (available) {
+        m_log.info("Store answers again.", {{"table", std::string{common::to_name(m_table)}}});
+    }
+    m_hooks.on_state(available);
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/table_watch.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/adapter.h"
+#include "http/client.h"
+#include "logging/logger.h"
+#include "runtime/task.h"
+
+namespace jujubemast::gateway {
+
+/// What a table holds, or what has changed in it.
+struct table_update {
+    std::vector<store_row> rows;
+    /// The rows are all that the table holds.
+    bool complete = false;
+};
+
+struct table_watch_hooks {
+    std::function<void(const table_update&)> on_update;
+    /// Called when the store stops or begins again to answer.
+    std::function<void(bool available)> on_state;
+};
+
+struct table_watch_limits {
+    /// How long the store keeps a call for changes waiting.
+    common::duration wait = std::chrono::seconds{10};
+    /// How much later than that its answer may come.
+    common::duration answer_limit = std::chrono::milliseconds{1500};
+    /// Pause before the next call for changes, so that one answer carries several.
+    common::duration bundle_time = std::chrono::milliseconds{150};
+    /// Pause after a failed call.
+    common::duration retry_pause = std::chrono::milliseconds{250};
+};
+
+/// Reads one table of the store and follows its changes by calls that wait for them. When history
+/// is lost the table is read whole again. Belongs to one task.
+class table_watch {
+public:
+    table_watch(const runtime::task_context& context, http::client& client,
+                std::shared_ptr<const adapter> translate, store_table table,
+                table_watch_hooks hooks, const table_watch_limits& limits = {});
+
+    void begin() { read_from({}); }
+
+    void cancel();
+
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
+
+private:
+    void read_from(const std::string& key);
+    void page_read(const http::call_result& result);
+    void watch();
+    void changes_read(const http::call_result& result);
+    /// Returns the decoded answer of a call to the store.
+    [[nodiscard]] store_answer decode(const http::call_result& result) const;
+    void call_failed(const store_answer& answer);
+    void set_available(bool available);
+
+    runtime::task_context m_context;
+    http::client& m_client;
+    std::shared_ptr<const adapter> m_translate;
+    store_table m_table;
+    table_watch_hooks m_hooks;
+    table_watch_limits m_limits;
+    runtime::timer m_timer;
+    std::uint64_t m_version = 0;
+    std::vector<store_row> m_page_rows;
+    std::uint64_t m_first_page_version = 0;
+    bool m_whole = false;
+    bool m_available = true;
+    logging::logger m_log{"catalog"};
+};
+
+} // namespace jujubemast::gateway
--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include <algorithm>
 #include <list>
 #include <map>
 #include <optional>
@@ -10,6 +11,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http/socket_options.h"
+
 namespace jujubemast::http {
 
 namespace beast_http = boost::beast::http;
@@ -21,7 +24,7 @@
 
 struct idle_connection {
     std::unique_ptr<boost::beast::tcp_stream> stream;
-    common::time_point since;
+    common::time_point usable_until;
 };
 
 class exchange;
@@ -49,7 +52,7 @@
         : context{std::move(owner)}, server{std::move(target)}, limits{bounds} {}
 
     std::unique_ptr<boost::beast::tcp_stream> take_idle();
-    void keep_idle(std::unique_ptr<boost::beast::tcp_stream> stream);
+    void keep_idle(std::unique_ptr<boost::beast::tcp_stream> stream, common::duration lifetime);
 
     runtime::task_context context;
     endpoint server;
@@ -81,7 +84,9 @@
 
     void begin() {
         const auto owner = m_owner.lock();
-        m_request.set(beast_http::field::host, to_string(owner->server));
+        if (m_request.find(beast_http::field::host) == m_request.end()) {
+            m_request.set(beast_http::field::host, to_string(owner->server));
+        }
         if (m_options.repeatable) {
             m_stream = owner->take_idle();
         }
@@ -124,8 +129,7 @@
                                         fail(call_fault::connect, ec.message());
                                         return;
                                     }
-                                    boost::system::error_code ignored;
-                                    m_stream->socket().set_option(tcp::no_delay{true}, ignored);
+                                    prepare_socket(m_stream->socket());
                                     write();
                                 }));
     }
@@ -203,9 +207,11 @@
     void complete() {
         const auto owner = m_owner.lock();
         m_ended = true;
-        if (m_parser->get().keep_alive()) {
+        // Bytes after a complete response belong to no request, so the connection is not used
+        // again.
+        if (m_parser->get().keep_alive() && m_input.size() == 0) {
             m_stream->expires_never();
-            owner->keep_idle(std::move(m_stream));
+            owner->keep_idle(std::move(m_stream), idle_lifetime());
         }
         owner->calls.erase(m_id);
         if (m_hooks.on_done) {
@@ -241,6 +247,16 @@
         }
     }
 
+    /// The client's limit, or less when the server states that it closes earlier.
+    [[nodiscard]] common::duration idle_lifetime() const {
+        // A request that is sent just as the server closes would be lost.
+        constexpr common::duration margin = std::chrono::milliseconds{500};
+        const auto limit = m_owner.lock()->limits.idle_lifetime;
+        const auto field = m_parser->get()[beast_http::field::keep_alive];
+        const auto stated = keep_alive_timeout({field.data(), field.size()});
+        return stated ? std::min(limit, *stated - margin) : limit;
+    }
+
     [[nodiscard]] common::duration head_timeout() const {
         return m_options.head_timeout == common::duration::zero()
                    ? m_owner.lock()->limits.head_timeout
@@ -268,18 +284,19 @@
     while (!idle.empty()) {
         auto candidate = std::move(idle.back());
         idle.pop_back();
-        if (now - candidate.since < limits.idle_lifetime) {
+        if (now < candidate.usable_until && is_quiet(candidate.stream->socket())) {
             return std::move(candidate.stream);
         }
     }
     return nullptr;
 }
 
-void client::implementation::keep_idle(std::unique_ptr<boost::beast::tcp_stream> stream) {
-    if (closed) {
+void client::implementation::keep_idle(std::unique_ptr<boost::beast::tcp_stream> stream,
+                                       common::duration lifetime) {
+    if (closed || lifetime <= common::duration::zero()) {
         return;
     }
-    idle.push_back({std::move(stream), common::monotonic_clock::now()});
+    idle.push_back({std::move(stream), common::monotonic_clock::now() + lifetime});
     if (idle.size() > limits.max_idle_connections) {
         idle.pop_front();
     }
--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 
+#include "http/socket_options.h"
+
 namespace jujubemast::http {
 
 namespace beast_http = boost::beast::http;
@@ -60,15 +62,15 @@
 } // namespace
 
 connection::connection(runtime::task_context context, boost::asio::ip::tcp::socket socket,
-                       const server_limits& limits, handler handle, connection_role role)
-    : m_context{std::move(context)}, m_stream{std::move(socket)}, m_limits{limits},
+                       std::shared_ptr<const server_state> server, handler handle,
+                       connection_role role)
+    : m_context{std::move(context)}, m_stream{std::move(socket)}, m_server{std::move(server)},
       m_handle{std::move(handle)}, m_inbox{runtime::make_mailbox<reply_command>(m_context.loop(),
                                                                                 mailbox_capacity)},
       m_read_timer{m_context.loop()}, m_role{role} {}
 
 void connection::start() {
-    boost::system::error_code ec;
-    m_stream.socket().set_option(boost::asio::ip::tcp::no_delay{true}, ec);
+    prepare_socket(m_stream.socket());
     m_inbox.receive(
         m_context.wrap([this](reply_command command) { command_received(std::move(command)); }));
     if (m_role == connection_role::refusing) {
@@ -81,8 +83,8 @@
 void connection::read_request() {
     m_phase = connection_phase::reading;
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.max_header_bytes));
-    m_parser->body_limit(m_limits.max_body_bytes);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.max_header_bytes));
+    m_parser->body_limit(m_server->limits.max_body_bytes);
     if (m_served_one && m_input.size() == 0) {
         wait_for_next_request();
     } else {
@@ -92,7 +94,8 @@
 
 void connection::wait_for_next_request() {
     // A kept-alive connection may be idle between requests for longer than a request may take.
-    start_read_timer(m_limits.idle_timeout);
+    start_read_timer(m_server->idle_timeout ? m_server->idle_timeout()
+                                            : m_server->limits.idle_timeout);
     m_stream.socket().async_wait(boost::asio::socket_base::wait_read,
                                  m_context.wrap([this](const boost::system::error_code& ec) {
                                      if (ec) {
@@ -104,7 +107,7 @@
 }
 
 void connection::read_rest() {
-    start_read_timer(m_limits.read_timeout);
+    start_read_timer(m_server->limits.read_timeout);
     beast_http::async_read(m_stream, m_input, *m_parser,
                            m_context.wrap([this](const boost::system::error_code& ec,
                                                  std::size_t /*size*/) { request_read(ec); }));
@@ -202,7 +205,8 @@
         message.insert(it.name, it.value);
     }
     message.body() = content.body;
-    message.keep_alive(m_keep_alive && !m_stopping);
+    m_closing = !keeps_alive();
+    message.keep_alive(!m_closing);
     message.prepare_payload();
     m_phase = connection_phase::finishing;
     enqueue(serialize(message));
@@ -210,14 +214,15 @@
 
 void connection::start_stream(const response& head) {
     m_phase = connection_phase::streaming;
-    enqueue(serialize_head(head, m_keep_alive && !m_stopping));
+    m_closing = !keeps_alive();
+    enqueue(serialize_head(head, !m_closing));
 }
 
 void connection::add_piece(const std::string& bytes) {
     if (m_phase != connection_phase::streaming || bytes.empty()) {
         return;
     }
-    if (m_output_bytes + bytes.size() > m_limits.max_buffered_bytes) {
+    if (m_output_bytes + bytes.size() > m_server->limits.max_buffered_bytes) {
         disconnected();
         return;
     }
@@ -240,7 +245,7 @@
         return;
     }
     m_writing = true;
-    m_stream.expires_after(m_limits.write_timeout);
+    m_stream.expires_after(m_server->limits.write_timeout);
     boost::asio::async_write(m_stream, boost::asio::buffer(m_output.front()),
                              m_context.wrap([this](const boost::system::error_code& ec,
                                                    std::size_t /*size*/) { written(ec); }));
@@ -260,7 +265,7 @@
 
 void connection::answer_complete() {
     m_on_disconnect = nullptr;
-    if (m_done || m_stopping || !m_keep_alive) {
+    if (m_done || m_closing) {
         boost::system::error_code ec;
         m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
         if (m_rejected && !m_stopping) {
@@ -283,7 +288,7 @@
         m_input.prepare(discard_bytes),
         m_context.wrap([this](const boost::system::error_code& ec, std::size_t size) {
             m_discarded_bytes += size;
-            if (ec || m_discarded_bytes > m_limits.max_body_bytes) {
+            if (ec || m_discarded_bytes > m_server->limits.max_body_bytes) {
                 m_context.finish();
                 return;
             }
@@ -318,6 +323,10 @@
     }
 }
 
+bool connection::keeps_alive() const {
+    return m_keep_alive && !m_stopping && !m_server->stopping;
+}
+
 boost::json::value connection::dump() const {
     return boost::json::object{{"phase", common::to_name(m_phase)},
                                {"buffered_bytes", m_output_bytes}};
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,11 +24,19 @@
 /// Whether a connection serves requests or only tells its caller that there are too many.
 enum class connection_role { serving, refusing };
 
+/// What the connections of one server share with their listener.
+struct server_state {
+    server_limits limits;
+    std::function<common::duration()> idle_timeout;
+    /// An ordered stop has begun; every further answer closes its connection.
+    bool stopping = false;
+};
+
 /// Serves the requests of one accepted connection, one after the other.
 class connection final : public runtime::task {
 public:
     connection(runtime::task_context context, boost::asio::ip::tcp::socket socket,
-               const server_limits& limits, handler handle,
+               std::shared_ptr<const server_state> server, handler handle,
                connection_role role = connection_role::serving);
 
     void start() override;
@@ -56,10 +65,11 @@
     /// Reads and drops what the caller still sends, so that closing does not discard the answer.
     void discard_input();
     void disconnected();
+    [[nodiscard]] bool keeps_alive() const;
 
     runtime::task_context m_context;
     boost::beast::tcp_stream m_stream;
-    server_limits m_limits;
+    std::shared_ptr<const server_state> m_server;
     handler m_handle;
     runtime::inbox<reply_command> m_inbox;
     boost::beast::flat_buffer m_input;
@@ -70,6 +80,8 @@
     std::size_t m_output_bytes = 0;
     bool m_writing = false;
     bool m_keep_alive = false;
+    /// The answer being written announces that the connection closes after it.
+    bool m_closing = false;
     bool m_stopping = false;
     bool m_served_one = false;
     bool m_rejected = false;
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -22,8 +22,12 @@
              std::shared_ptr<runtime::supervisor> connections,
              std::shared_ptr<runtime::supervisor> refusals)
         : m_context{std::move(context)}, m_options{std::move(options)}, m_handle{std::move(handle)},
-          m_connections{std::move(connections)}, m_refusals{std::move(refusals)},
-          m_acceptor{m_context.loop().context()}, m_grace_timer{m_context.loop()} {}
+          m_connections{std::move(connections)},
+          m_refusals{std::move(refusals)}, m_state{std::make_shared<server_state>()},
+          m_acceptor{m_context.loop().context()}, m_grace_timer{m_context.loop()} {
+        m_state->limits = m_options.limits;
+        m_state->idle_timeout = m_options.idle_timeout;
+    }
 
     void start() override {
         const tcp::endpoint local{boost::asio::ip::make_address(m_options.listen.host),
@@ -49,6 +53,7 @@
     }
 
     void stop(const runtime::stop_done& done) override {
+        m_state->stopping = true;
         if (m_options.on_stopping) {
             m_options.on_stopping();
         }
@@ -103,13 +108,13 @@
     void start_connection(tcp::socket socket, runtime::supervisor& parent, connection_role role) {
         ++m_accepted;
         auto holder = std::make_shared<tcp::socket>(std::move(socket));
-        parent.add_child({"connection-" + std::to_string(m_accepted),
-                          [holder, limits = m_options.limits, handle = m_handle,
-                           role](runtime::task_context context) {
-                              return std::make_shared<connection>(
-                                  std::move(context), std::move(*holder), limits, handle, role);
-                          },
-                          runtime::restart_policy::temporary});
+        parent.add_child(
+            {"connection-" + std::to_string(m_accepted),
+             [holder, state = m_state, handle = m_handle, role](runtime::task_context context) {
+                 return std::make_shared<connection>(std::move(context), std::move(*holder), state,
+                                                     handle, role);
+             },
+             runtime::restart_policy::temporary});
     }
 
     runtime::task_context m_context;
@@ -117,6 +122,7 @@
     handler m_handle;
     std::shared_ptr<runtime::supervisor> m_connections;
     std::shared_ptr<runtime::supervisor> m_refusals;
+    std::shared_ptr<server_state> m_state;
     tcp::acceptor m_acceptor;
     runtime::timer m_grace_timer;
     logging::logger m_log{"http"};
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -82,6 +82,8 @@
     server_limits limits;
     /// After the start of an ordered stop the listener accepts connections for this time.
     common::duration stop_grace = common::duration::zero();
+    /// Gives the idle timeout in force; empty means the one of `limits`.
+    std::function<common::duration()> idle_timeout;
     /// Called at the start of an ordered stop, before the grace period.
     std::function<void()> on_stopping;
     /// Called with the bound address, which names the port that the kernel chose for port 0.
--- a/source/core/policy/retry_budget.cpp
+++ b/source/core/policy/retry_budget.cpp
@@ -4,6 +4,11 @@
 
 namespace jujubemast::policy {
 
+void retry_budget::set_options(const retry_budget_options& options) {
+    m_options = options;
+    m_balance = std::min(m_balance, m_options.largest_balance);
+}
+
 void retry_budget::record_first_attempt() {
     m_balance = std::min(m_options.largest_balance, m_balance + m_options.ratio);
 }
--- a/source/core/policy/retry_budget.h
+++ b/source/core/policy/retry_budget.h
@@ -23,6 +23,9 @@
     explicit retry_budget(const retry_budget_options& options = {})
         : m_options{options}, m_balance{options.reserve} {}
 
+    /// Changes the options; what has been earned is kept up to the largest balance.
+    void set_options(const retry_budget_options& options);
+
     /// Records a first attempt.
     void record_first_attempt();
 
--- a/source/core/policy/routing.cpp
+++ b/source/core/policy/routing.cpp
@@ -74,7 +74,7 @@
         std::optional<std::size_t> best;
         std::uint64_t best_score = 0;
         for (const auto n : m_candidates) {
-            const auto mixed = mix(m_upstreams[n].name_digest ^ m_request.prefix);
+            const auto mixed = rendezvous_rank(m_request.prefix, m_upstreams[n].name_digest);
             if (cost(n) <= bound && (!best || mixed > best_score)) {
                 best = n;
                 best_score = mixed;
@@ -126,6 +126,10 @@
                                            upstream.name) == request.excluded.end();
 }
 
+std::uint64_t rendezvous_rank(std::uint64_t prefix, std::uint64_t name_digest) {
+    return mix(name_digest ^ prefix);
+}
+
 double relative_load(const upstream_view& upstream) {
     const auto work =
         upstream.reported_queued + upstream.reported_in_progress + upstream.sent_since_report;
--- a/source/core/policy/routing.h
+++ b/source/core/policy/routing.h
@@ -87,6 +87,9 @@
 /// Returns whether the upstream may get this work.
 bool is_eligible(const routing_request& request, const upstream_view& upstream);
 
+/// Returns the rank of an upstream for a prefix in rendezvous hashing; the highest is taken first.
+std::uint64_t rendezvous_rank(std::uint64_t prefix, std::uint64_t name_digest);
+
 /// Returns work per slot, from the last report and what was sent since.
 double relative_load(const upstream_view& upstream);
 
--- /dev/null
+++ b/source/core/wire/gateway_codec.cpp
@@ -0,0 +1,136 @@
+#include "wire/gateway_codec.h"
+
+#include <chrono>
+
+#include <gateway_messages.pb.h>
+
+#include "common/error.h"
+
+namespace jujubemast::wire {
+
+namespace {
+
+namespace pb = gateway_pb;
+
+std::int64_t microseconds(common::duration value) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+}
+
+void fill(pb::gateway_envelope& to, const gateway_ping& from, common::time_point /*now*/) {
+    to.mutable_ping()->set_hears_receiver(from.hears_receiver);
+    to.mutable_ping()->set_leaving(from.leaving);
+}
+
+void fill(pb::gateway_envelope& to, const gateway::piece_order& from, common::time_point now) {
+    auto& order = *to.mutable_order();
+    order.set_number(from.key.number);
+    order.set_attempt_id(from.attempt_id);
+    order.set_service(from.service);
+    order.set_stage(from.stage);
+    order.set_count(from.count);
+    order.set_input_key(from.input_key);
+    for (const auto& it : from.inputs) {
+        order.add_inputs(it);
+    }
+    order.set_priority(from.priority);
+    order.set_result_bytes(from.result_bytes);
+    order.set_target_us(microseconds(from.target - now));
+    order.set_latest_us(microseconds(from.latest - now));
+}
+
+void fill(pb::gateway_envelope& to, const gateway::withdraw_order& from,
+          common::time_point /*now*/) {
+    to.mutable_withdraw()->set_number(from.key.number);
+    to.mutable_withdraw()->set_service(from.service);
+}
+
+void fill(pb::gateway_envelope& to, const gateway::release_results& from,
+          common::time_point /*now*/) {
+    to.mutable_release()->set_service(from.service);
+    for (const auto& it : from.handles) {
+        to.mutable_release()->add_handles(it);
+    }
+}
+
+void fill(pb::gateway_envelope& to, const gateway::order_settled& from,
+          common::time_point /*now*/) {
+    auto& outcome = *to.mutable_outcome();
+    outcome.set_number(from.key.number);
+    outcome.set_status(std::string{common::to_name(from.outcome.status)});
+    outcome.set_retry_after_us(microseconds(from.outcome.retry_after));
+    for (const auto& it : from.outcome.handles) {
+        outcome.add_handles(it);
+    }
+}
+
+gateway::piece_order order_from(const pb::gateway_envelope& from, common::time_point now) {
+    const auto& order = from.order();
+    gateway::piece_order result;
+    result.key = {from.sender(), order.number()};
+    result.attempt_id = order.attempt_id();
+    result.service = order.service();
+    result.stage = order.stage();
+    result.count = order.count();
+    result.input_key = order.input_key();
+    result.inputs = {order.inputs().begin(), order.inputs().end()};
+    result.priority = order.priority();
+    result.result_bytes = order.result_bytes();
+    result.target = now + std::chrono::microseconds{order.target_us()};
+    result.latest = now + std::chrono::microseconds{order.latest_us()};
+    return result;
+}
+
+gateway::order_settled outcome_from(const pb::gateway_envelope& from) {
+    const auto& outcome = from.outcome();
+    const auto status = common::from_name<gateway::order_status>(outcome.status());
+    if (!status) {
+        throw common::format_error{"unknown order status: " + outcome.status()};
+    }
+    return {{"", outcome.number()},
+            {*status,
+             {outcome.handles().begin(), outcome.handles().end()},
+             std::chrono::microseconds{outcome.retry_after_us()}}};
+}
+
+} // namespace
+
+std::string encode(const gateway_message& message, common::time_point now) {
+    pb::gateway_envelope envelope;
+    envelope.set_sender(message.sender);
+    envelope.set_incarnation(message.incarnation);
+    std::visit([&](const auto& it) { fill(envelope, it, now); }, message.content);
+    return envelope.SerializeAsString();
+}
+
+gateway_message decode_gateway_message(std::string_view bytes, common::time_point now) {
+    pb::gateway_envelope envelope;
+    if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        throw common::format_error{"not a message of a gateway"};
+    }
+    gateway_message result{envelope.sender(), envelope.incarnation(), {}};
+    switch (envelope.content_case()) {
+    case pb::gateway_envelope::kPing:
+        result.content = gateway_ping{envelope.ping().hears_receiver(), envelope.ping().leaving()};
+        return result;
+    case pb::gateway_envelope::kOrder:
+        result.content = order_from(envelope, now);
+        return result;
+    case pb::gateway_envelope::kWithdraw:
+        result.content = gateway::withdraw_order{envelope.withdraw().service(),
+                                                 {envelope.sender(), envelope.withdraw().number()}};
+        return result;
+    case pb::gateway_envelope::kRelease:
+        result.content = gateway::release_results{
+            envelope.release().service(),
+            {envelope.release().handles().begin(), envelope.release().handles().end()}};
+        return result;
+    case pb::gateway_envelope::kOutcome:
+        result.content = outcome_from(envelope);
+        return result;
+    case pb::gateway_envelope::CONTENT_NOT_SET:
+        break;
+    }
+    throw common::format_error{"a message of a gateway without content"};
+}
+
+} // namespace jujubemast::wire
