gateway: survive SIGHUP, log each call of the dispatcher

Change: SIGHUP reads the settings again; the log level changes at once, other changes are named and wait for the next start.

--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -327,6 +327,16 @@
         call_lost(call, "the answer has another number of pieces", false);
         return;
     }
+    m_log.info("Call answered.",
+               {{"service", call.service},
+                {"upstream", call.instance->identity.id},
+                {"pieces", std::to_string(results.size())},
+                {"ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                          now - call.sent)
+                                          .count())},
+                {"waiting", std::to_string(m_services[call.service].queue.size())},
+                {"room_used", std::to_string(static_cast<std::int64_t>(
+                                  call.instance->room.used(now)))}});
     const auto per_piece = (now - call.sent) / static_cast<std::int64_t>(call.pieces.size());
     m_services[call.service].health.record_success(call.instance->identity.id, per_piece, now);
     for (std::size_t n = 0; n < results.size(); ++n) {
--- a/source/core/program/daemon.cpp
+++ b/source/core/program/daemon.cpp
@@ -24,6 +24,23 @@
     return values;
 }
 
+/// Reads the settings file again. Only the log level changes in a running process; what else has
+/// changed is reported and takes effect at the next start.
+void reload_settings(const daemon_description& description, const settings::values& in_force) {
+    const logging::logger log{"process"};
+    try {
+        const auto changed = settings::load(description.settings_table, FLAGS_settings);
+        logging::initialize(changed.get(description.log_level));
+        std::string names;
+        for (const auto& it : changed.differing(in_force)) {
+            names += names.empty() ? it : "," + it;
+        }
+        log.info("Settings read again.", {{"changed_since_start", names}});
+    } catch (const common::settings_error& e) {
+        log.error("Changed settings are not valid; those in force stay.", {{"reason", e.what()}});
+    }
+}
+
 } // namespace
 
 int run_daemon(int argc, char** argv, const daemon_description& description) {
@@ -43,10 +60,12 @@
         std::cout << "settings are valid\n";
         return static_cast<int>(runtime::exit_code::success);
     }
-    return runtime::run_process(description.name, [&](const runtime::executor& loop,
-                                                      const runtime::process_hooks& process) {
-        return description.make_tree(loop, process, values);
-    });
+    return runtime::run_process(
+        description.name,
+        [&](const runtime::executor& loop, const runtime::process_hooks& process) {
+            return description.make_tree(loop, process, values);
+        },
+        [&] { reload_settings(description, values); });
 }
 
 } // namespace jujubemast::program
--- a/source/core/runtime/process.cpp
+++ b/source/core/runtime/process.cpp
@@ -13,7 +13,22 @@
 
 namespace jujubemast::runtime {
 
-int run_process(const std::string& name, const tree_builder& build) {
+namespace {
+
+/// Calls the hook on each SIGHUP.
+void wait_for_reload(boost::asio::signal_set& signals, const reload_hook& reload) {
+    signals.async_wait([&signals, &reload](const boost::system::error_code& ec, int /*signal*/) {
+        if (ec) {
+            return;
+        }
+        reload();
+        wait_for_reload(signals, reload);
+    });
+}
+
+} // namespace
+
+int run_process(const std::string& name, const tree_builder& build, const reload_hook& reload) {
     const logging::logger log{"process"};
     boost::asio::io_context context{1};
     const executor loop{context};
@@ -50,6 +65,12 @@
         }
     });
 
+    boost::asio::signal_set reload_signals{context};
+    if (reload) {
+        reload_signals.add(SIGHUP);
+        wait_for_reload(reload_signals, reload);
+    }
+
     root->start();
     log.info("Process started.", {{"name", name}});
     context.run();
--- a/source/core/runtime/process.h
+++ b/source/core/runtime/process.h
@@ -25,8 +25,13 @@
 /// Builds the children of the root supervisor. When one fails, it and those after it are restarted.
 using tree_builder = std::function<std::vector<child_spec>(const executor&, const process_hooks&)>;
 
+/// Called on SIGHUP, when the settings file may have changed.
+using reload_hook = std::function<void()>;
+
 /// Runs a process until SIGTERM, SIGINT or a task has stopped its supervisor tree in order, or
-/// until the root supervisor fails. Returns the exit code of the program.
-int run_process(const std::string& name, const tree_builder& build);
+/// until the root supervisor fails. Without a hook SIGHUP ends the process. Returns the exit code of
+/// the program.
+int run_process(const std::string& name, const tree_builder& build,
+                const reload_hook& reload = {});
 
 } // namespace jujubemast::runtime
--- a/source/core/settings/settings.cpp
+++ b/source/core/settings/settings.cpp
@@ -166,6 +166,22 @@
     return reader{known, source}.read(root);
 }
 
+std::vector<std::string> values::differing(const values& other) const {
+    std::vector<std::string> names;
+    for (const auto& [name, value] : m_values) {
+        const auto it = other.m_values.find(name);
+        if (it == other.m_values.end() || it->second != value) {
+            names.push_back(name);
+        }
+    }
+    for (const auto& [name, value] : other.m_values) {
+        if (!m_values.contains(name)) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 values load(const table& known, const std::string& path) {
     const std::ifstream file{path};
     if (!file) {
--- a/source/core/settings/settings.h
+++ b/source/core/settings/settings.h
@@ -45,6 +45,9 @@
         m_values[name_of(which.section, which.key)] = std::move(value);
     }
 
+    /// Names the settings that are given in one of the two files only, or with another value.
+    [[nodiscard]] std::vector<std::string> differing(const values& other) const;
+
 private:
     using any_value =
         std::variant<std::string, std::int64_t, double, bool, std::chrono::milliseconds>;
