gateway: spread calls, prefer near instances, put hopeless work last

Change: calls of a service begin at even intervals; pieces wait for an instance near their inputs while their target allows; owners report backlogs, from which gateways refuse or demote requests before their first piece; a stream's first event is due within the callers' patience; room counts until a release is answered.

--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -19,7 +19,12 @@
 // An instance that refused a call is full; one of its calls ends within about this time.
 constexpr common::duration refusal_rest = std::chrono::milliseconds{100};
 // Results to free are collected for this long, so that one call frees several.
-constexpr common::duration release_delay = std::chrono::milliseconds{60};
+constexpr common::duration release_delay = std::chrono::milliseconds{20};
+constexpr common::duration report_interval = std::chrono::milliseconds{200};
+// When to come back while a service has no instance.
+constexpr common::duration absence_retry = std::chrono::milliseconds{500};
+// Pieces wait for an instance near their inputs while this many full calls fit before their target.
+constexpr int domain_patience = 2;
 // Longer than a gateway keeps asking for the outcome of an order.
 constexpr common::duration memory_of_settled = std::chrono::seconds{8};
 
@@ -30,6 +35,16 @@
     return limits;
 }
 
+// How long an instance stays free for others when all that waits is better made elsewhere.
+constexpr common::duration domain_rest = std::chrono::milliseconds{30};
+
+/// Calls that begin evenly spread leave an instance free at even intervals, so that small calls do
+/// not take all instances just before more pieces arrive.
+common::duration call_spacing(const piece_limits& limits, std::size_t instances) {
+    return call_time(limits, limits.batch / 2) /
+           static_cast<std::int64_t>(std::max<std::size_t>(1, instances * limits.slots));
+}
+
 } // namespace
 
 dispatcher::dispatcher(runtime::task_context context,
@@ -37,16 +52,19 @@
                        runtime::address<peers_message> peers,
                        std::shared_ptr<const adapter> translate)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_peers{std::move(peers)},
-      m_translate{std::move(translate)}, m_release_timer{m_context.loop()} {}
+      m_translate{std::move(translate)}, m_report_timer{m_context.loop()}, m_release_timer{
+                                                                               m_context.loop()} {}
 
 void dispatcher::start() {
     m_inbox.receive(m_context.wrap([this](const dispatcher_message& message) {
         std::visit([this](const auto& it) { handle(it); }, message);
     }));
+    report_backlogs();
 }
 
 void dispatcher::close() noexcept {
     m_inbox.close();
+    m_report_timer.cancel();
     m_release_timer.cancel();
     m_retry_timers.clear();
     m_calls.clear();
@@ -119,21 +137,46 @@
         }));
 }
 
-bool dispatcher::is_overloaded(const piece_order& order, common::duration& retry_after) {
-    const auto* limits = limits_of(order.service);
-    auto& target = m_services[order.service];
-    const auto instances = usable_instances(target);
-    if (limits == nullptr || instances == 0) {
-        retry_after = std::chrono::milliseconds{500};
+service_backlog dispatcher::backlog_of(const std::string& name, service_state& target) const {
+    return {name, target.queue.by_priority(), usable_instances(target)};
+}
+
+void dispatcher::report_backlogs() {
+    backlogs_changed report;
+    for (auto& [name, target] : m_services) {
+        auto backlog = backlog_of(name, target);
+        auto& last = m_reported[name];
+        if (!backlog.waiting.empty() || !last.empty()) {
+            last = backlog.waiting;
+            report.services.push_back(std::move(backlog));
+        }
+    }
+    if (!report.services.empty()) {
+        m_peers.send(std::move(report));
+    }
+    m_report_timer.start(report_interval, m_context.wrap([this] { report_backlogs(); }));
+}
+
+bool dispatcher::may_take(service_state& target, const instance_state& instance,
+                          const piece_limits& limits, const order_key& key) const {
+    const auto it = m_orders.find(key);
+    if (it == m_orders.end()) {
+        return true;
+    }
+    const auto& order = it->second.order;
+    if (order.preferred_domain.empty() ||
+        order.preferred_domain == instance.identity.failure_domain) {
         return true;
     }
     const auto now = common::monotonic_clock::now();
-    const auto delay = expected_delay(*limits, target.queue.ahead(order) + order.count, instances);
-    if (now + delay <= order.latest) {
-        return false;
+    if (order.target - now < call_time(limits, limits.batch) * domain_patience) {
+        return true;
     }
-    retry_after = delay - call_time(*limits, limits->batch);
-    return true;
+    return std::none_of(target.instances.begin(), target.instances.end(), [&](const auto& other) {
+        return !other.second->leaving &&
+               other.second->identity.failure_domain == order.preferred_domain &&
+               target.health.last_state(other.first) != policy::rotation_state::ejected;
+    });
 }
 
 void dispatcher::handle(const piece_order& message) {
@@ -152,9 +195,15 @@
     state.order = message;
     state.missing = message.count;
     state.handles.resize(message.count);
-    order_outcome refusal{order_status::overloaded, {}, {}};
-    if (is_overloaded(message, refusal.retry_after)) {
-        settle(state, std::move(refusal));
+    const auto* limits = limits_of(message.service);
+    const auto backlog = backlog_of(message.service, service->second);
+    if (limits == nullptr || backlog.instances == 0) {
+        settle(state, {order_status::overloaded, {}, absence_retry});
+        return;
+    }
+    const auto delay = expected_delay(*limits, backlog, message.priority, message.count);
+    if (common::monotonic_clock::now() + delay > message.latest) {
+        settle(state, {order_status::overloaded, {}, delay - call_time(*limits, limits->batch)});
         return;
     }
     for (std::uint32_t n = 0; n < message.count; ++n) {
@@ -189,8 +238,14 @@
             return;
         }
         const auto now = common::monotonic_clock::now();
+        if (now < target.next_call && target.queue.size() < limits->batch) {
+            retry_later(name, target.next_call - now);
+            return;
+        }
         std::vector<order_key> expired;
-        auto taken = target.queue.take(limits->batch, now, call_time(*limits, 1), expired);
+        auto taken = target.queue.take(
+            limits->batch, now, call_time(*limits, 1),
+            [&](const order_key& it) { return may_take(target, *instance, *limits, it); }, expired);
         for (const auto& it : expired) {
             const auto order = m_orders.find(it);
             if (order != m_orders.end()) {
@@ -221,7 +276,14 @@
             retry_later(name, refusal_rest);
             continue;
         }
+        if (taken.empty() && expired.empty()) {
+            // What waits is better made by an instance that is busy now.
+            instance->resting_until = now + domain_rest;
+            retry_later(name, domain_rest);
+            continue;
+        }
         if (!taken.empty()) {
+            target.next_call = now + call_spacing(*limits, usable_instances(target));
             send_call(name, *limits, instance, std::move(taken));
         }
     }
@@ -327,16 +389,16 @@
         call_lost(call, "the answer has another number of pieces", false);
         return;
     }
-    m_log.info("Call answered.",
-               {{"service", call.service},
-                {"upstream", call.instance->identity.id},
-                {"pieces", std::to_string(results.size())},
-                {"ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                          now - call.sent)
-                                          .count())},
-                {"waiting", std::to_string(m_services[call.service].queue.size())},
-                {"room_used", std::to_string(static_cast<std::int64_t>(
-                                  call.instance->room.used(now)))}});
+    m_log.info(
+        "Call answered.",
+        {{"service", call.service},
+         {"upstream", call.instance->identity.id},
+         {"pieces", std::to_string(results.size())},
+         {"ms",
+          std::to_string(
+              std::chrono::duration_cast<std::chrono::milliseconds>(now - call.sent).count())},
+         {"waiting", std::to_string(m_services[call.service].queue.size())},
+         {"room_used", std::to_string(static_cast<std::int64_t>(call.instance->room.used(now)))}});
     const auto per_piece = (now - call.sent) / static_cast<std::int64_t>(call.pieces.size());
     m_services[call.service].health.record_success(call.instance->identity.id, per_piece, now);
     for (std::size_t n = 0; n < results.size(); ++n) {
@@ -459,7 +521,6 @@
         const auto maker = handle.substr(0, handle.find('/'));
         for (auto& [id, it] : target->second.instances) {
             if (http::to_string(it->identity.address) == maker) {
-                it->room.release(handle);
                 it->to_release.push_back(handle);
                 schedule_release();
                 break;
@@ -485,20 +546,30 @@
             if (it->to_release.empty()) {
                 continue;
             }
-            it->client->send(m_translate->encode_release(id, it->to_release),
-                             [this, id = id](const http::call_result& result) {
-                                 const auto* answer = std::get_if<http::response>(&result);
-                                 if (answer == nullptr || answer->status != 200) {
-                                     // The results end with their lifetime.
-                                     m_log.info("Results not released.", {{"upstream", id}});
-                                 }
+            auto handles = std::exchange(it->to_release, {});
+            const auto message = m_translate->encode_release(id, handles);
+            it->client->send(message,
+                             [this, name = name, instance = it,
+                              handles = std::move(handles)](const http::call_result& result) {
+                                 released(name, *instance, handles, result);
                              });
-            it->to_release.clear();
         }
     }
-    for (auto& [name, target] : m_services) {
-        dispatch(name);
+}
+
+void dispatcher::released(const std::string& service, instance_state& instance,
+                          const std::vector<std::string>& handles,
+                          const http::call_result& result) {
+    const auto* answer = std::get_if<http::response>(&result);
+    if (answer == nullptr || answer->status != 200) {
+        // The results end with their lifetime.
+        m_log.info("Results not released.", {{"upstream", instance.identity.id}});
+        return;
+    }
+    for (const auto& it : handles) {
+        instance.room.release(it);
     }
+    dispatch(service);
 }
 
 void dispatcher::retry_later(const std::string& name, common::duration delay) {
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -57,6 +57,8 @@
 
     struct service_state {
         piece_queue queue;
+        /// No further call before this time, so that calls are spread over the instances.
+        common::time_point next_call;
         std::map<std::string, std::shared_ptr<instance_state>> instances;
         policy::outlier_detector health;
     };
@@ -77,7 +79,11 @@
 
     void update_instances(const std::string& name, service_state& target);
     [[nodiscard]] const piece_limits* limits_of(const std::string& service) const;
-    [[nodiscard]] bool is_overloaded(const piece_order& order, common::duration& retry_after);
+    [[nodiscard]] service_backlog backlog_of(const std::string& name, service_state& target) const;
+    /// Whether a call of this instance may take the order, or another one is better for it.
+    [[nodiscard]] bool may_take(service_state& target, const instance_state& instance,
+                                const piece_limits& limits, const order_key& order) const;
+    void report_backlogs();
     [[nodiscard]] std::size_t usable_instances(service_state& target) const;
 
     void dispatch(const std::string& name);
@@ -95,6 +101,8 @@
     void discard(const std::string& service, const std::vector<std::string>& handles);
     void schedule_release();
     void send_releases();
+    void released(const std::string& service, instance_state& instance,
+                  const std::vector<std::string>& handles, const http::call_result& result);
     void retry_later(const std::string& name, common::duration delay);
     void forget_settled();
 
@@ -110,6 +118,8 @@
     std::map<std::uint64_t, call_state> m_calls;
     std::uint64_t m_next_call = 1;
     std::map<std::string, std::unique_ptr<runtime::timer>> m_retry_timers;
+    runtime::timer m_report_timer;
+    std::map<std::string, std::map<int, std::size_t>> m_reported;
     runtime::timer m_release_timer;
     bool m_release_scheduled = false;
     logging::logger m_log{"dispatcher"};
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -18,6 +18,20 @@
 // When a refused caller is told to come back, without a better estimate.
 constexpr common::duration default_retry_after = std::chrono::milliseconds{300};
 
+// A request is admitted if its stages are expected to be made within this share of the time for
+// them; the rest allows for what arrives later with a more urgent priority.
+constexpr double admission_share = 0.7;
+// Callers abandon a stream without its first event after the longest of these: a fixed time, a
+// multiple of the latency target, a multiple of the longest pause that is on time.
+constexpr common::duration least_patience = std::chrono::seconds{2};
+constexpr int target_patience = 4;
+constexpr int pause_patience = 8;
+
+common::duration first_event_patience(const route& of) {
+    return std::max(
+        {least_patience, of.latency_target * target_patience, of.longest_pause * pause_patience});
+}
+
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_unauthorized = 401;
 constexpr unsigned status_not_found = 404;
@@ -77,6 +91,12 @@
     }
 }
 
+void forwarder::handle(const backlogs_changed& message) {
+    for (const auto& it : message.services) {
+        m_backlogs[it.service] = it;
+    }
+}
+
 service_pool& forwarder::pool_of(const std::string& service) {
     auto& pool = m_pools[service];
     if (!pool) {
@@ -143,12 +163,25 @@
     target.deadline = target.arrived + target.request.deadline.value_or(default_deadline);
     target.final_at =
         std::min(target.deadline - answer_margin, target.arrived + target.target->timeout);
+    target.first_event_by = target.final_at;
+    if (target.target->kind == repeatability::stream) {
+        target.first_event_by = std::min(
+            target.final_at, target.arrived + first_event_patience(*target.target) - answer_margin);
+    }
     target.final_timer = std::make_unique<runtime::timer>(m_context.loop());
-    target.final_timer->start(target.final_at - target.arrived,
+    target.final_timer->start(target.first_event_by - target.arrived,
                               m_context.wrap([this, id = target.id] { final_time_reached(id); }));
     target.events = event_relay{target.request.last_event};
     target.stages = stage_progress{target.target->stages, target.request.piece_counts};
     pool_of(target.service).budget().record_first_attempt();
+    const auto expected = expected_stages(target, {});
+    const auto allowed = (target.first_event_by - target.arrived) * admission_share;
+    if (expected > allowed) {
+        refuse(target, status_unavailable, "stages overloaded",
+               std::chrono::duration_cast<common::duration>(expected - allowed) +
+                   default_retry_after);
+        return;
+    }
     advance_stages(target);
 }
 
@@ -157,6 +190,12 @@
     if (target == nullptr) {
         return;
     }
+    const auto now = common::monotonic_clock::now();
+    if (target->relaying && now < target->final_at) {
+        target->final_timer->start(target->final_at - now,
+                                   m_context.wrap([this, id] { final_time_reached(id); }));
+        return;
+    }
     const bool offered = target->possible_runs > 0;
     stop_call(*target);
     if (target->relaying) {
@@ -211,6 +250,12 @@
     const auto kind =
         target.target != nullptr ? target.target->kind : repeatability::non_idempotent;
     m_metrics.record_end(kind, end, took);
+    const auto since_arrival = [&](std::optional<common::time_point> time) {
+        using std::chrono::milliseconds;
+        return time ? std::to_string(
+                          std::chrono::duration_cast<milliseconds>(*time - target.arrived).count())
+                    : std::string{};
+    };
     m_log.info("Request ended.",
                {{"attempt", target.request.attempt_id},
                 {"route", target.target != nullptr ? target.target->name : ""},
@@ -222,8 +267,9 @@
                 {"status", std::to_string(status)},
                 {"sends", std::to_string(target.sends)},
                 {"runs", std::to_string(target.possible_runs)},
-                {"ms", std::to_string(
-                           std::chrono::duration_cast<std::chrono::milliseconds>(took).count())},
+                {"sent_ms", since_arrival(target.first_sent_at)},
+                {"first_byte_ms", since_arrival(target.first_byte_at)},
+                {"ms", since_arrival(target.arrived + took)},
                 {"reason", reason}});
     m_exchanges.erase(target.id);
 }
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -65,6 +65,8 @@
         int priority = 0;
         common::time_point arrived;
         common::time_point final_at;
+        /// A stream without its first event by then is of no more use.
+        common::time_point first_event_by;
         common::time_point deadline;
         std::unique_ptr<runtime::timer> final_timer;
         /// Bounds one attempt of a request that may be repeated.
@@ -76,6 +78,8 @@
         std::shared_ptr<pool_member> member;
         http::call_id call = 0;
         common::time_point sent_at;
+        std::optional<common::time_point> first_sent_at;
+        std::optional<common::time_point> first_byte_at;
         unsigned sends = 0;
         unsigned possible_runs = 0;
         std::vector<std::string> tried;
@@ -91,6 +95,7 @@
     void handle(const caller_gone& message);
     void handle(const order_ended& message);
     void handle(const gateway_count_changed& message);
+    void handle(const backlogs_changed& message);
     void handle(const admin::metrics_query& message);
 
     /// Fills the exchange from the configuration. Returns the status to refuse with, or zero.
@@ -98,6 +103,13 @@
     void admit(exchange& target);
     void final_time_reached(std::uint64_t id);
 
+    /// Expected time until all stages that follow this one are made; of all without one.
+    [[nodiscard]] common::duration expected_stages(const exchange& target,
+                                                   std::optional<std::uint32_t> after) const;
+    [[nodiscard]] common::duration expected_stage(const exchange& target,
+                                                  std::uint32_t stage) const;
+    [[nodiscard]] std::string preferred_domain(exchange& target, std::uint32_t stage,
+                                               const std::vector<std::string>& inputs);
     void advance_stages(exchange& target);
     void order_stage(exchange& target, std::uint32_t stage);
     void withdraw_orders(exchange& target);
@@ -135,6 +147,7 @@
     /// The request that waits for each order.
     std::map<std::uint64_t, std::uint64_t> m_orders;
     std::uint64_t m_next_order;
+    std::map<std::string, service_backlog> m_backlogs;
     std::size_t m_gateways = 1;
     forwarder_metrics m_metrics;
     logging::logger m_log{"forwarder"};
--- a/source/core/gateway/forwarder_send.cpp
+++ b/source/core/gateway/forwarder_send.cpp
@@ -63,6 +63,7 @@
     ++target.member->in_progress;
     target.tried.push_back(target.member->identity.id);
     target.sent_at = now;
+    target.first_sent_at = target.first_sent_at.value_or(now);
     target.head = {};
     target.body.clear();
     m_log.info("Sent.", {{"attempt", target.request.attempt_id},
@@ -140,6 +141,7 @@
 void forwarder::head_received(exchange& target, unsigned status, const http::headers& fields) {
     target.head = m_translate->decode_answer_head(status, fields);
     target.head_fields = fields;
+    target.first_byte_at = target.first_byte_at.value_or(common::monotonic_clock::now());
     const bool good = status >= 200 && status < 300;
     const bool foreign = target.head.attempt_id != target.request.attempt_id;
     if ((foreign && !target.head.not_run) || (good && !target.head.sealed)) {
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/forwarder_stages.cpp
@@ -12,6 +12,12 @@
 // Time that an engine needs from the arrival of a request to its first event, without a queue.
 constexpr common::duration engine_start = std::chrono::milliseconds{150};
 
+// A request that is expected to miss its latency target is worth a part of its credit only. It
+// comes after all that can still meet theirs, which would otherwise all be late by a little.
+constexpr int late_demotion = 100;
+// Smaller results may cross failure domains without regard to the cost.
+constexpr double large_transfer = 50'000;
+
 } // namespace
 
 void forwarder::advance_stages(exchange& target) {
@@ -23,14 +29,52 @@
     }
 }
 
-void forwarder::order_stage(exchange& target, std::uint32_t stage) {
+common::duration forwarder::expected_stage(const exchange& target, std::uint32_t stage) const {
+    const auto& service = target.target->stages[stage].service;
+    const auto known = target.configuration->services.find(service);
+    if (known == target.configuration->services.end() || !known->second.pieces) {
+        return common::duration::zero();
+    }
+    const auto backlog = m_backlogs.find(service);
+    // Without a report nothing waits.
+    return expected_delay(*known->second.pieces,
+                          backlog == m_backlogs.end() ? service_backlog{service, {}, 1}
+                                                      : backlog->second,
+                          target.priority, target.stages.count_of(stage));
+}
+
+common::duration forwarder::expected_stages(const exchange& target,
+                                            std::optional<std::uint32_t> after) const {
+    return target.stages.longest_chain(
+        after, [&](std::uint32_t stage) { return expected_stage(target, stage); });
+}
+
+std::string forwarder::preferred_domain(exchange& target, std::uint32_t stage,
+                                        const std::vector<std::string>& inputs) {
     const auto& spec = target.target->stages[stage];
-    const auto later_stages = static_cast<std::int64_t>(target.stages.stages_after(stage));
-    common::duration later = engine_start;
-    const auto known = target.configuration->services.find(spec.service);
-    if (known != target.configuration->services.end() && known->second.pieces) {
-        later += call_time(*known->second.pieces, known->second.pieces->batch) * later_stages;
+    double input_bytes = 0;
+    for (const auto n : spec.after) {
+        input_bytes += target.target->stages[n].result_bytes *
+                       target.stages.count_of(static_cast<std::uint32_t>(n));
     }
+    if (input_bytes >= large_transfer && m_upstreams && !inputs.empty()) {
+        const auto maker = inputs.front().substr(0, inputs.front().find('/'));
+        const auto it =
+            std::find_if(m_upstreams->begin(), m_upstreams->end(), [&](const auto& known) {
+                return http::to_string(known.second.address) == maker;
+            });
+        return it == m_upstreams->end() ? std::string{} : it->second.failure_domain;
+    }
+    if (target.stages.is_last(stage) && spec.result_bytes >= large_transfer) {
+        const auto reader = pool_of(target.service).first_choice(prefix_of(target));
+        return reader ? reader->identity.failure_domain : std::string{};
+    }
+    return {};
+}
+
+void forwarder::order_stage(exchange& target, std::uint32_t stage) {
+    const auto& spec = target.target->stages[stage];
+    const auto later = engine_start + expected_stages(target, stage);
     piece_order order;
     order.key.number = m_next_order++;
     order.attempt_id = target.request.attempt_id;
@@ -39,10 +83,13 @@
     order.count = target.stages.count_of(stage);
     order.inputs = target.stages.inputs_of(stage);
     order.input_key = order.inputs.empty() ? target.request.piece_key : std::string{};
-    order.priority = target.priority;
+    const auto expected = common::monotonic_clock::now() + expected_stage(target, stage) + later;
+    const bool in_time = expected <= target.arrived + target.target->latency_target;
+    order.priority = target.priority + (in_time ? 0 : late_demotion);
     order.result_bytes = spec.result_bytes;
+    order.preferred_domain = preferred_domain(target, stage, order.inputs);
     order.target = target.arrived + target.target->latency_target - later;
-    order.latest = target.final_at - later;
+    order.latest = target.first_event_by - later;
     target.orders[order.key.number] = stage;
     m_orders[order.key.number] = target.id;
     if (!m_peers.send(order)) {
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -44,8 +44,14 @@
     std::size_t count = 1;
 };
 
-using forwarder_message = std::variant<world_changed, submit, caller_gone, order_ended,
-                                       gateway_count_changed, admin::metrics_query>;
+/// Backlogs of the services that a gateway owns; the others are not its to report.
+struct backlogs_changed {
+    std::vector<service_backlog> services;
+};
+
+using forwarder_message =
+    std::variant<world_changed, submit, caller_gone, order_ended, gateway_count_changed,
+                 backlogs_changed, admin::metrics_query>;
 
 /// Drops an order; its results are freed.
 struct withdraw_order {
@@ -73,7 +79,7 @@
 struct stop_begun {};
 
 using peers_message = std::variant<piece_order, withdraw_order, release_results, order_settled,
-                                   gateways_changed, stop_begun>;
+                                   gateways_changed, backlogs_changed, stop_begun>;
 
 using dispatcher_message =
     std::variant<world_changed, piece_order, withdraw_order, release_results>;
--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers.cpp
@@ -147,6 +147,8 @@
                 } else if constexpr (std::is_same_v<content_type, order_settled>) {
                     handle(it);
                     return true;
+                } else if constexpr (std::is_same_v<content_type, backlogs_changed>) {
+                    return m_forwarder.send(it);
                 } else {
                     return m_dispatcher.send(it);
                 }
@@ -176,6 +178,22 @@
     m_pending.erase(it);
 }
 
+void peers::handle(const backlogs_changed& message) {
+    backlogs_changed owned;
+    std::copy_if(message.services.begin(), message.services.end(),
+                 std::back_inserter(owned.services),
+                 [this](const service_backlog& it) { return owner_of(it.service) == m_self.name; });
+    if (owned.services.empty()) {
+        return;
+    }
+    send_to(m_self.name, owned);
+    for (const auto& [name, it] : m_peers) {
+        if (it.live) {
+            send_to(name, owned);
+        }
+    }
+}
+
 void peers::handle(const release_results& message) {
     const auto owner = owner_of(message.service);
     if (!send_to(owner, message)) {
@@ -219,6 +237,8 @@
                 update_live();
             } else if constexpr (std::is_same_v<content_type, order_settled>) {
                 handle(it);
+            } else if constexpr (std::is_same_v<content_type, backlogs_changed>) {
+                m_forwarder.send(it);
             } else {
                 m_dispatcher.send(it);
             }
--- a/source/core/gateway/peers.h
+++ b/source/core/gateway/peers.h
@@ -60,6 +60,7 @@
     void handle(const order_settled& message);
     void handle(const gateways_changed& message);
     void handle(const stop_begun& message);
+    void handle(const backlogs_changed& message);
 
     void received(const std::string& bytes);
     void tick();
--- a/source/core/gateway/piece_queue.cpp
+++ b/source/core/gateway/piece_queue.cpp
@@ -14,6 +14,7 @@
 
 std::vector<queued_piece> piece_queue::take(std::size_t most, common::time_point now,
                                             common::duration call_time,
+                                            const admission_hook& may_take,
                                             std::vector<order_key>& expired) {
     const auto end = now + call_time;
     std::vector<queued_piece> taken;
@@ -22,6 +23,8 @@
         if (it->latest < end) {
             expired.push_back(it->piece.order);
             it = m_waiting.erase(it);
+        } else if (!may_take(it->piece.order)) {
+            ++it;
         } else if (it->target < end) {
             late.push_back(*it);
             ++it;
@@ -40,24 +43,30 @@
     return taken;
 }
 
-std::size_t piece_queue::ahead(const piece_order& order) const {
-    return static_cast<std::size_t>(
-        std::count_if(m_waiting.begin(), m_waiting.end(), [&](const waiting& it) {
-            return std::tie(it.priority, it.target) <= std::tie(order.priority, order.target);
-        }));
+std::map<int, std::size_t> piece_queue::by_priority() const {
+    std::map<int, std::size_t> counts;
+    for (const auto& it : m_waiting) {
+        ++counts[it.priority];
+    }
+    return counts;
 }
 
 common::duration call_time(const piece_limits& limits, std::size_t pieces) {
     return limits.call_time + limits.piece_time * static_cast<std::int64_t>(pieces);
 }
 
-common::duration expected_delay(const piece_limits& limits, std::size_t pieces_ahead,
-                                std::size_t instances) {
-    const auto full_call = call_time(limits, limits.batch);
-    const auto per_round = std::max<std::size_t>(1, limits.batch * limits.slots * instances);
-    const auto rounds = static_cast<double>(pieces_ahead) / static_cast<double>(per_round);
-    // On average half a call passes before an instance is free.
-    return std::chrono::duration_cast<common::duration>(full_call * (rounds + 1.5));
+common::duration expected_delay(const piece_limits& limits, const service_backlog& backlog,
+                                int priority, std::size_t pieces) {
+    std::size_t ahead = 0;
+    for (const auto& [other, count] : backlog.waiting) {
+        ahead += other <= priority ? count : 0;
+    }
+    const auto per_round =
+        std::max<std::size_t>(1, limits.batch * limits.slots * backlog.instances);
+    const double rounds = static_cast<double>(ahead) / static_cast<double>(per_round);
+    const auto own = call_time(limits, std::min(pieces, limits.batch));
+    const auto full = call_time(limits, limits.batch);
+    return own + std::chrono::duration_cast<common::duration>(full * (rounds + 0.5));
 }
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/piece_queue.h
+++ b/source/core/gateway/piece_queue.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -37,6 +38,8 @@
     std::vector<std::string> inputs;
     int priority = 0;
     double result_bytes = 0;
+    /// Failure domain in which the pieces need no large transfer; empty when none is better.
+    std::string preferred_domain;
     /// When the results must be there for an answer within the latency target.
     common::time_point target;
     /// When the results are of no more use.
@@ -72,13 +75,17 @@
     /// Removes the waiting pieces of an order.
     void remove(const order_key& order);
 
+    /// Whether a call may take pieces of this order now.
+    using admission_hook = std::function<bool(const order_key& order)>;
+
     /// Takes up to `most` pieces for a call that ends after `call_time` at the earliest. Pieces
     /// whose results would come too late are left out and appended to `expired`.
     std::vector<queued_piece> take(std::size_t most, common::time_point now,
-                                   common::duration call_time, std::vector<order_key>& expired);
+                                   common::duration call_time, const admission_hook& may_take,
+                                   std::vector<order_key>& expired);
 
-    /// Number of pieces that would be served before those of the order.
-    [[nodiscard]] std::size_t ahead(const piece_order& order) const;
+    /// Number of waiting pieces of each priority.
+    [[nodiscard]] std::map<int, std::size_t> by_priority() const;
 
     [[nodiscard]] std::size_t size() const { return m_waiting.size(); }
 
@@ -101,10 +108,19 @@
 /// Returns how long a call with this many pieces takes.
 common::duration call_time(const piece_limits& limits, std::size_t pieces);
 
-/// Returns how long a newly ordered piece waits for the end of its call, when the instances are all
-/// busy and make full calls: the waiting pieces ahead, shared between the instances.
-common::duration expected_delay(const piece_limits& limits, std::size_t pieces_ahead,
-                                std::size_t instances);
+/// What waits for one service, as its owner reports it.
+struct service_backlog {
+    std::string service;
+    /// Waiting pieces of each priority.
+    std::map<int, std::size_t> waiting;
+    /// Instances that take calls.
+    std::size_t instances = 0;
+};
+
+/// Returns how long newly ordered pieces of this priority wait for the end of their call: half a
+/// call until an instance is free, full calls for the pieces ahead, and their own call.
+common::duration expected_delay(const piece_limits& limits, const service_backlog& backlog,
+                                int priority, std::size_t pieces);
 
 } // namespace jujubemast::gateway
 
--- a/source/core/gateway/stage_progress.cpp
+++ b/source/core/gateway/stage_progress.cpp
@@ -8,7 +8,7 @@
 stage_progress::stage_progress(const std::vector<stage_spec>& stages,
                                const std::vector<std::uint32_t>& counts) {
     for (std::size_t n = 0; n < stages.size(); ++n) {
-        stage added;
+        stage_state added;
         added.service = stages[n].service;
         added.after = stages[n].after;
         added.count = n < counts.size() ? counts[n] : 0;
@@ -51,7 +51,7 @@
 
 bool stage_progress::done() const {
     return std::all_of(m_stages.begin(), m_stages.end(),
-                       [](const stage& it) { return it.state == phase::made; });
+                       [](const stage_state& it) { return it.state == phase::made; });
 }
 
 bool stage_progress::has_follower(std::size_t stage) const {
@@ -88,14 +88,16 @@
     return spent;
 }
 
-std::size_t stage_progress::stages_after(std::uint32_t stage) const {
-    std::size_t longest = 0;
-    for (std::size_t n = 0; n < m_stages.size(); ++n) {
-        const auto& after = m_stages[n].after;
+common::duration stage_progress::longest_chain(std::optional<std::uint32_t> after,
+                                               const time_hook& time_of) const {
+    common::duration longest{};
+    for (std::uint32_t n = after ? *after + 1 : 0; n < m_stages.size(); ++n) {
         // Stages are numbered so that each comes after those it needs.
-        if (n > stage && m_stages[n].count > 0 &&
-            std::find(after.begin(), after.end(), stage) != after.end()) {
-            longest = std::max(longest, 1 + stages_after(static_cast<std::uint32_t>(n)));
+        const auto& needs = m_stages[n].after;
+        const bool follows =
+            after ? std::find(needs.begin(), needs.end(), *after) != needs.end() : needs.empty();
+        if (m_stages[n].count > 0 && follows) {
+            longest = std::max(longest, time_of(n) + longest_chain(n, time_of));
         }
     }
     return longest;
--- a/source/core/gateway/stage_progress.h
+++ b/source/core/gateway/stage_progress.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,8 +45,15 @@
     /// Takes the results whose readers are all complete; with `all`, every result that is left.
     std::vector<spent_results> take_spent(bool all);
 
-    /// Longest chain of stages that follow this one, in calls.
-    [[nodiscard]] std::size_t stages_after(std::uint32_t stage) const;
+    /// Time that a stage takes.
+    using time_hook = std::function<common::duration(std::uint32_t n)>;
+
+    /// Longest chain of stages that are still to be made after this one; with none, of all.
+    [[nodiscard]] common::duration longest_chain(std::optional<std::uint32_t> after,
+                                                 const time_hook& time_of) const;
+
+    /// No other stage reads the results of this one.
+    [[nodiscard]] bool is_last(std::uint32_t stage) const { return !has_follower(stage); }
 
     /// Forgets what was made, so that all stages are made again.
     void restart();
@@ -52,7 +61,7 @@
 private:
     enum class phase { waiting, ordered, made };
 
-    struct stage {
+    struct stage_state {
         std::string service;
         std::vector<std::size_t> after;
         std::uint32_t count = 0;
@@ -63,7 +72,7 @@
     [[nodiscard]] bool has_follower(std::size_t stage) const;
     [[nodiscard]] bool followers_made(std::size_t stage) const;
 
-    std::vector<stage> m_stages;
+    std::vector<stage_state> m_stages;
 };
 
 } // namespace jujubemast::gateway
--- a/source/core/runtime/process.h
+++ b/source/core/runtime/process.h
@@ -29,9 +29,8 @@
 using reload_hook = std::function<void()>;
 
 /// Runs a process until SIGTERM, SIGINT or a task has stopped its supervisor tree in order, or
-/// until the root supervisor fails. Without a hook SIGHUP ends the process. Returns the exit code of
-/// the program.
-int run_process(const std::string& name, const tree_builder& build,
-                const reload_hook& reload = {});
+/// until the root supervisor fails. Without a hook SIGHUP ends the process. Returns the exit code
+/// of the program.
+int run_process(const std::string& name, const tree_builder& build, const reload_hook& reload = {});
 
 } // namespace jujubemast::runtime
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -34,6 +34,7 @@
     }
     order.set_priority(from.priority);
     order.set_result_bytes(from.result_bytes);
+    order.set_preferred_domain(from.preferred_domain);
     order.set_target_us(microseconds(from.target - now));
     order.set_latest_us(microseconds(from.latest - now));
 }
@@ -63,6 +64,34 @@
     }
 }
 
+void fill(pb::gateway_envelope& to, const gateway::backlogs_changed& from,
+          common::time_point /*now*/) {
+    for (const auto& it : from.services) {
+        auto& service = *to.mutable_backlog()->add_services();
+        service.set_name(it.service);
+        service.set_instances(static_cast<std::uint32_t>(it.instances));
+        for (const auto& [priority, pieces] : it.waiting) {
+            auto& waiting = *service.add_waiting();
+            waiting.set_priority(priority);
+            waiting.set_pieces(static_cast<std::uint32_t>(pieces));
+        }
+    }
+}
+
+gateway::backlogs_changed backlogs_from(const pb::gateway_envelope& from) {
+    gateway::backlogs_changed result;
+    for (const auto& it : from.backlog().services()) {
+        gateway::service_backlog service;
+        service.service = it.name();
+        service.instances = it.instances();
+        for (const auto& waiting : it.waiting()) {
+            service.waiting[waiting.priority()] = waiting.pieces();
+        }
+        result.services.push_back(std::move(service));
+    }
+    return result;
+}
+
 gateway::piece_order order_from(const pb::gateway_envelope& from, common::time_point now) {
     const auto& order = from.order();
     gateway::piece_order result;
@@ -75,6 +104,7 @@
     result.inputs = {order.inputs().begin(), order.inputs().end()};
     result.priority = order.priority();
     result.result_bytes = order.result_bytes();
+    result.preferred_domain = order.preferred_domain();
     result.target = now + std::chrono::microseconds{order.target_us()};
     result.latest = now + std::chrono::microseconds{order.latest_us()};
     return result;
@@ -127,6 +157,9 @@
     case pb::gateway_envelope::kOutcome:
         result.content = outcome_from(envelope);
         return result;
+    case pb::gateway_envelope::kBacklog:
+        result.content = backlogs_from(envelope);
+        return result;
     case pb::gateway_envelope::CONTENT_NOT_SET:
         break;
     }
--- a/source/core/wire/gateway_codec.h
+++ b/source/core/wire/gateway_codec.h
@@ -18,8 +18,9 @@
     bool leaving = false;
 };
 
-using gateway_content = std::variant<gateway_ping, gateway::piece_order, gateway::withdraw_order,
-                                     gateway::release_results, gateway::order_settled>;
+using gateway_content =
+    std::variant<gateway_ping, gateway::piece_order, gateway::withdraw_order,
+                 gateway::release_results, gateway::order_settled, gateway::backlogs_changed>;
 
 /// A message from one gateway to another.
 struct gateway_message {
