gateway: estimate by busy instances; refuse what would outlive its inputs

Cause: idle services were counted with half a call of waiting, which demoted requests that would have been in time; late requests began stages whose results lapsed before the next stage. Change: owners report how many instances are busy; a request whose inputs would lapse is refused before its first piece.

--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -138,7 +138,11 @@
 }
 
 service_backlog dispatcher::backlog_of(const std::string& name, service_state& target) const {
-    return {name, target.queue.by_priority(), usable_instances(target)};
+    const auto busy =
+        std::count_if(target.instances.begin(), target.instances.end(),
+                      [](const auto& it) { return !it.second->leaving && it.second->calls > 0; });
+    return {name, target.queue.by_priority(), usable_instances(target),
+            static_cast<std::size_t>(busy)};
 }
 
 void dispatcher::report_backlogs() {
@@ -146,8 +150,8 @@
     for (auto& [name, target] : m_services) {
         auto backlog = backlog_of(name, target);
         auto& last = m_reported[name];
-        if (!backlog.waiting.empty() || !last.empty()) {
-            last = backlog.waiting;
+        if (!backlog.waiting.empty() || backlog.busy > 0 || last) {
+            last = !backlog.waiting.empty() || backlog.busy > 0;
             report.services.push_back(std::move(backlog));
         }
     }
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -119,7 +119,8 @@
     std::uint64_t m_next_call = 1;
     std::map<std::string, std::unique_ptr<runtime::timer>> m_retry_timers;
     runtime::timer m_report_timer;
-    std::map<std::string, std::map<int, std::size_t>> m_reported;
+    /// Services whose last report was not that of an idle one.
+    std::map<std::string, bool> m_reported;
     runtime::timer m_release_timer;
     bool m_release_scheduled = false;
     logging::logger m_log{"dispatcher"};
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -174,12 +174,13 @@
     target.events = event_relay{target.request.last_event};
     target.stages = stage_progress{target.target->stages, target.request.piece_counts};
     pool_of(target.service).budget().record_first_attempt();
+    rank_pieces(target, {});
     const auto expected = expected_stages(target, {});
-    const auto allowed = (target.first_event_by - target.arrived) * admission_share;
-    if (expected > allowed) {
+    const auto allowed = std::chrono::duration_cast<common::duration>(
+        (target.first_event_by - target.arrived) * admission_share);
+    if (expected > allowed || results_would_lapse(target)) {
         refuse(target, status_unavailable, "stages overloaded",
-               std::chrono::duration_cast<common::duration>(expected - allowed) +
-                   default_retry_after);
+               std::max(common::duration::zero(), expected - allowed) + default_retry_after);
         return;
     }
     advance_stages(target);
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -73,6 +73,8 @@
         std::unique_ptr<runtime::timer> attempt_timer;
 
         stage_progress stages;
+        /// The priority of the request's pieces; behind all others when it will be late.
+        int stage_priority = 0;
         std::map<std::uint64_t, std::uint32_t> orders;
 
         std::shared_ptr<pool_member> member;
@@ -108,8 +110,12 @@
                                                    std::optional<std::uint32_t> after) const;
     [[nodiscard]] common::duration expected_stage(const exchange& target,
                                                   std::uint32_t stage) const;
+    /// Whether results of a stage would end before a stage that needs them has its turn.
+    [[nodiscard]] bool results_would_lapse(const exchange& target) const;
     [[nodiscard]] std::string preferred_domain(exchange& target, std::uint32_t stage,
                                                const std::vector<std::string>& inputs);
+    /// Sets the priority of the request's pieces from the backlogs, before stage `next`.
+    void rank_pieces(exchange& target, std::optional<std::uint32_t> next);
     void advance_stages(exchange& target);
     void order_stage(exchange& target, std::uint32_t stage);
     void withdraw_orders(exchange& target);
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/forwarder_stages.cpp
@@ -15,6 +15,9 @@
 // A request that is expected to miss its latency target is worth a part of its credit only. It
 // comes after all that can still meet theirs, which would otherwise all be late by a little.
 constexpr int late_demotion = 100;
+// Results are kept for a fixed time; a stage that is expected to have its turn later than this
+// share of it is not worth its inputs.
+constexpr double lifetime_share = 0.7;
 // Smaller results may cross failure domains without regard to the cost.
 constexpr double large_transfer = 50'000;
 
@@ -38,9 +41,9 @@
     const auto backlog = m_backlogs.find(service);
     // Without a report nothing waits.
     return expected_delay(*known->second.pieces,
-                          backlog == m_backlogs.end() ? service_backlog{service, {}, 1}
+                          backlog == m_backlogs.end() ? service_backlog{service, {}, 1, 0}
                                                       : backlog->second,
-                          target.priority, target.stages.count_of(stage));
+                          target.stage_priority, target.stages.count_of(stage));
 }
 
 common::duration forwarder::expected_stages(const exchange& target,
@@ -49,6 +52,36 @@
         after, [&](std::uint32_t stage) { return expected_stage(target, stage); });
 }
 
+void forwarder::rank_pieces(exchange& target, std::optional<std::uint32_t> next) {
+    target.stage_priority = target.priority;
+    auto expected = expected_stages(target, next) + engine_start;
+    if (next) {
+        expected += expected_stage(target, *next);
+    }
+    const auto end = common::monotonic_clock::now() + expected;
+    if (end > target.arrived + target.target->latency_target) {
+        target.stage_priority += late_demotion;
+    }
+}
+
+bool forwarder::results_would_lapse(const exchange& target) const {
+    const auto& stages = target.target->stages;
+    for (std::uint32_t n = 0; n < stages.size(); ++n) {
+        if (target.stages.count_of(n) == 0) {
+            continue;
+        }
+        const auto wait = expected_stage(target, n);
+        for (const auto input : stages[n].after) {
+            const auto maker = target.configuration->services.find(stages[input].service);
+            if (maker != target.configuration->services.end() && maker->second.pieces &&
+                wait > maker->second.pieces->result_lifetime * lifetime_share) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 std::string forwarder::preferred_domain(exchange& target, std::uint32_t stage,
                                         const std::vector<std::string>& inputs) {
     const auto& spec = target.target->stages[stage];
@@ -74,6 +107,7 @@
 
 void forwarder::order_stage(exchange& target, std::uint32_t stage) {
     const auto& spec = target.target->stages[stage];
+    rank_pieces(target, stage);
     const auto later = engine_start + expected_stages(target, stage);
     piece_order order;
     order.key.number = m_next_order++;
@@ -83,9 +117,7 @@
     order.count = target.stages.count_of(stage);
     order.inputs = target.stages.inputs_of(stage);
     order.input_key = order.inputs.empty() ? target.request.piece_key : std::string{};
-    const auto expected = common::monotonic_clock::now() + expected_stage(target, stage) + later;
-    const bool in_time = expected <= target.arrived + target.target->latency_target;
-    order.priority = target.priority + (in_time ? 0 : late_demotion);
+    order.priority = target.stage_priority;
     order.result_bytes = spec.result_bytes;
     order.preferred_domain = preferred_domain(target, stage, order.inputs);
     order.target = target.arrived + target.target->latency_target - later;
--- a/source/core/gateway/piece_queue.cpp
+++ b/source/core/gateway/piece_queue.cpp
@@ -66,7 +66,9 @@
     const double rounds = static_cast<double>(ahead) / static_cast<double>(per_round);
     const auto own = call_time(limits, std::min(pieces, limits.batch));
     const auto full = call_time(limits, limits.batch);
-    return own + std::chrono::duration_cast<common::duration>(full * (rounds + 0.5));
+    const double busy_share = static_cast<double>(backlog.busy) /
+                              static_cast<double>(std::max<std::size_t>(1, backlog.instances));
+    return own + std::chrono::duration_cast<common::duration>(full * (rounds + 0.5 * busy_share));
 }
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/piece_queue.h
+++ b/source/core/gateway/piece_queue.h
@@ -113,12 +113,13 @@
     std::string service;
     /// Waiting pieces of each priority.
     std::map<int, std::size_t> waiting;
-    /// Instances that take calls.
+    /// Instances that take calls, and those of them that are busy.
     std::size_t instances = 0;
+    std::size_t busy = 0;
 };
 
-/// Returns how long newly ordered pieces of this priority wait for the end of their call: half a
-/// call until an instance is free, full calls for the pieces ahead, and their own call.
+/// Returns how long newly ordered pieces of this priority wait for the end of their call: up to
+/// half a call until an instance is free, full calls for the pieces ahead, and their own call.
 common::duration expected_delay(const piece_limits& limits, const service_backlog& backlog,
                                 int priority, std::size_t pieces);
 
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -70,6 +70,7 @@
         auto& service = *to.mutable_backlog()->add_services();
         service.set_name(it.service);
         service.set_instances(static_cast<std::uint32_t>(it.instances));
+        service.set_busy(static_cast<std::uint32_t>(it.busy));
         for (const auto& [priority, pieces] : it.waiting) {
             auto& waiting = *service.add_waiting();
             waiting.set_priority(priority);
@@ -84,6 +85,7 @@
         gateway::service_backlog service;
         service.service = it.name();
         service.instances = it.instances();
+        service.busy = it.busy();
         for (const auto& waiting : it.waiting()) {
             service.waiting[waiting.priority()] = waiting.pieces();
         }
