gateway: free inputs once read, keep orders in one call, count upcoming pieces

Change: the owner releases inputs that only this stage reads 120 ms after the calls began; the pieces of an order go into one call where they fit; forwarders count pieces of admitted requests that are still to be ordered.

--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -20,6 +20,8 @@
 constexpr common::duration refusal_rest = std::chrono::milliseconds{100};
 // Results to free are collected for this long, so that one call frees several.
 constexpr common::duration release_delay = std::chrono::milliseconds{20};
+// An instance that is free begins a call at once and reads its inputs first.
+constexpr common::duration input_read_time = std::chrono::milliseconds{120};
 constexpr common::duration report_interval = std::chrono::milliseconds{200};
 // When to come back while a service has no instance.
 constexpr common::duration absence_retry = std::chrono::milliseconds{500};
@@ -205,9 +207,10 @@
         settle(state, {order_status::overloaded, {}, absence_retry});
         return;
     }
-    const auto delay = expected_delay(*limits, backlog, message.priority, message.count);
+    const auto delay = expected_delay(sustained_limits(*limits, message.result_bytes), backlog,
+                                      message.priority, message.count);
     if (common::monotonic_clock::now() + delay > message.latest) {
-        settle(state, {order_status::overloaded, {}, delay - call_time(*limits, limits->batch)});
+        settle(state, {order_status::overloaded, {}, delay});
         return;
     }
     for (std::uint32_t n = 0; n < message.count; ++n) {
@@ -252,7 +255,7 @@
             [&](const order_key& it) { return may_take(target, *instance, *limits, it); }, expired);
         for (const auto& it : expired) {
             const auto order = m_orders.find(it);
-            if (order != m_orders.end()) {
+            if (order != m_orders.end() && !order->second.settled) {
                 settle(order->second, {order_status::expired, {}, {}});
             }
         }
@@ -343,11 +346,32 @@
                           call_ended(number, http::call_error{http::call_fault::timeout, true,
                                                               "no answer in time"});
                       }));
+    call.read_timer = std::make_unique<runtime::timer>(m_context.loop());
+    call.read_timer->start(input_read_time,
+                           m_context.wrap([this, number] { inputs_read(number); }));
     call.id = instance->client->send(
         m_translate->encode_piece_call(instance->identity.id, items),
         [this, number](const http::call_result& result) { call_ended(number, result); });
 }
 
+void dispatcher::inputs_read(std::uint64_t number) {
+    const auto call = m_calls.find(number);
+    if (call == m_calls.end()) {
+        return;
+    }
+    for (const auto& it : call->second.pieces) {
+        const auto order = m_orders.find(it.order);
+        if (order == m_orders.end() || order->second.settled ||
+            ++order->second.begun < order->second.order.count) {
+            continue;
+        }
+        auto& content = order->second.order;
+        if (!content.inputs_to_release.empty()) {
+            m_peers.send(release_results{content.inputs_to_release, content.inputs});
+        }
+    }
+}
+
 void dispatcher::call_ended(std::uint64_t number, const http::call_result& result) {
     const auto it = m_calls.find(number);
     if (it == m_calls.end()) {
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -38,6 +38,8 @@
         piece_order order;
         std::vector<std::string> handles;
         std::uint32_t missing = 0;
+        /// Pieces whose calls have begun to work, and so have read the inputs.
+        std::uint32_t begun = 0;
         unsigned failures = 0;
         bool settled = false;
         order_outcome outcome;
@@ -69,6 +71,7 @@
         std::vector<queued_piece> pieces;
         common::time_point sent;
         std::unique_ptr<runtime::timer> limit;
+        std::unique_ptr<runtime::timer> read_timer;
         http::call_id id = 0;
     };
 
@@ -92,6 +95,8 @@
     void send_call(const std::string& name, const piece_limits& limits,
                    const std::shared_ptr<instance_state>& instance,
                    std::vector<queued_piece> pieces);
+    /// The call has had time to read its inputs.
+    void inputs_read(std::uint64_t number);
     void call_ended(std::uint64_t number, const http::call_result& result);
     void call_answered(call_state& call, const http::response& answer);
     void call_lost(call_state& call, const std::string& reason, bool not_run);
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -32,6 +32,11 @@
         {least_patience, of.latency_target * target_patience, of.longest_pause * pause_patience});
 }
 
+// A request that is refused for overload can no longer meet its latency target, and one that comes
+// back into the same overload is refused again.
+constexpr common::duration least_overload_retry = std::chrono::seconds{2};
+constexpr common::duration longest_overload_retry = std::chrono::seconds{6};
+
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_unauthorized = 401;
 constexpr unsigned status_not_found = 404;
@@ -73,6 +78,10 @@
     }
 }
 
+common::duration forwarder::overload_retry(common::duration excess) {
+    return std::clamp<common::duration>(excess, least_overload_retry, longest_overload_retry);
+}
+
 void forwarder::handle(const gateway_count_changed& message) {
     m_gateways = std::max<std::size_t>(1, message.count);
     update_budgets();
@@ -174,15 +183,15 @@
     target.events = event_relay{target.request.last_event};
     target.stages = stage_progress{target.target->stages, target.request.piece_counts};
     pool_of(target.service).budget().record_first_attempt();
-    rank_pieces(target, {});
+    rank_pieces(target);
     const auto expected = expected_stages(target, {});
     const auto allowed = std::chrono::duration_cast<common::duration>(
         (target.first_event_by - target.arrived) * admission_share);
     if (expected > allowed || results_would_lapse(target)) {
-        refuse(target, status_unavailable, "stages overloaded",
-               std::max(common::duration::zero(), expected - allowed) + default_retry_after);
+        refuse(target, status_unavailable, "stages overloaded", overload_retry(expected - allowed));
         return;
     }
+    note_upcoming(target);
     advance_stages(target);
 }
 
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -5,12 +5,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "common/random.h"
 #include "gateway/adapter.h"
 #include "gateway/attempt_decision.h"
+#include "gateway/estimate_bias.h"
 #include "gateway/event_relay.h"
 #include "gateway/forwarder_metrics.h"
 #include "gateway/messages.h"
@@ -75,7 +77,16 @@
         stage_progress stages;
         /// The priority of the request's pieces; behind all others when it will be late.
         int stage_priority = 0;
-        std::map<std::uint64_t, std::uint32_t> orders;
+        /// Stages that are not yet ordered.
+        std::set<std::uint32_t> upcoming;
+        std::optional<common::time_point> inputs_lapse_at;
+        /// A stage that is being made.
+        struct stage_order {
+            std::uint32_t stage = 0;
+            common::time_point sent;
+            common::duration expected = common::duration::zero();
+        };
+        std::map<std::uint64_t, stage_order> orders;
 
         std::shared_ptr<pool_member> member;
         http::call_id call = 0;
@@ -110,14 +121,25 @@
                                                    std::optional<std::uint32_t> after) const;
     [[nodiscard]] common::duration expected_stage(const exchange& target,
                                                   std::uint32_t stage) const;
+    /// The same before the correction by what was observed.
+    [[nodiscard]] common::duration raw_expected_stage(const exchange& target,
+                                                      std::uint32_t stage) const;
     /// Whether results of a stage would end before a stage that needs them has its turn.
     [[nodiscard]] bool results_would_lapse(const exchange& target) const;
     [[nodiscard]] std::string preferred_domain(exchange& target, std::uint32_t stage,
                                                const std::vector<std::string>& inputs);
-    /// Sets the priority of the request's pieces from the backlogs, before stage `next`.
-    void rank_pieces(exchange& target, std::optional<std::uint32_t> next);
+    /// Sets the priority of the request's pieces from the backlogs.
+    void rank_pieces(exchange& target);
+    /// Counts the pieces that the request is going to order.
+    void note_upcoming(exchange& target);
+    void forget_upcoming(exchange& target, std::uint32_t stage);
+    /// Remembers when the first results of the request end.
+    static void note_lapse(exchange& target, std::uint32_t stage);
+    /// When to come back after a refusal for overload.
+    static common::duration overload_retry(common::duration excess);
     void advance_stages(exchange& target);
-    void order_stage(exchange& target, std::uint32_t stage);
+    /// Returns whether the order was taken.
+    bool order_stage(exchange& target, std::uint32_t stage);
     void withdraw_orders(exchange& target);
     void release_inputs(exchange& target);
 
@@ -154,6 +176,9 @@
     std::map<std::uint64_t, std::uint64_t> m_orders;
     std::uint64_t m_next_order;
     std::map<std::string, service_backlog> m_backlogs;
+    std::map<std::string, estimate_bias> m_biases;
+    /// Pieces of admitted requests that are not yet ordered, by service and priority.
+    std::map<std::string, std::map<int, std::size_t>> m_upcoming;
     std::size_t m_gateways = 1;
     forwarder_metrics m_metrics;
     logging::logger m_log{"forwarder"};
--- a/source/core/gateway/forwarder_send.cpp
+++ b/source/core/gateway/forwarder_send.cpp
@@ -252,6 +252,7 @@
             return;
         }
         target.stages.restart();
+        target.inputs_lapse_at.reset();
         advance_stages(target);
         return;
     case next_step::remake_inputs:
@@ -259,6 +260,7 @@
         release_inputs(target);
         target.tried.clear();
         target.stages.restart();
+        target.inputs_lapse_at.reset();
         advance_stages(target);
         return;
     case next_step::pass_on:
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/forwarder_stages.cpp
@@ -25,25 +25,42 @@
 
 void forwarder::advance_stages(exchange& target) {
     for (const auto stage : target.stages.take_ready()) {
-        order_stage(target, stage);
+        if (!order_stage(target, stage)) {
+            refuse(target, 503, "too many orders wait at this instance");
+            return;
+        }
     }
     if (target.stages.done()) {
         send(target);
     }
 }
 
-common::duration forwarder::expected_stage(const exchange& target, std::uint32_t stage) const {
+common::duration forwarder::raw_expected_stage(const exchange& target, std::uint32_t stage) const {
     const auto& service = target.target->stages[stage].service;
     const auto known = target.configuration->services.find(service);
     if (known == target.configuration->services.end() || !known->second.pieces) {
         return common::duration::zero();
     }
-    const auto backlog = m_backlogs.find(service);
+    const auto reported = m_backlogs.find(service);
     // Without a report nothing waits.
-    return expected_delay(*known->second.pieces,
-                          backlog == m_backlogs.end() ? service_backlog{service, {}, 1, 0}
-                                                      : backlog->second,
-                          target.stage_priority, target.stages.count_of(stage));
+    auto backlog =
+        reported == m_backlogs.end() ? service_backlog{service, {}, 1, 0} : reported->second;
+    const auto upcoming = m_upcoming.find(service);
+    if (upcoming != m_upcoming.end()) {
+        // The other gateways are taken to have as much on its way as this one.
+        for (const auto& [priority, pieces] : upcoming->second) {
+            backlog.waiting[priority] += pieces * m_gateways;
+        }
+    }
+    return expected_delay(
+        sustained_limits(*known->second.pieces, target.target->stages[stage].result_bytes), backlog,
+        target.stage_priority, target.stages.count_of(stage));
+}
+
+common::duration forwarder::expected_stage(const exchange& target, std::uint32_t stage) const {
+    const auto raw = raw_expected_stage(target, stage);
+    const auto bias = m_biases.find(target.target->stages[stage].service);
+    return bias == m_biases.end() ? raw : bias->second.apply(raw);
 }
 
 common::duration forwarder::expected_stages(const exchange& target,
@@ -52,13 +69,26 @@
         after, [&](std::uint32_t stage) { return expected_stage(target, stage); });
 }
 
-void forwarder::rank_pieces(exchange& target, std::optional<std::uint32_t> next) {
-    target.stage_priority = target.priority;
-    auto expected = expected_stages(target, next) + engine_start;
-    if (next) {
-        expected += expected_stage(target, *next);
+void forwarder::note_upcoming(exchange& target) {
+    for (std::uint32_t n = 0; n < target.target->stages.size(); ++n) {
+        if (target.stages.count_of(n) > 0) {
+            target.upcoming.insert(n);
+            m_upcoming[target.target->stages[n].service][target.stage_priority] +=
+                target.stages.count_of(n);
+        }
+    }
+}
+
+void forwarder::forget_upcoming(exchange& target, std::uint32_t stage) {
+    if (target.upcoming.erase(stage) > 0) {
+        m_upcoming[target.target->stages[stage].service][target.stage_priority] -=
+            target.stages.count_of(stage);
     }
-    const auto end = common::monotonic_clock::now() + expected;
+}
+
+void forwarder::rank_pieces(exchange& target) {
+    target.stage_priority = target.priority;
+    const auto end = common::monotonic_clock::now() + expected_stages(target, {}) + engine_start;
     if (end > target.arrived + target.target->latency_target) {
         target.stage_priority += late_demotion;
     }
@@ -105,9 +135,8 @@
     return {};
 }
 
-void forwarder::order_stage(exchange& target, std::uint32_t stage) {
+bool forwarder::order_stage(exchange& target, std::uint32_t stage) {
     const auto& spec = target.target->stages[stage];
-    rank_pieces(target, stage);
     const auto later = engine_start + expected_stages(target, stage);
     piece_order order;
     order.key.number = m_next_order++;
@@ -116,17 +145,21 @@
     order.stage = stage;
     order.count = target.stages.count_of(stage);
     order.inputs = target.stages.inputs_of(stage);
+    order.inputs_to_release = target.stages.sole_input_service(stage);
     order.input_key = order.inputs.empty() ? target.request.piece_key : std::string{};
     order.priority = target.stage_priority;
+    forget_upcoming(target, stage);
     order.result_bytes = spec.result_bytes;
     order.preferred_domain = preferred_domain(target, stage, order.inputs);
     order.target = target.arrived + target.target->latency_target - later;
     order.latest = target.first_event_by - later;
-    target.orders[order.key.number] = stage;
-    m_orders[order.key.number] = target.id;
-    if (!m_peers.send(order)) {
-        refuse(target, 503, "too many orders wait at this instance");
+    if (target.inputs_lapse_at && !order.inputs.empty()) {
+        order.latest = std::min(order.latest, *target.inputs_lapse_at);
     }
+    target.orders[order.key.number] = {stage, common::monotonic_clock::now(),
+                                       raw_expected_stage(target, stage)};
+    m_orders[order.key.number] = target.id;
+    return m_peers.send(order);
 }
 
 void forwarder::handle(const order_ended& message) {
@@ -139,10 +172,16 @@
     if (target == nullptr) {
         return;
     }
-    const auto stage = target->orders.at(message.number);
+    const auto order = target->orders.at(message.number);
+    const auto stage = order.stage;
     target->orders.erase(message.number);
     switch (message.outcome.status) {
     case order_status::made:
+        if (target->stage_priority == target->priority) {
+            m_biases[target->target->stages[stage].service].record(
+                order.expected, common::monotonic_clock::now() - order.sent);
+        }
+        note_lapse(*target, stage);
         target->stages.complete(stage, message.outcome.handles);
         for (auto& spent : target->stages.take_spent(false)) {
             m_peers.send(release_results{std::move(spent.service), std::move(spent.handles)});
@@ -153,7 +192,7 @@
         attempt_ended(*target, attempt_end::input_gone, "an input of a stage is gone");
         return;
     case order_status::overloaded:
-        refuse(*target, 503, "stage overloaded", message.outcome.retry_after);
+        refuse(*target, 503, "stage overloaded", overload_retry(message.outcome.retry_after));
         return;
     case order_status::expired:
         refuse(*target, 503, "stage not made in time");
@@ -164,10 +203,22 @@
     }
 }
 
+void forwarder::note_lapse(exchange& target, std::uint32_t stage) {
+    const auto known = target.configuration->services.find(target.target->stages[stage].service);
+    if (known == target.configuration->services.end() || !known->second.pieces) {
+        return;
+    }
+    const auto lapse = common::monotonic_clock::now() + known->second.pieces->result_lifetime;
+    target.inputs_lapse_at = std::min(target.inputs_lapse_at.value_or(lapse), lapse);
+}
+
 void forwarder::withdraw_orders(exchange& target) {
-    for (const auto& [number, stage] : std::exchange(target.orders, {})) {
+    while (!target.upcoming.empty()) {
+        forget_upcoming(target, *target.upcoming.begin());
+    }
+    for (const auto& [number, order] : std::exchange(target.orders, {})) {
         m_orders.erase(number);
-        m_peers.send(withdraw_order{target.target->stages[stage].service, {"", number}});
+        m_peers.send(withdraw_order{target.target->stages[order.stage].service, {"", number}});
     }
 }
 
--- a/source/core/gateway/piece_queue.cpp
+++ b/source/core/gateway/piece_queue.cpp
@@ -18,31 +18,61 @@
                                             std::vector<order_key>& expired) {
     const auto end = now + call_time;
     std::vector<queued_piece> taken;
-    std::vector<waiting> late;
-    for (auto it = m_waiting.begin(); it != m_waiting.end() && taken.size() < most;) {
-        if (it->latest < end) {
-            expired.push_back(it->piece.order);
-            it = m_waiting.erase(it);
-        } else if (!may_take(it->piece.order)) {
-            ++it;
-        } else if (it->target < end) {
-            late.push_back(*it);
-            ++it;
-        } else {
+    // The first pieces of orders that are late.
+    std::vector<position> late;
+    // The pieces of one order go into one call where they fit, because a result waits for the
+    // others of its order and takes room meanwhile.
+    const auto take_order = [&](position first) {
+        const auto end_of_pieces = end_of_order(first);
+        const auto count = static_cast<std::size_t>(std::distance(first, end_of_pieces));
+        if (count > most - taken.size() && !taken.empty()) {
+            return;
+        }
+        for (auto it = first; it != end_of_pieces && taken.size() < most;
+             it = m_waiting.erase(it)) {
             taken.push_back(it->piece);
-            it = m_waiting.erase(it);
         }
-    }
-    for (const auto& it : late) {
+    };
+    const auto take_late = [&] {
+        for (const auto& it : late) {
+            if (taken.size() < most) {
+                take_order(it);
+            }
+        }
+        late.clear();
+    };
+    std::optional<int> priority;
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        if (it->priority != priority) {
+            take_late();
+            priority = it->priority;
+        }
         if (taken.size() >= most) {
             break;
         }
-        taken.push_back(it.piece);
-        m_waiting.erase(it);
+        const auto after = end_of_order(it);
+        if (it->latest < end) {
+            expired.push_back(it->piece.order);
+            m_waiting.erase(it, after);
+        } else if (may_take(it->piece.order)) {
+            if (it->target < end) {
+                late.push_back(it);
+            } else {
+                take_order(it);
+            }
+        }
+        it = after;
     }
+    take_late();
     return taken;
 }
 
+piece_queue::position piece_queue::end_of_order(position it) const {
+    const auto& order = it->piece.order;
+    return std::find_if(it, m_waiting.end(),
+                        [&](const waiting& other) { return other.piece.order != order; });
+}
+
 std::map<int, std::size_t> piece_queue::by_priority() const {
     std::map<int, std::size_t> counts;
     for (const auto& it : m_waiting) {
@@ -51,6 +81,16 @@
     return counts;
 }
 
+piece_limits sustained_limits(const piece_limits& limits, double result_bytes) {
+    auto result = limits;
+    if (result_bytes > 0 && limits.result_room_bytes > 0) {
+        const double fitting = limits.result_room_bytes / result_bytes / 2;
+        result.batch =
+            static_cast<std::size_t>(std::clamp(fitting, 1.0, static_cast<double>(limits.batch)));
+    }
+    return result;
+}
+
 common::duration call_time(const piece_limits& limits, std::size_t pieces) {
     return limits.call_time + limits.piece_time * static_cast<std::int64_t>(pieces);
 }
--- a/source/core/gateway/piece_queue.h
+++ b/source/core/gateway/piece_queue.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -36,6 +37,9 @@
     /// The request's input, for stages without predecessors; otherwise `inputs` is used.
     std::string input_key;
     std::vector<std::string> inputs;
+    /// The service whose results the inputs are, if nothing else reads them. They are freed as soon
+    /// as the calls for the pieces have read them.
+    std::string inputs_to_release;
     int priority = 0;
     double result_bytes = 0;
     /// Failure domain in which the pieces need no large transfer; empty when none is better.
@@ -102,9 +106,18 @@
         }
     };
 
+    using position = std::set<waiting>::iterator;
+
+    /// The first piece after those of the same order.
+    [[nodiscard]] position end_of_order(position it) const;
+
     std::set<waiting> m_waiting;
 };
 
+/// Returns the limits with the largest batch that an instance can keep up: while the results of one
+/// call are read, those of the next need room as well.
+piece_limits sustained_limits(const piece_limits& limits, double result_bytes);
+
 /// Returns how long a call with this many pieces takes.
 common::duration call_time(const piece_limits& limits, std::size_t pieces);
 
--- a/source/core/gateway/stage_progress.cpp
+++ b/source/core/gateway/stage_progress.cpp
@@ -60,6 +60,18 @@
     });
 }
 
+std::string stage_progress::sole_input_service(std::uint32_t stage) const {
+    const auto& needs = m_stages[stage].after;
+    if (needs.size() != 1) {
+        return {};
+    }
+    const auto readers = std::count_if(m_stages.begin(), m_stages.end(), [&](const auto& it) {
+        return it.count > 0 &&
+               std::find(it.after.begin(), it.after.end(), needs.front()) != it.after.end();
+    });
+    return readers == 1 ? m_stages[needs.front()].service : std::string{};
+}
+
 bool stage_progress::followers_made(std::size_t stage) const {
     return std::all_of(m_stages.begin(), m_stages.end(), [&](const auto& it) {
         return std::find(it.after.begin(), it.after.end(), stage) == it.after.end() ||
--- a/source/core/gateway/stage_progress.h
+++ b/source/core/gateway/stage_progress.h
@@ -52,6 +52,10 @@
     [[nodiscard]] common::duration longest_chain(std::optional<std::uint32_t> after,
                                                  const time_hook& time_of) const;
 
+    /// The service whose results are the inputs of this stage, if no other stage reads them and
+    /// they come from one stage only; empty otherwise.
+    [[nodiscard]] std::string sole_input_service(std::uint32_t stage) const;
+
     /// No other stage reads the results of this one.
     [[nodiscard]] bool is_last(std::uint32_t stage) const { return !has_follower(stage); }
 
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -35,6 +35,7 @@
     order.set_priority(from.priority);
     order.set_result_bytes(from.result_bytes);
     order.set_preferred_domain(from.preferred_domain);
+    order.set_inputs_to_release(from.inputs_to_release);
     order.set_target_us(microseconds(from.target - now));
     order.set_latest_us(microseconds(from.latest - now));
 }
@@ -107,6 +108,7 @@
     result.priority = order.priority();
     result.result_bytes = order.result_bytes();
     result.preferred_domain = order.preferred_domain();
+    result.inputs_to_release = order.inputs_to_release();
     result.target = now + std::chrono::microseconds{order.target_us()};
     result.latest = now + std::chrono::microseconds{order.latest_us()};
     return result;
