gateway: refuse stages that would end far past the target, instead of demoting

Cause: demoted requests held room at the makers while they waited, so that in-time ones were refused room; the path estimate counted pieces that would be gone by the time the request came to their stage; a piece without room was made again after its inputs had been freed.

--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -22,6 +22,8 @@
 constexpr common::duration release_delay = std::chrono::milliseconds{20};
 // An instance that is free begins a call at once and reads its inputs first.
 constexpr common::duration input_read_time = std::chrono::milliseconds{120};
+// The stated sizes of results are approximate.
+constexpr double usable_room_share = 0.85;
 constexpr common::duration report_interval = std::chrono::milliseconds{200};
 // When to come back while a service has no instance.
 constexpr common::duration absence_retry = std::chrono::milliseconds{500};
@@ -265,7 +267,7 @@
             return order == m_orders.end() || order->second.settled;
         });
         // Pieces whose results do not fit go back.
-        double room = limits->result_room_bytes - instance->room.used(now);
+        double room = limits->result_room_bytes * usable_room_share - instance->room.used(now);
         auto fits = taken.begin();
         for (; fits != taken.end(); ++fits) {
             room -= m_orders.at(fits->order).order.result_bytes;
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -21,6 +21,7 @@
 // A request is admitted if its stages are expected to be made within this share of the time for
 // them; the rest allows for what arrives later with a more urgent priority.
 constexpr double admission_share = 0.7;
+constexpr double target_share = 1.3;
 // Callers abandon a stream without its first event after the longest of these: a fixed time, a
 // multiple of the latency target, a multiple of the longest pause that is on time.
 constexpr common::duration least_patience = std::chrono::seconds{2};
@@ -183,10 +184,11 @@
     target.events = event_relay{target.request.last_event};
     target.stages = stage_progress{target.target->stages, target.request.piece_counts};
     pool_of(target.service).budget().record_first_attempt();
-    rank_pieces(target);
-    const auto expected = expected_stages(target, {});
-    const auto allowed = std::chrono::duration_cast<common::duration>(
-        (target.first_event_by - target.arrived) * admission_share);
+    const auto expected = expected_stages(target);
+    const auto allowed = std::min(
+        std::chrono::duration_cast<common::duration>((target.first_event_by - target.arrived) *
+                                                     admission_share),
+        std::chrono::duration_cast<common::duration>(target.target->latency_target * target_share));
     if (expected > allowed || results_would_lapse(target)) {
         refuse(target, status_unavailable, "stages overloaded", overload_retry(expected - allowed));
         return;
@@ -279,6 +281,8 @@
                 {"runs", std::to_string(target.possible_runs)},
                 {"sent_ms", since_arrival(target.first_sent_at)},
                 {"first_byte_ms", since_arrival(target.first_byte_at)},
+                {"first_event_ms", since_arrival(target.first_event_at)},
+                {"longest_pause_ms", since_arrival(target.arrived + target.longest_pause)},
                 {"ms", since_arrival(target.arrived + took)},
                 {"reason", reason}});
     m_exchanges.erase(target.id);
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -75,8 +75,6 @@
         std::unique_ptr<runtime::timer> attempt_timer;
 
         stage_progress stages;
-        /// The priority of the request's pieces; behind all others when it will be late.
-        int stage_priority = 0;
         /// Stages that are not yet ordered.
         std::set<std::uint32_t> upcoming;
         std::optional<common::time_point> inputs_lapse_at;
@@ -93,6 +91,9 @@
         common::time_point sent_at;
         std::optional<common::time_point> first_sent_at;
         std::optional<common::time_point> first_byte_at;
+        std::optional<common::time_point> first_event_at;
+        common::time_point last_event_at;
+        common::duration longest_pause = common::duration::zero();
         unsigned sends = 0;
         unsigned possible_runs = 0;
         std::vector<std::string> tried;
@@ -116,20 +117,21 @@
     void admit(exchange& target);
     void final_time_reached(std::uint64_t id);
 
-    /// Expected time until all stages that follow this one are made; of all without one.
-    [[nodiscard]] common::duration expected_stages(const exchange& target,
-                                                   std::optional<std::uint32_t> after) const;
-    [[nodiscard]] common::duration expected_stage(const exchange& target,
+    /// Expected time until all stages are made.
+    [[nodiscard]] common::duration expected_stages(const exchange& target) const;
+    /// Expected time of the stages that follow this one.
+    [[nodiscard]] common::duration expected_after(const exchange& target,
                                                   std::uint32_t stage) const;
+    /// Expected time of a stage that is ordered after this delay.
+    [[nodiscard]] common::duration expected_stage(const exchange& target, std::uint32_t stage,
+                                                  common::duration start) const;
     /// The same before the correction by what was observed.
-    [[nodiscard]] common::duration raw_expected_stage(const exchange& target,
-                                                      std::uint32_t stage) const;
+    [[nodiscard]] common::duration raw_expected_stage(const exchange& target, std::uint32_t stage,
+                                                      common::duration start) const;
     /// Whether results of a stage would end before a stage that needs them has its turn.
     [[nodiscard]] bool results_would_lapse(const exchange& target) const;
     [[nodiscard]] std::string preferred_domain(exchange& target, std::uint32_t stage,
                                                const std::vector<std::string>& inputs);
-    /// Sets the priority of the request's pieces from the backlogs.
-    void rank_pieces(exchange& target);
     /// Counts the pieces that the request is going to order.
     void note_upcoming(exchange& target);
     void forget_upcoming(exchange& target, std::uint32_t stage);
--- a/source/core/gateway/forwarder_send.cpp
+++ b/source/core/gateway/forwarder_send.cpp
@@ -171,6 +171,12 @@
     std::string whole;
     const auto status = target.events.add(bytes, whole);
     if (!whole.empty()) {
+        const auto now = common::monotonic_clock::now();
+        if (target.first_event_at) {
+            target.longest_pause = std::max(target.longest_pause, now - target.last_event_at);
+        }
+        target.first_event_at = target.first_event_at.value_or(now);
+        target.last_event_at = now;
         target.reply.write(std::move(whole));
         // The engine has read its inputs before the first event.
         release_inputs(target);
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/forwarder_stages.cpp
@@ -12,9 +12,6 @@
 // Time that an engine needs from the arrival of a request to its first event, without a queue.
 constexpr common::duration engine_start = std::chrono::milliseconds{150};
 
-// A request that is expected to miss its latency target is worth a part of its credit only. It
-// comes after all that can still meet theirs, which would otherwise all be late by a little.
-constexpr int late_demotion = 100;
 // Results are kept for a fixed time; a stage that is expected to have its turn later than this
 // share of it is not worth its inputs.
 constexpr double lifetime_share = 0.7;
@@ -35,45 +32,57 @@
     }
 }
 
-common::duration forwarder::raw_expected_stage(const exchange& target, std::uint32_t stage) const {
+common::duration forwarder::raw_expected_stage(const exchange& target, std::uint32_t stage,
+                                               common::duration start) const {
     const auto& service = target.target->stages[stage].service;
     const auto known = target.configuration->services.find(service);
     if (known == target.configuration->services.end() || !known->second.pieces) {
         return common::duration::zero();
     }
+    const auto limits =
+        sustained_limits(*known->second.pieces, target.target->stages[stage].result_bytes);
     const auto reported = m_backlogs.find(service);
     // Without a report nothing waits.
     auto backlog =
         reported == m_backlogs.end() ? service_backlog{service, {}, 1, 0} : reported->second;
     const auto upcoming = m_upcoming.find(service);
-    if (upcoming != m_upcoming.end()) {
+    if (upcoming != m_upcoming.end() && start > common::duration::zero()) {
         // The other gateways are taken to have as much on its way as this one.
         for (const auto& [priority, pieces] : upcoming->second) {
             backlog.waiting[priority] += pieces * m_gateways;
         }
     }
-    return expected_delay(
-        sustained_limits(*known->second.pieces, target.target->stages[stage].result_bytes), backlog,
-        target.stage_priority, target.stages.count_of(stage));
+    return expected_delay(limits, backlog, target.priority, target.stages.count_of(stage), start);
 }
 
-common::duration forwarder::expected_stage(const exchange& target, std::uint32_t stage) const {
-    const auto raw = raw_expected_stage(target, stage);
+common::duration forwarder::expected_stage(const exchange& target, std::uint32_t stage,
+                                           common::duration start) const {
+    const auto raw = raw_expected_stage(target, stage, start);
     const auto bias = m_biases.find(target.target->stages[stage].service);
     return bias == m_biases.end() ? raw : bias->second.apply(raw);
 }
 
-common::duration forwarder::expected_stages(const exchange& target,
-                                            std::optional<std::uint32_t> after) const {
-    return target.stages.longest_chain(
-        after, [&](std::uint32_t stage) { return expected_stage(target, stage); });
+common::duration forwarder::expected_stages(const exchange& target) const {
+    return target.stages.end_of_chain({}, common::duration::zero(),
+                                      [&](std::uint32_t stage, common::duration start) {
+                                          return expected_stage(target, stage, start);
+                                      });
+}
+
+common::duration forwarder::expected_after(const exchange& target, std::uint32_t stage) const {
+    const auto made = expected_stage(target, stage, common::duration::zero());
+    return target.stages.end_of_chain(stage, made,
+                                      [&](std::uint32_t later, common::duration start) {
+                                          return expected_stage(target, later, start);
+                                      }) -
+           made;
 }
 
 void forwarder::note_upcoming(exchange& target) {
     for (std::uint32_t n = 0; n < target.target->stages.size(); ++n) {
         if (target.stages.count_of(n) > 0) {
             target.upcoming.insert(n);
-            m_upcoming[target.target->stages[n].service][target.stage_priority] +=
+            m_upcoming[target.target->stages[n].service][target.priority] +=
                 target.stages.count_of(n);
         }
     }
@@ -81,26 +90,18 @@
 
 void forwarder::forget_upcoming(exchange& target, std::uint32_t stage) {
     if (target.upcoming.erase(stage) > 0) {
-        m_upcoming[target.target->stages[stage].service][target.stage_priority] -=
+        m_upcoming[target.target->stages[stage].service][target.priority] -=
             target.stages.count_of(stage);
     }
 }
 
-void forwarder::rank_pieces(exchange& target) {
-    target.stage_priority = target.priority;
-    const auto end = common::monotonic_clock::now() + expected_stages(target, {}) + engine_start;
-    if (end > target.arrived + target.target->latency_target) {
-        target.stage_priority += late_demotion;
-    }
-}
-
 bool forwarder::results_would_lapse(const exchange& target) const {
     const auto& stages = target.target->stages;
     for (std::uint32_t n = 0; n < stages.size(); ++n) {
         if (target.stages.count_of(n) == 0) {
             continue;
         }
-        const auto wait = expected_stage(target, n);
+        const auto wait = expected_stage(target, n, common::duration::zero());
         for (const auto input : stages[n].after) {
             const auto maker = target.configuration->services.find(stages[input].service);
             if (maker != target.configuration->services.end() && maker->second.pieces &&
@@ -137,7 +138,7 @@
 
 bool forwarder::order_stage(exchange& target, std::uint32_t stage) {
     const auto& spec = target.target->stages[stage];
-    const auto later = engine_start + expected_stages(target, stage);
+    const auto later = engine_start + expected_after(target, stage);
     piece_order order;
     order.key.number = m_next_order++;
     order.attempt_id = target.request.attempt_id;
@@ -147,7 +148,7 @@
     order.inputs = target.stages.inputs_of(stage);
     order.inputs_to_release = target.stages.sole_input_service(stage);
     order.input_key = order.inputs.empty() ? target.request.piece_key : std::string{};
-    order.priority = target.stage_priority;
+    order.priority = target.priority;
     forget_upcoming(target, stage);
     order.result_bytes = spec.result_bytes;
     order.preferred_domain = preferred_domain(target, stage, order.inputs);
@@ -157,7 +158,7 @@
         order.latest = std::min(order.latest, *target.inputs_lapse_at);
     }
     target.orders[order.key.number] = {stage, common::monotonic_clock::now(),
-                                       raw_expected_stage(target, stage)};
+                                       raw_expected_stage(target, stage, common::duration::zero())};
     m_orders[order.key.number] = target.id;
     return m_peers.send(order);
 }
@@ -177,10 +178,8 @@
     target->orders.erase(message.number);
     switch (message.outcome.status) {
     case order_status::made:
-        if (target->stage_priority == target->priority) {
-            m_biases[target->target->stages[stage].service].record(
-                order.expected, common::monotonic_clock::now() - order.sent);
-        }
+        m_biases[target->target->stages[stage].service].record(
+            order.expected, common::monotonic_clock::now() - order.sent);
         note_lapse(*target, stage);
         target->stages.complete(stage, message.outcome.handles);
         for (auto& spent : target->stages.take_spent(false)) {
--- a/source/core/gateway/piece_queue.h
+++ b/source/core/gateway/piece_queue.h
@@ -133,8 +133,10 @@
 
 /// Returns how long newly ordered pieces of this priority wait for the end of their call: up to
 /// half a call until an instance is free, full calls for the pieces ahead, and their own call.
+/// Pieces that are ordered after a delay find fewer ahead, because calls go on meanwhile.
 common::duration expected_delay(const piece_limits& limits, const service_backlog& backlog,
-                                int priority, std::size_t pieces);
+                                int priority, std::size_t pieces,
+                                common::duration start = common::duration::zero());
 
 } // namespace jujubemast::gateway
 
--- a/source/core/gateway/stage_progress.cpp
+++ b/source/core/gateway/stage_progress.cpp
@@ -100,19 +100,20 @@
     return spent;
 }
 
-common::duration stage_progress::longest_chain(std::optional<std::uint32_t> after,
-                                               const time_hook& time_of) const {
-    common::duration longest{};
+common::duration stage_progress::end_of_chain(std::optional<std::uint32_t> after,
+                                              common::duration start,
+                                              const time_hook& time_of) const {
+    auto latest = start;
     for (std::uint32_t n = after ? *after + 1 : 0; n < m_stages.size(); ++n) {
         // Stages are numbered so that each comes after those it needs.
         const auto& needs = m_stages[n].after;
         const bool follows =
             after ? std::find(needs.begin(), needs.end(), *after) != needs.end() : needs.empty();
         if (m_stages[n].count > 0 && follows) {
-            longest = std::max(longest, time_of(n) + longest_chain(n, time_of));
+            latest = std::max(latest, end_of_chain(n, start + time_of(n, start), time_of));
         }
     }
-    return longest;
+    return latest;
 }
 
 void stage_progress::restart() {
--- a/source/core/gateway/stage_progress.h
+++ b/source/core/gateway/stage_progress.h
@@ -45,12 +45,14 @@
     /// Takes the results whose readers are all complete; with `all`, every result that is left.
     std::vector<spent_results> take_spent(bool all);
 
-    /// Time that a stage takes.
-    using time_hook = std::function<common::duration(std::uint32_t n)>;
-
-    /// Longest chain of stages that are still to be made after this one; with none, of all.
-    [[nodiscard]] common::duration longest_chain(std::optional<std::uint32_t> after,
-                                                 const time_hook& time_of) const;
+    /// Time that a stage takes when it is ordered after this delay.
+    using time_hook = std::function<common::duration(std::uint32_t n, common::duration start)>;
+
+    /// Time until all stages that follow this one are made, when it is made after this delay;
+    /// without one, until all stages are.
+    [[nodiscard]] common::duration end_of_chain(std::optional<std::uint32_t> after,
+                                                common::duration start,
+                                                const time_hook& time_of) const;
 
     /// The service whose results are the inputs of this stage, if no other stage reads them and
     /// they come from one stage only; empty otherwise.
