tests: gateway decisions, adapter and the path with real processes

The first run of the new integration test showed a safe request three times at two upstreams: the HTTP client sent it again by itself on a new connection, past the retry budget. Change: unit suites for the gateway's decisions, its messages and the adapter (with damaged rows), a stand-in of the users' platform, and an integration suite with two gateways; the forwarder's calls are no longer resent by the client; a store that answers at once is not called without end.

--- a/source/core/gateway/forwarder_send.cpp
+++ b/source/core/gateway/forwarder_send.cpp
@@ -73,6 +73,8 @@
     http::call_options call;
     // On a kept connection it would stay open whether the request was read before a close.
     call.repeatable = target.target->kind == repeatability::idempotent;
+    // Every arrival at an upstream counts against the attempts and the retry budget.
+    call.resend = false;
     bound_attempt(target);
     target.call = target.member->client->start(m_translate->encode_forward(target.request, options),
                                                make_hooks(target.id), call);
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -84,11 +84,9 @@
     }
     set_available(true);
     m_version = std::max(m_version, answer.content.version);
-    if (answer.content.rows.empty()) {
-        watch();
-        return;
+    if (!answer.content.rows.empty()) {
+        m_hooks.on_update({std::move(answer.content.rows), false});
     }
-    m_hooks.on_update({std::move(answer.content.rows), false});
     m_timer.start(m_limits.bundle_time, m_context.wrap([this] { watch(); }));
 }
 
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/table_watch.h
@@ -31,7 +31,8 @@
     common::duration wait = std::chrono::seconds{10};
     /// How much later than that its answer may come.
     common::duration answer_limit = std::chrono::milliseconds{1500};
-    /// Pause before the next call for changes, so that one answer carries several.
+    /// Pause before the next call for changes, so that one answer carries several and a store that
+    /// does not wait is not called without end.
     common::duration bundle_time = std::chrono::milliseconds{150};
     /// Pause after a failed call.
     common::duration retry_pause = std::chrono::milliseconds{250};
--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -221,7 +221,7 @@
 
     void transport_failed(const boost::system::error_code& ec) {
         const bool nothing_received = !m_parser || !m_parser->got_some();
-        if (m_reused && nothing_received && m_options.repeatable &&
+        if (m_reused && nothing_received && m_options.repeatable && m_options.resend &&
             ec != boost::beast::error::timeout) {
             m_reused = false;
             m_parser.reset();
--- /dev/null
+++ b/tests/integration/gateway_test.cpp
@@ -0,0 +1,223 @@
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <set>
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "support/child_process.h"
+#include "support/http_call.h"
+
+namespace jujubemast::tests {
+
+/// Two gateways before the stand-in of the users' platform, as real processes.
+struct gateway_fixture {
+    std::string folder;
+    std::unique_ptr<child_process> platform;
+    std::string store;
+    std::vector<std::unique_ptr<child_process>> gateways;
+    std::vector<std::string> addresses;
+    std::vector<std::string> ready_addresses;
+
+    gateway_fixture() {
+        std::string pattern = std::filesystem::temp_directory_path() / "gateway-test-XXXXXX";
+        folder = ::mkdtemp(pattern.data());
+        platform = std::make_unique<child_process>(
+            "standin-users-platform", std::vector<std::string>{}, folder + "/platform");
+        store = platform->listening_address("standin-users-platform/store/listener");
+        for (int n = 0; n < 2; ++n) {
+            add_gateway(n);
+        }
+    }
+
+    ~gateway_fixture() {
+        gateways.clear();
+        platform.reset();
+        std::filesystem::remove_all(folder);
+    }
+
+    void add_gateway(int n) {
+        const auto name = "g" + std::to_string(n);
+        const auto path = folder + "/" + name + ".yaml";
+        std::ofstream{path} << "instance:\n  name: " << name << "\n  failure_domain: z\n"
+                            << "callers:\n  listen: 127.0.0.1:0\n  stop_grace_ms: 300\n"
+                            << "ready:\n  listen: 127.0.0.1:0\n"
+                            << "peers:\n  listen: 127.0.0.1:0\n"
+                            << "admin:\n  listen: 127.0.0.1:0\n"
+                            << "store:\n  address: " << store << "\n";
+        gateways.push_back(std::make_unique<child_process>(
+            "jujubemast-gateway", std::vector<std::string>{"--settings", path},
+            folder + "/" + name));
+        const auto task = [](const char* server) {
+            return std::string{"jujubemast-gateway/"} + server + "/listener";
+        };
+        addresses.push_back(gateways.back()->listening_address(task("callers")));
+        ready_addresses.push_back(gateways.back()->listening_address(task("ready")));
+        wait_until(name + " is ready with upstreams", [&] {
+            return ready_status(static_cast<std::size_t>(n)) == 200 &&
+                   send("GET", "/read/probe", "probe", {}, static_cast<std::size_t>(n)).status ==
+                       200;
+        });
+    }
+
+    unsigned ready_status(std::size_t n) const {
+        return call(ready_addresses[n], {"GET", "/ready", {}, {}}).status;
+    }
+
+    received_answer send(const std::string& method, const std::string& target,
+                         const std::string& attempt, const http::headers& extra = {},
+                         std::size_t gateway = 0) const {
+        http::request message{method,
+                              target,
+                              {{"Host", "a.example"},
+                               {"X-Attempt-Id", attempt},
+                               {"X-Deadline-Ms", "5000"},
+                               {"Authorization", "Bearer key-1"}},
+                              method == "GET" ? "" : "body"};
+        message.fields.insert(message.fields.end(), extra.begin(), extra.end());
+        return receive(addresses[gateway], message);
+    }
+
+    /// What the upstreams were asked for in this attempt.
+    std::vector<boost::json::object> records(const std::string& attempt) const {
+        std::vector<boost::json::object> found;
+        const auto answer = call(store, {"GET", "/records", {}, {}});
+        const auto all = boost::json::parse(answer.body);
+        for (const auto& it : all.as_array()) {
+            const bool of_stage =
+                it.at("body").as_string().find(attempt) != boost::json::string::npos;
+            if (it.at("attempt").as_string() == attempt || of_stage) {
+                found.push_back(it.as_object());
+            }
+        }
+        return found;
+    }
+
+    static std::string all_events() {
+        std::string text;
+        for (int id = 1; id <= 5; ++id) {
+            text += "id: " + std::to_string(id) + "\ndata: x\n\n";
+        }
+        return text;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(gateway_test, gateway_fixture)
+
+BOOST_AUTO_TEST_CASE(request_of_each_kind_is_answered_by_an_upstream) {
+    const auto post = send("POST", "/post/1", "p1");
+    BOOST_TEST(post.status == 200U);
+    BOOST_TEST(post.body.substr(0, 9) == "answer of");
+    BOOST_TEST(send("GET", "/read/1", "r1", {}, 1).status == 200U);
+    const auto stream = send("POST", "/stream/1", "s1", {{"X-Model", "m"}});
+    BOOST_TEST(stream.complete);
+    BOOST_TEST(stream.body == all_events());
+    const auto seen = records("p1");
+    BOOST_REQUIRE(seen.size() == 1U);
+    BOOST_TEST(seen[0].at("tenant").as_string() == "w");
+    BOOST_TEST(seen[0].at("authorization").as_string() == "");
+}
+
+// Guards against a request that begins with inputs of another stage, or only some of them.
+BOOST_AUTO_TEST_CASE(stream_with_stages_gets_the_results_of_its_last_stage) {
+    for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+        const auto attempt = "staged-" + std::to_string(gateway);
+        const auto answer =
+            send("POST", "/draft/1", attempt,
+                 {{"X-Model", "m"}, {"X-Pieces", "1,3"}, {"X-Piece-Key", "k"}}, gateway);
+        BOOST_TEST(answer.body == all_events());
+        std::set<std::string> inputs;
+        std::size_t first_stage = 0;
+        std::size_t second_stage = 0;
+        for (const auto& it : records(attempt)) {
+            if (it.at("target").as_string() != "/stage-run") {
+                const std::string list{it.at("inputs").as_string()};
+                BOOST_TEST(std::count(list.begin(), list.end(), ',') == 2);
+                continue;
+            }
+            const auto stage_call = boost::json::parse(it.at("body").as_string());
+            for (const auto& entry : stage_call.at("entries").as_array()) {
+                const bool first = entry.at("stage").to_number<int>() == 0;
+                first ? ++first_stage : ++second_stage;
+                BOOST_TEST(entry.as_object().contains("key") == first);
+                BOOST_TEST(entry.as_object().contains("inputs") == !first);
+            }
+        }
+        BOOST_TEST(first_stage == 1U);
+        BOOST_TEST(second_stage == 3U);
+    }
+}
+
+// Guards against a second run of a request whose outcome is unknown.
+BOOST_AUTO_TEST_CASE(unsafe_request_without_an_answer_ends_as_unknown_after_one_run) {
+    const auto answer = send("POST", "/post/break", "b1");
+    BOOST_TEST(answer.status == 502U);
+    BOOST_TEST(records("b1").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(safe_request_without_an_answer_is_tried_at_another_upstream) {
+    const auto answer = send("GET", "/read/break", "b2");
+    BOOST_TEST(answer.status == 502U);
+    const auto seen = records("b2");
+    BOOST_REQUIRE(seen.size() == 2U);
+    BOOST_TEST(seen[0].at("upstream").as_string() != seen[1].at("upstream").as_string());
+}
+
+BOOST_AUTO_TEST_CASE(unsafe_request_refused_by_every_upstream_is_called_not_run) {
+    const auto answer = send("POST", "/post/shed", "b3");
+    BOOST_TEST(answer.status == 503U);
+}
+
+// Guards against events that are missing or come twice when the upstream changes.
+BOOST_AUTO_TEST_CASE(stream_broken_within_an_event_goes_on_at_another_upstream) {
+    const auto answer = send("POST", "/stream/break", "b4", {{"X-Model", "m"}});
+    BOOST_TEST(answer.complete);
+    BOOST_TEST(answer.body == all_events());
+    const auto seen = records("b4");
+    BOOST_REQUIRE(seen.size() == 2U);
+    // How many whole events arrive before the break is up to the kernel.
+    BOOST_TEST(seen[0].at("last_event").as_string() == "");
+    BOOST_TEST(seen[1].at("last_event").as_string() != "");
+    BOOST_TEST(seen[1].at("last_event").as_string() != "3");
+}
+
+BOOST_AUTO_TEST_CASE(request_without_a_route_or_a_known_key_is_refused) {
+    BOOST_TEST(send("GET", "/other/1", "x1").status == 404U);
+    const auto answer = receive(
+        addresses[0],
+        {"GET",
+         "/read/1",
+         {{"Host", "a.example"}, {"X-Attempt-Id", "x2"}, {"Authorization", "Bearer unknown"}},
+         {}});
+    BOOST_TEST(answer.status == 401U);
+    BOOST_TEST(records("x2").empty());
+}
+
+BOOST_AUTO_TEST_CASE(gateway_after_sigterm_reports_not_ready_and_still_serves) {
+    gateways[0]->send_signal(SIGTERM);
+    wait_until("not ready", [&] { return ready_status(0) == 503; });
+    BOOST_TEST(send("GET", "/read/1", "t1").status == 200U);
+    BOOST_TEST(gateways[0]->wait() == 0);
+}
+
+// Guards against a process that ends by SIGHUP, as it did before the settings were read again.
+BOOST_AUTO_TEST_CASE(gateway_after_sighup_goes_on) {
+    gateways[0]->send_signal(SIGHUP);
+    wait_until("settings read again", [&] {
+        return gateways[0]->log().find("Settings read again.") != std::string::npos;
+    });
+    BOOST_TEST(send("GET", "/read/1", "h1").status == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(gateway_whose_store_is_gone_goes_on_with_what_it_holds) {
+    // The upstreams are in the same process as the store, so only the route's refusal is checked.
+    platform->send_signal(SIGKILL);
+    const auto answer = send("GET", "/read/1", "k1");
+    BOOST_TEST(answer.status >= 502U);
+    BOOST_TEST(ready_status(0) == 200U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
--- a/tests/support/http_call.cpp
+++ b/tests/support/http_call.cpp
@@ -24,7 +24,8 @@
     message.set(beast_http::field::host, address);
     message.set(beast_http::field::connection, "close");
     for (const auto& it : request.fields) {
-        message.insert(it.name, it.value);
+        // A host that the request names goes before the address.
+        message.set(it.name, it.value);
     }
     message.body() = request.body;
     message.prepare_payload();
--- /dev/null
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -0,0 +1,243 @@
+// A stand-in for the users' platform: the store with a configuration and entries of upstreams, two
+// model engines, a plain service and a stage service, in one process. GET /records at the store's
+// address tells what the upstreams were asked for; POST /configuration replaces the configuration.
+
+#include <iostream>
+#include <map>
+#include <memory>
+
+#include <boost/json.hpp>
+#include <gflags/gflags.h>
+#include <openssl/evp.h>
+
+#include "http/server.h"
+#include "logging/logger.h"
+#include "runtime/process.h"
+
+namespace jujubemast::tests {
+
+namespace {
+
+struct stored_row {
+    std::string value;
+    std::uint64_t version = 0;
+};
+
+struct platform_state {
+    std::map<std::string, std::map<std::string, stored_row>> tables;
+    std::uint64_t version = 1;
+    boost::json::array records;
+    std::map<std::string, int> stage_results;
+    int next_result = 1;
+
+    void put(const std::string& table, const std::string& key, const boost::json::value& value) {
+        tables[table][key] = {boost::json::serialize(value), ++version};
+    }
+};
+
+using state_pointer = std::shared_ptr<platform_state>;
+
+std::string to_base64(const std::string& bytes) {
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int n = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                  reinterpret_cast<const unsigned char*>(bytes.data()),
+                                  static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(n));
+    return text;
+}
+
+http::response rows_after(const platform_state& state, const std::string& table,
+                          std::uint64_t after) {
+    boost::json::array rows;
+    const auto it = state.tables.find(table);
+    if (it != state.tables.end()) {
+        for (const auto& [key, row] : it->second) {
+            if (row.version > after) {
+                rows.emplace_back(boost::json::object{{"table", table},
+                                                      {"part", ""},
+                                                      {"key", key},
+                                                      {"value", to_base64(row.value)},
+                                                      {"row_version", row.version}});
+            }
+        }
+    }
+    return http::json_response(
+        200, boost::json::serialize(boost::json::object{
+                 {"rows", rows}, {"has_more", false}, {"row_version", state.version}}));
+}
+
+boost::json::object route(const char* prefix, const char* kind, const char* service,
+                          const char* host) {
+    return {{"name", prefix},  {"host", host},       {"prefix", prefix},
+            {"kind", kind},    {"service", service}, {"timeout_ms", 5000},
+            {"goal_ms", 1000}, {"priority", 0},      {"max_attempts", 2},
+            {"public", false}, {"resumable", true},  {"gap_target_ms", 600}};
+}
+
+boost::json::object make_configuration(std::uint64_t version) {
+    auto draft = route("/draft/", "streaming", "engines", "a.example");
+    draft["stages"] = boost::json::array{
+        boost::json::object{
+            {"service", "stages"}, {"after", boost::json::array{}}, {"byte_count", 100}},
+        boost::json::object{
+            {"service", "stages"}, {"after", boost::json::array{0}}, {"byte_count", 100}}};
+    return {
+        {"version", version},
+        {"routes", boost::json::array{draft, route("/stream/", "streaming", "engines", "a.example"),
+                                      route("/post/", "unsafe", "desk", "a.example"),
+                                      route("/read/", "safe", "desk", "a.example")}},
+        {"services",
+         boost::json::array{
+             boost::json::object{{"name", "engines"}, {"engine", boost::json::object{}}},
+             boost::json::object{{"name", "desk"}},
+             boost::json::object{{"name", "stages"},
+                                 {"pieces", boost::json::object{{"slots", 1},
+                                                                {"queue", 2},
+                                                                {"batch", 4},
+                                                                {"call_ms", 20.0},
+                                                                {"item_ms", 1.0},
+                                                                {"headroom_mb", 1.0},
+                                                                {"handle_s", 4.0}}}}}},
+        {"limits", boost::json::object{{"max_body_bytes", 100000}, {"idle_timeout_ms", 15000}}},
+        {"tenants", boost::json::array{boost::json::object{
+                        {"name", "w"}, {"api_keys", boost::json::array{"key-1"}}}}}};
+}
+
+http::disconnect_hook serve_store(const state_pointer& state, const http::request& message,
+                                  const http::responder& reply) {
+    const auto [path, query] = http::split_target(message.target);
+    const std::string table{http::query_value(query, "table")};
+    if (path == "/rows-get") {
+        reply.respond(rows_after(*state, table, 0));
+    } else if (path == "/rows-feed") {
+        reply.respond(
+            rows_after(*state, table, std::stoull(std::string{http::query_value(query, "after")})));
+    } else if (path == "/records") {
+        reply.respond(http::json_response(200, boost::json::serialize(state->records)));
+    } else if (path == "/configuration") {
+        state->put("op", "config", make_configuration(std::stoull(message.body)));
+        reply.respond(http::json_response(200, "{}"));
+    } else {
+        reply.respond(http::json_response(200, R"({"row_version":1,"now_ms":1})"));
+    }
+    return {};
+}
+
+std::string field(const http::request& of, const char* name) {
+    return std::string{http::find_header(of.fields, name)};
+}
+
+http::response sealed(const http::request& message, unsigned status, const std::string& body) {
+    return {status,
+            {{"X-Attempt-Id", field(message, "X-Attempt-Id")}, {"X-Response-Seal", "seal"}},
+            body};
+}
+
+/// Sends five events after the caller's last one; a path with "break" breaks off the first run.
+void stream_events(const http::request& message, const http::responder& reply) {
+    const auto last = field(message, "Last-Event-Id");
+    const bool breaks = message.target.find("break") != std::string::npos && last.empty();
+    reply.begin(sealed(message, 200, ""));
+    for (int id = last.empty() ? 1 : std::stoi(last) + 1; id <= 5; ++id) {
+        if (breaks && id == 3) {
+            reply.write("id: 3\nda");
+            reply.abort();
+            return;
+        }
+        reply.write("id: " + std::to_string(id) + "\ndata: x\n\n");
+    }
+    reply.end();
+}
+
+http::disconnect_hook serve_upstream(const state_pointer& state, const std::string& id,
+                                     const http::request& message, const http::responder& reply) {
+    if (field(message, "X-Expect-Instance") != id) {
+        reply.respond({421, {{"X-Instance-Id", id}}, ""});
+        return {};
+    }
+    if (message.target == "/stage-free") {
+        reply.respond(http::json_response(200, "{}"));
+        return {};
+    }
+    state->records.emplace_back(
+        boost::json::object{{"upstream", id},
+                            {"target", message.target},
+                            {"attempt", field(message, "X-Attempt-Id")},
+                            {"tenant", field(message, "X-Tenant")},
+                            {"authorization", field(message, "Authorization")},
+                            {"inputs", field(message, "X-Inputs")},
+                            {"last_event", field(message, "Last-Event-Id")},
+                            {"body", message.body}});
+    if (message.target == "/stage-run") {
+        boost::json::array results;
+        const auto call = boost::json::parse(message.body);
+        for (std::size_t n = 0; n < call.at("entries").as_array().size(); ++n) {
+            results.emplace_back(boost::json::object{
+                {"handle", field(message, "Host") + "/" + std::to_string(state->next_result++)}});
+        }
+        reply.respond(http::json_response(
+            200, boost::json::serialize(boost::json::object{{"entries", results}})));
+    } else if (!field(message, "X-Model").empty()) {
+        stream_events(message, reply);
+    } else if (message.target.find("break") != std::string::npos) {
+        reply.abort();
+    } else if (message.target.find("shed") != std::string::npos) {
+        reply.respond({503, {{"X-Not-Run", "1"}}, ""});
+    } else {
+        reply.respond(sealed(message, 200, "answer of " + id));
+    }
+    return {};
+}
+
+void add_upstream(std::vector<runtime::child_spec>& children, const state_pointer& state,
+                  const std::string& id, const std::string& service) {
+    http::server_options options;
+    options.listen = {"127.0.0.1", 0};
+    options.on_listening = [=](const http::endpoint& bound) {
+        state->put("servers", id,
+                   boost::json::object{{"service", service},
+                                       {"address", http::to_string(bound)},
+                                       {"zone", "z"},
+                                       {"slots", 4},
+                                       {"state", "ready"},
+                                       {"born", 1}});
+    };
+    children.push_back(http::make_server("upstream-" + id, options,
+                                         [=](http::request message, const http::responder& reply) {
+                                             return serve_upstream(state, id, message, reply);
+                                         }));
+}
+
+std::vector<runtime::child_spec> make_tree() {
+    const auto state = std::make_shared<platform_state>();
+    state->put("op", "config", make_configuration(1));
+    // An entry of another writer, which names no upstream.
+    state->put("servers", "foreign", boost::json::object{{"service", 7}});
+    std::vector<runtime::child_spec> children;
+    add_upstream(children, state, "e1", "engines");
+    add_upstream(children, state, "e2", "engines");
+    add_upstream(children, state, "d1", "desk");
+    add_upstream(children, state, "d2", "desk");
+    add_upstream(children, state, "s1", "stages");
+    children.push_back(
+        http::make_server("store", {.listen = {"127.0.0.1", 0}},
+                          [state](http::request message, const http::responder& reply) {
+                              return serve_store(state, message, reply);
+                          }));
+    return children;
+}
+
+} // namespace
+
+} // namespace jujubemast::tests
+
+int main(int argc, char** argv) {
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    using namespace jujubemast;
+    logging::initialize("info");
+    return runtime::run_process(
+        "standin-users-platform",
+        [](const runtime::executor& /*loop*/, const runtime::process_hooks& /*process*/) {
+            return tests::make_tree();
+        });
+}
--- /dev/null
+++ b/tests/unit/gateway/piece_queue_test.cpp
@@ -0,0 +1,151 @@
+#include "gateway/piece_queue.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/result_room.h"
+
+namespace jujubemast::tests {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct piece_queue_fixture {
+    gateway::piece_queue queue;
+    gateway::piece_limits limits;
+    std::vector<gateway::order_key> expired;
+    std::uint64_t next_number = 1;
+
+    piece_queue_fixture() {
+        limits.batch = 8;
+        limits.call_time = milliseconds{240};
+        limits.piece_time = milliseconds{20};
+        limits.result_room_bytes = 1000;
+    }
+
+    static common::time_point at(int ms) { return common::time_point{milliseconds{ms}}; }
+
+    std::uint64_t push(int priority, int target_ms, std::uint32_t count = 1,
+                       int latest_ms = 100'000) {
+        gateway::piece_order order;
+        order.key = {"g", next_number++};
+        order.priority = priority;
+        order.target = at(target_ms);
+        order.latest = at(latest_ms);
+        for (std::uint32_t n = 0; n < count; ++n) {
+            queue.push(order, n);
+        }
+        return order.key.number;
+    }
+
+    std::vector<std::uint64_t> take(std::size_t most, int now_ms = 0) {
+        std::vector<std::uint64_t> numbers;
+        const auto all = [](const gateway::order_key&) { return true; };
+        for (const auto& it : queue.take(most, at(now_ms), milliseconds{260}, all, expired)) {
+            numbers.push_back(it.order.number);
+        }
+        return numbers;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(piece_queue_test, piece_queue_fixture)
+
+BOOST_AUTO_TEST_CASE(piece_queue_serves_priority_then_earliest_target) {
+    push(1, 1000);
+    push(0, 3000);
+    push(0, 2000);
+    BOOST_TEST(take(3) == (std::vector<std::uint64_t>{3, 2, 1}), boost::test_tools::per_element());
+}
+
+// Guards against a burst in which every request is late by a little.
+BOOST_AUTO_TEST_CASE(piece_queue_with_a_missed_target_serves_it_last_in_its_priority) {
+    push(0, 100);
+    push(0, 3000);
+    push(1, 3000);
+    BOOST_TEST(take(3) == (std::vector<std::uint64_t>{2, 1, 3}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(piece_queue_with_hopeless_pieces_reports_their_order) {
+    push(0, 50, 2, 200);
+    push(0, 3000);
+    BOOST_TEST(take(4) == (std::vector<std::uint64_t>{2}), boost::test_tools::per_element());
+    BOOST_REQUIRE(expired.size() == 1U);
+    BOOST_TEST(expired[0].number == 1U);
+    BOOST_TEST(queue.size() == 0U);
+}
+
+// Guards against results that take room while they wait for others of their order.
+BOOST_AUTO_TEST_CASE(piece_queue_with_an_order_that_does_not_fit_leaves_it_whole) {
+    push(0, 1000, 3);
+    push(0, 2000, 3);
+    push(0, 3000, 1);
+    BOOST_TEST(take(4) == (std::vector<std::uint64_t>{1, 1, 1, 3}),
+               boost::test_tools::per_element());
+    BOOST_TEST(queue.size() == 3U);
+}
+
+// Guards against an order larger than a call, which would never be made.
+BOOST_AUTO_TEST_CASE(piece_queue_with_an_order_larger_than_a_call_splits_it) {
+    push(0, 1000, 5);
+    BOOST_TEST(take(4).size() == 4U);
+    BOOST_TEST(take(4).size() == 1U);
+}
+
+// Guards against a use of erased pieces: late orders next to orders that are taken at once. This
+// did not end before the queue looked up the end of a late order when it takes it.
+BOOST_AUTO_TEST_CASE(piece_queue_with_late_orders_before_taken_ones_ends) {
+    for (int n = 0; n < 40; ++n) {
+        push(n % 3, n % 2 == 0 ? 10 : 5000, 1 + static_cast<std::uint32_t>(n % 4));
+    }
+    std::size_t taken = 0;
+    while (queue.size() > 0) {
+        const auto n = take(8).size();
+        BOOST_REQUIRE(n > 0U);
+        taken += n;
+    }
+    BOOST_TEST(taken == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(piece_queue_with_pieces_for_another_domain_leaves_them) {
+    push(0, 1000);
+    push(0, 2000);
+    const auto taken = queue.take(
+        8, at(0), milliseconds{260}, [](const gateway::order_key& it) { return it.number != 1; },
+        expired);
+    BOOST_REQUIRE(taken.size() == 1U);
+    BOOST_TEST(taken[0].order.number == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(expected_delay_grows_with_the_pieces_ahead_of_the_same_priority) {
+    const gateway::service_backlog idle{"s", {}, 2, 0};
+    BOOST_TEST((gateway::expected_delay(limits, idle, 0, 1) == milliseconds{260}));
+    const gateway::service_backlog busy{"s", {{0, 16}, {1, 100}}, 2, 2};
+    // Half a full call until an instance is free, one full call ahead, and the own call.
+    BOOST_TEST((gateway::expected_delay(limits, busy, 0, 1) == milliseconds{200 + 400 + 260}));
+    // After two full calls nothing is ahead any more.
+    BOOST_TEST((gateway::expected_delay(limits, busy, 0, 1, milliseconds{800}) ==
+                milliseconds{200 + 260}));
+}
+
+BOOST_AUTO_TEST_CASE(sustained_limits_with_large_results_bound_the_batch) {
+    BOOST_TEST(gateway::sustained_limits(limits, 100).batch == 5U);
+    BOOST_TEST(gateway::sustained_limits(limits, 1).batch == 8U);
+    BOOST_TEST(gateway::sustained_limits(limits, 5000).batch == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(result_room_counts_results_until_release_or_their_end) {
+    gateway::result_room room;
+    room.reserve(300);
+    BOOST_TEST(room.used(at(0)) == 300.0);
+    room.unreserve(300);
+    room.keep("a", 100, at(4000));
+    room.keep("b", 100, at(2000));
+    BOOST_TEST(room.used(at(1000)) == 200.0);
+    BOOST_TEST(room.used(at(3000)) == 100.0);
+    BOOST_TEST(room.release("a"));
+    BOOST_TEST(!room.release("a"));
+    BOOST_TEST(room.used(at(3000)) == 0.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
--- /dev/null
+++ b/tests/unit/gateway/stage_progress_test.cpp
@@ -0,0 +1,102 @@
+#include "gateway/stage_progress.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/estimate_bias.h"
+
+namespace jujubemast::tests {
+
+using std::chrono::milliseconds;
+
+/// Four stages: 0 and 1 begin at once, 2 follows 1, 3 follows 2.
+struct stage_progress_fixture {
+    std::vector<gateway::stage_spec> stages{
+        {"a", {}, 800'000}, {"a", {}, 8000}, {"b", {1}, 60'000}, {"c", {2}, 6000}};
+
+    gateway::stage_progress make(const std::vector<std::uint32_t>& counts) const {
+        return {stages, counts};
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(stage_progress_test, stage_progress_fixture)
+
+BOOST_AUTO_TEST_CASE(stages_begin_when_their_inputs_are_made) {
+    auto progress = make({2, 1, 4, 3});
+    BOOST_TEST(progress.take_ready() == (std::vector<std::uint32_t>{0, 1}),
+               boost::test_tools::per_element());
+    BOOST_TEST(progress.take_ready().empty());
+    progress.complete(1, {"h1"});
+    BOOST_TEST(progress.take_ready() == (std::vector<std::uint32_t>{2}),
+               boost::test_tools::per_element());
+    BOOST_TEST(progress.inputs_of(2) == (std::vector<std::string>{"h1"}),
+               boost::test_tools::per_element());
+}
+
+// Guards against inputs of another stage, or only some of them.
+BOOST_AUTO_TEST_CASE(request_gets_all_results_of_the_stages_that_none_follows) {
+    auto progress = make({2, 1, 1, 2});
+    progress.take_ready();
+    progress.complete(0, {"x", "y"});
+    progress.complete(1, {"h1"});
+    progress.complete(2, {"h2"});
+    BOOST_TEST(!progress.done());
+    progress.complete(3, {"u", "v"});
+    BOOST_TEST(progress.done());
+    BOOST_TEST(progress.final_inputs() == (std::vector<std::string>{"x", "y", "u", "v"}),
+               boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(stage_without_pieces_is_left_out) {
+    auto progress = make({0, 1, 4, 3});
+    BOOST_TEST(progress.take_ready() == (std::vector<std::uint32_t>{1}),
+               boost::test_tools::per_element());
+    BOOST_TEST(make({0, 0, 0, 0}).done());
+}
+
+// Guards against the release of results that a stage still needs.
+BOOST_AUTO_TEST_CASE(results_are_spent_only_after_all_their_readers) {
+    auto progress = make({0, 1, 1, 1});
+    progress.take_ready();
+    progress.complete(1, {"h1"});
+    BOOST_TEST(progress.take_spent(false).empty());
+    progress.complete(2, {"h2"});
+    const auto spent = progress.take_spent(false);
+    BOOST_REQUIRE(spent.size() == 1U);
+    BOOST_TEST(spent[0].handles.front() == "h1");
+    progress.complete(3, {"h3"});
+    BOOST_TEST(progress.take_spent(false).size() == 1U);
+    const auto rest = progress.take_spent(true);
+    BOOST_REQUIRE(rest.size() == 1U);
+    BOOST_TEST(rest[0].handles.front() == "h3");
+}
+
+BOOST_AUTO_TEST_CASE(sole_input_service_with_two_readers_is_empty) {
+    BOOST_TEST(make({1, 1, 1, 1}).sole_input_service(2) == "a");
+    stages[3].after = {1};
+    BOOST_TEST(make({1, 1, 1, 1}).sole_input_service(2).empty());
+}
+
+BOOST_AUTO_TEST_CASE(end_of_chain_follows_the_longest_path) {
+    const auto progress = make({1, 1, 1, 1});
+    const auto time_of = [](std::uint32_t n, common::duration /*start*/) -> common::duration {
+        return milliseconds{n == 0 ? 500 : 200};
+    };
+    BOOST_TEST((progress.end_of_chain({}, {}, time_of) == milliseconds{600}));
+    BOOST_TEST((progress.end_of_chain(2, milliseconds{100}, time_of) == milliseconds{300}));
+    BOOST_TEST((progress.end_of_chain(3, milliseconds{100}, time_of) == milliseconds{100}));
+}
+
+BOOST_AUTO_TEST_CASE(estimate_bias_follows_the_observed_quotient) {
+    gateway::estimate_bias bias;
+    BOOST_TEST((bias.apply(milliseconds{100}) == milliseconds{100}));
+    for (int n = 0; n < 200; ++n) {
+        bias.record(milliseconds{100}, milliseconds{150});
+    }
+    const auto corrected = bias.apply(milliseconds{100});
+    BOOST_TEST((corrected > milliseconds{149}));
+    BOOST_TEST((corrected < milliseconds{151}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
--- /dev/null
+++ b/tests/unit/gateway/upstream_list_test.cpp
@@ -0,0 +1,116 @@
+#include "gateway/upstream_list.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/configuration.h"
+#include "gateway/ownership.h"
+
+namespace jujubemast::tests {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct upstream_list_fixture {
+    gateway::upstream_list list;
+    common::time_point now{seconds{100}};
+
+    static gateway::upstream_instance entry(const std::string& id, std::int64_t started_ms = 1) {
+        gateway::upstream_instance it;
+        it.id = id;
+        it.started_ms = started_ms;
+        it.service = "s";
+        it.address = {"10.0.0.1", 80};
+        return it;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(upstream_list_test, upstream_list_fixture)
+
+BOOST_AUTO_TEST_CASE(upstream_list_with_a_new_start_under_the_same_id_has_changed) {
+    BOOST_TEST(list.put(entry("a")));
+    BOOST_TEST(!list.put(entry("a")));
+    BOOST_TEST(list.put(entry("a", 2)));
+}
+
+BOOST_AUTO_TEST_CASE(upstream_removed_while_the_store_is_steady_is_gone_at_once) {
+    list.put(entry("a"));
+    BOOST_TEST(list.remove("a", now));
+    BOOST_TEST(list.entries().empty());
+}
+
+// Guards against upstreams that are given up because their entries lapsed in a store outage.
+BOOST_AUTO_TEST_CASE(upstream_missing_after_a_store_outage_stays_until_the_return_time) {
+    list.put(entry("a"));
+    list.put(entry("b"));
+    list.record_store_loss();
+    list.record_store_return(now);
+    BOOST_TEST(!list.replace({{"b", entry("b")}}, now));
+    BOOST_TEST(list.entries().size() == 2U);
+    BOOST_TEST(!list.expire(now + seconds{1}));
+    BOOST_TEST(list.expire(now + gateway::upstream_list::return_time));
+    BOOST_TEST(list.entries().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(lapsed_upstream_whose_entry_is_back_stays) {
+    list.put(entry("a"));
+    list.record_store_loss();
+    list.remove("a", now);
+    list.record_store_return(now);
+    list.put(entry("a"));
+    BOOST_TEST(!list.expire(now + seconds{10}));
+    BOOST_TEST(list.entries().size() == 1U);
+}
+
+// Guards against work for an upstream that announced its leaving before the outage.
+BOOST_AUTO_TEST_CASE(draining_upstream_removed_in_an_outage_is_gone_at_once) {
+    auto leaving = entry("a");
+    leaving.phase = gateway::upstream_phase::draining;
+    list.put(leaving);
+    list.record_store_loss();
+    BOOST_TEST(list.remove("a", now));
+    BOOST_TEST(list.entries().empty());
+}
+
+BOOST_AUTO_TEST_CASE(route_with_the_longest_prefix_is_found) {
+    gateway::configuration known;
+    for (const auto* prefix : {"/a/", "/a/b/", "/c/"}) {
+        gateway::route added;
+        added.host = "h";
+        added.prefix = prefix;
+        known.routes.push_back(added);
+    }
+    gateway::index_routes(known);
+    BOOST_TEST(gateway::find_route(known, "h", "/a/b/c")->prefix == "/a/b/");
+    BOOST_TEST(gateway::find_route(known, "h:80", "/a/x")->prefix == "/a/");
+    BOOST_TEST(gateway::find_route(known, "h", "/a") == nullptr);
+    BOOST_TEST(gateway::find_route(known, "other", "/a/") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(service_is_chosen_by_weight) {
+    gateway::route of;
+    of.services = {{"x", 90}, {"y", 10}};
+    BOOST_TEST(gateway::choose_service(of, 0.5) == "x");
+    BOOST_TEST(gateway::choose_service(of, 0.95) == "y");
+}
+
+// Guards against a move of services between gateways that stay.
+BOOST_AUTO_TEST_CASE(owner_that_leaves_moves_only_its_own_services) {
+    const std::vector<std::string> all{"g1", "g2", "g3", "g4"};
+    for (int n = 0; n < 50; ++n) {
+        const auto service = "service-" + std::to_string(n);
+        const auto owner = gateway::choose_owner(service, all);
+        std::vector<std::string> rest;
+        for (const auto& it : all) {
+            if (it != "g2") {
+                rest.push_back(it);
+            }
+        }
+        const auto next = gateway::choose_owner(service, rest);
+        BOOST_TEST((owner == "g2" || next == owner));
+    }
+    BOOST_TEST(gateway::choose_owner("s", {}).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
--- /dev/null
+++ b/tests/unit/users_platform/store_test.cpp
@@ -0,0 +1,120 @@
+#include "store.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include "common/error.h"
+#include "configuration.h"
+#include "support/property.h"
+
+namespace jujubemast::tests {
+
+struct store_fixture {
+    static gateway::store_row row(const std::string& key, const std::string& value) {
+        return {key, value, 3};
+    }
+
+    static const std::string& configuration_text() {
+        static const std::string text =
+            R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"streaming",)"
+            R"("timeout_ms":12000,"goal_ms":1500,"priority":1,"max_attempts":2,"sticky":true,)"
+            R"("traffic_split":[{"service":"m","weight":90},{"service":"n","weight":10}],)"
+            R"("stages":[{"service":"s","after":[],"byte_count":8000},)"
+            R"({"service":"s","after":[0],"byte_count":600}],"resumable":true,"gap_target_ms":600}],)"
+            R"("services":[{"name":"s","max_conns":9,"pieces":{"slots":1,"queue":2,"batch":8,)"
+            R"("call_ms":240.0,"item_ms":26.0,"headroom_mb":9.6,"handle_s":4.0}}],)"
+            R"("limits":{"max_body_bytes":4000,"idle_timeout_ms":15000},)"
+            R"("tenants":[{"name":"w","api_keys":["k1","k2"],"priority":0}]})";
+        return text;
+    }
+
+    static const std::string& upstream_text() {
+        static const std::string text =
+            R"({"service":"s","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":64,)"
+            R"("state":"ready","cold_left_ms":0,"seq":4,"born":17})";
+        return text;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(store_test, store_fixture)
+
+BOOST_AUTO_TEST_CASE(rows_with_values_and_removed_rows_are_decoded) {
+    const auto answer = users_platform::decode_rows(
+        {200,
+         {},
+         R"({"rows":[{"table":"t","part":"","key":"a","value":"bm9kZS0x","row_version":4},)"
+         R"({"table":"t","part":"","key":"b","deleted":true,"row_version":5}],"row_version":9})"});
+    BOOST_REQUIRE((answer.outcome == gateway::store_outcome::done));
+    BOOST_TEST(answer.content.version == 9U);
+    BOOST_TEST(*answer.content.rows[0].value == "node-1");
+    BOOST_TEST(!answer.content.rows[1].value.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(store_answers_without_rows_are_told_apart) {
+    const auto outcome = [](unsigned status) {
+        return users_platform::decode_rows({status, {}, "{}"}).outcome;
+    };
+    BOOST_TEST((outcome(410) == gateway::store_outcome::history_lost));
+    BOOST_TEST((outcome(429) == gateway::store_outcome::unavailable));
+    BOOST_TEST((outcome(503) == gateway::store_outcome::unavailable));
+    BOOST_TEST((outcome(200) == gateway::store_outcome::malformed));
+}
+
+BOOST_AUTO_TEST_CASE(configuration_is_decoded_whole) {
+    const auto read = users_platform::decode_configuration(row("config", configuration_text()));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->version == 7U);
+    const auto& route = read->routes.at(0);
+    BOOST_TEST((route.kind == gateway::repeatability::stream));
+    BOOST_TEST(route.services.size() == 2U);
+    BOOST_TEST(route.stages.at(1).after.front() == 0U);
+    BOOST_TEST((route.longest_pause == std::chrono::milliseconds{600}));
+    BOOST_TEST(read->services.at("s").pieces->batch == 8U);
+    BOOST_TEST(read->workspaces_by_key.at("k2").name == "w");
+    BOOST_TEST(read->keys_required);
+    BOOST_TEST(!users_platform::decode_configuration(row("other", "{}")).has_value());
+}
+
+// Guards against use of an entry from another writer.
+BOOST_AUTO_TEST_CASE(upstream_entry_with_missing_or_unknown_fields_is_reported) {
+    const auto good = users_platform::decode_upstream(row("i-1", upstream_text()));
+    BOOST_TEST(good.address.port == 8080U);
+    BOOST_TEST(good.started_ms == 17);
+    for (const auto* bad :
+         {"", "7", "{}", R"({"service":"s","address":"x","zone":"a","slots":1,"state":"ready"})",
+          R"({"service":"s","address":"1.1.1.1:1","zone":"a","slots":1,"state":"gone"})",
+          R"({"service":5,"address":"1.1.1.1:1","zone":"a","slots":1,"state":"ready"})"}) {
+        BOOST_TEST_CONTEXT(bad) {
+            BOOST_CHECK_THROW(users_platform::decode_upstream(row("i-1", bad)),
+                              common::format_error);
+        }
+    }
+}
+
+// Guards against bytes in the store that end the process: a decoder either reads them or reports
+// them as malformed.
+BOOST_AUTO_TEST_CASE(decoders_with_damaged_bytes_report_or_read_them) {
+    const auto survives = [](const auto& decode) {
+        try {
+            decode();
+        } catch (const common::format_error&) {
+            return true;
+        }
+        return true;
+    };
+    check_property(20261204, 400, [&] {
+        auto text = *rc::gen::element(configuration_text(), upstream_text());
+        const auto count = *rc::gen::inRange(1, 6);
+        for (int n = 0; n < count; ++n) {
+            const auto pos = *rc::gen::inRange<std::size_t>(0, text.size());
+            text[pos] = *rc::gen::arbitrary<char>();
+        }
+        RC_ASSERT(survives([&] { users_platform::decode_configuration(row("config", text)); }));
+        RC_ASSERT(survives([&] { users_platform::decode_upstream(row("i-1", text)); }));
+        RC_ASSERT(survives([&] { users_platform::decode_rows({200, {}, text}); }));
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
--- /dev/null
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -0,0 +1,73 @@
+#include "wire/gateway_codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "common/error.h"
+
+namespace jujubemast::tests {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct gateway_codec_fixture {
+    // Clocks of two gateways with unrelated origins.
+    common::time_point sender_now{seconds{5}};
+    common::time_point receiver_now{seconds{90'000}};
+
+    wire::gateway_message round_trip(const wire::gateway_content& content) const {
+        return wire::decode_gateway_message(wire::encode({"g1", 7, content}, sender_now),
+                                            receiver_now);
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(gateway_codec_test, gateway_codec_fixture)
+
+// Guards against deadlines that are read in the clock of another process.
+BOOST_AUTO_TEST_CASE(order_on_another_clock_keeps_its_remaining_times) {
+    gateway::piece_order order;
+    order.key = {"", 42};
+    order.attempt_id = "a1";
+    order.service = "s";
+    order.count = 3;
+    order.inputs = {"h1", "h2"};
+    order.target = sender_now + milliseconds{700};
+    order.latest = sender_now + seconds{4};
+    const auto message = round_trip(order);
+    BOOST_TEST(message.incarnation == 7U);
+    const auto& read = std::get<gateway::piece_order>(message.content);
+    BOOST_TEST(read.key.origin == "g1");
+    BOOST_TEST(read.key.number == 42U);
+    BOOST_TEST(read.inputs == order.inputs, boost::test_tools::per_element());
+    BOOST_TEST((read.target == receiver_now + milliseconds{700}));
+    BOOST_TEST((read.latest == receiver_now + seconds{4}));
+}
+
+BOOST_AUTO_TEST_CASE(outcome_keeps_status_and_handles) {
+    gateway::order_settled settled{{"g2", 9}, {gateway::order_status::made, {"h"}, seconds{1}}};
+    const auto message = round_trip(settled);
+    const auto& read = std::get<gateway::order_settled>(message.content);
+    BOOST_TEST(read.key.number == 9U);
+    BOOST_TEST((read.outcome.status == gateway::order_status::made));
+    BOOST_TEST(read.outcome.handles.front() == "h");
+    BOOST_TEST((read.outcome.retry_after == seconds{1}));
+}
+
+BOOST_AUTO_TEST_CASE(backlogs_keep_pieces_by_priority) {
+    gateway::backlogs_changed report{{{"s", {{0, 4}, {2, 9}}, 5, 3}}};
+    const auto message = round_trip(report);
+    const auto& read = std::get<gateway::backlogs_changed>(message.content);
+    BOOST_REQUIRE(read.services.size() == 1U);
+    BOOST_TEST(read.services[0].waiting.at(2) == 9U);
+    BOOST_TEST(read.services[0].instances == 5U);
+    BOOST_TEST(read.services[0].busy == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_message_are_reported) {
+    BOOST_CHECK_THROW(wire::decode_gateway_message("\xff\xff\xff", receiver_now),
+                      common::format_error);
+    BOOST_CHECK_THROW(wire::decode_gateway_message("", receiver_now), common::format_error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
