--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -4,7 +4,8 @@
 
 set(package_dir ${CMAKE_INSTALL_LIBDIR}/cmake/jujubemast)
 
-install(TARGETS jujubemast-entry jujubemast-sidecar jujubemast-ctl jujubemast-load)
+install(TARGETS jujubemast-entry jujubemast-sidecar jujubemast-ctl jujubemast-load
+                jujubemast-gateway)
 install(TARGETS jujubemast jujubemast_messages EXPORT jujubemast_targets)
 # No public header needs the generated protobuf code.
 install(DIRECTORY source/core/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/jujubemast
@@ -19,7 +20,7 @@
         DESTINATION ${package_dir})
 
 # bash-completion loads a file named after the program.
-foreach(program entry sidecar ctl load)
+foreach(program entry sidecar ctl load gateway)
     install(FILES share/bash-completion/jujubemast
             DESTINATION ${CMAKE_INSTALL_DATADIR}/bash-completion/completions
             RENAME jujubemast-${program})
--- a/source/core/ctl/change_command.cpp
+++ b/source/core/ctl/change_command.cpp
@@ -45,9 +45,9 @@
 private:
     void attempt() {
         m_view = {};
-        read({tickets::head_table, tickets::head_key}, [this](const platform::row& head) {
+        read({tickets::head_table, tickets::head_key}, [this](const table_service::row& head) {
             m_view.head = head;
-            read(ticket_row(m_kind.ticket), [this](const platform::row& row) {
+            read(ticket_row(m_kind.ticket), [this](const table_service::row& row) {
                 m_view.ticket = row;
                 read_other();
             });
@@ -62,14 +62,14 @@
             read_objects();
             return;
         }
-        read(ticket_row(other), [this](const platform::row& row) {
+        read(ticket_row(other), [this](const table_service::row& row) {
             m_view.other = row;
             read_objects();
         });
     }
 
     void read_objects() {
-        scan(tickets::objects_table, [this](const std::vector<platform::row>& objects) {
+        scan(tickets::objects_table, [this](const std::vector<table_service::row>& objects) {
             m_view.objects = objects;
             decide();
         });
@@ -88,22 +88,22 @@
     }
 
     void write(const tickets::change_plan& plan) {
-        commit(plan.work, [this, revision = plan.revision](platform::store_status status) {
+        commit(plan.work, [this, revision = plan.revision](table_service::store_status status) {
             switch (status) {
-            case platform::store_status::done:
+            case table_service::store_status::done:
                 took_effect(revision);
                 return;
-            case platform::store_status::conflict:
+            case table_service::store_status::conflict:
                 if (++m_attempts < max_attempts) {
                     attempt();
                     return;
                 }
                 finish(command_result::refused, "too many changes are made at the same time");
                 return;
-            case platform::store_status::unavailable:
+            case table_service::store_status::unavailable:
                 finish_unavailable();
                 return;
-            case platform::store_status::unknown:
+            case table_service::store_status::unknown:
                 settle(revision);
                 return;
             }
@@ -111,20 +111,21 @@
     }
 
     void settle(std::uint64_t revision) {
-        try_read(ticket_row(m_kind.ticket), [this, revision](const platform::rows_result& result) {
-            if (result.status != platform::store_status::done) {
-                finish(command_result::unknown_outcome, "unknown whether " + m_kind.effect +
-                                                            "; settle it by: jujubemast-ctl " +
-                                                            m_kind.settling_command);
-                return;
-            }
-            const auto& value = result.rows.front().value;
-            if (!value.is_null() && m_kind.token(tickets::ticket_from_json(value)) == m_token) {
-                took_effect(revision);
-                return;
-            }
-            attempt();
-        });
+        try_read(
+            ticket_row(m_kind.ticket), [this, revision](const table_service::rows_result& result) {
+                if (result.status != table_service::store_status::done) {
+                    finish(command_result::unknown_outcome, "unknown whether " + m_kind.effect +
+                                                                "; settle it by: jujubemast-ctl " +
+                                                                m_kind.settling_command);
+                    return;
+                }
+                const auto& value = result.rows.front().value;
+                if (!value.is_null() && m_kind.token(tickets::ticket_from_json(value)) == m_token) {
+                    took_effect(revision);
+                    return;
+                }
+                attempt();
+            });
     }
 
     void took_effect(std::uint64_t revision) {
--- a/source/core/ctl/create_command.cpp
+++ b/source/core/ctl/create_command.cpp
@@ -47,18 +47,20 @@
 private:
     void attempt() {
         m_view = {};
-        read({tickets::head_table, tickets::last_number_key}, [this](const platform::row& number) {
-            m_view.last_number = number;
-            scan(tickets::objects_table, [this](const std::vector<platform::row>& objects) {
-                m_view.objects = objects;
-                read_content();
-            });
-        });
+        read({tickets::head_table, tickets::last_number_key},
+             [this](const table_service::row& number) {
+                 m_view.last_number = number;
+                 scan(tickets::objects_table,
+                      [this](const std::vector<table_service::row>& objects) {
+                          m_view.objects = objects;
+                          read_content();
+                      });
+             });
     }
 
     void read_content() {
         const auto key = tickets::content_key(m_objects, tickets::records_of(m_view.objects));
-        read({tickets::contents_table, key}, [this](const platform::row& content) {
+        read({tickets::contents_table, key}, [this](const table_service::row& content) {
             m_view.content = content;
             const auto* reference = content.value.if_object();
             if (reference == nullptr) {
@@ -66,7 +68,7 @@
                 return;
             }
             read(ticket_row(reference->at("number").to_number<std::uint64_t>()),
-                 [this](const platform::row& row) {
+                 [this](const table_service::row& row) {
                      m_view.same_content = row;
                      decide();
                  });
@@ -86,22 +88,22 @@
     }
 
     void store(const tickets::creation_plan& plan) {
-        commit(plan.work, [this, number = plan.number](platform::store_status status) {
+        commit(plan.work, [this, number = plan.number](table_service::store_status status) {
             switch (status) {
-            case platform::store_status::done:
+            case table_service::store_status::done:
                 created(number);
                 return;
-            case platform::store_status::conflict:
+            case table_service::store_status::conflict:
                 if (++m_attempts < max_attempts) {
                     attempt();
                     return;
                 }
                 finish(command_result::refused, "too many tickets are created at the same time");
                 return;
-            case platform::store_status::unavailable:
+            case table_service::store_status::unavailable:
                 finish_unavailable();
                 return;
-            case platform::store_status::unknown:
+            case table_service::store_status::unknown:
                 settle(number);
                 return;
             }
@@ -109,8 +111,8 @@
     }
 
     void settle(std::uint64_t number) {
-        try_read(ticket_row(number), [this, number](const platform::rows_result& result) {
-            if (result.status != platform::store_status::done) {
+        try_read(ticket_row(number), [this, number](const table_service::rows_result& result) {
+            if (result.status != table_service::store_status::done) {
                 finish(command_result::unknown_outcome,
                        "unknown whether ticket " + std::to_string(number) +
                            " was created; settle it by: jujubemast-ctl ticket create " +
--- a/source/core/ctl/query_commands.cpp
+++ b/source/core/ctl/query_commands.cpp
@@ -28,7 +28,7 @@
     using store_command::store_command;
 
     void start() override {
-        scan(tickets::tickets_table, [this](const std::vector<platform::row>& rows) {
+        scan(tickets::tickets_table, [this](const std::vector<table_service::row>& rows) {
             std::string text;
             boost::json::array list;
             for (const auto& it : rows) {
@@ -56,7 +56,7 @@
     using store_command::store_command;
 
     void start() override {
-        read(ticket_row(ticket_number()), [this](const platform::row& row) {
+        read(ticket_row(ticket_number()), [this](const table_service::row& row) {
             if (row.value.is_null()) {
                 finish(command_result::refused, "there is no such ticket");
                 return;
@@ -73,7 +73,7 @@
     using store_command::store_command;
 
     void start() override {
-        read(ticket_row(ticket_number()), [this](const platform::row& row) {
+        read(ticket_row(ticket_number()), [this](const table_service::row& row) {
             if (row.value.is_null()) {
                 finish(command_result::refused, "there is no such ticket");
                 return;
@@ -83,9 +83,10 @@
                 print(change, change.previous);
                 return;
             }
-            scan(tickets::objects_table, [this, change](const std::vector<platform::row>& rows) {
-                print(change, tickets::records_of(rows));
-            });
+            scan(tickets::objects_table,
+                 [this, change](const std::vector<table_service::row>& rows) {
+                     print(change, tickets::records_of(rows));
+                 });
         });
     }
 
@@ -120,8 +121,8 @@
     using store_command::store_command;
 
     void start() override {
-        read({tickets::head_table, tickets::head_key}, [this](const platform::row& head) {
-            scan(tickets::objects_table, [this, head](const std::vector<platform::row>& rows) {
+        read({tickets::head_table, tickets::head_key}, [this](const table_service::row& head) {
+            scan(tickets::objects_table, [this, head](const std::vector<table_service::row>& rows) {
                 print(tickets::head_revision(head), tickets::records_of(rows));
             });
         });
--- a/source/core/ctl/status_command.cpp
+++ b/source/core/ctl/status_command.cpp
@@ -31,7 +31,7 @@
 
     void start() override {
         m_started = common::monotonic_clock::now();
-        read(ticket_row(ticket_number()), [this](const platform::row& row) { found(row); });
+        read(ticket_row(ticket_number()), [this](const table_service::row& row) { found(row); });
     }
 
     void close() noexcept override {
@@ -43,7 +43,7 @@
     }
 
 private:
-    void found(const platform::row& row) {
+    void found(const table_service::row& row) {
         if (row.value.is_null()) {
             finish(command_result::refused, "there is no such ticket");
             return;
--- a/source/core/ctl/store_command.cpp
+++ b/source/core/ctl/store_command.cpp
@@ -19,15 +19,15 @@
     m_store.close();
 }
 
-void store_command::try_read(const platform::row_key& target,
-                             std::function<void(const platform::rows_result&)> use) {
+void store_command::try_read(const table_service::row_key& target,
+                             std::function<void(const table_service::rows_result&)> use) {
     m_store.read(target, std::move(use));
 }
 
-void store_command::read(const platform::row_key& target,
-                         std::function<void(const platform::row&)> use) {
-    m_store.read(target, [this, use = std::move(use)](const platform::rows_result& result) {
-        if (result.status != platform::store_status::done) {
+void store_command::read(const table_service::row_key& target,
+                         std::function<void(const table_service::row&)> use) {
+    m_store.read(target, [this, use = std::move(use)](const table_service::rows_result& result) {
+        if (result.status != table_service::store_status::done) {
             finish_unavailable();
             return;
         }
@@ -36,9 +36,9 @@
 }
 
 void store_command::scan(const std::string& table,
-                         std::function<void(const std::vector<platform::row>&)> use) {
-    m_store.scan(table, "", [this, use = std::move(use)](const platform::rows_result& result) {
-        if (result.status != platform::store_status::done) {
+                         std::function<void(const std::vector<table_service::row>&)> use) {
+    m_store.scan(table, "", [this, use = std::move(use)](const table_service::rows_result& result) {
+        if (result.status != table_service::store_status::done) {
             finish_unavailable();
             return;
         }
@@ -46,8 +46,8 @@
     });
 }
 
-void store_command::commit(const platform::transaction& work,
-                           std::function<void(platform::store_status)> done) {
+void store_command::commit(const table_service::transaction& work,
+                           std::function<void(table_service::store_status)> done) {
     m_store.commit(work, std::move(done));
 }
 
@@ -66,7 +66,7 @@
     return std::strtoull(m_call.arguments.front().c_str(), nullptr, 10);
 }
 
-platform::row_key store_command::ticket_row(std::uint64_t number) {
+table_service::row_key store_command::ticket_row(std::uint64_t number) {
     return {tickets::tickets_table, tickets::ticket_row_key(number)};
 }
 
--- a/source/core/ctl/store_command.h
+++ b/source/core/ctl/store_command.h
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "ctl/command.h"
-#include "platform/store.h"
 #include "runtime/task.h"
+#include "table_service/store.h"
 
 namespace jujubemast::ctl {
 
@@ -18,21 +18,23 @@
     void close() noexcept override;
 
 protected:
-    void read(const platform::row_key& target, std::function<void(const platform::row&)> use);
-    void scan(const std::string& table, std::function<void(const std::vector<platform::row>&)> use);
-    void commit(const platform::transaction& work,
-                std::function<void(platform::store_status)> done);
+    void read(const table_service::row_key& target,
+              std::function<void(const table_service::row&)> use);
+    void scan(const std::string& table,
+              std::function<void(const std::vector<table_service::row>&)> use);
+    void commit(const table_service::transaction& work,
+                std::function<void(table_service::store_status)> done);
 
     /// Reads without ending the command when there is no answer.
-    void try_read(const platform::row_key& target,
-                  std::function<void(const platform::rows_result&)> use);
+    void try_read(const table_service::row_key& target,
+                  std::function<void(const table_service::rows_result&)> use);
 
     void finish(command_result result, std::string text, boost::json::object data = {});
     void finish_unavailable();
 
     /// The ticket number in the first argument.
     [[nodiscard]] std::uint64_t ticket_number() const;
-    static platform::row_key ticket_row(std::uint64_t number);
+    static table_service::row_key ticket_row(std::uint64_t number);
 
     [[nodiscard]] const invocation& call() const { return m_call; }
     [[nodiscard]] const runtime::task_context& context() const { return m_context; }
@@ -41,7 +43,7 @@
     runtime::task_context m_context;
     invocation m_call;
     report_hook m_report;
-    platform::store m_store;
+    table_service::store m_store;
 };
 
 } // namespace jujubemast::ctl
--- a/source/core/entry/claim_decision.cpp
+++ b/source/core/entry/claim_decision.cpp
@@ -35,7 +35,7 @@
     return claim_refused{outcome_not_known()};
 }
 
-claim_view judge_claim(const platform::row& row, const std::string& digest,
+claim_view judge_claim(const table_service::row& row, const std::string& digest,
                        const std::string& token, std::int64_t wall_ms) {
     if (row.value.is_null()) {
         return claim_free{row.version};
--- a/source/core/entry/claim_decision.h
+++ b/source/core/entry/claim_decision.h
@@ -6,7 +6,7 @@
 
 #include "entry/claim_record.h"
 #include "entry/problem.h"
-#include "platform/store.h"
+#include "table_service/store.h"
 
 namespace jujubemast::entry {
 
@@ -35,7 +35,7 @@
 /// Judges a claim's row for a request with this digest and token. A claim is free only when the row
 /// is absent or expired. Past its deadline, a claim in progress reads as unknown outcome; it is
 /// never taken over, so a wrong wall clock cannot let a request run twice.
-claim_view judge_claim(const platform::row& row, const std::string& digest,
+claim_view judge_claim(const table_service::row& row, const std::string& digest,
                        const std::string& token, std::int64_t wall_ms);
 
 /// Judges a request that repeats a claim which this entry has in memory.
--- a/source/core/entry/claim_ledger.cpp
+++ b/source/core/entry/claim_ledger.cpp
@@ -115,8 +115,8 @@
     }
 }
 
-void claim_ledger::add_write(const claim& it, platform::transaction& work) const {
-    const platform::row_key target{claims_table, it.row_key};
+void claim_ledger::add_write(const claim& it, table_service::transaction& work) const {
+    const table_service::row_key target{claims_table, it.row_key};
     work.conditions.push_back({target, it.version});
     if (it.phase == claim_phase::releasing) {
         work.writes.push_back({target, std::nullopt});
@@ -125,7 +125,7 @@
     }
 }
 
-claim_actions claim_ledger::group_committed(std::uint64_t group, platform::store_status status,
+claim_actions claim_ledger::group_committed(std::uint64_t group, table_service::store_status status,
                                             common::time_point now) {
     claim_actions actions;
     const auto node = m_groups.extract(group);
@@ -139,15 +139,15 @@
         }
         auto& it = position->second;
         switch (status) {
-        case platform::store_status::done:
+        case table_service::store_status::done:
             ++it.version;
             write_applied(id, it, now, actions);
             break;
-        case platform::store_status::unavailable:
+        case table_service::store_status::unavailable:
             write_refused(id, it, now, actions);
             break;
-        case platform::store_status::conflict:
-        case platform::store_status::unknown:
+        case table_service::store_status::conflict:
+        case table_service::store_status::unknown:
             read_back(id, it, actions);
             break;
         }
@@ -194,7 +194,7 @@
     actions.emplace_back(claim_granted{id});
 }
 
-claim_actions claim_ledger::row_received(std::uint64_t id, const platform::rows_result& result,
+claim_actions claim_ledger::row_received(std::uint64_t id, const table_service::rows_result& result,
                                          common::time_point now, std::int64_t wall_ms) {
     claim_actions actions;
     const auto position = m_claims.find(id);
@@ -202,7 +202,7 @@
         return actions;
     }
     auto& it = position->second;
-    if (result.status != platform::store_status::done || result.rows.empty()) {
+    if (result.status != table_service::store_status::done || result.rows.empty()) {
         retry_later(id, it, write_place::waiting_to_read, now);
         return actions;
     }
@@ -215,7 +215,7 @@
     return actions;
 }
 
-void claim_ledger::settle_taking(std::uint64_t id, claim& it, const platform::row& row,
+void claim_ledger::settle_taking(std::uint64_t id, claim& it, const table_service::row& row,
                                  common::time_point now, std::int64_t wall_ms,
                                  claim_actions& actions) {
     const auto view = judge_claim(row, it.record.digest, it.record.token, wall_ms);
@@ -240,7 +240,7 @@
     erase(id);
 }
 
-void claim_ledger::settle_closing(std::uint64_t id, claim& it, const platform::row& row,
+void claim_ledger::settle_closing(std::uint64_t id, claim& it, const table_service::row& row,
                                   common::time_point now, claim_actions& actions) {
     const auto record = claim_from_json(row.value);
     const bool own = record && record->token == it.record.token;
--- a/source/core/entry/claim_ledger.h
+++ b/source/core/entry/claim_ledger.h
@@ -17,7 +17,7 @@
 #include "common/time.h"
 #include "entry/claim_decision.h"
 #include "entry/messages.h"
-#include "platform/store.h"
+#include "table_service/store.h"
 
 namespace jujubemast::entry {
 
@@ -44,13 +44,13 @@
 /// Asks for a transaction; its end is reported to `group_committed`.
 struct commit_group {
     std::uint64_t group = 0;
-    platform::transaction work;
+    table_service::transaction work;
 };
 
 /// Asks for the row of a claim; its content is reported to `row_received`.
 struct read_claim {
     std::uint64_t id = 0;
-    platform::row_key target;
+    table_service::row_key target;
 };
 
 using claim_action =
@@ -68,9 +68,9 @@
     claim_actions request(const claim_request& message, common::time_point now,
                           std::int64_t wall_ms);
     claim_actions close(const close_claim& message, common::time_point now);
-    claim_actions group_committed(std::uint64_t group, platform::store_status status,
+    claim_actions group_committed(std::uint64_t group, table_service::store_status status,
                                   common::time_point now);
-    claim_actions row_received(std::uint64_t id, const platform::rows_result& result,
+    claim_actions row_received(std::uint64_t id, const table_service::rows_result& result,
                                common::time_point now, std::int64_t wall_ms);
     /// Does what is due: sends a group, gives up waits, tries again.
     claim_actions time_passed(common::time_point now);
@@ -106,9 +106,9 @@
     void enqueue(std::uint64_t id, claim& it, common::time_point now);
     void retry_later(std::uint64_t id, claim& it, write_place place, common::time_point now);
     void read_back(std::uint64_t id, claim& it, claim_actions& actions);
-    void settle_taking(std::uint64_t id, claim& it, const platform::row& row,
+    void settle_taking(std::uint64_t id, claim& it, const table_service::row& row,
                        common::time_point now, std::int64_t wall_ms, claim_actions& actions);
-    void settle_closing(std::uint64_t id, claim& it, const platform::row& row,
+    void settle_closing(std::uint64_t id, claim& it, const table_service::row& row,
                         common::time_point now, claim_actions& actions);
     void write_applied(std::uint64_t id, claim& it, common::time_point now, claim_actions& actions);
     void write_refused(std::uint64_t id, claim& it, common::time_point now, claim_actions& actions);
@@ -117,7 +117,7 @@
     /// Gives up a claim that is not confirmed yet; if its row appears, it is released.
     void abandon(std::uint64_t id, claim& it);
     void flush(common::time_point now, claim_actions& actions);
-    void add_write(const claim& it, platform::transaction& work) const;
+    void add_write(const claim& it, table_service::transaction& work) const;
     void schedule(std::uint64_t id, claim& it);
     void erase(std::uint64_t id);
 
--- a/source/core/entry/claims.cpp
+++ b/source/core/entry/claims.cpp
@@ -80,13 +80,13 @@
 }
 
 void claims::perform_one(const commit_group& action) {
-    m_store.commit(action.work, [this, group = action.group](platform::store_status status) {
+    m_store.commit(action.work, [this, group = action.group](table_service::store_status status) {
         perform(m_ledger.group_committed(group, status, m_hooks.clock()));
     });
 }
 
 void claims::perform_one(const read_claim& action) {
-    m_store.read(action.target, [this, id = action.id](const platform::rows_result& result) {
+    m_store.read(action.target, [this, id = action.id](const table_service::rows_result& result) {
         perform(m_ledger.row_received(id, result, m_hooks.clock(), m_hooks.wall_clock()));
     });
 }
--- a/source/core/entry/claims.h
+++ b/source/core/entry/claims.h
@@ -6,9 +6,9 @@
 #include "common/time.h"
 #include "entry/claim_ledger.h"
 #include "entry/messages.h"
-#include "platform/store.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
+#include "table_service/store.h"
 
 namespace jujubemast::entry {
 
@@ -46,7 +46,7 @@
     runtime::task_context m_context;
     runtime::inbox<claims_message> m_inbox;
     runtime::address<coordinator_message> m_coordinator;
-    platform::store m_store;
+    table_service::store m_store;
     claims_hooks m_hooks;
     claim_ledger m_ledger;
     runtime::timer m_timer;
--- a/source/core/entry/links.cpp
+++ b/source/core/entry/links.cpp
@@ -62,13 +62,13 @@
     }
 }
 
-std::vector<platform::instance>
-links::subset_of(const std::vector<platform::instance>& members) const {
-    std::map<std::string, std::vector<platform::instance>> pools;
+std::vector<table_service::instance>
+links::subset_of(const std::vector<table_service::instance>& members) const {
+    std::map<std::string, std::vector<table_service::instance>> pools;
     for (const auto& it : members) {
         pools[it.pool].push_back(it);
     }
-    std::vector<platform::instance> chosen;
+    std::vector<table_service::instance> chosen;
     for (const auto& [name, pool] : pools) {
         std::vector<policy::subset_member> candidates;
         candidates.reserve(pool.size());
@@ -95,10 +95,10 @@
     if (!m_links.empty()) {
         return;
     }
-    std::vector<platform::instance> seeds;
+    std::vector<table_service::instance> seeds;
     for (const auto& it : message.addresses) {
         // Without a pool, no request is routed to it.
-        seeds.push_back({"seed:" + it, "", "", it, platform::instance_state::live});
+        seeds.push_back({"seed:" + it, "", "", it, table_service::instance_state::live});
     }
     handle(members_changed{std::move(seeds)});
 }
@@ -213,7 +213,7 @@
            now - target.unanswered.front().sent > m_limits.monitor.silence_limit) {
         target.unanswered.pop_front();
     }
-    const bool leaving = target.instance.state == platform::instance_state::leaving;
+    const bool leaving = target.instance.state == table_service::instance_state::leaving;
     const auto bytes =
         wire::encode(protocol::ping{m_identity.name, m_next_nonce, m_revision, leaving});
     // A heartbeat that finds no peer counts as sent, so that its missing answer ends the link.
--- a/source/core/entry/links.h
+++ b/source/core/entry/links.h
@@ -66,7 +66,7 @@
         std::set<protocol::work_identity> in_progress;
         /// Work that waits for the link to be checked.
         std::deque<waiting_dispatch> waiting;
-        platform::instance instance;
+        table_service::instance instance;
         std::unique_ptr<wire::dealer> socket;
         link_status status;
         /// Heartbeats without an answer yet, oldest first.
@@ -77,8 +77,8 @@
     };
 
     void handle(const members_changed& message);
-    [[nodiscard]] std::vector<platform::instance>
-    subset_of(const std::vector<platform::instance>& members) const;
+    [[nodiscard]] std::vector<table_service::instance>
+    subset_of(const std::vector<table_service::instance>& members) const;
     void handle(const send_work& message);
     void handle(const announce_revision& message);
     void handle(const seed_addresses& message);
--- a/source/core/entry/membership.cpp
+++ b/source/core/entry/membership.cpp
@@ -28,12 +28,12 @@
 
 void membership::poll() {
     ++m_polls;
-    m_store.members([this](std::optional<std::vector<platform::instance>> members) {
+    m_store.members([this](std::optional<std::vector<table_service::instance>> members) {
         received(std::move(members));
     });
 }
 
-void membership::received(std::optional<std::vector<platform::instance>> members) {
+void membership::received(std::optional<std::vector<table_service::instance>> members) {
     if (members) {
         m_members = members->size();
         m_links.send(members_changed{std::move(*members)});
--- a/source/core/entry/membership.h
+++ b/source/core/entry/membership.h
@@ -5,9 +5,9 @@
 #include <vector>
 
 #include "entry/messages.h"
-#include "platform/store.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
+#include "table_service/store.h"
 
 namespace jujubemast::entry {
 
@@ -25,10 +25,10 @@
 
 private:
     void poll();
-    void received(std::optional<std::vector<platform::instance>> members);
+    void received(std::optional<std::vector<table_service::instance>> members);
 
     runtime::task_context m_context;
-    platform::store m_store;
+    table_service::store m_store;
     common::duration m_interval;
     std::vector<std::string> m_seeds;
     runtime::address<links_message> m_links;
--- a/source/core/entry/messages.h
+++ b/source/core/entry/messages.h
@@ -12,8 +12,8 @@
 #include "entry/claim_record.h"
 #include "entry/problem.h"
 #include "http/server.h"
-#include "platform/store.h"
 #include "protocol/messages.h"
+#include "table_service/store.h"
 #include "tickets/configuration.h"
 
 namespace jujubemast::entry {
@@ -57,7 +57,7 @@
 
 /// What is known of the link to a sidecar; sent with each heartbeat answer and each change.
 struct link_status {
-    platform::instance instance;
+    table_service::instance instance;
     bool up = false;
     std::uint64_t incarnation = 0;
     bool draining = false;
@@ -122,7 +122,7 @@
 
 /// The platform's list of instances.
 struct members_changed {
-    std::vector<platform::instance> members;
+    std::vector<table_service::instance> members;
 };
 
 /// Sends a message to the sidecar of an instance.
--- a/source/core/entry/upstream_set.cpp
+++ b/source/core/entry/upstream_set.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 bool takes_new_work(const link_status& status) {
-    return status.up && !status.draining && status.instance.state == platform::instance_state::live;
+    return status.up && !status.draining &&
+           status.instance.state == table_service::instance_state::live;
 }
 
 /// An upstream that does not report its models is taken to hold all of them.
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -117,6 +117,8 @@
     void admit(exchange& target);
     void final_time_reached(std::uint64_t id);
 
+    /// Instances of a service that take work.
+    [[nodiscard]] std::size_t count_serving(const std::string& service) const;
     /// Expected time until all stages are made.
     [[nodiscard]] common::duration expected_stages(const exchange& target) const;
     /// Expected time of the stages that follow this one.
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/forwarder_stages.cpp
@@ -32,6 +32,16 @@
     }
 }
 
+std::size_t forwarder::count_serving(const std::string& service) const {
+    if (!m_upstreams) {
+        return 0;
+    }
+    return static_cast<std::size_t>(
+        std::count_if(m_upstreams->begin(), m_upstreams->end(), [&](const auto& it) {
+            return it.second.service == service && it.second.phase == upstream_phase::serving;
+        }));
+}
+
 common::duration forwarder::raw_expected_stage(const exchange& target, std::uint32_t stage,
                                                common::duration start) const {
     const auto& service = target.target->stages[stage].service;
@@ -42,9 +52,10 @@
     const auto limits =
         sustained_limits(*known->second.pieces, target.target->stages[stage].result_bytes);
     const auto reported = m_backlogs.find(service);
-    // Without a report nothing waits.
-    auto backlog =
-        reported == m_backlogs.end() ? service_backlog{service, {}, 1, 0} : reported->second;
+    // Without a report nothing waits, and every instance is free.
+    auto backlog = reported == m_backlogs.end()
+                       ? service_backlog{service, {}, count_serving(service), 0}
+                       : reported->second;
     const auto upcoming = m_upcoming.find(service);
     if (upcoming != m_upcoming.end() && start > common::duration::zero()) {
         // The other gateways are taken to have as much on its way as this one.
--- a/source/core/gateway/gateway_settings.cpp
+++ b/source/core/gateway/gateway_settings.cpp
@@ -49,7 +49,7 @@
 const settings::setting<milliseconds> gateway_settings::callers_stop_limit{
     .section = "callers",
     .key = "stop_limit_ms",
-    .fallback = milliseconds{7500},
+    .fallback = milliseconds{6900},
     .help = "time after SIGTERM at which requests in progress are cut off",
     .check = check_positive_duration,
 };
--- a/source/core/platform/store.cpp
+++ b/source/core/table_service/store.cpp
@@ -1,10 +1,10 @@
-#include "platform/store.h"
+#include "table_service/store.h"
 
 #include <boost/json.hpp>
 
 #include "common/error.h"
 
-namespace jujubemast::platform {
+namespace jujubemast::table_service {
 
 namespace {
 
@@ -145,4 +145,4 @@
         [done = std::move(done)](const http::call_result& result) { done(members_of(result)); });
 }
 
-} // namespace jujubemast::platform
+} // namespace jujubemast::table_service
--- a/source/core/platform/store.h
+++ b/source/core/table_service/store.h
@@ -14,7 +14,7 @@
 #include "common/enum_names.h"
 #include "http/client.h"
 
-namespace jujubemast::platform {
+namespace jujubemast::table_service {
 
 /// Names a row of the table service.
 struct row_key {
@@ -95,18 +95,18 @@
     http::client m_client;
 };
 
-} // namespace jujubemast::platform
+} // namespace jujubemast::table_service
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<platform::store_status> {
+struct enum_names<table_service::store_status> {
     static constexpr std::array<std::string_view, 4> table{"done", "conflict", "unavailable",
                                                            "unknown"};
 };
 
 template <>
-struct enum_names<platform::instance_state> {
+struct enum_names<table_service::instance_state> {
     static constexpr std::array<std::string_view, 2> table{"live", "leaving"};
 };
 
--- a/source/core/tickets/change.cpp
+++ b/source/core/tickets/change.cpp
@@ -12,15 +12,15 @@
 
 namespace {
 
-std::uint64_t version_of(const std::vector<platform::row>& rows, const std::string& key) {
+std::uint64_t version_of(const std::vector<table_service::row>& rows, const std::string& key) {
     const auto it = std::find_if(rows.begin(), rows.end(),
-                                 [&](const platform::row& row) { return row.key == key; });
+                                 [&](const table_service::row& row) { return row.key == key; });
     return it == rows.end() ? 0 : it->version;
 }
 
 } // namespace
 
-std::uint64_t head_revision(const platform::row& head) {
+std::uint64_t head_revision(const table_service::row& head) {
     const auto* value = head.value.if_object();
     return value == nullptr ? 0 : value->at("revision").to_number<std::uint64_t>();
 }
@@ -38,20 +38,22 @@
     return faults;
 }
 
-void add_ticket(platform::transaction& work, const platform::row& row, const ticket& value) {
-    const platform::row_key target{tickets_table, row.key};
+void add_ticket(table_service::transaction& work, const table_service::row& row,
+                const ticket& value) {
+    const table_service::row_key target{tickets_table, row.key};
     work.conditions.push_back({target, row.version});
     work.writes.push_back({target, to_json(value)});
 }
 
-void add_configuration(platform::transaction& work, const change_view& view, std::uint64_t revision,
-                       const object_records& after, const object_states& touched) {
-    const platform::row_key head{head_table, head_key};
+void add_configuration(table_service::transaction& work, const change_view& view,
+                       std::uint64_t revision, const object_records& after,
+                       const object_states& touched) {
+    const table_service::row_key head{head_table, head_key};
     work.conditions.push_back({head, view.head.version});
     work.writes.push_back({head, boost::json::object{{"revision", revision},
                                                      {"digest", digest_of(states_of(after))}}});
     for (const auto& [name, state] : touched) {
-        const platform::row_key target{objects_table, object_row_key(name)};
+        const table_service::row_key target{objects_table, object_row_key(name)};
         work.conditions.push_back({target, version_of(view.objects, target.key)});
         work.writes.push_back({target, to_json(name, after.at(name))});
     }
--- a/source/core/tickets/change.h
+++ b/source/core/tickets/change.h
@@ -6,18 +6,18 @@
 #include <variant>
 #include <vector>
 
-#include "platform/store.h"
+#include "table_service/store.h"
 #include "tickets/ticket.h"
 
 namespace jujubemast::tickets {
 
 /// The rows that a change of the configuration is decided on, as read from the table service.
 struct change_view {
-    platform::row head;
-    platform::row ticket;
+    table_service::row head;
+    table_service::row ticket;
     /// The ticket that is superseded, or whose objects a withdrawal gives back; null for none.
-    platform::row other;
-    std::vector<platform::row> objects;
+    table_service::row other;
+    std::vector<table_service::row> objects;
 };
 
 /// Every reason why a change is refused.
@@ -33,7 +33,7 @@
 /// The transaction that makes the change, and the revision that it brings into force; zero for a
 /// change that leaves the configuration as it is.
 struct change_plan {
-    platform::transaction work;
+    table_service::transaction work;
     std::uint64_t revision = 0;
 };
 
@@ -43,16 +43,18 @@
 using change_hook = std::function<change_decision(const change_view&, const std::string& token)>;
 
 /// Returns the revision of the head row; zero when there is none.
-std::uint64_t head_revision(const platform::row& head);
+std::uint64_t head_revision(const table_service::row& head);
 
 /// Returns the faults of the configuration that these objects would make.
 std::vector<std::string> faults_of(const object_states& objects);
 
 /// Adds the condition that the row has not changed since it was read, and its new value.
-void add_ticket(platform::transaction& work, const platform::row& row, const ticket& value);
+void add_ticket(table_service::transaction& work, const table_service::row& row,
+                const ticket& value);
 
 /// Adds the head row and the named objects with their new records to the transaction.
-void add_configuration(platform::transaction& work, const change_view& view, std::uint64_t revision,
-                       const object_records& after, const object_states& touched);
+void add_configuration(table_service::transaction& work, const change_view& view,
+                       std::uint64_t revision, const object_records& after,
+                       const object_states& touched);
 
 } // namespace jujubemast::tickets
--- a/source/core/tickets/creation.cpp
+++ b/source/core/tickets/creation.cpp
@@ -46,8 +46,8 @@
     if (auto faults = faults_of(states_of(apply_ticket(records, added))); !faults.empty()) {
         return change_refusal{std::move(faults)};
     }
-    const platform::row_key number{head_table, last_number_key};
-    const platform::row_key content{contents_table, content_key(touched, records)};
+    const table_service::row_key number{head_table, last_number_key};
+    const table_service::row_key content{contents_table, content_key(touched, records)};
     const boost::json::value reference = boost::json::object{{"number", added.number}};
     creation_plan plan{{}, added.number};
     add_ticket(plan.work, {ticket_row_key(added.number), 0, nullptr}, added);
--- a/source/core/tickets/creation.h
+++ b/source/core/tickets/creation.h
@@ -11,11 +11,11 @@
 
 /// The rows that the creation of a ticket is decided on.
 struct creation_view {
-    platform::row last_number;
-    std::vector<platform::row> objects;
+    table_service::row last_number;
+    std::vector<table_service::row> objects;
     /// The row of the ticket's content, and the ticket that it leads to; null for none.
-    platform::row content;
-    platform::row same_content;
+    table_service::row content;
+    table_service::row same_content;
 };
 
 /// A created ticket has the same content and the same base.
@@ -24,7 +24,7 @@
 };
 
 struct creation_plan {
-    platform::transaction work;
+    table_service::transaction work;
     std::uint64_t number = 0;
 };
 
--- a/source/core/tickets/object_record.cpp
+++ b/source/core/tickets/object_record.cpp
@@ -28,7 +28,7 @@
              row.at("revision").to_number<std::uint64_t>()}};
 }
 
-object_records records_of(const std::vector<platform::row>& rows) {
+object_records records_of(const std::vector<table_service::row>& rows) {
     object_records records;
     for (const auto& it : rows) {
         records.insert(record_from_json(it.value));
@@ -46,7 +46,7 @@
     return objects;
 }
 
-object_states states_of(const std::vector<platform::row>& rows) {
+object_states states_of(const std::vector<table_service::row>& rows) {
     return states_of(records_of(rows));
 }
 
--- a/source/core/tickets/object_record.h
+++ b/source/core/tickets/object_record.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/store.h"
+#include "table_service/store.h"
 #include "tickets/configuration.h"
 
 namespace jujubemast::tickets {
@@ -33,10 +33,10 @@
 std::pair<std::string, object_record> record_from_json(const boost::json::value& value);
 
 /// Returns the records of all objects from their rows, removed ones included.
-object_records records_of(const std::vector<platform::row>& rows);
+object_records records_of(const std::vector<table_service::row>& rows);
 
 /// Returns the states of all objects in force.
 object_states states_of(const object_records& records);
-object_states states_of(const std::vector<platform::row>& rows);
+object_states states_of(const std::vector<table_service::row>& rows);
 
 } // namespace jujubemast::tickets
--- a/source/core/tickets/replica.cpp
+++ b/source/core/tickets/replica.cpp
@@ -26,7 +26,7 @@
     if (m_options.platform) {
         const http::client_limits limits{.head_timeout = std::chrono::seconds{2},
                                          .progress_timeout = std::chrono::seconds{2}};
-        m_store = std::make_unique<platform::store>(m_context, *m_options.platform, limits);
+        m_store = std::make_unique<table_service::store>(m_context, *m_options.platform, limits);
     }
 }
 
@@ -88,11 +88,11 @@
 void replica::poll() {
     ++m_polls;
     m_store->read({head_table, head_key},
-                  [this](const platform::rows_result& result) { head_received(result); });
+                  [this](const table_service::rows_result& result) { head_received(result); });
 }
 
-void replica::head_received(const platform::rows_result& result) {
-    if (result.status != platform::store_status::done) {
+void replica::head_received(const table_service::rows_result& result) {
+    if (result.status != table_service::store_status::done) {
         ++m_failed_polls;
         wait();
         return;
@@ -105,16 +105,17 @@
         wait();
         return;
     }
-    m_store->scan(
-        objects_table, "",
-        [this, revision, digest = head->at("digest").to_number<std::uint64_t>()](
-            const platform::rows_result& objects) { objects_received(revision, digest, objects); });
+    m_store->scan(objects_table, "",
+                  [this, revision, digest = head->at("digest").to_number<std::uint64_t>()](
+                      const table_service::rows_result& objects) {
+                      objects_received(revision, digest, objects);
+                  });
 }
 
 void replica::objects_received(std::uint64_t revision, std::uint64_t digest,
-                               const platform::rows_result& result) {
+                               const table_service::rows_result& result) {
     wait();
-    if (result.status != platform::store_status::done) {
+    if (result.status != table_service::store_status::done) {
         ++m_failed_polls;
         return;
     }
--- a/source/core/tickets/replica.h
+++ b/source/core/tickets/replica.h
@@ -8,10 +8,10 @@
 
 #include "common/random.h"
 #include "logging/logger.h"
-#include "platform/store.h"
 #include "protocol/messages.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
+#include "table_service/store.h"
 #include "tickets/spread.h"
 
 namespace jujubemast::tickets {
@@ -75,9 +75,9 @@
     void handle(const peer_state& message);
     void poll();
     void wait();
-    void head_received(const platform::rows_result& result);
+    void head_received(const table_service::rows_result& result);
     void objects_received(std::uint64_t revision, std::uint64_t digest,
-                          const platform::rows_result& result);
+                          const table_service::rows_result& result);
     void offer(const std::string& source, const std::function<snapshot_pointer()>& make);
     void evaluate();
 
@@ -86,7 +86,7 @@
     std::shared_ptr<spread> m_state;
     replica_options m_options;
     replica_hooks m_hooks;
-    std::unique_ptr<platform::store> m_store;
+    std::unique_ptr<table_service::store> m_store;
     runtime::timer m_poll_timer;
     runtime::timer m_check_timer;
     logging::logger m_log{"replica"};
--- a/source/core/tickets/withdrawal.cpp
+++ b/source/core/tickets/withdrawal.cpp
@@ -28,7 +28,7 @@
     return result;
 }
 
-void give_back(const change_view& view, platform::transaction& work, const ticket& change) {
+void give_back(const change_view& view, table_service::transaction& work, const ticket& change) {
     if (view.other.value.is_null()) {
         return;
     }
--- a/source/standins/platform_service.cpp
+++ b/source/standins/platform_service.cpp
@@ -8,16 +8,16 @@
 
 namespace {
 
-boost::json::value to_json(const platform::row& row) {
+boost::json::value to_json(const table_service::row& row) {
     return boost::json::object{{"key", row.key}, {"version", row.version}, {"value", row.value}};
 }
 
-platform::row_key key_of(const boost::json::object& object) {
+table_service::row_key key_of(const boost::json::object& object) {
     return {text_of(object, "table"), text_of(object, "key")};
 }
 
-platform::transaction to_transaction(const boost::json::object& body) {
-    platform::transaction work;
+table_service::transaction to_transaction(const boost::json::object& body) {
+    table_service::transaction work;
     for (const auto& it : body.at("conditions").as_array()) {
         const auto& object = it.as_object();
         work.conditions.push_back(
--- a/source/standins/table_storage.cpp
+++ b/source/standins/table_storage.cpp
@@ -4,7 +4,7 @@
 
 namespace jujubemast::standins {
 
-platform::row table_storage::read(const platform::row_key& target) const {
+table_service::row table_storage::read(const table_service::row_key& target) const {
     const auto it = m_rows.find(target);
     if (it == m_rows.end()) {
         return {target.key, 0, nullptr};
@@ -12,9 +12,9 @@
     return {target.key, it->second.version, it->second.value};
 }
 
-std::vector<platform::row> table_storage::scan(const std::string& table,
-                                               const std::string& prefix) const {
-    std::vector<platform::row> rows;
+std::vector<table_service::row> table_storage::scan(const std::string& table,
+                                                    const std::string& prefix) const {
+    std::vector<table_service::row> rows;
     for (auto it = m_rows.lower_bound({table, prefix});
          it != m_rows.end() && it->first.table == table && it->first.key.starts_with(prefix);
          ++it) {
@@ -25,7 +25,7 @@
     return rows;
 }
 
-bool table_storage::commit(const platform::transaction& work) {
+bool table_storage::commit(const table_service::transaction& work) {
     const bool holds =
         std::all_of(work.conditions.begin(), work.conditions.end(),
                     [this](const auto& it) { return read(it.target).version == it.version; });
--- a/source/standins/table_storage.h
+++ b/source/standins/table_storage.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/store.h"
+#include "table_service/store.h"
 
 namespace jujubemast::standins {
 
@@ -12,14 +12,14 @@
 class table_storage {
 public:
     /// Returns the row; an absent row has version 0 and a null value.
-    [[nodiscard]] platform::row read(const platform::row_key& target) const;
+    [[nodiscard]] table_service::row read(const table_service::row_key& target) const;
 
     /// Returns the rows of a table whose keys start with the prefix, in the order of their keys.
-    [[nodiscard]] std::vector<platform::row> scan(const std::string& table,
-                                                  const std::string& prefix) const;
+    [[nodiscard]] std::vector<table_service::row> scan(const std::string& table,
+                                                       const std::string& prefix) const;
 
     /// Applies the transaction if all of its conditions hold.
-    bool commit(const platform::transaction& work);
+    bool commit(const table_service::transaction& work);
 
 private:
     struct versioned_value {
@@ -29,7 +29,7 @@
     };
 
     /// Rows stay after their deletion, so that versions never repeat.
-    std::map<platform::row_key, versioned_value> m_rows;
+    std::map<table_service::row_key, versioned_value> m_rows;
 };
 
 } // namespace jujubemast::standins
--- a/tests/package/completion.sh
+++ b/tests/package/completion.sh
@@ -18,7 +18,8 @@
     printf '%s\n' "${COMPREPLY[@]}" | grep -qxe "$1" || fail "no $1 in: ${COMPREPLY[*]}"
 }
 
-for program in jujubemast-entry jujubemast-sidecar jujubemast-ctl jujubemast-load; do
+for program in jujubemast-entry jujubemast-sidecar jujubemast-ctl jujubemast-load \
+    jujubemast-gateway; do
     complete -p "$program" >/dev/null || fail "$program has no completion"
     flags=$("$program" --help | grep -oE '^  --[a-z_]+' | tr -d ' ')
     [ "$(wc -l <<<"$flags")" -ge 4 ] || fail "$program lists too few flags"
--- a/tests/unit/docs/reference_page_test.cpp
+++ b/tests/unit/docs/reference_page_test.cpp
@@ -19,7 +19,8 @@
         const std::filesystem::path root{JUJUBEMAST_SOURCE_DIR};
         for (const auto& it : std::filesystem::recursive_directory_iterator{root / "source/core"}) {
             const auto kind = it.path().extension();
-            if ((kind != ".h" && kind != ".cpp") || it.path().filename() == "messages.pb.h") {
+            if ((kind != ".h" && kind != ".cpp") ||
+                it.path().filename().string().ends_with("messages.pb.h")) {
                 continue;
             }
             const auto text = read_source(std::filesystem::relative(it.path(), root).string());
--- a/tests/unit/docs/settings_page_test.cpp
+++ b/tests/unit/docs/settings_page_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "entry/entry_settings.h"
+#include "gateway/gateway_settings.h"
 #include "sidecar/sidecar_settings.h"
 #include "support/pages.h"
 
@@ -52,6 +53,10 @@
     check("jujubemast-sidecar", sidecar::sidecar_settings::table);
 }
 
+BOOST_AUTO_TEST_CASE(settings_page_when_compared_has_the_gateway_settings) {
+    check("jujubemast-gateway", gateway::gateway_settings::table);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/entry/claim_ledger_test.cpp
+++ b/tests/unit/entry/claim_ledger_test.cpp
@@ -9,7 +9,7 @@
 namespace jujubemast::tests {
 
 using namespace jujubemast::entry;
-using platform::store_status;
+using table_service::store_status;
 
 struct claim_ledger_fixture {
     common::time_point now = common::time_point{} + std::chrono::hours{1};
--- a/tests/unit/tickets/ticket_life_test.cpp
+++ b/tests/unit/tickets/ticket_life_test.cpp
@@ -17,8 +17,9 @@
 struct ticket_life_fixture {
     standins::table_storage store;
 
-    [[nodiscard]] platform::row ticket_row(std::uint64_t number) const {
-        return number == 0 ? platform::row{} : store.read({tickets_table, ticket_row_key(number)});
+    [[nodiscard]] table_service::row ticket_row(std::uint64_t number) const {
+        return number == 0 ? table_service::row{}
+                           : store.read({tickets_table, ticket_row_key(number)});
     }
 
     [[nodiscard]] ticket at(std::uint64_t number) const {
