gateway: statuses of the platform decoded in the adapter, bounds on a request's counts

Cause: read-through: the forwarder knew a status code of the platform; a request with a huge number of pieces or a huge deadline could take all memory or overflow a time; findings of the linter.

--- a/source/core/gateway/caller_request.h
+++ b/source/core/gateway/caller_request.h
@@ -62,6 +62,8 @@
     std::string attempt_id;
     /// The upstream states that it has not run the request and never will.
     bool not_run = false;
+    /// A result that the request needs no longer exists.
+    bool input_gone = false;
     /// The answer bears the upstream's signature.
     bool sealed = false;
 };
--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -141,7 +141,7 @@
         }
     }
     if (update.complete) {
-        changed = m_upstreams.replace(std::move(whole), now) || changed;
+        changed = m_upstreams.replace(whole, now) || changed;
         m_log.info("Upstreams read.", {{"count", std::to_string(m_upstreams.entries().size())}});
     }
     schedule_expiry();
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include "common/error.h"
+#include "gateway/statuses.h"
 
 namespace jujubemast::gateway {
 
@@ -38,13 +39,6 @@
 constexpr common::duration least_overload_retry = std::chrono::seconds{2};
 constexpr common::duration longest_overload_retry = std::chrono::seconds{6};
 
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_unauthorized = 401;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_bad_gateway = 502;
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned status_gateway_timeout = 504;
-
 } // namespace
 
 forwarder::forwarder(runtime::task_context context,
--- a/source/core/gateway/forwarder_send.cpp
+++ b/source/core/gateway/forwarder_send.cpp
@@ -3,6 +3,7 @@
 
 #include "common/digest.h"
 #include "gateway/forwarder.h"
+#include "gateway/statuses.h"
 
 // The attempts of a request at upstream instances, and the relay of the answer.
 
@@ -10,9 +11,6 @@
 
 namespace {
 
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned status_bad_gateway = 502;
-constexpr unsigned first_error_status = 500;
 // Another attempt is worth it only with this much time left.
 constexpr common::duration least_time_left = std::chrono::milliseconds{60};
 // An idempotent request that takes this many times its latency target is tried elsewhere.
@@ -197,11 +195,12 @@
     const auto status = target.head.status;
     if (target.head.not_run) {
         --target.possible_runs;
-        attempt_ended(target, status == 409 ? attempt_end::input_gone : attempt_end::refused,
+        attempt_ended(target,
+                      target.head.input_gone ? attempt_end::input_gone : attempt_end::refused,
                       "status " + std::to_string(status));
         return;
     }
-    if (status >= first_error_status) {
+    if (status >= status_first_error) {
         attempt_ended(target, attempt_end::failed, "status " + std::to_string(status));
         return;
     }
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/forwarder_stages.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "gateway/forwarder.h"
+#include "gateway/statuses.h"
 
 // The stages of a request: orders for their pieces, and the release of results.
 
@@ -23,7 +24,7 @@
 void forwarder::advance_stages(exchange& target) {
     for (const auto stage : target.stages.take_ready()) {
         if (!order_stage(target, stage)) {
-            refuse(target, 503, "too many orders wait at this instance");
+            refuse(target, status_unavailable, "too many orders wait at this instance");
             return;
         }
     }
@@ -202,13 +203,14 @@
         attempt_ended(*target, attempt_end::input_gone, "an input of a stage is gone");
         return;
     case order_status::overloaded:
-        refuse(*target, 503, "stage overloaded", overload_retry(message.outcome.retry_after));
+        refuse(*target, status_unavailable, "stage overloaded",
+               overload_retry(message.outcome.retry_after));
         return;
     case order_status::expired:
-        refuse(*target, 503, "stage not made in time");
+        refuse(*target, status_unavailable, "stage not made in time");
         return;
     case order_status::failed:
-        refuse(*target, 503, "stage failed");
+        refuse(*target, status_unavailable, "stage failed");
         return;
     }
 }
--- a/source/core/gateway/upstream_list.cpp
+++ b/source/core/gateway/upstream_list.cpp
@@ -34,7 +34,7 @@
     return true;
 }
 
-bool upstream_list::replace(upstream_map entries, common::time_point now) {
+bool upstream_list::replace(const upstream_map& entries, common::time_point now) {
     bool changed = false;
     std::vector<std::string> missing;
     for (const auto& [id, entry] : m_entries) {
@@ -45,8 +45,8 @@
     for (const auto& id : missing) {
         changed = remove(id, now) || changed;
     }
-    for (auto& [id, entry] : entries) {
-        changed = put(std::move(entry)) || changed;
+    for (const auto& [id, entry] : entries) {
+        changed = put(entry) || changed;
     }
     return changed;
 }
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -52,7 +52,7 @@
     bool remove(const std::string& id, common::time_point now);
 
     /// Replaces everything by a complete reading of the store. Returns whether the list changed.
-    bool replace(upstream_map entries, common::time_point now);
+    bool replace(const upstream_map& entries, common::time_point now);
 
     /// The store did not answer.
     void record_store_loss() { m_store_lost = true; }
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -31,6 +31,9 @@
         }
     }
 
+    gateway_fixture(const gateway_fixture&) = delete;
+    gateway_fixture& operator=(const gateway_fixture&) = delete;
+
     ~gateway_fixture() {
         gateways.clear();
         platform.reset();
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -202,10 +202,10 @@
                                        {"state", "ready"},
                                        {"born", 1}});
     };
-    children.push_back(http::make_server("upstream-" + id, options,
-                                         [=](http::request message, const http::responder& reply) {
-                                             return serve_upstream(state, id, message, reply);
-                                         }));
+    children.push_back(http::make_server(
+        "upstream-" + id, options, [=](const http::request& message, const http::responder& reply) {
+            return serve_upstream(state, id, message, reply);
+        }));
 }
 
 std::vector<runtime::child_spec> make_tree() {
@@ -221,7 +221,7 @@
     add_upstream(children, state, "s1", "stages");
     children.push_back(
         http::make_server("store", {.listen = {"127.0.0.1", 0}},
-                          [state](http::request message, const http::responder& reply) {
+                          [state](const http::request& message, const http::responder& reply) {
                               return serve_store(state, message, reply);
                           }));
     return children;
--- a/tests/unit/users_platform/requests_test.cpp
+++ b/tests/unit/users_platform/requests_test.cpp
@@ -51,6 +51,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(request_with_a_bad_number_or_without_an_id_is_reported) {
+    message.fields[7].value = "0";
+    message.fields[6].value = "4000000000";
+    BOOST_CHECK_THROW(users_platform::decode_request(message), common::format_error);
+    message.fields[6].value = "1";
+    message.fields[2].value = "99999999999999999";
+    BOOST_TEST((*users_platform::decode_request(message).deadline == std::chrono::hours{1}));
     message.fields[2].value = "soon";
     BOOST_CHECK_THROW(users_platform::decode_request(message), common::format_error);
     message.fields.clear();
@@ -103,6 +109,8 @@
     BOOST_TEST(refused.not_run);
     BOOST_TEST(users_platform::decode_answer_head(421, {}).not_run);
     BOOST_TEST(!users_platform::decode_answer_head(503, {}).not_run);
+    BOOST_TEST(users_platform::decode_answer_head(409, {{"X-Not-Run", "1"}}).input_gone);
+    BOOST_TEST(!users_platform::decode_answer_head(409, {}).input_gone);
     const auto good =
         users_platform::decode_answer_head(200, {{"x-attempt-id", "a1"}, {"X-Response-Seal", "s"}});
     BOOST_TEST(good.sealed);
