gateway: never answer inside a stream that has begun

When the upstreams that were to continue a broken stream refused it, the gateway sent its own 502 or 503 in the middle of the chunked answer. Change: once an answer has begun, its end is an abort of the connection. Result: the new test stream_that_no_upstream_continues_* failed before (a second status line in the raw bytes) and passes.

--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -244,6 +244,12 @@
 
 void forwarder::respond(exchange& target, const http::response& answer, request_end end,
                         const std::string& reason) {
+    if (target.relaying) {
+        // The answer has begun; a further one would be read as a part of it.
+        target.reply.abort();
+        finish(target, request_end::cut, 0, reason);
+        return;
+    }
     target.reply.respond(answer);
     finish(target, end, answer.status, reason);
 }
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -3,6 +3,10 @@
 #include <fstream>
 #include <set>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -97,6 +101,19 @@
         return found;
     }
 
+    /// Sends bytes on a connection and returns all that comes until it is closed.
+    std::string raw_answer(const std::string& bytes) const {
+        const auto target = http::parse_endpoint(addresses[0]);
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket socket{context};
+        socket.connect({boost::asio::ip::make_address(target.host), target.port});
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        std::string text;
+        boost::system::error_code ec;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(text), ec);
+        return text;
+    }
+
     static std::string all_events() {
         std::string text;
         for (int id = 1; id <= 5; ++id) {
@@ -185,6 +202,18 @@
     BOOST_TEST(seen[1].at("last_event").as_string() != "3");
 }
 
+// Guards against a second answer inside a stream: it was sent when a stream had begun and the
+// upstreams that were to continue it refused (found in Agri-Rueck trouble-1, seed 96863382).
+BOOST_AUTO_TEST_CASE(stream_that_no_upstream_continues_ends_without_further_bytes) {
+    const auto text = raw_answer("POST /stream/break-resume-shed HTTP/1.1\r\nHost: a.example\r\n"
+                                 "X-Attempt-Id: b5\r\nX-Deadline-Ms: 5000\r\nX-Model: m\r\n"
+                                 "Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST(text.find("HTTP/1.1 200") == 0U);
+    BOOST_TEST(text.find("id: 1") != std::string::npos);
+    BOOST_TEST(text.find("HTTP/1.1", 1) == std::string::npos);
+    BOOST_TEST(text.find("\r\n0\r\n") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(request_without_a_route_or_a_known_key_is_refused) {
     BOOST_TEST(send("GET", "/other/1", "x1").status == 404U);
     const auto answer = receive(
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -177,6 +177,9 @@
         }
         reply.respond(http::json_response(
             200, boost::json::serialize(boost::json::object{{"entries", results}})));
+    } else if (message.target.find("resume-shed") != std::string::npos &&
+               !field(message, "Last-Event-Id").empty()) {
+        reply.respond({503, {{"X-Not-Run", "1"}}, ""});
     } else if (!field(message, "X-Model").empty()) {
         stream_events(message, reply);
     } else if (message.target.find("break") != std::string::npos) {
