logging: daemons write to standard output

Cause: the users collect standard output; all programs logged to standard error, which commands keep for faults. Change: the daemons choose standard output; ctl and load stay as they are.

--- a/source/core/logging/logger.cpp
+++ b/source/core/logging/logger.cpp
@@ -77,7 +77,7 @@
     m_implementation->write(log4cplus::ERROR_LOG_LEVEL, sentence, values);
 }
 
-void initialize(std::string_view level) {
+void initialize(std::string_view level, output target) {
     static const log4cplus::Initializer initializer;
     struct level_name {
         std::string_view name;
@@ -91,7 +91,8 @@
         if (it.name != level) {
             continue;
         }
-        log4cplus::SharedAppenderPtr appender{new log4cplus::ConsoleAppender{true, true}};
+        log4cplus::SharedAppenderPtr appender{
+            new log4cplus::ConsoleAppender{target == output::standard_error, true}};
         appender->setLayout(
             std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %c: %m%n"));
         auto root = log4cplus::Logger::getRoot();
--- a/source/core/logging/logger.h
+++ b/source/core/logging/logger.h
@@ -33,8 +33,11 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
-/// Sets up logging to standard error at this level (debug, info, warn or error). Throws
+/// Where the lines go. Commands keep standard output for their results.
+enum class output { standard_error, standard_output };
+
+/// Sets up logging at this level (debug, info, warn or error); every line is flushed. Throws
 /// `common::settings_error` for an unknown level.
-void initialize(std::string_view level);
+void initialize(std::string_view level, output target = output::standard_error);
 
 } // namespace jujubemast::logging
--- a/source/core/program/daemon.cpp
+++ b/source/core/program/daemon.cpp
@@ -20,7 +20,7 @@
         throw common::settings_error{"--settings is required"};
     }
     auto values = settings::load(description.settings_table, FLAGS_settings);
-    logging::initialize(values.get(description.log_level));
+    logging::initialize(values.get(description.log_level), logging::output::standard_output);
     return values;
 }
 
@@ -30,7 +30,7 @@
     const logging::logger log{"process"};
     try {
         const auto changed = settings::load(description.settings_table, FLAGS_settings);
-        logging::initialize(changed.get(description.log_level));
+        logging::initialize(changed.get(description.log_level), logging::output::standard_output);
         std::string names;
         for (const auto& it : changed.differing(in_force)) {
             names += names.empty() ? it : "," + it;
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -1,4 +1,6 @@
+#include <array>
 #include <csignal>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <set>
@@ -233,6 +235,16 @@
     BOOST_TEST(gateways[0]->wait() == 0);
 }
 
+// Guards against log lines that a collector of standard output does not see.
+BOOST_AUTO_TEST_CASE(gateway_writes_its_log_to_standard_output) {
+    const auto program = std::string{JUJUBEMAST_BINARY_DIR} + "/jujubemast-gateway";
+    const auto command = "timeout 2 " + program + " --settings " + folder + "/g0.yaml 2>/dev/null";
+    std::unique_ptr<FILE, int (*)(FILE*)> pipe{::popen(command.c_str(), "r"), ::pclose};
+    std::array<char, 256> line{};
+    BOOST_REQUIRE(::fgets(line.data(), line.size(), pipe.get()) != nullptr);
+    BOOST_TEST(std::string{line.data()}.find("http: Listening.") != std::string::npos);
+}
+
 // Guards against a process that ends by SIGHUP, as it did before the settings were read again.
 BOOST_AUTO_TEST_CASE(gateway_after_sighup_goes_on) {
     gateways[0]->send_signal(SIGHUP);
