--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -71,12 +71,8 @@
 
 struct service {
     std::string name;
-    /// Connections that one instance accepts from all callers.
-    std::size_t max_connections = 0;
     /// Present for services that make pieces of stages.
     std::optional<piece_limits> pieces;
-    /// The service is a pool of model engines.
-    bool engine = false;
 };
 
 struct workspace {
@@ -84,9 +80,8 @@
     std::optional<int> priority;
 };
 
-/// What a caller's request looks up in the configuration.
+/// What callers' connections are bounded by.
 struct caller_limits {
-    std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
     common::duration idle_timeout = std::chrono::seconds{60};
 };
 
--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -5,26 +5,15 @@
 
 #include <boost/json.hpp>
 
-#include "common/error.h"
-
 namespace jujubemast::gateway {
 
 namespace {
 
-// A piece is given to this many calls before its order fails.
-constexpr unsigned max_failures = 3;
-// A call may take this many times its expected time, because instances differ in speed.
-constexpr int call_patience = 3;
-constexpr common::duration call_margin = std::chrono::milliseconds{300};
-// An instance that refused a call is full; one of its calls ends within about this time.
-constexpr common::duration refusal_rest = std::chrono::milliseconds{100};
-// Results to free are collected for this long, so that one call frees several.
-constexpr common::duration release_delay = std::chrono::milliseconds{20};
-// An instance that is free begins a call at once and reads its inputs first.
-constexpr common::duration input_read_time = std::chrono::milliseconds{120};
 // The stated sizes of results are approximate.
 constexpr double usable_room_share = 0.85;
 constexpr common::duration report_interval = std::chrono::milliseconds{200};
+// How long an instance stays free for others when all that waits is better made elsewhere.
+constexpr common::duration domain_rest = std::chrono::milliseconds{30};
 // When to come back while a service has no instance.
 constexpr common::duration absence_retry = std::chrono::milliseconds{500};
 // Pieces wait for an instance near their inputs while this many full calls fit before their target.
@@ -39,9 +28,6 @@
     return limits;
 }
 
-// How long an instance stays free for others when all that waits is better made elsewhere.
-constexpr common::duration domain_rest = std::chrono::milliseconds{30};
-
 /// Calls that begin evenly spread leave an instance free at even intervals, so that small calls do
 /// not take all instances just before more pieces arrive.
 common::duration call_spacing(const piece_limits& limits, std::size_t instances) {
@@ -99,22 +85,14 @@
     if (!m_upstreams) {
         return;
     }
-    for (auto& [id, instance] : target.instances) {
-        const auto it = m_upstreams->find(id);
-        const bool same = it != m_upstreams->end() && it->second.service == name &&
-                          it->second.address == instance->identity.address &&
-                          it->second.started_ms == instance->identity.started_ms;
-        instance->leaving = !same || it->second.phase == upstream_phase::draining;
-        if (!same && instance->calls == 0) {
-            instance->client->close();
-        }
-    }
     std::erase_if(target.instances, [&](const auto& it) {
+        auto& instance = *it.second;
         const auto known = m_upstreams->find(it.first);
-        const bool gone = known == m_upstreams->end() ||
-                          known->second.started_ms != it.second->identity.started_ms ||
-                          known->second.address != it.second->identity.address;
+        const bool gone =
+            known == m_upstreams->end() || !is_same_start(known->second, instance.identity);
+        instance.leaving = gone || known->second.phase == upstream_phase::draining;
         if (gone) {
+            // Calls in progress hold the instance and its client until they end.
             target.health.remove_member(it.first);
         }
         return gone;
@@ -319,199 +297,6 @@
     return best || usable_instances(target) > 0 ? best : ejected;
 }
 
-void dispatcher::send_call(const std::string& name, const piece_limits& limits,
-                           const std::shared_ptr<instance_state>& instance,
-                           std::vector<queued_piece> pieces) {
-    const auto now = common::monotonic_clock::now();
-    std::vector<piece_item> items;
-    double bytes = 0;
-    for (const auto& it : pieces) {
-        const auto& order = m_orders.at(it.order).order;
-        items.push_back({order.attempt_id, order.stage, it.piece, order.latest - now,
-                         order.input_key, order.inputs});
-        bytes += order.result_bytes;
-    }
-    instance->room.reserve(bytes);
-    ++instance->calls;
-    m_services[name].health.record_dispatch(instance->identity.id, now);
-    const auto number = m_next_call++;
-    auto& call = m_calls[number];
-    call.service = name;
-    call.instance = instance;
-    call.pieces = std::move(pieces);
-    call.sent = now;
-    call.limit = std::make_unique<runtime::timer>(m_context.loop());
-    call.limit->start(call_time(limits, call.pieces.size()) * call_patience + call_margin,
-                      m_context.wrap([this, number] {
-                          const auto it = m_calls.find(number);
-                          it->second.instance->client->cancel(it->second.id);
-                          call_ended(number, http::call_error{http::call_fault::timeout, true,
-                                                              "no answer in time"});
-                      }));
-    call.read_timer = std::make_unique<runtime::timer>(m_context.loop());
-    call.read_timer->start(input_read_time,
-                           m_context.wrap([this, number] { inputs_read(number); }));
-    call.id = instance->client->send(
-        m_translate->encode_piece_call(instance->identity.id, items),
-        [this, number](const http::call_result& result) { call_ended(number, result); });
-}
-
-void dispatcher::inputs_read(std::uint64_t number) {
-    const auto call = m_calls.find(number);
-    if (call == m_calls.end()) {
-        return;
-    }
-    for (const auto& it : call->second.pieces) {
-        const auto order = m_orders.find(it.order);
-        if (order == m_orders.end() || order->second.settled ||
-            ++order->second.begun < order->second.order.count) {
-            continue;
-        }
-        auto& content = order->second.order;
-        if (!content.inputs_to_release.empty()) {
-            m_peers.send(release_results{content.inputs_to_release, content.inputs});
-        }
-    }
-}
-
-void dispatcher::call_ended(std::uint64_t number, const http::call_result& result) {
-    const auto it = m_calls.find(number);
-    if (it == m_calls.end()) {
-        return;
-    }
-    auto call = std::move(it->second);
-    m_calls.erase(it);
-    call.limit->cancel();
-    --call.instance->calls;
-    double bytes = 0;
-    for (const auto& piece : call.pieces) {
-        const auto order = m_orders.find(piece.order);
-        bytes += order == m_orders.end() ? 0 : order->second.order.result_bytes;
-    }
-    call.instance->room.unreserve(bytes);
-    if (const auto* error = std::get_if<http::call_error>(&result)) {
-        call_lost(call, error->detail, !error->sent);
-    } else {
-        call_answered(call, std::get<http::response>(result));
-    }
-    dispatch(call.service);
-}
-
-void dispatcher::call_answered(call_state& call, const http::response& answer) {
-    const auto now = common::monotonic_clock::now();
-    const auto head = m_translate->decode_answer_head(answer.status, answer.fields);
-    if (answer.status != 200) {
-        if (head.not_run) {
-            call.instance->resting_until = now + refusal_rest;
-            retry_later(call.service, refusal_rest);
-        }
-        call_lost(call, "status " + std::to_string(answer.status), head.not_run);
-        return;
-    }
-    std::vector<piece_result> results;
-    try {
-        results = m_translate->decode_piece_answer(answer.body);
-    } catch (const common::format_error& e) {
-        call_lost(call, e.what(), false);
-        return;
-    }
-    if (results.size() != call.pieces.size()) {
-        call_lost(call, "the answer has another number of pieces", false);
-        return;
-    }
-    m_log.info(
-        "Call answered.",
-        {{"service", call.service},
-         {"upstream", call.instance->identity.id},
-         {"pieces", std::to_string(results.size())},
-         {"ms",
-          std::to_string(
-              std::chrono::duration_cast<std::chrono::milliseconds>(now - call.sent).count())},
-         {"waiting", std::to_string(m_services[call.service].queue.size())},
-         {"room_used", std::to_string(static_cast<std::int64_t>(call.instance->room.used(now)))}});
-    const auto per_piece = (now - call.sent) / static_cast<std::int64_t>(call.pieces.size());
-    m_services[call.service].health.record_success(call.instance->identity.id, per_piece, now);
-    for (std::size_t n = 0; n < results.size(); ++n) {
-        piece_ended(call, call.pieces[n], results[n]);
-    }
-}
-
-void dispatcher::call_lost(call_state& call, const std::string& reason, bool not_run) {
-    const auto now = common::monotonic_clock::now();
-    m_log.warn("Piece call failed.", {{"service", call.service},
-                                      {"upstream", call.instance->identity.id},
-                                      {"pieces", std::to_string(call.pieces.size())},
-                                      {"not_run", not_run ? "yes" : "no"},
-                                      {"reason", reason}});
-    if (!not_run) {
-        m_services[call.service].health.record_failure(call.instance->identity.id, now);
-    }
-    if (call.instance->resting_until <= now) {
-        call.instance->resting_until = now + refusal_rest;
-        retry_later(call.service, refusal_rest);
-    }
-    for (const auto& it : call.pieces) {
-        const auto order = m_orders.find(it.order);
-        if (order == m_orders.end() || order->second.settled) {
-            continue;
-        }
-        if (!not_run) {
-            ++order->second.failures;
-        }
-        retry_piece(order->second, it.piece);
-    }
-}
-
-void dispatcher::retry_piece(order_state& state, std::uint32_t piece) {
-    if (state.failures > max_failures) {
-        settle(state, {order_status::failed, {}, {}});
-        return;
-    }
-    m_services[state.order.service].queue.push(state.order, piece);
-}
-
-void dispatcher::piece_ended(call_state& call, const queued_piece& piece,
-                             const piece_result& result) {
-    const auto now = common::monotonic_clock::now();
-    const auto it = m_orders.find(piece.order);
-    if (result.status == piece_status::made) {
-        const auto* limits = limits_of(call.service);
-        const auto lifetime = limits != nullptr ? limits->result_lifetime : common::duration{0};
-        const double bytes = it == m_orders.end() ? 0 : it->second.order.result_bytes;
-        call.instance->room.keep(result.handle, bytes, now + lifetime);
-    }
-    if (it == m_orders.end() || it->second.settled) {
-        if (result.status == piece_status::made) {
-            discard(call.service, {result.handle});
-        }
-        return;
-    }
-    auto& state = it->second;
-    switch (result.status) {
-    case piece_status::made:
-        state.handles[piece.piece] = result.handle;
-        if (--state.missing == 0) {
-            settle(state, {order_status::made, state.handles, {}});
-        }
-        return;
-    case piece_status::expired:
-        settle(state, {order_status::expired, {}, {}});
-        return;
-    case piece_status::input_gone:
-        settle(state, {order_status::input_gone, {}, {}});
-        return;
-    case piece_status::no_room:
-        call.instance->resting_until = now + refusal_rest;
-        retry_later(call.service, refusal_rest);
-        retry_piece(state, piece.piece);
-        return;
-    case piece_status::failed:
-        ++state.failures;
-        retry_piece(state, piece.piece);
-        return;
-    }
-}
-
 void dispatcher::settle(order_state& state, order_outcome outcome) {
     const auto now = common::monotonic_clock::now();
     if (outcome.status != order_status::made) {
@@ -527,7 +312,6 @@
     state.handles.clear();
     m_services[state.order.service].queue.remove(state.order.key);
     state.settled = true;
-    state.settled_at = now;
     state.outcome = outcome;
     m_settled.emplace_back(now, state.order.key);
     m_peers.send(order_settled{state.order.key, std::move(outcome)});
@@ -542,66 +326,6 @@
     }
 }
 
-void dispatcher::discard(const std::string& service, const std::vector<std::string>& handles) {
-    const auto target = m_services.find(service);
-    if (target == m_services.end()) {
-        return;
-    }
-    for (const auto& handle : handles) {
-        const auto maker = handle.substr(0, handle.find('/'));
-        for (auto& [id, it] : target->second.instances) {
-            if (http::to_string(it->identity.address) == maker) {
-                it->to_release.push_back(handle);
-                schedule_release();
-                break;
-            }
-        }
-    }
-}
-
-void dispatcher::schedule_release() {
-    if (m_release_scheduled) {
-        return;
-    }
-    m_release_scheduled = true;
-    m_release_timer.start(release_delay, m_context.wrap([this] {
-        m_release_scheduled = false;
-        send_releases();
-    }));
-}
-
-void dispatcher::send_releases() {
-    for (auto& [name, target] : m_services) {
-        for (auto& [id, it] : target.instances) {
-            if (it->to_release.empty()) {
-                continue;
-            }
-            auto handles = std::exchange(it->to_release, {});
-            const auto message = m_translate->encode_release(id, handles);
-            it->client->send(message,
-                             [this, name = name, instance = it,
-                              handles = std::move(handles)](const http::call_result& result) {
-                                 released(name, *instance, handles, result);
-                             });
-        }
-    }
-}
-
-void dispatcher::released(const std::string& service, instance_state& instance,
-                          const std::vector<std::string>& handles,
-                          const http::call_result& result) {
-    const auto* answer = std::get_if<http::response>(&result);
-    if (answer == nullptr || answer->status != 200) {
-        // The results end with their lifetime.
-        m_log.info("Results not released.", {{"upstream", instance.identity.id}});
-        return;
-    }
-    for (const auto& it : handles) {
-        instance.room.release(it);
-    }
-    dispatch(service);
-}
-
 void dispatcher::retry_later(const std::string& name, common::duration delay) {
     auto& timer = m_retry_timers[name];
     if (!timer) {
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -34,6 +34,10 @@
     [[nodiscard]] boost::json::value dump() const override;
 
 private:
+    // An instance that refused a call or has no room is full; one of its calls ends, or one of its
+    // results is released, within about this time.
+    static constexpr common::duration refusal_rest = std::chrono::milliseconds{100};
+
     struct order_state {
         piece_order order;
         std::vector<std::string> handles;
@@ -43,7 +47,6 @@
         unsigned failures = 0;
         bool settled = false;
         order_outcome outcome;
-        common::time_point settled_at;
     };
 
     struct instance_state {
--- /dev/null
+++ b/source/core/gateway/dispatcher_results.cpp
@@ -0,0 +1,76 @@
+#include <utility>
+
+#include "gateway/dispatcher.h"
+
+// The release of results that nothing reads any more.
+
+namespace jujubemast::gateway {
+
+namespace {
+
+// Results to free are collected for this long, so that one call frees several.
+constexpr common::duration release_delay = std::chrono::milliseconds{20};
+
+} // namespace
+
+void dispatcher::discard(const std::string& service, const std::vector<std::string>& handles) {
+    const auto target = m_services.find(service);
+    if (target == m_services.end()) {
+        return;
+    }
+    for (const auto& handle : handles) {
+        const auto maker = handle.substr(0, handle.find('/'));
+        for (auto& [id, it] : target->second.instances) {
+            if (http::to_string(it->identity.address) == maker) {
+                it->to_release.push_back(handle);
+                schedule_release();
+                break;
+            }
+        }
+    }
+}
+
+void dispatcher::schedule_release() {
+    if (m_release_scheduled) {
+        return;
+    }
+    m_release_scheduled = true;
+    m_release_timer.start(release_delay, m_context.wrap([this] {
+        m_release_scheduled = false;
+        send_releases();
+    }));
+}
+
+void dispatcher::send_releases() {
+    for (auto& [name, target] : m_services) {
+        for (auto& [id, it] : target.instances) {
+            if (it->to_release.empty()) {
+                continue;
+            }
+            auto handles = std::exchange(it->to_release, {});
+            const auto message = m_translate->encode_release(id, handles);
+            it->client->send(message,
+                             [this, name = name, instance = it,
+                              handles = std::move(handles)](const http::call_result& result) {
+                                 released(name, *instance, handles, result);
+                             });
+        }
+    }
+}
+
+void dispatcher::released(const std::string& service, instance_state& instance,
+                          const std::vector<std::string>& handles,
+                          const http::call_result& result) {
+    const auto* answer = std::get_if<http::response>(&result);
+    if (answer == nullptr || answer->status != 200) {
+        // The results end with their lifetime.
+        m_log.info("Results not released.", {{"upstream", instance.identity.id}});
+        return;
+    }
+    for (const auto& it : handles) {
+        instance.room.release(it);
+    }
+    dispatch(service);
+}
+
+} // namespace jujubemast::gateway
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -22,6 +22,8 @@
 // A request is admitted if its stages are expected to be made within this share of the time for
 // them; the rest allows for what arrives later with a more urgent priority.
 constexpr double admission_share = 0.7;
+// It is not admitted either if it would miss its latency target by more than this factor, because
+// its late answer would cost others their timely ones.
 constexpr double target_share = 1.3;
 // Callers abandon a stream without its first event after the longest of these: a fixed time, a
 // multiple of the latency target, a multiple of the longest pause that is on time.
@@ -164,9 +166,8 @@
 }
 
 void forwarder::admit(exchange& target) {
-    target.deadline = target.arrived + target.request.deadline.value_or(default_deadline);
-    target.final_at =
-        std::min(target.deadline - answer_margin, target.arrived + target.target->timeout);
+    const auto deadline = target.arrived + target.request.deadline.value_or(default_deadline);
+    target.final_at = std::min(deadline - answer_margin, target.arrived + target.target->timeout);
     target.first_event_by = target.final_at;
     if (target.target->kind == repeatability::stream) {
         target.first_event_by = std::min(
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -69,7 +69,6 @@
         common::time_point final_at;
         /// A stream without its first event by then is of no more use.
         common::time_point first_event_by;
-        common::time_point deadline;
         std::unique_ptr<runtime::timer> final_timer;
         /// Bounds one attempt of a request that may be repeated.
         std::unique_ptr<runtime::timer> attempt_timer;
--- a/source/core/gateway/service_pool.cpp
+++ b/source/core/gateway/service_pool.cpp
@@ -20,11 +20,6 @@
     return limits;
 }
 
-bool same_start(const upstream_instance& a, const upstream_instance& b) {
-    return a.id == b.id && a.started_ms == b.started_ms && a.address == b.address &&
-           a.service == b.service;
-}
-
 } // namespace
 
 service_pool::service_pool(runtime::task_context context, policy::routing_hook route)
@@ -34,7 +29,7 @@
                           common::time_point now) {
     std::erase_if(m_members, [&](const std::shared_ptr<pool_member>& it) {
         const auto found = known.find(it->identity.id);
-        const bool gone = found == known.end() || !same_start(found->second, it->identity);
+        const bool gone = found == known.end() || !is_same_start(found->second, it->identity);
         if (gone) {
             // Requests in progress hold the member and its client until they end.
             m_health.remove_member(it->identity.id);
--- a/source/core/gateway/upstream_list.cpp
+++ b/source/core/gateway/upstream_list.cpp
@@ -5,6 +5,11 @@
 
 namespace jujubemast::gateway {
 
+bool is_same_start(const upstream_instance& a, const upstream_instance& b) {
+    return a.id == b.id && a.started_ms == b.started_ms && a.address == b.address &&
+           a.service == b.service;
+}
+
 bool upstream_list::put(upstream_instance entry) {
     m_lapsed.erase(entry.id);
     auto& place = m_entries[entry.id];
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -32,6 +32,10 @@
     friend bool operator==(const upstream_instance&, const upstream_instance&) = default;
 };
 
+/// Whether two entries name the same start of the same instance at the same place. Calls and
+/// connections of one start must not serve another.
+bool is_same_start(const upstream_instance& a, const upstream_instance& b);
+
 /// The known upstream instances by id. Immutable once published.
 using upstream_map = std::map<std::string, upstream_instance>;
 using upstream_map_pointer = std::shared_ptr<const upstream_map>;
