logging: bounded volume, never blocked by the reader; jujubemast-ctl explain

The console appender wrote to a blocking pipe, so a reader that stopped also stopped the gateway, and every line was written whatever the load.

Change: lines pass a budget (400 a second; half is kept for warnings and errors) and a queue of 256 KiB that writes only what a poll says the pipe takes; what is left out is counted in a line. Requests that were not answered are logged as warnings. 'Request ended.' tells what decided the admission: expected and allowed time and the age of the reports. 'jujubemast-ctl explain ID FILE...' orders the lines of a request, shows what its gateway learned before the end and names the deciding line. The fields of all gateway lines are listed in the reference and compared with the code.

--- a/source/core/ctl/command.h
+++ b/source/core/ctl/command.h
@@ -33,7 +33,8 @@
     ticket_withdraw,
     ticket_in_force,
     ticket_status,
-    dump
+    dump,
+    explain
 };
 
 /// What a command prints and how it ends.
@@ -79,9 +80,10 @@
 
 template <>
 struct enum_names<ctl::command> {
-    static constexpr std::array<std::string_view, 10> table{
+    static constexpr std::array<std::string_view, 11> table{
         "ticket create",    "ticket list",     "ticket show",     "ticket diff",   "ticket accept",
-        "ticket supersede", "ticket withdraw", "ticket in-force", "ticket status", "dump"};
+        "ticket supersede", "ticket withdraw", "ticket in-force", "ticket status", "dump",
+        "explain"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/ctl/command_table.cpp
+++ b/source/core/ctl/command_table.cpp
@@ -6,6 +6,7 @@
 #include "ctl/change_command.h"
 #include "ctl/create_command.h"
 #include "ctl/dump_command.h"
+#include "ctl/explain_command.h"
 #include "ctl/query_commands.h"
 #include "ctl/status_command.h"
 
@@ -55,7 +56,10 @@
         {command::ticket_status, "N [--wait]", "tells on how many live processes it is in force", 1,
          make_status_command},
         {command::dump, "ADDRESS", "prints the state of the process with this admin address", 1,
-         make_dump_command}};
+         make_dump_command},
+        {command::explain, "ID FILE...",
+         "explains from logs how the request of an attempt id ended", 2, make_explain_command,
+         true}};
     return table;
 }
 
@@ -88,8 +92,9 @@
         }
         matched_command found{&it, {next, words.end()}};
         const bool wants_number = it.arguments.starts_with('N');
-        const bool valid = found.arguments.size() == it.argument_count &&
-                           (!wants_number || is_number(found.arguments.front()));
+        const auto count = found.arguments.size();
+        const bool fits = it.last_repeats ? count >= it.argument_count : count == it.argument_count;
+        const bool valid = fits && (!wants_number || is_number(found.arguments.front()));
         return valid ? std::optional{found} : std::nullopt;
     }
     return std::nullopt;
--- a/source/core/ctl/command_table.h
+++ b/source/core/ctl/command_table.h
@@ -15,6 +15,8 @@
     std::string help;
     std::size_t argument_count = 0;
     command_factory make;
+    /// The last argument may be given several times.
+    bool last_repeats = false;
 };
 
 /// All commands, in the order of the help text.
--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -304,10 +304,13 @@
         std::copy_if(state.handles.begin(), state.handles.end(), std::back_inserter(made),
                      [](const std::string& it) { return !it.empty(); });
         discard(state.order.service, made);
-        m_log.info("Order not made.", {{"attempt", state.order.attempt_id},
+        const auto& of = m_services[state.order.service];
+        m_log.warn("Order not made.", {{"attempt", state.order.attempt_id},
                                        {"service", state.order.service},
                                        {"stage", std::to_string(state.order.stage)},
-                                       {"status", std::string{common::to_name(outcome.status)}}});
+                                       {"status", std::string{common::to_name(outcome.status)}},
+                                       {"waiting", std::to_string(of.queue.size())},
+                                       {"instances", std::to_string(of.instances.size())}});
     }
     state.handles.clear();
     m_services[state.order.service].queue.remove(state.order.key);
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -98,8 +98,9 @@
 }
 
 void forwarder::handle(const backlogs_changed& message) {
+    const auto now = common::monotonic_clock::now();
     for (const auto& it : message.services) {
-        m_backlogs[it.service] = it;
+        m_backlogs[it.service] = {it, now};
     }
 }
 
@@ -179,13 +180,19 @@
     target.events = event_relay{target.request.last_event};
     target.stages = stage_progress{target.target->stages, target.request.piece_counts};
     pool_of(target.service).budget().record_first_attempt();
-    const auto expected = expected_stages(target);
-    const auto allowed = std::min(
+    target.expected_stages = expected_stages(target);
+    target.allowed_stages = std::min(
         std::chrono::duration_cast<common::duration>((target.first_event_by - target.arrived) *
                                                      admission_share),
         std::chrono::duration_cast<common::duration>(target.target->latency_target * target_share));
-    if (expected > allowed || results_would_lapse(target)) {
-        refuse(target, status_unavailable, "stages overloaded", overload_retry(expected - allowed));
+    if (target.expected_stages > target.allowed_stages) {
+        refuse(target, status_unavailable, "stages overloaded",
+               overload_retry(target.expected_stages - target.allowed_stages));
+        return;
+    }
+    if (results_would_lapse(target)) {
+        refuse(target, status_unavailable, "results of stages would lapse",
+               overload_retry(common::duration::zero()));
         return;
     }
     note_upcoming(target);
@@ -263,29 +270,40 @@
     const auto kind =
         target.target != nullptr ? target.target->kind : repeatability::non_idempotent;
     m_metrics.record_end(kind, end, took);
-    const auto since_arrival = [&](std::optional<common::time_point> time) {
+    const auto in_ms = [](std::optional<common::duration> time) {
         using std::chrono::milliseconds;
-        return time ? std::to_string(
-                          std::chrono::duration_cast<milliseconds>(*time - target.arrived).count())
+        return time ? std::to_string(std::chrono::duration_cast<milliseconds>(*time).count())
                     : std::string{};
     };
-    m_log.info("Request ended.",
-               {{"attempt", target.request.attempt_id},
-                {"route", target.target != nullptr ? target.target->name : ""},
-                {"service", target.service},
-                {"upstream", target.member ? target.member->identity.id : ""},
-                {"configuration",
-                 std::to_string(target.configuration ? target.configuration->version : 0)},
-                {"end", std::string{common::to_name(end)}},
-                {"status", std::to_string(status)},
-                {"sends", std::to_string(target.sends)},
-                {"runs", std::to_string(target.possible_runs)},
-                {"sent_ms", since_arrival(target.first_sent_at)},
-                {"first_byte_ms", since_arrival(target.first_byte_at)},
-                {"first_event_ms", since_arrival(target.first_event_at)},
-                {"longest_pause_ms", since_arrival(target.arrived + target.longest_pause)},
-                {"ms", since_arrival(target.arrived + took)},
-                {"reason", reason}});
+    const auto since_arrival = [&](std::optional<common::time_point> time) {
+        return time ? in_ms(*time - target.arrived) : std::string{};
+    };
+    const logging::fields values{
+        {"attempt", target.request.attempt_id},
+        {"route", target.target != nullptr ? target.target->name : ""},
+        {"workspace", target.workspace},
+        {"service", target.service},
+        {"upstream", target.member ? target.member->identity.id : ""},
+        {"configuration", std::to_string(target.configuration ? target.configuration->version : 0)},
+        {"end", std::string{common::to_name(end)}},
+        {"status", std::to_string(status)},
+        {"expected_ms", in_ms(target.expected_stages)},
+        {"allowed_ms", in_ms(target.allowed_stages)},
+        {"backlog_age_ms", in_ms(backlog_age(target))},
+        {"sends", std::to_string(target.sends)},
+        {"runs", std::to_string(target.possible_runs)},
+        {"sent_ms", since_arrival(target.first_sent_at)},
+        {"first_byte_ms", since_arrival(target.first_byte_at)},
+        {"first_event_ms", since_arrival(target.first_event_at)},
+        {"longest_pause_ms", in_ms(target.longest_pause)},
+        {"ms", in_ms(took)},
+        {"reason", reason}};
+    // Under a flood the lines of requests that were served are left out before the others.
+    if (end == request_end::answered || end == request_end::caller_left) {
+        m_log.info("Request ended.", values);
+    } else {
+        m_log.warn("Request ended.", values);
+    }
     m_exchanges.erase(target.id);
 }
 
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -69,6 +69,9 @@
         common::time_point final_at;
         /// A stream without its first event by then is of no more use.
         common::time_point first_event_by;
+        /// What decided the admission: expected and allowed time of the stages.
+        common::duration expected_stages = common::duration::zero();
+        common::duration allowed_stages = common::duration::zero();
         std::unique_ptr<runtime::timer> final_timer;
         /// Bounds one attempt of a request that may be repeated.
         std::unique_ptr<runtime::timer> attempt_timer;
@@ -118,6 +121,8 @@
 
     /// Instances of a service that take work.
     [[nodiscard]] std::size_t count_serving(const std::string& service) const;
+    /// Age of the oldest report that the estimate of the stages rests on. Nothing without reports.
+    [[nodiscard]] std::optional<common::duration> backlog_age(const exchange& target) const;
     /// Expected time until all stages are made.
     [[nodiscard]] common::duration expected_stages(const exchange& target) const;
     /// Expected time of the stages that follow this one.
@@ -178,7 +183,12 @@
     /// The request that waits for each order.
     std::map<std::uint64_t, std::uint64_t> m_orders;
     std::uint64_t m_next_order;
-    std::map<std::string, service_backlog> m_backlogs;
+    /// The last report of each service's owner.
+    struct known_backlog {
+        service_backlog reported;
+        common::time_point received;
+    };
+    std::map<std::string, known_backlog> m_backlogs;
     std::map<std::string, estimate_bias> m_biases;
     /// Pieces of admitted requests that are not yet ordered, by service and priority.
     std::map<std::string, std::map<int, std::size_t>> m_upcoming;
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/forwarder_stages.cpp
@@ -43,6 +43,22 @@
         }));
 }
 
+std::optional<common::duration> forwarder::backlog_age(const exchange& target) const {
+    std::optional<common::duration> oldest;
+    if (target.target == nullptr) {
+        return oldest;
+    }
+    const auto now = common::monotonic_clock::now();
+    for (const auto& stage : target.target->stages) {
+        const auto known = m_backlogs.find(stage.service);
+        if (known != m_backlogs.end()) {
+            oldest =
+                std::max(oldest.value_or(common::duration::zero()), now - known->second.received);
+        }
+    }
+    return oldest;
+}
+
 common::duration forwarder::raw_expected_stage(const exchange& target, std::uint32_t stage,
                                                common::duration start) const {
     const auto& service = target.target->stages[stage].service;
@@ -56,7 +72,7 @@
     // Without a report nothing waits, and every instance is free.
     auto backlog = reported == m_backlogs.end()
                        ? service_backlog{service, {}, count_serving(service), 0}
-                       : reported->second;
+                       : reported->second.reported;
     const auto upcoming = m_upcoming.find(service);
     if (upcoming != m_upcoming.end() && start > common::duration::zero()) {
         // The other gateways are taken to have as much on its way as this one.
--- a/source/core/logging/logger.h
+++ b/source/core/logging/logger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <initializer_list>
 #include <memory>
 #include <string>
@@ -36,8 +37,23 @@
 /// Where the lines go. Commands keep standard output for their results.
 enum class output { standard_error, standard_output };
 
-/// Sets up logging at this level (debug, info, warn or error); every line is flushed. Throws
-/// `common::settings_error` for an unknown level.
-void initialize(std::string_view level, output target = output::standard_error);
+/// What bounds the output.
+struct limits {
+    /// Lines written per second on average.
+    double lines_per_second = 400;
+    /// Bytes kept for a reader that does not read.
+    std::size_t pending_bytes = std::size_t{256} * 1024;
+};
+
+/// Sets up logging at this level (debug, info, warn or error), or changes the level of the output
+/// that is set up already. Lines are written at once and never wait for the reader; beyond the
+/// limits lines are left out and counted, ordinary ones first. Throws `common::settings_error` for
+/// an unknown level.
+void initialize(std::string_view level, output target = output::standard_error,
+                const limits& bounds = {});
+
+/// Writes the lines that the reader did not take before. To be called from time to time, as a
+/// process may have no further line that would carry them.
+void flush();
 
 } // namespace jujubemast::logging
--- a/source/core/program/daemon.cpp
+++ b/source/core/program/daemon.cpp
@@ -1,12 +1,16 @@
 #include "program/daemon.h"
 
 #include <iostream>
+#include <memory>
+#include <utility>
+#include <vector>
 
 #include <gflags/gflags.h>
 
 #include "common/error.h"
 #include "logging/logger.h"
 #include "program/command_line.h"
+#include "program/log_flusher.h"
 
 DEFINE_string(settings, "", "path of the YAML settings file");
 DEFINE_bool(check, false, "check the settings file and exit");
@@ -41,6 +45,10 @@
     }
 }
 
+std::shared_ptr<runtime::task> make_log_flusher(runtime::task_context context) {
+    return std::make_shared<log_flusher>(std::move(context));
+}
+
 } // namespace
 
 int run_daemon(int argc, char** argv, const daemon_description& description) {
@@ -63,7 +71,11 @@
     return runtime::run_process(
         description.name,
         [&](const runtime::executor& loop, const runtime::process_hooks& process) {
-            return description.make_tree(loop, process, values);
+            std::vector<runtime::child_spec> children{{"log", make_log_flusher}};
+            for (auto& it : description.make_tree(loop, process, values)) {
+                children.push_back(std::move(it));
+            }
+            return children;
         },
         [&] { reload_settings(description, values); });
 }
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <regex>
 #include <set>
 
 #include <boost/asio/io_context.hpp>
@@ -11,6 +12,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "support/child_process.h"
 #include "support/http_call.h"
@@ -46,15 +50,21 @@
         std::filesystem::remove_all(folder);
     }
 
-    void add_gateway(int n) {
-        const auto name = "g" + std::to_string(n);
-        const auto path = folder + "/" + name + ".yaml";
+    /// Writes the settings of a gateway. Returns the path of the file.
+    std::string write_settings(const std::string& name) const {
+        auto path = folder + "/" + name + ".yaml";
         std::ofstream{path} << "instance:\n  name: " << name << "\n  failure_domain: z\n"
                             << "callers:\n  listen: 127.0.0.1:0\n  stop_grace_ms: 300\n"
                             << "ready:\n  listen: 127.0.0.1:0\n"
                             << "peers:\n  listen: 127.0.0.1:0\n"
                             << "admin:\n  listen: 127.0.0.1:0\n"
                             << "store:\n  address: " << store << "\n";
+        return path;
+    }
+
+    void add_gateway(int n) {
+        const auto name = "g" + std::to_string(n);
+        const auto path = write_settings(name);
         gateways.push_back(std::make_unique<child_process>(
             "jujubemast-gateway", std::vector<std::string>{"--settings", path},
             folder + "/" + name));
@@ -125,6 +135,39 @@
     }
 };
 
+/// A named pipe of one page in the place of a log file.
+class log_pipe {
+public:
+    explicit log_pipe(std::string path) : m_path{std::move(path)} {
+        BOOST_REQUIRE(::mkfifo(m_path.c_str(), S_IRUSR | S_IWUSR) == 0);
+        m_reader = ::open(m_path.c_str(), O_RDWR | O_NONBLOCK);
+        BOOST_REQUIRE(m_reader >= 0);
+        BOOST_REQUIRE(::fcntl(m_reader, F_SETPIPE_SZ, page_bytes) > 0);
+    }
+    ~log_pipe() { ::close(m_reader); }
+    log_pipe(const log_pipe&) = delete;
+    log_pipe& operator=(const log_pipe&) = delete;
+
+    const std::string& path() const { return m_path; }
+
+    std::string read_all() const {
+        std::string text;
+        std::array<char, page_bytes> buffer{};
+        for (;;) {
+            const auto count = ::read(m_reader, buffer.data(), buffer.size());
+            if (count <= 0) {
+                return text;
+            }
+            text.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+    }
+
+private:
+    static constexpr int page_bytes = 4096;
+    std::string m_path;
+    int m_reader = -1;
+};
+
 BOOST_FIXTURE_TEST_SUITE(gateway_test, gateway_fixture)
 
 BOOST_AUTO_TEST_CASE(request_of_each_kind_is_answered_by_an_upstream) {
@@ -262,6 +305,32 @@
     BOOST_TEST(ready_status(0) == 200U);
 }
 
+// Guards against a gateway that stands still because the reader of its log does: its pipe is full.
+BOOST_AUTO_TEST_CASE(gateway_whose_log_nobody_reads_still_answers_and_counts_the_lines_left_out) {
+    const log_pipe pipe{folder + "/pipe"};
+    child_process quiet{"jujubemast-gateway", {"--settings", write_settings("quiet")}, pipe.path()};
+    std::string text;
+    std::smatch found;
+    const std::regex listening{"task=jujubemast-gateway/callers/listener address=(\\S+)"};
+    wait_until("the gateway listens", [&] {
+        text += pipe.read_all();
+        return std::regex_search(text, found, listening);
+    });
+    addresses.push_back(found[1].str());
+    wait_until("it serves", [&] { return send("GET", "/read/1", "first", {}, 2).status == 200; });
+    pipe.read_all();
+    // More than the pipe and the gateway hold.
+    for (int n = 0; n < 1500; ++n) {
+        BOOST_REQUIRE(send("GET", "/read/1", "n" + std::to_string(n), {}, 2).status == 200U);
+    }
+    text.clear();
+    wait_until("the lines left out are counted", [&] {
+        text += pipe.read_all();
+        return text.find("process: Lines left out.") != std::string::npos;
+    });
+    BOOST_TEST(text.find("attempt=n0 ") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/docs/reference_page_test.cpp
+++ b/tests/unit/docs/reference_page_test.cpp
@@ -62,6 +62,26 @@
     check_listed("## Log prefixes", used);
 }
 
+// Guards against a field of a log line that nobody can look up.
+BOOST_AUTO_TEST_CASE(reference_page_when_compared_lists_every_field_of_gateway_log_lines) {
+    const std::regex line{R"re((?:m_log\.[a-z]+\(|logging::fields values\{)[^;]*;)re"};
+    const std::regex field{R"re(\{\s*"([a-z_]+)",)re"};
+    std::set<std::string> used;
+    const std::filesystem::path root{JUJUBEMAST_SOURCE_DIR};
+    for (const auto& it : std::filesystem::directory_iterator{root / "source/core/gateway"}) {
+        const auto text = read_source(std::filesystem::relative(it.path(), root).string());
+        for (std::sregex_iterator at{text.begin(), text.end(), line}, end; at != end; ++at) {
+            const auto statement = at->str();
+            for (std::sregex_iterator key{statement.begin(), statement.end(), field}; key != end;
+                 ++key) {
+                used.insert((*key)[1].str());
+            }
+        }
+    }
+    BOOST_TEST(used.size() >= 30U);
+    check_listed("## Fields of gateway log lines", used);
+}
+
 // Guards against a page that sends operators after a wrong status code.
 BOOST_AUTO_TEST_CASE(reference_page_when_compared_lists_every_problem_with_its_status) {
     check_names<entry::problem_kind>("## Problem kinds");
