gateway: large last results are made just before they are read

Cause: a stage of 800 kB results that no other stage follows was ordered at arrival, and its results took room for the whole of the other chain (1 to 2 s), while room at that service bounds what it can make.

Change: such a stage waits while the other stages take longer after their next step than it does alone, or while the request has time to spare. Stages without followers never wait for each other.

--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -146,6 +146,8 @@
     /// When to come back after a refusal for overload.
     static common::duration overload_retry(common::duration excess);
     void advance_stages(exchange& target);
+    /// Whether the results of a stage would take room while other stages are made.
+    [[nodiscard]] bool is_too_early(const exchange& target, std::uint32_t stage) const;
     /// Returns whether the order was taken.
     bool order_stage(exchange& target, std::uint32_t stage);
     void withdraw_orders(exchange& target);
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/forwarder_stages.cpp
@@ -16,13 +16,16 @@
 // Results are kept for a fixed time; a stage that is expected to have its turn later than this
 // share of it is not worth its inputs.
 constexpr double lifetime_share = 0.7;
+// The room of an instance holds few results of this size; they are made just before they are read.
+constexpr double large_result = 200'000;
 // Smaller results may cross failure domains without regard to the cost.
 constexpr double large_transfer = 50'000;
 
 } // namespace
 
 void forwarder::advance_stages(exchange& target) {
-    for (const auto stage : target.stages.take_ready()) {
+    const auto is_early = [&](std::uint32_t stage) { return is_too_early(target, stage); };
+    for (const auto stage : target.stages.take_ready(is_early)) {
         if (!order_stage(target, stage)) {
             refuse(target, status_unavailable, "too many orders wait at this instance");
             return;
@@ -33,6 +36,17 @@
     }
 }
 
+bool forwarder::is_too_early(const exchange& target, std::uint32_t stage) const {
+    if (target.target->stages[stage].result_bytes < large_result) {
+        return false;
+    }
+    const auto spare = target.arrived + target.target->latency_target -
+                       common::monotonic_clock::now() - target.expected_stages - engine_start;
+    return target.stages.can_wait(stage, spare, [&](std::uint32_t n, common::duration start) {
+        return expected_stage(target, n, start);
+    });
+}
+
 std::size_t forwarder::count_serving(const std::string& service) const {
     if (!m_upstreams) {
         return 0;
--- a/source/core/gateway/stage_progress.cpp
+++ b/source/core/gateway/stage_progress.cpp
@@ -17,21 +17,23 @@
     }
 }
 
-std::vector<std::uint32_t> stage_progress::take_ready() {
+std::vector<std::uint32_t> stage_progress::take_ready(const hold_hook& hold) {
     std::vector<std::uint32_t> ready;
-    for (std::size_t n = 0; n < m_stages.size(); ++n) {
+    for (std::uint32_t n = 0; n < m_stages.size(); ++n) {
         auto& it = m_stages[n];
-        const bool inputs_made = std::all_of(it.after.begin(), it.after.end(), [&](std::size_t m) {
-            return m_stages[m].state == phase::made;
-        });
-        if (it.state == phase::waiting && inputs_made) {
+        if (it.state == phase::waiting && inputs_made(it) && !hold(n)) {
             it.state = phase::ordered;
-            ready.push_back(static_cast<std::uint32_t>(n));
+            ready.push_back(n);
         }
     }
     return ready;
 }
 
+bool stage_progress::inputs_made(const stage_state& of) const {
+    return std::all_of(of.after.begin(), of.after.end(),
+                       [&](std::size_t m) { return m_stages[m].state == phase::made; });
+}
+
 std::vector<std::string> stage_progress::inputs_of(std::uint32_t stage) const {
     std::vector<std::string> inputs;
     for (const auto n : m_stages[stage].after) {
@@ -116,6 +118,23 @@
     return latest;
 }
 
+bool stage_progress::can_wait(std::uint32_t stage, common::duration spare,
+                              const time_hook& time_of) const {
+    constexpr auto now = common::duration::zero();
+    if (has_follower(stage)) {
+        return false;
+    }
+    // Stages are looked at again when one is made, so what counts is the time after that.
+    auto rest = common::duration::zero();
+    for (std::uint32_t n = 0; n < m_stages.size(); ++n) {
+        if (m_stages[n].state != phase::made && inputs_made(m_stages[n]) && has_follower(n)) {
+            const auto made = time_of(n, now);
+            rest = std::max(rest, end_of_chain(n, made, time_of) - made);
+        }
+    }
+    return rest > common::duration::zero() && time_of(stage, now) < rest + std::max(now, spare) / 2;
+}
+
 void stage_progress::restart() {
     for (auto& it : m_stages) {
         it.state = it.count == 0 ? phase::made : phase::waiting;
--- a/source/core/gateway/stage_progress.h
+++ b/source/core/gateway/stage_progress.h
@@ -20,8 +20,11 @@
     /// `counts` holds the number of pieces of each stage; a stage without pieces is left out.
     stage_progress(const std::vector<stage_spec>& stages, const std::vector<std::uint32_t>& counts);
 
+    /// Whether a stage that could be ordered is better ordered later.
+    using hold_hook = std::function<bool(std::uint32_t stage)>;
+
     /// Stages that can be ordered now. Each is returned once.
-    std::vector<std::uint32_t> take_ready();
+    std::vector<std::uint32_t> take_ready(const hold_hook& hold);
 
     /// Results of all pieces of the stages that this one needs.
     [[nodiscard]] std::vector<std::string> inputs_of(std::uint32_t stage) const;
@@ -54,6 +57,12 @@
                                                 common::duration start,
                                                 const time_hook& time_of) const;
 
+    /// Whether a stage that no other follows can be ordered later without delay to the request,
+    /// when that has this much time to spare: the others need longer after their next step than
+    /// this stage alone.
+    [[nodiscard]] bool can_wait(std::uint32_t stage, common::duration spare,
+                                const time_hook& time_of) const;
+
     /// The service whose results are the inputs of this stage, if no other stage reads them and
     /// they come from one stage only; empty otherwise.
     [[nodiscard]] std::string sole_input_service(std::uint32_t stage) const;
@@ -75,6 +84,7 @@
         std::vector<std::string> handles;
     };
 
+    [[nodiscard]] bool inputs_made(const stage_state& of) const;
     [[nodiscard]] bool has_follower(std::size_t stage) const;
     [[nodiscard]] bool followers_made(std::size_t stage) const;
 
--- a/tests/unit/gateway/stage_progress_test.cpp
+++ b/tests/unit/gateway/stage_progress_test.cpp
@@ -13,6 +13,8 @@
     std::vector<gateway::stage_spec> stages{
         {"a", {}, 800'000}, {"a", {}, 8000}, {"b", {1}, 60'000}, {"c", {2}, 6000}};
 
+    static bool never(std::uint32_t /*stage*/) { return false; }
+
     gateway::stage_progress make(const std::vector<std::uint32_t>& counts) const {
         return {stages, counts};
     }
@@ -22,11 +24,11 @@
 
 BOOST_AUTO_TEST_CASE(stages_begin_when_their_inputs_are_made) {
     auto progress = make({2, 1, 4, 3});
-    BOOST_TEST(progress.take_ready() == (std::vector<std::uint32_t>{0, 1}),
+    BOOST_TEST(progress.take_ready(never) == (std::vector<std::uint32_t>{0, 1}),
                boost::test_tools::per_element());
-    BOOST_TEST(progress.take_ready().empty());
+    BOOST_TEST(progress.take_ready(never).empty());
     progress.complete(1, {"h1"});
-    BOOST_TEST(progress.take_ready() == (std::vector<std::uint32_t>{2}),
+    BOOST_TEST(progress.take_ready(never) == (std::vector<std::uint32_t>{2}),
                boost::test_tools::per_element());
     BOOST_TEST(progress.inputs_of(2) == (std::vector<std::string>{"h1"}),
                boost::test_tools::per_element());
@@ -35,7 +37,7 @@
 // Guards against inputs of another stage, or only some of them.
 BOOST_AUTO_TEST_CASE(request_gets_all_results_of_the_stages_that_none_follows) {
     auto progress = make({2, 1, 1, 2});
-    progress.take_ready();
+    progress.take_ready(never);
     progress.complete(0, {"x", "y"});
     progress.complete(1, {"h1"});
     progress.complete(2, {"h2"});
@@ -48,7 +50,7 @@
 
 BOOST_AUTO_TEST_CASE(stage_without_pieces_is_left_out) {
     auto progress = make({0, 1, 4, 3});
-    BOOST_TEST(progress.take_ready() == (std::vector<std::uint32_t>{1}),
+    BOOST_TEST(progress.take_ready(never) == (std::vector<std::uint32_t>{1}),
                boost::test_tools::per_element());
     BOOST_TEST(make({0, 0, 0, 0}).done());
 }
@@ -56,7 +58,7 @@
 // Guards against the release of results that a stage still needs.
 BOOST_AUTO_TEST_CASE(results_are_spent_only_after_all_their_readers) {
     auto progress = make({0, 1, 1, 1});
-    progress.take_ready();
+    progress.take_ready(never);
     progress.complete(1, {"h1"});
     BOOST_TEST(progress.take_spent(false).empty());
     progress.complete(2, {"h2"});
@@ -86,6 +88,42 @@
     BOOST_TEST((progress.end_of_chain(3, milliseconds{100}, time_of) == milliseconds{100}));
 }
 
+BOOST_AUTO_TEST_CASE(stage_that_was_held_is_offered_again) {
+    auto progress = make({2, 1, 4, 3});
+    BOOST_TEST(progress.take_ready([](std::uint32_t n) { return n == 0; }) ==
+                   (std::vector<std::uint32_t>{1}),
+               boost::test_tools::per_element());
+    BOOST_TEST(progress.take_ready(never) == (std::vector<std::uint32_t>{0}),
+               boost::test_tools::per_element());
+}
+
+// Guards against large results that take room while the other stages are made, and against a
+// request that is held up by the stage that waited.
+BOOST_AUTO_TEST_CASE(last_stage_can_wait_while_the_others_take_longer_after_their_next_step) {
+    auto progress = make({2, 1, 4, 3});
+    const auto time_of = [](std::uint32_t n, common::duration /*start*/) -> common::duration {
+        return milliseconds{n == 0 ? 250 : 200};
+    };
+    progress.take_ready([](std::uint32_t n) { return n == 0; });
+    BOOST_TEST(progress.can_wait(0, {}, time_of));
+    progress.complete(1, {"h1"});
+    BOOST_TEST(!progress.can_wait(0, {}, time_of));
+    BOOST_TEST(progress.can_wait(0, milliseconds{200}, time_of));
+    progress.complete(2, {"h2"});
+    BOOST_TEST(!progress.can_wait(0, std::chrono::hours{1}, time_of));
+}
+
+// Guards against stages that wait for each other for ever.
+BOOST_AUTO_TEST_CASE(stages_without_followers_never_wait_for_each_other) {
+    stages = {{"a", {}, 800'000}, {"b", {}, 800'000}};
+    const auto progress = make({1, 1});
+    const auto time_of = [](std::uint32_t /*n*/, common::duration /*start*/) -> common::duration {
+        return milliseconds{200};
+    };
+    BOOST_TEST(!progress.can_wait(0, std::chrono::hours{1}, time_of));
+    BOOST_TEST(!progress.can_wait(1, std::chrono::hours{1}, time_of));
+}
+
 BOOST_AUTO_TEST_CASE(estimate_bias_follows_the_observed_quotient) {
     gateway::estimate_bias bias;
     BOOST_TEST((bias.apply(milliseconds{100}) == milliseconds{100}));
