gateway: estimates of stages learn by priority and forget; admission within the target

The correction of the estimate was learned for a service from the pieces of all priorities, so the long waits of the least urgent raised the estimate of the others; and where all of a kind is refused, nothing was observed that would have lowered it again.

Change: the correction is kept by service and priority and returns to 1 within seconds without observations. A request is admitted if its stages are expected within its latency target, instead of 1.3 times that.

--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -22,9 +22,8 @@
 // A request is admitted if its stages are expected to be made within this share of the time for
 // them; the rest allows for what arrives later with a more urgent priority.
 constexpr double admission_share = 0.7;
-// It is not admitted either if it would miss its latency target by more than this factor, because
-// its late answer would cost others their timely ones.
-constexpr double target_share = 1.3;
+// It is not admitted either if it would miss its latency target, because its late answer would cost
+// others their timely ones.
 // Callers abandon a stream without its first event after the longest of these: a fixed time, a
 // multiple of the latency target, a multiple of the longest pause that is on time.
 constexpr common::duration least_patience = std::chrono::seconds{2};
@@ -181,10 +180,10 @@
     target.stages = stage_progress{target.target->stages, target.request.piece_counts};
     pool_of(target.service).budget().record_first_attempt();
     target.expected_stages = expected_stages(target);
-    target.allowed_stages = std::min(
-        std::chrono::duration_cast<common::duration>((target.first_event_by - target.arrived) *
-                                                     admission_share),
-        std::chrono::duration_cast<common::duration>(target.target->latency_target * target_share));
+    target.allowed_stages =
+        std::min(std::chrono::duration_cast<common::duration>(
+                     (target.first_event_by - target.arrived) * admission_share),
+                 target.target->latency_target);
     if (target.expected_stages > target.allowed_stages) {
         refuse(target, status_unavailable, "stages overloaded",
                overload_retry(target.expected_stages - target.allowed_stages));
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -191,7 +191,8 @@
         common::time_point received;
     };
     std::map<std::string, known_backlog> m_backlogs;
-    std::map<std::string, estimate_bias> m_biases;
+    /// By service and priority, because less urgent pieces wait longer than estimated.
+    std::map<std::pair<std::string, int>, estimate_bias> m_biases;
     /// Pieces of admitted requests that are not yet ordered, by service and priority.
     std::map<std::string, std::map<int, std::size_t>> m_upcoming;
     std::size_t m_gateways = 1;
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/forwarder_stages.cpp
@@ -100,8 +100,8 @@
 common::duration forwarder::expected_stage(const exchange& target, std::uint32_t stage,
                                            common::duration start) const {
     const auto raw = raw_expected_stage(target, stage, start);
-    const auto bias = m_biases.find(target.target->stages[stage].service);
-    return bias == m_biases.end() ? raw : bias->second.apply(raw);
+    const auto bias = m_biases.find({target.target->stages[stage].service, target.priority});
+    return bias == m_biases.end() ? raw : bias->second.apply(raw, common::monotonic_clock::now());
 }
 
 common::duration forwarder::expected_stages(const exchange& target) const {
@@ -217,11 +217,12 @@
     }
     const auto order = target->orders.at(message.number);
     const auto stage = order.stage;
+    const auto now = common::monotonic_clock::now();
     target->orders.erase(message.number);
     switch (message.outcome.status) {
     case order_status::made:
-        m_biases[target->target->stages[stage].service].record(
-            order.expected, common::monotonic_clock::now() - order.sent);
+        m_biases[{target->target->stages[stage].service, target->priority}].record(
+            order.expected, now - order.sent, now);
         note_lapse(*target, stage);
         target->stages.complete(stage, message.outcome.handles);
         for (auto& spent : target->stages.take_spent(false)) {
