gateway: final inputs are freed once the engine has read them

Room bound the whole chain.

Change: an engine with free slots fetches inputs at once; they are freed 60 ms after the send while at most half of its slots are taken by the requests of all gateways, as far as this one can tell, else at the first event as before.

--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json.hpp>
 
+#include "gateway/ownership.h"
+
 namespace jujubemast::gateway {
 
 namespace {
@@ -246,9 +248,9 @@
     discard(message.service, message.handles);
 }
 
-void dispatcher::handle(const owners_changed& /*message*/) {
+void dispatcher::handle(const owners_changed& message) {
     for (auto& [name, state] : m_services) {
-        state.taken_over = true;
+        state.taken_over = state.taken_over || choose_owner(name, message.owners) != message.self;
     }
 }
 
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -76,7 +76,7 @@
         common::time_point next_call;
         std::map<std::string, std::shared_ptr<instance_state>> instances;
         policy::outlier_detector health;
-        /// Another gateway may have used the instances since.
+        /// Another gateway may have used the instances since this one last did.
         bool taken_over = true;
     };
 
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -75,6 +75,7 @@
         std::unique_ptr<runtime::timer> final_timer;
         /// Bounds one attempt of a request that may be repeated.
         std::unique_ptr<runtime::timer> attempt_timer;
+        std::unique_ptr<runtime::timer> inputs_timer;
 
         stage_progress stages;
         /// Stages that are not yet ordered.
@@ -161,6 +162,8 @@
     void attempt_ended(exchange& target, attempt_end end, const std::string& detail);
     void stop_call(exchange& target);
     void bound_attempt(exchange& target);
+    /// Releases the inputs when an engine that began at once has read them.
+    void expect_inputs_read(exchange& target);
     [[nodiscard]] std::uint64_t prefix_of(const exchange& target) const;
 
     void respond(exchange& target, const http::response& answer, request_end end,
--- a/source/core/gateway/forwarder_send.cpp
+++ b/source/core/gateway/forwarder_send.cpp
@@ -16,6 +16,10 @@
 // An idempotent request that takes this many times its latency target is tried elsewhere.
 constexpr int attempt_patience = 2;
 constexpr int least_urgent = 9;
+// An engine with free slots begins at once and reads the inputs first.
+constexpr common::duration input_read_time = std::chrono::milliseconds{60};
+// An engine is taken to have free slots up to this share of them, as other gateways use it as well.
+constexpr double free_share = 0.5;
 
 } // namespace
 
@@ -74,6 +78,7 @@
     // Every arrival at an upstream counts against the attempts and the retry budget.
     call.resend = false;
     bound_attempt(target);
+    expect_inputs_read(target);
     target.call = target.member->client->start(m_translate->encode_forward(target.request, options),
                                                make_hooks(target.id), call);
 }
@@ -94,6 +99,20 @@
         }));
 }
 
+void forwarder::expect_inputs_read(exchange& target) {
+    const auto busy = static_cast<double>(target.member->in_progress * m_gateways);
+    if (target.target->stages.empty() || busy > free_share * target.member->identity.slots) {
+        return;
+    }
+    target.inputs_timer = std::make_unique<runtime::timer>(m_context.loop());
+    target.inputs_timer->start(input_read_time, m_context.wrap([this, id = target.id] {
+        auto* sent = find(id);
+        if (sent != nullptr && sent->call != 0) {
+            release_inputs(*sent);
+        }
+    }));
+}
+
 http::call_hooks forwarder::make_hooks(std::uint64_t id) {
     http::call_hooks hooks;
     hooks.on_head = [this, id](unsigned status, const http::headers& fields) {
@@ -221,6 +240,7 @@
 void forwarder::attempt_ended(exchange& target, attempt_end end, const std::string& detail) {
     const auto now = common::monotonic_clock::now();
     target.attempt_timer.reset();
+    target.inputs_timer.reset();
     auto& pool = pool_of(target.service);
     attempt_facts facts;
     facts.end = end;
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -75,8 +75,11 @@
     std::vector<gateway_record> gateways;
 };
 
-/// The gateways among which services are divided are others than before.
-struct owners_changed {};
+/// The gateways among which services are divided, and the name of this one.
+struct owners_changed {
+    std::vector<std::string> owners;
+    std::string self;
+};
 
 /// An ordered stop of this gateway has begun.
 struct stop_begun {
--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers.cpp
@@ -115,7 +115,7 @@
     }
     if (owners != m_owners) {
         m_owners = std::move(owners);
-        m_dispatcher.send(owners_changed{});
+        m_dispatcher.send(owners_changed{m_owners, m_self.name});
     }
     if (any_lost) {
         move_lost_orders();
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -150,8 +150,9 @@
         }));
     }
 
-    int reports_asked() const {
-        return std::stoi(std::string{call(store, {"GET", "/reports", {}, {}}).body});
+    /// A number that the stand-in counts.
+    int counted(const char* path) const {
+        return std::stoi(std::string{call(store, {"GET", path, {}, {}}).body});
     }
 
     /// Sends bytes on a connection and returns all that comes until it is closed.
@@ -281,13 +282,24 @@
 // Guards against a new owner that takes instances full of a former owner's results for empty.
 BOOST_AUTO_TEST_CASE(owner_that_takes_over_asks_the_instances_for_what_others_left) {
     const auto owner = owner_of_stages();
-    const auto before = reports_asked();
+    const auto before = counted("/reports");
     gateways[owner]->send_signal(SIGTERM);
     wait_until("the other gateway owns the stages", [&] {
-        return send_staged("h3", "k", 1 - owner).complete && reports_asked() > before;
+        return send_staged("h3", "k", 1 - owner).complete && counted("/reports") > before;
     });
 }
 
+// Guards against results that take room at their makers while an engine reads a long prompt.
+BOOST_AUTO_TEST_CASE(inputs_of_a_request_are_freed_once_an_engine_with_free_slots_has_read_them) {
+    auto answer = std::async(std::launch::async, [&] {
+        return send("POST", "/draft/mute", "f1",
+                    {{"X-Model", "m"}, {"X-Pieces", "1,3"}, {"X-Piece-Key", "k"}});
+    });
+    wait_until("all results are freed", [&] { return counted("/freed") == 4; });
+    BOOST_TEST((answer.wait_for(std::chrono::seconds{0}) == std::future_status::timeout));
+    BOOST_TEST(answer.get().status == 504U);
+}
+
 // Guards against a second run of a request whose outcome is unknown.
 BOOST_AUTO_TEST_CASE(unsafe_request_without_an_answer_ends_as_unknown_after_one_run) {
     const auto answer = send("POST", "/post/break", "b1");
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -32,6 +32,9 @@
     std::map<std::string, int> stage_results;
     int next_result = 1;
     int reports = 0;
+    std::size_t freed = 0;
+    /// Requests that are never answered.
+    std::vector<http::responder> unanswered;
     std::optional<runtime::executor> loop;
 
     void put(const std::string& table, const std::string& key, const boost::json::value& value) {
@@ -149,6 +152,8 @@
         reply.respond(http::json_response(200, R"({"row_version":1,"now_ms":1})"));
     } else if (path == "/records") {
         reply.respond(http::json_response(200, boost::json::serialize(state->records)));
+    } else if (path == "/freed") {
+        reply.respond(http::json_response(200, std::to_string(state->freed)));
     } else if (path == "/reports") {
         reply.respond(http::json_response(200, std::to_string(state->reports)));
     } else if (path == "/configuration") {
@@ -230,6 +235,7 @@
         return {};
     }
     if (message.target == "/stage-free") {
+        state->freed += boost::json::parse(message.body).at("handles").as_array().size();
         reply.respond(http::json_response(200, "{}"));
         return {};
     }
@@ -244,6 +250,8 @@
                             {"body", message.body}});
     if (message.target == "/stage-run") {
         make_pieces(state, message, reply);
+    } else if (message.target.find("mute") != std::string::npos) {
+        state->unanswered.push_back(reply);
     } else if (sheds(message)) {
         reply.respond({503, {{"X-Not-Run", "1"}}, ""});
     } else if (!field(message, "X-Model").empty()) {
