gateway: a stop waits half a second for the store, connecting included

Cause: the limit of the call that removes the gateway's row did not cover the time to connect, so a stop could take 0.8 s longer while the store was silent.

Change: the supervisor's stop limit of the catalog bounds it whole.

--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr common::duration register_retry = std::chrono::seconds{1};
-// A stop does not wait longer for the store.
-constexpr common::duration unregister_limit = std::chrono::milliseconds{500};
 
 http::client_limits store_limits() {
     http::client_limits limits;
@@ -59,8 +57,7 @@
                           m_log.info("Not unregistered.", {{"gateway", m_self.name}});
                       }
                       done();
-                  },
-                  {.repeatable = true, .head_timeout = unregister_limit});
+                  });
 }
 
 void catalog::close() noexcept {
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::size_t mailbox_capacity = 16384;
+// A stop waits no longer for the store, which may be down.
+constexpr common::duration unregister_limit = std::chrono::milliseconds{500};
 constexpr const char* configuration_condition = "configuration";
 constexpr const char* listener_condition = "listener";
 
@@ -164,10 +166,12 @@
                         }});
     const auto hooks =
         make_catalog_hooks(forwarder_inbox, dispatcher_inbox, peers_inbox, health, current);
-    children.push_back({"catalog", [=](runtime::task_context it) {
-                            return std::make_shared<catalog>(std::move(it), store, translate, self,
-                                                             hooks);
-                        }});
+    runtime::child_spec catalog_child{"catalog", [=](runtime::task_context it) {
+                                          return std::make_shared<catalog>(std::move(it), store,
+                                                                           translate, self, hooks);
+                                      }};
+    catalog_child.stop_limit = unregister_limit;
+    children.push_back(std::move(catalog_child));
     children.push_back(make_caller_server(values, forwarder_inbox, translate, health, peers_inbox,
                                           dispatcher_inbox, current));
     return children;
