--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -18,18 +18,9 @@
 constexpr common::duration domain_rest = std::chrono::milliseconds{30};
 // When to come back while a service has no instance.
 constexpr common::duration absence_retry = std::chrono::milliseconds{500};
-// Pieces wait for an instance near their inputs while this many full calls fit before their target.
-constexpr int domain_patience = 2;
 // Longer than a gateway keeps asking for the outcome of an order.
 constexpr common::duration memory_of_settled = std::chrono::seconds{8};
 
-http::client_limits call_limits() {
-    http::client_limits limits;
-    limits.connect_timeout = std::chrono::milliseconds{500};
-    limits.max_idle_connections = 3;
-    return limits;
-}
-
 /// Calls that begin evenly spread leave an instance free at even intervals, so that small calls do
 /// not take all instances just before more pieces arrive.
 common::duration call_spacing(const piece_limits& limits, std::size_t instances) {
@@ -110,44 +101,6 @@
     }
 }
 
-void dispatcher::update_instances(const std::string& name, service_state& target) {
-    if (!m_upstreams) {
-        return;
-    }
-    std::erase_if(target.instances, [&](const auto& it) {
-        auto& instance = *it.second;
-        const auto known = m_upstreams->find(it.first);
-        const bool gone =
-            known == m_upstreams->end() || !is_same_start(known->second, instance.identity);
-        instance.leaving = gone || known->second.phase == upstream_phase::draining;
-        if (gone) {
-            // Calls in progress hold the instance and its client until they end.
-            target.health.remove_member(it.first);
-        }
-        return gone;
-    });
-    for (const auto& [id, it] : *m_upstreams) {
-        if (it.service != name || target.instances.contains(id)) {
-            continue;
-        }
-        auto added = std::make_shared<instance_state>();
-        added->identity = it;
-        added->leaving = it.phase == upstream_phase::draining;
-        added->client = std::make_unique<http::client>(m_context, it.address, call_limits());
-        target.instances.emplace(id, std::move(added));
-        target.health.add_member(id);
-    }
-}
-
-std::size_t dispatcher::usable_instances(service_state& target) const {
-    const auto now = common::monotonic_clock::now();
-    return static_cast<std::size_t>(
-        std::count_if(target.instances.begin(), target.instances.end(), [&](const auto& it) {
-            return !it.second->leaving &&
-                   target.health.state(it.first, now) != policy::rotation_state::ejected;
-        }));
-}
-
 service_backlog dispatcher::backlog_of(const std::string& name, service_state& target) const {
     const auto busy =
         std::count_if(target.instances.begin(), target.instances.end(),
@@ -172,28 +125,6 @@
     m_report_timer.start(report_interval, m_context.wrap([this] { report_backlogs(); }));
 }
 
-bool dispatcher::may_take(service_state& target, const instance_state& instance,
-                          const piece_limits& limits, const order_key& key) const {
-    const auto it = m_orders.find(key);
-    if (it == m_orders.end()) {
-        return true;
-    }
-    const auto& order = it->second.order;
-    if (order.preferred_domain.empty() ||
-        order.preferred_domain == instance.identity.failure_domain) {
-        return true;
-    }
-    const auto now = common::monotonic_clock::now();
-    if (order.target - now < call_time(limits, limits.batch) * domain_patience) {
-        return true;
-    }
-    return std::none_of(target.instances.begin(), target.instances.end(), [&](const auto& other) {
-        return !other.second->leaving &&
-               other.second->identity.failure_domain == order.preferred_domain &&
-               target.health.last_state(other.first) != policy::rotation_state::ejected;
-    });
-}
-
 void dispatcher::handle(const piece_order& message) {
     const auto known = m_orders.find(message.key);
     if (known != m_orders.end()) {
@@ -314,28 +245,6 @@
     }
 }
 
-std::shared_ptr<dispatcher::instance_state> dispatcher::free_instance(service_state& target,
-                                                                      const piece_limits& limits) {
-    const auto now = common::monotonic_clock::now();
-    std::shared_ptr<instance_state> best;
-    std::shared_ptr<instance_state> ejected;
-    for (const auto& [id, it] : target.instances) {
-        if (it->leaving || it->unreported || it->calls + it->foreign_calls >= limits.slots ||
-            it->resting_until > now) {
-            continue;
-        }
-        if (target.health.state(id, now) == policy::rotation_state::ejected) {
-            ejected = it;
-            continue;
-        }
-        if (!best || it->room.used(now) < best->room.used(now)) {
-            best = it;
-        }
-    }
-    // An instance that may be bad is better than none.
-    return best || usable_instances(target) > 0 ? best : ejected;
-}
-
 void dispatcher::settle(order_state& state, order_outcome outcome) {
     const auto now = common::monotonic_clock::now();
     if (outcome.status != order_status::made) {
--- a/source/core/logging/line_queue.cpp
+++ b/source/core/logging/line_queue.cpp
@@ -11,10 +11,19 @@
 
 namespace {
 
-/// A write of at most PIPE_BUF bytes does not block on a pipe that is reported as writable.
-bool is_writable(int descriptor) {
+enum class reader_state { takes_bytes, busy, gone };
+
+/// A write of at most PIPE_BUF bytes does not block on a pipe whose reader takes bytes. One to a
+/// pipe without a reader would raise SIGPIPE.
+reader_state state_of_reader(int descriptor) {
     pollfd question{descriptor, POLLOUT, 0};
-    return poll(&question, 1, 0) == 1 && (question.revents & (POLLOUT | POLLERR)) != 0;
+    if (poll(&question, 1, 0) != 1) {
+        return reader_state::busy;
+    }
+    if ((question.revents & (POLLERR | POLLNVAL)) != 0) {
+        return reader_state::gone;
+    }
+    return (question.revents & POLLOUT) != 0 ? reader_state::takes_bytes : reader_state::busy;
 }
 
 } // namespace
@@ -35,12 +44,20 @@
 }
 
 void line_queue::flush() {
-    while (pending_bytes() > 0 && is_writable(m_descriptor)) {
+    while (pending_bytes() > 0) {
+        const auto reader = state_of_reader(m_descriptor);
+        if (reader == reader_state::gone) {
+            // Nobody is left to tell.
+            m_written = m_pending.size();
+            break;
+        }
+        if (reader == reader_state::busy) {
+            break;
+        }
         const auto size = std::min<std::size_t>(pending_bytes(), PIPE_BUF);
         const auto written = write(m_descriptor, m_pending.data() + m_written, size);
         if (written < 0) {
             if (errno != EAGAIN && errno != EINTR) {
-                // The reader has gone for good, and there is nobody left to tell.
                 m_written = m_pending.size();
             }
             break;
--- a/source/core/runtime/process.cpp
+++ b/source/core/runtime/process.cpp
@@ -29,6 +29,8 @@
 } // namespace
 
 int run_process(const std::string& name, const tree_builder& build, const reload_hook& reload) {
+    // Writes to a closed connection or pipe fail with an error instead of ending the process.
+    static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
     const logging::logger log{"process"};
     boost::asio::io_context context{1};
     const executor loop{context};
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -186,12 +186,17 @@
         BOOST_REQUIRE(m_reader >= 0);
         BOOST_REQUIRE(::fcntl(m_reader, F_SETPIPE_SZ, page_bytes) > 0);
     }
-    ~log_pipe() { ::close(m_reader); }
+    ~log_pipe() { close(); }
     log_pipe(const log_pipe&) = delete;
     log_pipe& operator=(const log_pipe&) = delete;
 
     const std::string& path() const { return m_path; }
 
+    void close() {
+        ::close(m_reader);
+        m_reader = -1;
+    }
+
     std::string read_all() const {
         std::string text;
         std::array<char, page_bytes> buffer{};
@@ -391,32 +396,55 @@
     BOOST_TEST(ready_status(0) == 200U);
 }
 
+/// A third gateway whose log goes to a pipe.
+struct log_pipe_fixture : gateway_fixture {
+    std::unique_ptr<log_pipe> pipe = std::make_unique<log_pipe>(folder + "/pipe");
+    std::unique_ptr<child_process> quiet;
+
+    void start_with_log_pipe() {
+        quiet = std::make_unique<child_process>(
+            "jujubemast-gateway", std::vector<std::string>{"--settings", write_settings("quiet")},
+            pipe->path());
+        std::string text;
+        std::smatch found;
+        const std::regex listening{"task=jujubemast-gateway/callers/listener address=(\\S+)"};
+        wait_until("the gateway listens", [&] {
+            text += pipe->read_all();
+            return std::regex_search(text, found, listening);
+        });
+        addresses.push_back(found[1].str());
+        wait_until("it serves",
+                   [&] { return send("GET", "/read/1", "first", {}, 2).status == 200; });
+    }
+};
+
 // Guards against a gateway that stands still because the reader of its log does: its pipe is full.
-BOOST_AUTO_TEST_CASE(gateway_whose_log_nobody_reads_still_answers_and_counts_the_lines_left_out) {
-    const log_pipe pipe{folder + "/pipe"};
-    child_process quiet{"jujubemast-gateway", {"--settings", write_settings("quiet")}, pipe.path()};
-    std::string text;
-    std::smatch found;
-    const std::regex listening{"task=jujubemast-gateway/callers/listener address=(\\S+)"};
-    wait_until("the gateway listens", [&] {
-        text += pipe.read_all();
-        return std::regex_search(text, found, listening);
-    });
-    addresses.push_back(found[1].str());
-    wait_until("it serves", [&] { return send("GET", "/read/1", "first", {}, 2).status == 200; });
-    pipe.read_all();
+BOOST_FIXTURE_TEST_CASE(gateway_whose_log_nobody_reads_still_answers_and_counts_the_lines_left_out,
+                        log_pipe_fixture) {
+    start_with_log_pipe();
+    pipe->read_all();
     // More than the pipe and the gateway hold.
     for (int n = 0; n < 1500; ++n) {
         BOOST_REQUIRE(send("GET", "/read/1", "n" + std::to_string(n), {}, 2).status == 200U);
     }
-    text.clear();
+    std::string text;
     wait_until("the lines left out are counted", [&] {
-        text += pipe.read_all();
+        text += pipe->read_all();
         return text.find("process: Lines left out.") != std::string::npos;
     });
     BOOST_TEST(text.find("attempt=n0 ") != std::string::npos);
 }
 
+// Guards against a gateway that ends by SIGPIPE when the reader of its log ends.
+BOOST_FIXTURE_TEST_CASE(gateway_whose_log_reader_ends_still_answers, log_pipe_fixture) {
+    start_with_log_pipe();
+    pipe->close();
+    for (int n = 0; n < 20; ++n) {
+        BOOST_REQUIRE(send("GET", "/read/1", "e" + std::to_string(n), {}, 2).status == 200U);
+    }
+    BOOST_TEST(quiet->running());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -45,7 +45,16 @@
     posix_spawn_file_actions_addopen(&actions, 1, m_log_path.c_str(),
                                      O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    const int error = posix_spawn(&m_id, path.c_str(), &actions, nullptr, argv.data(), environ);
+    // Programs start as from a shell, whatever this process ignores.
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    sigset_t defaults;
+    sigemptyset(&defaults);
+    sigaddset(&defaults, SIGPIPE);
+    posix_spawnattr_setsigdefault(&attributes, &defaults);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGDEF);
+    const int error = posix_spawn(&m_id, path.c_str(), &actions, &attributes, argv.data(), environ);
+    posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
         throw std::runtime_error{"cannot start " + path};
