--- a/source/core/gateway/dispatcher_calls.cpp
+++ b/source/core/gateway/dispatcher_calls.cpp
@@ -45,10 +45,6 @@
     call.limit->start(call_time(limits, call.pieces.size()) * call_patience + call_margin,
                       m_context.wrap([this, number] {
                           const auto it = m_calls.find(number);
-                          if (it == m_calls.end()) {
-                              // After a freeze, answer and limit may be due at once.
-                              return;
-                          }
                           it->second.instance->client->cancel(it->second.id);
                           call_ended(number, http::call_error{http::call_fault::timeout, true,
                                                               "no answer in time"});
--- a/source/core/runtime/executor.cpp
+++ b/source/core/runtime/executor.cpp
@@ -1,5 +1,6 @@
 #include "runtime/executor.h"
 
+#include <cstdint>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -15,7 +16,14 @@
 struct timer::implementation {
     explicit implementation(boost::asio::io_context& context) : waiter{context} {}
 
+    ~implementation() { ++*wait_number; }
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
     boost::asio::steady_timer waiter;
+    /// Changes with each wait and its cancellation. A handler that is queued already when its wait
+    /// is cancelled finds another number.
+    std::shared_ptr<std::uint64_t> wait_number = std::make_shared<std::uint64_t>(0);
 };
 
 timer::timer(const executor& loop)
@@ -24,16 +32,18 @@
 timer::~timer() = default;
 
 void timer::start(common::duration delay, std::function<void()> handler) {
+    const auto current = m_implementation->wait_number;
     m_implementation->waiter.expires_after(delay);
-    m_implementation->waiter.async_wait(
-        [handler = std::move(handler)](const boost::system::error_code& ec) {
-            if (!ec) {
-                handler();
-            }
-        });
+    m_implementation->waiter.async_wait([handler = std::move(handler), current,
+                                         own = ++*current](const boost::system::error_code& ec) {
+        if (!ec && *current == own) {
+            handler();
+        }
+    });
 }
 
 void timer::cancel() {
+    ++*m_implementation->wait_number;
     m_implementation->waiter.cancel();
 }
 
--- a/source/core/runtime/executor.h
+++ b/source/core/runtime/executor.h
@@ -26,7 +26,9 @@
     boost::asio::io_context* m_context;
 };
 
-/// A one-shot timer. Starting it again replaces the pending wait; destruction cancels it.
+/// A one-shot timer. Starting it again replaces the pending wait; destruction cancels it. The
+/// handler of a wait that is over, replaced or cancelled is never called, also if it was due
+/// already.
 class timer {
 public:
     explicit timer(const executor& loop);
--- /dev/null
+++ b/tests/unit/runtime/timer_test.cpp
@@ -0,0 +1,58 @@
+#include <memory>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/event_loop.h"
+
+namespace jujubemast::tests {
+
+using std::chrono::milliseconds;
+
+/// Two timers that are due in the same turn of the event loop, as after a freeze of the process.
+struct timer_fixture {
+    event_loop loop;
+    std::unique_ptr<runtime::timer> first = std::make_unique<runtime::timer>(loop.executor());
+    std::unique_ptr<runtime::timer> second = std::make_unique<runtime::timer>(loop.executor());
+    int fired = 0;
+
+    /// Starts both timers; the handler of the first does this to the second.
+    void run_both(const std::function<void()>& action) {
+        first->start(milliseconds{1}, action);
+        second->start(milliseconds{2}, [this] { ++fired; });
+        std::this_thread::sleep_for(milliseconds{20});
+        loop.run_ready();
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(timer_test, timer_fixture)
+
+// Guards against handlers that use what a handler before them has ended: a gateway crashed when
+// the limit of a call was due together with the call's end (soak seed 46).
+BOOST_AUTO_TEST_CASE(timer_cancelled_in_the_turn_in_which_it_is_due_does_not_fire) {
+    run_both([this] { second->cancel(); });
+    BOOST_TEST(fired == 0);
+}
+
+BOOST_AUTO_TEST_CASE(timer_destroyed_in_the_turn_in_which_it_is_due_does_not_fire) {
+    run_both([this] { second.reset(); });
+    BOOST_TEST(fired == 0);
+}
+
+// Guards against a wait that ends early by the handler of the wait before it.
+BOOST_AUTO_TEST_CASE(timer_started_again_in_the_turn_in_which_it_is_due_fires_once_and_later) {
+    run_both([this] { second->start(milliseconds{30}, [this] { fired += 10; }); });
+    BOOST_TEST(fired == 0);
+    BOOST_TEST(loop.run_until([this] { return fired > 0; }));
+    loop.run_ready();
+    BOOST_TEST(fired == 10);
+}
+
+BOOST_AUTO_TEST_CASE(timer_without_interference_fires_once) {
+    run_both([] {});
+    BOOST_TEST(fired == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
