gateway: instances are asked for reports only once their service is configured

Cause (found by reading): an order that came to an owner before it knew the configuration of the service marked all instances as not yet reported, but no report was asked for without the limits of the service. The instances stayed out of use for ever.

Change: the owner asks when it first can use the instances. The dispatcher has a suite of its own.

Measured: order_before_its_service_is_configured_... fails before (the order expires) and passes now.

--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -137,9 +137,6 @@
     if (is_new) {
         update_instances(message.service, service->second);
     }
-    if (std::exchange(service->second.taken_over, false)) {
-        ask_instances(message.service, service->second);
-    }
     auto& state = m_orders[message.key];
     state.order = message;
     state.missing = message.count;
@@ -150,6 +147,9 @@
         settle(state, {order_status::overloaded, {}, absence_retry});
         return;
     }
+    if (std::exchange(service->second.taken_over, false)) {
+        ask_instances(message.service, service->second);
+    }
     const auto delay = expected_delay(sustained_limits(*limits, message.result_bytes), backlog,
                                       message.priority, message.count);
     if (common::monotonic_clock::now() + delay > message.latest) {
--- /dev/null
+++ b/tests/unit/gateway/dispatcher_test.cpp
@@ -0,0 +1,166 @@
+#include "gateway/dispatcher.h"
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/ownership.h"
+#include "http/server.h"
+#include "support/event_loop.h"
+
+namespace jujubemast::tests {
+
+using namespace jujubemast::gateway;
+using std::chrono::milliseconds;
+
+/// A dispatcher before one instance of one stage service, with an adapter whose calls are plain
+/// paths.
+struct dispatcher_fixture {
+    event_loop loop;
+    std::shared_ptr<runtime::mailbox<dispatcher_message>> inbox =
+        runtime::make_mailbox<dispatcher_message>(loop.executor(), 100);
+    std::shared_ptr<runtime::mailbox<peers_message>> peers_inbox =
+        runtime::make_mailbox<peers_message>(loop.executor(), 100);
+    std::vector<std::string> asked;
+    std::vector<order_outcome> outcomes;
+    std::vector<std::shared_ptr<runtime::task>> tasks;
+    std::vector<std::shared_ptr<runtime::task_life>> lives;
+    world_changed world;
+
+    dispatcher_fixture() {
+        http::endpoint address;
+        http::server_options options;
+        options.listen = {"127.0.0.1", 0};
+        options.on_listening = [&](const http::endpoint& bound) { address = bound; };
+        const auto server =
+            http::make_server("instance", options,
+                              [this](const http::request& message, const http::responder& reply) {
+                                  asked.push_back(message.target);
+                                  reply.respond({200, {}, ""});
+                                  return http::disconnect_hook{};
+                              });
+        run(server.make);
+        BOOST_REQUIRE(loop.run_until([&] { return address.port != 0; }));
+        run([this](runtime::task_context it) {
+            return std::make_shared<dispatcher>(std::move(it), inbox,
+                                                runtime::address<peers_message>{peers_inbox},
+                                                std::make_shared<const adapter>(make_adapter()));
+        });
+        peers_inbox->attach([this](const peers_message& message) {
+            if (const auto* settled = std::get_if<order_settled>(&message)) {
+                outcomes.push_back(settled->outcome);
+            }
+        });
+        upstream_map known;
+        known["i"] = {.id = "i", .service = "stages", .address = address};
+        world.upstreams = std::make_shared<const upstream_map>(known);
+        configuration all;
+        all.services["stages"] = {"stages", piece_limits{.call_time = milliseconds{10},
+                                                         .piece_time = milliseconds{1},
+                                                         .result_room_bytes = 1e6}};
+        world.configuration = std::make_shared<const configuration>(all);
+    }
+    dispatcher_fixture(const dispatcher_fixture&) = delete;
+    dispatcher_fixture& operator=(const dispatcher_fixture&) = delete;
+
+    ~dispatcher_fixture() {
+        for (const auto& it : lives) {
+            it->running = false;
+        }
+        for (const auto& it : tasks) {
+            it->close();
+        }
+        loop.run_ready();
+    }
+
+    void run(const runtime::task_factory& make) {
+        auto life = make_life("test");
+        auto task = make(loop.context(life));
+        life->instance = task;
+        lives.push_back(life);
+        tasks.push_back(task);
+        task->start();
+    }
+
+    static adapter make_adapter() {
+        const auto get = [](const char* path) { return http::request{"GET", path, {}, {}}; };
+        adapter result;
+        result.encode_report_query = [=](const std::string&) { return get("/report"); };
+        result.decode_instance_report = [](const std::string&) { return instance_report{0, 1e6}; };
+        result.encode_piece_call = [=](const std::string&, const std::vector<piece_item>&) {
+            return get("/make");
+        };
+        result.decode_piece_answer = [](const std::string&) {
+            return std::vector<piece_result>{{piece_status::made, "handle"}};
+        };
+        result.decode_answer_head = [](unsigned status, const http::headers&) {
+            return answer_head{.status = status};
+        };
+        result.encode_release = [=](const std::string&, const std::vector<std::string>&) {
+            return get("/release");
+        };
+        return result;
+    }
+
+    /// Orders one piece and waits for the outcome.
+    order_status make_piece(std::uint64_t number) {
+        piece_order order;
+        order.key.number = number;
+        order.service = "stages";
+        order.count = 1;
+        order.latest = order.target = common::monotonic_clock::now() + std::chrono::seconds{2};
+        inbox->post(order);
+        const auto before = outcomes.size();
+        BOOST_REQUIRE(loop.run_until([&] {
+            const bool late = common::monotonic_clock::now() > order.latest;
+            return outcomes.size() > before || late;
+        }));
+        return outcomes.size() > before ? outcomes.back().status : order_status::expired;
+    }
+
+    std::size_t count_asked(const std::string& path) const {
+        return static_cast<std::size_t>(std::count(asked.begin(), asked.end(), path));
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(dispatcher_test, dispatcher_fixture)
+
+BOOST_AUTO_TEST_CASE(order_is_made_after_the_instance_has_reported) {
+    inbox->post(world);
+    BOOST_TEST((make_piece(1) == order_status::made));
+    BOOST_TEST((make_piece(2) == order_status::made));
+    BOOST_TEST((asked == std::vector<std::string>{"/report", "/make", "/make"}));
+}
+
+// Guards against instances that are never used: an order that came before the configuration of its
+// service left them waiting for a report that nobody had asked for.
+BOOST_AUTO_TEST_CASE(order_before_its_service_is_configured_does_not_block_later_ones) {
+    inbox->post(world_changed{nullptr, world.upstreams});
+    BOOST_TEST((make_piece(1) == order_status::overloaded));
+    inbox->post(world);
+    BOOST_TEST((make_piece(2) == order_status::made));
+}
+
+// Guards against an order that is made twice because its outcome was lost on the way.
+BOOST_AUTO_TEST_CASE(order_that_comes_again_is_answered_without_another_call) {
+    inbox->post(world);
+    BOOST_TEST((make_piece(1) == order_status::made));
+    BOOST_TEST((make_piece(1) == order_status::made));
+    BOOST_TEST(count_asked("/make") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(owner_of_before_asks_instances_again_only_after_another_owned_the_service) {
+    inbox->post(world);
+    make_piece(1);
+    inbox->post(owners_changed{{"self", "other"}, "self"});
+    const bool owned = choose_owner("stages", {"self", "other"}) == "self";
+    make_piece(2);
+    BOOST_TEST(count_asked("/report") == (owned ? 1U : 2U));
+    inbox->post(owners_changed{{"other"}, "self"});
+    make_piece(3);
+    BOOST_TEST(count_asked("/report") == (owned ? 2U : 3U));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
