gateway: a gateway that has stopped is forgotten; explain is tested through the program

Cause (found by reading): a stopping gateway is kept after the removal of its row, so that it can finish its orders. If no other row changed later, the others pinged it and opened links to its address for ever.

Change: a gateway that was leaving and is silent is forgotten. A second case runs 'jujubemast-ctl explain' on the logs of two gateways, which only unit tests of its decisions covered.

Measured: gateway_that_has_stopped_... fails before (not forgotten within 60 s) and passes now; gateway_test passes.

--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers.cpp
@@ -113,6 +113,8 @@
     if (!m_leaving || owners.empty()) {
         owners.push_back(m_self.name);
     }
+    // A gateway that was leaving and is silent has ended; a new start of it registers itself.
+    std::erase_if(m_peers, [](const auto& it) { return it.second.leaving && !it.second.live; });
     if (owners != m_owners) {
         m_owners = std::move(owners);
         m_dispatcher.send(owners_changed{m_owners, m_self.name});
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -312,6 +312,23 @@
     BOOST_TEST(records("b1").size() == 1U);
 }
 
+// Guards against an on-call engineer who gets from a request's id to its end, but not to the cause.
+BOOST_AUTO_TEST_CASE(failed_request_is_explained_from_the_logs_by_ctl) {
+    BOOST_TEST(send("POST", "/post/break", "e1").status == 502U);
+    child_process ctl{
+        "jujubemast-ctl", {"explain", "e1", folder + "/g0", folder + "/g1"}, folder + "/explain"};
+    BOOST_TEST(ctl.wait() == 0);
+    const auto text = ctl.log();
+    BOOST_TEST(text.find("forwarder: Sent. attempt=e1") != std::string::npos);
+    BOOST_TEST(text.find("status 502") != std::string::npos);
+    const auto deciding = text.substr(std::min(text.size(), text.find("decided by")));
+    BOOST_TEST(deciding.find("Attempt failed.") != std::string::npos, text);
+    BOOST_TEST(deciding.find("step=fail") != std::string::npos, text);
+    child_process unknown{
+        "jujubemast-ctl", {"explain", "nobody", folder + "/g0"}, folder + "/explain-unknown"};
+    BOOST_TEST(unknown.wait() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(safe_request_without_an_answer_is_tried_at_another_upstream) {
     const auto answer = send("GET", "/read/break", "b2");
     BOOST_TEST(answer.status == 502U);
@@ -369,6 +386,21 @@
     BOOST_TEST(gateways[0]->wait() == 0);
 }
 
+// Guards against links to gateways that are gone for good, which would be opened again for ever.
+BOOST_AUTO_TEST_CASE(gateway_that_has_stopped_is_forgotten_by_the_others) {
+    const auto admin = gateways[0]->listening_address("jujubemast-gateway/admin/listener");
+    const auto knows = [&](const char* count) {
+        const auto dump = call(admin, {"GET", "/dump", {}, {}}).body;
+        return dump.find(std::string{"\"known\":"} + count) != std::string::npos;
+    };
+    wait_until("the gateways know each other",
+               [&] { return gateways[0]->log().find("Gateway is live.") != std::string::npos; });
+    BOOST_TEST(knows("1"));
+    gateways[1]->send_signal(SIGTERM);
+    BOOST_TEST(gateways[1]->wait() == 0);
+    wait_until("it is forgotten", [&] { return knows("0"); });
+}
+
 // Guards against log lines that a collector of standard output does not see.
 BOOST_AUTO_TEST_CASE(gateway_writes_its_log_to_standard_output) {
     const auto program = std::string{JUJUBEMAST_BINARY_DIR} + "/jujubemast-gateway";
