gateway: age of the configuration in logs, metrics and the state dump

So a gateway whose call is lost looked like one that follows the store.

- forwarder: Request ended. has configuration_age_ms; the gauge jujubemast_gateway_configuration_age_milliseconds has the same.
- catalog: Store does not answer. and Store answers again. have waited_ms and copy_age_ms.
- The state dump of the catalog has version, age and the age of the call in progress of each table.

No decision reads the new values.

--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -29,19 +29,20 @@
       m_expiry_timer{m_context.loop()}, m_register_timer{m_context.loop()} {}
 
 void catalog::start() {
-    const auto make = [this](store_table table, auto on_update, auto on_state) {
-        return std::make_unique<table_watch>(m_context, m_client, m_translate, table,
-                                             table_watch_hooks{on_update, on_state});
+    const auto make = [this](store_table table, const table_watch_hooks& hooks) {
+        return std::make_unique<table_watch>(m_context, m_client, m_translate, table, hooks);
     };
-    m_configurations = make(
-        store_table::configuration, [this](const table_update& it) { configuration_rows(it); },
-        [](bool /*available*/) {});
-    m_upstream_rows = make(
-        store_table::upstreams, [this](const table_update& it) { upstream_rows(it); },
-        [this](bool available) { store_state(available); });
-    m_gateway_rows = make(
-        store_table::gateways, [this](const table_update& it) { gateway_rows(it); },
-        [](bool /*available*/) {});
+    const auto ignore_state = [](bool /*available*/) {};
+    m_configurations =
+        make(store_table::configuration,
+             {[this](const table_update& it) { configuration_rows(it); }, ignore_state,
+              [this](common::time_point now) { m_hooks.confirm_configuration({now}); }});
+    m_upstream_rows =
+        make(store_table::upstreams, {[this](const table_update& it) { upstream_rows(it); },
+                                      [this](bool available) { store_state(available); },
+                                      {}});
+    m_gateway_rows = make(store_table::gateways,
+                          {[this](const table_update& it) { gateway_rows(it); }, ignore_state, {}});
     m_configurations->begin();
     m_upstream_rows->begin();
     m_gateway_rows->begin();
@@ -206,7 +207,17 @@
                                                    {"address", http::to_string(it.address)},
                                                    {"phase", common::to_name(it.phase)}});
     }
+    boost::json::object tables;
+    for (const auto& [table, watch] :
+         {std::pair{store_table::configuration, m_configurations.get()},
+          std::pair{store_table::upstreams, m_upstream_rows.get()},
+          std::pair{store_table::gateways, m_gateway_rows.get()}}) {
+        if (watch != nullptr) {
+            tables[common::to_name(table)] = watch->dump();
+        }
+    }
     return boost::json::object{{"configuration", m_configuration ? m_configuration->version : 0},
+                               {"tables", std::move(tables)},
                                {"registered", m_registered},
                                {"upstreams", std::move(upstreams)},
                                {"gateways", m_gateways.size()}};
--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/catalog.h
@@ -19,6 +19,8 @@
 struct catalog_hooks {
     std::function<void(const world_changed&)> publish;
     std::function<void(const std::vector<gateway_record>&)> publish_gateways;
+    /// An answer of the store has shown that the configuration held here is the newest.
+    std::function<void(const configuration_confirmed&)> confirm_configuration;
     /// An empty reason means that requests can be served.
     std::function<void(const std::string& reason)> set_not_ready_reason;
 };
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -72,6 +72,17 @@
     }
 }
 
+void forwarder::handle(const configuration_confirmed& message) {
+    m_configuration_confirmed = message.at;
+}
+
+std::optional<common::duration> forwarder::configuration_age() const {
+    if (!m_configuration_confirmed) {
+        return std::nullopt;
+    }
+    return common::monotonic_clock::now() - *m_configuration_confirmed;
+}
+
 common::duration forwarder::overload_retry(common::duration excess) {
     return std::clamp<common::duration>(excess, least_overload_retry, longest_overload_retry);
 }
@@ -289,6 +300,7 @@
         {"service", target.service},
         {"upstream", target.member ? target.member->identity.id : ""},
         {"configuration", std::to_string(target.configuration ? target.configuration->version : 0)},
+        {"configuration_age_ms", in_ms(configuration_age())},
         {"end", std::string{common::to_name(end)}},
         {"status", std::to_string(status)},
         {"expected_ms", in_ms(target.expected_stages)},
@@ -312,6 +324,9 @@
 
 void forwarder::handle(const admin::metrics_query& message) {
     m_metrics.set_in_progress(m_exchanges.size());
+    if (const auto age = configuration_age()) {
+        m_metrics.set_configuration_age(*age);
+    }
     admin::answer(message, m_metrics.text());
 }
 
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -108,6 +108,7 @@
     };
 
     void handle(const world_changed& message);
+    void handle(const configuration_confirmed& message);
     void handle(const submit& message);
     void handle(const caller_gone& message);
     void handle(const order_ended& message);
@@ -120,6 +121,9 @@
     void admit(exchange& target);
     void final_time_reached(std::uint64_t id);
 
+    /// Time since the store has last shown that the configuration is the newest. Nothing before
+    /// the first reading.
+    [[nodiscard]] std::optional<common::duration> configuration_age() const;
     /// Instances of a service that take work.
     [[nodiscard]] std::size_t count_serving(const std::string& service) const;
     /// Age of the oldest report that the estimate of the stages rests on. Nothing without reports.
@@ -184,6 +188,7 @@
     std::shared_ptr<const adapter> m_translate;
     forwarder_options m_options;
     configuration_pointer m_configuration;
+    std::optional<common::time_point> m_configuration_confirmed;
     upstream_map_pointer m_upstreams;
     std::map<std::string, std::unique_ptr<service_pool>> m_pools;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
--- a/source/core/gateway/forwarder_metrics.cpp
+++ b/source/core/gateway/forwarder_metrics.cpp
@@ -37,4 +37,11 @@
         .set(static_cast<double>(n));
 }
 
+void forwarder_metrics::set_configuration_age(common::duration age) {
+    m_registry
+        .add_gauge("jujubemast_gateway_configuration_age_milliseconds",
+                   "Time since the store has last shown that the configuration is the newest.")
+        .set(common::to_milliseconds(age));
+}
+
 } // namespace jujubemast::gateway
--- a/source/core/gateway/forwarder_metrics.h
+++ b/source/core/gateway/forwarder_metrics.h
@@ -23,6 +23,7 @@
     void record_first_byte(repeatability kind, common::duration time);
     void record_step(attempt_end end, next_step step);
     void set_in_progress(std::size_t n);
+    void set_configuration_age(common::duration age);
 
     [[nodiscard]] std::string text() const { return m_registry.text(); }
 
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -89,6 +89,7 @@
         forwarder->post(it);
         dispatcher->post(it);
     };
+    hooks.confirm_configuration = [=](const configuration_confirmed& it) { forwarder->post(it); };
     hooks.publish_gateways = [=](const std::vector<gateway_record>& it) {
         peers->post(gateways_changed{it});
         forwarder->post(gateway_count_changed{it.size()});
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -21,6 +21,11 @@
     upstream_map_pointer upstreams;
 };
 
+/// The store has shown that the configuration held here is the newest.
+struct configuration_confirmed {
+    common::time_point at;
+};
+
 /// A request from a caller's connection.
 struct submit {
     std::uint64_t id = 0;
@@ -50,8 +55,8 @@
 };
 
 using forwarder_message =
-    std::variant<world_changed, submit, caller_gone, order_ended, gateway_count_changed,
-                 backlogs_changed, admin::metrics_query>;
+    std::variant<world_changed, configuration_confirmed, submit, caller_gone, order_ended,
+                 gateway_count_changed, backlogs_changed, admin::metrics_query>;
 
 /// Drops an order; its results are freed.
 struct withdraw_order {
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -3,8 +3,23 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/json.hpp>
+
 namespace jujubemast::gateway {
 
+namespace {
+
+/// Milliseconds since then; empty when it has not happened.
+std::string age_in_ms(std::optional<common::time_point> since) {
+    if (!since) {
+        return {};
+    }
+    const auto age = common::monotonic_clock::now() - *since;
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+}
+
+} // namespace
+
 table_watch::table_watch(const runtime::task_context& context, http::client& client,
                          std::shared_ptr<const adapter> translate, store_table table,
                          table_watch_hooks hooks, const table_watch_limits& limits)
@@ -22,16 +37,28 @@
     return m_translate->decode_rows(std::get<http::response>(result));
 }
 
+boost::json::value table_watch::dump() const {
+    return boost::json::object{{"version", m_version},
+                               {"available", m_available},
+                               {"call_age_ms", age_in_ms(m_sent)},
+                               {"age_ms", age_in_ms(m_confirmed)}};
+}
+
+void table_watch::send(const http::request& message, common::duration limit,
+                       std::function<void(const http::call_result&)> done) {
+    http::call_options options;
+    options.head_timeout = limit;
+    m_sent = common::monotonic_clock::now();
+    m_client.send(message, std::move(done), options);
+}
+
 void table_watch::read_from(const std::string& key) {
     if (key.empty()) {
         m_page_rows.clear();
         m_first_page_version = 0;
     }
-    http::call_options options;
-    options.head_timeout = m_limits.answer_limit;
-    m_client.send(
-        m_translate->encode_read(m_table, key),
-        [this](const http::call_result& result) { page_read(result); }, options);
+    send(m_translate->encode_read(m_table, key), m_limits.answer_limit,
+         [this](const http::call_result& result) { page_read(result); });
 }
 
 void table_watch::page_read(const http::call_result& result) {
@@ -57,15 +84,14 @@
     m_version = m_first_page_version;
     m_whole = true;
     m_hooks.on_update({std::exchange(m_page_rows, {}), true});
+    confirm();
     watch();
 }
 
 void table_watch::watch() {
-    http::call_options options;
-    options.head_timeout = m_limits.wait + m_limits.answer_limit;
-    m_client.send(
-        m_translate->encode_watch(m_table, m_version, m_limits.wait),
-        [this](const http::call_result& result) { changes_read(result); }, options);
+    send(m_translate->encode_watch(m_table, m_version, m_limits.wait),
+         m_limits.wait + m_limits.answer_limit,
+         [this](const http::call_result& result) { changes_read(result); });
 }
 
 void table_watch::changes_read(const http::call_result& result) {
@@ -87,6 +113,7 @@
     if (!answer.content.rows.empty()) {
         m_hooks.on_update({std::move(answer.content.rows), false});
     }
+    confirm();
     m_timer.start(m_limits.bundle_time, m_context.wrap([this] { watch(); }));
 }
 
@@ -95,8 +122,11 @@
         m_log.warn("Store does not answer.",
                    {{"table", std::string{common::to_name(m_table)}},
                     {"outcome", std::string{common::to_name(answer.outcome)}},
+                    {"waited_ms", age_in_ms(m_sent)},
+                    {"copy_age_ms", age_in_ms(m_confirmed)},
                     {"detail", answer.detail}});
     }
+    m_sent.reset();
     set_available(false);
     m_timer.start(m_limits.retry_pause, m_context.wrap([this] {
         if (m_whole) {
@@ -107,13 +137,23 @@
     }));
 }
 
+void table_watch::confirm() {
+    m_sent.reset();
+    m_confirmed = common::monotonic_clock::now();
+    if (m_hooks.on_confirmed) {
+        m_hooks.on_confirmed(*m_confirmed);
+    }
+}
+
 void table_watch::set_available(bool available) {
     if (available == m_available) {
         return;
     }
     m_available = available;
     if (available) {
-        m_log.info("Store answers again.", {{"table", std::string{common::to_name(m_table)}}});
+        m_log.info("Store answers again.", {{"table", std::string{common::to_name(m_table)}},
+                                            {"waited_ms", age_in_ms(m_sent)},
+                                            {"copy_age_ms", age_in_ms(m_confirmed)}});
     }
     m_hooks.on_state(available);
 }
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/table_watch.h
@@ -3,9 +3,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include <boost/json/value.hpp>
+
 #include "gateway/adapter.h"
 #include "http/client.h"
 #include "logging/logger.h"
@@ -24,6 +27,8 @@
     std::function<void(const table_update&)> on_update;
     /// Called when the store stops or begins again to answer.
     std::function<void(bool available)> on_state;
+    /// Called when an answer has shown that the copy held here is the newest. May be empty.
+    std::function<void(common::time_point now)> on_confirmed;
 };
 
 struct table_watch_limits {
@@ -52,7 +57,11 @@
 
     [[nodiscard]] std::uint64_t version() const { return m_version; }
 
+    [[nodiscard]] boost::json::value dump() const;
+
 private:
+    void send(const http::request& message, common::duration limit,
+              std::function<void(const http::call_result&)> done);
     void read_from(const std::string& key);
     void page_read(const http::call_result& result);
     void watch();
@@ -61,6 +70,8 @@
     [[nodiscard]] store_answer decode(const http::call_result& result) const;
     void call_failed(const store_answer& answer);
     void set_available(bool available);
+    /// An answer has shown that the copy is the newest.
+    void confirm();
 
     runtime::task_context m_context;
     http::client& m_client;
@@ -74,6 +85,10 @@
     std::uint64_t m_first_page_version = 0;
     bool m_whole = false;
     bool m_available = true;
+    /// When the call in progress was sent.
+    std::optional<common::time_point> m_sent;
+    /// Nothing before the first whole reading.
+    std::optional<common::time_point> m_confirmed;
     logging::logger m_log{"catalog"};
 };
 
