--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -150,6 +150,38 @@
         }));
     }
 
+    /// Keeps the store from answering any call, or lets it answer new ones again.
+    void set_store_silent(bool silent) const {
+        call(store, {"POST", "/silence", {}, silent ? "1" : "0"});
+    }
+
+    /// Status of a request with the key that only this version of the configuration has.
+    unsigned status_with_key_of(int version, std::size_t gateway) const {
+        const auto key = "Bearer key-of-version-" + std::to_string(version);
+        return receive(addresses[gateway],
+                       {"GET",
+                        "/read/1",
+                        {{"Host", "a.example"}, {"X-Attempt-Id", "k"}, {"Authorization", key}},
+                        {}})
+            .status;
+    }
+
+    /// Writes a new configuration and checks that the gateways go by it when the platform counts
+    /// them as connected again.
+    void check_new_configuration_is_in_force() const {
+        // contact_ms of the users' platform; it is longer than config_apply_ms.
+        constexpr auto limit = std::chrono::seconds{3};
+        const auto begin = std::chrono::steady_clock::now();
+        call(store, {"POST", "/configuration", {}, "2"});
+        for (std::size_t n = 0; n < gateways.size(); ++n) {
+            wait_until("the new key is known", [&] {
+                return status_with_key_of(2, n) == 200 ||
+                       std::chrono::steady_clock::now() > begin + limit;
+            });
+            BOOST_TEST(status_with_key_of(2, n) == 200U);
+        }
+    }
+
     /// A number that the stand-in counts.
     int counted(const char* path) const {
         return std::stoi(std::string{call(store, {"GET", path, {}, {}}).body});
@@ -428,6 +460,29 @@
     BOOST_TEST(ready_status(0) == 200U);
 }
 
+// Guards against proper requests that are refused because a lost call for changes hides a new
+// configuration for as long as the call would have waited (incident inc1).
+BOOST_AUTO_TEST_CASE(configuration_after_calls_of_the_store_were_lost_is_in_force_in_time) {
+    set_store_silent(true);
+    set_store_silent(false);
+    check_new_configuration_is_in_force();
+}
+
+// Guards against the same when the call that follows a lost one is lost as well.
+BOOST_AUTO_TEST_CASE(configuration_after_a_long_silence_of_the_store_is_in_force_in_time) {
+    set_store_silent(true);
+    for (const auto& it : gateways) {
+        wait_until("the store is found silent", [&] {
+            return it->log().find("Store does not answer. table=configuration") !=
+                   std::string::npos;
+        });
+    }
+    // Two calls of each gateway.
+    wait_until("the next calls are lost", [&] { return counted("/lost") >= 4; });
+    set_store_silent(false);
+    check_new_configuration_is_in_force();
+}
+
 /// A third gateway whose log goes to a pipe.
 struct log_pipe_fixture : gateway_fixture {
     std::unique_ptr<log_pipe> pipe = std::make_unique<log_pipe>(folder + "/pipe");
