gateway: a lost call to the store no longer hides its changes for long

Cause: a call for changes waited 10 s at the store and was given up after 11.5 s. One that is lost, by an outage or by a connection that goes silent, hid every change until then. After the first loss the next call waited just as long, so that one lost late in an outage hid the store's return. The bound for acting by an old copy was thus 11.5 s, while the platform allows contact_ms.

Change: the time that a call waits follows from the setting store.staleness_limit_ms (deployments give contact_ms; 3 s by default, calls then wait 1.5 s). While the store does not answer, calls do not wait, and one that was lost is followed by the next without a pause. It holds for the tables of the configuration, the upstreams and the gateways alike.

--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -23,14 +23,17 @@
 } // namespace
 
 catalog::catalog(runtime::task_context context, http::endpoint store,
-                 std::shared_ptr<const adapter> translate, gateway_record self, catalog_hooks hooks)
+                 std::shared_ptr<const adapter> translate, gateway_record self, catalog_hooks hooks,
+                 const table_watch_limits& limits)
     : m_context{std::move(context)}, m_translate{std::move(translate)}, m_self{std::move(self)},
-      m_hooks{std::move(hooks)}, m_client{m_context, std::move(store), store_limits()},
+      m_hooks{std::move(hooks)}, m_limits{limits}, m_client{m_context, std::move(store),
+                                                            store_limits()},
       m_expiry_timer{m_context.loop()}, m_register_timer{m_context.loop()} {}
 
 void catalog::start() {
     const auto make = [this](store_table table, const table_watch_hooks& hooks) {
-        return std::make_unique<table_watch>(m_context, m_client, m_translate, table, hooks);
+        return std::make_unique<table_watch>(m_context, m_client, m_translate, table, hooks,
+                                             m_limits);
     };
     const auto ignore_state = [](bool /*available*/) {};
     m_configurations =
--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/catalog.h
@@ -30,7 +30,8 @@
 class catalog final : public runtime::task {
 public:
     catalog(runtime::task_context context, http::endpoint store,
-            std::shared_ptr<const adapter> translate, gateway_record self, catalog_hooks hooks);
+            std::shared_ptr<const adapter> translate, gateway_record self, catalog_hooks hooks,
+            const table_watch_limits& limits);
 
     void start() override;
     void stop(const runtime::stop_done& done) override;
@@ -50,6 +51,7 @@
     std::shared_ptr<const adapter> m_translate;
     gateway_record m_self;
     catalog_hooks m_hooks;
+    table_watch_limits m_limits;
     http::client m_client;
     std::unique_ptr<table_watch> m_configurations;
     std::unique_ptr<table_watch> m_upstream_rows;
--- a/source/core/gateway/gateway_settings.cpp
+++ b/source/core/gateway/gateway_settings.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_settings.h"
 
+#include "gateway/table_watch.h"
+
 namespace jujubemast::gateway {
 
 using settings::check_address;
@@ -13,6 +15,12 @@
     return value >= 0 ? "" : "must not be negative";
 }
 
+std::string check_staleness_limit(milliseconds value) {
+    return value >= shortest_staleness_limit
+               ? ""
+               : "must be at least " + std::to_string(shortest_staleness_limit.count()) + " ms";
+}
+
 } // namespace
 
 const settings::setting<std::string> gateway_settings::name{
@@ -88,6 +96,13 @@
     .required = true,
     .check = check_address,
 };
+const settings::setting<milliseconds> gateway_settings::store_staleness_limit{
+    .section = "store",
+    .key = "staleness_limit_ms",
+    .fallback = milliseconds{3000},
+    .help = "longest time for which a lost call to the store may hide its changes",
+    .check = check_staleness_limit,
+};
 const settings::setting<double> gateway_settings::retry_ratio{
     .section = "retries",
     .key = "ratio",
@@ -122,6 +137,7 @@
     &peers_listen,
     &admin_listen,
     &store_address,
+    &store_staleness_limit,
     &retry_ratio,
     &retry_reserve,
     &retry_window,
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -162,9 +162,10 @@
                         }});
     const auto hooks =
         make_catalog_hooks(forwarder_inbox, dispatcher_inbox, peers_inbox, health, current);
+    const auto limits = limits_for_staleness(values.get(gateway_settings::store_staleness_limit));
     runtime::child_spec catalog_child{"catalog", [=](runtime::task_context it) {
-                                          return std::make_shared<catalog>(std::move(it), store,
-                                                                           translate, self, hooks);
+                                          return std::make_shared<catalog>(
+                                              std::move(it), store, translate, self, hooks, limits);
                                       }};
     catalog_child.stop_limit = unregister_limit;
     children.push_back(std::move(catalog_child));
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -18,8 +18,17 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
 }
 
+// Time for the call that follows a lost one.
+constexpr common::duration next_call_time = std::chrono::milliseconds{300};
+
 } // namespace
 
+table_watch_limits limits_for_staleness(common::duration limit) {
+    table_watch_limits limits;
+    limits.wait = limit - limits.answer_limit - next_call_time;
+    return limits;
+}
+
 table_watch::table_watch(const runtime::task_context& context, http::client& client,
                          std::shared_ptr<const adapter> translate, store_table table,
                          table_watch_hooks hooks, const table_watch_limits& limits)
@@ -89,8 +98,8 @@
 }
 
 void table_watch::watch() {
-    send(m_translate->encode_watch(m_table, m_version, m_limits.wait),
-         m_limits.wait + m_limits.answer_limit,
+    const auto wait = m_available ? m_limits.wait : common::duration::zero();
+    send(m_translate->encode_watch(m_table, m_version, wait), wait + m_limits.answer_limit,
          [this](const http::call_result& result) { changes_read(result); });
 }
 
@@ -126,15 +135,22 @@
                     {"copy_age_ms", age_in_ms(m_confirmed)},
                     {"detail", answer.detail}});
     }
+    const auto waited = common::monotonic_clock::now() - m_sent.value_or(common::time_point{});
     m_sent.reset();
     set_available(false);
-    m_timer.start(m_limits.retry_pause, m_context.wrap([this] {
-        if (m_whole) {
-            watch();
-        } else {
-            read_from({});
-        }
-    }));
+    if (waited >= m_limits.answer_limit) {
+        call_again();
+        return;
+    }
+    m_timer.start(m_limits.retry_pause, m_context.wrap([this] { call_again(); }));
+}
+
+void table_watch::call_again() {
+    if (m_whole) {
+        watch();
+    } else {
+        read_from({});
+    }
 }
 
 void table_watch::confirm() {
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/table_watch.h
@@ -32,10 +32,11 @@
 };
 
 struct table_watch_limits {
-    /// How long the store keeps a call for changes waiting.
-    common::duration wait = std::chrono::seconds{10};
+    /// How long the store keeps a call for changes waiting. A change that comes after the call was
+    /// lost is seen only by the next one.
+    common::duration wait = std::chrono::milliseconds{1500};
     /// How much later than that its answer may come.
-    common::duration answer_limit = std::chrono::milliseconds{1500};
+    common::duration answer_limit = std::chrono::milliseconds{1200};
     /// Pause before the next call for changes, so that one answer carries several and a store that
     /// does not wait is not called without end.
     common::duration bundle_time = std::chrono::milliseconds{150};
@@ -43,8 +44,16 @@
     common::duration retry_pause = std::chrono::milliseconds{250};
 };
 
+/// Leaves time for the answer of a call and for the call that follows it.
+inline constexpr std::chrono::milliseconds shortest_staleness_limit{2000};
+
+/// Returns limits with which the store's changes are seen within this time although one call was
+/// lost. The time is at least `shortest_staleness_limit`.
+table_watch_limits limits_for_staleness(common::duration limit);
+
 /// Reads one table of the store and follows its changes by calls that wait for them. When history
-/// is lost the table is read whole again. Belongs to one task.
+/// is lost the table is read whole again. While the store does not answer, calls do not wait, so
+/// that none that is lost hides its return. Belongs to one task.
 class table_watch {
 public:
     table_watch(const runtime::task_context& context, http::client& client,
@@ -69,6 +78,7 @@
     /// Returns the decoded answer of a call to the store.
     [[nodiscard]] store_answer decode(const http::call_result& result) const;
     void call_failed(const store_answer& answer);
+    void call_again();
     void set_available(bool available);
     /// An answer has shown that the copy is the newest.
     void confirm();
