gateway: what an unconfirmed configuration lacks is refused with 503, not 401 or 404

Callers do not repeat a request after 401 or 404, so a refusal by an old copy is final although a newer configuration allows the request.

Cause: the absence of a route or key in the local copy was taken for its absence in the configuration, whatever the age of the copy.

Change: when the store has not confirmed the configuration for store.staleness_limit_ms, such a request is refused with 503 and Retry-After, which is true (it has not run) and may be repeated, by the balancer's choice at another gateway. Known routes and keys are served as before.

--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -143,26 +143,39 @@
         refuse(added, status_bad_request, e.what());
         return;
     }
-    if (const auto status = look_up(added); status != 0) {
-        refuse(added, status,
-               status == status_unavailable ? "no configuration yet" : "not in the configuration");
+    if (const auto result = look_up(added); result != lookup_result::found) {
+        refuse_unknown(added, result);
         return;
     }
     admit(added);
 }
 
-unsigned forwarder::look_up(exchange& target) const {
+void forwarder::refuse_unknown(exchange& target, lookup_result result) {
+    if (result == lookup_result::no_configuration) {
+        refuse(target, status_unavailable, "no configuration yet");
+        return;
+    }
+    const auto age = configuration_age();
+    if (!age || *age > m_options.staleness_limit) {
+        refuse(target, status_unavailable, "not in a configuration that may be out of date");
+        return;
+    }
+    refuse(target, result == lookup_result::no_route ? status_not_found : status_unauthorized,
+           "not in the configuration");
+}
+
+lookup_result forwarder::look_up(exchange& target) const {
     if (!m_configuration) {
-        return status_unavailable;
+        return lookup_result::no_configuration;
     }
     target.target = find_route(*m_configuration, target.request.host, target.request.path);
     if (target.target == nullptr) {
-        return status_not_found;
+        return lookup_result::no_route;
     }
     target.priority = target.target->priority;
     const auto* owner = find_workspace(*m_configuration, target.request.api_key);
     if (owner == nullptr && m_configuration->keys_required && !target.target->open_to_all) {
-        return status_unauthorized;
+        return lookup_result::unknown_key;
     }
     if (owner != nullptr) {
         target.workspace = owner->name;
@@ -171,7 +184,7 @@
     const double unit =
         static_cast<double>(common::uniform_below(m_options.random, 1U << 20U)) / (1U << 20U);
     target.service = choose_service(*target.target, unit);
-    return 0;
+    return lookup_result::found;
 }
 
 void forwarder::admit(exchange& target) {
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -33,8 +33,13 @@
     common::duration window = std::chrono::seconds{10};
 };
 
+/// What the configuration says of a request.
+enum class lookup_result { found, no_configuration, no_route, unknown_key };
+
 struct forwarder_options {
     std::string failure_domain;
+    /// A configuration that the store has not confirmed for this long may be out of date.
+    common::duration staleness_limit = std::chrono::seconds{3};
     retry_allowance retries;
     policy::routing_hook route;
     common::random_hook random;
@@ -116,8 +121,11 @@
     void handle(const backlogs_changed& message);
     void handle(const admin::metrics_query& message);
 
-    /// Fills the exchange from the configuration. Returns the status to refuse with, or zero.
-    unsigned look_up(exchange& target) const;
+    /// Fills the exchange from the configuration.
+    lookup_result look_up(exchange& target) const;
+    /// Refuses a request that is not in the configuration: for good only if the configuration is
+    /// known to be the newest, because callers do not repeat such a request.
+    void refuse_unknown(exchange& target, lookup_result result);
     void admit(exchange& target);
     void final_time_reached(std::uint64_t id);
 
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -110,6 +110,7 @@
     options.retries = {values.get(gateway_settings::retry_ratio),
                        values.get(gateway_settings::retry_reserve),
                        values.get(gateway_settings::retry_window)};
+    options.staleness_limit = values.get(gateway_settings::store_staleness_limit);
     options.random = common::system_random();
     options.route = policy::make_load_aware(routing, common::system_random());
     return options;
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -483,6 +483,22 @@
     check_new_configuration_is_in_force();
 }
 
+// Guards against proper requests that are refused for good by a gateway that cannot know whether a
+// newer configuration allows them: callers do not repeat a request after 401 or 404.
+BOOST_AUTO_TEST_CASE(request_not_in_a_configuration_that_may_be_out_of_date_may_come_back) {
+    BOOST_TEST(status_with_key_of(2, 0) == 401U);
+    BOOST_TEST(send("GET", "/other/1", "o1").status == 404U);
+    set_store_silent(true);
+    wait_until("the configuration is not confirmed",
+               [&] { return status_with_key_of(2, 0) != 401U; });
+    BOOST_TEST(status_with_key_of(2, 0) == 503U);
+    BOOST_TEST(send("GET", "/other/1", "o2").status == 503U);
+    BOOST_TEST(send("GET", "/read/1", "o3").status == 200U);
+    set_store_silent(false);
+    wait_until("the configuration is confirmed", [&] { return status_with_key_of(2, 0) == 401U; });
+    BOOST_TEST(send("GET", "/other/1", "o4").status == 404U);
+}
+
 /// A third gateway whose log goes to a pipe.
 struct log_pipe_fixture : gateway_fixture {
     std::unique_ptr<log_pipe> pipe = std::make_unique<log_pipe>(folder + "/pipe");
