--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -72,6 +72,17 @@
     }
 }
 
+void forwarder::handle(const configuration_confirmed& message) {
+    m_configuration_confirmed = message.at;
+}
+
+std::optional<common::duration> forwarder::configuration_age() const {
+    if (!m_configuration_confirmed) {
+        return std::nullopt;
+    }
+    return common::monotonic_clock::now() - *m_configuration_confirmed;
+}
+
 common::duration forwarder::overload_retry(common::duration excess) {
     return std::clamp<common::duration>(excess, least_overload_retry, longest_overload_retry);
 }
@@ -132,26 +143,39 @@
         refuse(added, status_bad_request, e.what());
         return;
     }
-    if (const auto status = look_up(added); status != 0) {
-        refuse(added, status,
-               status == status_unavailable ? "no configuration yet" : "not in the configuration");
+    if (const auto result = look_up(added); result != lookup_result::found) {
+        refuse_unknown(added, result);
         return;
     }
     admit(added);
 }
 
-unsigned forwarder::look_up(exchange& target) const {
+void forwarder::refuse_unknown(exchange& target, lookup_result result) {
+    if (result == lookup_result::no_configuration) {
+        refuse(target, status_unavailable, "no configuration yet");
+        return;
+    }
+    const auto age = configuration_age();
+    if (!age || *age > m_options.staleness_limit) {
+        refuse(target, status_unavailable, "not in a configuration that may be out of date");
+        return;
+    }
+    refuse(target, result == lookup_result::no_route ? status_not_found : status_unauthorized,
+           "not in the configuration");
+}
+
+lookup_result forwarder::look_up(exchange& target) const {
     if (!m_configuration) {
-        return status_unavailable;
+        return lookup_result::no_configuration;
     }
     target.target = find_route(*m_configuration, target.request.host, target.request.path);
     if (target.target == nullptr) {
-        return status_not_found;
+        return lookup_result::no_route;
     }
     target.priority = target.target->priority;
     const auto* owner = find_workspace(*m_configuration, target.request.api_key);
     if (owner == nullptr && m_configuration->keys_required && !target.target->open_to_all) {
-        return status_unauthorized;
+        return lookup_result::unknown_key;
     }
     if (owner != nullptr) {
         target.workspace = owner->name;
@@ -160,7 +184,7 @@
     const double unit =
         static_cast<double>(common::uniform_below(m_options.random, 1U << 20U)) / (1U << 20U);
     target.service = choose_service(*target.target, unit);
-    return 0;
+    return lookup_result::found;
 }
 
 void forwarder::admit(exchange& target) {
@@ -289,6 +313,7 @@
         {"service", target.service},
         {"upstream", target.member ? target.member->identity.id : ""},
         {"configuration", std::to_string(target.configuration ? target.configuration->version : 0)},
+        {"configuration_age_ms", in_ms(configuration_age())},
         {"end", std::string{common::to_name(end)}},
         {"status", std::to_string(status)},
         {"expected_ms", in_ms(target.expected_stages)},
@@ -312,6 +337,9 @@
 
 void forwarder::handle(const admin::metrics_query& message) {
     m_metrics.set_in_progress(m_exchanges.size());
+    if (const auto age = configuration_age()) {
+        m_metrics.set_configuration_age(*age);
+    }
     admin::answer(message, m_metrics.text());
 }
 
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -33,8 +33,13 @@
     common::duration window = std::chrono::seconds{10};
 };
 
+/// What the configuration says of a request.
+enum class lookup_result { found, no_configuration, no_route, unknown_key };
+
 struct forwarder_options {
     std::string failure_domain;
+    /// A configuration that the store has not confirmed for this long may be out of date.
+    common::duration staleness_limit = std::chrono::seconds{3};
     retry_allowance retries;
     policy::routing_hook route;
     common::random_hook random;
@@ -108,6 +113,7 @@
     };
 
     void handle(const world_changed& message);
+    void handle(const configuration_confirmed& message);
     void handle(const submit& message);
     void handle(const caller_gone& message);
     void handle(const order_ended& message);
@@ -115,11 +121,17 @@
     void handle(const backlogs_changed& message);
     void handle(const admin::metrics_query& message);
 
-    /// Fills the exchange from the configuration. Returns the status to refuse with, or zero.
-    unsigned look_up(exchange& target) const;
+    /// Fills the exchange from the configuration.
+    lookup_result look_up(exchange& target) const;
+    /// Refuses a request that is not in the configuration: for good only if the configuration is
+    /// known to be the newest, because callers do not repeat such a request.
+    void refuse_unknown(exchange& target, lookup_result result);
     void admit(exchange& target);
     void final_time_reached(std::uint64_t id);
 
+    /// Time since the store has last shown that the configuration is the newest. Nothing before
+    /// the first reading.
+    [[nodiscard]] std::optional<common::duration> configuration_age() const;
     /// Instances of a service that take work.
     [[nodiscard]] std::size_t count_serving(const std::string& service) const;
     /// Age of the oldest report that the estimate of the stages rests on. Nothing without reports.
@@ -184,6 +196,7 @@
     std::shared_ptr<const adapter> m_translate;
     forwarder_options m_options;
     configuration_pointer m_configuration;
+    std::optional<common::time_point> m_configuration_confirmed;
     upstream_map_pointer m_upstreams;
     std::map<std::string, std::unique_ptr<service_pool>> m_pools;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -89,6 +89,7 @@
         forwarder->post(it);
         dispatcher->post(it);
     };
+    hooks.confirm_configuration = [=](const configuration_confirmed& it) { forwarder->post(it); };
     hooks.publish_gateways = [=](const std::vector<gateway_record>& it) {
         peers->post(gateways_changed{it});
         forwarder->post(gateway_count_changed{it.size()});
@@ -109,6 +110,7 @@
     options.retries = {values.get(gateway_settings::retry_ratio),
                        values.get(gateway_settings::retry_reserve),
                        values.get(gateway_settings::retry_window)};
+    options.staleness_limit = values.get(gateway_settings::store_staleness_limit);
     options.random = common::system_random();
     options.route = policy::make_load_aware(routing, common::system_random());
     return options;
@@ -161,9 +163,10 @@
                         }});
     const auto hooks =
         make_catalog_hooks(forwarder_inbox, dispatcher_inbox, peers_inbox, health, current);
+    const auto limits = limits_for_staleness(values.get(gateway_settings::store_staleness_limit));
     runtime::child_spec catalog_child{"catalog", [=](runtime::task_context it) {
-                                          return std::make_shared<catalog>(std::move(it), store,
-                                                                           translate, self, hooks);
+                                          return std::make_shared<catalog>(
+                                              std::move(it), store, translate, self, hooks, limits);
                                       }};
     catalog_child.stop_limit = unregister_limit;
     children.push_back(std::move(catalog_child));
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -3,8 +3,32 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/json.hpp>
+
 namespace jujubemast::gateway {
 
+namespace {
+
+/// Milliseconds since then; empty when it has not happened.
+std::string age_in_ms(std::optional<common::time_point> since) {
+    if (!since) {
+        return {};
+    }
+    const auto age = common::monotonic_clock::now() - *since;
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+}
+
+// Time for the call that follows a lost one.
+constexpr common::duration next_call_time = std::chrono::milliseconds{300};
+
+} // namespace
+
+table_watch_limits limits_for_staleness(common::duration limit) {
+    table_watch_limits limits;
+    limits.wait = limit - limits.answer_limit - next_call_time;
+    return limits;
+}
+
 table_watch::table_watch(const runtime::task_context& context, http::client& client,
                          std::shared_ptr<const adapter> translate, store_table table,
                          table_watch_hooks hooks, const table_watch_limits& limits)
@@ -22,16 +46,28 @@
     return m_translate->decode_rows(std::get<http::response>(result));
 }
 
+boost::json::value table_watch::dump() const {
+    return boost::json::object{{"version", m_version},
+                               {"available", m_available},
+                               {"call_age_ms", age_in_ms(m_sent)},
+                               {"age_ms", age_in_ms(m_confirmed)}};
+}
+
+void table_watch::send(const http::request& message, common::duration limit,
+                       std::function<void(const http::call_result&)> done) {
+    http::call_options options;
+    options.head_timeout = limit;
+    m_sent = common::monotonic_clock::now();
+    m_client.send(message, std::move(done), options);
+}
+
 void table_watch::read_from(const std::string& key) {
     if (key.empty()) {
         m_page_rows.clear();
         m_first_page_version = 0;
     }
-    http::call_options options;
-    options.head_timeout = m_limits.answer_limit;
-    m_client.send(
-        m_translate->encode_read(m_table, key),
-        [this](const http::call_result& result) { page_read(result); }, options);
+    send(m_translate->encode_read(m_table, key), m_limits.answer_limit,
+         [this](const http::call_result& result) { page_read(result); });
 }
 
 void table_watch::page_read(const http::call_result& result) {
@@ -57,15 +93,14 @@
     m_version = m_first_page_version;
     m_whole = true;
     m_hooks.on_update({std::exchange(m_page_rows, {}), true});
+    confirm();
     watch();
 }
 
 void table_watch::watch() {
-    http::call_options options;
-    options.head_timeout = m_limits.wait + m_limits.answer_limit;
-    m_client.send(
-        m_translate->encode_watch(m_table, m_version, m_limits.wait),
-        [this](const http::call_result& result) { changes_read(result); }, options);
+    const auto wait = m_available ? m_limits.wait : common::duration::zero();
+    send(m_translate->encode_watch(m_table, m_version, wait), wait + m_limits.answer_limit,
+         [this](const http::call_result& result) { changes_read(result); });
 }
 
 void table_watch::changes_read(const http::call_result& result) {
@@ -87,6 +122,7 @@
     if (!answer.content.rows.empty()) {
         m_hooks.on_update({std::move(answer.content.rows), false});
     }
+    confirm();
     m_timer.start(m_limits.bundle_time, m_context.wrap([this] { watch(); }));
 }
 
@@ -95,16 +131,34 @@
         m_log.warn("Store does not answer.",
                    {{"table", std::string{common::to_name(m_table)}},
                     {"outcome", std::string{common::to_name(answer.outcome)}},
+                    {"waited_ms", age_in_ms(m_sent)},
+                    {"copy_age_ms", age_in_ms(m_confirmed)},
                     {"detail", answer.detail}});
     }
+    const auto waited = common::monotonic_clock::now() - m_sent.value_or(common::time_point{});
+    m_sent.reset();
     set_available(false);
-    m_timer.start(m_limits.retry_pause, m_context.wrap([this] {
-        if (m_whole) {
-            watch();
-        } else {
-            read_from({});
-        }
-    }));
+    if (waited >= m_limits.answer_limit) {
+        call_again();
+        return;
+    }
+    m_timer.start(m_limits.retry_pause, m_context.wrap([this] { call_again(); }));
+}
+
+void table_watch::call_again() {
+    if (m_whole) {
+        watch();
+    } else {
+        read_from({});
+    }
+}
+
+void table_watch::confirm() {
+    m_sent.reset();
+    m_confirmed = common::monotonic_clock::now();
+    if (m_hooks.on_confirmed) {
+        m_hooks.on_confirmed(*m_confirmed);
+    }
 }
 
 void table_watch::set_available(bool available) {
@@ -113,7 +167,9 @@
     }
     m_available = available;
     if (available) {
-        m_log.info("Store answers again.", {{"table", std::string{common::to_name(m_table)}}});
+        m_log.info("Store answers again.", {{"table", std::string{common::to_name(m_table)}},
+                                            {"waited_ms", age_in_ms(m_sent)},
+                                            {"copy_age_ms", age_in_ms(m_confirmed)}});
     }
     m_hooks.on_state(available);
 }
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/table_watch.h
@@ -3,9 +3,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include <boost/json/value.hpp>
+
 #include "gateway/adapter.h"
 #include "http/client.h"
 #include "logging/logger.h"
@@ -24,13 +27,16 @@
     std::function<void(const table_update&)> on_update;
     /// Called when the store stops or begins again to answer.
     std::function<void(bool available)> on_state;
+    /// Called when an answer has shown that the copy held here is the newest. May be empty.
+    std::function<void(common::time_point now)> on_confirmed;
 };
 
 struct table_watch_limits {
-    /// How long the store keeps a call for changes waiting.
-    common::duration wait = std::chrono::seconds{10};
+    /// How long the store keeps a call for changes waiting. A change that comes after the call was
+    /// lost is seen only by the next one.
+    common::duration wait = std::chrono::milliseconds{1500};
     /// How much later than that its answer may come.
-    common::duration answer_limit = std::chrono::milliseconds{1500};
+    common::duration answer_limit = std::chrono::milliseconds{1200};
     /// Pause before the next call for changes, so that one answer carries several and a store that
     /// does not wait is not called without end.
     common::duration bundle_time = std::chrono::milliseconds{150};
@@ -38,8 +44,16 @@
     common::duration retry_pause = std::chrono::milliseconds{250};
 };
 
+/// Leaves time for the answer of a call and for the call that follows it.
+inline constexpr std::chrono::milliseconds shortest_staleness_limit{2000};
+
+/// Returns limits with which the store's changes are seen within this time although one call was
+/// lost. The time is at least `shortest_staleness_limit`.
+table_watch_limits limits_for_staleness(common::duration limit);
+
 /// Reads one table of the store and follows its changes by calls that wait for them. When history
-/// is lost the table is read whole again. Belongs to one task.
+/// is lost the table is read whole again. While the store does not answer, calls do not wait, so
+/// that none that is lost hides its return. Belongs to one task.
 class table_watch {
 public:
     table_watch(const runtime::task_context& context, http::client& client,
@@ -52,7 +66,11 @@
 
     [[nodiscard]] std::uint64_t version() const { return m_version; }
 
+    [[nodiscard]] boost::json::value dump() const;
+
 private:
+    void send(const http::request& message, common::duration limit,
+              std::function<void(const http::call_result&)> done);
     void read_from(const std::string& key);
     void page_read(const http::call_result& result);
     void watch();
@@ -60,7 +78,10 @@
     /// Returns the decoded answer of a call to the store.
     [[nodiscard]] store_answer decode(const http::call_result& result) const;
     void call_failed(const store_answer& answer);
+    void call_again();
     void set_available(bool available);
+    /// An answer has shown that the copy is the newest.
+    void confirm();
 
     runtime::task_context m_context;
     http::client& m_client;
@@ -74,6 +95,10 @@
     std::uint64_t m_first_page_version = 0;
     bool m_whole = false;
     bool m_available = true;
+    /// When the call in progress was sent.
+    std::optional<common::time_point> m_sent;
+    /// Nothing before the first whole reading.
+    std::optional<common::time_point> m_confirmed;
     logging::logger m_log{"catalog"};
 };
 
