gateway: stage services are owned by the gateways with the most processor time

Cause: the owner of a stage service, which takes the orders of all gateways, reads the answers of all calls and starts the next ones, was chosen by hash among all live gateways, whatever their size. 24 of the 32 instances there have 0.09 cores, 8 have 0.5. A small owner begins calls late and leaves instances idle, and the estimates that decide admissions learn its delays.

Change: a gateway registers its processor share (setting instance.processor_share), and owners are chosen among the live ones that have at least half of the largest share.

The case stages_with_a_small_second_gateway_are_owned_by_the_first fails when the selection is taken out.

--- a/source/core/gateway/adapter.h
+++ b/source/core/gateway/adapter.h
@@ -48,6 +48,8 @@
     /// Address of its socket for other gateways, as IP:PORT.
     std::string address;
     std::uint64_t incarnation = 0;
+    /// Processor time that its instance has, in cores.
+    double processor_share = 1;
 
     friend bool operator==(const gateway_record&, const gateway_record&) = default;
 };
--- a/source/core/gateway/gateway_settings.cpp
+++ b/source/core/gateway/gateway_settings.cpp
@@ -35,6 +35,13 @@
     .help = "failure domain of this instance",
     .required = true,
 };
+const settings::setting<double> gateway_settings::processor_share{
+    .section = "instance",
+    .key = "processor_share",
+    .fallback = 1,
+    .help = "processor time of this instance in cores; those with the most own the stage services",
+    .check = check_not_negative,
+};
 const settings::setting<std::string> gateway_settings::log_level{
     .section = "log",
     .key = "level",
@@ -128,6 +135,7 @@
 const settings::table gateway_settings::table{
     &name,
     &failure_domain,
+    &processor_share,
     &log_level,
     &callers_listen,
     &callers_stop_grace,
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -127,9 +127,9 @@
     const auto health_inbox = runtime::make_mailbox<admin::health_message>(loop, mailbox_capacity);
     const health_address health{health_inbox};
     const auto current = std::make_shared<configuration_pointer>();
-    const gateway_record self{values.get(gateway_settings::name),
-                              values.get(gateway_settings::peers_listen),
-                              common::system_random()() >> 1U};
+    const gateway_record self{
+        values.get(gateway_settings::name), values.get(gateway_settings::peers_listen),
+        common::system_random()() >> 1U, values.get(gateway_settings::processor_share)};
     const auto store = http::parse_endpoint(values.get(gateway_settings::store_address));
 
     // A failed child and those after it are restarted, so each child stands after the ones whose
--- a/source/core/gateway/ownership.cpp
+++ b/source/core/gateway/ownership.cpp
@@ -7,6 +7,20 @@
 
 namespace jujubemast::gateway {
 
+std::vector<std::string> strongest_candidates(const std::vector<owner_candidate>& candidates) {
+    double largest = 0;
+    for (const auto& it : candidates) {
+        largest = std::max(largest, it.processor_share);
+    }
+    std::vector<std::string> names;
+    for (const auto& it : candidates) {
+        if (it.processor_share >= largest / 2) {
+            names.push_back(it.name);
+        }
+    }
+    return names;
+}
+
 std::string choose_owner(const std::string& service, const std::vector<std::string>& gateways) {
     const auto rank = [&](const std::string& gateway) {
         return common::digest_of(service + '\n' + gateway);
--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers.cpp
@@ -94,7 +94,7 @@
 
 void peers::update_live() {
     const auto now = common::monotonic_clock::now();
-    std::vector<std::string> owners;
+    std::vector<owner_candidate> candidates;
     bool any_lost = false;
     for (auto& [name, it] : m_peers) {
         const bool is_live = it.hears_us && now - it.heard < m_limits.silence_limit;
@@ -107,14 +107,15 @@
                         {"hears_us", it.hears_us ? "yes" : "no"}});
         }
         if (is_live && !it.leaving) {
-            owners.push_back(name);
+            candidates.push_back({name, it.record.processor_share});
         }
     }
-    if (!m_leaving || owners.empty()) {
-        owners.push_back(m_self.name);
+    if (!m_leaving || candidates.empty()) {
+        candidates.push_back({m_self.name, m_self.processor_share});
     }
     // A gateway that was leaving and is silent has ended; a new start of it registers itself.
     std::erase_if(m_peers, [](const auto& it) { return it.second.leaving && !it.second.live; });
+    auto owners = strongest_candidates(candidates);
     if (owners != m_owners) {
         m_owners = std::move(owners);
         m_dispatcher.send(owners_changed{m_owners, m_self.name});
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -30,15 +30,18 @@
     std::vector<std::unique_ptr<child_process>> gateways;
     std::vector<std::string> addresses;
     std::vector<std::string> ready_addresses;
+    /// Processor time of the instances, in cores.
+    std::array<double, 2> processor_shares;
 
-    gateway_fixture() {
+    explicit gateway_fixture(const std::array<double, 2>& shares = {1, 1})
+        : processor_shares{shares} {
         std::string pattern = std::filesystem::temp_directory_path() / "gateway-test-XXXXXX";
         folder = ::mkdtemp(pattern.data());
         platform = std::make_unique<child_process>(
             "standin-users-platform", std::vector<std::string>{}, folder + "/platform");
         store = platform->listening_address("standin-users-platform/store/listener");
         for (int n = 0; n < 2; ++n) {
-            add_gateway(n);
+            add_gateway(n, shares.at(static_cast<std::size_t>(n)));
         }
     }
 
@@ -61,9 +64,10 @@
     }
 
     /// Writes the settings of a gateway. Returns the path of the file.
-    std::string write_settings(const std::string& name) const {
+    std::string write_settings(const std::string& name, double processor_share = 1) const {
         auto path = folder + "/" + name + ".yaml";
         std::ofstream{path} << "instance:\n  name: " << name << "\n  failure_domain: z\n"
+                            << "  processor_share: " << processor_share << "\n"
                             << "callers:\n  listen: 127.0.0.1:0\n  stop_grace_ms: 300\n"
                             << "ready:\n  listen: 127.0.0.1:0\n"
                             << "peers:\n  listen: 127.0.0.1:" << free_port() << "\n"
@@ -72,9 +76,9 @@
         return path;
     }
 
-    void add_gateway(int n) {
+    void add_gateway(int n, double processor_share) {
         const auto name = "g" + std::to_string(n);
-        const auto path = write_settings(name);
+        const auto path = write_settings(name, processor_share);
         gateways.push_back(std::make_unique<child_process>(
             "jujubemast-gateway", std::vector<std::string>{"--settings", path},
             folder + "/" + name));
@@ -499,6 +503,26 @@
     BOOST_TEST(send("GET", "/other/1", "o4").status == 404U);
 }
 
+/// Gateways of unlike size; which one the hash of a service prefers is up to its name.
+struct small_second_gateway_fixture : gateway_fixture {
+    small_second_gateway_fixture() : gateway_fixture{{0.5, 0.09}} {}
+};
+struct small_first_gateway_fixture : gateway_fixture {
+    small_first_gateway_fixture() : gateway_fixture{{0.09, 0.5}} {}
+};
+
+// Guards against a service whose calls all begin late because its owner has too little processor
+// time for the orders of all gateways (issue 18, SHORT).
+BOOST_FIXTURE_TEST_CASE(stages_with_a_small_second_gateway_are_owned_by_the_first,
+                        small_second_gateway_fixture) {
+    BOOST_TEST(owner_of_stages() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(stages_with_a_small_first_gateway_are_owned_by_the_second,
+                        small_first_gateway_fixture) {
+    BOOST_TEST(owner_of_stages() == 1U);
+}
+
 /// A third gateway whose log goes to a pipe.
 struct log_pipe_fixture : gateway_fixture {
     std::unique_ptr<log_pipe> pipe = std::make_unique<log_pipe>(folder + "/pipe");
--- a/tests/unit/users_platform/store_test.cpp
+++ b/tests/unit/users_platform/store_test.cpp
@@ -115,6 +115,13 @@
     });
 }
 
+// Guards against a gateway that is left out as owner because it runs an earlier release.
+BOOST_AUTO_TEST_CASE(gateway_row_without_a_processor_share_is_taken_for_a_whole_core) {
+    const auto read =
+        users_platform::decode_gateway({"g", R"({"address":"127.0.0.1:7000","incarnation":7})", 1});
+    BOOST_TEST(read.processor_share == 1.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
