gateway: an answer that waited for a paused process does not make the copy new

After a pause of its process a gateway took its copy for the newest and would refuse with 401 or 404 by it, however long the pause.

Cause: the configuration counted as confirmed from the time at which the answer was read. Asio reads what is in the socket before it looks at the timer, so an answer from before the pause is accepted.

Change: an answer confirms the copy for the time at which the store has sent it at the latest: the time of the call and its wait.

Measured: answer_that_waited_for_a_paused_process_does_not_count_as_new fails on the code before and passes. The suite is new; its other cases pass on both.

--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -53,11 +53,12 @@
                                {"age_ms", age_in_ms(m_confirmed)}};
 }
 
-void table_watch::send(const http::request& message, common::duration limit,
+void table_watch::send(const http::request& message, common::duration wait,
                        std::function<void(const http::call_result&)> done) {
     http::call_options options;
-    options.head_timeout = limit;
+    options.head_timeout = wait + m_limits.answer_limit;
     m_sent = common::monotonic_clock::now();
+    m_wait = wait;
     m_client.send(message, std::move(done), options);
 }
 
@@ -66,7 +67,7 @@
         m_page_rows.clear();
         m_first_page_version = 0;
     }
-    send(m_translate->encode_read(m_table, key), m_limits.answer_limit,
+    send(m_translate->encode_read(m_table, key), common::duration::zero(),
          [this](const http::call_result& result) { page_read(result); });
 }
 
@@ -99,7 +100,7 @@
 
 void table_watch::watch() {
     const auto wait = m_available ? m_limits.wait : common::duration::zero();
-    send(m_translate->encode_watch(m_table, m_version, wait), wait + m_limits.answer_limit,
+    send(m_translate->encode_watch(m_table, m_version, wait), wait,
          [this](const http::call_result& result) { changes_read(result); });
 }
 
@@ -154,8 +155,11 @@
 }
 
 void table_watch::confirm() {
+    // While this process stands still, an answer may wait long for it. The store keeps a call no
+    // longer than its wait.
+    const auto now = common::monotonic_clock::now();
+    m_confirmed = std::min(now, m_sent.value_or(now) + m_wait);
     m_sent.reset();
-    m_confirmed = common::monotonic_clock::now();
     if (m_hooks.on_confirmed) {
         m_hooks.on_confirmed(*m_confirmed);
     }
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/table_watch.h
@@ -27,8 +27,9 @@
     std::function<void(const table_update&)> on_update;
     /// Called when the store stops or begins again to answer.
     std::function<void(bool available)> on_state;
-    /// Called when an answer has shown that the copy held here is the newest. May be empty.
-    std::function<void(common::time_point now)> on_confirmed;
+    /// Called when an answer has shown that the copy held here was the newest at a time. May be
+    /// empty.
+    std::function<void(common::time_point at)> on_confirmed;
 };
 
 struct table_watch_limits {
@@ -69,7 +70,7 @@
     [[nodiscard]] boost::json::value dump() const;
 
 private:
-    void send(const http::request& message, common::duration limit,
+    void send(const http::request& message, common::duration wait,
               std::function<void(const http::call_result&)> done);
     void read_from(const std::string& key);
     void page_read(const http::call_result& result);
@@ -80,7 +81,7 @@
     void call_failed(const store_answer& answer);
     void call_again();
     void set_available(bool available);
-    /// An answer has shown that the copy is the newest.
+    /// An answer has shown that the copy was the newest when the store sent it.
     void confirm();
 
     runtime::task_context m_context;
@@ -97,6 +98,8 @@
     bool m_available = true;
     /// When the call in progress was sent.
     std::optional<common::time_point> m_sent;
+    /// How long the store keeps the call in progress waiting.
+    common::duration m_wait = common::duration::zero();
     /// Nothing before the first whole reading.
     std::optional<common::time_point> m_confirmed;
     logging::logger m_log{"catalog"};
--- /dev/null
+++ b/tests/unit/gateway/table_watch_test.cpp
@@ -0,0 +1,196 @@
+#include "gateway/table_watch.h"
+
+#include <algorithm>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+#include "http/server.h"
+#include "support/event_loop.h"
+
+namespace jujubemast::tests {
+
+using namespace jujubemast::gateway;
+using std::chrono::milliseconds;
+
+/// A call that the store has got.
+struct store_call {
+    std::string target;
+    common::time_point at;
+    http::responder reply;
+};
+
+/// A watch of one table before a store whose answers each case gives. The adapter's calls are plain
+/// paths: /read, and /watch/ with the milliseconds to wait.
+struct table_watch_fixture {
+    // Long enough to tell the waits apart on a busy machine.
+    static constexpr milliseconds wait{600};
+    static constexpr milliseconds answer_limit{400};
+    static constexpr milliseconds retry_pause{250};
+    static constexpr milliseconds slack{250};
+
+    event_loop loop;
+    std::vector<store_call> calls;
+    /// Answers a call. Empty for a store that loses every call.
+    std::function<void(const store_call&)> answer = answer_at_once;
+    std::vector<common::time_point> confirmed;
+    std::vector<bool> states;
+    std::shared_ptr<runtime::task_life> server_life = make_life("store");
+    std::shared_ptr<runtime::task_life> client_life = make_life("catalog");
+    std::shared_ptr<runtime::task> server;
+    std::unique_ptr<http::client> client;
+    std::unique_ptr<table_watch> watch;
+
+    table_watch_fixture() {
+        http::endpoint address;
+        http::server_options options;
+        options.listen = {"127.0.0.1", 0};
+        options.on_listening = [&](const http::endpoint& bound) { address = bound; };
+        const auto listener = http::make_server(
+            "store", options, [this](const http::request& message, const http::responder& reply) {
+                calls.push_back({message.target, common::monotonic_clock::now(), reply});
+                if (answer) {
+                    answer(calls.back());
+                }
+                return http::disconnect_hook{};
+            });
+        server = listener.make(loop.context(server_life));
+        server_life->instance = server;
+        server->start();
+        BOOST_REQUIRE(loop.run_until([&] { return address.port != 0; }));
+        client = std::make_unique<http::client>(loop.context(client_life), address);
+        table_watch_hooks hooks;
+        hooks.on_update = [](const table_update& /*update*/) {};
+        hooks.on_state = [this](bool available) { states.push_back(available); };
+        hooks.on_confirmed = [this](common::time_point at) { confirmed.push_back(at); };
+        table_watch_limits limits;
+        limits.wait = wait;
+        limits.answer_limit = answer_limit;
+        limits.retry_pause = retry_pause;
+        watch = std::make_unique<table_watch>(loop.context(client_life), *client,
+                                              std::make_shared<const adapter>(make_adapter()),
+                                              store_table::configuration, hooks, limits);
+        watch->begin();
+    }
+    table_watch_fixture(const table_watch_fixture&) = delete;
+    table_watch_fixture& operator=(const table_watch_fixture&) = delete;
+
+    ~table_watch_fixture() {
+        watch->cancel();
+        client->close();
+        client_life->running = server_life->running = false;
+        server->close();
+        loop.run_ready();
+    }
+
+    static adapter make_adapter() {
+        adapter result;
+        result.encode_read = [](store_table /*table*/, const std::string& /*from*/) {
+            return http::request{"GET", "/read", {}, {}};
+        };
+        result.encode_watch = [](store_table /*table*/, std::uint64_t /*after*/,
+                                 common::duration limit) {
+            const auto n = std::chrono::duration_cast<milliseconds>(limit).count();
+            return http::request{"GET", "/watch/" + std::to_string(n), {}, {}};
+        };
+        result.decode_rows = [](const http::response& answer) {
+            const auto outcome = answer.status == 200   ? store_outcome::done
+                                 : answer.status == 410 ? store_outcome::history_lost
+                                                        : store_outcome::unavailable;
+            return store_answer{outcome, {}, {}};
+        };
+        return result;
+    }
+
+    static void answer_at_once(const store_call& call) { call.reply.respond({200, {}, "rows"}); }
+
+    /// Answers readings only; calls for changes are lost.
+    static void answer_readings(const store_call& call) {
+        if (call.target == "/read") {
+            answer_at_once(call);
+        }
+    }
+
+    void wait_for_calls(std::size_t n) {
+        BOOST_REQUIRE(loop.run_until([&] { return calls.size() >= n; }));
+    }
+
+    void run_for(common::duration time) {
+        const auto end = common::monotonic_clock::now() + time;
+        BOOST_REQUIRE(loop.run_until([&] { return common::monotonic_clock::now() >= end; }));
+    }
+
+    [[nodiscard]] common::duration between(std::size_t first, std::size_t second) const {
+        return calls[second].at - calls[first].at;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(table_watch_test, table_watch_fixture)
+
+// Guards against a lost call that hides the table's changes for longer than its limit, and against
+// a next one that could hide the store's return for as long again (incident inc1).
+BOOST_AUTO_TEST_CASE(lost_call_is_followed_at_once_by_one_that_does_not_wait) {
+    answer = answer_readings;
+    wait_for_calls(4);
+    BOOST_TEST(calls[1].target == "/watch/600");
+    BOOST_TEST(calls[2].target == "/watch/0");
+    BOOST_TEST(calls[3].target == "/watch/0");
+    BOOST_TEST((between(1, 2) < wait + answer_limit + slack));
+    BOOST_TEST((between(2, 3) >= answer_limit - milliseconds{1}));
+    BOOST_TEST((between(2, 3) < answer_limit + slack));
+    BOOST_TEST((states == std::vector<bool>{false}));
+}
+
+// Guards against a large answer that never comes whole over a slow link because each call for it is
+// given up: the limit of a call is for its beginning.
+BOOST_AUTO_TEST_CASE(answer_that_takes_longer_than_the_limit_but_keeps_coming_is_read) {
+    wait_for_calls(2);
+    const auto before = confirmed.size();
+    answer = {};
+    wait_for_calls(calls.size() + 1);
+    const auto slow = calls.back();
+    slow.reply.begin({200, {}, {}});
+    while (common::monotonic_clock::now() < slow.at + 2 * (wait + answer_limit)) {
+        slow.reply.write("a");
+        run_for(milliseconds{50});
+    }
+    const auto n = calls.size();
+    slow.reply.end();
+    BOOST_REQUIRE(
+        loop.run_until([&] { return confirmed.size() > before + 1 || calls.size() > n; }));
+    BOOST_TEST((calls[n - 1].at == slow.at));
+    BOOST_TEST(states.empty());
+}
+
+// Guards against a copy that counts as the newest because its process stood still: the answer that
+// waited in the socket meanwhile shows only what the store held when it was sent.
+BOOST_AUTO_TEST_CASE(answer_that_waited_for_a_paused_process_does_not_count_as_new) {
+    static constexpr auto pause = 2 * (wait + answer_limit);
+    wait_for_calls(2);
+    run_for(milliseconds{100});
+    answer = [this](const store_call& call) {
+        answer_at_once(call);
+        // Runs after the answer was written and before it is read.
+        loop.executor().post([] { std::this_thread::sleep_for(pause); });
+        answer = {};
+    };
+    const auto before = calls.size();
+    const auto confirmations = confirmed.size();
+    wait_for_calls(before + 2);
+    for (auto n = confirmations; n < confirmed.size(); ++n) {
+        BOOST_TEST((confirmed[n] <= calls[before].at + wait));
+    }
+}
+
+// Guards against a store that is called without end while it turns this gateway away.
+BOOST_AUTO_TEST_CASE(store_that_refuses_is_called_again_after_a_pause) {
+    answer = [](const store_call& call) { call.reply.respond({503, {}, ""}); };
+    wait_for_calls(5);
+    for (std::size_t n = 1; n < 5; ++n) {
+        BOOST_TEST((between(n - 1, n) >= retry_pause - milliseconds{1}));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
