gateway: a store that loses its history again and again is called with pauses

A store that answers each call for changes with "history lost" got 6515 calls in a second from one watch.

Cause: after a lost history the table is read whole at once, and the watch goes on at once after it.

Change: the reading begins after the pause that also lies between two calls for changes.

Measured: history_that_is_lost_again_and_again_is_read_with_pauses fails on the code before (6515 calls in a second, 14 allowed) and passes.

--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -111,7 +111,8 @@
                    {{"table", std::string{common::to_name(m_table)}},
                     {"version", std::to_string(m_version)}});
         m_whole = false;
-        read_from({});
+        // A pause, as a store may have lost its history again when the table has been read.
+        m_timer.start(m_limits.bundle_time, m_context.wrap([this] { read_from({}); }));
         return;
     }
     if (answer.outcome != store_outcome::done) {
--- a/tests/unit/gateway/table_watch_test.cpp
+++ b/tests/unit/gateway/table_watch_test.cpp
@@ -191,6 +191,19 @@
     }
 }
 
+// Guards against the same with a store that has always just dropped its history.
+BOOST_AUTO_TEST_CASE(history_that_is_lost_again_and_again_is_read_with_pauses) {
+    answer = [](const store_call& call) {
+        call.reply.respond({call.target == "/read" ? 200U : 410U, {}, "rows"});
+    };
+    wait_for_calls(2);
+    const auto begin = common::monotonic_clock::now();
+    const auto before = calls.size();
+    run_for(4 * retry_pause);
+    const auto rounds = (common::monotonic_clock::now() - begin) / milliseconds{150};
+    BOOST_TEST(calls.size() - before <= 2U * static_cast<std::size_t>(rounds + 1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
