gateway: a newer configuration that is not understood leaves the older one unconfirmed

While a newer configuration cannot be read, requests that only it allows are refused for good with 401 or 404.

Cause: each answer of the store confirmed the configuration in force as the newest, also after one that brought a newer version which was dropped as not understood.

Change: the configuration is not confirmed until a newer one has been read. Known routes and keys are served as before.

Measured: configuration_before_one_that_is_not_understood_is_not_confirmed fails on the code before and passes.

--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -39,7 +39,11 @@
     m_configurations =
         make(store_table::configuration,
              {[this](const table_update& it) { configuration_rows(it); }, ignore_state,
-              [this](common::time_point now) { m_hooks.confirm_configuration({now}); }});
+              [this](common::time_point at) {
+                  if (m_newest_understood) {
+                      m_hooks.confirm_configuration({at});
+                  }
+              }});
     m_upstream_rows =
         make(store_table::upstreams, {[this](const table_update& it) { upstream_rows(it); },
                                       [this](bool available) { store_state(available); },
@@ -93,8 +97,10 @@
         } catch (const common::format_error& e) {
             m_log.error("Configuration not understood; the one in force stays.",
                         {{"row_version", std::to_string(row.version)}, {"reason", e.what()}});
+            m_newest_understood = false;
             continue;
         }
+        m_newest_understood = m_newest_understood || read;
         if (!read || (m_configuration && read->version <= m_configuration->version)) {
             continue;
         }
--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/catalog.h
@@ -57,6 +57,8 @@
     std::unique_ptr<table_watch> m_upstream_rows;
     std::unique_ptr<table_watch> m_gateway_rows;
     configuration_pointer m_configuration;
+    /// The newest configuration in the store could be read.
+    bool m_newest_understood = true;
     upstream_list m_upstreams;
     bool m_upstreams_read = false;
     std::map<std::string, gateway_record> m_gateways;
--- /dev/null
+++ b/tests/unit/gateway/catalog_test.cpp
@@ -0,0 +1,157 @@
+#include "gateway/catalog.h"
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "common/error.h"
+#include "http/server.h"
+#include "support/event_loop.h"
+
+namespace jujubemast::tests {
+
+using namespace jujubemast::gateway;
+using std::chrono::milliseconds;
+
+/// A catalog before a store whose tables the cases fill. Calls are plain paths: /read/TABLE and
+/// /watch/TABLE, with the table's number; /register; /unregister.
+struct catalog_fixture {
+    static constexpr const char* own_name = "self";
+
+    event_loop loop;
+    std::vector<std::string> asked;
+    /// Rows that the next answer of a table brings.
+    std::map<std::string, std::vector<store_row>> rows;
+    /// Paths that are not answered.
+    std::vector<std::string> lost;
+    std::size_t confirmations = 0;
+    std::vector<world_changed> published;
+    std::vector<std::string> not_ready_reasons;
+    std::shared_ptr<runtime::task_life> server_life = make_life("store");
+    std::shared_ptr<runtime::task_life> catalog_life = make_life("catalog");
+    std::shared_ptr<runtime::task> server;
+    std::shared_ptr<catalog> subject;
+
+    catalog_fixture() {
+        http::endpoint address;
+        http::server_options options;
+        options.listen = {"127.0.0.1", 0};
+        options.on_listening = [&](const http::endpoint& bound) { address = bound; };
+        const auto listener = http::make_server(
+            "store", options, [this](const http::request& message, const http::responder& reply) {
+                asked.push_back(message.target);
+                if (std::find(lost.begin(), lost.end(), message.target) == lost.end()) {
+                    reply.respond({200, {}, message.target});
+                }
+                return http::disconnect_hook{};
+            });
+        server = listener.make(loop.context(server_life));
+        server_life->instance = server;
+        server->start();
+        BOOST_REQUIRE(loop.run_until([&] { return address.port != 0; }));
+        table_watch_limits limits;
+        limits.wait = common::duration::zero();
+        limits.bundle_time = milliseconds{20};
+        subject = std::make_shared<catalog>(
+            loop.context(catalog_life), address, std::make_shared<const adapter>(make_adapter()),
+            gateway_record{own_name, "10.0.0.1:1", 7}, make_hooks(), limits);
+        catalog_life->instance = subject;
+    }
+    catalog_fixture(const catalog_fixture&) = delete;
+    catalog_fixture& operator=(const catalog_fixture&) = delete;
+
+    ~catalog_fixture() {
+        catalog_life->running = server_life->running = false;
+        subject->close();
+        server->close();
+        loop.run_ready();
+    }
+
+    catalog_hooks make_hooks() {
+        catalog_hooks hooks;
+        hooks.publish = [this](const world_changed& it) { published.push_back(it); };
+        hooks.publish_gateways = [](const std::vector<gateway_record>& /*known*/) {};
+        hooks.confirm_configuration = [this](const configuration_confirmed& /*message*/) {
+            ++confirmations;
+        };
+        hooks.set_not_ready_reason = [this](const std::string& it) {
+            not_ready_reasons.push_back(it);
+        };
+        return hooks;
+    }
+
+    static std::string path(const char* verb, store_table table) {
+        return std::string{verb} + std::string{common::to_name(table)};
+    }
+
+    adapter make_adapter() {
+        const auto get = [](const std::string& target) {
+            return http::request{"GET", target, {}, {}};
+        };
+        adapter result;
+        result.encode_read = [=](store_table table, const std::string& /*from*/) {
+            return get(path("/read/", table));
+        };
+        result.encode_watch = [=](store_table table, std::uint64_t /*after*/,
+                                  common::duration /*wait*/) {
+            return get(path("/watch/", table));
+        };
+        result.encode_register = [=](const gateway_record& /*self*/) { return get("/register"); };
+        result.encode_unregister = [=](const std::string& /*name*/) { return get("/unregister"); };
+        result.decode_rows = [this](const http::response& answer) {
+            store_answer decoded;
+            decoded.outcome = store_outcome::done;
+            const auto table = answer.body.substr(answer.body.rfind('/') + 1);
+            decoded.content.rows = std::exchange(rows[table], {});
+            return decoded;
+        };
+        // A row's value is the version of the configuration; an empty one cannot be read.
+        result.decode_configuration = [](const store_row& row) {
+            if (row.value->empty()) {
+                throw common::format_error{"empty"};
+            }
+            configuration decoded;
+            decoded.version = std::stoull(*row.value);
+            return std::optional{decoded};
+        };
+        // A row's value is the address.
+        result.decode_gateway = [](const store_row& row) {
+            return gateway_record{row.key, *row.value, 7};
+        };
+        return result;
+    }
+
+    [[nodiscard]] std::size_t count_asked(const std::string& target) const {
+        return static_cast<std::size_t>(std::count(asked.begin(), asked.end(), target));
+    }
+
+    /// Runs until the store has answered some more calls for changes of a table.
+    void run_rounds(store_table table) {
+        const auto target = path("/watch/", table);
+        const auto end = count_asked(target) + 3;
+        BOOST_REQUIRE(loop.run_until([&] { return count_asked(target) >= end; }));
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(catalog_test, catalog_fixture)
+
+// Guards against refusals for good by a configuration that counts as the newest although a newer
+// one has come that could not be read.
+BOOST_AUTO_TEST_CASE(configuration_before_one_that_is_not_understood_is_not_confirmed) {
+    rows["configuration"] = {{"config", "1", 1}};
+    subject->start();
+    run_rounds(store_table::configuration);
+    BOOST_TEST(confirmations > 0U);
+    rows["configuration"] = {{"config", "", 2}};
+    run_rounds(store_table::configuration);
+    const auto before = confirmations;
+    run_rounds(store_table::configuration);
+    BOOST_TEST(confirmations == before);
+    rows["configuration"] = {{"config", "3", 3}};
+    run_rounds(store_table::configuration);
+    BOOST_TEST(confirmations > before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
