gateway: a gateway whose row is gone registers again

Cause: the store may carry out a call without an answer seconds later, and an unregistration has no condition. It then removes the row of the next start, which registers only once: the others drop its messages as those of an unknown sender, make pieces without it, and divide the retry budget by too few.

Change: a gateway that finds its own row missing or another's writes it again, until its stop.

Measured: gateway_whose_row_is_gone_or_not_its_own_registers_again fails on the code before and passes.

--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -57,6 +57,8 @@
 }
 
 void catalog::stop(const runtime::stop_done& done) {
+    m_registered = false;
+    m_register_timer.cancel();
     m_client.send(m_translate->encode_unregister(m_self.name),
                   [this, done](const http::call_result& result) {
                       const auto* answer = std::get_if<http::response>(&result);
@@ -89,6 +91,17 @@
     });
 }
 
+void catalog::check_registration() {
+    const auto it = m_gateways.find(m_self.name);
+    if (!m_registered || (it != m_gateways.end() && it->second == m_self)) {
+        return;
+    }
+    // A call of this gateway's process before, whose answer was lost, may be carried out late.
+    m_log.warn("The row of this gateway was removed or replaced.", {{"gateway", m_self.name}});
+    m_registered = false;
+    register_self();
+}
+
 void catalog::configuration_rows(const table_update& update) {
     for (const auto& row : update.rows) {
         std::optional<configuration> read;
@@ -196,6 +209,7 @@
                        {{"key", row.key}, {"reason", e.what()}});
         }
     }
+    check_registration();
     std::vector<gateway_record> known;
     for (const auto& [name, it] : m_gateways) {
         known.push_back(it);
--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/catalog.h
@@ -44,6 +44,8 @@
     void gateway_rows(const table_update& update);
     void store_state(bool available);
     void register_self();
+    /// Registers again when the store holds no row of this gateway, or another's.
+    void check_registration();
     void publish();
     void schedule_expiry();
 
--- a/tests/unit/gateway/catalog_test.cpp
+++ b/tests/unit/gateway/catalog_test.cpp
@@ -152,6 +152,24 @@
     BOOST_TEST(confirmations > before);
 }
 
+// Guards against a gateway that the others never hear: an unregistration or registration of its
+// process before, which the store carries out late, replaces its row.
+BOOST_AUTO_TEST_CASE(gateway_whose_row_is_gone_or_not_its_own_registers_again) {
+    rows["gateways"] = {{own_name, "10.0.0.1:1", 1}};
+    subject->start();
+    run_rounds(store_table::gateways);
+    const auto before = count_asked("/register");
+    rows["gateways"] = {{own_name, "10.0.0.1:1", 1}};
+    run_rounds(store_table::gateways);
+    BOOST_TEST(count_asked("/register") == before);
+    rows["gateways"] = {{own_name, std::nullopt, 2}};
+    run_rounds(store_table::gateways);
+    BOOST_TEST(count_asked("/register") == before + 1);
+    rows["gateways"] = {{own_name, "10.0.0.1:9", 3}};
+    run_rounds(store_table::gateways);
+    BOOST_TEST(count_asked("/register") == before + 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
