gateway: not ready before the upstreams have been read

A gateway whose first reading of the upstreams is lost says that it is ready and refuses all requests with 503.

Cause: readiness asked for a configuration only, and a list that was never read was published as an empty one. After a restart of the catalog alone it emptied the pools of a serving gateway.

Change: until the first whole reading no list is published, and the gateway is not ready.

Measured: gateway_that_has_not_read_the_upstreams_is_not_ready fails on the code before and passes.

--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -218,8 +218,12 @@
 }
 
 void catalog::publish() {
-    m_hooks.set_not_ready_reason(m_configuration ? "" : "no configuration is known yet");
-    m_hooks.publish({m_configuration, std::make_shared<const upstream_map>(m_upstreams.entries())});
+    m_hooks.set_not_ready_reason(!m_configuration    ? "no configuration is known yet"
+                                 : !m_upstreams_read ? "the upstreams are not known yet"
+                                                     : "");
+    m_hooks.publish(
+        {m_configuration,
+         m_upstreams_read ? std::make_shared<const upstream_map>(m_upstreams.entries()) : nullptr});
 }
 
 boost::json::value catalog::dump() const {
--- a/tests/unit/gateway/catalog_test.cpp
+++ b/tests/unit/gateway/catalog_test.cpp
@@ -170,6 +170,22 @@
     BOOST_TEST(count_asked("/register") == before + 2);
 }
 
+// Guards against a gateway that takes requests while it cannot know any upstream, because the first
+// reading of their table was lost.
+BOOST_AUTO_TEST_CASE(gateway_that_has_not_read_the_upstreams_is_not_ready) {
+    rows["configuration"] = {{"config", "1", 1}};
+    lost = {"/read/upstreams"};
+    subject->start();
+    run_rounds(store_table::configuration);
+    BOOST_REQUIRE(!published.empty());
+    BOOST_TEST(published.back().configuration->version == 1U);
+    BOOST_TEST((published.back().upstreams == nullptr));
+    BOOST_TEST(!not_ready_reasons.back().empty());
+    lost.clear();
+    BOOST_REQUIRE(loop.run_until([&] { return not_ready_reasons.back().empty(); }));
+    BOOST_TEST((published.back().upstreams != nullptr));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
