--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/catalog.h
@@ -44,6 +44,8 @@
     void gateway_rows(const table_update& update);
     void store_state(bool available);
     void register_self();
+    /// Registers again when the store holds no row of this gateway, or another's.
+    void check_registration();
     void publish();
     void schedule_expiry();
 
@@ -57,6 +59,8 @@
     std::unique_ptr<table_watch> m_upstream_rows;
     std::unique_ptr<table_watch> m_gateway_rows;
     configuration_pointer m_configuration;
+    /// The newest configuration in the store could be read.
+    bool m_newest_understood = true;
     upstream_list m_upstreams;
     bool m_upstreams_read = false;
     std::map<std::string, gateway_record> m_gateways;
