http: a call has limits of its own for its time and its unparsed bytes

A client could not end a body that trickles: every byte renewed the progress timeout. The line of a chunk's size and the trailer grew in the input buffer without a limit, because the body limit does not count them; at loopback speed the test process ran into its limit of 4 GB (std::bad_alloc). An interim answer (1xx) was delivered as the answer, and the real one was left on the connection for the next call.

Calls get a total timeout and a size limit of their own (both default to the client's; no total timeout by default, for callers that end their calls themselves). Unparsed bytes are bounded by 32 KiB. Up to eight interim answers are passed over within the time for the head; 101 is refused.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -21,6 +21,13 @@
 namespace {
 
 constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
+// Bounds what is read but not yet parsed. The body limit does not count the line of a chunk's size
+// and the trailer. More than the parser's limit of a head (8 KiB).
+constexpr std::size_t max_unparsed_bytes = std::size_t{32} * 1024;
+// A server sends an interim answer or two before the final one.
+constexpr int max_interim_answers = 8;
+constexpr unsigned status_switching_protocols = 101;
+constexpr unsigned status_first_final = 200;
 
 struct idle_connection {
     std::unique_ptr<boost::beast::tcp_stream> stream;
@@ -33,7 +40,8 @@
     if (ec == boost::beast::error::timeout) {
         return call_fault::timeout;
     }
-    if (ec == beast_http::error::body_limit || ec == beast_http::error::header_limit) {
+    if (ec == beast_http::error::body_limit || ec == beast_http::error::header_limit ||
+        ec == beast_http::error::buffer_overflow) {
         return call_fault::too_large;
     }
     const bool of_http =
@@ -84,6 +92,10 @@
 
     void begin() {
         const auto owner = m_owner.lock();
+        const auto total = chosen(m_options.total_timeout, owner->limits.total_timeout);
+        if (total > common::duration::zero()) {
+            m_ends_at = common::monotonic_clock::now() + total;
+        }
         if (m_request.find(beast_http::field::host) == m_request.end()) {
             m_request.set(beast_http::field::host, to_string(owner->server));
         }
@@ -121,7 +133,7 @@
     void connect() {
         const auto owner = m_owner.lock();
         m_stream = std::make_unique<boost::beast::tcp_stream>(owner->context.loop().context());
-        m_stream->expires_after(owner->limits.connect_timeout);
+        expire_after(owner->limits.connect_timeout);
         const tcp::endpoint remote{boost::asio::ip::make_address(owner->server.host),
                                    owner->server.port};
         m_stream->async_connect(remote, wrap([this](const boost::system::error_code& ec) {
@@ -136,7 +148,7 @@
 
     void write() {
         m_sent = true;
-        m_stream->expires_after(head_timeout());
+        expire_after(head_timeout());
         beast_http::async_write(
             *m_stream, m_request,
             wrap([this](const boost::system::error_code& ec, std::size_t /*size*/) {
@@ -144,14 +156,15 @@
                     transport_failed(ec);
                     return;
                 }
+                m_head_by = common::monotonic_clock::now() + head_timeout();
                 read_head();
             }));
     }
 
     void read_head() {
         m_parser.emplace();
-        m_parser->body_limit(m_owner.lock()->limits.max_response_bytes);
-        m_stream->expires_after(head_timeout());
+        m_parser->body_limit(max_body_bytes());
+        expire_after(m_head_by - common::monotonic_clock::now());
         beast_http::async_read_header(
             *m_stream, m_input, *m_parser,
             wrap([this](const boost::system::error_code& ec, std::size_t /*size*/) {
@@ -159,11 +172,29 @@
                     transport_failed(ec);
                     return;
                 }
-                deliver_head();
-                read_body();
+                head_read();
             }));
     }
 
+    void head_read() {
+        const auto status = m_parser->get().result_int();
+        if (status == status_switching_protocols) {
+            fail(call_fault::malformed, "the server changes the protocol unasked");
+            return;
+        }
+        if (status < status_first_final) {
+            // The final answer follows on the same connection (RFC 9110, section 15.2).
+            if (++m_interim_answers > max_interim_answers) {
+                fail(call_fault::malformed, "too many interim answers");
+                return;
+            }
+            read_head();
+            return;
+        }
+        deliver_head();
+        read_body();
+    }
+
     void deliver_head() {
         if (!m_hooks.on_head) {
             return;
@@ -183,10 +214,14 @@
             complete();
             return;
         }
+        if (m_ends_at && common::monotonic_clock::now() >= *m_ends_at) {
+            fail(call_fault::timeout, "the answer does not end in time");
+            return;
+        }
         auto& body = m_parser->get().body();
         body.data = m_piece.data();
         body.size = m_piece.size();
-        m_stream->expires_after(m_owner.lock()->limits.progress_timeout);
+        expire_after(m_owner.lock()->limits.progress_timeout);
         beast_http::async_read_some(*m_stream, m_input, *m_parser,
                                     wrap([this](const boost::system::error_code& ec,
                                                 std::size_t /*size*/) { body_read(ec); }));
@@ -220,7 +255,8 @@
     }
 
     void transport_failed(const boost::system::error_code& ec) {
-        const bool nothing_received = !m_parser || !m_parser->got_some();
+        const bool nothing_received =
+            (!m_parser || !m_parser->got_some()) && m_interim_answers == 0;
         if (m_reused && nothing_received && m_options.repeatable && m_options.resend &&
             ec != boost::beast::error::timeout) {
             m_reused = false;
@@ -257,10 +293,26 @@
         return stated ? std::min(limit, *stated - margin) : limit;
     }
 
+    /// The value of the call, or that of the client when the call has none.
+    template <typename Value>
+    static Value chosen(Value of_call, Value of_client) {
+        return of_call == Value{} ? of_client : of_call;
+    }
+
     [[nodiscard]] common::duration head_timeout() const {
-        return m_options.head_timeout == common::duration::zero()
-                   ? m_owner.lock()->limits.head_timeout
-                   : m_options.head_timeout;
+        return chosen(m_options.head_timeout, m_owner.lock()->limits.head_timeout);
+    }
+
+    [[nodiscard]] std::size_t max_body_bytes() const {
+        return chosen(m_options.max_body_bytes, m_owner.lock()->limits.max_response_bytes);
+    }
+
+    /// Bounds the next operation by this time and by the end of the call.
+    void expire_after(common::duration limit) {
+        if (m_ends_at) {
+            limit = std::min<common::duration>(limit, *m_ends_at - common::monotonic_clock::now());
+        }
+        m_stream->expires_after(std::max(limit, common::duration::zero()));
     }
 
     std::weak_ptr<client::implementation> m_owner;
@@ -269,9 +321,13 @@
     call_hooks m_hooks;
     call_options m_options;
     std::unique_ptr<boost::beast::tcp_stream> m_stream;
-    boost::beast::flat_buffer m_input;
+    boost::beast::flat_buffer m_input{max_unparsed_bytes};
     std::optional<beast_http::response_parser<beast_http::buffer_body>> m_parser;
     std::array<char, read_buffer_bytes> m_piece{};
+    /// When the call ends at the latest.
+    std::optional<common::time_point> m_ends_at;
+    common::time_point m_head_by;
+    int m_interim_answers = 0;
     bool m_reused = false;
     bool m_sent = false;
     bool m_ended = false;
--- a/source/core/http/client.h
+++ b/source/core/http/client.h
@@ -34,6 +34,9 @@
     common::duration head_timeout = std::chrono::seconds{10};
     /// Longest wait between two pieces of the body.
     common::duration progress_timeout = std::chrono::seconds{5};
+    /// Longest time from the start of a call to the end of its answer. Zero means no limit, for
+    /// callers that end their calls themselves: the timeouts above never end a body that trickles.
+    common::duration total_timeout = common::duration::zero();
     std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
     std::size_t max_idle_connections = 16;
     common::duration idle_lifetime = std::chrono::seconds{20};
@@ -56,6 +59,10 @@
     bool resend = true;
     /// Zero means the limit of the client.
     common::duration head_timeout = common::duration::zero();
+    /// Zero means the limit of the client.
+    common::duration total_timeout = common::duration::zero();
+    /// Zero means the limit of the client.
+    std::size_t max_body_bytes = 0;
 };
 
 using call_id = std::uint64_t;
--- /dev/null
+++ b/tests/unit/http/client_test.cpp
@@ -0,0 +1,225 @@
+#include "http/client.h"
+
+#include <fstream>
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/endless_server.h"
+#include "support/event_loop.h"
+
+namespace jujubemast::tests {
+
+using namespace std::chrono_literals;
+
+/// A client before a server that sends bytes without end.
+struct client_fixture {
+    event_loop loop;
+    std::shared_ptr<runtime::task_life> life = make_life("test");
+    http::client_limits limits{.head_timeout = 500ms,
+                               .progress_timeout = 300ms,
+                               .max_response_bytes = std::size_t{1024} * 1024};
+    std::vector<endless_answer> answers;
+    std::unique_ptr<endless_server> server;
+    std::unique_ptr<http::client> client;
+    std::optional<http::call_result> result;
+    common::duration took{};
+
+    static constexpr const char* chunked_head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    static constexpr const char* whole_answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+
+    /// The answers of the server, in the order of the requests; the last one is repeated.
+    void start(std::vector<endless_answer> sent) {
+        answers = std::move(sent);
+        server = std::make_unique<endless_server>([this, n = std::size_t{0}](const auto&) mutable {
+            return answers.at(std::min(n++, answers.size() - 1));
+        });
+        client = std::make_unique<http::client>(loop.context(life),
+                                                http::parse_endpoint(server->address()), limits);
+    }
+
+    /// Makes a call and waits for its end.
+    void call(const http::call_options& options = {}) {
+        result.reset();
+        const auto begin = common::monotonic_clock::now();
+        client->send(
+            {"GET", "/", {}, {}}, [this](http::call_result it) { result = std::move(it); },
+            options);
+        BOOST_REQUIRE(loop.run_until([this] { return result.has_value(); }));
+        took = common::monotonic_clock::now() - begin;
+    }
+
+    void check_fault(http::call_fault expected) {
+        const auto* error = std::get_if<http::call_error>(&*result);
+        BOOST_REQUIRE(error != nullptr);
+        BOOST_TEST(common::to_name(error->fault) == common::to_name(expected), error->detail);
+        BOOST_TEST(error->sent);
+        BOOST_TEST(!error->detail.empty());
+    }
+
+    /// The connection is closed and the next call uses a new one.
+    void check_connection_is_closed() {
+        BOOST_TEST(loop.run_until([this] { return server->open_connections() == 0; }));
+    }
+
+    unsigned status() const {
+        const auto* answer = std::get_if<http::response>(&*result);
+        return answer == nullptr ? 0 : answer->status;
+    }
+};
+
+namespace {
+
+/// Memory of this process in bytes that was the most so far.
+std::size_t peak_memory() {
+    std::ifstream status{"/proc/self/status"};
+    for (std::string word; status >> word;) {
+        if (word == "VmHWM:") {
+            std::size_t kib = 0;
+            status >> kib;
+            return kib * 1024;
+        }
+    }
+    return 0;
+}
+
+// What a refused answer may cost: its limit, buffers, and those of the test.
+constexpr std::size_t memory_margin = std::size_t{16} * 1024 * 1024;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(client_test, client_fixture)
+
+BOOST_AUTO_TEST_CASE(client_when_bytes_are_no_http_ends_the_call_at_once_and_closes) {
+    for (const std::string bytes : {"x", "no head\r\n", "\r\n", "HTTP/1.1 2", "\0"}) {
+        start({{"", bytes.empty() ? std::string(1, '\0') : bytes, {}}});
+        call();
+        BOOST_TEST(std::holds_alternative<http::call_error>(*result));
+        BOOST_TEST((took < limits.head_timeout));
+        check_connection_is_closed();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(client_when_head_is_endless_ends_the_call_at_the_size_limit) {
+    start({{"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n", {}}});
+    call();
+    check_fault(http::call_fault::too_large);
+    check_connection_is_closed();
+}
+
+BOOST_AUTO_TEST_CASE(client_when_head_trickles_ends_the_call_at_the_head_timeout) {
+    start({{"HTTP/1.1 200 OK\r\n", "X-F: v\r\n", 20ms}});
+    call();
+    check_fault(http::call_fault::timeout);
+    BOOST_TEST((took < 2 * limits.head_timeout));
+    check_connection_is_closed();
+}
+
+// Guards against an interim answer that is taken for the answer, so that the real one is read as
+// that of the next request on the connection.
+BOOST_AUTO_TEST_CASE(client_when_interim_answers_come_first_delivers_the_final_one) {
+    start({{std::string{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"} +
+                whole_answer,
+            "",
+            {}}});
+    call();
+    BOOST_TEST(status() == 200U);
+    call();
+    BOOST_TEST(status() == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(client_when_interim_answers_are_endless_ends_the_call) {
+    for (const auto pause : {0ms, 20ms}) {
+        start({{"", "HTTP/1.1 100 Continue\r\n\r\n", pause}});
+        call();
+        BOOST_TEST(std::holds_alternative<http::call_error>(*result));
+        BOOST_TEST((took < 2 * limits.head_timeout));
+        check_connection_is_closed();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(client_when_body_is_endless_ends_the_call_at_the_size_limit) {
+    for (const std::string begin :
+         {std::string{chunked_head}, std::string{"HTTP/1.1 200 OK\r\n\r\n"},
+          std::string{"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"},
+          std::string{"HTTP/1.1 503 Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n"}}) {
+        start({{begin, "8\r\n8 bytes.\r\n", {}}});
+        call();
+        check_fault(http::call_fault::too_large);
+        check_connection_is_closed();
+    }
+}
+
+// Guards against memory that grows with the line of a chunk's size or a trailer until the time is
+// over: it is held in the input buffer, which had no limit, and the body limit does not count it.
+BOOST_AUTO_TEST_CASE(client_when_chunk_header_or_trailer_is_endless_keeps_memory_bounded) {
+    limits.progress_timeout = 2s;
+    for (const std::string begin : {"8;extension=", "0\r\nX-Trailer: ", "0;", "00000000000000"}) {
+        start({{chunked_head + begin, begin == "00000000000000" ? "0" : "x", {}}});
+        const auto before = peak_memory();
+        call();
+        BOOST_TEST(std::holds_alternative<http::call_error>(*result));
+        BOOST_TEST(peak_memory() < before + memory_margin, begin);
+        BOOST_TEST((took < limits.progress_timeout));
+        check_connection_is_closed();
+    }
+}
+
+// Guards against a call that never ends because some byte always arrives before the progress
+// timeout.
+BOOST_AUTO_TEST_CASE(client_when_body_trickles_ends_the_call_at_its_total_limit) {
+    limits.total_timeout = 700ms;
+    const std::vector<endless_answer> bodies{
+        {chunked_head, "1\r\nx\r\n", 20ms},
+        {chunked_head + std::string{"8;extension="}, "x", 20ms},
+        {chunked_head + std::string{"0\r\n"}, "X-Trailer: x\r\n", 20ms},
+        {"HTTP/1.1 200 OK\r\n\r\n", "x", 20ms},
+        {"HTTP/1.1 500 Error\r\nContent-Length: 100000\r\n\r\n", "x", 20ms}};
+    for (const auto& it : bodies) {
+        start({it});
+        call();
+        check_fault(http::call_fault::timeout);
+        BOOST_TEST((took < 2 * limits.total_timeout));
+        check_connection_is_closed();
+    }
+}
+
+// Guards against a total limit that cuts off streams, which go on as long as their caller waits.
+BOOST_AUTO_TEST_CASE(client_when_no_total_limit_is_set_delivers_a_long_body) {
+    start({{chunked_head, "1\r\nx\r\n", 20ms}});
+    std::size_t received = 0;
+    http::call_hooks hooks;
+    hooks.on_data = [&](std::string_view bytes) { received += bytes.size(); };
+    hooks.on_error = [&](const http::call_error& error) { BOOST_ERROR(error.detail); };
+    const auto id = client->start({"GET", "/", {}, {}}, std::move(hooks));
+    BOOST_TEST(loop.run_until([&] { return received > 60; }));
+    client->cancel(id);
+    check_connection_is_closed();
+}
+
+BOOST_AUTO_TEST_CASE(client_when_call_has_its_own_size_limit_keeps_to_it) {
+    start({{chunked_head, "8\r\n8 bytes.\r\n", {}}});
+    call({.max_body_bytes = 1000});
+    check_fault(http::call_fault::too_large);
+    start({{whole_answer, "", {}}});
+    call({.max_body_bytes = 1000});
+    BOOST_TEST(status() == 200U);
+}
+
+// Guards against bytes of nobody's that are read as the answer to the next request.
+BOOST_AUTO_TEST_CASE(client_when_bytes_follow_a_whole_answer_uses_a_new_connection) {
+    for (const auto pause : {0ms, 100ms}) {
+        start({{whole_answer, whole_answer, pause}, {whole_answer, "", {}}});
+        call();
+        BOOST_TEST(status() == 200U);
+        const auto begin = common::monotonic_clock::now();
+        loop.run_until([&] { return common::monotonic_clock::now() - begin > 150ms; });
+        call();
+        BOOST_TEST(status() == 200U);
+        BOOST_TEST(server->connections() == 2U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
