gateway: an event stream passes on events only, of bounded size

An event may have 64 KiB. Its lines are checked as they arrive, and the search for their end goes on where it stopped. Lines that are neither comments nor fields, blocks of unknown fields alone, and 64 KiB of comments and blank lines without an event are refused. Bytes of good events are passed on as they are.

The test with endless comments and blank lines was not run on the former code.

--- a/source/core/gateway/event_relay.cpp
+++ b/source/core/gateway/event_relay.cpp
@@ -1,26 +1,59 @@
 #include "gateway/event_relay.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace jujubemast::gateway {
 
 namespace {
 
-/// Returns the length of the first whole event including its blank line, or zero.
-std::size_t event_length(std::string_view text) {
-    std::size_t line = 0;
-    while (line < text.size()) {
-        const auto end = text.find('\n', line);
-        if (end == std::string_view::npos) {
-            return 0;
+constexpr std::array<std::string_view, 4> field_names{"data", "id", "event", "retry"};
+
+bool is_name_character(char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '_';
+}
+
+bool is_field_name(std::string_view name) {
+    return std::find(field_names.begin(), field_names.end(), name) != field_names.end();
+}
+
+/// Whether a line that is not blank may be part of an event: a comment, a field of the format, or a
+/// further field, which receivers that do not know it leave out.
+bool is_event_line(std::string_view line) {
+    const auto colon = line.find(':');
+    const auto name = line.substr(0, colon);
+    if (colon == std::string_view::npos) {
+        return is_field_name(name);
+    }
+    return std::all_of(name.begin(), name.end(), is_name_character);
+}
+
+/// What the lines up to a blank one are.
+enum class block_kind {
+    event,
+    /// Comments, or nothing.
+    idle,
+    /// Only fields that receivers leave out.
+    unknown
+};
+
+block_kind kind_of(std::string_view block) {
+    auto kind = block_kind::idle;
+    for (std::size_t line = 0; line < block.size();) {
+        const auto end = std::min(block.find('\n', line), block.size());
+        const auto text = block.substr(line, end - line);
+        const auto name = text.substr(0, std::min(text.find(':'), text.find('\r')));
+        if (is_field_name(name)) {
+            return block_kind::event;
         }
-        const bool blank = end == line || (end == line + 1 && text[line] == '\r');
-        if (blank) {
-            return end + 1;
+        if (!name.empty()) {
+            kind = block_kind::unknown;
         }
         line = end + 1;
     }
-    return 0;
+    return kind;
 }
 
 std::optional<std::uint64_t> event_id(std::string_view event) {
@@ -46,23 +79,56 @@
 
 } // namespace
 
+void event_relay::restart() {
+    m_pending.clear();
+    m_checked = 0;
+    m_searched = 0;
+    m_idle_bytes = 0;
+}
+
 relay_status event_relay::add(std::string_view bytes, std::string& out) {
     m_pending += bytes;
-    std::string_view left{m_pending};
+    const auto status = take_lines(out);
+    if (status != relay_status::good) {
+        return status;
+    }
+    return m_pending.size() > max_event_bytes ? relay_status::too_large : relay_status::good;
+}
+
+relay_status event_relay::take_lines(std::string& out) {
+    const std::string_view text{m_pending};
+    std::size_t event = 0;
     auto status = relay_status::good;
-    while (status == relay_status::good) {
-        const auto n = event_length(left);
-        if (n == 0) {
-            break;
+    for (auto end = text.find('\n', m_searched);
+         status == relay_status::good && end != std::string_view::npos;
+         end = text.find('\n', m_checked)) {
+        auto line = text.substr(m_checked, end - m_checked);
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        m_checked = end + 1;
+        if (line.empty()) {
+            status = take_event(text.substr(event, m_checked - event), out);
+            event = m_checked;
+        } else if (!is_event_line(line)) {
+            status = relay_status::not_an_event;
         }
-        status = take_event(left.substr(0, n), out);
-        left.remove_prefix(n);
     }
-    m_pending.erase(0, m_pending.size() - left.size());
+    m_pending.erase(0, event);
+    m_checked -= event;
+    m_searched = m_pending.size();
     return status;
 }
 
 relay_status event_relay::take_event(std::string_view event, std::string& out) {
+    if (event.size() > max_event_bytes) {
+        return relay_status::too_large;
+    }
+    const auto kind = kind_of(event);
+    m_idle_bytes = kind == block_kind::event ? 0 : m_idle_bytes + event.size();
+    if (kind == block_kind::unknown || m_idle_bytes > max_event_bytes) {
+        return relay_status::not_an_event;
+    }
     const auto id = event_id(event);
     if (id && m_last && *id <= *m_last) {
         return relay_status::good;
--- a/tests/unit/gateway/event_relay_test.cpp
+++ b/tests/unit/gateway/event_relay_test.cpp
@@ -52,6 +52,75 @@
     BOOST_TEST(out == "id: 13\ndata: b\n\n");
 }
 
+// Guards against memory and processor time that grow with an event that never ends.
+BOOST_AUTO_TEST_CASE(event_relay_with_an_endless_event_refuses_it_at_the_limit) {
+    for (const std::string bytes : {"data: x\n", "x"}) {
+        relay = gateway::event_relay{};
+        out.clear();
+        add("id: 1\ndata: a\n\n");
+        auto status = add("id: 2\ndata: ");
+        std::size_t received = 0;
+        for (; status == relay_status::good && received < 2 * gateway::max_event_bytes;
+             received += bytes.size()) {
+            status = add(bytes);
+        }
+        BOOST_TEST((status == relay_status::too_large));
+        BOOST_TEST(received <= gateway::max_event_bytes);
+        BOOST_TEST(out == "id: 1\ndata: a\n\n");
+        relay.restart();
+        BOOST_TEST((add("id: 2\ndata: b\n\n") == relay_status::good));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(event_relay_with_one_large_event_in_one_piece_refuses_it) {
+    const std::string large(gateway::max_event_bytes, 'x');
+    BOOST_TEST((add("id: 1\ndata: " + large + "\n\n") == relay_status::too_large));
+    BOOST_TEST(out == "");
+}
+
+BOOST_AUTO_TEST_CASE(event_relay_with_many_events_beyond_the_limit_of_one_passes_all) {
+    std::string all;
+    for (int id = 1; all.size() < 4 * gateway::max_event_bytes; ++id) {
+        all += "id: " + std::to_string(id) + "\ndata: some tokens\n\n";
+    }
+    BOOST_TEST((add(all) == relay_status::good));
+    BOOST_TEST((out == all));
+}
+
+// Guards against bytes that are no answer in a stream: a blank line made an event of any bytes.
+BOOST_AUTO_TEST_CASE(event_relay_with_bytes_that_are_no_event_refuses_them) {
+    for (const std::string bytes :
+         {"no event\n\n", "id: 2\nda\x01\xff\n\n", "id: 2\n\x80: x\n\n", "other: x\n\n",
+          "id: 2\nHTTP/1.1 200 OK\n\n", "<html>\n</html>\n\n"}) {
+        relay = gateway::event_relay{};
+        out.clear();
+        BOOST_TEST((add("id: 1\ndata: a\n\n" + bytes) == relay_status::not_an_event), bytes);
+        BOOST_TEST(out == "id: 1\ndata: a\n\n");
+    }
+}
+
+// Guards against processor time for a stream that brings nothing.
+BOOST_AUTO_TEST_CASE(event_relay_with_endless_comments_or_blank_lines_refuses_them_at_the_limit) {
+    for (const std::string bytes : {"\n", ": comment\n\n", "\r\n"}) {
+        relay = gateway::event_relay{};
+        add("id: 1\ndata: a\n\n");
+        auto status = relay_status::good;
+        std::size_t received = 0;
+        for (; status == relay_status::good && received < 2 * gateway::max_event_bytes;
+             received += bytes.size()) {
+            status = add(bytes);
+        }
+        BOOST_TEST((status == relay_status::not_an_event));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(event_relay_with_every_form_of_line_passes_it_on) {
+    const std::string all = ": a comment\n\nversion: 3\nid: 1\nevent: tokens\ndata: a\n"
+                            "data\nretry: 100\n\nid:2\ndata:b\n\ndata: [DONE]\n\n";
+    BOOST_TEST((add(all) == relay_status::good));
+    BOOST_TEST(out == all);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
