gateway: answers that never end have bounds, and end as failed attempts

Bodies of answers were collected up to 16 MiB each, whatever their status: 24 requests with endless answers exceeded the memory that the test allows (90 MiB more). A refusal that promises "not run" was of no use while its body went on: the caller got 504 after the deadline of 5 s. Bytes after good events reached the caller in a stream. An upstream whose answer did not end by the deadline was not counted as failing.

A success may have 8 MiB, a failure 256 KiB and 1 s for its body, all bodies together 32 MiB (more only for those up to 64 KiB). The promise of a refusal holds without its body, and the upstream is counted as failing. Streams are bounded by their events and the deadline. The reasons are in the log.

--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -233,15 +233,22 @@
         return;
     }
     const bool offered = target->possible_runs > 0;
+    const bool stalled = is_stalled(*target);
+    if (stalled) {
+        pool_of(target->service).record_failure(*target->member, now);
+    }
     stop_call(*target);
     if (target->relaying) {
         target->reply.abort();
-        finish(*target, request_end::timed_out, 0, "the time was over during the stream");
+        finish(*target, request_end::timed_out, 0,
+               stalled ? "the stream brought no whole event"
+                       : "the time was over during the stream");
         return;
     }
     if (offered) {
         respond(*target, m_translate->make_refusal(status_gateway_timeout, "time is over", {}),
-                request_end::timed_out, "no answer in time");
+                request_end::timed_out,
+                stalled ? "the answer did not end in time" : "no answer in time");
         return;
     }
     refuse(*target, status_unavailable, "not started in time", default_retry_after);
@@ -288,6 +295,7 @@
                        const std::string& reason) {
     withdraw_orders(target);
     release_inputs(target);
+    drop_body(target);
     const auto took = common::monotonic_clock::now() - target.arrived;
     const auto kind =
         target.target != nullptr ? target.target->kind : repeatability::non_idempotent;
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -80,6 +80,8 @@
         std::unique_ptr<runtime::timer> final_timer;
         /// Bounds one attempt of a request that may be repeated.
         std::unique_ptr<runtime::timer> attempt_timer;
+        /// Bounds the body of an answer that reports a failure.
+        std::unique_ptr<runtime::timer> failure_timer;
         std::unique_ptr<runtime::timer> inputs_timer;
 
         stage_progress stages;
@@ -170,6 +172,19 @@
     http::call_hooks make_hooks(std::uint64_t id);
     void head_received(exchange& target, unsigned status, const http::headers& fields);
     void body_received(exchange& target, std::string_view bytes);
+    /// Keeps a part of an answer that is passed on whole.
+    void collect_body(exchange& target, std::string_view bytes);
+    void drop_body(exchange& target);
+    /// The body of a failure adds nothing to the decision and is not waited for as long as a
+    /// result.
+    void bound_failure_body(exchange& target);
+    void relay_events(exchange& target, std::string_view bytes);
+    /// Ends the attempt because its answer is none, or does not end.
+    void reject_answer(exchange& target, const std::string& reason);
+    /// How an attempt ends whose request was sent and whose answer is not whole.
+    static attempt_end end_without_answer(const exchange& target);
+    /// Whether the answer has begun and then brought nothing whole.
+    static bool is_stalled(const exchange& target);
     void answer_done(exchange& target);
     void attempt_ended(exchange& target, attempt_end end, const std::string& detail);
     void stop_call(exchange& target);
@@ -200,6 +215,8 @@
     upstream_map_pointer m_upstreams;
     std::map<std::string, std::unique_ptr<service_pool>> m_pools;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
+    /// Bytes of the bodies that all requests hold.
+    std::size_t m_collected_bytes = 0;
     /// The request that waits for each order.
     std::map<std::uint64_t, std::uint64_t> m_orders;
     std::uint64_t m_next_order;
--- a/source/core/gateway/forwarder_send.cpp
+++ b/source/core/gateway/forwarder_send.cpp
@@ -20,6 +20,26 @@
 constexpr common::duration input_read_time = std::chrono::milliseconds{60};
 // An engine is taken to have free slots up to this share of them, as other gateways use it as well.
 constexpr double free_share = 0.5;
+// Largest answer that is collected and passed on whole.
+constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t max_failure_bytes = std::size_t{256} * 1024;
+// Bound of the bodies of all requests together. Only a body up to the smaller size is taken beyond
+// it, so that large answers do not crowd out the others.
+constexpr std::size_t max_collected_bytes = std::size_t{32} * 1024 * 1024;
+constexpr std::size_t small_answer_bytes = std::size_t{64} * 1024;
+// A stream is passed on event by event and not held; its length is bounded by the deadline.
+constexpr std::size_t max_stream_bytes = std::size_t{1024} * 1024 * 1024;
+// Time for the body of an answer that reports a failure.
+constexpr common::duration failure_body_time = std::chrono::seconds{1};
+
+bool is_success(unsigned status) {
+    return status >= 200 && status < 300;
+}
+
+/// Whether the head alone promises that the request has not run.
+bool is_refusal(const answer_head& head) {
+    return head.not_run && !is_success(head.status);
+}
 
 } // namespace
 
@@ -67,7 +87,7 @@
     target.sent_at = now;
     target.first_sent_at = target.first_sent_at.value_or(now);
     target.head = {};
-    target.body.clear();
+    drop_body(target);
     m_log.info("Sent.", {{"attempt", target.request.attempt_id},
                          {"upstream", options.upstream_id},
                          {"send", std::to_string(target.sends)},
@@ -77,6 +97,8 @@
     call.repeatable = target.target->kind == repeatability::idempotent;
     // Every arrival at an upstream counts against the attempts and the retry budget.
     call.resend = false;
+    call.max_body_bytes =
+        target.target->kind == repeatability::stream ? max_stream_bytes : max_answer_bytes;
     bound_attempt(target);
     expect_inputs_read(target);
     target.call = target.member->client->start(m_translate->encode_forward(target.request, options),
@@ -140,10 +162,11 @@
         if (!error.sent) {
             --it->possible_runs;
         }
-        const auto end = !error.sent    ? attempt_end::not_sent
-                         : it->relaying ? attempt_end::broken_midway
-                                        : attempt_end::broken;
-        attempt_ended(*it, end, error.detail);
+        if (!error.sent) {
+            attempt_ended(*it, attempt_end::not_sent, error.detail);
+            return;
+        }
+        reject_answer(*it, error.detail);
     };
     return hooks;
 }
@@ -161,15 +184,16 @@
     target.head = m_translate->decode_answer_head(status, fields);
     target.head_fields = fields;
     target.first_byte_at = target.first_byte_at.value_or(common::monotonic_clock::now());
-    const bool good = status >= 200 && status < 300;
+    const bool good = is_success(status);
     const bool foreign = target.head.attempt_id != target.request.attempt_id;
     if ((foreign && !target.head.not_run) || (good && !target.head.sealed)) {
-        stop_call(target);
-        attempt_ended(target, target.relaying ? attempt_end::broken_midway : attempt_end::broken,
-                      foreign ? "the answer belongs to another request"
-                              : "the answer is not signed");
+        reject_answer(target, foreign ? "the answer belongs to another request"
+                                      : "the answer is not signed");
         return;
     }
+    if (!good) {
+        bound_failure_body(target);
+    }
     if (!good || target.target->kind != repeatability::stream) {
         return;
     }
@@ -182,11 +206,68 @@
 }
 
 void forwarder::body_received(exchange& target, std::string_view bytes) {
-    const bool good = target.head.status >= 200 && target.head.status < 300;
-    if (!good || !target.relaying) {
-        target.body += bytes;
+    if (is_success(target.head.status) && target.relaying) {
+        relay_events(target, bytes);
+    } else {
+        collect_body(target, bytes);
+    }
+}
+
+void forwarder::collect_body(exchange& target, std::string_view bytes) {
+    const auto size = target.body.size() + bytes.size();
+    const bool good = is_success(target.head.status);
+    if (size > (good ? max_answer_bytes : max_failure_bytes)) {
+        reject_answer(target, "the body is too large");
+        return;
+    }
+    if (size > small_answer_bytes && m_collected_bytes + bytes.size() > max_collected_bytes) {
+        reject_answer(target, "the bodies of all requests are too large");
         return;
     }
+    target.body += bytes;
+    m_collected_bytes += bytes.size();
+}
+
+void forwarder::drop_body(exchange& target) {
+    m_collected_bytes -= target.body.size();
+    target.body.clear();
+}
+
+void forwarder::bound_failure_body(exchange& target) {
+    target.failure_timer = std::make_unique<runtime::timer>(m_context.loop());
+    target.failure_timer->start(failure_body_time, m_context.wrap([this, id = target.id] {
+        auto* failed = find(id);
+        if (failed != nullptr && failed->call != 0) {
+            reject_answer(*failed, "the body of a failure does not end");
+        }
+    }));
+}
+
+attempt_end forwarder::end_without_answer(const exchange& target) {
+    if (is_refusal(target.head)) {
+        return target.head.input_gone ? attempt_end::input_gone : attempt_end::refused;
+    }
+    return target.relaying ? attempt_end::broken_midway : attempt_end::broken;
+}
+
+void forwarder::reject_answer(exchange& target, const std::string& reason) {
+    stop_call(target);
+    if (is_refusal(target.head)) {
+        // The head's promise holds, and the upstream is at fault all the same.
+        --target.possible_runs;
+        pool_of(target.service).record_failure(*target.member, common::monotonic_clock::now());
+    }
+    attempt_ended(target, end_without_answer(target), reason);
+}
+
+bool forwarder::is_stalled(const exchange& target) {
+    if (target.call == 0 || target.head.status == 0) {
+        return false;
+    }
+    return !target.relaying || target.events.has_partial();
+}
+
+void forwarder::relay_events(exchange& target, std::string_view bytes) {
     std::string whole;
     const auto status = target.events.add(bytes, whole);
     if (!whole.empty()) {
@@ -200,9 +281,8 @@
         // The engine has read its inputs before the first event.
         release_inputs(target);
     }
-    if (status == relay_status::out_of_order) {
-        stop_call(target);
-        attempt_ended(target, attempt_end::broken_midway, "an event is missing");
+    if (status != relay_status::good) {
+        reject_answer(target, "event stream: " + std::string{common::to_name(status)});
     }
 }
 
@@ -240,6 +320,7 @@
 void forwarder::attempt_ended(exchange& target, attempt_end end, const std::string& detail) {
     const auto now = common::monotonic_clock::now();
     target.attempt_timer.reset();
+    target.failure_timer.reset();
     target.inputs_timer.reset();
     auto& pool = pool_of(target.service);
     attempt_facts facts;
--- /dev/null
+++ b/tests/integration/gateway_fixture.h
@@ -0,0 +1,222 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "support/child_process.h"
+#include "support/http_call.h"
+
+namespace jujubemast::tests {
+
+/// Two gateways before the stand-in of the users' platform, as real processes.
+struct gateway_fixture {
+    std::string folder;
+    std::unique_ptr<child_process> platform;
+    std::string store;
+    std::vector<std::unique_ptr<child_process>> gateways;
+    std::vector<std::string> addresses;
+    std::vector<std::string> ready_addresses;
+
+    gateway_fixture() {
+        std::string pattern = std::filesystem::temp_directory_path() / "gateway-test-XXXXXX";
+        folder = ::mkdtemp(pattern.data());
+        platform = std::make_unique<child_process>(
+            "standin-users-platform", std::vector<std::string>{}, folder + "/platform");
+        store = platform->listening_address("standin-users-platform/store/listener");
+        for (int n = 0; n < 2; ++n) {
+            add_gateway(n);
+        }
+    }
+
+    gateway_fixture(const gateway_fixture&) = delete;
+    gateway_fixture& operator=(const gateway_fixture&) = delete;
+
+    ~gateway_fixture() {
+        gateways.clear();
+        platform.reset();
+        std::filesystem::remove_all(folder);
+    }
+
+    /// A port that nothing listens on. The others need the address of a gateway before it starts.
+    static unsigned free_port() {
+        boost::asio::io_context context;
+        return boost::asio::ip::tcp::acceptor{context,
+                                              {boost::asio::ip::make_address("127.0.0.1"), 0}}
+            .local_endpoint()
+            .port();
+    }
+
+    /// Writes the settings of a gateway. Returns the path of the file.
+    std::string write_settings(const std::string& name) const {
+        auto path = folder + "/" + name + ".yaml";
+        std::ofstream{path} << "instance:\n  name: " << name << "\n  failure_domain: z\n"
+                            << "callers:\n  listen: 127.0.0.1:0\n  stop_grace_ms: 300\n"
+                            << "ready:\n  listen: 127.0.0.1:0\n"
+                            << "peers:\n  listen: 127.0.0.1:" << free_port() << "\n"
+                            << "admin:\n  listen: 127.0.0.1:0\n"
+                            << "store:\n  address: " << store << "\n";
+        return path;
+    }
+
+    void add_gateway(int n) {
+        const auto name = "g" + std::to_string(n);
+        const auto path = write_settings(name);
+        gateways.push_back(std::make_unique<child_process>(
+            "jujubemast-gateway", std::vector<std::string>{"--settings", path},
+            folder + "/" + name));
+        const auto task = [](const char* server) {
+            return std::string{"jujubemast-gateway/"} + server + "/listener";
+        };
+        addresses.push_back(gateways.back()->listening_address(task("callers")));
+        ready_addresses.push_back(gateways.back()->listening_address(task("ready")));
+        wait_until(name + " is ready with upstreams", [&] {
+            return ready_status(static_cast<std::size_t>(n)) == 200 &&
+                   send("GET", "/read/probe", "probe", {}, static_cast<std::size_t>(n)).status ==
+                       200;
+        });
+    }
+
+    unsigned ready_status(std::size_t n) const {
+        return call(ready_addresses[n], {"GET", "/ready", {}, {}}).status;
+    }
+
+    received_answer send(const std::string& method, const std::string& target,
+                         const std::string& attempt, const http::headers& extra = {},
+                         std::size_t gateway = 0) const {
+        http::request message{method,
+                              target,
+                              {{"Host", "a.example"},
+                               {"X-Attempt-Id", attempt},
+                               {"X-Deadline-Ms", "5000"},
+                               {"Authorization", "Bearer key-1"}},
+                              method == "GET" ? "" : "body"};
+        message.fields.insert(message.fields.end(), extra.begin(), extra.end());
+        return receive(addresses[gateway], message);
+    }
+
+    /// What the upstreams were asked for in this attempt.
+    std::vector<boost::json::object> records(const std::string& attempt) const {
+        std::vector<boost::json::object> found;
+        const auto answer = call(store, {"GET", "/records", {}, {}});
+        const auto all = boost::json::parse(answer.body);
+        for (const auto& it : all.as_array()) {
+            const bool of_stage =
+                it.at("body").as_string().find(attempt) != boost::json::string::npos;
+            if (it.at("attempt").as_string() == attempt || of_stage) {
+                found.push_back(it.as_object());
+            }
+        }
+        return found;
+    }
+
+    /// Sends a request with one stage; with a key that begins with "slow" it takes a second.
+    received_answer send_staged(const std::string& attempt, const std::string& key,
+                                std::size_t gateway) const {
+        return send("POST", "/slow/1", attempt,
+                    {{"X-Model", "m"}, {"X-Pieces", "1"}, {"X-Piece-Key", key}}, gateway);
+    }
+
+    /// The gateway that owns the service of these stages, once the gateways know each other.
+    std::size_t owner_of_stages() const {
+        wait_until("the gateways know each other", [&] {
+            return std::all_of(gateways.begin(), gateways.end(), [](const auto& it) {
+                return it->log().find("Gateway is live.") != std::string::npos;
+            });
+        });
+        const auto before = gateways[0]->log().size();
+        BOOST_TEST(send_staged("find-owner", "k", 0).complete);
+        return gateways[0]->log().find("Call answered.", before) != std::string::npos ? 0 : 1;
+    }
+
+    /// Number of calls for pieces of this attempt.
+    std::size_t piece_calls(const std::string& attempt) const {
+        const auto all = records(attempt);
+        return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto& it) {
+            return it.at("target").as_string() == "/stage-run";
+        }));
+    }
+
+    /// Keeps the store from answering any call, or lets it answer new ones again.
+    void set_store_silent(bool silent) const {
+        call(store, {"POST", "/silence", {}, silent ? "1" : "0"});
+    }
+
+    /// Status of a request with the key that only this version of the configuration has.
+    unsigned status_with_key_of(int version, std::size_t gateway) const {
+        const auto key = "Bearer key-of-version-" + std::to_string(version);
+        return receive(addresses[gateway],
+                       {"GET",
+                        "/read/1",
+                        {{"Host", "a.example"}, {"X-Attempt-Id", "k"}, {"Authorization", key}},
+                        {}})
+            .status;
+    }
+
+    /// Writes a new configuration and checks that the gateways go by it when the platform counts
+    /// them as connected again.
+    void check_new_configuration_is_in_force() const {
+        // contact_ms of the users' platform; it is longer than config_apply_ms.
+        constexpr auto limit = std::chrono::seconds{3};
+        const auto begin = std::chrono::steady_clock::now();
+        call(store, {"POST", "/configuration", {}, "2"});
+        for (std::size_t n = 0; n < gateways.size(); ++n) {
+            wait_until("the new key is known", [&] {
+                return status_with_key_of(2, n) == 200 ||
+                       std::chrono::steady_clock::now() > begin + limit;
+            });
+            BOOST_TEST(status_with_key_of(2, n) == 200U);
+        }
+    }
+
+    /// A number that the stand-in counts.
+    int counted(const char* path) const {
+        return std::stoi(std::string{call(store, {"GET", path, {}, {}}).body});
+    }
+
+    /// Sends bytes on a connection and returns all that comes until it is closed.
+    std::string raw_answer(const std::string& bytes) const {
+        const auto target = http::parse_endpoint(addresses[0]);
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket socket{context};
+        socket.connect({boost::asio::ip::make_address(target.host), target.port});
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        std::string text;
+        boost::system::error_code ec;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(text), ec);
+        return text;
+    }
+
+    static std::string all_events() {
+        std::string text;
+        for (int id = 1; id <= 5; ++id) {
+            text += "id: " + std::to_string(id) + "\ndata: x\n\n";
+        }
+        return text;
+    }
+
+    /// Writes the entry of an upstream to the store, or removes it.
+    void set_upstream(const std::string& id, const std::string& service,
+                      const std::string& address) const {
+        boost::json::value entry;
+        if (!address.empty()) {
+            entry = boost::json::object{{"service", service}, {"address", address}, {"zone", "z"},
+                                        {"slots", 4},         {"state", "ready"},   {"born", 1}};
+        }
+        const boost::json::object row{{"id", id}, {"entry", entry}};
+        call(store, {"POST", "/upstream", {}, boost::json::serialize(row)});
+    }
+};
+
+} // namespace jujubemast::tests
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -1,7 +1,8 @@
 // A stand-in for the users' platform: the store with a configuration and entries of upstreams, two
 // model engines, a plain service and a stage service, in one process. GET /records at the store's
 // address tells what the upstreams were asked for; POST /configuration replaces the configuration
-// by the version in the body, which has a key of its own; POST /silence with "1" keeps the store
+// by the version in the body, which has a key of its own; POST /upstream writes the entry of an
+// upstream, or removes it when "entry" is null; POST /silence with "1" keeps the store
 // from answering, also calls in progress, until POST /silence with "0"; GET /lost counts the calls
 // for the configuration that this lost.
 
@@ -252,6 +253,15 @@
         reply.respond(http::json_response(200, std::to_string(state->freed)));
     } else if (path == "/reports") {
         reply.respond(http::json_response(200, std::to_string(state->reports)));
+    } else if (path == "/upstream") {
+        const auto row = boost::json::parse(message.body);
+        const std::string id{row.at("id").as_string()};
+        if (row.at("entry").is_null()) {
+            state->remove("servers", id);
+        } else {
+            state->put("servers", id, row.at("entry"));
+        }
+        reply.respond(http::json_response(200, "{}"));
     } else if (path == "/configuration") {
         state->put("op", "config", make_configuration(std::stoull(message.body)));
         reply.respond(http::json_response(200, "{}"));
