gateway: reports, releases and stage answers that never end are cut

A report that trickles kept its instance out of use for good, because an instance is not used while its report is awaited. A call that frees results had no limit in time and held its connection. Answers of stage calls could have 16 MiB, which 256 KiB cover by far.

A report has 400 ms and 64 KiB, a release 2 s and 64 KiB, a stage answer 256 KiB beside its limit in time. The log says why a report or a release is missing.

instance_whose_report_is_endless... failed before (the piece was not made in 2 s) and passes now.

--- a/source/core/gateway/dispatcher_calls.cpp
+++ b/source/core/gateway/dispatcher_calls.cpp
@@ -17,6 +17,8 @@
 constexpr common::duration call_margin = std::chrono::milliseconds{300};
 // An instance that is free begins a call at once and reads its inputs first.
 constexpr common::duration input_read_time = std::chrono::milliseconds{40};
+// An answer holds one handle, of some dozen bytes, for each piece of the call.
+constexpr std::size_t max_answer_bytes = std::size_t{256} * 1024;
 
 } // namespace
 
@@ -54,7 +56,8 @@
                            m_context.wrap([this, number] { inputs_read(number); }));
     call.id = instance->client->send(
         m_translate->encode_piece_call(instance->identity.id, items),
-        [this, number](const http::call_result& result) { call_ended(number, result); });
+        [this, number](const http::call_result& result) { call_ended(number, result); },
+        {.max_body_bytes = max_answer_bytes});
 }
 
 void dispatcher::inputs_read(std::uint64_t number) {
--- a/source/core/gateway/dispatcher_reports.cpp
+++ b/source/core/gateway/dispatcher_reports.cpp
@@ -3,6 +3,7 @@
 
 #include "common/error.h"
 #include "gateway/dispatcher.h"
+#include "http/call_failure.h"
 
 // What instances report of themselves, asked for when this gateway cannot know it from its own
 // calls: the calls and results of a former owner, and calls whose answers were lost.
@@ -12,6 +13,10 @@
 namespace {
 
 constexpr common::duration report_limit = std::chrono::milliseconds{200};
+// Time for the whole report, which is a few dozen bytes: an instance is not used while its report
+// is awaited.
+constexpr common::duration whole_report_limit = std::chrono::milliseconds{400};
+constexpr std::size_t max_report_bytes = std::size_t{64} * 1024;
 // While an instance has calls or results of others, it is asked again after this time.
 constexpr common::duration report_repeat = std::chrono::milliseconds{150};
 // Sizes are approximate; a smaller difference tells nothing.
@@ -47,7 +52,10 @@
                                report_received(name, *instance, result);
                                dispatch(name);
                            },
-                           {.repeatable = true, .head_timeout = report_limit});
+                           {.repeatable = true,
+                            .head_timeout = report_limit,
+                            .total_timeout = whole_report_limit,
+                            .max_body_bytes = max_report_bytes});
 }
 
 void dispatcher::report_received(const std::string& name, instance_state& instance,
@@ -59,8 +67,9 @@
     const auto* answer = std::get_if<http::response>(&result);
     if (limits == nullptr || answer == nullptr || answer->status != 200) {
         // Calls will show whether the instance works.
-        m_log.info("No report of an instance.",
-                   {{"service", name}, {"upstream", instance.identity.id}});
+        m_log.info("No report of an instance.", {{"service", name},
+                                                 {"upstream", instance.identity.id},
+                                                 {"reason", http::describe_failure(result)}});
         return;
     }
     instance_report report;
--- a/source/core/gateway/dispatcher_results.cpp
+++ b/source/core/gateway/dispatcher_results.cpp
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "gateway/dispatcher.h"
+#include "http/call_failure.h"
 
 // The release of results that nothing reads any more.
 
@@ -10,6 +11,9 @@
 
 // Results to free are collected for this long, so that one call frees several.
 constexpr common::duration release_delay = std::chrono::milliseconds{20};
+// Results that are not freed by then end with their lifetime soon after.
+constexpr common::duration release_limit = std::chrono::seconds{2};
+constexpr std::size_t max_release_answer_bytes = std::size_t{64} * 1024;
 
 } // namespace
 
@@ -49,11 +53,13 @@
             }
             auto handles = std::exchange(it->to_release, {});
             const auto message = m_translate->encode_release(id, handles);
-            it->client->send(message,
-                             [this, name = name, instance = it,
-                              handles = std::move(handles)](const http::call_result& result) {
-                                 released(name, *instance, handles, result);
-                             });
+            it->client->send(
+                message,
+                [this, name = name, instance = it,
+                 handles = std::move(handles)](const http::call_result& result) {
+                    released(name, *instance, handles, result);
+                },
+                {.total_timeout = release_limit, .max_body_bytes = max_release_answer_bytes});
         }
     }
 }
@@ -64,7 +70,8 @@
     const auto* answer = std::get_if<http::response>(&result);
     if (answer == nullptr || answer->status != 200) {
         // The results end with their lifetime.
-        m_log.info("Results not released.", {{"upstream", instance.identity.id}});
+        m_log.info("Results not released.", {{"upstream", instance.identity.id},
+                                             {"reason", http::describe_failure(result)}});
         return;
     }
     for (const auto& it : handles) {
--- a/tests/unit/gateway/dispatcher_test.cpp
+++ b/tests/unit/gateway/dispatcher_test.cpp
@@ -6,6 +6,7 @@
 
 #include "gateway/ownership.h"
 #include "http/server.h"
+#include "support/endless_server.h"
 #include "support/event_loop.h"
 
 namespace jujubemast::tests {
@@ -161,6 +162,72 @@
     BOOST_TEST(count_asked("/report") == (owned ? 2U : 3U));
 }
 
+/// The same before an instance that sends bytes without end.
+struct endless_instance_fixture : dispatcher_fixture {
+    std::map<std::string, endless_answer> endless;
+    std::unique_ptr<endless_server> instance;
+
+    /// Answers to the paths; the others are answered well.
+    void start_instance(std::map<std::string, endless_answer> answers) {
+        endless = std::move(answers);
+        instance = std::make_unique<endless_server>([this](const std::string& request) {
+            const auto begin = request.find(' ') + 1;
+            const auto path = request.substr(begin, request.find(' ', begin) - begin);
+            const auto it = endless.find(path);
+            return it != endless.end()
+                       ? it->second
+                       : endless_answer{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "", {}};
+        });
+        upstream_map known;
+        known["i"] = {
+            .id = "i", .service = "stages", .address = http::parse_endpoint(instance->address())};
+        world.upstreams = std::make_shared<const upstream_map>(known);
+        inbox->post(world);
+    }
+
+    static endless_answer endless_body(const char* status, milliseconds pause) {
+        return {std::string{"HTTP/1.1 "} + status + "\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "1\r\nx\r\n", pause};
+    }
+};
+
+// Guards against an instance that is never used because its report never ends: a body that trickles
+// keeps within every timeout between two pieces.
+BOOST_FIXTURE_TEST_CASE(instance_whose_report_is_endless_is_used_all_the_same,
+                        endless_instance_fixture) {
+    for (const auto pause : {milliseconds{20}, milliseconds{0}}) {
+        start_instance({{"/report", endless_body("200 OK", pause)}});
+        BOOST_TEST((make_piece(pause.count() + 1) == order_status::made));
+        BOOST_TEST(loop.run_until([&] { return instance->open_connections() <= 1; }));
+        BOOST_TEST(instance->bytes_sent() < std::size_t{12} * 1024 * 1024);
+    }
+}
+
+// Guards against connections and memory that endless answers of stage calls hold.
+BOOST_FIXTURE_TEST_CASE(call_whose_answer_is_endless_fails_and_its_connection_is_closed,
+                        endless_instance_fixture) {
+    for (const char* status : {"200 OK", "500 Error"}) {
+        for (const auto pause : {milliseconds{20}, milliseconds{0}}) {
+            start_instance({{"/make", endless_body(status, pause)}});
+            BOOST_TEST((make_piece(pause.count() + 1) != order_status::made));
+            BOOST_TEST(loop.run_until([&] { return instance->open_connections() <= 1; }));
+            BOOST_TEST(instance->bytes_sent() < std::size_t{48} * 1024 * 1024);
+        }
+    }
+}
+
+// Guards against calls that free results and never end: each held a connection for good.
+BOOST_FIXTURE_TEST_CASE(release_whose_answer_is_endless_ends_and_its_connection_is_closed,
+                        endless_instance_fixture) {
+    start_instance({{"/release", endless_body("200 OK", milliseconds{20})}});
+    BOOST_TEST((make_piece(1) == order_status::made));
+    inbox->post(release_results{"stages", {instance->address() + "/handle"}});
+    const auto before = instance->requests();
+    BOOST_REQUIRE(loop.run_until([&] { return instance->requests() > before; }));
+    // The call has taken the connection of those before it.
+    BOOST_TEST(loop.run_until([&] { return instance->open_connections() == 0; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
