gateway: an answer of the store that never ends hides no changes

A body that trickles renewed the progress timeout with every byte, so a table was never read again: configuration and upstreams stayed as they were for good.

An answer has 1.5 s more than its head and 8 MiB; then the store counts as not answering and is called again. Calls that register or unregister have 3 s and 64 KiB, and their log lines name the reason.

--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "common/error.h"
+#include "http/call_failure.h"
 
 namespace jujubemast::gateway {
 
@@ -17,6 +18,9 @@
     limits.connect_timeout = std::chrono::milliseconds{800};
     limits.head_timeout = std::chrono::milliseconds{1500};
     limits.progress_timeout = std::chrono::milliseconds{1500};
+    // Calls that register or unregister; the watches of tables have limits of their own.
+    limits.total_timeout = std::chrono::seconds{3};
+    limits.max_response_bytes = std::size_t{64} * 1024;
     return limits;
 }
 
@@ -53,15 +57,16 @@
 }
 
 void catalog::stop(const runtime::stop_done& done) {
-    m_client.send(m_translate->encode_unregister(m_self.name),
-                  [this, done](const http::call_result& result) {
-                      const auto* answer = std::get_if<http::response>(&result);
-                      if (answer == nullptr || answer->status != 200) {
-                          // The row stays; the others find this gateway silent.
-                          m_log.info("Not unregistered.", {{"gateway", m_self.name}});
-                      }
-                      done();
-                  });
+    m_client.send(
+        m_translate->encode_unregister(m_self.name), [this, done](const http::call_result& result) {
+            const auto* answer = std::get_if<http::response>(&result);
+            if (answer == nullptr || answer->status != 200) {
+                // The row stays; the others find this gateway silent.
+                m_log.info("Not unregistered.",
+                           {{"gateway", m_self.name}, {"reason", http::describe_failure(result)}});
+            }
+            done();
+        });
 }
 
 void catalog::close() noexcept {
@@ -78,7 +83,9 @@
         const auto* answer = std::get_if<http::response>(&result);
         m_registered = answer != nullptr && answer->status == 200;
         m_log.info(m_registered ? "Registered." : "Not registered yet.",
-                   {{"gateway", m_self.name}, {"address", m_self.address}});
+                   {{"gateway", m_self.name},
+                    {"address", m_self.address},
+                    {"reason", m_registered ? "" : http::describe_failure(result)}});
         if (!m_registered) {
             m_register_timer.start(register_retry, m_context.wrap([this] { register_self(); }));
         }
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json.hpp>
 
+#include "http/call_failure.h"
+
 namespace jujubemast::gateway {
 
 namespace {
@@ -20,6 +22,8 @@
 
 // Time for the call that follows a lost one.
 constexpr common::duration next_call_time = std::chrono::milliseconds{300};
+// Stores answer with pages of about 1 MB; all rows that changed since a long time may be more.
+constexpr std::size_t max_page_bytes = std::size_t{8} * 1024 * 1024;
 
 } // namespace
 
@@ -40,8 +44,8 @@
 }
 
 store_answer table_watch::decode(const http::call_result& result) const {
-    if (const auto* error = std::get_if<http::call_error>(&result)) {
-        return {store_outcome::unavailable, {}, error->detail};
+    if (std::holds_alternative<http::call_error>(result)) {
+        return {store_outcome::unavailable, {}, http::describe_failure(result)};
     }
     return m_translate->decode_rows(std::get<http::response>(result));
 }
@@ -57,6 +61,8 @@
                        std::function<void(const http::call_result&)> done) {
     http::call_options options;
     options.head_timeout = limit;
+    options.total_timeout = limit + m_limits.body_limit;
+    options.max_body_bytes = max_page_bytes;
     m_sent = common::monotonic_clock::now();
     m_client.send(message, std::move(done), options);
 }
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/table_watch.h
@@ -37,6 +37,9 @@
     common::duration wait = std::chrono::milliseconds{1500};
     /// How much later than that its answer may come.
     common::duration answer_limit = std::chrono::milliseconds{1200};
+    /// How much later than its head may come the end of an answer, which holds a page of rows at
+    /// most.
+    common::duration body_limit = std::chrono::milliseconds{1500};
     /// Pause before the next call for changes, so that one answer carries several and a store that
     /// does not wait is not called without end.
     common::duration bundle_time = std::chrono::milliseconds{150};
--- /dev/null
+++ b/tests/unit/gateway/table_watch_test.cpp
@@ -0,0 +1,115 @@
+#include "gateway/table_watch.h"
+
+#include <map>
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/endless_server.h"
+#include "support/event_loop.h"
+
+namespace jujubemast::tests {
+
+using namespace jujubemast::gateway;
+using namespace std::chrono_literals;
+
+/// A watch of a table whose store sends bytes without end, with an adapter of plain paths.
+struct table_watch_fixture {
+    event_loop loop;
+    std::shared_ptr<runtime::task_life> life = make_life("test");
+    /// Answers without end to the first calls with this path; the later ones are answered well.
+    std::map<std::string, std::vector<endless_answer>> endless;
+    std::unique_ptr<endless_server> store;
+    std::unique_ptr<http::client> client;
+    std::unique_ptr<table_watch> watch;
+    int updates = 0;
+    int confirmations = 0;
+    std::vector<bool> states;
+
+    ~table_watch_fixture() {
+        if (client) {
+            client->close();
+        }
+    }
+    table_watch_fixture() = default;
+    table_watch_fixture(const table_watch_fixture&) = delete;
+    table_watch_fixture& operator=(const table_watch_fixture&) = delete;
+
+    void start() {
+        store = std::make_unique<endless_server>(
+            [this](const std::string& request) { return answer(request); });
+        http::client_limits limits;
+        limits.head_timeout = limits.progress_timeout = 1500ms;
+        client = std::make_unique<http::client>(loop.context(life),
+                                                http::parse_endpoint(store->address()), limits);
+        table_watch_limits short_waits;
+        short_waits.wait = 100ms;
+        watch = std::make_unique<table_watch>(
+            loop.context(life), *client, std::make_shared<const adapter>(make_adapter()),
+            store_table::configuration,
+            table_watch_hooks{[this](const table_update&) { ++updates; },
+                              [this](bool available) { states.push_back(available); },
+                              [this](common::time_point) { ++confirmations; }},
+            short_waits);
+        watch->begin();
+    }
+
+    endless_answer answer(const std::string& request) {
+        const auto begin = request.find(' ') + 1;
+        auto& first = endless[request.substr(begin, request.find(' ', begin) - begin)];
+        if (first.empty()) {
+            return {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "", {}};
+        }
+        const auto next = first.front();
+        first.erase(first.begin());
+        return next;
+    }
+
+    static adapter make_adapter() {
+        adapter result;
+        result.encode_read = [](store_table, const std::string&) {
+            return http::request{"GET", "/read", {}, {}};
+        };
+        result.encode_watch = [](store_table, std::uint64_t, common::duration) {
+            return http::request{"GET", "/watch", {}, {}};
+        };
+        result.decode_rows = [](const http::response& it) {
+            const bool good = it.status == 200 && it.body == "ok";
+            return store_answer{good ? store_outcome::done : store_outcome::malformed, {}, ""};
+        };
+        return result;
+    }
+
+    /// Answers that never end, slow and fast.
+    static std::vector<endless_answer> endless_answers() {
+        const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        return {{chunked, "1\r\nx\r\n", 50ms},
+                {chunked, "1\r\nx\r\n", 0ms},
+                {"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n", "x", 50ms},
+                {"HTTP/1.1 200 OK\r\n", "X-Field: x\r\n", 50ms},
+                {"HTTP/1.1 503 Unavailable\r\n\r\n", "x", 50ms}};
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(table_watch_test, table_watch_fixture)
+
+// Guards against a table that is never read because the answer of the store never ends: a body that
+// trickles keeps within every timeout between two pieces.
+BOOST_AUTO_TEST_CASE(table_watch_when_answers_to_reads_are_endless_reads_the_table_after_them) {
+    endless["/read"] = endless_answers();
+    start();
+    BOOST_TEST(loop.run_until([this] { return updates == 1; }));
+    BOOST_TEST(states.size() == 2U);
+    BOOST_TEST(loop.run_until([this] { return store->open_connections() <= 1; }));
+}
+
+// Guards against changes that stay hidden behind an answer that never ends.
+BOOST_AUTO_TEST_CASE(table_watch_when_answers_to_watches_are_endless_confirms_after_them) {
+    endless["/watch"] = endless_answers();
+    start();
+    BOOST_TEST(loop.run_until([this] { return confirmations >= 3; }));
+    BOOST_TEST(states.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
