entry, sidecar, ctl, load: calls end although their answers do not

Calls to the store, probes of readiness and commands had no limit for the whole answer, so a body that trickles held them for good. They get total timeouts. An event that exceeds the reader's limit no longer ends the sidecar's upstream task with all its calls: the one call fails.

No test of its own; the limit is that of client_test.

--- a/source/core/ctl/dump_command.cpp
+++ b/source/core/ctl/dump_command.cpp
@@ -14,7 +14,9 @@
 class dump_command final : public runtime::task {
 public:
     dump_command(runtime::task_context context, const invocation& call, report_hook report)
-        : m_client{std::move(context), http::parse_endpoint(call.arguments.front())},
+        : m_client{std::move(context),
+                   http::parse_endpoint(call.arguments.front()),
+                   {.total_timeout = std::chrono::seconds{15}}},
           m_report{std::move(report)} {}
 
     void start() override {
--- a/source/core/ctl/status_command.cpp
+++ b/source/core/ctl/status_command.cpp
@@ -23,7 +23,8 @@
     status_command(runtime::task_context owner, const invocation& call, report_hook report)
         : store_command{std::move(owner), call, std::move(report)}, m_timer{context().loop()} {
         const http::client_limits limits{.connect_timeout = std::chrono::seconds{1},
-                                         .head_timeout = std::chrono::seconds{2}};
+                                         .head_timeout = std::chrono::seconds{2},
+                                         .total_timeout = std::chrono::seconds{5}};
         for (const auto& it : call.entries) {
             m_clients[http::to_string(it)] = std::make_unique<http::client>(context(), it, limits);
         }
--- a/source/core/ctl/store_command.cpp
+++ b/source/core/ctl/store_command.cpp
@@ -10,10 +10,11 @@
 
 store_command::store_command(runtime::task_context context, invocation call, report_hook report)
     : m_context{std::move(context)}, m_call{std::move(call)}, m_report{std::move(report)},
-      m_store{
-          m_context,
-          m_call.platform,
-          {.head_timeout = std::chrono::seconds{5}, .progress_timeout = std::chrono::seconds{5}}} {}
+      m_store{m_context,
+              m_call.platform,
+              {.head_timeout = std::chrono::seconds{5},
+               .progress_timeout = std::chrono::seconds{5},
+               .total_timeout = std::chrono::seconds{15}}} {}
 
 void store_command::close() noexcept {
     m_store.close();
--- a/source/core/entry/claims.cpp
+++ b/source/core/entry/claims.cpp
@@ -19,6 +19,7 @@
     limits.connect_timeout = std::chrono::milliseconds{500};
     limits.head_timeout = std::chrono::seconds{3};
     limits.progress_timeout = std::chrono::seconds{1};
+    limits.total_timeout = std::chrono::seconds{5};
     return limits;
 }
 
--- a/source/core/load/prober.cpp
+++ b/source/core/load/prober.cpp
@@ -20,6 +20,7 @@
             std::make_unique<http::client>(m_context, it,
                                            http::client_limits{.connect_timeout = probe_timeout,
                                                                .head_timeout = probe_timeout,
+                                                               .total_timeout = 2 * probe_timeout,
                                                                .max_idle_connections = 1}));
     }
 }
--- a/source/core/sidecar/upstream.cpp
+++ b/source/core/sidecar/upstream.cpp
@@ -5,10 +5,15 @@
 
 #include <boost/json.hpp>
 
+#include "common/error.h"
+
 namespace jujubemast::sidecar {
 
 namespace {
 
+// Time for the answer to the withdrawal of an execution, which nothing waits for.
+constexpr common::duration withdrawal_limit = std::chrono::seconds{5};
+
 /// The engine's name for one execution.
 std::string execution_name(const protocol::work_identity& identity) {
     return identity.request_id + ":" + std::to_string(identity.stage) + ":" +
@@ -102,7 +107,8 @@
     m_client.cancel(it->second.http_call);
     if (it->second.events) {
         m_client.send({"DELETE", "/v1/generate/" + execution_name(it->second.identity), {}, {}},
-                      [](const http::call_result& /*result*/) {});
+                      [](const http::call_result& /*result*/) {},
+                      {.total_timeout = withdrawal_limit});
     }
     m_calls.erase(it);
 }
@@ -110,7 +116,12 @@
 void upstream::data_received(std::uint64_t id, std::string_view bytes) {
     auto& target = m_calls.at(id);
     if (target.events && target.status == 200) {
-        target.events->add(bytes);
+        try {
+            target.events->add(bytes);
+        } catch (const common::format_error& e) {
+            m_client.cancel(target.http_call);
+            report_failure({id, common::execution::unknown, e.what()});
+        }
         return;
     }
     target.body += bytes;
--- a/source/core/tickets/replica.cpp
+++ b/source/core/tickets/replica.cpp
@@ -25,7 +25,8 @@
       m_check_timer{m_context.loop()} {
     if (m_options.platform) {
         const http::client_limits limits{.head_timeout = std::chrono::seconds{2},
-                                         .progress_timeout = std::chrono::seconds{2}};
+                                         .progress_timeout = std::chrono::seconds{2},
+                                         .total_timeout = std::chrono::seconds{5}};
         m_store = std::make_unique<table_service::store>(m_context, *m_options.platform, limits);
     }
 }
