program: a daemon ends at once after its last line

The instance was away for up to 4 s instead of 0.6 s in every restart of a rolling upgrade.

Cause: the static log4cplus::Initializer calls log4cplus::shutdownThreadPool() in its destructor.

The event loop is destroyed 3 ms later, main is left, Logger::shutdown() returns, and shutdownThreadPool() enters pthread_cond_wait and does not leave it. No worker of the pool ever reached its own wait, while a thread that a constructor of the program or main itself starts does run. Called first in main, the same function hangs there as well.

Change: run_daemon() ends the process itself: it flushes the log and standard output and calls std::quick_exit, which runs no static destructors.

--- a/source/core/program/daemon.cpp
+++ b/source/core/program/daemon.cpp
@@ -1,5 +1,7 @@
 #include "program/daemon.h"
 
+#include <cstdio>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <utility>
@@ -49,9 +51,8 @@
     return std::make_shared<log_flusher>(std::move(context));
 }
 
-} // namespace
-
-int run_daemon(int argc, char** argv, const daemon_description& description) {
+/// Does the work of the daemon and returns its exit code.
+int run(int argc, char** argv, const daemon_description& description) {
     const auto usage =
         description.summary + "\n\nSettings:\n" + settings::describe(description.settings_table);
     if (const auto code = parse_command_line(argc, argv, {description.name, usage})) {
@@ -80,4 +81,20 @@
         [&] { reload_settings(description, values); });
 }
 
+/// Ends the process after its output is written, without the destructors of static objects. The one
+/// of log4cplus waits without a limit for threads that the library started before main; where these
+/// do not run, the process would stay until it is killed.
+[[noreturn]] void end_process(int code) {
+    logging::flush();
+    std::cout.flush();
+    std::fflush(nullptr);
+    std::quick_exit(code);
+}
+
+} // namespace
+
+void run_daemon(int argc, char** argv, const daemon_description& description) {
+    end_process(run(argc, argv, description));
+}
+
 } // namespace jujubemast::program
--- a/source/core/program/daemon.h
+++ b/source/core/program/daemon.h
@@ -23,7 +23,7 @@
 };
 
 /// The main function of a daemon: reads the command line and the settings file, then runs the
-/// supervisor tree. Returns the exit code.
-int run_daemon(int argc, char** argv, const daemon_description& description);
+/// supervisor tree. Ends the process with the exit code.
+[[noreturn]] void run_daemon(int argc, char** argv, const daemon_description& description);
 
 } // namespace jujubemast::program
--- a/source/programs/entry_main.cpp
+++ b/source/programs/entry_main.cpp
@@ -4,7 +4,7 @@
 
 int main(int argc, char** argv) {
     using namespace jujubemast;
-    return program::run_daemon(
+    program::run_daemon(
         argc, argv,
         {"jujubemast-entry", "accepts requests and runs them through the stages of a pipeline",
          entry::entry_settings::table, entry::entry_settings::log_level, entry::make_entry_tree});
--- a/source/programs/sidecar_main.cpp
+++ b/source/programs/sidecar_main.cpp
@@ -4,9 +4,8 @@
 
 int main(int argc, char** argv) {
     using namespace jujubemast;
-    return program::run_daemon(argc, argv,
-                               {"jujubemast-sidecar",
-                                "queues and runs work at the upstream beside it",
-                                sidecar::sidecar_settings::table,
-                                sidecar::sidecar_settings::log_level, sidecar::make_sidecar_tree});
+    program::run_daemon(argc, argv,
+                        {"jujubemast-sidecar", "queues and runs work at the upstream beside it",
+                         sidecar::sidecar_settings::table, sidecar::sidecar_settings::log_level,
+                         sidecar::make_sidecar_tree});
 }
--- a/tests/support/programs/faulty_sidecar_main.cpp
+++ b/tests/support/programs/faulty_sidecar_main.cpp
@@ -65,8 +65,8 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    return program::run_daemon(argc, argv,
-                               {"faulty-sidecar", "a sidecar whose link repeats and reorders",
-                                sidecar::sidecar_settings::table,
-                                sidecar::sidecar_settings::log_level, make_tree});
+    program::run_daemon(argc, argv,
+                        {"faulty-sidecar", "a sidecar whose link repeats and reorders",
+                         sidecar::sidecar_settings::table, sidecar::sidecar_settings::log_level,
+                         make_tree});
 }
