soak: the store loses calls, and configurations must be in force after it

The soak's store answered each call for changes within 1 s whatever wait the gateway asked for, each fault of the link to the store ended with a reset of its connections, and no request was checked against the configuration before eight seconds after the last fault.

The store now honours wait_ms, and goes silent, slow or loses single answers, to all gateways or to one, for 1 to 9 s; lost calls stay without an answer after it. Configurations add and remove keys and routes from late in the trouble until after it. The audit compares each answer with the versions that may be in force at that gateway, by the platform's bounds (2 s after the acknowledgement, 3 s after trouble).

Removed rows are now marked as the platform marks them; before, the gateway dropped them because the row could not be read.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,18 +1,23 @@
 """Callers that keep their connections until the process behind them is gone."""
 import asyncio
+import time
 
+import audit as audits
 import platform_side
 import wire
 
 KINDS = ("post", "read", "stream", "draft")
 ANSWER_LIMIT_S = 8.0
+# Added keys and routes that are asked for; the older ones have been asked for long enough.
+RECENT = 8
 
 
 class Caller:
     """Owns one connection to one gateway and sends requests on it, one after the other."""
 
-    def __init__(self, name, address_of, audit, random):
+    def __init__(self, name, gateway, address_of, audit, random):
         self.name = name
+        self.gateway = gateway
         # Gives the present address of the gateway, which changes with a restart.
         self.address_of = address_of
         self.audit = audit
@@ -27,19 +32,36 @@
             await asyncio.sleep(self.random.uniform(0.0, 0.05))
         self.disconnect()
 
+    async def follow(self, operator):
+        """Asks with keys and for routes that the operator adds and removes."""
+        while self.running:
+            key = self.random.choice([platform_side.KEY, *operator.known_keys[-RECENT:]])
+            route = self.random.choice(["steady", *operator.known_routes[-RECENT:]])
+            await self.request("read", route, key)
+            await asyncio.sleep(self.random.uniform(0.0, 0.04))
+        self.disconnect()
+
     def disconnect(self):
         if self.connection:
             self.connection[1].close()
         self.connection = None
 
-    async def request(self, kind, name=None):
+    async def request(self, kind, name=None, key=platform_side.KEY):
         """Sends a request and returns its status, or 0 without a whole answer."""
+        sent = time.monotonic()
+        status = await self.try_request(kind, name or kind, key)
+        self.audit.outcomes.append(audits.Outcome(
+            self.gateway, f"{self.name}-{self.sent}", key, name or kind, sent, time.monotonic(),
+            status))
+        return status
+
+    async def try_request(self, kind, name, key):
         self.sent += 1
         attempt = f"{self.name}-{self.sent}"
         method = "GET" if kind == "read" else "POST"
-        target = f"/{name or kind}/{attempt}"
+        target = f"/{name}/{attempt}"
         fields = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": "5000",
-                  "Authorization": f"Bearer {platform_side.KEY}"}
+                  "Authorization": f"Bearer {key}"}
         if kind in ("stream", "draft"):
             fields["X-Model"] = "m"
         if kind == "draft":
--- a/soak/platform_side.py
+++ b/soak/platform_side.py
@@ -3,6 +3,7 @@
 import base64
 import collections
 import enum
+import functools
 import json
 import urllib.parse
 
@@ -12,7 +13,26 @@
 KEY = "key-1"
 WORKSPACE = "w"
 STAGE_COUNTS = (1, 3)
-FEED_WAIT_S = 1.0
+# Routes that every configuration has. `steady` and all added routes go to a service that no fault
+# disturbs, so that only the gateway's own state decides how a request on them ends.
+DISTURBED_ROUTES = ("draft", "stream", "post", "read")
+STEADY_ROUTES = (*DISTURBED_ROUTES, "steady")
+LONGEST_WAIT_MS = 30000
+SLOW_S = 0.4
+LOST_SHARE = 0.3
+
+
+class Trouble(enum.Enum):
+    """How the store treats the calls of a gateway."""
+    NONE = "none"
+    SILENT = "silent"
+    SLOW = "slow"
+    LOSES_ANSWERS = "loses answers"
+
+
+def is_calm(route):
+    """Whether no fault disturbs the service of the route."""
+    return route not in DISTURBED_ROUTES
 
 
 class Conduct(enum.Enum):
@@ -24,8 +44,8 @@
     BREAKS_OFF = "breaks off"
 
 
-def configuration(version, extra_routes):
-    """`extra_routes` are added to those that the callers use all the time."""
+def configuration(version, extra_routes, extra_keys):
+    """Both are added to those that the callers use all the time."""
     def route(name, kind, service, **more):
         return {"name": name, "host": "a.example", "prefix": f"/{name}/", "kind": kind,
                 "service": service, "timeout_ms": 4000, "goal_ms": 2000, "priority": 0,
@@ -42,24 +62,54 @@
             "routes": [route("draft", "streaming", "engines", stages=stages),
                        route("stream", "streaming", "engines"),
                        route("post", "unsafe", "desk"), route("read", "safe", "desk"),
-                       *(route(name, "safe", "desk") for name in extra_routes)],
-            "services": [{"name": "engines", "engine": {}}, {"name": "desk"},
+                       *(route(name, "safe", "notices") for name in ("steady", *extra_routes))],
+            "services": [{"name": "engines", "engine": {}}, {"name": "desk"}, {"name": "notices"},
                          {"name": "stages", "pieces": pieces(30.0)}],
             "limits": {"max_body_bytes": 100000, "idle_timeout_ms": 15000},
-            "tenants": [{"name": WORKSPACE, "api_keys": [KEY]}]}
+            "tenants": [{"name": WORKSPACE, "api_keys": [KEY, *extra_keys]}]}
 
 
 class Store:
-    """The store: rows in tables, read whole or followed from a version."""
+    """The store: rows in tables, read whole or followed from a version.
+
+    Each gateway has a listener of its own, so that the store may treat each in another way. A call
+    that is lost stays without an answer, also after the trouble, and its connection with it.
+    """
 
-    def __init__(self):
+    def __init__(self, random):
+        self.random = random
         self.tables = collections.defaultdict(dict)
         self.version = 1
         self.changed = asyncio.Condition()
-        self.server = wire.Server(self.handle)
+        self.troubles = collections.defaultdict(lambda: Trouble.NONE)
+        self.silences = collections.Counter()
+        self.calls = collections.Counter()
+        self.lost_calls = collections.Counter()
+        self.closing = asyncio.Event()
+        self.servers = []
         # Gives the address under which the others find a gateway.
         self.address_of_gateway = lambda name, address: address
 
+    async def listen(self, client):
+        """Starts the listener for one client and returns its address."""
+        server = wire.Server(functools.partial(self.handle, client))
+        await server.start()
+        self.servers.append(server)
+        return server.address
+
+    async def close(self):
+        """Ends the listeners and all calls that wait."""
+        for it in self.servers:
+            it.server.close()
+        self.closing.set()
+        async with self.changed:
+            self.changed.notify_all()
+
+    def set_trouble(self, client, trouble):
+        """The calls that wait as a silence begins are lost too."""
+        self.silences[client] += trouble is Trouble.SILENT
+        self.troubles[client] = trouble
+
     async def put(self, table, key, value):
         self.version += 1
         self.tables[table][key] = (value, self.version)
@@ -69,30 +119,38 @@
     def rows(self, table, after):
         rows = [{"table": table, "part": "", "key": key, "row_version": version,
                  **({"value": base64.b64encode(json.dumps(value).encode()).decode()}
-                    if value is not None else {"removed": True})}
+                    if value is not None else {"deleted": True})}
                 for key, (value, version) in self.tables[table].items()
                 if version > after and (value is not None or after > 0)]
         return {"rows": rows, "has_more": False, "row_version": self.version}
 
-    async def handle(self, message, writer):
+    async def handle(self, client, message, writer):
+        self.calls[client] += 1
+        silences = self.silences[client]
+        lost = self.troubles[client] is Trouble.SILENT
+        if not lost:
+            if self.troubles[client] is Trouble.SLOW:
+                await asyncio.sleep(self.random.uniform(0, SLOW_S))
+            reply = await self.reply(message)
+            lost = self.silences[client] != silences or (
+                self.troubles[client] is Trouble.LOSES_ANSWERS and
+                self.random.random() < LOST_SHARE)
+        if lost:
+            self.lost_calls[client] += 1
+            await self.closing.wait()
+            return False
+        writer.write(wire.answer(200, json.dumps(reply).encode(), Content_Type="application/json"))
+        return True
+
+    async def reply(self, message):
         path, _, query = message.start.split(" ")[1].partition("?")
         values = dict(urllib.parse.parse_qsl(query))
-        reply = {"row_version": self.version, "now_ms": 1}
         if path == "/rows-get":
-            reply = self.rows(values["table"], 0)
-        elif path == "/rows-feed":
-            after = int(values["after"])
-            end = asyncio.get_running_loop().time() + FEED_WAIT_S
-            while not (reply := self.rows(values["table"], after))["rows"]:
-                left = end - asyncio.get_running_loop().time()
-                if left <= 0:
-                    break
-                try:
-                    async with self.changed:
-                        await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    pass
-        elif path == "/rows-tx":
+            return self.rows(values["table"], 0)
+        if path == "/rows-feed":
+            wait_ms = min(int(values["wait_ms"]), LONGEST_WAIT_MS)
+            return await self.changes(values["table"], int(values["after"]), wait_ms / 1000)
+        if path == "/rows-tx":
             call = json.loads(message.body)
             for row in call["puts"]:
                 value = json.loads(base64.b64decode(row["value"]))
@@ -101,8 +159,21 @@
                 await self.put(row["table"], row["key"], value)
             for row in call["remove"]:
                 await self.put(row["table"], row["key"], None)
-        writer.write(wire.answer(200, json.dumps(reply).encode(), Content_Type="application/json"))
-        return True
+        return {"row_version": self.version, "now_ms": 1}
+
+    async def changes(self, table, after, wait_s):
+        """Waits for a change of the table for that long."""
+        end = asyncio.get_running_loop().time() + wait_s
+        while not (reply := self.rows(table, after))["rows"] and not self.closing.is_set():
+            left = end - asyncio.get_running_loop().time()
+            if left <= 0:
+                break
+            try:
+                async with self.changed:
+                    await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+        return reply
 
 
 class Upstream:
