--- a/soak/audit_test.py
+++ b/soak/audit_test.py
@@ -279,22 +279,22 @@
     async def test_call_that_waits_as_a_silence_begins_is_lost_also_after_its_end(self):
         call = asyncio.create_task(self.follow(5000))
         await self.until(lambda: self.store.calls["g0"] > 0)
-        self.store.set_trouble("g0", platform_side.Trouble.SILENT)
-        self.store.set_trouble("g0", platform_side.Trouble.NONE)
+        self.store.set_conduct("g0", platform_side.StoreConduct.SILENT)
+        self.store.set_conduct("g0", platform_side.StoreConduct.GOOD)
         await self.store.put("op", "config", {})
         self.assertIsNone((await call)[0])
 
     async def test_call_within_a_silence_is_lost_and_the_next_connection_served(self):
-        self.store.set_trouble("g0", platform_side.Trouble.SILENT)
+        self.store.set_conduct("g0", platform_side.StoreConduct.SILENT)
         call = asyncio.create_task(self.follow(0))
         await self.until(lambda: self.store.lost_calls["g0"] > 0)
-        self.store.set_trouble("g0", platform_side.Trouble.NONE)
+        self.store.set_conduct("g0", platform_side.StoreConduct.GOOD)
         self.assertIsNotNone((await self.follow(0))[0])
         self.assertIsNone((await call)[0])
 
     async def test_silence_to_one_gateway_spares_the_others(self):
         other = await self.store.listen("g1")
-        self.store.set_trouble("g0", platform_side.Trouble.SILENT)
+        self.store.set_conduct("g0", platform_side.StoreConduct.SILENT)
         self.assertIsNotNone((await self.follow(0, other))[0])
 
     async def test_link_that_was_silent_stays_silent_on_its_open_connections(self):
--- a/soak/platform_side.py
+++ b/soak/platform_side.py
@@ -22,9 +22,9 @@
 LOST_SHARE = 0.3
 
 
-class Trouble(enum.Enum):
+class StoreConduct(enum.Enum):
     """How the store treats the calls of a gateway."""
-    NONE = "none"
+    GOOD = "good"
     SILENT = "silent"
     SLOW = "slow"
     LOSES_ANSWERS = "loses answers"
@@ -81,7 +81,7 @@
         self.tables = collections.defaultdict(dict)
         self.version = 1
         self.changed = asyncio.Condition()
-        self.troubles = collections.defaultdict(lambda: Trouble.NONE)
+        self.conducts = collections.defaultdict(lambda: StoreConduct.GOOD)
         self.silences = collections.Counter()
         self.calls = collections.Counter()
         self.lost_calls = collections.Counter()
@@ -105,10 +105,10 @@
         async with self.changed:
             self.changed.notify_all()
 
-    def set_trouble(self, client, trouble):
+    def set_conduct(self, client, conduct):
         """The calls that wait as a silence begins are lost too."""
-        self.silences[client] += trouble is Trouble.SILENT
-        self.troubles[client] = trouble
+        self.silences[client] += conduct is StoreConduct.SILENT
+        self.conducts[client] = conduct
 
     async def put(self, table, key, value):
         self.version += 1
@@ -127,13 +127,13 @@
     async def handle(self, client, message, writer):
         self.calls[client] += 1
         silences = self.silences[client]
-        lost = self.troubles[client] is Trouble.SILENT
+        lost = self.conducts[client] is StoreConduct.SILENT
         if not lost:
-            if self.troubles[client] is Trouble.SLOW:
+            if self.conducts[client] is StoreConduct.SLOW:
                 await asyncio.sleep(self.random.uniform(0, SLOW_S))
             reply = await self.reply(message)
             lost = self.silences[client] != silences or (
-                self.troubles[client] is Trouble.LOSES_ANSWERS and
+                self.conducts[client] is StoreConduct.LOSES_ANSWERS and
                 self.random.random() < LOST_SHARE)
         if lost:
             self.lost_calls[client] += 1
