--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "common/error.h"
+#include "http/call_failure.h"
 
 namespace jujubemast::gateway {
 
@@ -17,6 +18,9 @@
     limits.connect_timeout = std::chrono::milliseconds{800};
     limits.head_timeout = std::chrono::milliseconds{1500};
     limits.progress_timeout = std::chrono::milliseconds{1500};
+    // Calls that register or unregister; the watches of tables have limits of their own.
+    limits.total_timeout = std::chrono::seconds{3};
+    limits.max_response_bytes = std::size_t{64} * 1024;
     return limits;
 }
 
@@ -39,7 +43,11 @@
     m_configurations =
         make(store_table::configuration,
              {[this](const table_update& it) { configuration_rows(it); }, ignore_state,
-              [this](common::time_point now) { m_hooks.confirm_configuration({now}); }});
+              [this](common::time_point at) {
+                  if (m_newest_understood) {
+                      m_hooks.confirm_configuration({at});
+                  }
+              }});
     m_upstream_rows =
         make(store_table::upstreams, {[this](const table_update& it) { upstream_rows(it); },
                                       [this](bool available) { store_state(available); },
@@ -53,15 +61,18 @@
 }
 
 void catalog::stop(const runtime::stop_done& done) {
-    m_client.send(m_translate->encode_unregister(m_self.name),
-                  [this, done](const http::call_result& result) {
-                      const auto* answer = std::get_if<http::response>(&result);
-                      if (answer == nullptr || answer->status != 200) {
-                          // The row stays; the others find this gateway silent.
-                          m_log.info("Not unregistered.", {{"gateway", m_self.name}});
-                      }
-                      done();
-                  });
+    m_registered = false;
+    m_register_timer.cancel();
+    m_client.send(
+        m_translate->encode_unregister(m_self.name), [this, done](const http::call_result& result) {
+            const auto* answer = std::get_if<http::response>(&result);
+            if (answer == nullptr || answer->status != 200) {
+                // The row stays; the others find this gateway silent.
+                m_log.info("Not unregistered.",
+                           {{"gateway", m_self.name}, {"reason", http::describe_failure(result)}});
+            }
+            done();
+        });
 }
 
 void catalog::close() noexcept {
@@ -78,13 +89,26 @@
         const auto* answer = std::get_if<http::response>(&result);
         m_registered = answer != nullptr && answer->status == 200;
         m_log.info(m_registered ? "Registered." : "Not registered yet.",
-                   {{"gateway", m_self.name}, {"address", m_self.address}});
+                   {{"gateway", m_self.name},
+                    {"address", m_self.address},
+                    {"reason", m_registered ? "" : http::describe_failure(result)}});
         if (!m_registered) {
             m_register_timer.start(register_retry, m_context.wrap([this] { register_self(); }));
         }
     });
 }
 
+void catalog::check_registration() {
+    const auto it = m_gateways.find(m_self.name);
+    if (!m_registered || (it != m_gateways.end() && it->second == m_self)) {
+        return;
+    }
+    // A call of this gateway's process before, whose answer was lost, may be carried out late.
+    m_log.warn("The row of this gateway was removed or replaced.", {{"gateway", m_self.name}});
+    m_registered = false;
+    register_self();
+}
+
 void catalog::configuration_rows(const table_update& update) {
     for (const auto& row : update.rows) {
         std::optional<configuration> read;
@@ -93,8 +117,10 @@
         } catch (const common::format_error& e) {
             m_log.error("Configuration not understood; the one in force stays.",
                         {{"row_version", std::to_string(row.version)}, {"reason", e.what()}});
+            m_newest_understood = false;
             continue;
         }
+        m_newest_understood = m_newest_understood || read;
         if (!read || (m_configuration && read->version <= m_configuration->version)) {
             continue;
         }
@@ -190,6 +216,7 @@
                        {{"key", row.key}, {"reason", e.what()}});
         }
     }
+    check_registration();
     std::vector<gateway_record> known;
     for (const auto& [name, it] : m_gateways) {
         known.push_back(it);
@@ -198,8 +225,12 @@
 }
 
 void catalog::publish() {
-    m_hooks.set_not_ready_reason(m_configuration ? "" : "no configuration is known yet");
-    m_hooks.publish({m_configuration, std::make_shared<const upstream_map>(m_upstreams.entries())});
+    m_hooks.set_not_ready_reason(!m_configuration    ? "no configuration is known yet"
+                                 : !m_upstreams_read ? "the upstreams are not known yet"
+                                                     : "");
+    m_hooks.publish(
+        {m_configuration,
+         m_upstreams_read ? std::make_shared<const upstream_map>(m_upstreams.entries()) : nullptr});
 }
 
 boost::json::value catalog::dump() const {
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json.hpp>
 
+#include "http/call_failure.h"
+
 namespace jujubemast::gateway {
 
 namespace {
@@ -20,6 +22,8 @@
 
 // Time for the call that follows a lost one.
 constexpr common::duration next_call_time = std::chrono::milliseconds{300};
+// Stores answer with pages of about 1 MB; all rows that changed since a long time may be more.
+constexpr std::size_t max_page_bytes = std::size_t{8} * 1024 * 1024;
 
 } // namespace
 
@@ -40,8 +44,8 @@
 }
 
 store_answer table_watch::decode(const http::call_result& result) const {
-    if (const auto* error = std::get_if<http::call_error>(&result)) {
-        return {store_outcome::unavailable, {}, error->detail};
+    if (std::holds_alternative<http::call_error>(result)) {
+        return {store_outcome::unavailable, {}, http::describe_failure(result)};
     }
     return m_translate->decode_rows(std::get<http::response>(result));
 }
@@ -53,11 +57,14 @@
                                {"age_ms", age_in_ms(m_confirmed)}};
 }
 
-void table_watch::send(const http::request& message, common::duration limit,
+void table_watch::send(const http::request& message, common::duration wait,
                        std::function<void(const http::call_result&)> done) {
     http::call_options options;
-    options.head_timeout = limit;
+    options.head_timeout = wait + m_limits.answer_limit;
+    options.total_timeout = wait + m_limits.answer_limit + m_limits.body_limit;
+    options.max_body_bytes = max_page_bytes;
     m_sent = common::monotonic_clock::now();
+    m_wait = wait;
     m_client.send(message, std::move(done), options);
 }
 
@@ -66,7 +73,7 @@
         m_page_rows.clear();
         m_first_page_version = 0;
     }
-    send(m_translate->encode_read(m_table, key), m_limits.answer_limit,
+    send(m_translate->encode_read(m_table, key), common::duration::zero(),
          [this](const http::call_result& result) { page_read(result); });
 }
 
@@ -99,7 +106,7 @@
 
 void table_watch::watch() {
     const auto wait = m_available ? m_limits.wait : common::duration::zero();
-    send(m_translate->encode_watch(m_table, m_version, wait), wait + m_limits.answer_limit,
+    send(m_translate->encode_watch(m_table, m_version, wait), wait,
          [this](const http::call_result& result) { changes_read(result); });
 }
 
@@ -110,7 +117,8 @@
                    {{"table", std::string{common::to_name(m_table)}},
                     {"version", std::to_string(m_version)}});
         m_whole = false;
-        read_from({});
+        // A pause, as a store may have lost its history again when the table has been read.
+        m_timer.start(m_limits.bundle_time, m_context.wrap([this] { read_from({}); }));
         return;
     }
     if (answer.outcome != store_outcome::done) {
@@ -154,8 +162,11 @@
 }
 
 void table_watch::confirm() {
+    // While this process stands still, an answer may wait long for it. The store keeps a call no
+    // longer than its wait.
+    const auto now = common::monotonic_clock::now();
+    m_confirmed = std::min(now, m_sent.value_or(now) + m_wait);
     m_sent.reset();
-    m_confirmed = common::monotonic_clock::now();
     if (m_hooks.on_confirmed) {
         m_hooks.on_confirmed(*m_confirmed);
     }
