--- a/tests/unit/gateway/table_watch_test.cpp
+++ b/tests/unit/gateway/table_watch_test.cpp
@@ -59,7 +59,7 @@
         if (first.empty()) {
             return {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "", {}};
         }
-        const auto next = first.front();
+        auto next = first.front();
         first.erase(first.begin());
         return next;
     }
--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -139,10 +139,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(client_when_body_is_endless_ends_the_call_at_the_size_limit) {
-    for (const std::string begin :
-         {std::string{chunked_head}, std::string{"HTTP/1.1 200 OK\r\n\r\n"},
-          std::string{"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"},
-          std::string{"HTTP/1.1 503 Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n"}}) {
+    for (const char* begin : {chunked_head, "HTTP/1.1 200 OK\r\n\r\n",
+                              "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+                              "HTTP/1.1 503 Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
         start({{begin, "8\r\n8 bytes.\r\n", {}}});
         call();
         check_fault(http::call_fault::too_large);
