runtime: signals that come while a process starts do not end it

A SIGHUP, which only means that the settings have changed, so ended a healthy process.

Cause: the handlers were installed after the supervision tree was built.

Change: they are installed before, and signals that come meanwhile are handled when the tree runs. Until then SIGHUP is ignored, because the settings are still to be read.

Measured: daemon_when_it_gets_a_signal_before_its_tree_is_built_is_not_ended_by_it fails on the code before for both signals and passes. A SIGTERM before main still ends the process by the signal.

--- a/source/core/program/daemon.cpp
+++ b/source/core/program/daemon.cpp
@@ -1,5 +1,6 @@
 #include "program/daemon.h"
 
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
@@ -94,6 +95,8 @@
 } // namespace
 
 void run_daemon(int argc, char** argv, const daemon_description& description) {
+    // The settings have not been read yet, so there is nothing to read again.
+    static_cast<void>(std::signal(SIGHUP, SIG_IGN));
     end_process(run(argc, argv, description));
 }
 
--- a/source/core/runtime/process.cpp
+++ b/source/core/runtime/process.cpp
@@ -34,6 +34,12 @@
     const logging::logger log{"process"};
     boost::asio::io_context context{1};
     const executor loop{context};
+    // Signals that come while the tree is built wait for it.
+    boost::asio::signal_set signals{context, SIGTERM, SIGINT};
+    boost::asio::signal_set reload_signals{context};
+    if (reload) {
+        reload_signals.add(SIGHUP);
+    }
     int result = static_cast<int>(exit_code::success);
 
     auto life = std::make_shared<task_life>();
@@ -59,7 +65,6 @@
         std::move(children));
     life->instance = root;
 
-    boost::asio::signal_set signals{context, SIGTERM, SIGINT};
     signals.async_wait([&](const boost::system::error_code& ec, int signal) {
         if (!ec) {
             log.info("Stopping on signal.", {{"signal", std::to_string(signal)}});
@@ -67,9 +72,7 @@
         }
     });
 
-    boost::asio::signal_set reload_signals{context};
     if (reload) {
-        reload_signals.add(SIGHUP);
         wait_for_reload(reload_signals, reload);
     }
 
--- a/tests/unit/program/daemon_test.cpp
+++ b/tests/unit/program/daemon_test.cpp
@@ -105,9 +105,13 @@
         close(write_end);
     }
 
-    void start_ending_daemon(const std::string& text = {}) {
-        start([text](const runtime::executor& /*loop*/, const runtime::process_hooks& process,
-                     const settings::values& /*values*/) {
+    /// Starts a daemon that gets a signal while its tree is built, or none for zero.
+    void start_ending_daemon(const std::string& text = {}, int early_signal = 0) {
+        start([=](const runtime::executor& /*loop*/, const runtime::process_hooks& process,
+                  const settings::values& /*values*/) {
+            if (early_signal != 0) {
+                std::raise(early_signal);
+            }
             return std::vector<runtime::child_spec>{
                 {"ending", [text, exit = process.exit](runtime::task_context context) {
                      return std::make_shared<ending_task>(std::move(context), text, exit);
@@ -169,6 +173,16 @@
     BOOST_TEST(text.find("text without a flush") != std::string::npos, text);
 }
 
+// Guards against a process that ends by a signal which comes just after its start: the handlers
+// were installed after the tree was built (soak seed 50 with the sources of 07fbb39).
+BOOST_AUTO_TEST_CASE(daemon_when_it_gets_a_signal_before_its_tree_is_built_is_not_ended_by_it) {
+    for (const int signal : {SIGHUP, SIGTERM}) {
+        daemon_fixture daemon;
+        daemon.start_ending_daemon({}, signal);
+        BOOST_TEST(daemon.wait_for_end() >= 0, "signal " << signal);
+    }
+}
+
 // Guards against an end that waits for a reader which has stopped reading.
 BOOST_AUTO_TEST_CASE(daemon_when_its_log_is_not_read_ends) {
     fill_pipe();
