gateway: the reason of a refusal names what the configuration lacks

The ticket replica waits 10 s for a whole answer instead of 5 s, because all objects of a large deployment come in one reading; both are within the 17 s of the target.

--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -155,13 +155,15 @@
         refuse(target, status_unavailable, "no configuration yet");
         return;
     }
+    const std::string reason{common::to_name(result)};
     const auto age = configuration_age();
     if (!age || *age > m_options.staleness_limit) {
-        refuse(target, status_unavailable, "not in a configuration that may be out of date");
+        refuse(target, status_unavailable,
+               "not in a configuration that may be out of date: " + reason);
         return;
     }
     refuse(target, result == lookup_result::no_route ? status_not_found : status_unauthorized,
-           "not in the configuration");
+           "not in the configuration: " + reason);
 }
 
 lookup_result forwarder::look_up(exchange& target) const {
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -7,8 +8,10 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "common/enum_names.h"
 #include "common/random.h"
 #include "gateway/adapter.h"
 #include "gateway/attempt_decision.h"
@@ -236,3 +239,13 @@
 };
 
 } // namespace jujubemast::gateway
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<gateway::lookup_result> {
+    static constexpr std::array<std::string_view, 4> table{"found", "no_configuration", "no_route",
+                                                           "unknown_key"};
+};
+
+} // namespace jujubemast::common
--- a/source/core/tickets/replica.cpp
+++ b/source/core/tickets/replica.cpp
@@ -26,7 +26,7 @@
     if (m_options.platform) {
         const http::client_limits limits{.head_timeout = std::chrono::seconds{2},
                                          .progress_timeout = std::chrono::seconds{2},
-                                         .total_timeout = std::chrono::seconds{5}};
+                                         .total_timeout = std::chrono::seconds{10}};
         m_store = std::make_unique<table_service::store>(m_context, *m_options.platform, limits);
     }
 }
