gateway: a short staleness limit is raised instead of refused

What callers would see: nothing served at all. The deployment gives contact_ms for store.staleness_limit_ms, and a value under 2000 ms kept every gateway from starting.

Change: shorter values act as 2000 ms, for the watches of the tables and for the refusals alike.

Measured: settings with 1500 ms are valid now (--check) and were refused before by the check that is gone; limits_for_a_staleness_that_is_too_short_are_those_of_the_shortest covers the limits.

--- a/source/core/gateway/gateway_settings.cpp
+++ b/source/core/gateway/gateway_settings.cpp
@@ -1,7 +1,5 @@
 #include "gateway/gateway_settings.h"
 
-#include "gateway/table_watch.h"
-
 namespace jujubemast::gateway {
 
 using settings::check_address;
@@ -15,12 +13,6 @@
     return value >= 0 ? "" : "must not be negative";
 }
 
-std::string check_staleness_limit(milliseconds value) {
-    return value >= shortest_staleness_limit
-               ? ""
-               : "must be at least " + std::to_string(shortest_staleness_limit.count()) + " ms";
-}
-
 } // namespace
 
 const settings::setting<std::string> gateway_settings::name{
@@ -107,8 +99,9 @@
     .section = "store",
     .key = "staleness_limit_ms",
     .fallback = milliseconds{3000},
-    .help = "longest time for which a lost call to the store may hide its changes",
-    .check = check_staleness_limit,
+    .help = "longest time for which a lost call to the store may hide its changes; acts as 2000 "
+            "if it is shorter",
+    .check = check_positive_duration,
 };
 const settings::setting<double> gateway_settings::retry_ratio{
     .section = "retries",
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_tree.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "admin/admin_server.h"
@@ -110,7 +111,8 @@
     options.retries = {values.get(gateway_settings::retry_ratio),
                        values.get(gateway_settings::retry_reserve),
                        values.get(gateway_settings::retry_window)};
-    options.staleness_limit = values.get(gateway_settings::store_staleness_limit);
+    options.staleness_limit =
+        std::max(values.get(gateway_settings::store_staleness_limit), shortest_staleness_limit);
     options.random = common::system_random();
     options.route = policy::make_load_aware(routing, common::system_random());
     return options;
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -29,6 +29,7 @@
 
 table_watch_limits limits_for_staleness(common::duration limit) {
     table_watch_limits limits;
+    limit = std::max<common::duration>(limit, shortest_staleness_limit);
     limits.wait = limit - limits.answer_limit - next_call_time;
     return limits;
 }
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/table_watch.h
@@ -51,8 +51,8 @@
 /// Leaves time for the answer of a call and for the call that follows it.
 inline constexpr std::chrono::milliseconds shortest_staleness_limit{2000};
 
-/// Returns limits with which the store's changes are seen within this time although one call was
-/// lost. The time is at least `shortest_staleness_limit`.
+/// Returns limits with which the store's changes are seen within this time, or within
+/// `shortest_staleness_limit` if that is longer, although one call was lost.
 table_watch_limits limits_for_staleness(common::duration limit);
 
 /// Reads one table of the store and follows its changes by calls that wait for them. When history
--- a/tests/unit/gateway/table_watch_test.cpp
+++ b/tests/unit/gateway/table_watch_test.cpp
@@ -182,6 +182,14 @@
     }
 }
 
+// Guards against gateways that do not start, or call the store without end, where a deployment
+// states a very short time.
+BOOST_AUTO_TEST_CASE(limits_for_a_staleness_that_is_too_short_are_those_of_the_shortest) {
+    BOOST_TEST((limits_for_staleness(milliseconds{500}).wait ==
+                limits_for_staleness(shortest_staleness_limit).wait));
+    BOOST_TEST((limits_for_staleness(milliseconds{500}).wait > common::duration::zero()));
+}
+
 // Guards against a store that is called without end while it turns this gateway away.
 BOOST_AUTO_TEST_CASE(store_that_refuses_is_called_again_after_a_pause) {
     answer = [](const store_call& call) { call.reply.respond({503, {}, ""}); };
