gateway: answer requests without a response before an ordered stop cuts them

Cause: callers.stop_limit_ms closes the callers' connections.

Change: shutdown_started also goes to the forwarder. From then on a request without a response ends 400 ms before the limit: 503 with Retry-After if it has certainly not run, 504 otherwise. Streams that have begun go on to the limit.

--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -16,6 +16,9 @@
 constexpr common::duration default_deadline = std::chrono::seconds{30};
 // The response is sent this long before the caller's deadline.
 constexpr common::duration response_margin = std::chrono::milliseconds{25};
+// Requests without a response are answered this long before an ordered stop closes their
+// connections.
+constexpr common::duration stop_margin = std::chrono::milliseconds{400};
 // Retry delay of refusals for which no better estimate exists.
 constexpr common::duration default_retry_after = std::chrono::milliseconds{300};
 
@@ -199,9 +202,9 @@
             std::min(ex.response_deadline,
                      ex.arrived + first_event_timeout(*ex.matched_route) - response_margin);
     }
+    limit_to_stop(ex);
     ex.deadline_timer = std::make_unique<runtime::timer>(m_context.loop());
-    ex.deadline_timer->start(ex.first_event_deadline - ex.arrived,
-                             m_context.wrap([this, id = ex.id] { deadline_reached(id); }));
+    start_deadline_timer(ex);
     ex.events = event_relay{ex.request.last_event};
     ex.stages = stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     pool_of(ex.service).budget().record_first_attempt();
@@ -224,6 +227,32 @@
     advance_stages(ex);
 }
 
+void forwarder::handle(const shutdown_started& message) {
+    m_stop_deadline = message.deadline;
+    for (auto& [id, it] : m_exchanges) {
+        limit_to_stop(*it);
+        if (!it->relaying) {
+            start_deadline_timer(*it);
+        }
+    }
+}
+
+void forwarder::limit_to_stop(exchange& ex) const {
+    if (!m_stop_deadline) {
+        return;
+    }
+    ex.first_event_deadline = std::min(ex.first_event_deadline, *m_stop_deadline - stop_margin);
+    if (ex.matched_route->kind != repeatability::stream) {
+        ex.response_deadline = std::min(ex.response_deadline, ex.first_event_deadline);
+    }
+}
+
+void forwarder::start_deadline_timer(exchange& ex) {
+    const auto left = ex.first_event_deadline - common::monotonic_clock::now();
+    ex.deadline_timer->start(std::max(common::duration::zero(), left),
+                             m_context.wrap([this, id = ex.id] { deadline_reached(id); }));
+}
+
 void forwarder::deadline_reached(std::uint64_t id) {
     auto* ex = find(id);
     if (ex == nullptr) {
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -125,6 +125,7 @@
     void handle(const order_ended& message);
     void handle(const gateway_count_changed& message);
     void handle(const backlog_report& message);
+    void handle(const shutdown_started& message);
     void handle(const admin::metrics_query& message);
 
     /// Sets the route, workspace, priority and service of the exchange from the configuration.
@@ -133,6 +134,10 @@
     /// the configuration is known to be the newest, because callers do not retry after it.
     void refuse_unknown(exchange& ex, lookup_result result);
     void admit(exchange& ex);
+    /// Moves the end of a request without a response forward, so that it is answered before an
+    /// ordered stop closes its connection.
+    void limit_to_stop(exchange& ex) const;
+    void start_deadline_timer(exchange& ex);
     void deadline_reached(std::uint64_t id);
 
     /// Time since the store last confirmed that the configuration is the newest. Nothing before the
@@ -235,6 +240,8 @@
     /// Pieces of admitted requests that have not been ordered yet, by service and priority.
     std::map<std::string, std::map<int, std::size_t>> m_upcoming;
     std::size_t m_gateway_count = 1;
+    /// When an ordered stop closes the callers' connections.
+    std::optional<common::time_point> m_stop_deadline;
     forwarder_metrics m_metrics;
     logging::logger m_log{"forwarder"};
 };
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -72,6 +72,7 @@
     options.on_stopping = [=, limit = values.get(gateway_settings::callers_stop_limit)] {
         health.send(admin::set_condition{listener_condition, "stopping"});
         const shutdown_started message{common::monotonic_clock::now() + limit};
+        inbox->post(message);
         peers->post(message);
         dispatcher->post(message);
     };
--- a/tests/integration/gateway_fixture.h
+++ b/tests/integration/gateway_fixture.h
@@ -30,8 +30,12 @@
     std::vector<std::string> addresses;
     std::vector<std::string> ready_addresses;
 
-    /// `shares` are the processor shares of the gateways, in cores.
-    explicit gateway_fixture(const std::array<double, 2>& shares = {1, 1}) {
+    int stop_limit_ms;
+
+    /// `shares` are the processor shares of the gateways, in cores. `stop_limit` is the time in ms
+    /// after SIGTERM at which they close the callers' connections.
+    explicit gateway_fixture(const std::array<double, 2>& shares = {1, 1}, int stop_limit = 6900)
+        : stop_limit_ms{stop_limit} {
         std::string pattern = std::filesystem::temp_directory_path() / "gateway-test-XXXXXX";
         directory = ::mkdtemp(pattern.data());
         platform = std::make_unique<child_process>(
@@ -67,6 +71,7 @@
         std::ofstream{path} << "instance:\n  name: " << name << "\n  failure_domain: z\n"
                             << "  processor_share: " << processor_share << "\n"
                             << "callers:\n  listen: 127.0.0.1:0\n  stop_grace_ms: 300\n"
+                            << "  stop_limit_ms: " << stop_limit_ms << "\n"
                             << "ready:\n  listen: 127.0.0.1:0\n"
                             << "peers:\n  listen: 127.0.0.1:" << free_port() << "\n"
                             << "admin:\n  listen: 127.0.0.1:0\n"
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -314,20 +314,27 @@
     return message.target.find("shed") != std::string::npos;
 }
 
-/// Makes all pieces of a call. The call takes a second if any key begins with "slow".
+/// Makes all pieces of a call. The call takes a second if any key begins with "slow", and never ends
+/// if one begins with "stuck".
 void make_pieces(const state_pointer& state, const http::request& message,
                  const http::responder& reply) {
     boost::json::array results;
     const auto call = boost::json::parse(message.body);
     bool slow = false;
+    bool stuck = false;
     for (const auto& entry : call.at("entries").as_array()) {
         const auto* key = entry.as_object().if_contains("key");
         slow = slow || (key != nullptr && key->as_string().starts_with("slow"));
+        stuck = stuck || (key != nullptr && key->as_string().starts_with("stuck"));
         results.emplace_back(boost::json::object{
             {"handle", header(message, "Host") + "/" + std::to_string(state->next_result++)}});
     }
     const auto response =
         http::json_response(200, boost::json::serialize(boost::json::object{{"entries", results}}));
+    if (stuck) {
+        state->unanswered.push_back(reply);
+        return;
+    }
     if (!slow) {
         reply.respond(response);
         return;
