gateway: exit only after the outcomes of orders have arrived

Cause: an owner of stages that stops ended in the millisecond of its last response.

Change: a gateway acknowledges outcomes that it gets from a leaving one, and the leaving one stops its peers task when all are acknowledged. It resends them every 100 ms, for 500 ms at most, and drops those of gateways that are not live.

--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t mailbox_capacity = 16384;
 // Limits how long a stop waits for the store, which may be down.
 constexpr common::duration unregister_limit = std::chrono::milliseconds{500};
+// Limits how long a stop waits for gateways that do not acknowledge outcomes.
+constexpr common::duration acknowledgement_limit = std::chrono::milliseconds{500};
 constexpr const char* configuration_condition = "configuration";
 constexpr const char* listener_condition = "listener";
 
@@ -150,12 +152,15 @@
     http::server_options ready;
     ready.listen = http::parse_endpoint(values.get(gateway_settings::ready_listen));
     children.push_back(http::make_server("ready", ready, make_ready_handler(health)));
-    children.push_back({"peers", [=](runtime::task_context it) {
-                            return std::make_shared<peers>(
-                                std::move(it), peers_inbox,
-                                runtime::address<forwarder_message>{forwarder_inbox},
-                                runtime::address<dispatcher_message>{dispatcher_inbox}, self);
-                        }});
+    runtime::child_spec peers_child{
+        "peers", [=](runtime::task_context it) {
+            return std::make_shared<peers>(std::move(it), peers_inbox,
+                                           runtime::address<forwarder_message>{forwarder_inbox},
+                                           runtime::address<dispatcher_message>{dispatcher_inbox},
+                                           self);
+        }};
+    peers_child.stop_timeout = acknowledgement_limit;
+    children.push_back(std::move(peers_child));
     children.push_back({"dispatcher", [=](runtime::task_context it) {
                             return std::make_shared<dispatcher>(
                                 std::move(it), dispatcher_inbox,
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -72,6 +72,12 @@
     order_outcome outcome;
 };
 
+/// The gateway that placed an order has received its outcome. Sent only to a gateway that is
+/// leaving, which waits for it before it exits.
+struct outcome_acknowledged {
+    order_key key;
+};
+
 struct gateways_changed {
     std::vector<gateway_record> gateways;
 };
--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers.cpp
@@ -16,7 +16,7 @@
              const peer_limits& limits)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_forwarder{std::move(forwarder)},
       m_dispatcher{std::move(dispatcher)}, m_self{std::move(self)}, m_limits{limits},
-      m_timer{m_context.loop()} {}
+      m_timer{m_context.loop()}, m_stop_timer{m_context.loop()} {}
 
 void peers::start() {
     m_router = std::make_unique<wire::router>(
@@ -31,9 +31,30 @@
     tick();
 }
 
+void peers::stop(const runtime::stop_done& done) {
+    m_stop_done = done;
+    continue_stop();
+}
+
+void peers::continue_stop() {
+    std::erase_if(m_unacknowledged, [this](const auto& it) { return !is_live(it.first.origin); });
+    if (m_unacknowledged.empty()) {
+        if (const auto stopped = std::exchange(m_stop_done, {})) {
+            stopped();
+        }
+        return;
+    }
+    for (const auto& [key, outcome] : m_unacknowledged) {
+        send_to(key.origin, order_finished{key, outcome});
+    }
+    m_stop_timer.start(m_limits.acknowledgement_interval,
+                       m_context.wrap([this] { continue_stop(); }));
+}
+
 void peers::close() noexcept {
     m_inbox.close();
     m_timer.cancel();
+    m_stop_timer.cancel();
     m_peers.clear();
     m_router.reset();
 }
@@ -184,7 +205,8 @@
                 using content_type = std::decay_t<decltype(it)>;
                 if constexpr (std::is_same_v<content_type, wire::gateway_ping>) {
                     return true;
-                } else if constexpr (std::is_same_v<content_type, order_finished>) {
+                } else if constexpr (std::is_same_v<content_type, order_finished> ||
+                                     std::is_same_v<content_type, outcome_acknowledged>) {
                     handle(it);
                     return true;
                 } else if constexpr (std::is_same_v<content_type, backlog_report>) {
@@ -245,6 +267,9 @@
     if (!message.key.origin.empty() && message.key.origin != m_self.name) {
         // If this message is lost, the origin resends the order to get the outcome.
         send_to(message.key.origin, message);
+        if (m_leaving) {
+            m_unacknowledged[message.key] = message.outcome;
+        }
         return;
     }
     const auto it = m_pending.find(message.key.number);
@@ -254,6 +279,13 @@
     }
 }
 
+void peers::handle(const outcome_acknowledged& message) {
+    m_unacknowledged.erase(message.key);
+    if (m_stop_done && m_unacknowledged.empty()) {
+        continue_stop();
+    }
+}
+
 void peers::message_received(const std::string& bytes) {
     const auto now = common::monotonic_clock::now();
     wire::gateway_message message;
@@ -277,6 +309,11 @@
                 update_live();
             } else if constexpr (std::is_same_v<content_type, order_finished>) {
                 handle(it);
+                if (from->second.leaving) {
+                    send_to(message.sender, outcome_acknowledged{{m_self.name, it.key.number}});
+                }
+            } else if constexpr (std::is_same_v<content_type, outcome_acknowledged>) {
+                handle(it);
             } else if constexpr (std::is_same_v<content_type, backlog_report>) {
                 m_forwarder.send(it);
             } else {
--- a/source/core/gateway/peers.h
+++ b/source/core/gateway/peers.h
@@ -22,6 +22,8 @@
     common::duration silence_limit = std::chrono::milliseconds{1600};
     /// An order without an outcome is resent after this time.
     common::duration resend_interval = std::chrono::milliseconds{1500};
+    /// An outcome that is not acknowledged is resent after this time during a stop.
+    common::duration acknowledgement_interval = std::chrono::milliseconds{100};
 };
 
 /// Links to the other gateways. Sends orders to the owner of their service and resends them until
@@ -34,6 +36,8 @@
           const peer_limits& limits = {});
 
     void start() override;
+    /// Waits until the other gateways have acknowledged the outcomes of their orders.
+    void stop(const runtime::stop_done& done) override;
     void close() noexcept override;
     [[nodiscard]] boost::json::value dump() const override;
 
@@ -62,6 +66,7 @@
     void handle(const gateways_changed& message);
     void handle(const shutdown_started& message);
     void handle(const backlog_report& message);
+    void handle(const outcome_acknowledged& message);
 
     void message_received(const std::string& bytes);
     void tick();
@@ -74,6 +79,8 @@
     /// Assigns the orders of dead owners to the current owners.
     void reassign_orders();
     [[nodiscard]] bool is_live(const std::string& name) const;
+    /// Resends the outcomes that are not acknowledged yet. Ends the stop if there are none.
+    void continue_stop();
     /// Sends to a gateway by name. Messages to this gateway go to the mailbox of its own
     /// dispatcher.
     bool send_to(const std::string& name, const wire::gateway_content& content);
@@ -91,7 +98,11 @@
     std::vector<std::string> m_owners;
     bool m_leaving = false;
     std::map<std::uint64_t, pending_order> m_pending;
+    /// Outcomes that were sent since this gateway began to leave.
+    std::map<order_key, order_outcome> m_unacknowledged;
     runtime::timer m_timer;
+    runtime::timer m_stop_timer;
+    runtime::stop_done m_stop_done;
     logging::logger m_log{"peers"};
 };
 
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -65,6 +65,11 @@
     }
 }
 
+void to_proto(pb::gateway_envelope& to, const gateway::outcome_acknowledged& from,
+              common::time_point /*now*/) {
+    to.mutable_acknowledgement()->set_number(from.key.number);
+}
+
 void to_proto(pb::gateway_envelope& to, const gateway::backlog_report& from,
               common::time_point /*now*/) {
     for (const auto& it : from.services) {
@@ -164,6 +169,10 @@
     case pb::gateway_envelope::kBacklog:
         result.content = backlogs_from_proto(envelope);
         return result;
+    case pb::gateway_envelope::kAcknowledgement:
+        result.content = gateway::outcome_acknowledged{
+            {envelope.sender(), envelope.acknowledgement().number()}};
+        return result;
     case pb::gateway_envelope::CONTENT_NOT_SET:
         break;
     }
--- a/source/core/wire/gateway_codec.h
+++ b/source/core/wire/gateway_codec.h
@@ -20,7 +20,8 @@
 
 using gateway_content =
     std::variant<gateway_ping, gateway::piece_order, gateway::cancel_order,
-                 gateway::release_results, gateway::order_finished, gateway::backlog_report>;
+                 gateway::release_results, gateway::order_finished, gateway::backlog_report,
+                 gateway::outcome_acknowledged>;
 
 /// A message from one gateway to another.
 struct gateway_message {
@@ -34,7 +35,8 @@
 /// two processes are not related.
 std::string encode(const gateway_message& message, common::time_point now);
 
-/// Decodes a message. Orders and their cancellations get the sender as origin of their key. Throws
+/// Decodes a message. Orders, their cancellations and acknowledgements get the sender as origin of
+/// their key. Throws
 /// `common::format_error` if the bytes are malformed, the message has no content or the status of
 /// an order is unknown.
 gateway_message decode_gateway_message(std::string_view bytes, common::time_point now);
--- a/tests/unit/wire/gateway_codec_test.cpp
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -62,6 +62,13 @@
     BOOST_TEST(read.services[0].busy == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(acknowledgement_when_decoded_names_the_sender_as_origin) {
+    const auto message = round_trip(gateway::outcome_acknowledged{{"", 9}});
+    const auto& read = std::get<gateway::outcome_acknowledged>(message.content);
+    BOOST_TEST(read.key.origin == "g1");
+    BOOST_TEST(read.key.number == 9U);
+}
+
 BOOST_AUTO_TEST_CASE(gateway_message_when_bytes_are_malformed_throws_format_error) {
     BOOST_CHECK_THROW(wire::decode_gateway_message("\xff\xff\xff", receiver_now),
                       common::format_error);
