--- a/source/core/gateway/attempt_decision.cpp
+++ b/source/core/gateway/attempt_decision.cpp
@@ -12,12 +12,14 @@
 
 } // namespace
 
+bool is_certainly_not_run(attempt_end end) {
+    return end == attempt_end::not_sent || end == attempt_end::refused ||
+           end == attempt_end::input_gone;
+}
+
 next_step decide_next_step(const attempt_facts& facts) {
-    const bool certainly_not_run = facts.end == attempt_end::not_sent ||
-                                   facts.end == attempt_end::refused ||
-                                   facts.end == attempt_end::input_gone;
     const bool can_send = facts.time_left && facts.sends < max_sends && facts.budget_left;
-    if (certainly_not_run) {
+    if (is_certainly_not_run(facts.end)) {
         if (can_send && facts.end == attempt_end::input_gone) {
             return next_step::remake_inputs;
         }
--- a/source/core/gateway/attempt_decision.h
+++ b/source/core/gateway/attempt_decision.h
@@ -62,6 +62,9 @@
 /// Limit on sends of a request that no upstream runs.
 inline constexpr unsigned max_sends = 4;
 
+/// Whether an attempt with this end has certainly not run and never will.
+bool is_certainly_not_run(attempt_end end);
+
 /// Decides what follows the end of an attempt. A request that may have run is sent again only if
 /// its kind and the route's maximum number of attempts allow it.
 next_step decide_next_step(const attempt_facts& facts);
--- /dev/null
+++ b/source/core/gateway/exchange.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gateway/caller_request.h"
+#include "gateway/configuration.h"
+#include "gateway/event_relay.h"
+#include "gateway/stage_progress.h"
+#include "gateway/upstream_attempt.h"
+#include "http/server.h"
+#include "runtime/executor.h"
+
+namespace jujubemast::gateway {
+
+/// Times of one request, for its log line.
+struct exchange_times {
+    common::time_point arrived;
+    std::optional<common::time_point> first_sent;
+    std::optional<common::time_point> first_byte;
+    std::optional<common::time_point> first_event;
+    common::time_point last_event;
+    common::duration longest_event_gap = common::duration::zero();
+};
+
+/// The stages of one request that are in progress or still to come.
+struct exchange_stages {
+    /// An order in progress for the pieces of a stage.
+    struct order {
+        std::uint32_t stage = 0;
+        common::time_point sent;
+        common::duration expected = common::duration::zero();
+    };
+
+    stage_progress progress;
+    /// Stages that have not been ordered yet.
+    std::set<std::uint32_t> upcoming;
+    /// When the first of the results expires.
+    std::optional<common::time_point> results_expire_at;
+    /// By order number.
+    std::map<std::uint64_t, order> orders;
+    /// The basis of the admission decision: expected and allowed time of the stages.
+    common::duration expected = common::duration::zero();
+    common::duration allowed = common::duration::zero();
+};
+
+/// A caller's request in progress, from its arrival to the end of its response.
+struct exchange {
+    std::uint64_t id = 0;
+    caller_request request;
+    http::responder reply;
+    /// Keeps the matched route alive while the configuration changes.
+    configuration_pointer configuration;
+    const route* matched_route = nullptr;
+    std::string service;
+    std::string workspace;
+    int priority = 0;
+
+    exchange_times times;
+    common::time_point response_deadline;
+    /// A first event of a stream after this time is useless to the caller. The request ends at this
+    /// time unless the relay of a stream has begun.
+    common::time_point first_event_deadline;
+    std::unique_ptr<runtime::timer> deadline_timer;
+
+    exchange_stages stages;
+    std::unique_ptr<runtime::timer> input_release_timer;
+
+    /// Events of the stream that have reached the caller. Outlives the attempts.
+    event_relay events;
+    /// The response to the caller has begun.
+    bool relaying = false;
+    /// The current attempt, or the last one.
+    std::unique_ptr<upstream_attempt> attempt;
+    /// Number of sends, and of those that may have run.
+    unsigned sends = 0;
+    unsigned possible_runs = 0;
+    /// Ids of the instances that have been tried.
+    std::vector<std::string> tried;
+
+    [[nodiscard]] bool is_sent() const { return attempt && attempt->in_progress(); }
+
+    /// Id of the instance of the last attempt, or an empty string.
+    [[nodiscard]] std::string upstream_id() const {
+        return attempt ? attempt->member()->identity.id : std::string{};
+    }
+};
+
+} // namespace jujubemast::gateway
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -128,7 +128,7 @@
     return *pool;
 }
 
-forwarder::exchange* forwarder::find(std::uint64_t id) {
+exchange* forwarder::find(std::uint64_t id) {
     const auto it = m_exchanges.find(id);
     return it == m_exchanges.end() ? nullptr : it->second.get();
 }
@@ -139,7 +139,7 @@
     auto& added = *slot;
     added.id = message.id;
     added.reply = message.reply;
-    added.arrived = common::monotonic_clock::now();
+    added.times.arrived = common::monotonic_clock::now();
     added.configuration = m_configuration;
     try {
         added.request = m_adapter->decode_request(message.message);
@@ -193,29 +193,30 @@
 }
 
 void forwarder::admit(exchange& ex) {
-    const auto deadline = ex.arrived + ex.request.deadline.value_or(default_deadline);
+    const auto deadline = ex.times.arrived + ex.request.deadline.value_or(default_deadline);
     ex.response_deadline =
-        std::min(deadline - response_margin, ex.arrived + ex.matched_route->timeout);
+        std::min(deadline - response_margin, ex.times.arrived + ex.matched_route->timeout);
     ex.first_event_deadline = ex.response_deadline;
     if (ex.matched_route->kind == repeatability::stream) {
         ex.first_event_deadline =
             std::min(ex.response_deadline,
-                     ex.arrived + first_event_timeout(*ex.matched_route) - response_margin);
+                     ex.times.arrived + first_event_timeout(*ex.matched_route) - response_margin);
     }
     limit_to_stop(ex);
     ex.deadline_timer = std::make_unique<runtime::timer>(m_context.loop());
     start_deadline_timer(ex);
     ex.events = event_relay{ex.request.last_event};
-    ex.stages = stage_progress{ex.matched_route->stages, ex.request.piece_counts};
+    ex.stages.progress = stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     pool_of(ex.service).budget().record_first_attempt();
-    ex.expected_stages = expected_stages(ex);
+    ex.stages.expected = expected_stages(ex);
     // A late response takes capacity from responses that could be on time.
-    ex.allowed_stages = std::min(std::chrono::duration_cast<common::duration>(
-                                     (ex.first_event_deadline - ex.arrived) * admission_share),
-                                 ex.matched_route->latency_target);
-    if (ex.expected_stages > ex.allowed_stages) {
+    ex.stages.allowed =
+        std::min(std::chrono::duration_cast<common::duration>(
+                     (ex.first_event_deadline - ex.times.arrived) * admission_share),
+                 ex.matched_route->latency_target);
+    if (ex.stages.expected > ex.stages.allowed) {
         refuse(ex, status_unavailable, "stages overloaded",
-               overload_retry_after(ex.expected_stages - ex.allowed_stages));
+               overload_retry_after(ex.stages.expected - ex.stages.allowed));
         return;
     }
     if (results_would_expire(ex)) {
@@ -265,11 +266,10 @@
         return;
     }
     const bool may_have_run = ex->possible_runs > 0;
-    const bool stalled = is_stalled(*ex);
+    const bool stalled = ex->attempt && ex->attempt->is_stalled();
     if (stalled) {
-        pool_of(ex->service).record_failure(*ex->member, now);
+        pool_of(ex->service).record_failure(*ex->attempt->member(), now);
     }
-    cancel_call(*ex);
     if (ex->relaying) {
         ex->reply.abort();
         finish(*ex, request_end::timed_out, 0,
@@ -291,7 +291,6 @@
     if (ex == nullptr) {
         return;
     }
-    cancel_call(*ex);
     finish(*ex, request_end::caller_left, 0, "the caller closed its connection");
 }
 
@@ -326,8 +325,7 @@
 void forwarder::finish(exchange& ex, request_end end, unsigned status, const std::string& reason) {
     cancel_orders(ex);
     release_inputs(ex);
-    clear_body(ex);
-    const auto took = common::monotonic_clock::now() - ex.arrived;
+    const auto took = common::monotonic_clock::now() - ex.times.arrived;
     const auto kind =
         ex.matched_route != nullptr ? ex.matched_route->kind : repeatability::non_idempotent;
     m_metrics.record_end(kind, end, took);
@@ -343,27 +341,27 @@
                     : std::string{};
     };
     const auto since_arrival = [&](std::optional<common::time_point> time) {
-        return time ? in_ms(*time - ex.arrived) : std::string{};
+        return time ? in_ms(*time - ex.times.arrived) : std::string{};
     };
     const logging::fields values{
         {"attempt", ex.request.attempt_id},
         {"route", ex.matched_route != nullptr ? ex.matched_route->name : ""},
         {"workspace", ex.workspace},
         {"service", ex.service},
-        {"upstream", ex.member ? ex.member->identity.id : ""},
+        {"upstream", ex.upstream_id()},
         {"configuration", std::to_string(ex.configuration ? ex.configuration->version : 0)},
         {"configuration_age_ms", in_ms(configuration_age())},
         {"end", std::string{common::to_name(end)}},
         {"status", std::to_string(status)},
-        {"expected_ms", in_ms(ex.expected_stages)},
-        {"allowed_ms", in_ms(ex.allowed_stages)},
+        {"expected_ms", in_ms(ex.stages.expected)},
+        {"allowed_ms", in_ms(ex.stages.allowed)},
         {"backlog_age_ms", in_ms(backlog_age(ex))},
         {"sends", std::to_string(ex.sends)},
         {"runs", std::to_string(ex.possible_runs)},
-        {"sent_ms", since_arrival(ex.first_sent_at)},
-        {"first_byte_ms", since_arrival(ex.first_byte_at)},
-        {"first_event_ms", since_arrival(ex.first_event_at)},
-        {"longest_pause_ms", in_ms(ex.longest_event_gap)},
+        {"sent_ms", since_arrival(ex.times.first_sent)},
+        {"first_byte_ms", since_arrival(ex.times.first_byte)},
+        {"first_event_ms", since_arrival(ex.times.first_event)},
+        {"longest_pause_ms", in_ms(ex.times.longest_event_gap)},
         {"ms", in_ms(took)},
         {"reason", reason}};
     // When log lines are dropped under overload, those of served requests go first.
@@ -389,9 +387,9 @@
         requests.emplace_back(
             boost::json::object{{"attempt", it->request.attempt_id},
                                 {"service", it->service},
-                                {"age_ms", common::to_milliseconds(now - it->arrived)},
-                                {"upstream", it->member ? it->member->identity.id : ""},
-                                {"orders", it->orders.size()}});
+                                {"age_ms", common::to_milliseconds(now - it->times.arrived)},
+                                {"upstream", it->upstream_id()},
+                                {"orders", it->stages.orders.size()}});
     }
     boost::json::object pools;
     for (const auto& [name, it] : m_pools) {
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -6,21 +6,19 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "common/enum_names.h"
 #include "common/random.h"
 #include "gateway/adapter.h"
 #include "gateway/attempt_decision.h"
 #include "gateway/estimate_bias.h"
-#include "gateway/event_relay.h"
+#include "gateway/exchange.h"
 #include "gateway/forwarder_metrics.h"
 #include "gateway/messages.h"
 #include "gateway/service_pool.h"
-#include "gateway/stage_progress.h"
+#include "gateway/upstream_attempt.h"
 #include "logging/logger.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
@@ -62,62 +60,6 @@
     [[nodiscard]] boost::json::value dump() const override;
 
 private:
-    /// A request in progress, from its arrival to the end of its response.
-    struct exchange {
-        std::uint64_t id = 0;
-        caller_request request;
-        http::responder reply;
-        /// Keeps the matched route alive while the configuration changes.
-        configuration_pointer configuration;
-        const route* matched_route = nullptr;
-        std::string service;
-        std::string workspace;
-        int priority = 0;
-        common::time_point arrived;
-        common::time_point response_deadline;
-        /// A first event of a stream after this time is useless to the caller. The request ends at
-        /// this time unless the relay of a stream has begun.
-        common::time_point first_event_deadline;
-        /// The basis of the admission decision: expected and allowed time of the stages.
-        common::duration expected_stages = common::duration::zero();
-        common::duration allowed_stages = common::duration::zero();
-        std::unique_ptr<runtime::timer> deadline_timer;
-        /// Limits one attempt of a request that may be repeated.
-        std::unique_ptr<runtime::timer> attempt_timer;
-        /// Limits the body of a response that reports a failure.
-        std::unique_ptr<runtime::timer> failure_timer;
-        std::unique_ptr<runtime::timer> input_release_timer;
-
-        stage_progress stages;
-        /// Stages that have not been ordered yet.
-        std::set<std::uint32_t> upcoming;
-        std::optional<common::time_point> inputs_expire_at;
-        /// An order in progress for the pieces of a stage.
-        struct stage_order {
-            std::uint32_t stage = 0;
-            common::time_point sent;
-            common::duration expected = common::duration::zero();
-        };
-        std::map<std::uint64_t, stage_order> orders;
-
-        std::shared_ptr<pool_member> member;
-        http::call_id call = 0;
-        common::time_point sent_at;
-        std::optional<common::time_point> first_sent_at;
-        std::optional<common::time_point> first_byte_at;
-        std::optional<common::time_point> first_event_at;
-        common::time_point last_event_at;
-        common::duration longest_event_gap = common::duration::zero();
-        unsigned sends = 0;
-        unsigned possible_runs = 0;
-        std::vector<std::string> tried;
-        response_head head;
-        http::headers head_fields;
-        std::string body;
-        event_relay events;
-        bool relaying = false;
-    };
-
     void handle(const discovery_update& message);
     void handle(const configuration_confirmed& message);
     void handle(const request_received& message);
@@ -179,25 +121,16 @@
     void release_inputs(exchange& ex);
 
     void send(exchange& ex);
-    http::call_hooks make_hooks(std::uint64_t id);
-    void head_received(exchange& ex, unsigned status, const http::headers& fields);
-    void body_received(exchange& ex, std::string_view bytes);
-    /// Buffers a part of a response that is passed on as a whole.
-    void buffer_body(exchange& ex, std::string_view bytes);
-    void clear_body(exchange& ex);
-    /// Limits the wait for the body of a failure. The body does not affect the decision.
-    void start_failure_timer(exchange& ex);
-    void relay_events(exchange& ex, std::string_view bytes);
-    /// Ends the attempt because its response is invalid or incomplete.
-    void reject_response(exchange& ex, const std::string& reason);
-    /// Returns how an attempt ended whose request was sent and whose response is not complete.
-    static attempt_end classify_incomplete_response(const exchange& ex);
-    /// Whether the response has started but its body, or the current event, is incomplete.
-    static bool is_stalled(const exchange& ex);
-    void response_completed(exchange& ex);
+    [[nodiscard]] attempt_hooks make_hooks(std::uint64_t id);
+    void head_received(exchange& ex, const attempt_response& response);
+    void events_received(exchange& ex, std::string events);
+    void answered(exchange& ex, const attempt_response& response);
+    void attempt_failed(exchange& ex, const attempt_failure& failure);
+    /// Decides what follows the end of an attempt, or of a stage, and does it.
     void attempt_ended(exchange& ex, attempt_end end, const std::string& detail);
-    void cancel_call(exchange& ex);
-    void start_attempt_timer(exchange& ex);
+    void restart_stages(exchange& ex);
+    /// How long the upstream may take, if the request may be repeated at another one.
+    [[nodiscard]] static std::optional<common::duration> attempt_time_limit(const exchange& ex);
     /// Releases the inputs after the time in which an engine that starts at once reads them.
     void schedule_input_release(exchange& ex);
     [[nodiscard]] std::uint64_t prefix_of(const exchange& ex) const;
@@ -223,9 +156,8 @@
     std::optional<common::time_point> m_configuration_confirmed;
     upstream_map_pointer m_upstreams;
     std::map<std::string, std::unique_ptr<service_pool>> m_pools;
+    body_budget m_bodies;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
-    /// Bytes of buffered bodies of all requests.
-    std::size_t m_buffered_bytes = 0;
     /// Maps the number of each order to the id of its request.
     std::map<std::uint64_t, std::uint64_t> m_orders;
     std::uint64_t m_next_order;
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/forwarder_stages.cpp
@@ -26,13 +26,13 @@
 
 void forwarder::advance_stages(exchange& ex) {
     const auto defer = [&](std::uint32_t stage) { return should_defer(ex, stage); };
-    for (const auto stage : ex.stages.take_ready(defer)) {
+    for (const auto stage : ex.stages.progress.take_ready(defer)) {
         if (!order_stage(ex, stage)) {
             refuse(ex, status_unavailable, "too many orders wait at this instance");
             return;
         }
     }
-    if (ex.stages.done()) {
+    if (ex.stages.progress.done()) {
         send(ex);
     }
 }
@@ -41,9 +41,9 @@
     if (ex.matched_route->stages[stage].result_bytes < large_result_bytes) {
         return false;
     }
-    const auto spare = ex.arrived + ex.matched_route->latency_target -
-                       common::monotonic_clock::now() - ex.expected_stages - engine_start_time;
-    return ex.stages.can_defer(stage, spare, [&](std::uint32_t n, common::duration start) {
+    const auto spare = ex.times.arrived + ex.matched_route->latency_target -
+                       common::monotonic_clock::now() - ex.stages.expected - engine_start_time;
+    return ex.stages.progress.can_defer(stage, spare, [&](std::uint32_t n, common::duration start) {
         return expected_stage(ex, n, start);
     });
 }
@@ -95,7 +95,7 @@
             backlog.waiting[priority] += pieces * m_gateway_count;
         }
     }
-    return expected_delay(limits, backlog, ex.priority, ex.stages.count_of(stage), start);
+    return expected_delay(limits, backlog, ex.priority, ex.stages.progress.count_of(stage), start);
 }
 
 common::duration forwarder::expected_stage(const exchange& ex, std::uint32_t stage,
@@ -106,41 +106,42 @@
 }
 
 common::duration forwarder::expected_stages(const exchange& ex) const {
-    return ex.stages.critical_path_end({}, common::duration::zero(),
-                                       [&](std::uint32_t stage, common::duration start) {
-                                           return expected_stage(ex, stage, start);
-                                       });
+    return ex.stages.progress.critical_path_end({}, common::duration::zero(),
+                                                [&](std::uint32_t stage, common::duration start) {
+                                                    return expected_stage(ex, stage, start);
+                                                });
 }
 
 common::duration forwarder::expected_after(const exchange& ex, std::uint32_t stage) const {
     const auto made = expected_stage(ex, stage, common::duration::zero());
-    return ex.stages.critical_path_end(stage, made,
-                                       [&](std::uint32_t later, common::duration start) {
-                                           return expected_stage(ex, later, start);
-                                       }) -
+    return ex.stages.progress.critical_path_end(stage, made,
+                                                [&](std::uint32_t later, common::duration start) {
+                                                    return expected_stage(ex, later, start);
+                                                }) -
            made;
 }
 
 void forwarder::record_upcoming(exchange& ex) {
     for (std::uint32_t n = 0; n < ex.matched_route->stages.size(); ++n) {
-        if (ex.stages.count_of(n) > 0) {
-            ex.upcoming.insert(n);
-            m_upcoming[ex.matched_route->stages[n].service][ex.priority] += ex.stages.count_of(n);
+        if (ex.stages.progress.count_of(n) > 0) {
+            ex.stages.upcoming.insert(n);
+            m_upcoming[ex.matched_route->stages[n].service][ex.priority] +=
+                ex.stages.progress.count_of(n);
         }
     }
 }
 
 void forwarder::remove_upcoming(exchange& ex, std::uint32_t stage) {
-    if (ex.upcoming.erase(stage) > 0) {
+    if (ex.stages.upcoming.erase(stage) > 0) {
         m_upcoming[ex.matched_route->stages[stage].service][ex.priority] -=
-            ex.stages.count_of(stage);
+            ex.stages.progress.count_of(stage);
     }
 }
 
 bool forwarder::results_would_expire(const exchange& ex) const {
     const auto& stages = ex.matched_route->stages;
     for (std::uint32_t n = 0; n < stages.size(); ++n) {
-        if (ex.stages.count_of(n) == 0) {
+        if (ex.stages.progress.count_of(n) == 0) {
             continue;
         }
         const auto wait = expected_stage(ex, n, common::duration::zero());
@@ -161,7 +162,7 @@
     double input_bytes = 0;
     for (const auto n : spec.dependencies) {
         input_bytes += ex.matched_route->stages[n].result_bytes *
-                       ex.stages.count_of(static_cast<std::uint32_t>(n));
+                       ex.stages.progress.count_of(static_cast<std::uint32_t>(n));
     }
     if (input_bytes >= large_transfer_bytes && m_upstreams && !inputs.empty()) {
         const auto instance_address = inputs.front().substr(0, inputs.front().find('/'));
@@ -171,7 +172,7 @@
             });
         return it == m_upstreams->end() ? std::string{} : it->second.failure_domain;
     }
-    if (ex.stages.is_last(stage) && spec.result_bytes >= large_transfer_bytes) {
+    if (ex.stages.progress.is_last(stage) && spec.result_bytes >= large_transfer_bytes) {
         const auto reader = pool_of(ex.service).affinity_member(prefix_of(ex));
         return reader ? reader->identity.failure_domain : std::string{};
     }
@@ -186,21 +187,21 @@
     order.attempt_id = ex.request.attempt_id;
     order.service = spec.service;
     order.stage = stage;
-    order.count = ex.stages.count_of(stage);
-    order.inputs = ex.stages.inputs_of(stage);
-    order.inputs_to_release = ex.stages.sole_input_service(stage);
+    order.count = ex.stages.progress.count_of(stage);
+    order.inputs = ex.stages.progress.inputs_of(stage);
+    order.inputs_to_release = ex.stages.progress.sole_input_service(stage);
     order.input_key = order.inputs.empty() ? ex.request.piece_key : std::string{};
     order.priority = ex.priority;
     remove_upcoming(ex, stage);
     order.result_bytes = spec.result_bytes;
     order.preferred_domain = preferred_domain(ex, stage, order.inputs);
-    order.target_time = ex.arrived + ex.matched_route->latency_target - later;
+    order.target_time = ex.times.arrived + ex.matched_route->latency_target - later;
     order.deadline = ex.first_event_deadline - later;
-    if (ex.inputs_expire_at && !order.inputs.empty()) {
-        order.deadline = std::min(order.deadline, *ex.inputs_expire_at);
+    if (ex.stages.results_expire_at && !order.inputs.empty()) {
+        order.deadline = std::min(order.deadline, *ex.stages.results_expire_at);
     }
-    ex.orders[order.key.number] = {stage, common::monotonic_clock::now(),
-                                   raw_expected_stage(ex, stage, common::duration::zero())};
+    ex.stages.orders[order.key.number] = {stage, common::monotonic_clock::now(),
+                                          raw_expected_stage(ex, stage, common::duration::zero())};
     m_orders[order.key.number] = ex.id;
     return m_peers.send(order);
 }
@@ -215,17 +216,17 @@
     if (ex == nullptr) {
         return;
     }
-    const auto order = ex->orders.at(message.number);
+    const auto order = ex->stages.orders.at(message.number);
     const auto stage = order.stage;
     const auto now = common::monotonic_clock::now();
-    ex->orders.erase(message.number);
+    ex->stages.orders.erase(message.number);
     switch (message.outcome.status) {
     case order_status::made:
         m_biases[{ex->matched_route->stages[stage].service, ex->priority}].record(
             order.expected, now - order.sent, now);
         record_result_expiry(*ex, stage);
-        ex->stages.complete(stage, message.outcome.handles);
-        for (auto& releasable : ex->stages.take_releasable(false)) {
+        ex->stages.progress.complete(stage, message.outcome.handles);
+        for (auto& releasable : ex->stages.progress.take_releasable(false)) {
             m_peers.send(
                 release_results{std::move(releasable.service), std::move(releasable.handles)});
         }
@@ -253,21 +254,21 @@
         return;
     }
     const auto expiry = common::monotonic_clock::now() + known->second.pieces->result_lifetime;
-    ex.inputs_expire_at = std::min(ex.inputs_expire_at.value_or(expiry), expiry);
+    ex.stages.results_expire_at = std::min(ex.stages.results_expire_at.value_or(expiry), expiry);
 }
 
 void forwarder::cancel_orders(exchange& ex) {
-    while (!ex.upcoming.empty()) {
-        remove_upcoming(ex, *ex.upcoming.begin());
+    while (!ex.stages.upcoming.empty()) {
+        remove_upcoming(ex, *ex.stages.upcoming.begin());
     }
-    for (const auto& [number, order] : std::exchange(ex.orders, {})) {
+    for (const auto& [number, order] : std::exchange(ex.stages.orders, {})) {
         m_orders.erase(number);
         m_peers.send(cancel_order{ex.matched_route->stages[order.stage].service, {"", number}});
     }
 }
 
 void forwarder::release_inputs(exchange& ex) {
-    for (auto& releasable : ex.stages.take_releasable(true)) {
+    for (auto& releasable : ex.stages.progress.take_releasable(true)) {
         m_peers.send(release_results{std::move(releasable.service), std::move(releasable.handles)});
     }
 }
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -154,10 +154,9 @@
     children.push_back(http::make_server("ready", ready, make_ready_handler(health)));
     runtime::child_spec peers_child{
         "peers", [=](runtime::task_context it) {
-            return std::make_shared<peers>(std::move(it), peers_inbox,
-                                           runtime::address<forwarder_message>{forwarder_inbox},
-                                           runtime::address<dispatcher_message>{dispatcher_inbox},
-                                           self);
+            return std::make_shared<peers>(
+                std::move(it), peers_inbox, runtime::address<forwarder_message>{forwarder_inbox},
+                runtime::address<dispatcher_message>{dispatcher_inbox}, self);
         }};
     peers_child.stop_timeout = acknowledgement_limit;
     children.push_back(std::move(peers_child));
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -94,10 +94,9 @@
     common::time_point deadline;
 };
 
-using forwarder_message =
-    std::variant<discovery_update, configuration_confirmed, request_received, caller_disconnected,
-                 order_ended, gateway_count_changed, backlog_report, shutdown_started,
-                 admin::metrics_query>;
+using forwarder_message = std::variant<discovery_update, configuration_confirmed, request_received,
+                                       caller_disconnected, order_ended, gateway_count_changed,
+                                       backlog_report, shutdown_started, admin::metrics_query>;
 
 using peers_message = std::variant<piece_order, cancel_order, release_results, order_finished,
                                    gateways_changed, backlog_report, shutdown_started>;
--- /dev/null
+++ b/source/core/gateway/upstream_attempt.cpp
@@ -0,0 +1,220 @@
+#include "gateway/upstream_attempt.h"
+
+#include <utility>
+
+#include "gateway/statuses.h"
+
+namespace jujubemast::gateway {
+
+namespace {
+
+// Largest response that is buffered and passed on as a whole.
+constexpr std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t max_failure_bytes = std::size_t{256} * 1024;
+// Limit for the buffered bodies of all requests together. Beyond it only bodies of up to
+// `small_response_bytes` are buffered, so that large responses do not crowd out the others.
+constexpr std::size_t max_buffered_bytes = std::size_t{32} * 1024 * 1024;
+constexpr std::size_t small_response_bytes = std::size_t{64} * 1024;
+// A stream is relayed event by event without buffering, and the deadline bounds its length.
+constexpr std::size_t max_stream_bytes = std::size_t{1024} * 1024 * 1024;
+// Time limit for the body of a response that reports a failure.
+constexpr common::duration failure_body_time = std::chrono::seconds{1};
+
+bool is_success(unsigned status) {
+    return status >= 200 && status < 300;
+}
+
+/// Whether the head alone states that the request has not run.
+bool is_refusal(const response_head& head) {
+    return head.not_run && !is_success(head.status);
+}
+
+} // namespace
+
+bool body_budget::reserve(std::size_t held, std::size_t added) {
+    if (held + added > small_response_bytes && m_buffered + added > max_buffered_bytes) {
+        return false;
+    }
+    m_buffered += added;
+    return true;
+}
+
+upstream_attempt::upstream_attempt(const runtime::task_context& context,
+                                   const adapter& platform_adapter,
+                                   std::shared_ptr<pool_member> member, event_relay& events,
+                                   body_budget& budget, attempt_options options,
+                                   attempt_hooks hooks)
+    : m_context{context}, m_adapter{platform_adapter}, m_member{std::move(member)},
+      m_events{events}, m_budget{budget}, m_options{std::move(options)}, m_hooks{std::move(hooks)},
+      m_time_limit{context.loop()}, m_failure_timer{context.loop()} {}
+
+upstream_attempt::~upstream_attempt() {
+    cancel();
+    m_budget.release(m_response.body.size());
+}
+
+void upstream_attempt::start(const http::request& message) {
+    m_sent_at = common::monotonic_clock::now();
+    ++m_member->in_progress;
+    http::call_options call;
+    // Only an idempotent request may use an idle connection: if that turns out to be closed, it is
+    // unknown whether the server has read the request.
+    call.idempotent = m_options.kind == repeatability::idempotent;
+    // The client must not resend by itself: every send counts against the attempts and the retry
+    // budget.
+    call.retry_on_stale_connection = false;
+    call.max_body_bytes =
+        m_options.kind == repeatability::stream ? max_stream_bytes : max_response_bytes;
+    if (m_options.time_limit) {
+        m_time_limit.start(*m_options.time_limit, m_context.wrap([this] {
+            if (m_hooks.on_time_limit()) {
+                cancel();
+                fail({attempt_end::broken, "no answer within the attempt's limit"});
+            }
+        }));
+    }
+    http::call_hooks hooks;
+    hooks.on_head = [this](unsigned status, const http::headers& fields) {
+        head_received(status, fields);
+    };
+    hooks.on_data = [this](std::string_view bytes) { body_received(bytes); };
+    hooks.on_done = [this] { response_completed(); };
+    hooks.on_error = [this](const http::call_error& error) { call_failed(error); };
+    m_call = m_member->client->start(message, std::move(hooks), call);
+}
+
+void upstream_attempt::cancel() {
+    if (m_call == 0) {
+        return;
+    }
+    m_member->client->cancel(m_call);
+    release_connection();
+}
+
+void upstream_attempt::release_connection() {
+    m_call = 0;
+    --m_member->in_progress;
+}
+
+bool upstream_attempt::is_stalled() const {
+    if (m_call == 0 || m_response.head.status == 0) {
+        return false;
+    }
+    return !m_options.stream_begun || m_events.has_partial();
+}
+
+bool upstream_attempt::relays_events() const {
+    return m_options.kind == repeatability::stream && is_success(m_response.head.status);
+}
+
+void upstream_attempt::call_failed(const http::call_error& error) {
+    release_connection();
+    if (!error.sent) {
+        fail({attempt_end::not_sent, error.detail});
+        return;
+    }
+    reject_response(error.detail);
+}
+
+void upstream_attempt::head_received(unsigned status, const http::headers& fields) {
+    auto& head = m_response.head;
+    head = m_adapter.decode_response_head(status, fields);
+    m_response.fields = fields;
+    const bool success = is_success(status);
+    const bool mismatched = head.attempt_id != m_options.attempt_id;
+    if ((mismatched && !head.not_run) || (success && !head.has_signature)) {
+        reject_response(mismatched ? "the answer belongs to another request"
+                                   : "the answer is not signed");
+        return;
+    }
+    if (!success) {
+        start_failure_timer();
+        return;
+    }
+    m_options.stream_begun = m_options.stream_begun || relays_events();
+    if (const auto hook = m_hooks.on_head) {
+        hook(m_response);
+    }
+}
+
+void upstream_attempt::body_received(std::string_view bytes) {
+    if (relays_events()) {
+        relay_events(bytes);
+    } else {
+        buffer_body(bytes);
+    }
+}
+
+void upstream_attempt::buffer_body(std::string_view bytes) {
+    const auto held = m_response.body.size();
+    const bool success = is_success(m_response.head.status);
+    if (held + bytes.size() > (success ? max_response_bytes : max_failure_bytes)) {
+        reject_response("the body is too large");
+        return;
+    }
+    if (!m_budget.reserve(held, bytes.size())) {
+        reject_response("the bodies of all requests are too large");
+        return;
+    }
+    m_response.body += bytes;
+}
+
+void upstream_attempt::relay_events(std::string_view bytes) {
+    std::string complete_events;
+    const auto status = m_events.feed(bytes, complete_events);
+    if (!complete_events.empty()) {
+        m_hooks.on_events(std::move(complete_events));
+    }
+    if (status != relay_status::good) {
+        reject_response("event stream: " + std::string{common::to_name(status)});
+    }
+}
+
+void upstream_attempt::start_failure_timer() {
+    m_failure_timer.start(failure_body_time, m_context.wrap([this] {
+        reject_response("the body of a failure does not end");
+    }));
+}
+
+attempt_end upstream_attempt::classify_incomplete_response() const {
+    if (is_refusal(m_response.head)) {
+        return m_response.head.input_gone ? attempt_end::input_gone : attempt_end::refused;
+    }
+    return m_options.stream_begun ? attempt_end::broken_midway : attempt_end::broken;
+}
+
+void upstream_attempt::reject_response(const std::string& reason) {
+    cancel();
+    fail({classify_incomplete_response(), reason, true});
+}
+
+void upstream_attempt::response_completed() {
+    release_connection();
+    const auto& head = m_response.head;
+    if (head.not_run) {
+        fail({head.input_gone ? attempt_end::input_gone : attempt_end::refused,
+              "status " + std::to_string(head.status)});
+        return;
+    }
+    if (head.status >= status_first_error) {
+        fail({attempt_end::failed, "status " + std::to_string(head.status)});
+        return;
+    }
+    if (m_options.stream_begun && m_events.has_partial()) {
+        fail({attempt_end::broken_midway, "the last event is incomplete"});
+        return;
+    }
+    m_time_limit.cancel();
+    const auto hook = m_hooks.on_answered;
+    hook(m_response);
+}
+
+void upstream_attempt::fail(const attempt_failure& failure) {
+    m_time_limit.cancel();
+    m_failure_timer.cancel();
+    // Copied, because the hook may destroy this object.
+    const auto hook = m_hooks.on_failed;
+    hook(failure);
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/upstream_attempt.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "gateway/adapter.h"
+#include "gateway/attempt_decision.h"
+#include "gateway/event_relay.h"
+#include "gateway/service_pool.h"
+#include "runtime/executor.h"
+
+namespace jujubemast::gateway {
+
+/// Bounds the memory for response bodies that are buffered at the same time.
+class body_budget {
+public:
+    /// Accounts for `added` bytes of a body of which `held` are buffered already. Returns false if
+    /// there is no memory for them.
+    bool reserve(std::size_t held, std::size_t added);
+
+    void release(std::size_t bytes) { m_buffered -= bytes; }
+
+private:
+    std::size_t m_buffered = 0;
+};
+
+/// The part of a response that has been received.
+struct attempt_response {
+    response_head head;
+    http::headers fields;
+    std::string body;
+};
+
+/// The end of an attempt without a good response.
+struct attempt_failure {
+    attempt_end end = attempt_end::broken;
+    std::string detail;
+    /// The response was invalid or incomplete. The upstream is at fault even if the head states
+    /// that the request has not run.
+    bool response_invalid = false;
+};
+
+/// Receives the events of an attempt. `on_answered` or `on_failed` ends it, and may destroy it.
+struct attempt_hooks {
+    /// The head of a valid, successful response.
+    std::function<void(const attempt_response&)> on_head;
+    /// Complete events of a stream.
+    std::function<void(std::string events)> on_events;
+    /// The response is complete and successful. The body of a stream has gone to `on_events`.
+    std::function<void(const attempt_response&)> on_answered;
+    std::function<void(const attempt_failure&)> on_failed;
+    /// Called when the time limit is reached. Returns whether the attempt ends then.
+    std::function<bool()> on_time_limit;
+};
+
+/// What an attempt needs to know of its request.
+struct attempt_options {
+    repeatability kind = repeatability::non_idempotent;
+    std::string attempt_id;
+    /// Events of the stream have already reached the caller.
+    bool stream_begun = false;
+    /// How long the upstream may take for the response. Unlimited if empty.
+    std::optional<common::duration> time_limit;
+};
+
+/// One send of a request to one upstream instance, until the end of the response. Decides what the
+/// received bytes mean and reports one end. Destroying it cancels the call.
+class upstream_attempt {
+public:
+    /// The relay and the budget must outlive the attempt.
+    upstream_attempt(const runtime::task_context& context, const adapter& platform_adapter,
+                     std::shared_ptr<pool_member> member, event_relay& events, body_budget& budget,
+                     attempt_options options, attempt_hooks hooks);
+    ~upstream_attempt();
+    upstream_attempt(const upstream_attempt&) = delete;
+    upstream_attempt& operator=(const upstream_attempt&) = delete;
+
+    void start(const http::request& message);
+
+    /// Whether the response has started but its body, or the current event, is incomplete.
+    [[nodiscard]] bool is_stalled() const;
+
+    [[nodiscard]] const std::shared_ptr<pool_member>& member() const { return m_member; }
+    [[nodiscard]] common::time_point sent_at() const { return m_sent_at; }
+    [[nodiscard]] const attempt_response& response() const { return m_response; }
+    [[nodiscard]] bool in_progress() const { return m_call != 0; }
+
+private:
+    void head_received(unsigned status, const http::headers& fields);
+    void body_received(std::string_view bytes);
+    /// Buffers a part of a response that is passed on as a whole.
+    void buffer_body(std::string_view bytes);
+    void relay_events(std::string_view bytes);
+    void response_completed();
+    void call_failed(const http::call_error& error);
+    /// Limits the wait for the body of a failure, which does not affect the decision.
+    void start_failure_timer();
+    void cancel();
+    /// Records that the call holds no connection any more.
+    void release_connection();
+    /// Ends the attempt because its response is invalid or incomplete.
+    void reject_response(const std::string& reason);
+    /// Returns how the attempt ended if its response stays incomplete.
+    [[nodiscard]] attempt_end classify_incomplete_response() const;
+    [[nodiscard]] bool relays_events() const;
+    void fail(const attempt_failure& failure);
+
+    runtime::task_context m_context;
+    const adapter& m_adapter;
+    std::shared_ptr<pool_member> m_member;
+    event_relay& m_events;
+    body_budget& m_budget;
+    attempt_options m_options;
+    attempt_hooks m_hooks;
+    http::call_id m_call = 0;
+    common::time_point m_sent_at;
+    runtime::timer m_time_limit;
+    runtime::timer m_failure_timer;
+    attempt_response m_response;
+};
+
+} // namespace jujubemast::gateway
