http: bound the connections of a client, and keep none that could be confused

Cause: nobody counted connections. Every non-idempotent call opened one and left it idle afterwards, up to four for each instance, and an idle connection was closed only when the next call looked at it.

Change: a call that is not idempotent closes its connection after the response, so nothing else ever arrives on it. client_limits::max_connections makes idle connections give way to calls. Idle connections are closed when their lifetime ends. A write that fails before the first byte counts as not sent.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -55,13 +55,18 @@
 
 } // namespace
 
-struct client::implementation {
+struct client::implementation : std::enable_shared_from_this<client::implementation> {
     implementation(runtime::task_context owner, endpoint target, client_limits bounds)
-        : context{std::move(owner)}, server{std::move(target)}, limits{bounds} {}
+        : context{std::move(owner)}, server{std::move(target)}, limits{bounds},
+          expiry_timer{context.loop()} {}
 
     std::unique_ptr<boost::beast::tcp_stream> take_idle_connection();
     void keep_idle_connection(std::unique_ptr<boost::beast::tcp_stream> stream,
                               common::duration lifetime);
+    /// Closes the oldest idle connections beyond the limits.
+    void close_excess_connections();
+    /// Closes the idle connections whose lifetime is over, and schedules the next check.
+    void close_expired_connections();
 
     runtime::task_context context;
     endpoint server;
@@ -69,6 +74,7 @@
     std::map<call_id, std::shared_ptr<exchange>> calls;
     std::list<idle_connection> idle_connections;
     call_id next_id = 1;
+    runtime::timer expiry_timer;
     bool closed = false;
 };
 
@@ -133,6 +139,7 @@
 
     void connect() {
         const auto owner = m_owner.lock();
+        owner->close_excess_connections();
         m_stream = std::make_unique<boost::beast::tcp_stream>(owner->context.loop().context());
         set_operation_timeout(owner->limits.connect_timeout);
         const tcp::endpoint remote{boost::asio::ip::make_address(owner->server.host),
@@ -148,18 +155,20 @@
     }
 
     void write() {
+        // Set until the write shows otherwise, because a timeout may end the call first.
         m_sent = true;
         set_operation_timeout(head_timeout());
-        beast_http::async_write(
-            *m_stream, m_request,
-            wrap([this](const boost::system::error_code& ec, std::size_t /*size*/) {
-                if (ec) {
-                    transport_failed(ec);
-                    return;
-                }
-                m_head_deadline = common::monotonic_clock::now() + head_timeout();
-                read_head();
-            }));
+        beast_http::async_write(*m_stream, m_request,
+                                wrap([this](const boost::system::error_code& ec, std::size_t size) {
+                                    m_sent = !ec || size > 0;
+                                    if (ec) {
+                                        transport_failed(ec);
+                                        return;
+                                    }
+                                    m_head_deadline =
+                                        common::monotonic_clock::now() + head_timeout();
+                                    read_head();
+                                }));
     }
 
     void read_head() {
@@ -243,13 +252,16 @@
     void complete() {
         const auto owner = m_owner.lock();
         m_ended = true;
+        owner->calls.erase(m_id);
         // Bytes after a complete response belong to no request, so the connection is not used
         // again.
-        if (m_parser->get().keep_alive() && m_input.size() == 0) {
+        if (m_options.idempotent && m_parser->get().keep_alive() && m_input.size() == 0) {
             m_stream->expires_never();
             owner->keep_idle_connection(std::move(m_stream), idle_lifetime());
+        } else {
+            // Closed at once, although the object of the call may live on.
+            m_stream.reset();
         }
-        owner->calls.erase(m_id);
         if (m_hooks.on_done) {
             m_hooks.on_done();
         }
@@ -357,11 +369,36 @@
         return;
     }
     idle_connections.push_back({std::move(stream), common::monotonic_clock::now() + lifetime});
-    if (idle_connections.size() > limits.max_idle_connections) {
+    close_excess_connections();
+    close_expired_connections();
+}
+
+void client::implementation::close_excess_connections() {
+    while (!idle_connections.empty() &&
+           (idle_connections.size() > limits.max_idle_connections ||
+            calls.size() + idle_connections.size() > limits.max_connections)) {
         idle_connections.pop_front();
     }
 }
 
+void client::implementation::close_expired_connections() {
+    const auto now = common::monotonic_clock::now();
+    idle_connections.remove_if([now](const idle_connection& it) { return it.expires_at <= now; });
+    if (idle_connections.empty()) {
+        expiry_timer.cancel();
+        return;
+    }
+    const auto next = std::min_element(idle_connections.begin(), idle_connections.end(),
+                                       [](const idle_connection& a, const idle_connection& b) {
+                                           return a.expires_at < b.expires_at;
+                                       });
+    expiry_timer.start(next->expires_at - now, context.wrap([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->close_expired_connections();
+        }
+    }));
+}
+
 client::client(runtime::task_context context, endpoint server, client_limits limits)
     : m_implementation{
           std::make_shared<implementation>(std::move(context), std::move(server), limits)} {}
@@ -410,10 +447,20 @@
     }
     m_implementation->calls.clear();
     m_implementation->idle_connections.clear();
+    m_implementation->expiry_timer.cancel();
 }
 
 std::size_t client::calls_in_progress() const {
     return m_implementation->calls.size();
 }
 
+std::size_t client::idle_connections() const {
+    return m_implementation->idle_connections.size();
+}
+
+void client::set_max_connections(std::size_t limit) {
+    m_implementation->limits.max_connections = limit;
+    m_implementation->close_excess_connections();
+}
+
 } // namespace jujubemast::http
--- a/source/core/http/client.h
+++ b/source/core/http/client.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -39,8 +40,12 @@
     /// exceeds the timeouts above.
     common::duration total_timeout = common::duration::zero();
     std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
+    /// Connections that are kept for later calls, and for how long.
     std::size_t max_idle_connections = 16;
     common::duration idle_lifetime = std::chrono::seconds{20};
+    /// Idle connections are closed when they and those of the calls in progress exceed this number.
+    /// It does not limit the calls: each holds a connection.
+    std::size_t max_connections = std::numeric_limits<std::size_t>::max();
 };
 
 /// Receives the events of a call, in this order: `on_head`, any number of `on_data`, `on_done`.
@@ -53,7 +58,8 @@
 };
 
 struct call_options {
-    /// An idempotent call may use an idle connection. Other calls always open a new connection.
+    /// An idempotent call may use an idle connection. Every other call opens a connection of its
+    /// own, which carries nothing but its response and is closed after it.
     bool idempotent = true;
     /// Whether an idempotent call is sent again on a new connection when the idle one turns out to
     /// be closed. Callers that count their attempts turn this off and retry themselves.
@@ -93,6 +99,11 @@
 
     [[nodiscard]] std::size_t calls_in_progress() const;
 
+    [[nodiscard]] std::size_t idle_connections() const;
+
+    /// Changes `client_limits::max_connections`.
+    void set_max_connections(std::size_t limit);
+
     /// Implementation detail; public because other classes of the source file use it.
     struct implementation;
 
--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -208,6 +208,38 @@
     BOOST_TEST(status() == 200U);
 }
 
+// Guards against a response to an earlier call that is taken for the one of a call that must not be
+// confused: its connection carries nothing else.
+BOOST_AUTO_TEST_CASE(client_when_call_is_not_idempotent_closes_its_connection) {
+    start({{complete_response, "", {}}});
+    call({.idempotent = false});
+    BOOST_TEST(status() == 200U);
+    BOOST_TEST(client->idle_connections() == 0U);
+    check_connection_is_closed();
+}
+
+// Guards against idle connections that fill the limit of the server and keep others out.
+BOOST_AUTO_TEST_CASE(client_when_connections_are_limited_closes_idle_ones_for_calls) {
+    limits.max_connections = 1;
+    start({{complete_response, "", {}}});
+    call();
+    BOOST_TEST(client->idle_connections() == 1U);
+    call({.idempotent = false});
+    BOOST_TEST(client->idle_connections() == 0U);
+    call();
+    client->set_max_connections(0);
+    BOOST_TEST(client->idle_connections() == 0U);
+}
+
+// Guards against idle connections that stay open until the next call, which may never come.
+BOOST_AUTO_TEST_CASE(client_when_idle_connection_expires_closes_it) {
+    limits.idle_lifetime = 50ms;
+    start({{complete_response, "", {}}});
+    call();
+    BOOST_TEST(client->idle_connections() == 1U);
+    check_connection_is_closed();
+}
+
 // Guards against bytes that belong to no request being read as the response to the next one.
 BOOST_AUTO_TEST_CASE(client_when_bytes_follow_a_complete_response_uses_a_new_connection) {
     for (const auto pause : {0ms, 100ms}) {
