--- a/source/core/gateway/configuration.cpp
+++ b/source/core/gateway/configuration.cpp
@@ -29,6 +29,15 @@
     return nullptr;
 }
 
+common::duration event_patience(const route& of) {
+    // Callers wait for the longest of these times.
+    constexpr common::duration min_patience = std::chrono::seconds{2};
+    constexpr int latency_target_factor = 4;
+    constexpr int event_gap_factor = 8;
+    return std::max({min_patience, of.latency_target * latency_target_factor,
+                     of.event_gap_target * event_gap_factor});
+}
+
 const workspace* find_workspace(const configuration& config, const std::string& key) {
     const auto it = config.workspaces_by_key.find(key);
     return it == config.workspaces_by_key.end() ? nullptr : &it->second;
--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -72,6 +72,8 @@
 
 struct service {
     std::string name;
+    /// Connections that each instance accepts from all gateways together. It resets further ones.
+    std::optional<std::size_t> max_connections;
     /// Set for stage services.
     std::optional<piece_limits> pieces;
 };
@@ -108,6 +110,10 @@
 /// host is ignored.
 const route* find_route(const configuration& config, std::string_view host, std::string_view path);
 
+/// Returns how long callers of a route wait for the next event of a stream, the first one included,
+/// before they give up.
+common::duration event_patience(const route& of);
+
 /// Returns the workspace of the API key, or null.
 const workspace* find_workspace(const configuration& config, const std::string& key);
 
--- a/source/core/gateway/upstream_attempt.cpp
+++ b/source/core/gateway/upstream_attempt.cpp
@@ -46,7 +46,8 @@
                                    attempt_hooks hooks)
     : m_context{context}, m_adapter{platform_adapter}, m_member{std::move(member)},
       m_events{events}, m_budget{budget}, m_options{std::move(options)}, m_hooks{std::move(hooks)},
-      m_time_limit{context.loop()}, m_failure_timer{context.loop()} {}
+      m_time_limit{context.loop()}, m_failure_timer{context.loop()}, m_event_timer{context.loop()} {
+}
 
 upstream_attempt::~upstream_attempt() {
     cancel();
@@ -121,17 +122,28 @@
     head = m_adapter.decode_response_head(status, fields);
     m_response.fields = fields;
     const bool success = is_success(status);
-    const bool mismatched = head.attempt_id != m_options.attempt_id;
-    if ((mismatched && !head.not_run) || (success && !head.has_signature)) {
-        reject_response(mismatched ? "the answer belongs to another request"
-                                   : "the answer is not signed");
+    if (head.attempt_id != m_options.attempt_id) {
+        // Nothing in it is believed, not even that the request has not run: a faulty upstream may
+        // have sent an earlier refusal once more.
+        head = {};
+        reject_response("the answer belongs to another request");
+        return;
+    }
+    if (success && !head.has_signature) {
+        reject_response("the answer is not signed");
         return;
     }
+    if (head.leaving || head.pause) {
+        m_hooks.on_notice(head);
+    }
     if (!success) {
         start_failure_timer();
         return;
     }
     m_options.stream_begun = m_options.stream_begun || relays_events();
+    if (m_options.stream_begun) {
+        start_event_timer();
+    }
     if (const auto hook = m_hooks.on_head) {
         hook(m_response);
     }
@@ -163,6 +175,7 @@
     std::string complete_events;
     const auto status = m_events.feed(bytes, complete_events);
     if (!complete_events.empty()) {
+        start_event_timer();
         m_hooks.on_events(std::move(complete_events));
     }
     if (status != relay_status::good) {
@@ -176,6 +189,14 @@
     }));
 }
 
+void upstream_attempt::start_event_timer() {
+    if (m_options.event_limit) {
+        m_event_timer.start(*m_options.event_limit, m_context.wrap([this] {
+            reject_response("no complete event within the limit");
+        }));
+    }
+}
+
 attempt_end upstream_attempt::classify_incomplete_response() const {
     if (is_refusal(m_response.head)) {
         return m_response.head.input_gone ? attempt_end::input_gone : attempt_end::refused;
@@ -196,7 +217,8 @@
               "status " + std::to_string(head.status)});
         return;
     }
-    if (head.status >= status_first_error) {
+    const bool ends_stream_badly = m_options.stream_begun && !is_success(head.status);
+    if (head.status >= status_first_error || ends_stream_badly) {
         fail({attempt_end::failed, "status " + std::to_string(head.status)});
         return;
     }
@@ -205,6 +227,7 @@
         return;
     }
     m_time_limit.cancel();
+    m_event_timer.cancel();
     const auto hook = m_hooks.on_answered;
     hook(m_response);
 }
@@ -212,6 +235,7 @@
 void upstream_attempt::fail(const attempt_failure& failure) {
     m_time_limit.cancel();
     m_failure_timer.cancel();
+    m_event_timer.cancel();
     // Copied, because the hook may destroy this object.
     const auto hook = m_hooks.on_failed;
     hook(failure);
--- a/source/core/gateway/upstream_attempt.h
+++ b/source/core/gateway/upstream_attempt.h
@@ -46,6 +46,8 @@
 
 /// Receives the events of an attempt. `on_answered` or `on_failed` ends it, and may destroy it.
 struct attempt_hooks {
+    /// What the instance says of itself in a response of any status.
+    std::function<void(const response_head&)> on_notice;
     /// The head of a valid, successful response.
     std::function<void(const attempt_response&)> on_head;
     /// Complete events of a stream.
@@ -65,6 +67,9 @@
     bool stream_begun = false;
     /// How long the upstream may take for the response. Unlimited if empty.
     std::optional<common::duration> time_limit;
+    /// Longest time from the head of a stream to its first complete event, and between two complete
+    /// events. Bytes of incomplete events do not count as progress. Unlimited if empty.
+    std::optional<common::duration> event_limit;
 };
 
 /// One send of a request to one upstream instance, until the end of the response. Decides what the
@@ -99,6 +104,7 @@
     void call_failed(const http::call_error& error);
     /// Limits the wait for the body of a failure, which does not affect the decision.
     void start_failure_timer();
+    void start_event_timer();
     void cancel();
     /// Records that the call holds no connection any more.
     void release_connection();
@@ -120,6 +126,7 @@
     common::time_point m_sent_at;
     runtime::timer m_time_limit;
     runtime::timer m_failure_timer;
+    runtime::timer m_event_timer;
     attempt_response m_response;
 };
 
--- a/tests/support/raw_response_server.cpp
+++ b/tests/support/raw_response_server.cpp
@@ -62,7 +62,7 @@
             const std::lock_guard lock{mutex};
             auto& socket = sockets.emplace_back(std::move(accepted));
             threads.emplace_back([this, &socket] {
-                while (serve(socket.native_handle())) {
+                while (serve(socket)) {
                 }
                 --open;
                 ::shutdown(socket.native_handle(), SHUT_RDWR);
@@ -71,7 +71,8 @@
     }
 
     /// Reads one request and sends the response. Returns false if the connection is finished.
-    bool serve(int socket) {
+    bool serve(tcp::socket& connection) {
+        const int socket = connection.native_handle();
         std::string request;
         std::size_t request_size = std::string::npos;
         while (request.size() < request_size) {
@@ -91,8 +92,15 @@
         if (!send(socket, response.begin)) {
             return false;
         }
+        if (response.after == after_response::reset) {
+            // Closing without waiting for unsent bytes resets the connection.
+            const std::lock_guard lock{mutex};
+            connection.set_option(tcp::socket::linger{true, 0});
+            connection.close();
+            return false;
+        }
         if (response.repeated.empty()) {
-            return true;
+            return response.after == after_response::keep;
         }
         std::string burst = response.repeated;
         while (response.pause.count() == 0 && burst.size() < burst_bytes) {
--- a/tests/support/raw_response_server.h
+++ b/tests/support/raw_response_server.h
@@ -8,6 +8,9 @@
 
 namespace jujubemast::tests {
 
+/// What the server does with the connection after a response that ends.
+enum class after_response { keep, close, reset };
+
 /// Bytes that the server sends as a response. They need not be valid HTTP and need not end.
 struct raw_response {
     /// Sent once.
@@ -16,6 +19,7 @@
     std::string repeated;
     /// Pause before each repetition.
     std::chrono::milliseconds pause{0};
+    after_response after = after_response::keep;
 };
 
 /// A server that sends arbitrary bytes as responses, on its own threads. A connection is served
