--- a/source/core/gateway/caller_request.h
+++ b/source/core/gateway/caller_request.h
@@ -67,6 +67,10 @@
     bool input_gone = false;
     /// The response carries the upstream's signature.
     bool has_signature = false;
+    /// The upstream is about to stop and wants no new work.
+    bool leaving = false;
+    /// The upstream wants no requests for this long.
+    std::optional<common::duration> pause;
 };
 
 /// One piece of a stage of a request, as an entry of a call.
--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -26,13 +26,13 @@
 
 } // namespace
 
-catalog::catalog(runtime::task_context context, http::endpoint store,
+catalog::catalog(runtime::task_context context,
+                 std::shared_ptr<runtime::mailbox<catalog_message>> inbox, http::endpoint store,
                  std::shared_ptr<const adapter> platform_adapter, gateway_record self,
                  catalog_hooks hooks, const table_watch_limits& limits)
-    : m_context{std::move(context)}, m_adapter{std::move(platform_adapter)}, m_self{std::move(
-                                                                                 self)},
-      m_hooks{std::move(hooks)}, m_limits{limits}, m_client{m_context, std::move(store),
-                                                            store_limits()},
+    : m_context{std::move(context)}, m_inbox{std::move(inbox)},
+      m_adapter{std::move(platform_adapter)}, m_self{std::move(self)}, m_hooks{std::move(hooks)},
+      m_limits{limits}, m_client{m_context, std::move(store), store_limits()},
       m_expiry_timer{m_context.loop()}, m_register_timer{m_context.loop()} {}
 
 void catalog::start() {
@@ -56,6 +56,9 @@
     m_gateways_watch =
         make(store_table::gateways,
              {[this](const table_update& it) { apply_gateway_rows(it); }, ignore_state, {}});
+    m_inbox.receive(m_context.wrap([this](const catalog_message& message) {
+        std::visit([this](const auto& it) { handle(it); }, message);
+    }));
     m_configuration_watch->begin();
     m_upstreams_watch->begin();
     m_gateways_watch->begin();
@@ -79,6 +82,7 @@
 }
 
 void catalog::close() noexcept {
+    m_inbox.close();
     m_expiry_timer.cancel();
     m_register_timer.cancel();
     m_client.close();
@@ -182,6 +186,14 @@
     }
 }
 
+void catalog::handle(const instance_leaving& message) {
+    if (m_upstreams.mark_leaving(message.instance)) {
+        m_log.info("The upstream has announced that it leaves.",
+                   {{"upstream", message.instance.id}});
+        publish();
+    }
+}
+
 void catalog::set_store_available(bool available) {
     if (available) {
         m_upstreams.record_store_recovery(common::monotonic_clock::now());
@@ -226,11 +238,15 @@
         known.push_back(it);
     }
     m_hooks.publish_gateways(known);
+    if (!std::exchange(m_gateways_read, true)) {
+        publish();
+    }
 }
 
 void catalog::publish() {
     m_hooks.set_not_ready_reason(!m_configuration    ? "no configuration is known yet"
                                  : !m_upstreams_read ? "the upstreams are not known yet"
+                                 : !m_gateways_read  ? "the other gateways are not known yet"
                                                      : "");
     m_hooks.publish(
         {m_configuration,
--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/catalog.h
@@ -11,6 +11,7 @@
 #include "gateway/table_watch.h"
 #include "http/client.h"
 #include "logging/logger.h"
+#include "runtime/mailbox.h"
 #include "runtime/task.h"
 
 namespace jujubemast::gateway {
@@ -29,9 +30,9 @@
 /// platform's store, follows their changes, and registers this gateway there.
 class catalog final : public runtime::task {
 public:
-    catalog(runtime::task_context context, http::endpoint store,
-            std::shared_ptr<const adapter> platform_adapter, gateway_record self,
-            catalog_hooks hooks, const table_watch_limits& limits);
+    catalog(runtime::task_context context, std::shared_ptr<runtime::mailbox<catalog_message>> inbox,
+            http::endpoint store, std::shared_ptr<const adapter> platform_adapter,
+            gateway_record self, catalog_hooks hooks, const table_watch_limits& limits);
 
     void start() override;
     void stop(const runtime::stop_done& done) override;
@@ -39,6 +40,7 @@
     [[nodiscard]] boost::json::value dump() const override;
 
 private:
+    void handle(const instance_leaving& message);
     void apply_configuration_rows(const table_update& update);
     void apply_upstream_rows(const table_update& update);
     void apply_gateway_rows(const table_update& update);
@@ -50,6 +52,7 @@
     void schedule_expiry();
 
     runtime::task_context m_context;
+    runtime::inbox<catalog_message> m_inbox;
     std::shared_ptr<const adapter> m_adapter;
     gateway_record m_self;
     catalog_hooks m_hooks;
@@ -63,6 +66,7 @@
     bool m_newest_decoded = true;
     upstream_list m_upstreams;
     bool m_upstreams_read = false;
+    bool m_gateways_read = false;
     std::map<std::string, gateway_record> m_gateways;
     runtime::timer m_expiry_timer;
     runtime::timer m_register_timer;
--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -105,11 +105,12 @@
 }
 
 service_backlog dispatcher::backlog_of(const std::string& name, service_state& service) const {
+    const auto usable = usable_instances(service);
     const auto busy =
-        std::count_if(service.instances.begin(), service.instances.end(),
-                      [](const auto& it) { return !it.second->leaving && it.second->calls > 0; });
-    return {name, service.queue.by_priority(), usable_instances(service),
-            static_cast<std::size_t>(busy)};
+        std::count_if(service.instances.begin(), service.instances.end(), [](const auto& it) {
+            return it.second->state.accepts_work() && it.second->calls > 0;
+        });
+    return {name, service.queue.by_priority(), usable, static_cast<std::size_t>(busy)};
 }
 
 void dispatcher::report_backlogs() {
@@ -146,10 +147,21 @@
     state.handles.resize(message.count);
     const auto* limits = limits_of(message.service);
     const auto backlog = backlog_of(message.service, service->second);
-    if (limits == nullptr || backlog.instances == 0) {
+    if (limits == nullptr) {
         finish_order(state, {order_status::overloaded, {}, no_instance_retry});
         return;
     }
+    if (backlog.instances == 0) {
+        const auto pause_end = first_pause_end(service->second);
+        const auto now = common::monotonic_clock::now();
+        if (!pause_end || *pause_end + call_time(*limits, message.count) > message.deadline) {
+            finish_order(state,
+                         {order_status::overloaded,
+                          {},
+                          pause_end ? *pause_end - now : common::duration{no_instance_retry}});
+            return;
+        }
+    }
     if (std::exchange(service->second.needs_reports, false)) {
         request_reports(message.service, service->second);
     }
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "gateway/adapter.h"
+#include "gateway/instance_state.h"
 #include "gateway/messages.h"
 #include "gateway/result_memory.h"
 #include "http/client.h"
@@ -53,8 +54,9 @@
         order_outcome outcome;
     };
 
-    struct instance_state {
+    struct stage_instance {
         upstream_instance identity;
+        instance_state state;
         std::unique_ptr<http::client> client;
         std::size_t calls = 0;
         /// The instance gets no call before this time, for example because it refused one.
@@ -70,14 +72,13 @@
         bool awaiting_report = false;
         std::unique_ptr<runtime::timer> report_timer;
         std::vector<std::string> to_release;
-        bool leaving = false;
     };
 
     struct service_state {
         piece_queue queue;
         /// No further call before this time, so that calls are spread over the instances.
         common::time_point next_call;
-        std::map<std::string, std::shared_ptr<instance_state>> instances;
+        std::map<std::string, std::shared_ptr<stage_instance>> instances;
         policy::outlier_detector health;
         /// Another gateway may have used the instances since this one last did.
         bool needs_reports = true;
@@ -85,7 +86,7 @@
 
     struct call_state {
         std::string service;
-        std::shared_ptr<instance_state> instance;
+        std::shared_ptr<stage_instance> instance;
         std::vector<queued_piece> pieces;
         common::time_point sent;
         std::unique_ptr<runtime::timer> timeout_timer;
@@ -102,20 +103,28 @@
     void end_stop_if_idle();
 
     void update_instances(const std::string& name, service_state& service);
+    /// Brings the phases of all instances up to date.
+    static void update_states(service_state& service);
+    /// When the first pause of an instance ends; nothing if none pauses.
+    [[nodiscard]] static std::optional<common::time_point>
+    first_pause_end(const service_state& service);
+    /// Applies what an instance says of itself.
+    void notice_received(const std::string& service, stage_instance& instance,
+                         const response_head& head);
     [[nodiscard]] const piece_limits* limits_of(const std::string& service) const;
     [[nodiscard]] service_backlog backlog_of(const std::string& name, service_state& service) const;
     /// Whether a call to this instance may take pieces of the order. Returns false if an instance
     /// in the preferred failure domain should take them.
-    [[nodiscard]] bool may_take(service_state& service, const instance_state& instance,
+    [[nodiscard]] bool may_take(service_state& service, const stage_instance& instance,
                                 const piece_limits& limits, const order_key& order) const;
     void report_backlogs();
     [[nodiscard]] std::size_t usable_instances(service_state& service) const;
 
     void dispatch(const std::string& name);
-    std::shared_ptr<instance_state> pick_free_instance(service_state& service,
+    std::shared_ptr<stage_instance> pick_free_instance(service_state& service,
                                                        const piece_limits& limits);
     void send_call(const std::string& name, const piece_limits& limits,
-                   const std::shared_ptr<instance_state>& instance,
+                   const std::shared_ptr<stage_instance>& instance,
                    std::vector<queued_piece> pieces);
     /// Called when the call has had enough time to read its inputs.
     void mark_inputs_read(std::uint64_t number);
@@ -128,17 +137,17 @@
     void queue_release(const std::string& service, const std::vector<std::string>& handles);
     void schedule_release();
     void send_releases();
-    void release_finished(const std::string& service, instance_state& instance,
+    void release_finished(const std::string& service, stage_instance& instance,
                           const std::vector<std::string>& handles, const http::call_result& result);
     /// Requests reports from all instances before they are used again.
     void request_reports(const std::string& name, service_state& service);
     /// Requests a report, and repeats it while the instance has calls or results of other gateways.
-    void request_report(const std::string& name, const std::shared_ptr<instance_state>& instance);
+    void request_report(const std::string& name, const std::shared_ptr<stage_instance>& instance);
     void send_report_query(const std::string& name,
-                           const std::shared_ptr<instance_state>& instance);
-    void report_received(const std::string& name, instance_state& instance,
+                           const std::shared_ptr<stage_instance>& instance);
+    void report_received(const std::string& name, stage_instance& instance,
                          const http::call_result& result);
-    void schedule_report(const std::string& name, instance_state& instance);
+    void schedule_report(const std::string& name, stage_instance& instance);
     void schedule_dispatch(const std::string& name, common::duration delay);
     void forget_finished();
 
--- a/source/core/gateway/dispatcher_calls.cpp
+++ b/source/core/gateway/dispatcher_calls.cpp
@@ -23,7 +23,7 @@
 } // namespace
 
 void dispatcher::send_call(const std::string& name, const piece_limits& limits,
-                           const std::shared_ptr<instance_state>& instance,
+                           const std::shared_ptr<stage_instance>& instance,
                            std::vector<queued_piece> pieces) {
     const auto now = common::monotonic_clock::now();
     std::vector<piece_item> items;
@@ -58,7 +58,26 @@
     call.id = instance->client->send(
         m_adapter->encode_piece_call(instance->identity.id, items),
         [this, number](const http::call_result& result) { call_ended(number, result); },
-        {.max_body_bytes = max_response_bytes});
+        // The response does not name its call, so the connection must not carry another one.
+        {.idempotent = false, .max_body_bytes = max_response_bytes});
+}
+
+void dispatcher::notice_received(const std::string& service, stage_instance& instance,
+                                 const response_head& head) {
+    if (head.leaving && instance.state.phase() != instance_phase::draining) {
+        instance.state.announce_drain();
+        m_log.info("The instance is leaving.",
+                   {{"service", service}, {"upstream", instance.identity.id}});
+        m_peers.send(instance_leaving{incarnation_of(instance.identity)});
+    }
+    if (head.pause) {
+        instance.state.request_pause(common::monotonic_clock::now() + *head.pause);
+        m_log.info("The instance pauses.",
+                   {{"service", service},
+                    {"upstream", instance.identity.id},
+                    {"pause_ms", std::to_string(common::to_milliseconds(*head.pause))}});
+        schedule_dispatch(service, *head.pause);
+    }
 }
 
 void dispatcher::mark_inputs_read(std::uint64_t number) {
@@ -105,6 +124,7 @@
 void dispatcher::response_received(call_state& call, const http::response& response) {
     const auto now = common::monotonic_clock::now();
     const auto head = m_adapter->decode_response_head(response.status, response.fields);
+    notice_received(call.service, *call.instance, head);
     if (response.status != 200) {
         if (head.not_run) {
             call.instance->backoff_until = now + refusal_backoff;
--- a/source/core/gateway/dispatcher_instances.cpp
+++ b/source/core/gateway/dispatcher_instances.cpp
@@ -26,41 +26,63 @@
     if (!m_upstreams) {
         return;
     }
+    const auto now = common::monotonic_clock::now();
     std::erase_if(service.instances, [&](const auto& it) {
         auto& instance = *it.second;
         const auto known = m_upstreams->find(it.first);
-        const bool gone =
-            known == m_upstreams->end() || !is_same_incarnation(known->second, instance.identity);
-        instance.leaving = gone || known->second.phase == upstream_phase::draining;
-        if (gone) {
-            // Calls in progress keep the instance and its client alive until they end.
+        const bool listed = known != m_upstreams->end();
+        instance.state.set_registered(
+            listed && is_same_incarnation(known->second, instance.identity), now);
+        // An instance that pauses is kept, because its entry may come back before the pause ends.
+        // Calls in progress keep the others and their clients alive until they end.
+        const bool removed = instance.state.phase() == instance_phase::gone &&
+                             (listed || instance.state.paused_until() <= now);
+        if (removed) {
             service.health.remove_member(it.first);
         }
-        return gone;
+        return removed;
     });
     for (const auto& [id, it] : *m_upstreams) {
-        if (it.service != name || service.instances.contains(id)) {
+        if (it.service != name) {
             continue;
         }
-        auto added = std::make_shared<instance_state>();
-        added->identity = it;
-        added->leaving = it.phase == upstream_phase::draining;
-        added->client = std::make_unique<http::client>(m_context, it.address, call_limits());
-        service.instances.emplace(id, std::move(added));
-        service.health.add_member(id);
+        auto& instance = service.instances[id];
+        if (!instance) {
+            instance = std::make_shared<stage_instance>(stage_instance{it, instance_state{now}});
+            instance->client = std::make_unique<http::client>(m_context, it.address, call_limits());
+            service.health.add_member(id);
+        }
+        if (it.phase == upstream_phase::draining) {
+            instance->state.announce_drain();
+        }
     }
 }
 
-std::size_t dispatcher::usable_instances(service_state& service) const {
+void dispatcher::update_states(service_state& service) {
     const auto now = common::monotonic_clock::now();
+    for (auto& [id, it] : service.instances) {
+        it->state.update(now, service.health.state(id, now) == policy::rotation_state::ejected);
+    }
+}
+
+std::optional<common::time_point> dispatcher::first_pause_end(const service_state& service) {
+    std::optional<common::time_point> first;
+    for (const auto& [id, it] : service.instances) {
+        if (it->state.phase() == instance_phase::pausing) {
+            first = std::min(first.value_or(it->state.paused_until()), it->state.paused_until());
+        }
+    }
+    return first;
+}
+
+std::size_t dispatcher::usable_instances(service_state& service) const {
+    update_states(service);
     return static_cast<std::size_t>(
-        std::count_if(service.instances.begin(), service.instances.end(), [&](const auto& it) {
-            return !it.second->leaving &&
-                   service.health.state(it.first, now) != policy::rotation_state::ejected;
-        }));
+        std::count_if(service.instances.begin(), service.instances.end(),
+                      [](const auto& it) { return it.second->state.accepts_work(); }));
 }
 
-bool dispatcher::may_take(service_state& service, const instance_state& instance,
+bool dispatcher::may_take(service_state& service, const stage_instance& instance,
                           const piece_limits& limits, const order_key& key) const {
     const auto it = m_orders.find(key);
     if (it == m_orders.end()) {
@@ -76,24 +98,26 @@
         return true;
     }
     return std::none_of(service.instances.begin(), service.instances.end(), [&](const auto& other) {
-        return !other.second->leaving &&
-               other.second->identity.failure_domain == order.preferred_domain &&
-               service.health.last_state(other.first) != policy::rotation_state::ejected;
+        return other.second->state.accepts_work() &&
+               other.second->identity.failure_domain == order.preferred_domain;
     });
 }
 
-std::shared_ptr<dispatcher::instance_state>
+std::shared_ptr<dispatcher::stage_instance>
 dispatcher::pick_free_instance(service_state& service, const piece_limits& limits) {
     const auto now = common::monotonic_clock::now();
-    std::shared_ptr<instance_state> best;
-    std::shared_ptr<instance_state> ejected;
+    update_states(service);
+    std::shared_ptr<stage_instance> best;
+    std::shared_ptr<stage_instance> ejected;
     for (const auto& [id, it] : service.instances) {
-        if (it->leaving || it->awaiting_report || it->calls + it->foreign_calls >= limits.slots ||
+        if (it->awaiting_report || it->calls + it->foreign_calls >= limits.slots ||
             it->backoff_until > now) {
             continue;
         }
-        if (service.health.state(id, now) == policy::rotation_state::ejected) {
+        if (it->state.phase() == instance_phase::ejected) {
             ejected = it;
+        }
+        if (!it->state.accepts_work()) {
             continue;
         }
         if (!best || it->memory.used(now) < best->memory.used(now)) {
--- a/source/core/gateway/dispatcher_reports.cpp
+++ b/source/core/gateway/dispatcher_reports.cpp
@@ -27,26 +27,26 @@
 
 void dispatcher::request_reports(const std::string& name, service_state& service) {
     for (auto& [id, it] : service.instances) {
-        it->awaiting_report = true;
+        it->awaiting_report = it->state.accepts_calls();
         request_report(name, it);
     }
 }
 
 void dispatcher::request_report(const std::string& name,
-                                const std::shared_ptr<instance_state>& instance) {
+                                const std::shared_ptr<stage_instance>& instance) {
     const auto* limits = limits_of(name);
     if (limits == nullptr) {
         return;
     }
     instance->poll_reports_until = common::monotonic_clock::now() + limits->result_lifetime +
                                    call_time(*limits, limits->batch);
-    if (!instance->report_pending) {
+    if (!instance->report_pending && instance->state.accepts_calls()) {
         send_report_query(name, instance);
     }
 }
 
 void dispatcher::send_report_query(const std::string& name,
-                                   const std::shared_ptr<instance_state>& instance) {
+                                   const std::shared_ptr<stage_instance>& instance) {
     instance->report_pending = true;
     instance->client->send(m_adapter->encode_report_query(instance->identity.id),
                            [this, name, instance](const http::call_result& result) {
@@ -59,13 +59,17 @@
                             .max_body_bytes = max_report_bytes});
 }
 
-void dispatcher::report_received(const std::string& name, instance_state& instance,
+void dispatcher::report_received(const std::string& name, stage_instance& instance,
                                  const http::call_result& result) {
     instance.report_pending = false;
     instance.awaiting_report = false;
     instance.foreign_calls = 0;
     const auto* limits = limits_of(name);
     const auto* response = std::get_if<http::response>(&result);
+    if (response != nullptr) {
+        notice_received(name, instance,
+                        m_adapter->decode_response_head(response->status, response->fields));
+    }
     if (limits == nullptr || response == nullptr || response->status != 200) {
         // Used without a report; calls will show whether the instance works.
         m_log.info("Could not get the report of an instance.",
@@ -98,18 +102,18 @@
     }
 }
 
-void dispatcher::schedule_report(const std::string& name, instance_state& instance) {
+void dispatcher::schedule_report(const std::string& name, stage_instance& instance) {
     if (!instance.report_timer) {
         instance.report_timer = std::make_unique<runtime::timer>(m_context.loop());
     }
-    instance.report_timer->start(report_poll_interval,
-                                 m_context.wrap([this, name, id = instance.identity.id] {
-                                     auto& known = m_services[name].instances;
-                                     const auto it = known.find(id);
-                                     if (it != known.end() && !it->second->report_pending) {
-                                         send_report_query(name, it->second);
-                                     }
-                                 }));
+    instance.report_timer->start(report_poll_interval, m_context.wrap([this, name,
+                                                                       id = instance.identity.id] {
+        auto& known = m_services[name].instances;
+        const auto it = known.find(id);
+        if (it != known.end() && !it->second->report_pending && it->second->state.accepts_calls()) {
+            send_report_query(name, it->second);
+        }
+    }));
 }
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/dispatcher_results.cpp
+++ b/source/core/gateway/dispatcher_results.cpp
@@ -49,7 +49,8 @@
 void dispatcher::send_releases() {
     for (auto& [name, service] : m_services) {
         for (auto& [id, it] : service.instances) {
-            if (it->to_release.empty()) {
+            // While the instance pauses, the handles are kept for a later call.
+            if (it->to_release.empty() || !it->state.accepts_calls()) {
                 continue;
             }
             auto handles = std::exchange(it->to_release, {});
@@ -65,10 +66,14 @@
     }
 }
 
-void dispatcher::release_finished(const std::string& service, instance_state& instance,
+void dispatcher::release_finished(const std::string& service, stage_instance& instance,
                                   const std::vector<std::string>& handles,
                                   const http::call_result& result) {
     const auto* response = std::get_if<http::response>(&result);
+    if (response != nullptr) {
+        notice_received(service, instance,
+                        m_adapter->decode_response_head(response->status, response->fields));
+    }
     if (response == nullptr || response->status != 200) {
         // The results expire at the end of their lifetime.
         m_log.info("Could not release results.", {{"upstream", instance.identity.id},
--- a/source/core/gateway/exchange.h
+++ b/source/core/gateway/exchange.h
@@ -75,6 +75,8 @@
     event_relay events;
     /// The response to the caller has begun.
     bool relaying = false;
+    /// The request waits until an instance can take it.
+    bool waiting = false;
     /// The current attempt, or the last one.
     std::unique_ptr<upstream_attempt> attempt;
     /// Number of sends, and of those that may have run.
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -25,17 +25,6 @@
 // A request is admitted if its stages are expected to finish within this share of the available
 // time. The rest is reserved for later requests with a more urgent priority.
 constexpr double admission_share = 0.7;
-// Callers abandon a stream without a first event after the longest of these times: a fixed time, a
-// multiple of the latency target, and a multiple of the event gap target.
-constexpr common::duration min_first_event_timeout = std::chrono::seconds{2};
-constexpr int latency_target_factor = 4;
-constexpr int event_gap_factor = 8;
-
-common::duration first_event_timeout(const route& of) {
-    return std::max({min_first_event_timeout, of.latency_target * latency_target_factor,
-                     of.event_gap_target * event_gap_factor});
-}
-
 // Bounds of the retry delay after a refusal for overload. Such a request can no longer meet its
 // latency target, and a retry during the same overload is refused again.
 constexpr common::duration min_overload_retry = std::chrono::seconds{2};
@@ -61,6 +50,7 @@
 
 void forwarder::close() noexcept {
     m_inbox.close();
+    m_pause_timers.clear();
     m_exchanges.clear();
     m_pools.clear();
 }
@@ -74,6 +64,10 @@
             pool->update(name, *m_upstreams, now);
         }
     }
+    for (auto& [name, pool] : m_pools) {
+        update_limits(name, *pool);
+        schedule_waiting(name);
+    }
 }
 
 void forwarder::handle(const configuration_confirmed& message) {
@@ -91,12 +85,16 @@
     return std::clamp<common::duration>(excess, min_overload_retry, max_overload_retry);
 }
 
-void forwarder::handle(const gateway_count_changed& message) {
-    m_gateway_count = std::max<std::size_t>(1, message.count);
-    update_budgets();
+void forwarder::handle(const gateway_names_changed& message) {
+    m_gateways = message.names;
+    m_gateway_count = std::max<std::size_t>(1, m_gateways.size());
+    for (auto& [name, pool] : m_pools) {
+        update_limits(name, *pool);
+        schedule_waiting(name);
+    }
 }
 
-void forwarder::update_budgets() {
+void forwarder::update_limits(const std::string& service, service_pool& pool) const {
     // Each gateway keeps to its own share of the budget, so that the sum holds regardless of what
     // the others do. Up to half of the reserve can accumulate; it refills within one window.
     policy::retry_budget_options options;
@@ -104,8 +102,14 @@
     options.reserve = 0.4 * m_options.retries.reserve / static_cast<double>(m_gateway_count);
     options.max_balance = 0.5 * m_options.retries.reserve / static_cast<double>(m_gateway_count);
     options.reserve_period = m_options.retries.window;
-    for (auto& [name, pool] : m_pools) {
-        pool->set_budget(options);
+    pool.set_budget(options);
+    if (!m_configuration) {
+        return;
+    }
+    const auto known = m_configuration->services.find(service);
+    if (known != m_configuration->services.end()) {
+        pool.set_connection_limit(known->second.max_connections,
+                                  policy::find_share(service, m_options.name, m_gateways));
     }
 }
 
@@ -123,7 +127,7 @@
         if (m_upstreams) {
             pool->update(service, *m_upstreams, common::monotonic_clock::now());
         }
-        update_budgets();
+        update_limits(service, *pool);
     }
     return *pool;
 }
@@ -200,7 +204,7 @@
     if (ex.matched_route->kind == repeatability::stream) {
         ex.first_event_deadline =
             std::min(ex.response_deadline,
-                     ex.times.arrived + first_event_timeout(*ex.matched_route) - response_margin);
+                     ex.times.arrived + event_patience(*ex.matched_route) - response_margin);
     }
     limit_to_stop(ex);
     ex.deadline_timer = std::make_unique<runtime::timer>(m_context.loop());
@@ -283,7 +287,9 @@
                 stalled ? "the response did not end in time" : "no response in time");
         return;
     }
-    refuse(*ex, status_unavailable, "not started in time", default_retry_after);
+    refuse(*ex, status_unavailable,
+           ex->waiting ? "no free connection to an upstream in time" : "not started in time",
+           default_retry_after);
 }
 
 void forwarder::handle(const caller_disconnected& message) {
@@ -325,6 +331,13 @@
 void forwarder::finish(exchange& ex, request_end end, unsigned status, const std::string& reason) {
     cancel_orders(ex);
     release_inputs(ex);
+    if (ex.waiting) {
+        pool_of(ex.service).waiting().remove(ex.id);
+    }
+    if (ex.attempt) {
+        // Its connection is free now.
+        schedule_waiting(ex.service);
+    }
     const auto took = common::monotonic_clock::now() - ex.times.arrived;
     const auto kind =
         ex.matched_route != nullptr ? ex.matched_route->kind : repeatability::non_idempotent;
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -38,12 +38,16 @@
 enum class lookup_result { found, no_configuration, no_route, unknown_key };
 
 struct forwarder_options {
+    /// Name of this gateway.
+    std::string name;
     std::string failure_domain;
     /// A configuration that the store has not confirmed for this long may be out of date.
     common::duration staleness_limit = std::chrono::seconds{3};
     shared_retry_budget retries;
     policy::routing_hook route;
     common::random_hook random;
+    /// Makes known that an instance is about to stop.
+    std::function<void(const instance_leaving&)> announce_leaving;
 };
 
 /// Owns the requests of this gateway's callers from their arrival to the end of their response.
@@ -65,7 +69,7 @@
     void handle(const request_received& message);
     void handle(const caller_disconnected& message);
     void handle(const order_ended& message);
-    void handle(const gateway_count_changed& message);
+    void handle(const gateway_names_changed& message);
     void handle(const backlog_report& message);
     void handle(const shutdown_started& message);
     void handle(const admin::metrics_query& message);
@@ -121,6 +125,18 @@
     void release_inputs(exchange& ex);
 
     void send(exchange& ex);
+    /// Sends the request to this instance.
+    void send_to(exchange& ex, const std::shared_ptr<pool_member>& member);
+    [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex) const;
+    /// Lets a request wait for an instance, or refuses it if none can take it in time.
+    void wait_for_instance(exchange& ex, const instance_choice& choice);
+    /// Serves the requests that wait for an instance, later in the event loop.
+    void schedule_waiting(const std::string& service);
+    /// The same after a delay, at which the first pause of an instance ends.
+    void schedule_waiting_after(const std::string& service, common::duration delay);
+    void serve_waiting(const std::string& service);
+    /// Applies what an instance says of itself.
+    void notice_received(const exchange& ex, const response_head& head);
     [[nodiscard]] attempt_hooks make_hooks(std::uint64_t id);
     void head_received(exchange& ex, const attempt_response& response);
     void events_received(exchange& ex, std::string events);
@@ -131,6 +147,8 @@
     void restart_stages(exchange& ex);
     /// How long the upstream may take, if the request may be repeated at another one.
     [[nodiscard]] static std::optional<common::duration> attempt_time_limit(const exchange& ex);
+    /// How long a stream may go without a complete event.
+    [[nodiscard]] static std::optional<common::duration> event_time_limit(const exchange& ex);
     /// Releases the inputs after the time in which an engine that starts at once reads them.
     void schedule_input_release(exchange& ex);
     [[nodiscard]] std::uint64_t prefix_of(const exchange& ex) const;
@@ -145,7 +163,8 @@
 
     exchange* find(std::uint64_t id);
     service_pool& pool_of(const std::string& service);
-    void update_budgets();
+    /// Applies this gateway's share of the limits that all gateways have together.
+    void update_limits(const std::string& service, service_pool& pool) const;
 
     runtime::task_context m_context;
     runtime::inbox<forwarder_message> m_inbox;
@@ -171,7 +190,11 @@
     std::map<std::pair<std::string, int>, estimate_bias> m_biases;
     /// Pieces of admitted requests that have not been ordered yet, by service and priority.
     std::map<std::string, std::map<int, std::size_t>> m_upcoming;
+    /// Names of all gateways.
+    std::vector<std::string> m_gateways;
     std::size_t m_gateway_count = 1;
+    /// End of the first pause, for each service whose instances all pause.
+    std::map<std::string, std::unique_ptr<runtime::timer>> m_pause_timers;
     /// When an ordered stop closes the callers' connections.
     std::optional<common::time_point> m_stop_deadline;
     forwarder_metrics m_metrics;
--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/forwarder_attempts.cpp
@@ -33,19 +33,82 @@
     return common::digest_of(parts.size() > 1 ? parts[parts.size() - 2].id : parts[0].id);
 }
 
-void forwarder::send(exchange& ex) {
-    const auto now = common::monotonic_clock::now();
-    auto& pool = pool_of(ex.service);
+policy::routing_request forwarder::make_routing_request(const exchange& ex) const {
     policy::routing_request routing;
     routing.failure_domain = m_options.failure_domain;
     routing.excluded = ex.tried;
     routing.prefix = prefix_of(ex);
-    routing.now = now;
-    auto member = pool.choose(routing);
-    if (!member) {
+    routing.now = common::monotonic_clock::now();
+    return routing;
+}
+
+void forwarder::send(exchange& ex) {
+    auto& pool = pool_of(ex.service);
+    const auto choice = pool.choose(make_routing_request(ex));
+    if (choice.outcome != choice_outcome::chosen) {
+        wait_for_instance(ex, choice);
+        return;
+    }
+    if (std::exchange(ex.waiting, false)) {
+        pool.waiting().remove(ex.id);
+    }
+    send_to(ex, choice.member);
+}
+
+void forwarder::wait_for_instance(exchange& ex, const instance_choice& choice) {
+    if (choice.outcome == choice_outcome::none) {
         refuse(ex, status_unavailable, "no upstream takes work");
         return;
     }
+    if (choice.outcome == choice_outcome::pausing) {
+        const auto pause = choice.retry_at - common::monotonic_clock::now();
+        if (choice.retry_at >= ex.first_event_deadline) {
+            refuse(ex, status_unavailable, "all upstreams pause", pause);
+            return;
+        }
+        schedule_waiting_after(ex.service, pause);
+    }
+    if (std::exchange(ex.waiting, true)) {
+        return;
+    }
+    auto& waiting = pool_of(ex.service).waiting();
+    waiting.push(ex.id, ex.priority, ex.times.arrived);
+    m_metrics.record_wait(choice.outcome);
+    m_log.info("Waits for an instance.", {{"attempt", ex.request.attempt_id},
+                                          {"service", ex.service},
+                                          {"cause", std::string{common::to_name(choice.outcome)}},
+                                          {"waiting", std::to_string(waiting.size())}});
+}
+
+void forwarder::schedule_waiting(const std::string& service) {
+    if (pool_of(service).waiting().size() > 0) {
+        m_context.loop().post(m_context.wrap([this, service] { serve_waiting(service); }));
+    }
+}
+
+void forwarder::schedule_waiting_after(const std::string& service, common::duration delay) {
+    auto& timer = m_pause_timers[service];
+    if (!timer) {
+        timer = std::make_unique<runtime::timer>(m_context.loop());
+    }
+    timer->start(delay, m_context.wrap([this, service] { serve_waiting(service); }));
+}
+
+void forwarder::serve_waiting(const std::string& service) {
+    auto& waiting = pool_of(service).waiting();
+    for (auto first = waiting.front(); first; first = waiting.front()) {
+        send(*find(*first));
+        if (waiting.front() == first) {
+            // No instance can take it yet.
+            return;
+        }
+    }
+}
+
+void forwarder::send_to(exchange& ex, const std::shared_ptr<pool_member>& member) {
+    const auto now = common::monotonic_clock::now();
+    auto& pool = pool_of(ex.service);
+    const auto prefix = prefix_of(ex);
     forward_options options;
     options.upstream_id = member->identity.id;
     options.remaining = ex.response_deadline - now;
@@ -54,9 +117,9 @@
     options.inputs = ex.stages.progress.final_inputs();
     if (ex.matched_route->kind == repeatability::stream) {
         options.urgency = std::clamp(ex.priority, 0, lowest_urgency);
-        const auto affinity = pool.affinity_member(routing.prefix);
-        if (routing.prefix != 0 && affinity && affinity != member &&
-            affinity->identity.phase == upstream_phase::serving) {
+        const auto affinity = pool.affinity_member(prefix);
+        // The cache of an instance that drains is worth reading while it lasts.
+        if (prefix != 0 && affinity && affinity != member && affinity->state.accepts_calls()) {
             options.cache_source = http::to_string(affinity->identity.address);
         }
     }
@@ -73,9 +136,9 @@
     attempt.attempt_id = ex.request.attempt_id;
     attempt.stream_begun = ex.relaying;
     attempt.time_limit = attempt_time_limit(ex);
-    ex.attempt =
-        std::make_unique<upstream_attempt>(m_context, *m_adapter, std::move(member), ex.events,
-                                           m_bodies, std::move(attempt), make_hooks(ex.id));
+    attempt.event_limit = event_time_limit(ex);
+    ex.attempt = std::make_unique<upstream_attempt>(
+        m_context, *m_adapter, member, ex.events, m_bodies, std::move(attempt), make_hooks(ex.id));
     ex.attempt->start(m_adapter->encode_forward(ex.request, options));
     schedule_input_release(ex);
 }
@@ -88,6 +151,15 @@
     return ex.matched_route->latency_target * attempt_timeout_factor;
 }
 
+std::optional<common::duration> forwarder::event_time_limit(const exchange& ex) {
+    if (ex.matched_route->kind != repeatability::stream) {
+        return std::nullopt;
+    }
+    // Half of the caller's patience is left for another instance to go on.
+    const auto patience = event_patience(*ex.matched_route);
+    return ex.matched_route->resumable ? patience / 2 : patience;
+}
+
 void forwarder::schedule_input_release(exchange& ex) {
     const auto& member = *ex.attempt->member();
     const auto busy = static_cast<double>(member.in_progress * m_gateway_count);
@@ -105,17 +177,35 @@
 
 attempt_hooks forwarder::make_hooks(std::uint64_t id) {
     attempt_hooks hooks;
+    hooks.on_notice = [this, id](const response_head& it) { notice_received(*find(id), it); };
     hooks.on_head = [this, id](const attempt_response& it) { head_received(*find(id), it); };
     hooks.on_events = [this, id](std::string it) { events_received(*find(id), std::move(it)); };
     hooks.on_answered = [this, id](const attempt_response& it) { answered(*find(id), it); };
     hooks.on_failed = [this, id](const attempt_failure& it) { attempt_failed(*find(id), it); };
     hooks.on_time_limit = [this, id] {
         const auto& ex = *find(id);
-        return pool_of(ex.service).has_alternative(ex.tried);
+        return pool_of(ex.service).has_alternative(ex.tried, common::monotonic_clock::now());
     };
     return hooks;
 }
 
+void forwarder::notice_received(const exchange& ex, const response_head& head) {
+    auto& member = *ex.attempt->member();
+    if (head.leaving && member.state.phase() != instance_phase::draining) {
+        member.state.announce_drain();
+        m_log.info("The instance is leaving.",
+                   {{"attempt", ex.request.attempt_id}, {"upstream", member.identity.id}});
+        m_options.announce_leaving({incarnation_of(member.identity)});
+    }
+    if (head.pause) {
+        member.state.request_pause(common::monotonic_clock::now() + *head.pause);
+        m_log.info("The instance pauses.",
+                   {{"attempt", ex.request.attempt_id},
+                    {"upstream", member.identity.id},
+                    {"pause_ms", std::to_string(common::to_milliseconds(*head.pause))}});
+    }
+}
+
 void forwarder::head_received(exchange& ex, const attempt_response& response) {
     const auto now = common::monotonic_clock::now();
     ex.times.first_byte = ex.times.first_byte.value_or(now);
@@ -177,7 +267,7 @@
     facts.max_attempts = ex.matched_route->max_attempts;
     facts.sends = ex.sends;
     facts.time_left = ex.response_deadline - now > min_retry_time;
-    facts.alternative_available = pool.has_alternative(ex.tried);
+    facts.alternative_available = pool.has_alternative(ex.tried, now);
     facts.budget_left = true;
     auto step = decide_next_step(facts);
     const bool is_repeated = step == next_step::retry || step == next_step::remake_inputs;
--- a/source/core/gateway/forwarder_metrics.cpp
+++ b/source/core/gateway/forwarder_metrics.cpp
@@ -31,6 +31,14 @@
         .add();
 }
 
+void forwarder_metrics::record_wait(choice_outcome cause) {
+    m_registry
+        .add_counter("jujubemast_gateway_waits_total",
+                     "Requests that waited because no instance could take them.",
+                     {{"cause", std::string{common::to_name(cause)}}})
+        .add();
+}
+
 void forwarder_metrics::set_in_progress(std::size_t n) {
     m_registry
         .add_gauge("jujubemast_gateway_requests_in_progress", "Requests without a whole answer.")
--- a/source/core/gateway/forwarder_metrics.h
+++ b/source/core/gateway/forwarder_metrics.h
@@ -9,6 +9,7 @@
 #include "common/time.h"
 #include "gateway/attempt_decision.h"
 #include "gateway/configuration.h"
+#include "gateway/service_pool.h"
 #include "metrics/registry.h"
 
 namespace jujubemast::gateway {
@@ -22,6 +23,8 @@
     void record_end(repeatability kind, request_end end, common::duration time);
     void record_first_byte(repeatability kind, common::duration time);
     void record_step(attempt_end end, next_step step);
+    /// Records that a request waits because no instance can take it.
+    void record_wait(choice_outcome cause);
     void set_in_progress(std::size_t n);
     void set_configuration_age(common::duration age);
 
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -26,6 +26,7 @@
 
 using forwarder_mailbox = std::shared_ptr<runtime::mailbox<forwarder_message>>;
 using dispatcher_mailbox = std::shared_ptr<runtime::mailbox<dispatcher_message>>;
+using catalog_mailbox = std::shared_ptr<runtime::mailbox<catalog_message>>;
 using peers_mailbox = std::shared_ptr<runtime::mailbox<peers_message>>;
 using health_address = runtime::address<admin::health_message>;
 
@@ -97,7 +98,10 @@
     hooks.confirm_configuration = [=](const configuration_confirmed& it) { forwarder->post(it); };
     hooks.publish_gateways = [=](const std::vector<gateway_record>& it) {
         peers->post(gateways_changed{it});
-        forwarder->post(gateway_count_changed{it.size()});
+        gateway_names_changed names;
+        std::transform(it.begin(), it.end(), std::back_inserter(names.names),
+                       [](const gateway_record& known) { return known.name; });
+        forwarder->post(std::move(names));
     };
     hooks.set_not_ready_reason = [health](const std::string& reason) {
         health.send(admin::set_condition{configuration_condition, reason});
@@ -105,13 +109,16 @@
     return hooks;
 }
 
-forwarder_options make_forwarder_options(const settings::values& values) {
+forwarder_options make_forwarder_options(const settings::values& values,
+                                         const peers_mailbox& peers) {
     policy::load_aware_options routing;
     // The margin is small because an engine serves the requests of all gateways, and each gateway
     // counts only its own.
     routing.affinity_margin = 0.1;
-    routing.slow_start = std::chrono::seconds{2};
+    routing.slow_start = instance_warm_up;
     forwarder_options options;
+    options.name = values.get(gateway_settings::name);
+    options.announce_leaving = [peers](const instance_leaving& it) { peers->post(it); };
     options.failure_domain = values.get(gateway_settings::failure_domain);
     options.retries = {values.get(gateway_settings::retry_ratio),
                        values.get(gateway_settings::retry_reserve),
@@ -131,6 +138,7 @@
                   const std::shared_ptr<const adapter>& platform_adapter) {
     const auto forwarder_inbox = runtime::make_mailbox<forwarder_message>(loop, mailbox_capacity);
     const auto dispatcher_inbox = runtime::make_mailbox<dispatcher_message>(loop, mailbox_capacity);
+    const auto catalog_inbox = runtime::make_mailbox<catalog_message>(loop, mailbox_capacity);
     const auto peers_inbox = runtime::make_mailbox<peers_message>(loop, mailbox_capacity);
     const auto health_inbox = runtime::make_mailbox<admin::health_message>(loop, mailbox_capacity);
     const health_address health{health_inbox};
@@ -152,12 +160,13 @@
     http::server_options ready;
     ready.listen = http::parse_endpoint(values.get(gateway_settings::ready_listen));
     children.push_back(http::make_server("ready", ready, make_ready_handler(health)));
-    runtime::child_spec peers_child{
-        "peers", [=](runtime::task_context it) {
-            return std::make_shared<peers>(
-                std::move(it), peers_inbox, runtime::address<forwarder_message>{forwarder_inbox},
-                runtime::address<dispatcher_message>{dispatcher_inbox}, self);
-        }};
+    runtime::child_spec peers_child{"peers", [=](runtime::task_context it) {
+                                        return std::make_shared<peers>(
+                                            std::move(it), peers_inbox,
+                                            runtime::address<forwarder_message>{forwarder_inbox},
+                                            runtime::address<dispatcher_message>{dispatcher_inbox},
+                                            runtime::address<catalog_message>{catalog_inbox}, self);
+                                    }};
     peers_child.stop_timeout = acknowledgement_limit;
     children.push_back(std::move(peers_child));
     children.push_back({"dispatcher", [=](runtime::task_context it) {
@@ -169,15 +178,15 @@
                             return std::make_shared<forwarder>(
                                 std::move(it), forwarder_inbox,
                                 runtime::address<peers_message>{peers_inbox}, platform_adapter,
-                                make_forwarder_options(values));
+                                make_forwarder_options(values, peers_inbox));
                         }});
     const auto hooks =
         make_catalog_hooks(forwarder_inbox, dispatcher_inbox, peers_inbox, health, current);
     const auto limits = limits_for_staleness(values.get(gateway_settings::store_staleness_limit));
     runtime::child_spec catalog_child{"catalog", [=](runtime::task_context it) {
-                                          return std::make_shared<catalog>(std::move(it), store,
-                                                                           platform_adapter, self,
-                                                                           hooks, limits);
+                                          return std::make_shared<catalog>(
+                                              std::move(it), catalog_inbox, store, platform_adapter,
+                                              self, hooks, limits);
                                       }};
     catalog_child.stop_timeout = unregister_limit;
     children.push_back(std::move(catalog_child));
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -44,9 +44,14 @@
     order_outcome outcome;
 };
 
-/// The number of gateways that share the retry budget has changed.
-struct gateway_count_changed {
-    std::size_t count = 1;
+/// The gateways that share the limits of the upstreams have changed.
+struct gateway_names_changed {
+    std::vector<std::string> names;
+};
+
+/// An instance has announced in a response that it is about to stop.
+struct instance_leaving {
+    incarnation instance;
 };
 
 /// Backlogs of services. A gateway reports only the services that it owns.
@@ -95,13 +100,16 @@
 };
 
 using forwarder_message = std::variant<discovery_update, configuration_confirmed, request_received,
-                                       caller_disconnected, order_ended, gateway_count_changed,
+                                       caller_disconnected, order_ended, gateway_names_changed,
                                        backlog_report, shutdown_started, admin::metrics_query>;
 
-using peers_message = std::variant<piece_order, cancel_order, release_results, order_finished,
-                                   gateways_changed, backlog_report, shutdown_started>;
+using peers_message =
+    std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
+                 backlog_report, instance_leaving, shutdown_started>;
 
 using dispatcher_message = std::variant<discovery_update, piece_order, cancel_order,
                                         release_results, owners_changed, shutdown_started>;
 
+using catalog_message = std::variant<instance_leaving>;
+
 } // namespace jujubemast::gateway
--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers.cpp
@@ -12,11 +12,12 @@
 
 peers::peers(runtime::task_context context, std::shared_ptr<runtime::mailbox<peers_message>> inbox,
              runtime::address<forwarder_message> forwarder,
-             runtime::address<dispatcher_message> dispatcher, gateway_record self,
+             runtime::address<dispatcher_message> dispatcher,
+             runtime::address<catalog_message> catalog, gateway_record self,
              const peer_limits& limits)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_forwarder{std::move(forwarder)},
-      m_dispatcher{std::move(dispatcher)}, m_self{std::move(self)}, m_limits{limits},
-      m_timer{m_context.loop()}, m_stop_timer{m_context.loop()} {}
+      m_dispatcher{std::move(dispatcher)}, m_catalog{std::move(catalog)}, m_self{std::move(self)},
+      m_limits{limits}, m_timer{m_context.loop()}, m_stop_timer{m_context.loop()} {}
 
 void peers::start() {
     m_router = std::make_unique<wire::router>(
@@ -124,6 +125,9 @@
         if (is_live != it.live) {
             it.live = is_live;
             any_lost = any_lost || !is_live;
+            if (is_live) {
+                send_leaving_instances(name);
+            }
             m_log.info(is_live ? "Gateway is live." : "Gateway is not live.",
                        {{"gateway", name},
                         {"address", it.record.address},
@@ -148,6 +152,35 @@
     }
 }
 
+void peers::handle(const instance_leaving& message) {
+    if (!remember_leaving(message.instance)) {
+        return;
+    }
+    for (const auto& [name, it] : m_peers) {
+        if (it.live) {
+            send_to(name, message);
+        }
+    }
+}
+
+bool peers::remember_leaving(const incarnation& instance) {
+    const auto now = common::monotonic_clock::now();
+    std::erase_if(m_leaving_instances, [&](const auto& it) {
+        return now - it.second > m_limits.leaving_instance_retention;
+    });
+    if (!m_leaving_instances.try_emplace(instance, now).second) {
+        return false;
+    }
+    m_catalog.send(instance_leaving{instance});
+    return true;
+}
+
+void peers::send_leaving_instances(const std::string& name) {
+    for (const auto& [instance, announced] : m_leaving_instances) {
+        send_to(name, instance_leaving{instance});
+    }
+}
+
 void peers::reassign_orders() {
     for (auto& [number, it] : m_pending) {
         if (!is_live(it.owner)) {
@@ -206,7 +239,8 @@
                 if constexpr (std::is_same_v<content_type, wire::gateway_ping>) {
                     return true;
                 } else if constexpr (std::is_same_v<content_type, order_finished> ||
-                                     std::is_same_v<content_type, outcome_acknowledged>) {
+                                     std::is_same_v<content_type, outcome_acknowledged> ||
+                                     std::is_same_v<content_type, instance_leaving>) {
                     handle(it);
                     return true;
                 } else if constexpr (std::is_same_v<content_type, backlog_report>) {
@@ -314,6 +348,8 @@
                 }
             } else if constexpr (std::is_same_v<content_type, outcome_acknowledged>) {
                 handle(it);
+            } else if constexpr (std::is_same_v<content_type, instance_leaving>) {
+                remember_leaving(it.instance);
             } else if constexpr (std::is_same_v<content_type, backlog_report>) {
                 m_forwarder.send(it);
             } else {
--- a/source/core/gateway/peers.h
+++ b/source/core/gateway/peers.h
@@ -22,6 +22,9 @@
     common::duration silence_limit = std::chrono::milliseconds{1600};
     /// An order without an outcome is resent after this time.
     common::duration resend_interval = std::chrono::milliseconds{1500};
+    /// How long an announced instance is remembered for gateways that become live later. It has
+    /// stopped by then.
+    common::duration leaving_instance_retention = std::chrono::seconds{60};
     /// An outcome that is not acknowledged is resent after this time during a stop.
     common::duration acknowledgement_interval = std::chrono::milliseconds{100};
 };
@@ -32,7 +35,8 @@
 public:
     peers(runtime::task_context context, std::shared_ptr<runtime::mailbox<peers_message>> inbox,
           runtime::address<forwarder_message> forwarder,
-          runtime::address<dispatcher_message> dispatcher, gateway_record self,
+          runtime::address<dispatcher_message> dispatcher,
+          runtime::address<catalog_message> catalog, gateway_record self,
           const peer_limits& limits = {});
 
     void start() override;
@@ -67,6 +71,7 @@
     void handle(const shutdown_started& message);
     void handle(const backlog_report& message);
     void handle(const outcome_acknowledged& message);
+    void handle(const instance_leaving& message);
 
     void message_received(const std::string& bytes);
     void tick();
@@ -79,6 +84,10 @@
     /// Assigns the orders of dead owners to the current owners.
     void reassign_orders();
     [[nodiscard]] bool is_live(const std::string& name) const;
+    /// Tells the catalog. Returns whether it was not known yet.
+    bool remember_leaving(const incarnation& instance);
+    /// Tells a gateway that has become live which instances are leaving.
+    void send_leaving_instances(const std::string& name);
     /// Resends the outcomes that are not acknowledged yet. Ends the stop if there are none.
     void continue_stop();
     /// Sends to a gateway by name. Messages to this gateway go to the mailbox of its own
@@ -90,6 +99,7 @@
     runtime::inbox<peers_message> m_inbox;
     runtime::address<forwarder_message> m_forwarder;
     runtime::address<dispatcher_message> m_dispatcher;
+    runtime::address<catalog_message> m_catalog;
     gateway_record m_self;
     peer_limits m_limits;
     std::unique_ptr<wire::router> m_router;
@@ -100,6 +110,8 @@
     std::map<std::uint64_t, pending_order> m_pending;
     /// Outcomes that were sent since this gateway began to leave.
     std::map<order_key, order_outcome> m_unacknowledged;
+    /// Instances that were announced as leaving, with the time of the announcement.
+    std::map<incarnation, common::time_point> m_leaving_instances;
     runtime::timer m_timer;
     runtime::timer m_stop_timer;
     runtime::stop_done m_stop_done;
--- a/source/core/gateway/service_pool.cpp
+++ b/source/core/gateway/service_pool.cpp
@@ -20,6 +20,15 @@
     return limits;
 }
 
+/// Whether requests may be sent to the member: an ejected one gets them if there is no other.
+bool takes_requests(const pool_member& member) {
+    return member.state.accepts_work() || member.state.phase() == instance_phase::ejected;
+}
+
+bool is_excluded(const std::vector<std::string>& excluded, const pool_member& member) {
+    return std::find(excluded.begin(), excluded.end(), member.identity.id) != excluded.end();
+}
+
 } // namespace
 
 service_pool::service_pool(runtime::task_context context, policy::routing_hook route)
@@ -27,34 +36,72 @@
 
 void service_pool::update(const std::string& service, const upstream_map& known,
                           common::time_point now) {
-    std::erase_if(m_members, [&](const std::shared_ptr<pool_member>& it) {
+    for (const auto& it : m_members) {
         const auto found = known.find(it->identity.id);
-        const bool gone = found == known.end() || !is_same_incarnation(found->second, it->identity);
-        if (gone) {
-            // Requests in progress keep the member and its client alive until they end.
-            m_health.remove_member(it->identity.id);
+        const bool registered =
+            found != known.end() && is_same_incarnation(found->second, it->identity);
+        it->state.set_registered(registered, now);
+        if (registered) {
+            it->identity = found->second;
         }
-        return gone;
-    });
+    }
     for (const auto& [id, it] : known) {
-        if (it.service != service) {
-            continue;
+        if (it.service == service) {
+            add_if_new(it, now);
         }
-        const auto member = std::find_if(m_members.begin(), m_members.end(),
-                                         [&, &name = id](const std::shared_ptr<pool_member>& m) {
-                                             return m->identity.id == name;
-                                         });
-        if (member != m_members.end()) {
-            (*member)->identity = it;
-            continue;
+    }
+    for (const auto& it : m_members) {
+        if (it->identity.phase == upstream_phase::draining) {
+            it->state.announce_drain();
+        }
+    }
+    // A member that pauses is kept, because its entry may come back before the pause ends. Requests
+    // in progress keep the others and their clients alive until they end.
+    std::erase_if(m_members, [&](const std::shared_ptr<pool_member>& it) {
+        const bool removed =
+            it->state.phase() == instance_phase::gone && it->state.paused_until() <= now;
+        if (removed && !known.contains(it->identity.id)) {
+            m_health.remove_member(it->identity.id);
         }
-        auto added = std::make_shared<pool_member>();
-        added->identity = it;
-        added->digest = common::digest_of(id);
-        added->client = std::make_shared<http::client>(m_context, it.address, forward_limits());
-        added->available_since = now;
-        m_members.push_back(std::move(added));
-        m_health.add_member(id);
+        return removed;
+    });
+    divide_connections();
+}
+
+void service_pool::add_if_new(const upstream_instance& instance, common::time_point now) {
+    const bool is_known = std::any_of(m_members.begin(), m_members.end(), [&](const auto& it) {
+        return is_same_incarnation(it->identity, instance);
+    });
+    if (is_known) {
+        return;
+    }
+    // Nothing that is known of a former incarnation with this id holds for the new one.
+    m_health.remove_member(instance.id);
+    m_health.add_member(instance.id);
+    m_members.push_back(std::make_shared<pool_member>(
+        pool_member{instance, common::digest_of(instance.id),
+                    std::make_shared<http::client>(m_context, instance.address, forward_limits()),
+                    0, instance_state{now}}));
+}
+
+void service_pool::set_connection_limit(std::optional<std::size_t> limit,
+                                        const policy::share_holder& holder) {
+    m_connection_limit = limit;
+    m_holder = holder;
+    divide_connections();
+}
+
+void service_pool::divide_connections() {
+    if (!m_connection_limit) {
+        return;
+    }
+    // All gateways number the instances in the same way.
+    std::sort(m_members.begin(), m_members.end(),
+              [](const auto& a, const auto& b) { return a->digest < b->digest; });
+    const auto permits = policy::divide_limit(*m_connection_limit, m_members.size(), m_holder);
+    for (std::size_t n = 0; n < m_members.size(); ++n) {
+        m_members[n]->permits = permits[n];
+        m_members[n]->client->set_max_connections(permits[n]);
     }
 }
 
@@ -62,7 +109,14 @@
     m_budget.set_options(options);
 }
 
-std::vector<policy::upstream_view> service_pool::views(common::time_point now) {
+void service_pool::update_states(common::time_point now) {
+    for (const auto& it : m_members) {
+        it->state.update(now,
+                         m_health.state(it->identity.id, now) == policy::rotation_state::ejected);
+    }
+}
+
+std::vector<policy::upstream_view> service_pool::views() const {
     std::vector<policy::upstream_view> result;
     result.reserve(m_members.size());
     for (const auto& it : m_members) {
@@ -70,42 +124,66 @@
         view.name = it->identity.id;
         view.name_digest = it->digest;
         view.failure_domain = it->identity.failure_domain;
-        view.available = it->identity.phase == upstream_phase::serving;
-        view.ejected = m_health.state(it->identity.id, now) == policy::rotation_state::ejected;
+        view.available = takes_requests(*it) && it->has_free_connection();
+        view.ejected = it->state.phase() == instance_phase::ejected;
         view.reported_in_progress = it->in_progress;
         view.limit = it->identity.slots;
-        view.available_since = it->available_since;
+        view.available_since = it->state.registered_at();
         result.push_back(std::move(view));
     }
     return result;
 }
 
-std::shared_ptr<pool_member> service_pool::choose(const policy::routing_request& request) {
-    const auto candidates = views(request.now);
-    const auto chosen = m_route(request, candidates);
+instance_choice service_pool::choose(const policy::routing_request& request) {
+    update_states(request.now);
+    const auto chosen = m_route(request, views());
     if (!chosen) {
-        return nullptr;
+        return explain_no_choice(request);
     }
     m_health.record_dispatch(m_members[*chosen]->identity.id, request.now);
-    return m_members[*chosen];
+    return {choice_outcome::chosen, m_members[*chosen], {}};
+}
+
+instance_choice service_pool::explain_no_choice(const policy::routing_request& request) const {
+    instance_choice result;
+    for (const auto& it : m_members) {
+        if (is_excluded(request.excluded, *it)) {
+            continue;
+        }
+        if (takes_requests(*it)) {
+            return {choice_outcome::no_connection, nullptr, {}};
+        }
+        if (it->state.phase() != instance_phase::pausing) {
+            continue;
+        }
+        const auto end = it->state.paused_until();
+        result.retry_at =
+            result.outcome == choice_outcome::none ? end : std::min(result.retry_at, end);
+        result.outcome = choice_outcome::pausing;
+    }
+    return result;
 }
 
 std::shared_ptr<pool_member> service_pool::affinity_member(std::uint64_t prefix) {
-    const auto it = std::max_element(
-        m_members.begin(), m_members.end(),
-        [&](const std::shared_ptr<pool_member>& a, const std::shared_ptr<pool_member>& b) {
-            return policy::rendezvous_rank(prefix, a->digest) <
-                   policy::rendezvous_rank(prefix, b->digest);
-        });
-    return it == m_members.end() ? nullptr : *it;
-}
-
-bool service_pool::has_alternative(const std::vector<std::string>& excluded) {
-    return std::any_of(
-        m_members.begin(), m_members.end(), [&](const std::shared_ptr<pool_member>& it) {
-            return it->identity.phase == upstream_phase::serving &&
-                   std::find(excluded.begin(), excluded.end(), it->identity.id) == excluded.end();
-        });
+    std::shared_ptr<pool_member> best;
+    std::uint64_t best_rank = 0;
+    for (const auto& it : m_members) {
+        const auto rank = policy::rendezvous_rank(prefix, it->digest);
+        if (it->state.phase() != instance_phase::gone && (!best || rank > best_rank)) {
+            best = it;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+bool service_pool::has_alternative(const std::vector<std::string>& excluded,
+                                   common::time_point now) {
+    update_states(now);
+    return std::any_of(m_members.begin(), m_members.end(),
+                       [&](const std::shared_ptr<pool_member>& it) {
+                           return takes_requests(*it) && !is_excluded(excluded, *it);
+                       });
 }
 
 void service_pool::record_success(const pool_member& member, common::duration service_time,
--- a/source/core/gateway/service_pool.h
+++ b/source/core/gateway/service_pool.h
@@ -1,16 +1,23 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
-#include <map>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "common/enum_names.h"
+#include "gateway/instance_state.h"
 #include "gateway/upstream_list.h"
+#include "gateway/waiting_requests.h"
 #include "http/client.h"
 #include "policy/outlier_detector.h"
 #include "policy/retry_budget.h"
 #include "policy/routing.h"
+#include "policy/shared_limit.h"
 
 namespace jujubemast::gateway {
 
@@ -20,7 +27,28 @@
     std::uint64_t digest = 0;
     std::shared_ptr<http::client> client;
     std::uint32_t in_progress = 0;
-    common::time_point available_since;
+    instance_state state;
+    /// Connections that this gateway may have to the instance.
+    std::size_t permits = std::numeric_limits<std::size_t>::max();
+
+    [[nodiscard]] bool has_free_connection() const { return client->calls_in_progress() < permits; }
+};
+
+/// Whether an instance was chosen for a request, or why not.
+enum class choice_outcome {
+    chosen,
+    /// All connections to the instances that take work are in use.
+    no_connection,
+    /// All instances that would take work pause.
+    pausing,
+    none
+};
+
+struct instance_choice {
+    choice_outcome outcome = choice_outcome::none;
+    std::shared_ptr<pool_member> member;
+    /// When the first pause ends, if the instances pause.
+    common::time_point retry_at;
 };
 
 /// The instances of one service, with load balancing, outlier detection and the retry budget.
@@ -34,14 +62,21 @@
     /// Sets this gateway's share of the retry budget.
     void set_budget(const policy::retry_budget_options& options);
 
-    /// Chooses an instance, or returns null.
-    std::shared_ptr<pool_member> choose(const policy::routing_request& request);
+    /// Sets the limit of each instance on the connections of all gateways together, and this
+    /// gateway's position among them. Without a limit any number of connections is allowed.
+    void set_connection_limit(std::optional<std::size_t> limit, const policy::share_holder& holder);
+
+    /// Chooses an instance that takes work and has a free connection.
+    instance_choice choose(const policy::routing_request& request);
 
     /// Returns the instance that a prompt prefix hashes to regardless of load, or null.
     [[nodiscard]] std::shared_ptr<pool_member> affinity_member(std::uint64_t prefix);
 
     /// Whether an instance that is not excluded accepts work.
-    bool has_alternative(const std::vector<std::string>& excluded);
+    bool has_alternative(const std::vector<std::string>& excluded, common::time_point now);
+
+    /// The requests of this service that wait for an instance.
+    [[nodiscard]] waiting_requests& waiting() { return m_waiting; }
 
     void record_success(const pool_member& member, common::duration service_time,
                         common::time_point now);
@@ -51,13 +86,32 @@
     [[nodiscard]] std::size_t size() const { return m_members.size(); }
 
 private:
-    std::vector<policy::upstream_view> views(common::time_point now);
+    /// Brings the phases of all members up to date.
+    void update_states(common::time_point now);
+    [[nodiscard]] std::vector<policy::upstream_view> views() const;
+    /// Returns why no member was chosen.
+    [[nodiscard]] instance_choice explain_no_choice(const policy::routing_request& request) const;
+    void add_if_new(const upstream_instance& instance, common::time_point now);
+    void divide_connections();
 
     runtime::task_context m_context;
     policy::routing_hook m_route;
     std::vector<std::shared_ptr<pool_member>> m_members;
+    std::optional<std::size_t> m_connection_limit;
+    policy::share_holder m_holder;
     policy::outlier_detector m_health;
     policy::retry_budget m_budget;
+    waiting_requests m_waiting;
 };
 
 } // namespace jujubemast::gateway
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<gateway::choice_outcome> {
+    static constexpr std::array<std::string_view, 4> table{"chosen", "no_connection", "pausing",
+                                                           "none"};
+};
+
+} // namespace jujubemast::common
--- a/source/core/gateway/upstream_list.cpp
+++ b/source/core/gateway/upstream_list.cpp
@@ -10,8 +10,33 @@
            a.service == b.service;
 }
 
+incarnation incarnation_of(const upstream_instance& instance) {
+    return {instance.id, instance.started_ms, http::to_string(instance.address)};
+}
+
+bool upstream_list::mark_leaving(const incarnation& instance) {
+    if (std::find(m_leaving.begin(), m_leaving.end(), instance) != m_leaving.end()) {
+        return false;
+    }
+    m_leaving.push_back(instance);
+    if (m_leaving.size() > max_leaving) {
+        m_leaving.pop_front();
+    }
+    const auto it = m_entries.find(instance.id);
+    if (it == m_entries.end() || incarnation_of(it->second) != instance ||
+        it->second.phase == upstream_phase::draining) {
+        return false;
+    }
+    it->second.phase = upstream_phase::draining;
+    return true;
+}
+
 bool upstream_list::put(upstream_instance entry) {
     m_expiring.erase(entry.id);
+    if (!m_leaving.empty() &&
+        std::find(m_leaving.begin(), m_leaving.end(), incarnation_of(entry)) != m_leaving.end()) {
+        entry.phase = upstream_phase::draining;
+    }
     auto& stored = m_entries[entry.id];
     if (stored == entry) {
         return false;
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <array>
+#include <compare>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,6 +35,17 @@
     friend bool operator==(const upstream_instance&, const upstream_instance&) = default;
 };
 
+/// Identifies one incarnation of an instance.
+struct incarnation {
+    std::string id;
+    std::int64_t started_ms = 0;
+    std::string address;
+
+    friend auto operator<=>(const incarnation&, const incarnation&) = default;
+};
+
+incarnation incarnation_of(const upstream_instance& instance);
+
 /// Whether two entries describe the same incarnation at the same address. Calls and connections of
 /// one incarnation must not be used for another.
 bool is_same_incarnation(const upstream_instance& a, const upstream_instance& b);
@@ -54,6 +67,10 @@
     /// instance rewrites as its heartbeat does not differ.
     bool put(upstream_instance entry);
 
+    /// Records that an instance has announced that it is about to stop. It counts as draining from
+    /// then on, whatever its entry says. Returns whether the list changed.
+    bool mark_leaving(const incarnation& instance);
+
     /// Handles an entry that was deleted or is invalid. Returns whether the list changed at once.
     bool remove(const std::string& id, common::time_point now);
 
@@ -77,7 +94,12 @@
 private:
     [[nodiscard]] bool is_store_unstable(common::time_point now) const;
 
+    /// Number of announcements that are remembered.
+    static constexpr std::size_t max_leaving = 1024;
+
     upstream_map m_entries;
+    /// Instances that have announced that they are about to stop, oldest first.
+    std::deque<incarnation> m_leaving;
     /// Entries that were deleted while the store was unstable, with the time of their removal.
     std::map<std::string, common::time_point> m_expiring;
     bool m_store_down = false;
--- /dev/null
+++ b/source/core/gateway/waiting_requests.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <set>
+
+#include "common/time.h"
+
+namespace jujubemast::gateway {
+
+/// Requests that wait until an instance of their service can take one: a connection becomes free,
+/// or a pause ends. More urgent priorities come first and, within a priority, the earliest arrival.
+class waiting_requests {
+public:
+    void push(std::uint64_t id, int priority, common::time_point arrived) {
+        m_waiting.insert({priority, arrived, id});
+    }
+
+    void remove(std::uint64_t id) {
+        std::erase_if(m_waiting, [id](const waiting& it) { return it.id == id; });
+    }
+
+    /// Returns the request that is served next.
+    [[nodiscard]] std::optional<std::uint64_t> front() const {
+        return m_waiting.empty() ? std::nullopt : std::optional{m_waiting.begin()->id};
+    }
+
+    [[nodiscard]] std::size_t size() const { return m_waiting.size(); }
+
+private:
+    struct waiting {
+        int priority = 0;
+        common::time_point arrived;
+        std::uint64_t id = 0;
+
+        friend auto operator<=>(const waiting&, const waiting&) = default;
+    };
+
+    std::set<waiting> m_waiting;
+};
+
+} // namespace jujubemast::gateway
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -70,6 +70,14 @@
     to.mutable_acknowledgement()->set_number(from.key.number);
 }
 
+void to_proto(pb::gateway_envelope& to, const gateway::instance_leaving& from,
+              common::time_point /*now*/) {
+    auto& instance = *to.mutable_leaving_instance();
+    instance.set_id(from.instance.id);
+    instance.set_started_ms(from.instance.started_ms);
+    instance.set_address(from.instance.address);
+}
+
 void to_proto(pb::gateway_envelope& to, const gateway::backlog_report& from,
               common::time_point /*now*/) {
     for (const auto& it : from.services) {
@@ -170,9 +178,15 @@
         result.content = backlogs_from_proto(envelope);
         return result;
     case pb::gateway_envelope::kAcknowledgement:
-        result.content = gateway::outcome_acknowledged{
-            {envelope.sender(), envelope.acknowledgement().number()}};
+        result.content =
+            gateway::outcome_acknowledged{{envelope.sender(), envelope.acknowledgement().number()}};
         return result;
+    case pb::gateway_envelope::kLeavingInstance: {
+        const auto& instance = envelope.leaving_instance();
+        result.content =
+            gateway::instance_leaving{{instance.id(), instance.started_ms(), instance.address()}};
+        return result;
+    }
     case pb::gateway_envelope::CONTENT_NOT_SET:
         break;
     }
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -244,8 +244,9 @@
 // accepted before (hunt oonwala-kutch mix, seed 1006260159503, LOST).
 BOOST_FIXTURE_TEST_CASE(request_that_runs_when_the_stop_limit_is_reached_ends_as_unknown,
                         short_stop_fixture) {
-    auto response = std::async(std::launch::async,
-                               [&] { return send("POST", "/stream/mute", "l1", {{"X-Model", "m"}}); });
+    auto response = std::async(std::launch::async, [&] {
+        return send("POST", "/stream/mute", "l1", {{"X-Model", "m"}});
+    });
     wait_until("the upstream has the request", [&] { return records("l1").size() == 1; });
     gateways[0]->send_signal(SIGTERM);
     BOOST_TEST(response.get().status == 504U);
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -314,8 +314,8 @@
     return message.target.find("shed") != std::string::npos;
 }
 
-/// Makes all pieces of a call. The call takes a second if any key begins with "slow", and never ends
-/// if one begins with "stuck".
+/// Makes all pieces of a call. The call takes a second if any key begins with "slow", and never
+/// ends if one begins with "stuck".
 void make_pieces(const state_pointer& state, const http::request& message,
                  const http::responder& reply) {
     boost::json::array results;
--- a/tests/unit/gateway/catalog_test.cpp
+++ b/tests/unit/gateway/catalog_test.cpp
@@ -30,6 +30,8 @@
     std::shared_ptr<runtime::task_lifecycle> server_life = make_lifecycle("store");
     std::shared_ptr<runtime::task_lifecycle> catalog_life = make_lifecycle("catalog");
     std::shared_ptr<runtime::task> server;
+    std::shared_ptr<runtime::mailbox<catalog_message>> catalog_inbox =
+        runtime::make_mailbox<catalog_message>(loop.executor(), 100);
     std::shared_ptr<catalog> subject;
 
     catalog_fixture() {
@@ -53,9 +55,10 @@
         table_watch_limits limits;
         limits.wait = common::duration::zero();
         limits.batch_interval = milliseconds{20};
-        subject = std::make_shared<catalog>(
-            loop.context(catalog_life), address, std::make_shared<const adapter>(make_adapter()),
-            gateway_record{own_name, "10.0.0.1:1", 7}, make_hooks(), limits);
+        subject = std::make_shared<catalog>(loop.context(catalog_life), catalog_inbox, address,
+                                            std::make_shared<const adapter>(make_adapter()),
+                                            gateway_record{own_name, "10.0.0.1:1", 7}, make_hooks(),
+                                            limits);
         catalog_life->instance = subject;
     }
     catalog_fixture(const catalog_fixture&) = delete;
--- a/tests/unit/gateway/dispatcher_test.cpp
+++ b/tests/unit/gateway/dispatcher_test.cpp
@@ -55,9 +55,10 @@
         known["i"] = {.id = "i", .service = "stages", .address = address};
         update.upstreams = std::make_shared<const upstream_map>(known);
         configuration all;
-        all.services["stages"] = {"stages", piece_limits{.call_time = milliseconds{10},
-                                                         .piece_time = milliseconds{1},
-                                                         .result_memory_bytes = 1e6}};
+        all.services["stages"] = {"stages", std::nullopt,
+                                  piece_limits{.call_time = milliseconds{10},
+                                               .piece_time = milliseconds{1},
+                                               .result_memory_bytes = 1e6}};
         update.configuration = std::make_shared<const configuration>(all);
     }
     dispatcher_fixture(const dispatcher_fixture&) = delete;
--- a/tests/unit/gateway/upstream_list_test.cpp
+++ b/tests/unit/gateway/upstream_list_test.cpp
@@ -32,6 +32,20 @@
     BOOST_TEST(list.put(entry("a", 2)));
 }
 
+// Guards against new work for an upstream that has announced its stop, while its entry in the store
+// still says that it serves.
+BOOST_AUTO_TEST_CASE(upstream_that_announced_its_leaving_drains_until_it_restarts) {
+    list.put(entry("a"));
+    BOOST_TEST(list.mark_leaving(gateway::incarnation_of(entry("a"))));
+    BOOST_TEST(!list.mark_leaving(gateway::incarnation_of(entry("a"))));
+    list.put(entry("a"));
+    list.remove("a", now);
+    list.put(entry("a"));
+    BOOST_TEST((list.entries().at("a").phase == gateway::upstream_phase::draining));
+    list.put(entry("a", 2));
+    BOOST_TEST((list.entries().at("a").phase == gateway::upstream_phase::serving));
+}
+
 BOOST_AUTO_TEST_CASE(upstream_removed_while_the_store_is_stable_is_gone_at_once) {
     list.put(entry("a"));
     BOOST_TEST(list.remove("a", now));
--- a/tests/unit/users_platform/requests_test.cpp
+++ b/tests/unit/users_platform/requests_test.cpp
@@ -50,6 +50,21 @@
                boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(response_of_an_instance_that_leaves_or_pauses_is_decoded) {
+    const auto decode = [](unsigned status, const http::headers& fields) {
+        return users_platform::decode_response_head(status, fields);
+    };
+    BOOST_TEST(decode(200, {{"Server-Leaving", "1"}}).leaving);
+    BOOST_TEST(!decode(200, {{"Server-Leaving", "0"}}).leaving);
+    BOOST_TEST((decode(503, {{"Retry-After", "1.5"}}).pause == milliseconds{1500}));
+    BOOST_TEST((decode(503, {{"Retry-After", "1e9"}}).pause == std::chrono::minutes{5}));
+    BOOST_TEST(!decode(200, {{"Retry-After", "1"}}).pause);
+    for (const char* malformed :
+         {"", "soon", "-1", "0", "nan", "1s", "Fri, 04 Dec 2026 10:00:00"}) {
+        BOOST_TEST(!decode(503, {{"Retry-After", malformed}}).pause);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(request_with_a_bad_number_or_without_an_id_is_rejected) {
     message.fields[7].value = "0";
     message.fields[6].value = "4000000000";
--- a/tests/unit/wire/gateway_codec_test.cpp
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -62,6 +62,12 @@
     BOOST_TEST(read.services[0].busy == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(leaving_instance_when_decoded_keeps_its_incarnation) {
+    const gateway::incarnation instance{"i", 1700000000123, "10.0.0.1:80"};
+    const auto message = round_trip(gateway::instance_leaving{instance});
+    BOOST_TEST((std::get<gateway::instance_leaving>(message.content).instance == instance));
+}
+
 BOOST_AUTO_TEST_CASE(acknowledgement_when_decoded_names_the_sender_as_origin) {
     const auto message = round_trip(gateway::outcome_acknowledged{{"", 9}});
     const auto& read = std::get<gateway::outcome_acknowledged>(message.content);
