--- a/soak/standin_platform.py
+++ b/soak/standin_platform.py
@@ -195,7 +195,8 @@
     async def handle(self, message, writer):
         method, target, _ = message.start.split(" ")
         if message.field("X-Expect-Instance") != self.identity:
-            writer.write(wire.encode_response(421, X_Instance_Id=self.identity))
+            writer.write(wire.encode_response(421, X_Instance_Id=self.identity,
+                                              X_Attempt_Id=message.field("X-Attempt-Id")))
             return True
         if target == "/report":
             writer.write(wire.encode_response(200, b'{"queued":0,"busy":0,"free_mb":1}'))
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -347,7 +347,10 @@
 http::disconnect_hook serve_upstream(const state_pointer& state, const std::string& id,
                                      const http::request& message, const http::responder& reply) {
     if (header(message, "X-Expect-Instance") != id) {
-        reply.respond({421, {{"X-Instance-Id", id}}, ""});
+        reply.respond(
+            {421,
+             {{"X-Instance-Id", id}, {"X-Attempt-Id", header(message, "X-Attempt-Id")}},
+             ""});
         return {};
     }
     if (message.target == "/report") {
@@ -375,7 +378,8 @@
     } else if (message.target.find("mute") != std::string::npos) {
         state->unanswered.push_back(reply);
     } else if (refuses_work(message)) {
-        reply.respond({503, {{"X-Not-Run", "1"}}, ""});
+        reply.respond(
+            {503, {{"X-Not-Run", "1"}, {"X-Attempt-Id", header(message, "X-Attempt-Id")}}, ""});
     } else if (!header(message, "X-Model").empty()) {
         stream_events(message, reply);
     } else if (message.target.find("break") != std::string::npos) {
