gateway: notice pauses of the process, and act on nothing old after one

Cause: a gateway that was frozen or suspended believed all others silent when it woke, or read in their pings that they did not hear it, and owned every service for a moment: it asked all instances for reports every 150 ms. The steady clock stops while a machine is suspended, so what had an expiry looked fresh.

Change: monotonic_clock reads CLOCK_BOOTTIME. A tick of the peers task that is late by 700 ms shows a pause: the silence of live gateways is not counted for it, the catalog asks the store at once in place of polls whose responses may be old, and the dispatcher asks instances for reports before it uses them again. Reports are repeated every 400 ms and only while pieces wait.

--- a/source/core/common/time.h
+++ b/source/core/common/time.h
@@ -2,11 +2,28 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 #include <functional>
 
 namespace jujubemast::common {
 
-using monotonic_clock = std::chrono::steady_clock;
+/// The clock of ages, deadlines and leases. Unlike std::chrono::steady_clock it goes on while the
+/// machine is suspended, so that a process that wakes up sees how old its state is.
+struct monotonic_clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<monotonic_clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept {
+        std::timespec value{};
+        ::clock_gettime(CLOCK_BOOTTIME, &value);
+        return time_point{std::chrono::seconds{value.tv_sec} +
+                          std::chrono::nanoseconds{value.tv_nsec}};
+    }
+};
+
 using time_point = monotonic_clock::time_point;
 using duration = monotonic_clock::duration;
 
--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -194,6 +194,12 @@
     }
 }
 
+void catalog::handle(const process_paused& /*message*/) {
+    m_configuration_watch->refresh();
+    m_upstreams_watch->refresh();
+    m_gateways_watch->refresh();
+}
+
 void catalog::set_store_available(bool available) {
     if (available) {
         m_upstreams.record_store_recovery(common::monotonic_clock::now());
--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/catalog.h
@@ -41,6 +41,7 @@
 
 private:
     void handle(const instance_leaving& message);
+    void handle(const process_paused& message);
     void apply_configuration_rows(const table_update& update);
     void apply_upstream_rows(const table_update& update);
     void apply_gateway_rows(const table_update& update);
--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -201,6 +201,13 @@
     }
 }
 
+void dispatcher::handle(const process_paused& /*message*/) {
+    // Other gateways may have taken the services over meanwhile.
+    for (auto& [name, state] : m_services) {
+        state.needs_reports = true;
+    }
+}
+
 void dispatcher::dispatch(const std::string& name) {
     const auto* limits = limits_of(name);
     auto& service = m_services[name];
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -99,6 +99,7 @@
     void handle(const cancel_order& message);
     void handle(const release_results& message);
     void handle(const owners_changed& message);
+    void handle(const process_paused& message);
     void handle(const shutdown_started& message);
     void end_stop_if_idle();
 
@@ -148,6 +149,7 @@
     void report_received(const std::string& name, stage_instance& instance,
                          const http::call_result& result);
     void schedule_report(const std::string& name, stage_instance& instance);
+    void poll_report(const std::string& name, const std::string& id);
     void schedule_dispatch(const std::string& name, common::duration delay);
     void forget_finished();
 
--- a/source/core/gateway/dispatcher_reports.cpp
+++ b/source/core/gateway/dispatcher_reports.cpp
@@ -18,8 +18,9 @@
 // is pending.
 constexpr common::duration report_total_timeout = std::chrono::milliseconds{400};
 constexpr std::size_t max_report_bytes = std::size_t{64} * 1024;
-// Interval at which an instance is polled while it has calls or results of other gateways.
-constexpr common::duration report_poll_interval = std::chrono::milliseconds{150};
+// Interval at which an instance is polled while it has calls or results of other gateways, and
+// pieces wait.
+constexpr common::duration report_poll_interval = std::chrono::milliseconds{400};
 // Sizes are approximate, so a smaller difference is ignored.
 constexpr double min_foreign_share = 0.05;
 
@@ -106,14 +107,26 @@
     if (!instance.report_timer) {
         instance.report_timer = std::make_unique<runtime::timer>(m_context.loop());
     }
-    instance.report_timer->start(report_poll_interval, m_context.wrap([this, name,
-                                                                       id = instance.identity.id] {
-        auto& known = m_services[name].instances;
-        const auto it = known.find(id);
-        if (it != known.end() && !it->second->report_pending && it->second->state.accepts_calls()) {
-            send_report_query(name, it->second);
-        }
-    }));
+    instance.report_timer->start(
+        report_poll_interval,
+        m_context.wrap([this, name, id = instance.identity.id] { poll_report(name, id); }));
+}
+
+void dispatcher::poll_report(const std::string& name, const std::string& id) {
+    auto& service = m_services[name];
+    const auto it = service.instances.find(id);
+    if (it == service.instances.end()) {
+        return;
+    }
+    auto& instance = *it->second;
+    if (service.queue.size() == 0) {
+        // The calls of others end by themselves. Nobody needs to know when.
+        instance.foreign_calls = 0;
+        return;
+    }
+    if (!instance.report_pending && instance.state.accepts_calls()) {
+        send_report_query(name, it->second);
+    }
 }
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -99,6 +99,12 @@
     common::time_point deadline;
 };
 
+/// This process did not run for some time, because it was frozen or its machine was suspended. What
+/// it knew of others may be out of date.
+struct process_paused {
+    common::duration time = common::duration::zero();
+};
+
 using forwarder_message = std::variant<discovery_update, configuration_confirmed, request_received,
                                        caller_disconnected, order_ended, gateway_names_changed,
                                        backlog_report, shutdown_started, admin::metrics_query>;
@@ -107,9 +113,10 @@
     std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
                  backlog_report, instance_leaving, shutdown_started>;
 
-using dispatcher_message = std::variant<discovery_update, piece_order, cancel_order,
-                                        release_results, owners_changed, shutdown_started>;
+using dispatcher_message =
+    std::variant<discovery_update, piece_order, cancel_order, release_results, owners_changed,
+                 process_paused, shutdown_started>;
 
-using catalog_message = std::variant<instance_leaving>;
+using catalog_message = std::variant<instance_leaving, process_paused>;
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers.cpp
@@ -94,8 +94,28 @@
     }
 }
 
+void peers::check_for_pause(common::time_point now) {
+    const auto last = std::exchange(m_last_tick, now);
+    if (!last || now - *last < m_limits.ping_interval + m_limits.pause_threshold) {
+        return;
+    }
+    const auto pause = now - *last - m_limits.ping_interval;
+    m_log.warn("This process was paused.",
+               {{"ms", std::to_string(common::to_milliseconds(pause))}});
+    for (auto& [name, it] : m_peers) {
+        if (it.live) {
+            // Its messages may wait in the socket.
+            it.last_heard = std::max(it.last_heard, now - m_limits.ping_interval);
+        }
+    }
+    m_unheard_until = now + m_limits.silence_limit;
+    m_catalog.send(process_paused{pause});
+    m_dispatcher.send(process_paused{pause});
+}
+
 void peers::tick() {
     const auto now = common::monotonic_clock::now();
+    check_for_pause(now);
     for (auto& [name, it] : m_peers) {
         const bool heard = now - it.last_heard < m_limits.silence_limit;
         // A silent connection may be dead while a new one would work.
@@ -121,7 +141,9 @@
     std::vector<owner_candidate> candidates;
     bool any_lost = false;
     for (auto& [name, it] : m_peers) {
-        const bool is_live = it.hears_us && now - it.last_heard < m_limits.silence_limit;
+        const bool heard = now - it.last_heard < m_limits.silence_limit;
+        const bool hears_us = it.hears_us || (it.live && now < m_unheard_until);
+        const bool is_live = heard && hears_us;
         if (is_live != it.live) {
             it.live = is_live;
             any_lost = any_lost || !is_live;
--- a/source/core/gateway/peers.h
+++ b/source/core/gateway/peers.h
@@ -18,6 +18,8 @@
 
 struct peer_limits {
     common::duration ping_interval = std::chrono::milliseconds{500};
+    /// A tick that is late by this time shows that this process was paused.
+    common::duration pause_threshold = std::chrono::milliseconds{700};
     /// A gateway that has sent nothing for this long is considered dead.
     common::duration silence_limit = std::chrono::milliseconds{1600};
     /// An order without an outcome is resent after this time.
@@ -75,6 +77,9 @@
 
     void message_received(const std::string& bytes);
     void tick();
+    /// Notices that this process did not run. The silence of the others is not counted for that
+    /// time.
+    void check_for_pause(common::time_point now);
     void update_live();
     void connect(peer& target);
     /// Sends an order to the owner of its service.
@@ -107,6 +112,9 @@
     /// Gateways that may own services.
     std::vector<std::string> m_owners;
     bool m_leaving = false;
+    std::optional<common::time_point> m_last_tick;
+    /// Until then the others may not have heard this gateway, because it was paused.
+    common::time_point m_unheard_until;
     std::map<std::uint64_t, pending_order> m_pending;
     /// Outcomes that were sent since this gateway began to leave.
     std::map<order_key, order_outcome> m_unacknowledged;
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -45,6 +45,16 @@
     m_timer.cancel();
 }
 
+void table_watch::refresh() {
+    m_timer.cancel();
+    m_client.cancel(m_call);
+    if (m_table_complete) {
+        watch(common::duration::zero());
+    } else {
+        read_from({});
+    }
+}
+
 store_response table_watch::decode(const http::call_result& result) const {
     if (std::holds_alternative<http::call_error>(result)) {
         return {store_outcome::unavailable, {}, http::describe_failure(result)};
@@ -67,7 +77,7 @@
     options.max_body_bytes = max_page_bytes;
     m_sent = common::monotonic_clock::now();
     m_wait = wait;
-    m_client.send(message, std::move(done), options);
+    m_call = m_client.send(message, std::move(done), options);
 }
 
 void table_watch::read_from(const std::string& key) {
@@ -104,11 +114,13 @@
     m_table_complete = true;
     m_hooks.on_update({std::exchange(m_page_rows, {}), true});
     confirm();
-    watch();
+    watch(m_limits.wait);
 }
 
-void table_watch::watch() {
-    const auto wait = m_available ? m_limits.wait : common::duration::zero();
+void table_watch::watch(common::duration wait) {
+    if (!m_available) {
+        wait = common::duration::zero();
+    }
     send(m_adapter->encode_watch(m_table, m_version, wait), wait,
          [this](const http::call_result& result) { changes_received(result); });
 }
@@ -135,7 +147,7 @@
         m_hooks.on_update({std::move(response.content.rows), false});
     }
     confirm();
-    m_timer.start(m_limits.batch_interval, m_context.wrap([this] { watch(); }));
+    m_timer.start(m_limits.batch_interval, m_context.wrap([this] { watch(m_limits.wait); }));
 }
 
 void table_watch::call_failed(const store_response& response) {
@@ -159,7 +171,7 @@
 
 void table_watch::resume() {
     if (m_table_complete) {
-        watch();
+        watch(m_limits.wait);
     } else {
         read_from({});
     }
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/table_watch.h
@@ -68,6 +68,10 @@
 
     void cancel();
 
+    /// Asks the store for changes at once, in place of the call in progress, whose response may be
+    /// old.
+    void refresh();
+
     [[nodiscard]] std::uint64_t version() const { return m_version; }
 
     [[nodiscard]] boost::json::value dump() const;
@@ -77,7 +81,7 @@
               std::function<void(const http::call_result&)> done);
     void read_from(const std::string& key);
     void page_received(const http::call_result& result);
-    void watch();
+    void watch(common::duration wait);
     void changes_received(const http::call_result& result);
     /// Decodes the result of a call to the store.
     [[nodiscard]] store_response decode(const http::call_result& result) const;
@@ -99,6 +103,7 @@
     std::uint64_t m_first_page_version = 0;
     bool m_table_complete = false;
     bool m_available = true;
+    http::call_id m_call = 0;
     /// When the call in progress was sent.
     std::optional<common::time_point> m_sent;
     /// How long the store holds the call in progress.
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -348,9 +348,7 @@
                                      const http::request& message, const http::responder& reply) {
     if (header(message, "X-Expect-Instance") != id) {
         reply.respond(
-            {421,
-             {{"X-Instance-Id", id}, {"X-Attempt-Id", header(message, "X-Attempt-Id")}},
-             ""});
+            {421, {{"X-Instance-Id", id}, {"X-Attempt-Id", header(message, "X-Attempt-Id")}}, ""});
         return {};
     }
     if (message.target == "/report") {
