routing: leave probes of ejected upstreams to less urgent work

Cause: after an ejection the next request probes the upstream.

Change: urgent requests skip upstreams that are to be probed while others are eligible, unless no probe was made for the time of an ejection.

Result: the new routing case fails on the former code.

--- a/source/core/entry/upstream_set.cpp
+++ b/source/core/entry/upstream_set.cpp
@@ -88,8 +88,11 @@
     auto& [statuses, views] = target.members;
     for (std::size_t n = 0; n < views.size(); ++n) {
         views[n].holds_model = holds_model(statuses[n], stage.model);
-        views[n].ejected =
-            target.outliers.state(views[n].name, request.now) == policy::rotation_state::ejected;
+        const auto& name = views[n].name;
+        const auto rotation = target.outliers.state(name, request.now);
+        views[n].ejected = rotation == policy::rotation_state::ejected;
+        views[n].probing = rotation == policy::rotation_state::probing &&
+                           !target.outliers.is_probe_overdue(name, request.now);
     }
     auto index = m_route(request, views);
     if (!index && !request.excluded.empty()) {
--- a/source/core/policy/outlier_detector.cpp
+++ b/source/core/policy/outlier_detector.cpp
@@ -96,6 +96,12 @@
     return target.state;
 }
 
+bool outlier_detector::is_probe_overdue(const std::string& name, common::time_point now) const {
+    const auto it = m_members.find(name);
+    return it != m_members.end() && it->second.state == rotation_state::probing &&
+           now - it->second.ejected_until >= m_options.base_ejection_time;
+}
+
 rotation_state outlier_detector::last_state(const std::string& name) const {
     const auto it = m_members.find(name);
     return it == m_members.end() ? rotation_state::in_rotation : it->second.state;
--- a/source/core/policy/outlier_detector.h
+++ b/source/core/policy/outlier_detector.h
@@ -49,6 +49,9 @@
     /// Returns the state of the upstream. Changes it to `probing` when the ejection time is over.
     rotation_state state(const std::string& name, common::time_point now);
 
+    /// Whether the upstream has been left without a probe for so long that any work should be one.
+    [[nodiscard]] bool is_probe_overdue(const std::string& name, common::time_point now) const;
+
     /// Returns the state without updating it, for state dumps.
     [[nodiscard]] rotation_state last_state(const std::string& name) const;
 
--- a/source/core/policy/routing.cpp
+++ b/source/core/policy/routing.cpp
@@ -28,12 +28,14 @@
     return indices;
 }
 
-/// Returns the indices of the eligible upstreams. Ejected upstreams are included only when there is
-/// no other: trying one that may fail is better than refusing the request.
+/// Returns the indices of the eligible upstreams. Ejected upstreams, and those to be probed by less
+/// urgent work, are included only when there is no other: trying one that may fail is better than
+/// refusing the request.
 std::vector<std::size_t> eligible_indices(const routing_request& request,
                                           std::span<const upstream_view> upstreams) {
+    const bool may_probe = request.priority != common::priority::urgent;
     auto indices = indices_where(upstreams, [&](const upstream_view& it) {
-        return is_eligible(request, it) && !it.ejected;
+        return is_eligible(request, it) && !it.ejected && (may_probe || !it.probing);
     });
     if (indices.empty()) {
         indices = indices_where(upstreams,
--- a/source/core/policy/routing.h
+++ b/source/core/policy/routing.h
@@ -28,6 +28,9 @@
     bool holds_model = true;
     /// Ejected from rotation after failures or because it is much slower than its pool.
     bool ejected = false;
+    /// After an ejection, the next work shows whether the upstream is well again. Urgent work does
+    /// not, because a probe that fails leaves it no time for another attempt.
+    bool probing = false;
     /// Requests queued and in progress according to the last load report.
     std::uint32_t reported_queued = 0;
     std::uint32_t reported_in_progress = 0;
--- a/tests/unit/policy/outlier_detector_test.cpp
+++ b/tests/unit/policy/outlier_detector_test.cpp
@@ -47,6 +47,16 @@
     BOOST_TEST((detector.state("a", now) == rotation_state::ejected));
 }
 
+BOOST_AUTO_TEST_CASE(outlier_detector_without_a_probe_for_long_wants_one_from_any_work) {
+    fail("a", 3);
+    now += std::chrono::seconds{2};
+    BOOST_TEST((detector.state("a", now) == rotation_state::probing));
+    BOOST_TEST(!detector.is_probe_overdue("a", now));
+    BOOST_TEST(detector.is_probe_overdue("a", now + std::chrono::seconds{2}));
+    detector.record_dispatch("a", now);
+    BOOST_TEST(!detector.is_probe_overdue("a", now));
+}
+
 BOOST_AUTO_TEST_CASE(outlier_detector_when_upstream_is_much_slower_than_its_pool_ejects) {
     for (const auto* name : {"b", "c", "d", "e"}) {
         succeed(name, 10);
--- a/tests/unit/policy/routing_test.cpp
+++ b/tests/unit/policy/routing_test.cpp
@@ -54,6 +54,20 @@
     BOOST_TEST(count_choices(make_load_aware({}, random))["a"] < 120);
 }
 
+// Guards against urgent requests that are lost because they probe an upstream that is still paused
+// (experiment engines-paused).
+BOOST_AUTO_TEST_CASE(routing_of_urgent_work_leaves_probes_to_other_work) {
+    upstreams[0].probing = true;
+    request.priority = common::priority::urgent;
+    for (const auto& route : {make_load_aware({}, random), make_round_robin()}) {
+        BOOST_TEST(count_choices(route)["a"] == 0);
+    }
+    request.excluded = {"b", "c", "d"};
+    BOOST_TEST(count_choices(make_round_robin())["a"] == 1000);
+    request = {.priority = common::priority::background, .now = request.now};
+    BOOST_TEST(count_choices(make_round_robin())["a"] > 0);
+}
+
 // Guards against herding: load reports lag, so requests sent since the last report must count.
 BOOST_AUTO_TEST_CASE(routing_when_work_was_sent_since_the_report_counts_it) {
     upstreams[0].sent_since_report = 5;
