gateway: weigh failing stage instances by the calls they complete

Causes: an order ended with the first failed call that held more than three of its pieces, because each piece counted as a failure. Three refusals in a row ejected an instance that completes most of its work. Orders also ended after four refusals that had cost a few milliseconds each.

Change: a failed call counts once for each order, and only if the instance can have worked on it. outlier_detector::record_call keeps the share of an instance's call time that produces results, its goodput, and ejects below a quarter. The backlog report carries the goodput, so admission counts on the rate that is left. A response without results needs no report of the instance.

--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -105,12 +105,20 @@
 }
 
 service_backlog dispatcher::backlog_of(const std::string& name, service_state& service) const {
-    const auto usable = usable_instances(service);
-    const auto busy =
-        std::count_if(service.instances.begin(), service.instances.end(), [](const auto& it) {
-            return it.second->state.accepts_work() && it.second->calls > 0;
-        });
-    return {name, service.queue.by_priority(), usable, static_cast<std::size_t>(busy)};
+    update_states(service);
+    service_backlog result{name, service.queue.by_priority()};
+    double goodput = 0;
+    for (const auto& [id, it] : service.instances) {
+        if (it->state.accepts_work()) {
+            ++result.instances;
+            result.busy += it->calls > 0 ? 1 : 0;
+            goodput += service.health.goodput(id);
+        }
+    }
+    if (result.instances > 0) {
+        result.goodput = goodput / static_cast<double>(result.instances);
+    }
+    return result;
 }
 
 void dispatcher::report_backlogs() {
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -7,8 +8,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "common/enum_names.h"
 #include "gateway/adapter.h"
 #include "gateway/instance_state.h"
 #include "gateway/messages.h"
@@ -21,6 +24,16 @@
 
 namespace jujubemast::gateway {
 
+/// How a call without results ended.
+enum class call_end {
+    /// The instance has certainly not run it.
+    not_run,
+    /// A response without results. The instance no longer works on the call.
+    refused,
+    /// The instance may still work on the call.
+    no_response
+};
+
 /// Makes the pieces of stages. Keeps a queue for each service that has orders at this gateway,
 /// batches pieces into calls to free instances, and reports the outcome of each order once. A
 /// repeated order is answered with the stored outcome.
@@ -131,7 +144,9 @@
     void mark_inputs_read(std::uint64_t number);
     void call_ended(std::uint64_t number, const http::call_result& result);
     void response_received(call_state& call, const http::response& response);
-    void call_failed(call_state& call, const std::string& reason, bool not_run);
+    void call_failed(call_state& call, const std::string& reason, call_end end);
+    /// Counts one failure for each order that has pieces in a failed call.
+    void count_failure(const std::vector<queued_piece>& pieces);
     void piece_ended(call_state& call, const queued_piece& piece, const piece_result& result);
     void retry_piece(order_state& state, std::uint32_t piece);
     void finish_order(order_state& state, order_outcome outcome);
@@ -177,3 +192,12 @@
 };
 
 } // namespace jujubemast::gateway
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<gateway::call_end> {
+    static constexpr std::array<std::string_view, 3> table{"not_run", "refused", "no_response"};
+};
+
+} // namespace jujubemast::common
--- a/source/core/gateway/dispatcher_calls.cpp
+++ b/source/core/gateway/dispatcher_calls.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "common/error.h"
@@ -10,8 +11,11 @@
 
 namespace {
 
-// An order fails after more than this number of failures of its pieces.
+// An order fails after more than this number of failed calls and pieces.
 constexpr unsigned max_failures = 3;
+// A call that fails sooner than after this share of its expected time has not been worked on. It
+// counts as no failure of its orders, which may try again until their deadline.
+constexpr double min_worked_share = 0.5;
 // Timeout of a call as a multiple of its expected time, because instances differ in speed.
 constexpr int call_timeout_factor = 3;
 constexpr common::duration call_timeout_margin = std::chrono::milliseconds{300};
@@ -114,7 +118,7 @@
     }
     call.instance->memory.unreserve(bytes);
     if (const auto* error = std::get_if<http::call_error>(&result)) {
-        call_failed(call, error->detail, !error->sent);
+        call_failed(call, error->detail, error->sent ? call_end::no_response : call_end::not_run);
     } else {
         response_received(call, std::get<http::response>(result));
     }
@@ -130,18 +134,19 @@
             call.instance->backoff_until = now + refusal_backoff;
             schedule_dispatch(call.service, refusal_backoff);
         }
-        call_failed(call, "status " + std::to_string(response.status), head.not_run);
+        call_failed(call, "status " + std::to_string(response.status),
+                    head.not_run ? call_end::not_run : call_end::refused);
         return;
     }
     std::vector<piece_result> results;
     try {
         results = m_adapter->decode_piece_response(response.body);
     } catch (const common::format_error& e) {
-        call_failed(call, e.what(), false);
+        call_failed(call, e.what(), call_end::refused);
         return;
     }
     if (results.size() != call.pieces.size()) {
-        call_failed(call, "the response has a different number of pieces", false);
+        call_failed(call, "the response has a different number of pieces", call_end::refused);
         return;
     }
     m_log.info(
@@ -155,38 +160,58 @@
          {"waiting", std::to_string(m_services[call.service].queue.size())},
          {"room_used",
           std::to_string(static_cast<std::int64_t>(call.instance->memory.used(now)))}});
+    auto& health = m_services[call.service].health;
+    health.record_call(call.instance->identity.id, true, now - call.sent, now);
     const auto per_piece = (now - call.sent) / static_cast<std::int64_t>(call.pieces.size());
-    m_services[call.service].health.record_success(call.instance->identity.id, per_piece, now);
+    health.record_success(call.instance->identity.id, per_piece, now);
     for (std::size_t n = 0; n < results.size(); ++n) {
         piece_ended(call, call.pieces[n], results[n]);
     }
 }
 
-void dispatcher::call_failed(call_state& call, const std::string& reason, bool not_run) {
+void dispatcher::call_failed(call_state& call, const std::string& reason, call_end end) {
     const auto now = common::monotonic_clock::now();
-    m_log.warn("Piece call failed.", {{"service", call.service},
-                                      {"upstream", call.instance->identity.id},
-                                      {"pieces", std::to_string(call.pieces.size())},
-                                      {"not_run", not_run ? "yes" : "no"},
-                                      {"reason", reason}});
-    if (!not_run) {
-        m_services[call.service].health.record_failure(call.instance->identity.id, now);
-        // The instance may still run the call, and the results will take memory.
-        request_report(call.service, call.instance);
-    }
+    const auto took = now - call.sent;
+    m_log.warn("Piece call failed.",
+               {{"service", call.service},
+                {"upstream", call.instance->identity.id},
+                {"pieces", std::to_string(call.pieces.size())},
+                {"end", std::string{common::to_name(end)}},
+                {"ms", std::to_string(static_cast<std::int64_t>(common::to_milliseconds(took)))},
+                {"reason", reason}});
     if (call.instance->backoff_until <= now) {
         call.instance->backoff_until = now + refusal_backoff;
         schedule_dispatch(call.service, refusal_backoff);
     }
+    if (end != call_end::not_run) {
+        m_services[call.service].health.record_call(call.instance->identity.id, false,
+                                                    call.instance->backoff_until - call.sent, now);
+    }
+    if (end == call_end::no_response) {
+        // The instance may still run the call, and the results will take memory.
+        request_report(call.service, call.instance);
+    }
+    const auto* limits = limits_of(call.service);
+    const bool costly = end != call_end::not_run &&
+                        (limits == nullptr || took >= call_time(*limits, 1) * min_worked_share);
+    if (costly) {
+        count_failure(call.pieces);
+    }
     for (const auto& it : call.pieces) {
         const auto order = m_orders.find(it.order);
-        if (order == m_orders.end() || order->second.finished) {
-            continue;
+        if (order != m_orders.end() && !order->second.finished) {
+            retry_piece(order->second, it.piece);
         }
-        if (!not_run) {
+    }
+}
+
+void dispatcher::count_failure(const std::vector<queued_piece>& pieces) {
+    std::set<order_key> failed;
+    for (const auto& it : pieces) {
+        const auto order = m_orders.find(it.order);
+        if (order != m_orders.end() && failed.insert(it.order).second) {
             ++order->second.failures;
         }
-        retry_piece(order->second, it.piece);
     }
 }
 
--- a/source/core/gateway/piece_queue.cpp
+++ b/source/core/gateway/piece_queue.cpp
@@ -101,14 +101,14 @@
     for (const auto& [other, count] : backlog.waiting) {
         ahead += other <= priority ? count : 0;
     }
-    const auto per_round =
-        std::max<std::size_t>(1, limits.batch * limits.slots * backlog.instances);
+    const double per_round =
+        std::max(1.0, backlog.goodput *
+                          static_cast<double>(limits.batch * limits.slots * backlog.instances));
     const auto own = call_time(limits, std::min(pieces, limits.batch));
     const auto full = call_time(limits, limits.batch);
     const double rounds_meanwhile =
         std::chrono::duration<double>(start) / std::chrono::duration<double>(full);
-    const double rounds = std::max(
-        0.0, static_cast<double>(ahead) / static_cast<double>(per_round) - rounds_meanwhile);
+    const double rounds = std::max(0.0, static_cast<double>(ahead) / per_round - rounds_meanwhile);
     const double busy_share = static_cast<double>(backlog.busy) /
                               static_cast<double>(std::max<std::size_t>(1, backlog.instances));
     return own + std::chrono::duration_cast<common::duration>(full * (rounds + 0.5 * busy_share));
--- a/source/core/gateway/piece_queue.h
+++ b/source/core/gateway/piece_queue.h
@@ -131,6 +131,8 @@
     /// Number of instances that accept calls, and how many of them are busy.
     std::size_t instances = 0;
     std::size_t busy = 0;
+    /// Share of the instances' call time that produces results.
+    double goodput = 1;
 };
 
 /// Returns the expected time until newly ordered pieces of this priority are complete: up to half a
--- a/source/core/policy/outlier_detector.cpp
+++ b/source/core/policy/outlier_detector.cpp
@@ -1,6 +1,7 @@
 #include "policy/outlier_detector.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace jujubemast::policy {
@@ -69,6 +70,31 @@
     }
 }
 
+void outlier_detector::record_call(const std::string& name, bool completed, common::duration time,
+                                   common::time_point now) {
+    const auto it = m_members.find(name);
+    if (it == m_members.end()) {
+        return;
+    }
+    auto& target = it->second;
+    const std::chrono::duration<double> weighed_time = time;
+    const double weight = 1 - std::exp(-weighed_time / m_options.goodput_window);
+    target.goodput += weight * ((completed ? 1 : 0) - target.goodput);
+    if (completed) {
+        return;
+    }
+    const bool is_outlier = target.state == rotation_state::in_rotation &&
+                            target.goodput < m_options.min_goodput && may_eject();
+    if (is_outlier || target.state == rotation_state::probing) {
+        eject(target, now);
+    }
+}
+
+double outlier_detector::goodput(const std::string& name) const {
+    const auto it = m_members.find(name);
+    return it == m_members.end() ? 1 : it->second.goodput;
+}
+
 void outlier_detector::record_dispatch(const std::string& name, common::time_point now) {
     const auto it = m_members.find(name);
     if (it != m_members.end() && it->second.state == rotation_state::probing) {
--- a/source/core/policy/outlier_detector.h
+++ b/source/core/policy/outlier_detector.h
@@ -24,6 +24,11 @@
     common::duration max_ejection_time = std::chrono::seconds{30};
     /// Maximum share of a pool that may be ejected at the same time.
     double max_ejected_share = 0.4;
+    /// An upstream whose calls are recorded with their times is ejected when a smaller share of
+    /// that time produces results.
+    double min_goodput = 0.25;
+    /// Call time over which the goodput is averaged.
+    common::duration goodput_window = std::chrono::milliseconds{1500};
 };
 
 /// Whether an upstream receives work.
@@ -46,6 +51,16 @@
     /// Records a failure, or that no result had arrived when a hedge was sent.
     void record_failure(const std::string& name, common::time_point now);
 
+    /// Records a call that occupied the upstream for a time, and whether it produced results. In
+    /// place of `record_failure` where failures differ in cost: an upstream that refuses some calls
+    /// at once still completes nearly as many others as it would without them.
+    void record_call(const std::string& name, bool completed, common::duration time,
+                     common::time_point now);
+
+    /// Share of the upstream's recorded call time that produced results, recent calls weighing
+    /// more. 1 if nothing is known.
+    [[nodiscard]] double goodput(const std::string& name) const;
+
     /// Returns the state of the upstream. Changes it to `probing` when the ejection time is over.
     rotation_state state(const std::string& name, common::time_point now);
 
@@ -65,6 +80,7 @@
         std::uint32_t failures = 0;
         std::uint32_t ejections = 0;
         double average_service_s = 0;
+        double goodput = 1;
         std::uint64_t samples = 0;
         common::time_point ejected_until;
         bool probe_sent = false;
--- a/tests/unit/gateway/piece_queue_test.cpp
+++ b/tests/unit/gateway/piece_queue_test.cpp
@@ -126,6 +126,12 @@
                 milliseconds{200 + 260}));
 }
 
+// Guards against admission that counts on the full rate of instances that fail some of their calls.
+BOOST_AUTO_TEST_CASE(expected_delay_grows_with_the_calls_that_fail) {
+    const gateway::service_backlog failing{"s", {{0, 16}}, 2, 2, 0.5};
+    BOOST_TEST((gateway::expected_delay(limits, failing, 0, 1) == milliseconds{200 + 800 + 260}));
+}
+
 BOOST_AUTO_TEST_CASE(sustained_limits_with_large_results_bound_the_batch) {
     BOOST_TEST(gateway::sustained_limits(limits, 100).batch == 5U);
     BOOST_TEST(gateway::sustained_limits(limits, 1).batch == 8U);
--- a/tests/unit/policy/outlier_detector_test.cpp
+++ b/tests/unit/policy/outlier_detector_test.cpp
@@ -57,6 +57,38 @@
     BOOST_TEST(!detector.is_probe_overdue("a", now));
 }
 
+// Guards against an upstream that is ejected although it completes nearly as many calls as without
+// the refusals.
+BOOST_AUTO_TEST_CASE(outlier_detector_with_calls_that_fail_at_once_keeps_the_upstream) {
+    for (int n = 0; n < 100; ++n) {
+        detector.record_call("a", false, std::chrono::milliseconds{20}, now);
+        detector.record_call("a", n % 2 == 0, std::chrono::milliseconds{n % 2 == 0 ? 300 : 20},
+                             now);
+    }
+    BOOST_TEST((detector.state("a", now) == rotation_state::in_rotation));
+    BOOST_TEST(detector.goodput("a") > 0.75);
+    BOOST_TEST(detector.goodput("b") == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(outlier_detector_whose_call_time_is_lost_ejects_until_a_probe_completes) {
+    detector.record_call("a", false, std::chrono::milliseconds{1500}, now);
+    BOOST_TEST((detector.state("a", now) == rotation_state::in_rotation));
+    detector.record_call("a", false, std::chrono::milliseconds{1500}, now);
+    BOOST_TEST((detector.state("a", now) == rotation_state::ejected));
+    now += std::chrono::seconds{3};
+    BOOST_TEST((detector.state("a", now) == rotation_state::probing));
+    detector.record_dispatch("a", now);
+    detector.record_call("a", false, std::chrono::milliseconds{1}, now);
+    BOOST_TEST((detector.state("a", now) == rotation_state::ejected));
+    now += std::chrono::seconds{5};
+    BOOST_TEST((detector.state("a", now) == rotation_state::probing));
+    detector.record_dispatch("a", now);
+    detector.record_call("a", true, std::chrono::milliseconds{300}, now);
+    succeed("a", 10, 1);
+    BOOST_TEST((detector.state("a", now) == rotation_state::in_rotation));
+    BOOST_TEST(detector.goodput("a") == 1.0);
+}
+
 BOOST_AUTO_TEST_CASE(outlier_detector_when_upstream_is_much_slower_than_its_pool_ejects) {
     for (const auto* name : {"b", "c", "d", "e"}) {
         succeed(name, 10);
