--- a/source/core/gateway/adapter.h
+++ b/source/core/gateway/adapter.h
@@ -50,6 +50,7 @@
     std::uint64_t incarnation = 0;
     /// Processor time of the gateway's instance, in cores.
     double processor_share = 1;
+    std::string failure_domain;
 
     friend bool operator==(const gateway_record&, const gateway_record&) = default;
 };
--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "common/error.h"
+#include "gateway/row_digest.h"
 #include "http/call_failure.h"
 
 namespace jujubemast::gateway {
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr common::duration register_retry = std::chrono::seconds{1};
+// Interval at which a gateway that follows the store confirms the copies of the others.
+constexpr common::duration relay_interval = std::chrono::milliseconds{500};
 
 http::client_limits store_limits() {
     http::client_limits limits;
@@ -33,38 +36,105 @@
     : m_context{std::move(context)}, m_inbox{std::move(inbox)},
       m_adapter{std::move(platform_adapter)}, m_self{std::move(self)}, m_hooks{std::move(hooks)},
       m_limits{limits}, m_client{m_context, std::move(store), store_limits()},
-      m_expiry_timer{m_context.loop()}, m_register_timer{m_context.loop()} {}
+      m_expiry_timer{m_context.loop()}, m_register_timer{m_context.loop()}, m_relay_timer{
+                                                                                m_context.loop()} {}
 
 void catalog::start() {
-    const auto make = [this](store_table table, const table_watch_hooks& hooks) {
-        return std::make_unique<table_watch>(m_context, m_client, m_adapter, table, hooks,
-                                             m_limits);
-    };
-    const auto ignore_state = [](bool /*available*/) {};
-    m_configuration_watch =
-        make(store_table::configuration,
-             {[this](const table_update& it) { apply_configuration_rows(it); }, ignore_state,
-              [this](common::time_point at) {
-                  if (m_newest_decoded) {
-                      m_hooks.confirm_configuration({at});
-                  }
-              }});
-    m_upstreams_watch =
-        make(store_table::upstreams, {[this](const table_update& it) { apply_upstream_rows(it); },
-                                      [this](bool available) { set_store_available(available); },
-                                      {}});
-    m_gateways_watch =
-        make(store_table::gateways,
-             {[this](const table_update& it) { apply_gateway_rows(it); }, ignore_state, {}});
+    m_watches[store_table::configuration] =
+        make_watch(store_table::configuration,
+                   {[this](const table_update& it) { apply_configuration_rows(it); }, {}, {}});
+    m_watches[store_table::upstreams] = make_watch(
+        store_table::upstreams, {[this](const table_update& it) { apply_upstream_rows(it); },
+                                 [this](bool available) { set_store_available(available); },
+                                 {}});
+    m_watches[store_table::gateways] =
+        make_watch(store_table::gateways,
+                   {[this](const table_update& it) { apply_gateway_rows(it); }, {}, {}});
     m_inbox.receive(m_context.wrap([this](const catalog_message& message) {
         std::visit([this](const auto& it) { handle(it); }, message);
     }));
-    m_configuration_watch->begin();
-    m_upstreams_watch->begin();
-    m_gateways_watch->begin();
+    for (const auto& [table, watch] : m_watches) {
+        watch->begin();
+    }
     register_self();
 }
 
+std::unique_ptr<table_watch> catalog::make_watch(store_table table, table_watch_hooks hooks) {
+    const auto apply = std::move(hooks.on_update);
+    hooks.on_update = [this, table, apply](const table_update& update) {
+        if (update.complete) {
+            m_watches.at(table)->copy().clear_rows();
+            m_pending[table] = {};
+        }
+        apply(update);
+    };
+    if (!hooks.on_state) {
+        hooks.on_state = [](bool /*available*/) {};
+    }
+    hooks.on_confirmed = [this, table](common::time_point at) { confirmed(table, at); };
+    return std::make_unique<table_watch>(m_context, m_client, m_adapter, table, std::move(hooks),
+                                         m_limits);
+}
+
+void catalog::confirmed(store_table table, common::time_point at) {
+    if (table == store_table::configuration && m_newest_decoded) {
+        m_hooks.confirm_configuration({at});
+    }
+    relay(table, false);
+}
+
+void catalog::record_row(store_table table, const store_row& row,
+                         std::optional<std::uint64_t> content) {
+    const bool changed = m_watches.at(table)->copy().set_row(row.key, content);
+    auto& pending = m_pending[table];
+    if (changed && m_role.reads_store && pending.since) {
+        pending.rows.push_back(row);
+    }
+}
+
+void catalog::relay(store_table table, bool always) {
+    auto& pending = m_pending[table];
+    auto& watch = *m_watches.at(table);
+    const auto& copy = watch.copy();
+    if (!m_role.reads_store || !watch.is_available() || !copy.is_complete() || !copy.confirmed() ||
+        (pending.rows.empty() && !always)) {
+        return;
+    }
+    const auto since = std::exchange(pending.since, copy.version()).value_or(copy.version());
+    m_hooks.relay({{table, since, copy.version(), copy.digest(), std::exchange(pending.rows, {})},
+                   *copy.confirmed(),
+                   common::monotonic_clock::now()});
+}
+
+void catalog::relay_confirmations() {
+    for (const auto& [table, watch] : m_watches) {
+        relay(table, true);
+    }
+    m_relay_timer.start(relay_interval, m_context.wrap([this] { relay_confirmations(); }));
+}
+
+void catalog::handle(const table_relay& message) {
+    const auto& table = message.changes.table;
+    m_watches.at(table)->changes_relayed(message.changes, message.confirmed, message.sent);
+}
+
+void catalog::handle(const store_role& message) {
+    if (message == m_role) {
+        return;
+    }
+    m_role = message;
+    m_log.info(m_role.reads_store ? "Follows the store." : "Follows other gateways.",
+               {{"gateway", m_self.name}, {"has_followers", m_role.has_followers ? "yes" : "no"}});
+    for (const auto& [table, watch] : m_watches) {
+        watch->set_relayed(!m_role.reads_store);
+        m_pending[table] = {};
+    }
+    m_relay_timer.cancel();
+    if (m_role.reads_store && m_role.has_followers) {
+        relay_confirmations();
+    }
+}
+
 void catalog::stop(const runtime::stop_done& done) {
     m_registered = false;
     m_register_timer.cancel();
@@ -85,10 +155,9 @@
     m_inbox.close();
     m_expiry_timer.cancel();
     m_register_timer.cancel();
+    m_relay_timer.cancel();
     m_client.close();
-    m_configuration_watch.reset();
-    m_upstreams_watch.reset();
-    m_gateways_watch.reset();
+    m_watches.clear();
 }
 
 void catalog::register_self() {
@@ -128,6 +197,9 @@
             m_newest_decoded = false;
             continue;
         }
+        if (decoded) {
+            record_row(store_table::configuration, row, row_digest(*decoded));
+        }
         m_newest_decoded = m_newest_decoded || decoded;
         if (!decoded || (m_configuration && decoded->version <= m_configuration->version)) {
             continue;
@@ -156,6 +228,8 @@
             m_log.warn("Could not decode the entry of an upstream.",
                        {{"key", row.key}, {"reason", e.what()}});
         }
+        record_row(store_table::upstreams, row,
+                   decoded ? std::optional{row_digest(*decoded)} : std::nullopt);
         if (!decoded) {
             if (!update.complete && m_upstreams.remove(row.key, now)) {
                 changed = true;
@@ -195,9 +269,9 @@
 }
 
 void catalog::handle(const process_paused& /*message*/) {
-    m_configuration_watch->refresh();
-    m_upstreams_watch->refresh();
-    m_gateways_watch->refresh();
+    for (const auto& [table, watch] : m_watches) {
+        watch->refresh();
+    }
 }
 
 void catalog::set_store_available(bool available) {
@@ -229,14 +303,18 @@
     }
     for (const auto& row : update.rows) {
         m_gateways.erase(row.key);
+        std::optional<std::uint64_t> content;
         try {
             if (row.value) {
-                m_gateways.emplace(row.key, m_adapter->decode_gateway(row));
+                const auto decoded = m_adapter->decode_gateway(row);
+                content = row_digest(decoded);
+                m_gateways.emplace(row.key, decoded);
             }
         } catch (const common::format_error& e) {
             m_log.warn("Could not decode the entry of a gateway.",
                        {{"key", row.key}, {"reason", e.what()}});
         }
+        record_row(store_table::gateways, row, content);
     }
     check_registration();
     std::vector<gateway_record> known;
@@ -268,16 +346,13 @@
                                                    {"phase", common::to_name(it.phase)}});
     }
     boost::json::object tables;
-    for (const auto& [table, watch] :
-         {std::pair{store_table::configuration, m_configuration_watch.get()},
-          std::pair{store_table::upstreams, m_upstreams_watch.get()},
-          std::pair{store_table::gateways, m_gateways_watch.get()}}) {
-        if (watch != nullptr) {
-            tables[common::to_name(table)] = watch->dump();
-        }
+    for (const auto& [table, watch] : m_watches) {
+        tables[common::to_name(table)] = watch->dump();
     }
     return boost::json::object{{"configuration", m_configuration ? m_configuration->version : 0},
                                {"tables", std::move(tables)},
+                               {"reads_store", m_role.reads_store},
+                               {"has_followers", m_role.has_followers},
                                {"registered", m_registered},
                                {"upstreams", std::move(upstreams)},
                                {"gateways", m_gateways.size()}};
--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/catalog.h
@@ -2,7 +2,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,12 +24,15 @@
     std::function<void(const std::vector<gateway_record>&)> publish_gateways;
     /// A response of the store has shown that the local copy of the configuration is the newest.
     std::function<void(const configuration_confirmed&)> confirm_configuration;
+    /// Passes changes on to the other gateways.
+    std::function<void(const table_relay&)> relay;
     /// Sets why the gateway is not ready. An empty reason means that it can serve requests.
     std::function<void(const std::string& reason)> set_not_ready_reason;
 };
 
 /// Service discovery: reads the configuration, the upstreams and the other gateways from the
-/// platform's store, follows their changes, and registers this gateway there.
+/// platform's store, follows their changes, and registers this gateway there. A few gateways of
+/// each failure domain follow the store itself and pass the changes on; the others follow these.
 class catalog final : public runtime::task {
 public:
     catalog(runtime::task_context context, std::shared_ptr<runtime::mailbox<catalog_message>> inbox,
@@ -42,6 +47,17 @@
 private:
     void handle(const instance_leaving& message);
     void handle(const process_paused& message);
+    void handle(const table_relay& message);
+    void handle(const store_role& message);
+    [[nodiscard]] std::unique_ptr<table_watch> make_watch(store_table table,
+                                                          table_watch_hooks hooks);
+    /// Records the content of a row, and whether it has to be passed on.
+    void record_row(store_table table, const store_row& row, std::optional<std::uint64_t> content);
+    void confirmed(store_table table, common::time_point at);
+    /// Passes on what has changed since the last time. Without changes, passes on only the
+    /// confirmation that there are none, if `always` is set.
+    void relay(store_table table, bool always);
+    void relay_confirmations();
     void apply_configuration_rows(const table_update& update);
     void apply_upstream_rows(const table_update& update);
     void apply_gateway_rows(const table_update& update);
@@ -59,9 +75,16 @@
     catalog_hooks m_hooks;
     table_watch_limits m_limits;
     http::client m_client;
-    std::unique_ptr<table_watch> m_configuration_watch;
-    std::unique_ptr<table_watch> m_upstreams_watch;
-    std::unique_ptr<table_watch> m_gateways_watch;
+    std::map<store_table, std::unique_ptr<table_watch>> m_watches;
+    /// Changes of a table that have not been passed on.
+    struct pending_changes {
+        std::vector<store_row> rows;
+        /// The version up to which changes have been passed on. Empty if the others have to ask the
+        /// store first, because this gateway has not seen all changes before.
+        std::optional<std::uint64_t> since;
+    };
+    std::map<store_table, pending_changes> m_pending;
+    store_role m_role;
     configuration_pointer m_configuration;
     /// Whether the newest configuration in the store could be decoded.
     bool m_newest_decoded = true;
@@ -71,6 +94,7 @@
     std::map<std::string, gateway_record> m_gateways;
     runtime::timer m_expiry_timer;
     runtime::timer m_register_timer;
+    runtime::timer m_relay_timer;
     bool m_registered = false;
     logging::logger m_log{"catalog"};
 };
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -103,6 +103,7 @@
                        [](const gateway_record& known) { return known.name; });
         forwarder->post(std::move(names));
     };
+    hooks.relay = [peers](const table_relay& it) { peers->post(it); };
     hooks.set_not_ready_reason = [health](const std::string& reason) {
         health.send(admin::set_condition{configuration_condition, reason});
     };
@@ -145,7 +146,8 @@
     const auto current = std::make_shared<configuration_pointer>();
     const gateway_record self{
         values.get(gateway_settings::name), values.get(gateway_settings::peers_listen),
-        common::system_random()() >> 1U, values.get(gateway_settings::processor_share)};
+        common::system_random()() >> 1U, values.get(gateway_settings::processor_share),
+        values.get(gateway_settings::failure_domain)};
     const auto store = http::parse_endpoint(values.get(gateway_settings::store_address));
 
     // When a child fails, it is restarted together with the children after it. Each child therefore
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -9,6 +9,7 @@
 #include "gateway/adapter.h"
 #include "gateway/configuration.h"
 #include "gateway/piece_queue.h"
+#include "gateway/table_copy.h"
 #include "gateway/upstream_list.h"
 #include "http/server.h"
 
@@ -105,18 +106,36 @@
     common::duration time = common::duration::zero();
 };
 
+/// Changes of a table, or the confirmation that there are none, from a gateway that follows the
+/// store.
+struct table_relay {
+    table_changes changes;
+    /// When the store last confirmed that the sender's copy is the newest. Both times are in the
+    /// clock of the process that holds the message.
+    common::time_point confirmed;
+    common::time_point sent;
+};
+
+/// Whether this gateway follows the store, and whether others rely on it.
+struct store_role {
+    bool reads_store = true;
+    bool has_followers = false;
+
+    friend bool operator==(const store_role&, const store_role&) = default;
+};
+
 using forwarder_message = std::variant<discovery_update, configuration_confirmed, request_received,
                                        caller_disconnected, order_ended, gateway_names_changed,
                                        backlog_report, shutdown_started, admin::metrics_query>;
 
 using peers_message =
     std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
-                 backlog_report, instance_leaving, shutdown_started>;
+                 backlog_report, instance_leaving, table_relay, shutdown_started>;
 
 using dispatcher_message =
     std::variant<discovery_update, piece_order, cancel_order, release_results, owners_changed,
                  process_paused, shutdown_started>;
 
-using catalog_message = std::variant<instance_leaving, process_paused>;
+using catalog_message = std::variant<instance_leaving, process_paused, table_relay, store_role>;
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers.cpp
@@ -7,6 +7,7 @@
 
 #include "common/error.h"
 #include "gateway/ownership.h"
+#include "gateway/store_readers.h"
 
 namespace jujubemast::gateway {
 
@@ -124,7 +125,7 @@
         }
         if (it.link) {
             it.link->send(wire::encode(
-                {m_self.name, m_self.incarnation, wire::gateway_ping{heard, m_leaving}}, now));
+                {m_self.name, m_self.incarnation, wire::gateway_ping{heard, m_leaving, now}}, now));
         }
     }
     update_live();
@@ -164,6 +165,7 @@
     }
     // A gateway that was leaving and is now silent has exited. It registers again when it restarts.
     std::erase_if(m_peers, [](const auto& it) { return it.second.leaving && !it.second.live; });
+    update_store_readers();
     auto owners = eligible_owners(candidates);
     if (owners != m_owners) {
         m_owners = std::move(owners);
@@ -174,6 +176,45 @@
     }
 }
 
+void peers::update_store_readers() {
+    std::map<std::string, std::vector<owner_candidate>> domains;
+    if (!m_leaving) {
+        domains[m_self.failure_domain].push_back({m_self.name, m_self.processor_share});
+    }
+    for (const auto& [name, it] : m_peers) {
+        if (it.live && !it.leaving) {
+            domains[it.record.failure_domain].push_back({name, it.record.processor_share});
+        }
+    }
+    m_store_readers.clear();
+    for (const auto& [domain, members] : domains) {
+        for (auto& name : choose_store_readers(members)) {
+            m_store_readers.insert(std::move(name));
+        }
+    }
+    const auto& own_domain = domains[m_self.failure_domain];
+    const store_role role{m_store_readers.contains(m_self.name) || own_domain.empty(),
+                          own_domain.size() > store_readers_per_domain};
+    if (role != m_role && m_catalog.send(role)) {
+        m_role = role;
+    }
+}
+
+bool peers::needs_changes(const peer& target, const table_changes& changes) const {
+    const bool same_domain = target.record.failure_domain == m_self.failure_domain;
+    const bool reads_store = m_store_readers.contains(target.record.name);
+    return (same_domain && !reads_store) || (reads_store && !changes.rows.empty());
+}
+
+void peers::handle(const table_relay& message) {
+    for (const auto& [name, it] : m_peers) {
+        if (it.live && it.ping_sent && needs_changes(it, message.changes)) {
+            send_to(name, table_relay{message.changes, it.remote_time(message.confirmed),
+                                      it.remote_time(message.sent)});
+        }
+    }
+}
+
 void peers::handle(const instance_leaving& message) {
     if (!remember_leaving(message.instance)) {
         return;
@@ -258,7 +299,8 @@
         return std::visit(
             [this](const auto& it) {
                 using content_type = std::decay_t<decltype(it)>;
-                if constexpr (std::is_same_v<content_type, wire::gateway_ping>) {
+                if constexpr (std::is_same_v<content_type, wire::gateway_ping> ||
+                              std::is_same_v<content_type, table_relay>) {
                     return true;
                 } else if constexpr (std::is_same_v<content_type, order_finished> ||
                                      std::is_same_v<content_type, outcome_acknowledged> ||
@@ -342,6 +384,17 @@
     }
 }
 
+void peers::ping_received(peer& from, const wire::gateway_ping& message, common::time_point now) {
+    from.ping_sent = message.sent;
+    from.ping_received = now;
+    const bool changed = from.hears_us != message.hears_receiver || from.leaving != message.leaving;
+    from.hears_us = message.hears_receiver;
+    from.leaving = message.leaving;
+    if (changed || !from.live) {
+        update_live();
+    }
+}
+
 void peers::message_received(const std::string& bytes) {
     const auto now = common::monotonic_clock::now();
     wire::gateway_message message;
@@ -360,9 +413,7 @@
         [&](const auto& it) {
             using content_type = std::decay_t<decltype(it)>;
             if constexpr (std::is_same_v<content_type, wire::gateway_ping>) {
-                from->second.hears_us = it.hears_receiver;
-                from->second.leaving = it.leaving;
-                update_live();
+                ping_received(from->second, it, now);
             } else if constexpr (std::is_same_v<content_type, order_finished>) {
                 handle(it);
                 if (from->second.leaving) {
@@ -372,6 +423,8 @@
                 handle(it);
             } else if constexpr (std::is_same_v<content_type, instance_leaving>) {
                 remember_leaving(it.instance);
+            } else if constexpr (std::is_same_v<content_type, table_relay>) {
+                m_catalog.send(it);
             } else if constexpr (std::is_same_v<content_type, backlog_report>) {
                 m_forwarder.send(it);
             } else {
--- a/source/core/gateway/peers.h
+++ b/source/core/gateway/peers.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,14 @@
         bool hears_us = false;
         bool leaving = false;
         bool live = false;
+        /// When the last ping of the other gateway was sent, in its clock, and when it arrived.
+        std::optional<common::time_point> ping_sent;
+        common::time_point ping_received;
+
+        /// Returns a lower bound of the other gateway's time at a time of this one.
+        [[nodiscard]] common::time_point remote_time(common::time_point time) const {
+            return *ping_sent + (time - ping_received);
+        }
     };
 
     struct pending_order {
@@ -74,13 +83,17 @@
     void handle(const backlog_report& message);
     void handle(const outcome_acknowledged& message);
     void handle(const instance_leaving& message);
+    void handle(const table_relay& message);
 
+    void ping_received(peer& from, const wire::gateway_ping& message, common::time_point now);
     void message_received(const std::string& bytes);
     void tick();
     /// Notices that this process did not run. The silence of the others is not counted for that
     /// time.
     void check_for_pause(common::time_point now);
     void update_live();
+    /// Chooses the gateways that follow the store, among those that are live.
+    void update_store_readers();
     void connect(peer& target);
     /// Sends an order to the owner of its service.
     void assign(pending_order& pending);
@@ -88,6 +101,9 @@
     void resend(pending_order& pending);
     /// Assigns the orders of dead owners to the current owners.
     void reassign_orders();
+    /// Whether the gateway, which is live, relies on the changes that this one reads. Those that
+    /// follow the store get them as well, because they may be cut off from it.
+    [[nodiscard]] bool needs_changes(const peer& target, const table_changes& changes) const;
     [[nodiscard]] bool is_live(const std::string& name) const;
     /// Tells the catalog. Returns whether it was not known yet.
     bool remember_leaving(const incarnation& instance);
@@ -111,6 +127,9 @@
     std::map<std::string, peer> m_peers;
     /// Gateways that may own services.
     std::vector<std::string> m_owners;
+    /// Gateways of all failure domains that follow the store.
+    std::set<std::string> m_store_readers;
+    store_role m_role;
     bool m_leaving = false;
     std::optional<common::time_point> m_last_tick;
     /// Until then the others may not have heard this gateway, because it was paused.
--- /dev/null
+++ b/source/core/gateway/row_digest.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+
+#include "gateway/adapter.h"
+
+namespace jujubemast::gateway {
+
+// Digests of what the gateways use of a row. A row that is rewritten with the same content, for
+// example as a heartbeat, keeps its digest.
+
+std::uint64_t row_digest(const configuration& content);
+std::uint64_t row_digest(const upstream_instance& content);
+std::uint64_t row_digest(const gateway_record& content);
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/table_copy.cpp
@@ -0,0 +1,69 @@
+#include "gateway/table_copy.h"
+
+#include <algorithm>
+
+#include "common/digest.h"
+
+namespace jujubemast::gateway {
+
+namespace {
+
+/// Returns the part of a row in the digest of its table. The parts are combined by XOR, so that the
+/// digest does not depend on the order of the rows.
+std::uint64_t digest_part(const std::string& key, std::uint64_t content) {
+    return common::digest_of(key + '\n' + std::to_string(content));
+}
+
+} // namespace
+
+void table_copy::set_complete(std::uint64_t version) {
+    m_version = version;
+    m_complete = true;
+}
+
+void table_copy::clear_rows() {
+    m_rows.clear();
+    m_digest = 0;
+}
+
+bool table_copy::set_row(const std::string& key, std::optional<std::uint64_t> content) {
+    const auto known = m_rows.find(key);
+    const bool is_known = known != m_rows.end();
+    if (is_known == content.has_value() && (!is_known || known->second == *content)) {
+        return false;
+    }
+    if (is_known) {
+        m_digest ^= digest_part(key, known->second);
+        m_rows.erase(known);
+    }
+    if (content) {
+        m_digest ^= digest_part(key, *content);
+        m_rows.emplace(key, *content);
+    }
+    return true;
+}
+
+change_order table_copy::order_of(std::uint64_t since, std::uint64_t version) const {
+    if (version < m_version) {
+        return change_order::older;
+    }
+    return since > m_version ? change_order::gap : change_order::next;
+}
+
+void table_copy::advance(std::uint64_t version) {
+    m_version = std::max(m_version, version);
+}
+
+void table_copy::confirm(common::time_point confirmed, common::time_point heard) {
+    m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
+    m_heard = std::max(m_heard, heard);
+}
+
+common::time_point table_copy::check_due(const relay_limits& limits) const {
+    if (!m_confirmed) {
+        return m_heard;
+    }
+    return std::min(m_heard + limits.silence, *m_confirmed + limits.staleness);
+}
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/table_copy.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "common/enum_names.h"
+#include "common/time.h"
+#include "gateway/adapter.h"
+
+namespace jujubemast::gateway {
+
+/// Changes of a table that one gateway passes on to another. They contain the last state of every
+/// row whose content differs between `since` and `version`; rows that were only rewritten are left
+/// out.
+struct table_changes {
+    store_table table = store_table::configuration;
+    std::uint64_t since = 0;
+    std::uint64_t version = 0;
+    /// Digest of the contents of all rows at `version`.
+    std::uint64_t digest = 0;
+    std::vector<store_row> rows;
+};
+
+/// How changes relate to the version of a copy.
+enum class change_order {
+    /// The copy is newer.
+    older,
+    /// The changes lead from the version of the copy, or from an earlier one, to a later version.
+    next,
+    /// Changes between the version of the copy and `since` are missing.
+    gap
+};
+
+/// When a relayed copy has to be checked with the store.
+struct relay_limits {
+    /// After this time without changes or confirmations from another gateway.
+    common::duration silence = std::chrono::seconds{1};
+    /// When the store confirmed the copy longer ago than this, although other gateways are heard:
+    /// they may be cut off from the store.
+    common::duration staleness = std::chrono::milliseconds{2700};
+};
+
+/// The state of a copy of a table: its version, the digests of its rows, and when it was last known
+/// to be the newest. Makes no calls and reads no clock.
+class table_copy {
+public:
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
+
+    /// Whether the whole table has been read.
+    [[nodiscard]] bool is_complete() const { return m_complete; }
+
+    /// Digest of the contents of all rows.
+    [[nodiscard]] std::uint64_t digest() const { return m_digest; }
+
+    /// When the store last confirmed that the copy is the newest.
+    [[nodiscard]] std::optional<common::time_point> confirmed() const { return m_confirmed; }
+
+    /// The whole table is about to be read again. Changes do not apply to the copy until then.
+    void invalidate() { m_complete = false; }
+
+    /// The whole table has been read at this version.
+    void set_complete(std::uint64_t version);
+
+    /// Removes the digests of all rows, before those of the whole table are set.
+    void clear_rows();
+
+    /// Sets the digest of a row's content, or removes it if the row was deleted or is invalid.
+    /// Returns whether the content differs from the known one.
+    bool set_row(const std::string& key, std::optional<std::uint64_t> content);
+
+    /// Relates changes from `since` to `version` to this copy.
+    [[nodiscard]] change_order order_of(std::uint64_t since, std::uint64_t version) const;
+
+    /// The changes up to this version have been applied.
+    void advance(std::uint64_t version);
+
+    /// The store has confirmed at a time that the copy is the newest, according to a response or to
+    /// another gateway that was running at the time `heard`.
+    void confirm(common::time_point confirmed, common::time_point heard);
+
+    /// When the copy has to be checked with the store if nothing is received until then.
+    [[nodiscard]] common::time_point check_due(const relay_limits& limits) const;
+
+private:
+    bool m_complete = false;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_digest = 0;
+    std::unordered_map<std::string, std::uint64_t> m_rows;
+    std::optional<common::time_point> m_confirmed;
+    common::time_point m_heard;
+};
+
+} // namespace jujubemast::gateway
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<gateway::change_order> {
+    static constexpr std::array<std::string_view, 3> table{"older", "next", "gap"};
+};
+
+} // namespace jujubemast::common
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -22,6 +22,8 @@
 
 // Time for the call that follows a lost one.
 constexpr common::duration next_call_time = std::chrono::milliseconds{300};
+// Gateways of different releases may never agree on the content of a row.
+constexpr common::duration repair_interval = std::chrono::seconds{10};
 // Stores return pages of about 1 MB. The response to a watch holds all rows that changed since its
 // version and may be larger.
 constexpr std::size_t max_page_bytes = std::size_t{8} * 1024 * 1024;
@@ -32,6 +34,7 @@
     table_watch_limits limits;
     limit = std::max<common::duration>(limit, min_staleness_limit);
     limits.wait = limit - limits.response_timeout - next_call_time;
+    limits.relay.staleness = limit - next_call_time;
     return limits;
 }
 
@@ -48,13 +51,72 @@
 void table_watch::refresh() {
     m_timer.cancel();
     m_client.cancel(m_call);
-    if (m_table_complete) {
+    if (m_copy.is_complete()) {
         watch(common::duration::zero());
     } else {
         read_from({});
     }
 }
 
+void table_watch::set_relayed(bool relayed) {
+    if (relayed == m_relayed) {
+        return;
+    }
+    m_relayed = relayed;
+    if (!m_sent && m_copy.is_complete()) {
+        schedule_watch();
+    }
+}
+
+void table_watch::changes_relayed(const table_changes& changes, common::time_point confirmed,
+                                  common::time_point heard) {
+    if (!m_copy.is_complete()) {
+        return;
+    }
+    switch (m_copy.order_of(changes.since, changes.version)) {
+    case change_order::older:
+        return;
+    case change_order::gap:
+        if (m_relayed && !m_sent) {
+            watch(common::duration::zero());
+        }
+        return;
+    case change_order::next:
+        break;
+    }
+    if (!changes.rows.empty()) {
+        m_hooks.on_update({changes.rows, false});
+    }
+    m_copy.advance(changes.version);
+    if (m_copy.digest() != changes.digest) {
+        read_again(changes);
+        return;
+    }
+    m_copy.confirm(confirmed, heard);
+    if (m_hooks.on_confirmed) {
+        m_hooks.on_confirmed(*m_copy.confirmed());
+    }
+    if (m_relayed && !m_sent) {
+        set_available(true);
+        schedule_watch();
+    }
+}
+
+void table_watch::read_again(const table_changes& expected) {
+    // The copy stays unconfirmed by other gateways, so the store is asked for changes meanwhile.
+    const auto now = common::monotonic_clock::now();
+    if (now < m_next_repair) {
+        return;
+    }
+    m_next_repair = now + repair_interval;
+    m_log.warn("The copy of a table differs from that of another gateway; reading it again.",
+               {{"table", std::string{common::to_name(m_table)}},
+                {"version", std::to_string(expected.version)},
+                {"rows", std::to_string(expected.rows.size())}});
+    m_copy.invalidate();
+    refresh();
+}
+
 store_response table_watch::decode(const http::call_result& result) const {
     if (std::holds_alternative<http::call_error>(result)) {
         return {store_outcome::unavailable, {}, http::describe_failure(result)};
@@ -63,10 +125,11 @@
 }
 
 boost::json::value table_watch::dump() const {
-    return boost::json::object{{"version", m_version},
+    return boost::json::object{{"version", m_copy.version()},
+                               {"relayed", m_relayed},
                                {"available", m_available},
                                {"call_age_ms", age_in_ms(m_sent)},
-                               {"age_ms", age_in_ms(m_confirmed)}};
+                               {"age_ms", age_in_ms(m_copy.confirmed())}};
 }
 
 void table_watch::send(const http::request& message, common::duration wait,
@@ -92,7 +155,7 @@
 void table_watch::page_received(const http::call_result& result) {
     auto response = decode(result);
     if (response.outcome != store_outcome::done) {
-        m_table_complete = false;
+        m_copy.invalidate();
         call_failed(response);
         return;
     }
@@ -110,28 +173,42 @@
         read_from(m_page_rows.back().key + '\x01');
         return;
     }
-    m_version = m_first_page_version;
-    m_table_complete = true;
+    m_copy.set_complete(m_first_page_version);
     m_hooks.on_update({std::exchange(m_page_rows, {}), true});
     confirm();
-    watch(m_limits.wait);
+    if (m_relayed) {
+        schedule_watch();
+    } else {
+        watch(m_limits.wait);
+    }
 }
 
 void table_watch::watch(common::duration wait) {
     if (!m_available) {
         wait = common::duration::zero();
     }
-    send(m_adapter->encode_watch(m_table, m_version, wait), wait,
-         [this](const http::call_result& result) { changes_received(result); });
+    const auto since = m_copy.version();
+    send(m_adapter->encode_watch(m_table, since, wait), wait,
+         [this, since](const http::call_result& result) { changes_received(since, result); });
+}
+
+void table_watch::schedule_watch() {
+    if (!m_relayed) {
+        m_timer.start(m_limits.batch_interval, m_context.wrap([this] { watch(m_limits.wait); }));
+        return;
+    }
+    const auto delay = m_copy.check_due(m_limits.relay) - common::monotonic_clock::now();
+    m_timer.start(std::max(m_limits.batch_interval, delay),
+                  m_context.wrap([this] { watch(common::duration::zero()); }));
 }
 
-void table_watch::changes_received(const http::call_result& result) {
+void table_watch::changes_received(std::uint64_t since, const http::call_result& result) {
     auto response = decode(result);
     if (response.outcome == store_outcome::history_lost) {
-        m_log.info("The store has lost the change history of a table; reading the whole table.",
-                   {{"table", std::string{common::to_name(m_table)}},
-                    {"version", std::to_string(m_version)}});
-        m_table_complete = false;
+        m_log.info(
+            "The store has lost the change history of a table; reading the whole table.",
+            {{"table", std::string{common::to_name(m_table)}}, {"version", std::to_string(since)}});
+        m_copy.invalidate();
         // Waits before reading the table again, because the store may lose its history again before
         // the next watch.
         m_timer.start(m_limits.batch_interval, m_context.wrap([this] { read_from({}); }));
@@ -142,12 +219,16 @@
         return;
     }
     set_available(true);
-    m_version = std::max(m_version, response.content.version);
-    if (!response.content.rows.empty()) {
-        m_hooks.on_update({std::move(response.content.rows), false});
+    // Another gateway may have passed on later changes meanwhile, which these rows must not revert.
+    if (m_copy.order_of(since, response.content.version) == change_order::next) {
+        if (!response.content.rows.empty()) {
+            m_hooks.on_update({std::move(response.content.rows), false});
+        }
+        m_copy.advance(response.content.version);
+        confirm();
     }
-    confirm();
-    m_timer.start(m_limits.batch_interval, m_context.wrap([this] { watch(m_limits.wait); }));
+    m_sent.reset();
+    schedule_watch();
 }
 
 void table_watch::call_failed(const store_response& response) {
@@ -156,21 +237,23 @@
                    {{"table", std::string{common::to_name(m_table)}},
                     {"outcome", std::string{common::to_name(response.outcome)}},
                     {"waited_ms", age_in_ms(m_sent)},
-                    {"copy_age_ms", age_in_ms(m_confirmed)},
+                    {"copy_age_ms", age_in_ms(m_copy.confirmed())},
                     {"detail", response.detail}});
     }
     const auto waited = common::monotonic_clock::now() - m_sent.value_or(common::time_point{});
     m_sent.reset();
     set_available(false);
-    if (waited >= m_limits.response_timeout) {
+    if (waited >= m_limits.response_timeout && !m_relayed) {
         resume();
         return;
     }
-    m_timer.start(m_limits.retry_delay, m_context.wrap([this] { resume(); }));
+    // Those that rely on other gateways leave it to them to notice the recovery soon.
+    const auto delay = m_relayed ? m_limits.relay.silence : m_limits.retry_delay;
+    m_timer.start(delay, m_context.wrap([this] { resume(); }));
 }
 
 void table_watch::resume() {
-    if (m_table_complete) {
+    if (m_copy.is_complete()) {
         watch(m_limits.wait);
     } else {
         read_from({});
@@ -181,10 +264,11 @@
     // If this process was paused, the response may be old. The store holds a call no longer than
     // its wait time, so the copy is known to be the newest only up to the send time plus that wait.
     const auto now = common::monotonic_clock::now();
-    m_confirmed = std::min(now, m_sent.value_or(now) + m_wait);
+    const auto confirmed = std::min(now, m_sent.value_or(now) + m_wait);
+    m_copy.confirm(confirmed, confirmed);
     m_sent.reset();
     if (m_hooks.on_confirmed) {
-        m_hooks.on_confirmed(*m_confirmed);
+        m_hooks.on_confirmed(*m_copy.confirmed());
     }
 }
 
@@ -196,7 +280,7 @@
     if (available) {
         m_log.info("Store answers again.", {{"table", std::string{common::to_name(m_table)}},
                                             {"waited_ms", age_in_ms(m_sent)},
-                                            {"copy_age_ms", age_in_ms(m_confirmed)}});
+                                            {"copy_age_ms", age_in_ms(m_copy.confirmed())}});
     }
     m_hooks.on_state(available);
 }
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/table_watch.h
@@ -10,6 +10,7 @@
 #include <boost/json/value.hpp>
 
 #include "gateway/adapter.h"
+#include "gateway/table_copy.h"
 #include "http/client.h"
 #include "logging/logger.h"
 #include "runtime/task.h"
@@ -27,7 +28,8 @@
     std::function<void(const table_update&)> on_update;
     /// Called when the store becomes available or unavailable.
     std::function<void(bool available)> on_state;
-    /// Called when a response shows that the local copy was the newest at a time. May be empty.
+    /// Called when a response, or another gateway, shows that the local copy was the newest at a
+    /// time. May be empty.
     std::function<void(common::time_point at)> on_confirmed;
 };
 
@@ -42,9 +44,11 @@
     common::duration body_timeout = std::chrono::seconds{10};
     /// Delay before the next poll, so that one response carries several changes and a store that
     /// responds at once is not called in a tight loop.
-    common::duration batch_interval = std::chrono::milliseconds{150};
+    common::duration batch_interval = std::chrono::milliseconds{250};
     /// Delay after a failed call.
     common::duration retry_delay = std::chrono::milliseconds{250};
+    /// When a copy that other gateways keep up to date is checked with the store.
+    relay_limits relay;
 };
 
 /// Leaves time for the response to a call and for the call that follows it.
@@ -54,10 +58,11 @@
 /// Values below `min_staleness_limit` are raised to it.
 table_watch_limits limits_for_staleness(common::duration limit);
 
-/// Reads one table of the store and follows its changes by long polls. If the store has lost the
-/// change history, the whole table is read again. While the store is unavailable, calls do not wait
-/// for changes, so that a lost call does not delay the detection of its recovery. Belongs to one
-/// task.
+/// Reads one table of the store and follows its changes, by long polls or as another gateway passes
+/// them on. In the latter case it asks the store itself when changes are missing or nothing has
+/// been heard for a short time. If the store has lost the change history, the whole table is read
+/// again. While the store is unavailable, calls do not wait for changes, so that a lost call does
+/// not delay the detection of its recovery. Belongs to one task.
 class table_watch {
 public:
     table_watch(const runtime::task_context& context, http::client& client,
@@ -72,7 +77,20 @@
     /// old.
     void refresh();
 
-    [[nodiscard]] std::uint64_t version() const { return m_version; }
+    /// Sets whether other gateways pass the changes on, so that long polls are not needed.
+    void set_relayed(bool relayed);
+
+    /// Applies changes from another gateway, which was running at the time `heard` and had last
+    /// confirmed its copy with the store at the time `confirmed`.
+    void changes_relayed(const table_changes& changes, common::time_point confirmed,
+                         common::time_point heard);
+
+    /// The copy that the watch keeps. The receiver of the updates sets the digests of its rows.
+    [[nodiscard]] table_copy& copy() { return m_copy; }
+
+    /// Whether the last call to the store succeeded, or another gateway has confirmed the copy
+    /// since then.
+    [[nodiscard]] bool is_available() const { return m_available; }
 
     [[nodiscard]] boost::json::value dump() const;
 
@@ -82,7 +100,9 @@
     void read_from(const std::string& key);
     void page_received(const http::call_result& result);
     void watch(common::duration wait);
-    void changes_received(const http::call_result& result);
+    void changes_received(std::uint64_t since, const http::call_result& result);
+    /// Waits before the next watch, or until a relayed copy has to be checked.
+    void schedule_watch();
     /// Decodes the result of a call to the store.
     [[nodiscard]] store_response decode(const http::call_result& result) const;
     void call_failed(const store_response& response);
@@ -90,6 +110,8 @@
     void set_available(bool available);
     /// Records that the copy was the newest when the store sent its response.
     void confirm();
+    /// Reads the whole table again, because the copy differs from that of another gateway.
+    void read_again(const table_changes& expected);
 
     runtime::task_context m_context;
     http::client& m_client;
@@ -98,18 +120,19 @@
     table_watch_hooks m_hooks;
     table_watch_limits m_limits;
     runtime::timer m_timer;
-    std::uint64_t m_version = 0;
+    table_copy m_copy;
+    /// Other gateways pass the changes on.
+    bool m_relayed = false;
     std::vector<store_row> m_page_rows;
     std::uint64_t m_first_page_version = 0;
-    bool m_table_complete = false;
     bool m_available = true;
+    /// Until then a copy that differs again is not read again.
+    common::time_point m_next_repair;
     http::call_id m_call = 0;
     /// When the call in progress was sent.
     std::optional<common::time_point> m_sent;
     /// How long the store holds the call in progress.
     common::duration m_wait = common::duration::zero();
-    /// Empty until the whole table has been read once.
-    std::optional<common::time_point> m_confirmed;
     logging::logger m_log{"catalog"};
 };
 
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -19,6 +19,17 @@
 void to_proto(pb::gateway_envelope& to, const gateway_ping& from, common::time_point /*now*/) {
     to.mutable_ping()->set_hears_receiver(from.hears_receiver);
     to.mutable_ping()->set_leaving(from.leaving);
+    if (from.sent) {
+        to.mutable_ping()->set_sent_us(common::to_microseconds(*from.sent));
+    }
+}
+
+gateway_ping ping_from_proto(const pb::gateway_ping& from) {
+    gateway_ping result{from.hears_receiver(), from.leaving(), std::nullopt};
+    if (from.sent_us() != 0) {
+        result.sent = common::from_microseconds(from.sent_us());
+    }
+    return result;
 }
 
 void to_proto(pb::gateway_envelope& to, const gateway::piece_order& from, common::time_point now) {
@@ -85,6 +96,7 @@
         service.set_name(it.service);
         service.set_instances(static_cast<std::uint32_t>(it.instances));
         service.set_busy(static_cast<std::uint32_t>(it.busy));
+        service.set_goodput(it.goodput);
         for (const auto& [priority, pieces] : it.waiting) {
             auto& waiting = *service.add_waiting();
             waiting.set_priority(priority);
@@ -93,6 +105,44 @@
     }
 }
 
+void to_proto(pb::gateway_envelope& to, const gateway::table_relay& from,
+              common::time_point /*now*/) {
+    auto& changes = *to.mutable_table_changes();
+    changes.set_table(std::string{common::to_name(from.changes.table)});
+    changes.set_since(from.changes.since);
+    changes.set_version(from.changes.version);
+    changes.set_digest(from.changes.digest);
+    changes.set_confirmed_us(common::to_microseconds(from.confirmed));
+    changes.set_sent_us(common::to_microseconds(from.sent));
+    for (const auto& it : from.changes.rows) {
+        auto& row = *changes.add_rows();
+        row.set_key(it.key);
+        row.set_version(it.version);
+        if (it.value) {
+            row.set_value(*it.value);
+        }
+    }
+}
+
+gateway::table_relay relay_from_proto(const pb::gateway_table_changes& from) {
+    const auto table = common::from_name<gateway::store_table>(from.table());
+    if (!table) {
+        throw common::format_error{"unknown table: " + from.table()};
+    }
+    gateway::table_relay result;
+    result.changes = {*table, from.since(), from.version(), from.digest(), {}};
+    result.confirmed = common::from_microseconds(from.confirmed_us());
+    result.sent = common::from_microseconds(from.sent_us());
+    for (const auto& it : from.rows()) {
+        gateway::store_row row{it.key(), std::nullopt, it.version()};
+        if (it.has_value()) {
+            row.value = it.value();
+        }
+        result.changes.rows.push_back(std::move(row));
+    }
+    return result;
+}
+
 gateway::backlog_report backlogs_from_proto(const pb::gateway_envelope& from) {
     gateway::backlog_report result;
     for (const auto& it : from.backlog().services()) {
@@ -100,6 +150,8 @@
         service.service = it.name();
         service.instances = it.instances();
         service.busy = it.busy();
+        // Gateways of earlier releases do not report it.
+        service.goodput = it.has_goodput() ? it.goodput() : 1;
         for (const auto& waiting : it.waiting()) {
             service.waiting[waiting.priority()] = waiting.pieces();
         }
@@ -157,7 +209,10 @@
     gateway_message result{envelope.sender(), envelope.incarnation(), {}};
     switch (envelope.content_case()) {
     case pb::gateway_envelope::kPing:
-        result.content = gateway_ping{envelope.ping().hears_receiver(), envelope.ping().leaving()};
+        result.content = ping_from_proto(envelope.ping());
+        return result;
+    case pb::gateway_envelope::kTableChanges:
+        result.content = relay_from_proto(envelope.table_changes());
         return result;
     case pb::gateway_envelope::kOrder:
         result.content = order_from_proto(envelope, now);
--- a/source/core/wire/gateway_codec.h
+++ b/source/core/wire/gateway_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -16,12 +17,14 @@
     bool hears_receiver = false;
     /// The sender is stopping and no longer owns any service.
     bool leaving = false;
+    /// When the ping was sent, in the clock of its sender. Not set by earlier releases.
+    std::optional<common::time_point> sent;
 };
 
 using gateway_content =
     std::variant<gateway_ping, gateway::piece_order, gateway::cancel_order,
                  gateway::release_results, gateway::order_finished, gateway::backlog_report,
-                 gateway::outcome_acknowledged, gateway::instance_leaving>;
+                 gateway::outcome_acknowledged, gateway::instance_leaving, gateway::table_relay>;
 
 /// A message from one gateway to another.
 struct gateway_message {
@@ -32,13 +35,13 @@
 };
 
 /// Encodes a message. Times are sent as the durations remaining at `now`, because the clocks of
-/// two processes are not related.
+/// two processes are not related. The times of a `table_relay` must be in the receiver's clock.
 std::string encode(const gateway_message& message, common::time_point now);
 
 /// Decodes a message. Orders, their cancellations and acknowledgements get the sender as origin of
 /// their key. Throws
-/// `common::format_error` if the bytes are malformed, the message has no content or the status of
-/// an order is unknown.
+/// `common::format_error` if the bytes are malformed, the message has no content, or the status of
+/// an order or a table is unknown.
 gateway_message decode_gateway_message(std::string_view bytes, common::time_point now);
 
 } // namespace jujubemast::wire
--- /dev/null
+++ b/tests/unit/gateway/table_copy_test.cpp
@@ -0,0 +1,339 @@
+#include "gateway/table_copy.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+
+#include <boost/test/unit_test.hpp>
+
+#include "common/digest.h"
+#include "common/random.h"
+
+namespace jujubemast::tests {
+
+using namespace jujubemast::gateway;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct table_copy_fixture {
+    table_copy copy;
+    relay_limits limits{seconds{1}, seconds{3}};
+
+    table_copy_fixture() { copy.set_complete(10); }
+
+    static common::time_point at(int ms) { return common::time_point{milliseconds{ms}}; }
+};
+
+BOOST_FIXTURE_TEST_SUITE(table_copy_test, table_copy_fixture)
+
+BOOST_AUTO_TEST_CASE(changes_are_related_to_the_version_of_the_copy) {
+    BOOST_TEST((copy.order_of(5, 9) == change_order::older));
+    BOOST_TEST((copy.order_of(5, 10) == change_order::next));
+    BOOST_TEST((copy.order_of(10, 12) == change_order::next));
+    BOOST_TEST((copy.order_of(11, 12) == change_order::gap));
+    copy.advance(12);
+    copy.advance(11);
+    BOOST_TEST(copy.version() == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(digest_depends_on_the_contents_and_not_on_the_order) {
+    BOOST_TEST(copy.set_row("a", 1));
+    BOOST_TEST(copy.set_row("b", 2));
+    BOOST_TEST(!copy.set_row("b", 2));
+    table_copy other;
+    other.set_row("b", 3);
+    other.set_row("b", 2);
+    other.set_row("c", 4);
+    other.set_row("a", 1);
+    BOOST_TEST(other.digest() != copy.digest());
+    BOOST_TEST(other.set_row("c", std::nullopt));
+    BOOST_TEST(!other.set_row("c", std::nullopt));
+    BOOST_TEST(other.digest() == copy.digest());
+    other.clear_rows();
+    BOOST_TEST(other.digest() == table_copy{}.digest());
+}
+
+// Guards against a copy that counts as fresh because others are heard that are cut off from the
+// store, or because the store confirmed it before the others fell silent.
+BOOST_AUTO_TEST_CASE(copy_is_checked_after_silence_or_without_confirmations) {
+    copy.confirm(at(1000), at(1200));
+    BOOST_TEST((copy.check_due(limits) == at(2200)));
+    copy.confirm(at(1000), at(3900));
+    BOOST_TEST((copy.check_due(limits) == at(4000)));
+    copy.confirm(at(900), at(800));
+    BOOST_TEST((copy.check_due(limits) == at(4000)));
+}
+
+/// Ways in which the receivers of relayed changes can be wrong.
+struct relay_faults {
+    bool ignore_gaps = false;
+    bool apply_all = false;
+    bool ignore_digests = false;
+    bool trust_silence = false;
+};
+
+/// A store, two gateways that follow it and others that follow these, on a virtual clock. Messages
+/// are delayed, lost and duplicated, gateways freeze, and readers are cut off from the store.
+struct relay_simulation {
+    struct message {
+        common::time_point due;
+        table_changes changes;
+        common::time_point confirmed;
+        common::time_point sent;
+    };
+
+    struct node {
+        table_copy copy;
+        std::map<std::string, std::uint64_t> rows;
+        std::deque<message> inbox;
+        common::time_point frozen_until;
+        common::time_point next_call;
+        std::vector<store_row> pending;
+        std::uint64_t relayed = 0;
+        std::size_t calls = 0;
+    };
+
+    static constexpr std::size_t readers = 2;
+    static constexpr milliseconds step{50};
+    static constexpr milliseconds poll_interval{250};
+    static constexpr milliseconds relay_interval{500};
+    // A change reaches all within this time, unless a gateway is frozen: silence of the readers,
+    // one step for the check and one for the clock.
+    static constexpr milliseconds spread_limit{1000 + 250 + 2 * 50};
+
+    common::random_hook random;
+    relay_limits limits{seconds{1}, milliseconds{2700}};
+    std::vector<node> nodes;
+    std::map<std::string, std::uint64_t> stored;
+    std::map<std::string, std::uint64_t> row_versions;
+    std::uint64_t version = 1;
+    common::time_point now{seconds{100}};
+    common::time_point changed_at = now;
+    relay_faults faults;
+
+    relay_simulation(std::uint64_t seed, std::size_t count, const relay_faults& broken = {})
+        : random{common::seeded_random(seed)}, faults{broken} {
+        if (faults.trust_silence) {
+            limits.silence = seconds{60};
+            limits.staleness = seconds{60};
+        }
+        nodes.resize(count);
+        for (auto& it : nodes) {
+            read_all(it);
+        }
+    }
+
+    bool chance(unsigned percent) { return common::uniform_below(random, 100) < percent; }
+
+    void change_store() {
+        const auto key = "k" + std::to_string(common::uniform_below(random, 6));
+        ++version;
+        row_versions[key] = version;
+        // Some rows are only rewritten, some are deleted.
+        if (chance(60)) {
+            return;
+        }
+        changed_at = now;
+        if (chance(20)) {
+            stored.erase(key);
+        } else {
+            // Few contents, so that a row often returns to an earlier one.
+            stored[key] = common::uniform_below(random, 2);
+        }
+    }
+
+    void apply(node& to, const std::string& key, std::optional<std::uint64_t> content) {
+        if (content) {
+            to.rows[key] = *content;
+        } else {
+            to.rows.erase(key);
+        }
+        if (to.copy.set_row(key, content)) {
+            to.pending.push_back(
+                {key, content ? std::optional{std::to_string(*content)} : std::nullopt, version});
+        }
+    }
+
+    void read_all(node& to) {
+        ++to.calls;
+        to.copy.clear_rows();
+        to.rows.clear();
+        for (const auto& [key, content] : stored) {
+            apply(to, key, content);
+        }
+        to.pending.clear();
+        to.relayed = version;
+        to.copy.set_complete(version);
+        to.copy.confirm(now, now);
+    }
+
+    void read_changes(node& to) {
+        ++to.calls;
+        for (const auto& [key, changed] : row_versions) {
+            if (changed > to.copy.version()) {
+                const auto it = stored.find(key);
+                apply(to, key, it == stored.end() ? std::nullopt : std::optional{it->second});
+            }
+        }
+        to.copy.advance(version);
+        to.copy.confirm(now, now);
+    }
+
+    void relay(node& from) {
+        const message sent{now,
+                           {store_table::upstreams, from.relayed, from.copy.version(),
+                            from.copy.digest(), std::exchange(from.pending, {})},
+                           *from.copy.confirmed(),
+                           now};
+        from.relayed = from.copy.version();
+        for (std::size_t n = readers; n < nodes.size(); ++n) {
+            const unsigned copies = chance(3) ? 0 : chance(3) ? 2 : 1;
+            for (unsigned copy = 0; copy < copies; ++copy) {
+                nodes[n].inbox.push_back(sent);
+                nodes[n].inbox.back().due += milliseconds{common::uniform_below(random, 40)};
+            }
+        }
+    }
+
+    void receive(node& to) {
+        std::deque<message> late;
+        for (auto& it : std::exchange(to.inbox, {})) {
+            if (it.due > now) {
+                late.push_back(std::move(it));
+                continue;
+            }
+            const auto order = to.copy.order_of(it.changes.since, it.changes.version);
+            if (order == change_order::gap && !faults.ignore_gaps) {
+                read_changes(to);
+            }
+            if (order != change_order::next && !(faults.apply_all && order != change_order::gap)) {
+                continue;
+            }
+            for (const auto& row : it.changes.rows) {
+                apply(to, row.key,
+                      row.value ? std::optional{std::stoull(*row.value)} : std::nullopt);
+            }
+            to.copy.advance(it.changes.version);
+            if (to.copy.digest() != it.changes.digest && !faults.ignore_digests) {
+                read_all(to);
+                continue;
+            }
+            to.copy.confirm(it.confirmed, it.sent);
+        }
+        to.inbox = std::move(late);
+    }
+
+    void run(node& it, bool is_reader) {
+        if (now < it.frozen_until) {
+            return;
+        }
+        receive(it);
+        if (is_reader) {
+            if (now >= it.next_call) {
+                read_changes(it);
+                it.next_call = now + poll_interval;
+                relay(it);
+            }
+        } else if (now >= it.copy.check_due(limits)) {
+            read_changes(it);
+        }
+    }
+
+    void disturb() {
+        if (chance(2)) {
+            auto& it = nodes[common::uniform_below(random, nodes.size())];
+            it.frozen_until = now + milliseconds{500 + common::uniform_below(random, 4000)};
+        }
+        if (chance(1)) {
+            for (std::size_t n = 0; n < readers; ++n) {
+                nodes[n].frozen_until = now + seconds{3};
+            }
+        }
+    }
+
+    /// Returns the first broken promise, or an empty string.
+    std::string check() {
+        for (std::size_t n = 0; n < nodes.size(); ++n) {
+            const auto& it = nodes[n];
+            const auto awake_since = std::max(it.frozen_until, changed_at);
+            if (now - awake_since > spread_limit && it.rows != stored) {
+                return "a change is missing at gateway " + std::to_string(n);
+            }
+            if (it.copy.version() > version || *it.copy.confirmed() > now) {
+                return "a version or confirmation from the future";
+            }
+        }
+        return {};
+    }
+
+    std::string play(int steps) {
+        for (int n = 0; n < steps; ++n, now += step) {
+            if (chance(30)) {
+                change_store();
+            }
+            disturb();
+            for (std::size_t k = 0; k < nodes.size(); ++k) {
+                const auto before = nodes[k].copy.version();
+                run(nodes[k], k < readers);
+                if (nodes[k].copy.version() < before) {
+                    return "the version went back";
+                }
+            }
+            if (auto broken = check(); !broken.empty()) {
+                return broken;
+            }
+        }
+        return {};
+    }
+};
+
+// Guards against changes that are lost, reverted or late at gateways that do not follow the store.
+BOOST_AUTO_TEST_CASE(relayed_copies_through_losses_and_freezes_stay_current) {
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        relay_simulation simulation{seed, 5 + seed % 30};
+        BOOST_TEST_CONTEXT("seed " << seed) {
+            BOOST_TEST(simulation.play(600) == "");
+        }
+    }
+}
+
+// Shows that the simulation notices each kind of fault.
+BOOST_AUTO_TEST_CASE(relayed_copies_of_faulty_receivers_are_found_wrong) {
+    const auto is_found = [](const relay_faults& faults) {
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            if (!relay_simulation{seed, 5 + seed % 30, faults}.play(600).empty()) {
+                return true;
+            }
+        }
+        return false;
+    };
+    BOOST_TEST(is_found({.ignore_gaps = true, .ignore_digests = true}));
+    BOOST_TEST(is_found({.apply_all = true, .ignore_digests = true}));
+    BOOST_TEST(is_found({.ignore_digests = true}));
+    BOOST_TEST(is_found({.trust_silence = true}));
+}
+
+// Guards against calls to the store that grow with the number of gateways.
+BOOST_AUTO_TEST_CASE(calls_to_the_store_stay_flat_without_faults) {
+    for (const std::size_t count : {10U, 100U, 350U}) {
+        relay_simulation simulation{7, count};
+        std::size_t before = 0;
+        for (int n = 0; n < 400; ++n, simulation.now += relay_simulation::step) {
+            if (n % 5 == 0) {
+                simulation.change_store();
+            }
+            for (std::size_t k = 0; k < count; ++k) {
+                simulation.run(simulation.nodes[k], k < relay_simulation::readers);
+            }
+        }
+        for (std::size_t k = relay_simulation::readers; k < count; ++k) {
+            before += simulation.nodes[k].calls;
+        }
+        // Each lost message costs one call.
+        BOOST_TEST(static_cast<double>(before) / static_cast<double>(count) < 8);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
--- a/tests/unit/wire/gateway_codec_test.cpp
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -53,13 +53,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(backlogs_when_decoded_keep_pieces_by_priority) {
-    gateway::backlog_report report{{{"s", {{0, 4}, {2, 9}}, 5, 3}}};
+    gateway::backlog_report report{{{"s", {{0, 4}, {2, 9}}, 5, 3, 0.75}}};
     const auto message = round_trip(report);
     const auto& read = std::get<gateway::backlog_report>(message.content);
     BOOST_REQUIRE(read.services.size() == 1U);
     BOOST_TEST(read.services[0].waiting.at(2) == 9U);
     BOOST_TEST(read.services[0].instances == 5U);
     BOOST_TEST(read.services[0].busy == 3U);
+    BOOST_TEST(read.services[0].goodput == 0.75);
 }
 
 BOOST_AUTO_TEST_CASE(leaving_instance_when_decoded_keeps_its_incarnation) {
@@ -68,6 +69,29 @@
     BOOST_TEST((std::get<gateway::instance_leaving>(message.content).instance == instance));
 }
 
+BOOST_AUTO_TEST_CASE(table_changes_when_decoded_keep_rows_deletions_and_times) {
+    gateway::table_relay relay;
+    relay.changes = {gateway::store_table::upstreams,
+                     7,
+                     9,
+                     0xfedcba9876543210U,
+                     {{"a", "value", 8}, {"b", std::nullopt, 9}, {"c", "", 9}}};
+    relay.confirmed = common::time_point{seconds{5}};
+    relay.sent = common::time_point{seconds{6}};
+    const auto message = round_trip(relay);
+    const auto& read = std::get<gateway::table_relay>(message.content);
+    BOOST_TEST((read.changes.table == gateway::store_table::upstreams));
+    BOOST_TEST(read.changes.since == 7U);
+    BOOST_TEST(read.changes.version == 9U);
+    BOOST_TEST(read.changes.digest == 0xfedcba9876543210U);
+    BOOST_REQUIRE(read.changes.rows.size() == 3U);
+    BOOST_TEST(*read.changes.rows[0].value == "value");
+    BOOST_TEST(!read.changes.rows[1].value);
+    BOOST_TEST(read.changes.rows[2].value->empty());
+    BOOST_TEST((read.confirmed == relay.confirmed));
+    BOOST_TEST((read.sent == relay.sent));
+}
+
 BOOST_AUTO_TEST_CASE(acknowledgement_when_decoded_names_the_sender_as_origin) {
     const auto message = round_trip(gateway::outcome_acknowledged{{"", 9}});
     const auto& read = std::get<gateway::outcome_acknowledged>(message.content);
