gateway: estimate stages by the pieces that the queue serves first

Cause: the queue serves the earliest target first, but the estimate counted all pieces of the priority as ahead. The flood keeps the queue as long as its own target allows, so requests with an earlier one were refused although the queue would have served them at once. Neither did the estimate contain the time of the engine until the first event.

Change: backlog reports count pieces by priority and range of the time until their target. stage_estimator and stage_admission take these decisions out of the forwarder, as plain functions over plain state; the former count stays as a hook.

--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -106,7 +106,7 @@
 
 service_backlog dispatcher::backlog_of(const std::string& name, service_state& service) const {
     update_states(service);
-    service_backlog result{name, service.queue.by_priority()};
+    service_backlog result{name, service.queue.backlog(common::monotonic_clock::now())};
     double goodput = 0;
     for (const auto& [id, it] : service.instances) {
         if (it->state.accepts_work()) {
@@ -153,6 +153,7 @@
     state.order = message;
     state.pieces_left = message.count;
     state.handles.resize(message.count);
+    const auto now = common::monotonic_clock::now();
     const auto* limits = limits_of(message.service);
     const auto backlog = backlog_of(message.service, service->second);
     if (limits == nullptr) {
@@ -161,7 +162,6 @@
     }
     if (backlog.instances == 0) {
         const auto pause_end = first_pause_end(service->second);
-        const auto now = common::monotonic_clock::now();
         if (!pause_end || *pause_end + call_time(*limits, message.count) > message.deadline) {
             finish_order(state,
                          {order_status::overloaded,
@@ -174,8 +174,8 @@
         request_reports(message.service, service->second);
     }
     const auto delay = expected_delay(sustained_limits(*limits, message.result_bytes), backlog,
-                                      message.priority, message.count);
-    if (common::monotonic_clock::now() + delay > message.deadline) {
+                                      {message.priority, message.target_time - now, message.count});
+    if (now + delay > message.deadline) {
         finish_order(state, {order_status::overloaded, {}, delay});
         return;
     }
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -22,14 +22,6 @@
 // Retry delay of refusals for which no better estimate exists.
 constexpr common::duration default_retry_after = std::chrono::milliseconds{300};
 
-// A request is admitted if its stages are expected to finish within this share of the available
-// time. The rest is reserved for later requests with a more urgent priority.
-constexpr double admission_share = 0.7;
-// Bounds of the retry delay after a refusal for overload. Such a request can no longer meet its
-// latency target, and a retry during the same overload is refused again.
-constexpr common::duration min_overload_retry = std::chrono::seconds{2};
-constexpr common::duration max_overload_retry = std::chrono::seconds{6};
-
 } // namespace
 
 forwarder::forwarder(runtime::task_context context,
@@ -58,6 +50,7 @@
 void forwarder::handle(const discovery_update& message) {
     m_configuration = message.configuration;
     m_upstreams = message.upstreams;
+    m_estimator.set_upstreams(m_upstreams);
     const auto now = common::monotonic_clock::now();
     if (m_upstreams) {
         for (auto& [name, pool] : m_pools) {
@@ -81,13 +74,10 @@
     return common::monotonic_clock::now() - *m_configuration_confirmed;
 }
 
-common::duration forwarder::overload_retry_after(common::duration excess) {
-    return std::clamp<common::duration>(excess, min_overload_retry, max_overload_retry);
-}
-
 void forwarder::handle(const gateway_names_changed& message) {
     m_gateways = message.names;
     m_gateway_count = std::max<std::size_t>(1, m_gateways.size());
+    m_estimator.set_gateway_count(m_gateway_count);
     for (auto& [name, pool] : m_pools) {
         update_limits(name, *pool);
         schedule_waiting(name);
@@ -116,7 +106,7 @@
 void forwarder::handle(const backlog_report& message) {
     const auto now = common::monotonic_clock::now();
     for (const auto& it : message.services) {
-        m_backlogs[it.service] = {it, now};
+        m_estimator.record_backlog(it, now);
     }
 }
 
@@ -212,26 +202,27 @@
     ex.events = event_relay{ex.request.last_event};
     ex.stages.progress = stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     pool_of(ex.service).budget().record_first_attempt();
-    ex.stages.expected = expected_stages(ex);
-    // A late response takes capacity from responses that could be on time.
-    ex.stages.allowed =
-        std::min(std::chrono::duration_cast<common::duration>(
-                     (ex.first_event_deadline - ex.times.arrived) * admission_share),
-                 ex.matched_route->latency_target);
-    if (ex.stages.expected > ex.stages.allowed) {
-        refuse(ex, status_unavailable, "stages overloaded",
-               overload_retry_after(ex.stages.expected - ex.stages.allowed));
-        return;
-    }
-    if (results_would_expire(ex)) {
-        refuse(ex, status_unavailable, "results of stages would lapse",
-               overload_retry_after(common::duration::zero()));
+    if (!ex.matched_route->stages.empty() && !admit_stages(ex)) {
         return;
     }
     record_upcoming(ex);
     advance_stages(ex);
 }
 
+bool forwarder::admit_stages(exchange& ex) {
+    const auto decision = decide_admission(m_estimator, staged(ex), ex.service,
+                                           ex.first_event_deadline - ex.times.arrived,
+                                           common::monotonic_clock::now());
+    ex.stages.expected = decision.expected;
+    ex.stages.allowed = decision.allowed;
+    if (decision.outcome == admission_outcome::admitted) {
+        return true;
+    }
+    refuse(ex, status_unavailable, std::string{common::to_name(decision.outcome)},
+           decision.retry_after);
+    return false;
+}
+
 void forwarder::handle(const shutdown_started& message) {
     m_stop_deadline = message.deadline;
     for (auto& [id, it] : m_exchanges) {
@@ -356,6 +347,10 @@
     const auto since_arrival = [&](std::optional<common::time_point> time) {
         return time ? in_ms(*time - ex.times.arrived) : std::string{};
     };
+    const auto backlog_age =
+        ex.matched_route != nullptr
+            ? m_estimator.report_age(*ex.matched_route, common::monotonic_clock::now())
+            : std::nullopt;
     const logging::fields values{
         {"attempt", ex.request.attempt_id},
         {"route", ex.matched_route != nullptr ? ex.matched_route->name : ""},
@@ -368,7 +363,7 @@
         {"status", std::to_string(status)},
         {"expected_ms", in_ms(ex.stages.expected)},
         {"allowed_ms", in_ms(ex.stages.allowed)},
-        {"backlog_age_ms", in_ms(backlog_age(ex))},
+        {"backlog_age_ms", in_ms(backlog_age)},
         {"sends", std::to_string(ex.sends)},
         {"runs", std::to_string(ex.possible_runs)},
         {"sent_ms", since_arrival(ex.times.first_sent)},
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -13,11 +13,12 @@
 #include "common/random.h"
 #include "gateway/adapter.h"
 #include "gateway/attempt_decision.h"
-#include "gateway/estimate_bias.h"
 #include "gateway/exchange.h"
 #include "gateway/forwarder_metrics.h"
 #include "gateway/messages.h"
 #include "gateway/service_pool.h"
+#include "gateway/stage_admission.h"
+#include "gateway/stage_estimator.h"
 #include "gateway/upstream_attempt.h"
 #include "logging/logger.h"
 #include "runtime/mailbox.h"
@@ -80,6 +81,9 @@
     /// the configuration is known to be the newest, because callers do not retry after it.
     void refuse_unknown(exchange& ex, lookup_result result);
     void admit(exchange& ex);
+    /// Refuses a request whose response cannot begin in time because of its stages. Returns whether
+    /// it was admitted.
+    bool admit_stages(exchange& ex);
     /// Moves the end of a request without a response forward, so that it is answered before an
     /// ordered stop closes its connection.
     void limit_to_stop(exchange& ex) const;
@@ -89,23 +93,8 @@
     /// Time since the store last confirmed that the configuration is the newest. Nothing before the
     /// first read.
     [[nodiscard]] std::optional<common::duration> configuration_age() const;
-    /// Number of instances of a service that accept work.
-    [[nodiscard]] std::size_t count_serving_instances(const std::string& service) const;
-    /// Age of the oldest backlog report that the estimate for the stages uses. Nothing without
-    /// reports.
-    [[nodiscard]] std::optional<common::duration> backlog_age(const exchange& ex) const;
-    /// Expected time until all stages are complete.
-    [[nodiscard]] common::duration expected_stages(const exchange& ex) const;
-    /// Expected time of the stages that depend on this one.
-    [[nodiscard]] common::duration expected_after(const exchange& ex, std::uint32_t stage) const;
-    /// Expected time of a stage that is ordered after the delay `start`.
-    [[nodiscard]] common::duration expected_stage(const exchange& ex, std::uint32_t stage,
-                                                  common::duration start) const;
-    /// The same without the correction from observed times.
-    [[nodiscard]] common::duration raw_expected_stage(const exchange& ex, std::uint32_t stage,
-                                                      common::duration start) const;
-    /// Whether results of a stage would expire before a dependent stage can read them.
-    [[nodiscard]] bool results_would_expire(const exchange& ex) const;
+    /// The request as the estimator takes it.
+    [[nodiscard]] static staged_request staged(const exchange& ex);
     [[nodiscard]] std::string preferred_domain(exchange& ex, std::uint32_t stage,
                                                const std::vector<std::string>& inputs);
     /// Adds the pieces of the request's stages to the counts of upcoming pieces.
@@ -113,8 +102,6 @@
     void remove_upcoming(exchange& ex, std::uint32_t stage);
     /// Records when the first results of the request expire.
     static void record_result_expiry(exchange& ex, std::uint32_t stage);
-    /// Returns the retry delay for a refusal because of overload.
-    static common::duration overload_retry_after(common::duration excess);
     void advance_stages(exchange& ex);
     /// Whether the stage should be ordered later, because its results would occupy memory while
     /// other stages run.
@@ -180,16 +167,7 @@
     /// Maps the number of each order to the id of its request.
     std::map<std::uint64_t, std::uint64_t> m_orders;
     std::uint64_t m_next_order;
-    /// The last report from the owner of a service.
-    struct known_backlog {
-        service_backlog reported;
-        common::time_point received;
-    };
-    std::map<std::string, known_backlog> m_backlogs;
-    /// By service and priority, because less urgent pieces wait longer than estimated.
-    std::map<std::pair<std::string, int>, estimate_bias> m_biases;
-    /// Pieces of admitted requests that have not been ordered yet, by service and priority.
-    std::map<std::string, std::map<int, std::size_t>> m_upcoming;
+    stage_estimator m_estimator;
     /// Names of all gateways.
     std::vector<std::string> m_gateways;
     std::size_t m_gateway_count = 1;
--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/forwarder_attempts.cpp
@@ -225,7 +225,10 @@
     if (times.first_event) {
         times.longest_event_gap = std::max(times.longest_event_gap, now - times.last_event);
     }
-    times.first_event = times.first_event.value_or(now);
+    if (!times.first_event) {
+        times.first_event = now;
+        m_estimator.record_first_event(ex.service, now - ex.attempt->sent_at(), now);
+    }
     times.last_event = now;
     ex.reply.write(std::move(events));
     // The engine reads its inputs before it sends the first event.
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/forwarder_stages.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-// Time from the arrival of a request at an idle engine to its first event.
-constexpr common::duration engine_start_time = std::chrono::milliseconds{150};
-
-// Results are kept for a limited time. A stage that is expected to start after this share of the
-// lifetime of its inputs would probably lose them.
-constexpr double usable_lifetime_share = 0.7;
 // An instance has memory for only a few results of this size, so they are made just before they are
 // read.
 constexpr double large_result_bytes = 200'000;
@@ -24,6 +18,11 @@
 
 } // namespace
 
+staged_request forwarder::staged(const exchange& ex) {
+    return {*ex.configuration, *ex.matched_route, ex.stages.progress, ex.priority,
+            ex.times.arrived + ex.matched_route->latency_target};
+}
+
 void forwarder::advance_stages(exchange& ex) {
     const auto defer = [&](std::uint32_t stage) { return should_defer(ex, stage); };
     for (const auto stage : ex.stages.progress.take_ready(defer)) {
@@ -41,121 +40,29 @@
     if (ex.matched_route->stages[stage].result_bytes < large_result_bytes) {
         return false;
     }
-    const auto spare = ex.times.arrived + ex.matched_route->latency_target -
-                       common::monotonic_clock::now() - ex.stages.expected - engine_start_time;
+    const auto now = common::monotonic_clock::now();
+    const auto request = staged(ex);
+    const auto spare = request.target_time - now - ex.stages.expected;
     return ex.stages.progress.can_defer(stage, spare, [&](std::uint32_t n, common::duration start) {
-        return expected_stage(ex, n, start);
+        return m_estimator.expected_stage(request, n, start, now);
     });
 }
 
-std::size_t forwarder::count_serving_instances(const std::string& service) const {
-    if (!m_upstreams) {
-        return 0;
-    }
-    return static_cast<std::size_t>(
-        std::count_if(m_upstreams->begin(), m_upstreams->end(), [&](const auto& it) {
-            return it.second.service == service && it.second.phase == upstream_phase::serving;
-        }));
-}
-
-std::optional<common::duration> forwarder::backlog_age(const exchange& ex) const {
-    std::optional<common::duration> oldest;
-    if (ex.matched_route == nullptr) {
-        return oldest;
-    }
-    const auto now = common::monotonic_clock::now();
-    for (const auto& stage : ex.matched_route->stages) {
-        const auto known = m_backlogs.find(stage.service);
-        if (known != m_backlogs.end()) {
-            oldest =
-                std::max(oldest.value_or(common::duration::zero()), now - known->second.received);
-        }
-    }
-    return oldest;
-}
-
-common::duration forwarder::raw_expected_stage(const exchange& ex, std::uint32_t stage,
-                                               common::duration start) const {
-    const auto& service = ex.matched_route->stages[stage].service;
-    const auto known = ex.configuration->services.find(service);
-    if (known == ex.configuration->services.end() || !known->second.pieces) {
-        return common::duration::zero();
-    }
-    const auto limits =
-        sustained_limits(*known->second.pieces, ex.matched_route->stages[stage].result_bytes);
-    const auto reported = m_backlogs.find(service);
-    // No report means that nothing waits and all instances are free.
-    auto backlog = reported == m_backlogs.end()
-                       ? service_backlog{service, {}, count_serving_instances(service), 0}
-                       : reported->second.reported;
-    const auto upcoming = m_upcoming.find(service);
-    if (upcoming != m_upcoming.end() && start > common::duration::zero()) {
-        // Assumes that the other gateways have as many upcoming pieces as this one.
-        for (const auto& [priority, pieces] : upcoming->second) {
-            backlog.waiting[priority] += pieces * m_gateway_count;
-        }
-    }
-    return expected_delay(limits, backlog, ex.priority, ex.stages.progress.count_of(stage), start);
-}
-
-common::duration forwarder::expected_stage(const exchange& ex, std::uint32_t stage,
-                                           common::duration start) const {
-    const auto raw = raw_expected_stage(ex, stage, start);
-    const auto bias = m_biases.find({ex.matched_route->stages[stage].service, ex.priority});
-    return bias == m_biases.end() ? raw : bias->second.apply(raw, common::monotonic_clock::now());
-}
-
-common::duration forwarder::expected_stages(const exchange& ex) const {
-    return ex.stages.progress.critical_path_end({}, common::duration::zero(),
-                                                [&](std::uint32_t stage, common::duration start) {
-                                                    return expected_stage(ex, stage, start);
-                                                });
-}
-
-common::duration forwarder::expected_after(const exchange& ex, std::uint32_t stage) const {
-    const auto made = expected_stage(ex, stage, common::duration::zero());
-    return ex.stages.progress.critical_path_end(stage, made,
-                                                [&](std::uint32_t later, common::duration start) {
-                                                    return expected_stage(ex, later, start);
-                                                }) -
-           made;
-}
-
 void forwarder::record_upcoming(exchange& ex) {
     for (std::uint32_t n = 0; n < ex.matched_route->stages.size(); ++n) {
         if (ex.stages.progress.count_of(n) > 0) {
             ex.stages.upcoming.insert(n);
-            m_upcoming[ex.matched_route->stages[n].service][ex.priority] +=
-                ex.stages.progress.count_of(n);
+            m_estimator.add_upcoming(staged(ex), n);
         }
     }
 }
 
 void forwarder::remove_upcoming(exchange& ex, std::uint32_t stage) {
     if (ex.stages.upcoming.erase(stage) > 0) {
-        m_upcoming[ex.matched_route->stages[stage].service][ex.priority] -=
-            ex.stages.progress.count_of(stage);
+        m_estimator.remove_upcoming(staged(ex), stage);
     }
 }
 
-bool forwarder::results_would_expire(const exchange& ex) const {
-    const auto& stages = ex.matched_route->stages;
-    for (std::uint32_t n = 0; n < stages.size(); ++n) {
-        if (ex.stages.progress.count_of(n) == 0) {
-            continue;
-        }
-        const auto wait = expected_stage(ex, n, common::duration::zero());
-        for (const auto input : stages[n].dependencies) {
-            const auto producer = ex.configuration->services.find(stages[input].service);
-            if (producer != ex.configuration->services.end() && producer->second.pieces &&
-                wait > producer->second.pieces->result_lifetime * usable_lifetime_share) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
 std::string forwarder::preferred_domain(exchange& ex, std::uint32_t stage,
                                         const std::vector<std::string>& inputs) {
     const auto& spec = ex.matched_route->stages[stage];
@@ -180,8 +87,9 @@
 }
 
 bool forwarder::order_stage(exchange& ex, std::uint32_t stage) {
+    const auto now = common::monotonic_clock::now();
+    const auto request = staged(ex);
     const auto& spec = ex.matched_route->stages[stage];
-    const auto later = engine_start_time + expected_after(ex, stage);
     piece_order order;
     order.key.number = m_next_order++;
     order.attempt_id = ex.request.attempt_id;
@@ -195,13 +103,13 @@
     remove_upcoming(ex, stage);
     order.result_bytes = spec.result_bytes;
     order.preferred_domain = preferred_domain(ex, stage, order.inputs);
-    order.target_time = ex.times.arrived + ex.matched_route->latency_target - later;
-    order.deadline = ex.first_event_deadline - later;
+    order.target_time = m_estimator.stage_target(request, stage, ex.service, now);
+    order.deadline = ex.first_event_deadline - (request.target_time - order.target_time);
     if (ex.stages.results_expire_at && !order.inputs.empty()) {
         order.deadline = std::min(order.deadline, *ex.stages.results_expire_at);
     }
-    ex.stages.orders[order.key.number] = {stage, common::monotonic_clock::now(),
-                                          raw_expected_stage(ex, stage, common::duration::zero())};
+    ex.stages.orders[order.key.number] = {
+        stage, now, m_estimator.uncorrected_stage(request, stage, common::duration::zero(), now)};
     m_orders[order.key.number] = ex.id;
     return m_peers.send(order);
 }
@@ -222,8 +130,7 @@
     ex->stages.orders.erase(message.number);
     switch (message.outcome.status) {
     case order_status::made:
-        m_biases[{ex->matched_route->stages[stage].service, ex->priority}].record(
-            order.expected, now - order.sent, now);
+        m_estimator.record_stage(staged(*ex), stage, order.expected, now - order.sent, now);
         record_result_expiry(*ex, stage);
         ex->stages.progress.complete(stage, message.outcome.handles);
         for (auto& releasable : ex->stages.progress.take_releasable(false)) {
--- a/source/core/gateway/piece_queue.cpp
+++ b/source/core/gateway/piece_queue.cpp
@@ -1,6 +1,8 @@
 #include "gateway/piece_queue.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace jujubemast::gateway {
 
@@ -73,45 +75,16 @@
                         [&](const waiting& other) { return other.piece.order != order; });
 }
 
-std::map<int, std::size_t> piece_queue::by_priority() const {
-    std::map<int, std::size_t> counts;
+std::vector<waiting_pieces> piece_queue::backlog(common::time_point now) const {
+    std::map<std::pair<int, std::size_t>, std::size_t> counts;
     for (const auto& it : m_waiting) {
-        ++counts[it.priority];
+        ++counts[{it.priority, slack_range(it.target_time - now)}];
     }
-    return counts;
-}
-
-piece_limits sustained_limits(const piece_limits& limits, double result_bytes) {
-    auto result = limits;
-    if (result_bytes > 0 && limits.result_memory_bytes > 0) {
-        const double fitting = limits.result_memory_bytes / result_bytes / 2;
-        result.batch =
-            static_cast<std::size_t>(std::clamp(fitting, 1.0, static_cast<double>(limits.batch)));
+    std::vector<waiting_pieces> result;
+    for (const auto& [kind, pieces] : counts) {
+        result.push_back({kind.first, kind.second, pieces});
     }
     return result;
 }
 
-common::duration call_time(const piece_limits& limits, std::size_t pieces) {
-    return limits.call_time + limits.piece_time * static_cast<std::int64_t>(pieces);
-}
-
-common::duration expected_delay(const piece_limits& limits, const service_backlog& backlog,
-                                int priority, std::size_t pieces, common::duration start) {
-    std::size_t ahead = 0;
-    for (const auto& [other, count] : backlog.waiting) {
-        ahead += other <= priority ? count : 0;
-    }
-    const double per_round =
-        std::max(1.0, backlog.goodput *
-                          static_cast<double>(limits.batch * limits.slots * backlog.instances));
-    const auto own = call_time(limits, std::min(pieces, limits.batch));
-    const auto full = call_time(limits, limits.batch);
-    const double rounds_meanwhile =
-        std::chrono::duration<double>(start) / std::chrono::duration<double>(full);
-    const double rounds = std::max(0.0, static_cast<double>(ahead) / per_round - rounds_meanwhile);
-    const double busy_share = static_cast<double>(backlog.busy) /
-                              static_cast<double>(std::max<std::size_t>(1, backlog.instances));
-    return own + std::chrono::duration_cast<common::duration>(full * (rounds + 0.5 * busy_share));
-}
-
 } // namespace jujubemast::gateway
--- a/source/core/gateway/piece_queue.h
+++ b/source/core/gateway/piece_queue.h
@@ -4,7 +4,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -15,7 +14,7 @@
 #include "common/enum_names.h"
 #include "common/time.h"
 #include "gateway/caller_request.h"
-#include "gateway/configuration.h"
+#include "gateway/service_backlog.h"
 
 namespace jujubemast::gateway {
 
@@ -90,8 +89,8 @@
                                    common::duration call_time, const admission_hook& may_take,
                                    std::vector<order_key>& expired);
 
-    /// Number of waiting pieces of each priority.
-    [[nodiscard]] std::map<int, std::size_t> by_priority() const;
+    /// Numbers of waiting pieces by priority and range of slack.
+    [[nodiscard]] std::vector<waiting_pieces> backlog(common::time_point now) const;
 
     [[nodiscard]] std::size_t size() const { return m_waiting.size(); }
 
@@ -116,32 +115,6 @@
     std::set<waiting> m_waiting;
 };
 
-/// Returns the limits with the largest batch that an instance can sustain: while the results of one
-/// call are read, those of the next call need memory as well.
-piece_limits sustained_limits(const piece_limits& limits, double result_bytes);
-
-/// Returns how long a call with this many pieces takes.
-common::duration call_time(const piece_limits& limits, std::size_t pieces);
-
-/// The backlog of one service, as its owner reports it.
-struct service_backlog {
-    std::string service;
-    /// Number of waiting pieces of each priority.
-    std::map<int, std::size_t> waiting;
-    /// Number of instances that accept calls, and how many of them are busy.
-    std::size_t instances = 0;
-    std::size_t busy = 0;
-    /// Share of the instances' call time that produces results.
-    double goodput = 1;
-};
-
-/// Returns the expected time until newly ordered pieces of this priority are complete: up to half a
-/// call until an instance is free, full calls for the pieces ahead, and their own call. Pieces that
-/// are ordered after the delay `start` find fewer pieces ahead, because the queue drains meanwhile.
-common::duration expected_delay(const piece_limits& limits, const service_backlog& backlog,
-                                int priority, std::size_t pieces,
-                                common::duration start = common::duration::zero());
-
 } // namespace jujubemast::gateway
 
 namespace jujubemast::common {
--- /dev/null
+++ b/source/core/gateway/service_backlog.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "gateway/configuration.h"
+
+namespace jujubemast::gateway {
+
+/// Lower bounds of the ranges of slack, the time until the target time of a piece. Pieces whose
+/// target time has passed are below the first bound, in the range 0.
+inline constexpr std::array<common::duration, 5> slack_bounds{
+    std::chrono::seconds{0}, std::chrono::milliseconds{500}, std::chrono::seconds{1},
+    std::chrono::seconds{2}, std::chrono::seconds{4}};
+
+/// Returns the range of a slack, from 0 to the number of bounds.
+std::size_t slack_range(common::duration slack);
+
+/// Waiting pieces of one priority and one range of slack.
+struct waiting_pieces {
+    int priority = 0;
+    std::size_t range = 0;
+    std::size_t pieces = 0;
+
+    friend bool operator==(const waiting_pieces&, const waiting_pieces&) = default;
+};
+
+/// The backlog of one service, as its owner reports it.
+struct service_backlog {
+    std::string service;
+    std::vector<waiting_pieces> waiting;
+    /// Number of instances that accept calls, and how many of them are busy.
+    std::size_t instances = 0;
+    std::size_t busy = 0;
+    /// Share of the instances' call time that produces results.
+    double goodput = 1;
+};
+
+/// Pieces that are to be ordered.
+struct new_pieces {
+    int priority = 0;
+    /// Time until their target time.
+    common::duration slack = common::duration::zero();
+    std::size_t count = 0;
+    /// Delay until they are ordered.
+    common::duration start = common::duration::zero();
+};
+
+/// Returns how many waiting pieces are served before new ones.
+using pieces_ahead_hook =
+    std::function<double(const service_backlog& backlog, const new_pieces& added)>;
+
+/// Counts the pieces of more urgent priorities and, within the priority, those with an earlier
+/// target time, as the queue serves them. Pieces that have missed their target time come last.
+double pieces_ahead_by_target(const service_backlog& backlog, const new_pieces& added);
+
+/// Counts all pieces of the same and of more urgent priorities.
+double pieces_ahead_by_priority(const service_backlog& backlog, const new_pieces& added);
+
+/// Returns the limits with the largest batch that an instance can sustain: while the results of one
+/// call are read, those of the next call need memory as well.
+piece_limits sustained_limits(const piece_limits& limits, double result_bytes);
+
+/// Returns how long a call with this many pieces takes.
+common::duration call_time(const piece_limits& limits, std::size_t pieces);
+
+/// Returns the expected time until new pieces are complete: up to half a call until an instance is
+/// free, full calls for the pieces ahead, and their own call. Pieces that are ordered after a delay
+/// find fewer pieces ahead, because the queue drains meanwhile.
+common::duration expected_delay(const piece_limits& limits, const service_backlog& backlog,
+                                const new_pieces& added,
+                                const pieces_ahead_hook& pieces_ahead = pieces_ahead_by_target);
+
+} // namespace jujubemast::gateway
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -1,5 +1,6 @@
 #include "wire/gateway_codec.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include <gateway_messages.pb.h>
@@ -97,10 +98,11 @@
         service.set_instances(static_cast<std::uint32_t>(it.instances));
         service.set_busy(static_cast<std::uint32_t>(it.busy));
         service.set_goodput(it.goodput);
-        for (const auto& [priority, pieces] : it.waiting) {
+        for (const auto& pieces : it.waiting) {
             auto& waiting = *service.add_waiting();
-            waiting.set_priority(priority);
-            waiting.set_pieces(static_cast<std::uint32_t>(pieces));
+            waiting.set_priority(pieces.priority);
+            waiting.set_pieces(static_cast<std::uint32_t>(pieces.pieces));
+            waiting.set_slack_range(static_cast<std::uint32_t>(pieces.range));
         }
     }
 }
@@ -153,7 +155,11 @@
         // Gateways of earlier releases do not report it.
         service.goodput = it.has_goodput() ? it.goodput() : 1;
         for (const auto& waiting : it.waiting()) {
-            service.waiting[waiting.priority()] = waiting.pieces();
+            // Without a range, as earlier releases send them, the pieces count as the next ones.
+            const std::size_t range = waiting.has_slack_range() ? waiting.slack_range() : 1;
+            service.waiting.push_back({waiting.priority(),
+                                       std::min(range, gateway::slack_bounds.size()),
+                                       waiting.pieces()});
         }
         result.services.push_back(std::move(service));
     }
--- a/tests/unit/gateway/piece_queue_test.cpp
+++ b/tests/unit/gateway/piece_queue_test.cpp
@@ -117,19 +117,45 @@
 
 BOOST_AUTO_TEST_CASE(expected_delay_grows_with_the_pieces_ahead_of_the_same_priority) {
     const gateway::service_backlog idle{"s", {}, 2, 0};
-    BOOST_TEST((gateway::expected_delay(limits, idle, 0, 1) == milliseconds{260}));
-    const gateway::service_backlog busy{"s", {{0, 16}, {1, 100}}, 2, 2};
+    const gateway::new_pieces added{0, seconds{1}, 1};
+    BOOST_TEST((gateway::expected_delay(limits, idle, added) == milliseconds{260}));
+    // The pieces are nearer to their target than the new one.
+    const gateway::service_backlog busy{"s", {{0, 1, 16}, {1, 1, 100}}, 2, 2};
     // Half a full call until an instance is free, one full call ahead, and the own call.
-    BOOST_TEST((gateway::expected_delay(limits, busy, 0, 1) == milliseconds{200 + 400 + 260}));
+    BOOST_TEST((gateway::expected_delay(limits, busy, added) == milliseconds{200 + 400 + 260}));
     // After two full calls no piece is ahead any more.
-    BOOST_TEST((gateway::expected_delay(limits, busy, 0, 1, milliseconds{800}) ==
-                milliseconds{200 + 260}));
+    const gateway::new_pieces later{0, seconds{1}, 1, milliseconds{800}};
+    BOOST_TEST((gateway::expected_delay(limits, busy, later) == milliseconds{200 + 260}));
 }
 
 // Guards against admission that counts on the full rate of instances that fail some of their calls.
 BOOST_AUTO_TEST_CASE(expected_delay_grows_with_the_calls_that_fail) {
-    const gateway::service_backlog failing{"s", {{0, 16}}, 2, 2, 0.5};
-    BOOST_TEST((gateway::expected_delay(limits, failing, 0, 1) == milliseconds{200 + 800 + 260}));
+    const gateway::service_backlog failing{"s", {{0, 1, 16}}, 2, 2, 0.5};
+    BOOST_TEST((gateway::expected_delay(limits, failing, {0, seconds{1}, 1}) ==
+                milliseconds{200 + 800 + 260}));
+}
+
+// Guards against estimates that count pieces which the queue serves later: urgent requests are
+// refused during a flood of others that have more time.
+BOOST_AUTO_TEST_CASE(pieces_ahead_are_those_with_an_earlier_target) {
+    push(1, 1500, 3);
+    push(1, 3000, 5);
+    push(1, 9000, 7);
+    push(0, 9000, 2);
+    push(2, 100, 4);
+    push(1, -1, 6);
+    const gateway::service_backlog backlog{"s", queue.backlog(at(0)), 1};
+    const auto ahead = [&](common::duration slack) {
+        return gateway::pieces_ahead_by_target(backlog, {1, slack, 1});
+    };
+    BOOST_TEST(ahead(seconds{1}) == 2.0);
+    BOOST_TEST(ahead(milliseconds{1500}) == 2 + 1.5);
+    BOOST_TEST(ahead(seconds{2}) == 2.0 + 3);
+    BOOST_TEST(ahead(seconds{4}) == 2.0 + 3 + 5);
+    BOOST_TEST(ahead(seconds{20}) == 2.0 + 3 + 5 + 7);
+    // A late piece comes after all others of its priority.
+    BOOST_TEST(ahead(milliseconds{-1}) == 2.0 + 3 + 5 + 7 + 6);
+    BOOST_TEST(gateway::pieces_ahead_by_priority(backlog, {1, seconds{1}, 1}) == 23.0);
 }
 
 BOOST_AUTO_TEST_CASE(sustained_limits_with_large_results_bound_the_batch) {
--- a/tests/unit/wire/gateway_codec_test.cpp
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -53,11 +53,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(backlogs_when_decoded_keep_pieces_by_priority) {
-    gateway::backlog_report report{{{"s", {{0, 4}, {2, 9}}, 5, 3, 0.75}}};
+    gateway::backlog_report report{{{"s", {{0, 1, 4}, {2, 5, 9}}, 5, 3, 0.75}}};
     const auto message = round_trip(report);
     const auto& read = std::get<gateway::backlog_report>(message.content);
     BOOST_REQUIRE(read.services.size() == 1U);
-    BOOST_TEST(read.services[0].waiting.at(2) == 9U);
+    BOOST_TEST((read.services[0].waiting == report.services[0].waiting));
     BOOST_TEST(read.services[0].instances == 5U);
     BOOST_TEST(read.services[0].busy == 3U);
     BOOST_TEST(read.services[0].goodput == 0.75);
