gateway: pass on small changes only, and confirm relayed copies often

Each version of the configuration was pushed to some twenty followers over links of 10 to 200 Mbit/s, faster than these carry it. Followers also trusted a gateway whose long poll was lost for as long as that gateway does itself, although only it had been disturbed.

Change: changes of more than 8 KiB are not passed on; the others see the gap and ask the store. Gateways with followers poll with a fifth of the staleness limit, and a relayed copy is checked with the store when it was not confirmed for two fifths of it. Every response of the store is passed on as a confirmation, so the separate time of the sender is gone.

--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -13,8 +13,11 @@
 namespace {
 
 constexpr common::duration register_retry = std::chrono::seconds{1};
-// Interval at which a gateway that follows the store confirms the copies of the others.
-constexpr common::duration relay_interval = std::chrono::milliseconds{500};
+// Interval between confirmations that nothing has changed.
+constexpr common::duration min_relay_interval = std::chrono::milliseconds{400};
+// Larger changes are not passed on. A gateway has some twenty followers, and its link may be slower
+// than that of the store by orders of magnitude.
+constexpr std::size_t max_relayed_bytes = std::size_t{8} * 1024;
 
 http::client_limits store_limits() {
     http::client_limits limits;
@@ -27,6 +30,14 @@
     return limits;
 }
 
+std::size_t count_bytes(const std::vector<store_row>& rows) {
+    std::size_t bytes = 0;
+    for (const auto& it : rows) {
+        bytes += it.key.size() + (it.value ? it.value->size() : 0);
+    }
+    return bytes;
+}
+
 } // namespace
 
 catalog::catalog(runtime::task_context context,
@@ -36,8 +47,7 @@
     : m_context{std::move(context)}, m_inbox{std::move(inbox)},
       m_adapter{std::move(platform_adapter)}, m_self{std::move(self)}, m_hooks{std::move(hooks)},
       m_limits{limits}, m_client{m_context, std::move(store), store_limits()},
-      m_expiry_timer{m_context.loop()}, m_register_timer{m_context.loop()}, m_relay_timer{
-                                                                                m_context.loop()} {}
+      m_expiry_timer{m_context.loop()}, m_register_timer{m_context.loop()} {}
 
 void catalog::start() {
     m_watches[store_table::configuration] =
@@ -80,7 +90,7 @@
     if (table == store_table::configuration && m_newest_decoded) {
         m_hooks.confirm_configuration({at});
     }
-    relay(table, false);
+    relay(table);
 }
 
 void catalog::record_row(store_table table, const store_row& row,
@@ -92,30 +102,29 @@
     }
 }
 
-void catalog::relay(store_table table, bool always) {
+void catalog::relay(store_table table) {
     auto& pending = m_pending[table];
-    auto& watch = *m_watches.at(table);
-    const auto& copy = watch.copy();
-    if (!m_role.reads_store || !watch.is_available() || !copy.is_complete() || !copy.confirmed() ||
-        (pending.rows.empty() && !always)) {
+    const auto& copy = m_watches.at(table)->copy();
+    const auto now = common::monotonic_clock::now();
+    if (!m_role.reads_store || !copy.is_complete() ||
+        (pending.rows.empty() && now - pending.relayed < min_relay_interval)) {
         return;
     }
-    const auto since = std::exchange(pending.since, copy.version()).value_or(copy.version());
-    m_hooks.relay({{table, since, copy.version(), copy.digest(), std::exchange(pending.rows, {})},
-                   *copy.confirmed(),
-                   common::monotonic_clock::now()});
-}
-
-void catalog::relay_confirmations() {
-    for (const auto& [table, watch] : m_watches) {
-        relay(table, true);
+    pending.relayed = now;
+    auto rows = std::exchange(pending.rows, {});
+    auto since = std::exchange(pending.since, copy.version()).value_or(copy.version());
+    if (count_bytes(rows) > max_relayed_bytes) {
+        // The others see that changes are missing and ask the store.
+        since = copy.version();
+        rows.clear();
     }
-    m_relay_timer.start(relay_interval, m_context.wrap([this] { relay_confirmations(); }));
+    m_hooks.relay(
+        {{table, since, copy.version(), copy.digest(), std::move(rows)}, *copy.confirmed()});
 }
 
 void catalog::handle(const table_relay& message) {
     const auto& table = message.changes.table;
-    m_watches.at(table)->changes_relayed(message.changes, message.confirmed, message.sent);
+    m_watches.at(table)->changes_relayed(message.changes, message.confirmed);
 }
 
 void catalog::handle(const store_role& message) {
@@ -126,13 +135,11 @@
     m_log.info(m_role.reads_store ? "Follows the store." : "Follows other gateways.",
                {{"gateway", m_self.name}, {"has_followers", m_role.has_followers ? "yes" : "no"}});
     for (const auto& [table, watch] : m_watches) {
-        watch->set_relayed(!m_role.reads_store);
+        watch->set_source(!m_role.reads_store    ? watch_source::others
+                          : m_role.has_followers ? watch_source::store_for_others
+                                                 : watch_source::store);
         m_pending[table] = {};
     }
-    m_relay_timer.cancel();
-    if (m_role.reads_store && m_role.has_followers) {
-        relay_confirmations();
-    }
 }
 
 void catalog::stop(const runtime::stop_done& done) {
@@ -155,7 +162,6 @@
     m_inbox.close();
     m_expiry_timer.cancel();
     m_register_timer.cancel();
-    m_relay_timer.cancel();
     m_client.close();
     m_watches.clear();
 }
--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/catalog.h
@@ -54,10 +54,9 @@
     /// Records the content of a row, and whether it has to be passed on.
     void record_row(store_table table, const store_row& row, std::optional<std::uint64_t> content);
     void confirmed(store_table table, common::time_point at);
-    /// Passes on what has changed since the last time. Without changes, passes on only the
-    /// confirmation that there are none, if `always` is set.
-    void relay(store_table table, bool always);
-    void relay_confirmations();
+    /// Passes on what has changed since the last time, or now and then the confirmation that
+    /// nothing has.
+    void relay(store_table table);
     void apply_configuration_rows(const table_update& update);
     void apply_upstream_rows(const table_update& update);
     void apply_gateway_rows(const table_update& update);
@@ -82,6 +81,7 @@
         /// The version up to which changes have been passed on. Empty if the others have to ask the
         /// store first, because this gateway has not seen all changes before.
         std::optional<std::uint64_t> since;
+        common::time_point relayed;
     };
     std::map<store_table, pending_changes> m_pending;
     store_role m_role;
@@ -94,7 +94,6 @@
     std::map<std::string, gateway_record> m_gateways;
     runtime::timer m_expiry_timer;
     runtime::timer m_register_timer;
-    runtime::timer m_relay_timer;
     bool m_registered = false;
     logging::logger m_log{"catalog"};
 };
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -110,10 +110,9 @@
 /// store.
 struct table_relay {
     table_changes changes;
-    /// When the store last confirmed that the sender's copy is the newest. Both times are in the
-    /// clock of the process that holds the message.
+    /// When the store last confirmed that the sender's copy is the newest, in the clock of the
+    /// process that holds the message.
     common::time_point confirmed;
-    common::time_point sent;
 };
 
 /// Whether this gateway follows the store, and whether others rely on it.
--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers.cpp
@@ -209,8 +209,7 @@
 void peers::handle(const table_relay& message) {
     for (const auto& [name, it] : m_peers) {
         if (it.live && it.ping_sent && needs_changes(it, message.changes)) {
-            send_to(name, table_relay{message.changes, it.remote_time(message.confirmed),
-                                      it.remote_time(message.sent)});
+            send_to(name, table_relay{message.changes, it.remote_time(message.confirmed)});
         }
     }
 }
--- a/source/core/gateway/piece_queue.cpp
+++ b/source/core/gateway/piece_queue.cpp
@@ -81,6 +81,7 @@
         ++counts[{it.priority, slack_range(it.target_time - now)}];
     }
     std::vector<waiting_pieces> result;
+    result.reserve(counts.size());
     for (const auto& [kind, pieces] : counts) {
         result.push_back({kind.first, kind.second, pieces});
     }
--- a/source/core/gateway/stage_admission.cpp
+++ b/source/core/gateway/stage_admission.cpp
@@ -31,8 +31,8 @@
         estimator.expected_stages(request, now) + estimator.expected_first_event(service, now);
     const auto shortest = estimator.shortest_stages(request);
     const auto spare = request.matched_route.latency_target - shortest;
-    result.allowed = std::min(share_of(patience, admission_share),
-                              shortest + share_of(spare, waiting_share));
+    result.allowed =
+        std::min(share_of(patience, admission_share), shortest + share_of(spare, waiting_share));
     if (result.expected > result.allowed) {
         result.outcome = admission_outcome::overloaded;
         result.retry_after = overload_retry_after(result.expected - result.allowed);
--- a/source/core/gateway/store_readers.cpp
+++ b/source/core/gateway/store_readers.cpp
@@ -20,6 +20,7 @@
     std::sort(ranked.begin(), ranked.end(), std::greater<>{});
     ranked.resize(std::min(ranked.size(), count));
     std::vector<std::string> names;
+    names.reserve(ranked.size());
     for (const auto& [is_large, rank, name] : ranked) {
         names.push_back(name);
     }
--- a/source/core/gateway/table_copy.cpp
+++ b/source/core/gateway/table_copy.cpp
@@ -54,16 +54,12 @@
     m_version = std::max(m_version, version);
 }
 
-void table_copy::confirm(common::time_point confirmed, common::time_point heard) {
-    m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
-    m_heard = std::max(m_heard, heard);
+void table_copy::confirm(common::time_point at) {
+    m_confirmed = std::max(m_confirmed.value_or(at), at);
 }
 
-common::time_point table_copy::check_due(const relay_limits& limits) const {
-    if (!m_confirmed) {
-        return m_heard;
-    }
-    return std::min(m_heard + limits.silence, *m_confirmed + limits.staleness);
+common::time_point table_copy::check_due(common::duration max_age) const {
+    return m_confirmed ? *m_confirmed + max_age : common::time_point{};
 }
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/table_copy.h
+++ b/source/core/gateway/table_copy.h
@@ -36,15 +36,6 @@
     gap
 };
 
-/// When a relayed copy has to be checked with the store.
-struct relay_limits {
-    /// After this time without changes or confirmations from another gateway.
-    common::duration silence = std::chrono::seconds{1};
-    /// When the store confirmed the copy longer ago than this, although other gateways are heard:
-    /// they may be cut off from the store.
-    common::duration staleness = std::chrono::milliseconds{2700};
-};
-
 /// The state of a copy of a table: its version, the digests of its rows, and when it was last known
 /// to be the newest. Makes no calls and reads no clock.
 class table_copy {
@@ -79,12 +70,13 @@
     /// The changes up to this version have been applied.
     void advance(std::uint64_t version);
 
-    /// The store has confirmed at a time that the copy is the newest, according to a response or to
-    /// another gateway that was running at the time `heard`.
-    void confirm(common::time_point confirmed, common::time_point heard);
+    /// The store has confirmed at a time that the copy is the newest, according to its response or
+    /// to another gateway.
+    void confirm(common::time_point at);
 
-    /// When the copy has to be checked with the store if nothing is received until then.
-    [[nodiscard]] common::time_point check_due(const relay_limits& limits) const;
+    /// When a copy that others keep up to date has to be checked with the store, if they confirm
+    /// nothing until then.
+    [[nodiscard]] common::time_point check_due(common::duration max_age) const;
 
 private:
     bool m_complete = false;
@@ -92,7 +84,6 @@
     std::uint64_t m_digest = 0;
     std::unordered_map<std::string, std::uint64_t> m_rows;
     std::optional<common::time_point> m_confirmed;
-    common::time_point m_heard;
 };
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -34,7 +34,8 @@
     table_watch_limits limits;
     limit = std::max<common::duration>(limit, min_staleness_limit);
     limits.wait = limit - limits.response_timeout - next_call_time;
-    limits.relay.staleness = limit - next_call_time;
+    limits.relayed_wait = limit / 5;
+    limits.max_relayed_age = 2 * limits.relayed_wait;
     return limits;
 }
 
@@ -58,18 +59,20 @@
     }
 }
 
-void table_watch::set_relayed(bool relayed) {
-    if (relayed == m_relayed) {
+common::duration table_watch::long_poll_wait() const {
+    return m_source == watch_source::store_for_others ? m_limits.relayed_wait : m_limits.wait;
+}
+
+void table_watch::set_source(watch_source source) {
+    if (std::exchange(m_source, source) == source) {
         return;
     }
-    m_relayed = relayed;
     if (!m_sent && m_copy.is_complete()) {
         schedule_watch();
     }
 }
 
-void table_watch::changes_relayed(const table_changes& changes, common::time_point confirmed,
-                                  common::time_point heard) {
+void table_watch::changes_relayed(const table_changes& changes, common::time_point confirmed) {
     if (!m_copy.is_complete()) {
         return;
     }
@@ -77,7 +80,7 @@
     case change_order::older:
         return;
     case change_order::gap:
-        if (m_relayed && !m_sent) {
+        if (m_source == watch_source::others && !m_sent) {
             watch(common::duration::zero());
         }
         return;
@@ -92,11 +95,11 @@
         read_again(changes);
         return;
     }
-    m_copy.confirm(confirmed, heard);
+    m_copy.confirm(confirmed);
     if (m_hooks.on_confirmed) {
         m_hooks.on_confirmed(*m_copy.confirmed());
     }
-    if (m_relayed && !m_sent) {
+    if (m_source == watch_source::others && !m_sent) {
         set_available(true);
         schedule_watch();
     }
@@ -126,7 +129,7 @@
 
 boost::json::value table_watch::dump() const {
     return boost::json::object{{"version", m_copy.version()},
-                               {"relayed", m_relayed},
+                               {"source", common::to_name(m_source)},
                                {"available", m_available},
                                {"call_age_ms", age_in_ms(m_sent)},
                                {"age_ms", age_in_ms(m_copy.confirmed())}};
@@ -176,10 +179,10 @@
     m_copy.set_complete(m_first_page_version);
     m_hooks.on_update({std::exchange(m_page_rows, {}), true});
     confirm();
-    if (m_relayed) {
+    if (m_source == watch_source::others) {
         schedule_watch();
     } else {
-        watch(m_limits.wait);
+        watch(long_poll_wait());
     }
 }
 
@@ -193,11 +196,11 @@
 }
 
 void table_watch::schedule_watch() {
-    if (!m_relayed) {
-        m_timer.start(m_limits.batch_interval, m_context.wrap([this] { watch(m_limits.wait); }));
+    if (m_source != watch_source::others) {
+        m_timer.start(m_limits.batch_interval, m_context.wrap([this] { watch(long_poll_wait()); }));
         return;
     }
-    const auto delay = m_copy.check_due(m_limits.relay) - common::monotonic_clock::now();
+    const auto delay = m_copy.check_due(m_limits.max_relayed_age) - common::monotonic_clock::now();
     m_timer.start(std::max(m_limits.batch_interval, delay),
                   m_context.wrap([this] { watch(common::duration::zero()); }));
 }
@@ -243,18 +246,19 @@
     const auto waited = common::monotonic_clock::now() - m_sent.value_or(common::time_point{});
     m_sent.reset();
     set_available(false);
-    if (waited >= m_limits.response_timeout && !m_relayed) {
+    const bool relayed = m_source == watch_source::others;
+    if (waited >= m_limits.response_timeout && !relayed) {
         resume();
         return;
     }
     // Those that rely on other gateways leave it to them to notice the recovery soon.
-    const auto delay = m_relayed ? m_limits.relay.silence : m_limits.retry_delay;
+    const auto delay = relayed ? m_limits.max_relayed_age : m_limits.retry_delay;
     m_timer.start(delay, m_context.wrap([this] { resume(); }));
 }
 
 void table_watch::resume() {
     if (m_copy.is_complete()) {
-        watch(m_limits.wait);
+        watch(long_poll_wait());
     } else {
         read_from({});
     }
@@ -265,7 +269,7 @@
     // its wait time, so the copy is known to be the newest only up to the send time plus that wait.
     const auto now = common::monotonic_clock::now();
     const auto confirmed = std::min(now, m_sent.value_or(now) + m_wait);
-    m_copy.confirm(confirmed, confirmed);
+    m_copy.confirm(confirmed);
     m_sent.reset();
     if (m_hooks.on_confirmed) {
         m_hooks.on_confirmed(*m_copy.confirmed());
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/table_watch.h
@@ -1,14 +1,17 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/json/value.hpp>
 
+#include "common/enum_names.h"
 #include "gateway/adapter.h"
 #include "gateway/table_copy.h"
 #include "http/client.h"
@@ -44,11 +47,25 @@
     common::duration body_timeout = std::chrono::seconds{10};
     /// Delay before the next poll, so that one response carries several changes and a store that
     /// responds at once is not called in a tight loop.
-    common::duration batch_interval = std::chrono::milliseconds{250};
+    common::duration batch_interval = std::chrono::milliseconds{300};
     /// Delay after a failed call.
     common::duration retry_delay = std::chrono::milliseconds{250};
-    /// When a copy that other gateways keep up to date is checked with the store.
-    relay_limits relay;
+    /// How long the store holds a long poll of a gateway that others rely on. Each response
+    /// confirms their copies.
+    common::duration relayed_wait = std::chrono::milliseconds{600};
+    /// A copy that other gateways keep up to date is checked with the store when it was not
+    /// confirmed for this long.
+    common::duration max_relayed_age = std::chrono::milliseconds{1200};
+};
+
+/// Where a watch gets the changes from.
+enum class watch_source {
+    /// Long polls of the store.
+    store,
+    /// Frequent long polls of the store, because other gateways rely on their responses.
+    store_for_others,
+    /// Other gateways pass the changes on.
+    others
 };
 
 /// Leaves time for the response to a call and for the call that follows it.
@@ -77,13 +94,10 @@
     /// old.
     void refresh();
 
-    /// Sets whether other gateways pass the changes on, so that long polls are not needed.
-    void set_relayed(bool relayed);
+    void set_source(watch_source source);
 
-    /// Applies changes from another gateway, which was running at the time `heard` and had last
-    /// confirmed its copy with the store at the time `confirmed`.
-    void changes_relayed(const table_changes& changes, common::time_point confirmed,
-                         common::time_point heard);
+    /// Applies changes from another gateway, whose copy the store has confirmed at a time.
+    void changes_relayed(const table_changes& changes, common::time_point confirmed);
 
     /// The copy that the watch keeps. The receiver of the updates sets the digests of its rows.
     [[nodiscard]] table_copy& copy() { return m_copy; }
@@ -100,6 +114,8 @@
     void read_from(const std::string& key);
     void page_received(const http::call_result& result);
     void watch(common::duration wait);
+    /// How long the store holds a long poll.
+    [[nodiscard]] common::duration long_poll_wait() const;
     void changes_received(std::uint64_t since, const http::call_result& result);
     /// Waits before the next watch, or until a relayed copy has to be checked.
     void schedule_watch();
@@ -121,8 +137,7 @@
     table_watch_limits m_limits;
     runtime::timer m_timer;
     table_copy m_copy;
-    /// Other gateways pass the changes on.
-    bool m_relayed = false;
+    watch_source m_source = watch_source::store;
     std::vector<store_row> m_page_rows;
     std::uint64_t m_first_page_version = 0;
     bool m_available = true;
@@ -137,3 +152,12 @@
 };
 
 } // namespace jujubemast::gateway
+
+namespace jujubemast::common {
+
+template <>
+struct enum_names<gateway::watch_source> {
+    static constexpr std::array<std::string_view, 3> table{"store", "store_for_others", "others"};
+};
+
+} // namespace jujubemast::common
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -28,7 +28,6 @@
 gateway_ping ping_from_proto(const pb::gateway_ping& from) {
     gateway_ping result{from.hears_receiver(), from.leaving(), std::nullopt};
     if (from.sent_us() != 0) {
-        result.sent = common::from_microseconds(from.sent_us());
     }
     return result;
 }
@@ -115,7 +114,6 @@
     changes.set_version(from.changes.version);
     changes.set_digest(from.changes.digest);
     changes.set_confirmed_us(common::to_microseconds(from.confirmed));
-    changes.set_sent_us(common::to_microseconds(from.sent));
     for (const auto& it : from.changes.rows) {
         auto& row = *changes.add_rows();
         row.set_key(it.key);
@@ -134,7 +132,6 @@
     gateway::table_relay result;
     result.changes = {*table, from.since(), from.version(), from.digest(), {}};
     result.confirmed = common::from_microseconds(from.confirmed_us());
-    result.sent = common::from_microseconds(from.sent_us());
     for (const auto& it : from.rows()) {
         gateway::store_row row{it.key(), std::nullopt, it.version()};
         if (it.has_value()) {
--- a/source/core/wire/gateway_codec.h
+++ b/source/core/wire/gateway_codec.h
@@ -35,7 +35,8 @@
 };
 
 /// Encodes a message. Times are sent as the durations remaining at `now`, because the clocks of
-/// two processes are not related. The times of a `table_relay` must be in the receiver's clock.
+/// two processes are not related. The time of a `table_relay` must be in
+/// the receiver's clock.
 std::string encode(const gateway_message& message, common::time_point now);
 
 /// Decodes a message. Orders, their cancellations and acknowledgements get the sender as origin of
