gateway: check a relayed copy in time although its source is heard

Cause: each message of a gateway with an old copy started the timer of the check again, with a minimum delay longer than the interval of the messages.

Change: the minimum applies only after a response of the store.

--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -68,7 +68,7 @@
         return;
     }
     if (!m_sent && m_copy.is_complete()) {
-        schedule_watch();
+        schedule_watch(m_limits.batch_interval);
     }
 }
 
@@ -101,7 +101,8 @@
     }
     if (m_source == watch_source::others && !m_sent) {
         set_available(true);
-        schedule_watch();
+        // Without a minimum, so that a source with an old copy does not delay the check.
+        schedule_watch(common::duration::zero());
     }
 }
 
@@ -180,7 +181,7 @@
     m_hooks.on_update({std::exchange(m_page_rows, {}), true});
     confirm();
     if (m_source == watch_source::others) {
-        schedule_watch();
+        schedule_watch(m_limits.batch_interval);
     } else {
         watch(long_poll_wait());
     }
@@ -195,13 +196,13 @@
          [this, since](const http::call_result& result) { changes_received(since, result); });
 }
 
-void table_watch::schedule_watch() {
+void table_watch::schedule_watch(common::duration min_delay) {
     if (m_source != watch_source::others) {
         m_timer.start(m_limits.batch_interval, m_context.wrap([this] { watch(long_poll_wait()); }));
         return;
     }
     const auto delay = m_copy.check_due(m_limits.max_relayed_age) - common::monotonic_clock::now();
-    m_timer.start(std::max(m_limits.batch_interval, delay),
+    m_timer.start(std::max(min_delay, delay),
                   m_context.wrap([this] { watch(common::duration::zero()); }));
 }
 
@@ -231,7 +232,7 @@
         confirm();
     }
     m_sent.reset();
-    schedule_watch();
+    schedule_watch(m_limits.batch_interval);
 }
 
 void table_watch::call_failed(const store_response& response) {
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/table_watch.h
@@ -117,8 +117,9 @@
     /// How long the store holds a long poll.
     [[nodiscard]] common::duration long_poll_wait() const;
     void changes_received(std::uint64_t since, const http::call_result& result);
-    /// Waits before the next watch, or until a relayed copy has to be checked.
-    void schedule_watch();
+    /// Waits before the next watch, or until a relayed copy has to be checked, but at least for
+    /// this time.
+    void schedule_watch(common::duration min_delay);
     /// Decodes the result of a call to the store.
     [[nodiscard]] store_response decode(const http::call_result& result) const;
     void call_failed(const store_response& response);
--- a/tests/unit/gateway/catalog_test.cpp
+++ b/tests/unit/gateway/catalog_test.cpp
@@ -25,6 +25,7 @@
     /// Paths that get no response.
     std::vector<std::string> unanswered_paths;
     std::size_t confirmations = 0;
+    std::vector<table_relay> relayed;
     std::vector<discovery_update> published;
     std::vector<std::string> not_ready_reasons;
     std::shared_ptr<runtime::task_lifecycle> server_life = make_lifecycle("store");
@@ -78,6 +79,7 @@
         hooks.confirm_configuration = [this](const configuration_confirmed& /*message*/) {
             ++confirmations;
         };
+        hooks.relay = [this](const table_relay& it) { relayed.push_back(it); };
         hooks.set_not_ready_reason = [this](const std::string& it) {
             not_ready_reasons.push_back(it);
         };
@@ -191,6 +193,30 @@
     BOOST_TEST((published.back().upstreams != nullptr));
 }
 
+// Guards against changes that followers miss, heartbeats that load them, and configurations that
+// fill the links of small gateways.
+BOOST_AUTO_TEST_CASE(changes_are_passed_on_if_they_are_new_and_small) {
+    rows["gateways"] = {{"other", "10.0.0.2:1", 1}};
+    subject->start();
+    run_rounds(store_table::gateways);
+    const auto rows_of = [this](const std::string& value) {
+        relayed.clear();
+        rows["gateways"] = {{"other", value, 2}};
+        run_rounds(store_table::gateways);
+        std::size_t count = 0;
+        for (const auto& it : relayed) {
+            count += it.changes.table == store_table::gateways ? it.changes.rows.size() : 0;
+        }
+        return count;
+    };
+    BOOST_TEST(rows_of("10.0.0.2:2") == 1U);
+    BOOST_TEST(rows_of("10.0.0.2:2") == 0U);
+    BOOST_TEST(rows_of(std::string(10'000, 'x')) == 0U);
+    catalog_inbox->post(store_role{false, false});
+    BOOST_TEST(rows_of("10.0.0.2:3") == 0U);
+    BOOST_TEST(relayed.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/gateway/relayed_watch_test.cpp
+++ b/tests/unit/gateway/relayed_watch_test.cpp
@@ -21,7 +21,7 @@
         const auto now = common::monotonic_clock::now();
         watch->changes_relayed(
             {store_table::configuration, since, version, watch->copy().digest(), std::move(rows)},
-            now, now);
+            now);
     }
 };
 
