gateway: count the pieces that overtake in the estimates of stages

Load: a flood of requests with much time beside others with little, as before.

Cause: pieces that are ordered later and have an earlier target are served first. Corrections learned by each gateway are too slow with 32 gateways.

Change: owners report how many pieces of each priority and range of slack are ordered in a second, and the estimate adds those that overtake during the wait. A late piece is overtaken by all others of its priority.

Also: gateway_ping lost the time of its sender in, so no changes were passed on and every gateway polled the store; the codec test now has a case.

--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/dispatcher.cpp
@@ -179,6 +179,7 @@
         finish_order(state, {order_status::overloaded, {}, delay});
         return;
     }
+    service->second.queue.record_order(message, now);
     for (std::uint32_t n = 0; n < message.count; ++n) {
         service->second.queue.push(message, n);
     }
--- a/source/core/gateway/piece_queue.cpp
+++ b/source/core/gateway/piece_queue.cpp
@@ -1,11 +1,21 @@
 #include "gateway/piece_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <utility>
 
 namespace jujubemast::gateway {
 
+namespace {
+
+// Time over which the rate of orders is averaged.
+constexpr std::chrono::duration<double> order_rate_window{2};
+// Smaller rates, in pieces per second, are not reported.
+constexpr double min_order_rate = 0.5;
+
+} // namespace
+
 void piece_queue::push(const piece_order& order, std::uint32_t piece) {
     m_waiting.insert({order.priority, order.target_time, {order.key, piece}, order.deadline});
 }
@@ -75,15 +85,31 @@
                         [&](const waiting& other) { return other.piece.order != order; });
 }
 
+double piece_queue::order_count::at(common::time_point now) const {
+    return pieces * std::exp(-std::chrono::duration<double>(now - updated) / order_rate_window);
+}
+
+void piece_queue::record_order(const piece_order& order, common::time_point now) {
+    auto& counted = m_ordered[{order.priority, slack_range(order.target_time - now)}];
+    counted = {counted.at(now) + order.count, now};
+}
+
 std::vector<waiting_pieces> piece_queue::backlog(common::time_point now) const {
-    std::map<std::pair<int, std::size_t>, std::size_t> counts;
+    std::map<std::pair<int, std::size_t>, waiting_pieces> kinds;
+    for (const auto& [kind, counted] : m_ordered) {
+        const double per_s = counted.at(now) / order_rate_window.count();
+        if (per_s >= min_order_rate) {
+            kinds[kind].ordered_per_s = per_s;
+        }
+    }
     for (const auto& it : m_waiting) {
-        ++counts[{it.priority, slack_range(it.target_time - now)}];
+        ++kinds[{it.priority, slack_range(it.target_time - now)}].pieces;
     }
     std::vector<waiting_pieces> result;
-    result.reserve(counts.size());
-    for (const auto& [kind, pieces] : counts) {
-        result.push_back({kind.first, kind.second, pieces});
+    result.reserve(kinds.size());
+    for (auto& [kind, it] : kinds) {
+        std::tie(it.priority, it.range) = kind;
+        result.push_back(it);
     }
     return result;
 }
--- a/source/core/gateway/piece_queue.h
+++ b/source/core/gateway/piece_queue.h
@@ -4,11 +4,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "common/enum_names.h"
@@ -77,6 +79,9 @@
 public:
     void push(const piece_order& order, std::uint32_t piece);
 
+    /// Counts the pieces of a new order for the rates at which pieces are ordered.
+    void record_order(const piece_order& order, common::time_point now);
+
     /// Removes the waiting pieces of an order.
     void remove(const order_key& order);
 
@@ -89,7 +94,8 @@
                                    common::duration call_time, const admission_hook& may_take,
                                    std::vector<order_key>& expired);
 
-    /// Numbers of waiting pieces by priority and range of slack.
+    /// Numbers of waiting pieces by priority and range of slack, and the rates at which such pieces
+    /// are ordered.
     [[nodiscard]] std::vector<waiting_pieces> backlog(common::time_point now) const;
 
     [[nodiscard]] std::size_t size() const { return m_waiting.size(); }
@@ -109,10 +115,20 @@
 
     using position = std::set<waiting>::iterator;
 
+    /// Number of pieces ordered lately, of which older ones count less.
+    struct order_count {
+        double pieces = 0;
+        common::time_point updated;
+
+        [[nodiscard]] double at(common::time_point now) const;
+    };
+
     /// The first piece after those of the same order.
     [[nodiscard]] position end_of_order(position it) const;
 
     std::set<waiting> m_waiting;
+    /// By priority and range of slack.
+    std::map<std::pair<int, std::size_t>, order_count> m_ordered;
 };
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/service_backlog.cpp
+++ b/source/core/gateway/service_backlog.cpp
@@ -6,14 +6,20 @@
 
 namespace {
 
+/// The last range has no upper bound and counts as wide as the one before.
+common::duration upper_bound_of(std::size_t range) {
+    return range < slack_bounds.size() ? slack_bounds.at(range) : 2 * slack_bounds.back();
+}
+
+common::duration middle_of(std::size_t range) {
+    return (slack_bounds.at(range - 1) + upper_bound_of(range)) / 2;
+}
+
 /// Returns the share of the pieces of a range whose slack is smaller than `slack`, if they are
-/// spread evenly over the range. The last range has no upper bound and counts as wide as the one
-/// before.
+/// spread evenly over the range.
 double share_below(std::size_t range, common::duration slack) {
     const auto lower = slack_bounds.at(range - 1);
-    const auto upper =
-        range < slack_bounds.size() ? slack_bounds.at(range) : 2 * slack_bounds.back();
-    const std::chrono::duration<double> width = upper - lower;
+    const std::chrono::duration<double> width = upper_bound_of(range) - lower;
     return std::clamp(std::chrono::duration<double>(slack - lower) / width, 0.0, 1.0);
 }
 
@@ -24,21 +30,31 @@
         std::upper_bound(slack_bounds.begin(), slack_bounds.end(), slack) - slack_bounds.begin());
 }
 
-double pieces_ahead_by_target(const service_backlog& backlog, const new_pieces& added) {
+double pieces_ahead_by_target(const service_backlog& backlog, const new_pieces& added,
+                              common::duration wait) {
     const bool is_late = added.slack < slack_bounds.front();
     double ahead = 0;
     for (const auto& it : backlog.waiting) {
         const auto pieces = static_cast<double>(it.pieces);
-        if (it.priority < added.priority || (it.priority == added.priority && is_late)) {
+        // Time in which pieces of this kind that are ordered later overtake the new ones.
+        auto window = common::duration::zero();
+        if (it.priority < added.priority) {
+            ahead += pieces;
+            window = wait;
+        } else if (it.priority == added.priority && is_late) {
             ahead += pieces;
+            window = it.range > 0 ? wait : window;
         } else if (it.priority == added.priority && it.range > 0) {
             ahead += pieces * share_below(it.range, added.slack);
+            window = std::clamp(added.slack - middle_of(it.range), window, wait);
         }
+        ahead += it.ordered_per_s * std::chrono::duration<double>(window).count();
     }
     return ahead;
 }
 
-double pieces_ahead_by_priority(const service_backlog& backlog, const new_pieces& added) {
+double pieces_ahead_by_priority(const service_backlog& backlog, const new_pieces& added,
+                                common::duration /*wait*/) {
     double ahead = 0;
     for (const auto& it : backlog.waiting) {
         ahead += it.priority <= added.priority ? static_cast<double>(it.pieces) : 0;
@@ -69,11 +85,19 @@
     const auto full = call_time(limits, limits.batch);
     const double rounds_meanwhile =
         std::chrono::duration<double>(added.start) / std::chrono::duration<double>(full);
-    const double rounds =
-        std::max(0.0, pieces_ahead(backlog, added) / per_round - rounds_meanwhile);
+    // The pieces that overtake make the wait longer, and then more of them overtake. The wait grows
+    // from step to step to its value, or beyond the limit if more is ordered than is made.
+    constexpr int steps = 8;
+    auto wait = common::duration::zero();
+    for (int n = 0; n < steps && wait < max_expected_delay; ++n) {
+        const double rounds =
+            std::max(0.0, pieces_ahead(backlog, added, wait) / per_round - rounds_meanwhile);
+        wait = std::chrono::duration_cast<common::duration>(full * rounds);
+    }
     const double busy_share = static_cast<double>(backlog.busy) /
                               static_cast<double>(std::max<std::size_t>(1, backlog.instances));
-    return own + std::chrono::duration_cast<common::duration>(full * (rounds + 0.5 * busy_share));
+    const auto until_free = std::chrono::duration_cast<common::duration>(full * (0.5 * busy_share));
+    return std::min(max_expected_delay, own + wait + until_free);
 }
 
 } // namespace jujubemast::gateway
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -28,6 +28,7 @@
 gateway_ping ping_from_proto(const pb::gateway_ping& from) {
     gateway_ping result{from.hears_receiver(), from.leaving(), std::nullopt};
     if (from.sent_us() != 0) {
+        result.sent = common::from_microseconds(from.sent_us());
     }
     return result;
 }
@@ -102,6 +103,7 @@
             waiting.set_priority(pieces.priority);
             waiting.set_pieces(static_cast<std::uint32_t>(pieces.pieces));
             waiting.set_slack_range(static_cast<std::uint32_t>(pieces.range));
+            waiting.set_ordered_per_s(static_cast<float>(pieces.ordered_per_s));
         }
     }
 }
@@ -156,7 +158,7 @@
             const std::size_t range = waiting.has_slack_range() ? waiting.slack_range() : 1;
             service.waiting.push_back({waiting.priority(),
                                        std::min(range, gateway::slack_bounds.size()),
-                                       waiting.pieces()});
+                                       waiting.pieces(), waiting.ordered_per_s()});
         }
         result.services.push_back(std::move(service));
     }
--- a/tests/support/pipeline_replay.cpp
+++ b/tests/support/pipeline_replay.cpp
@@ -143,7 +143,9 @@
     order.priority = it.kind->priority;
     order.target_time = estimator.stage_target(staged(it), it.stage, engine_service, m_now);
     order.deadline = order.target_time + it.kind->target * (patience_factor - 1);
+    order.count = it.progress.count_of(it.stage);
     auto& queue = m_services.at(it.route->stages[it.stage].service).queue;
+    queue.record_order(order, m_now);
     for (std::uint32_t n = 0; n < it.pieces_left; ++n) {
         queue.push(order, n);
     }
--- a/tests/unit/gateway/piece_queue_test.cpp
+++ b/tests/unit/gateway/piece_queue_test.cpp
@@ -146,7 +146,7 @@
     push(1, -1, 6);
     const gateway::service_backlog backlog{"s", queue.backlog(at(0)), 1};
     const auto ahead = [&](common::duration slack) {
-        return gateway::pieces_ahead_by_target(backlog, {1, slack, 1});
+        return gateway::pieces_ahead_by_target(backlog, {1, slack, 1}, milliseconds{0});
     };
     BOOST_TEST(ahead(seconds{1}) == 2.0);
     BOOST_TEST(ahead(milliseconds{1500}) == 2 + 1.5);
@@ -155,7 +155,44 @@
     BOOST_TEST(ahead(seconds{20}) == 2.0 + 3 + 5 + 7);
     // A late piece comes after all others of its priority.
     BOOST_TEST(ahead(milliseconds{-1}) == 2.0 + 3 + 5 + 7 + 6);
-    BOOST_TEST(gateway::pieces_ahead_by_priority(backlog, {1, seconds{1}, 1}) == 23.0);
+    BOOST_TEST(gateway::pieces_ahead_by_priority(backlog, {1, seconds{1}, 1}, seconds{1}) == 23.0);
+}
+
+// Guards against estimates that leave out the pieces that are ordered later and served earlier.
+BOOST_AUTO_TEST_CASE(expected_delay_grows_with_the_pieces_that_overtake) {
+    // 40 pieces a second; the instances make 2 * 8 pieces in 400 ms, the same rate.
+    const gateway::service_backlog backlog{"s", {{1, 1, 0, 20}, {1, 4, 16}}, 2};
+    const auto delay = [&](common::duration slack) {
+        return gateway::expected_delay(limits, backlog, {1, slack, 1}) - milliseconds{260};
+    };
+    // No later piece has an earlier target.
+    BOOST_TEST((delay(milliseconds{100}) == milliseconds{0}));
+    // Half of the rate is taken by pieces with less slack, so the wait for 16 pieces doubles.
+    BOOST_TEST((delay(seconds{4}) > milliseconds{790}));
+    BOOST_TEST((delay(seconds{4}) <= milliseconds{800}));
+}
+
+BOOST_AUTO_TEST_CASE(expected_delay_of_a_late_piece_is_bounded_if_more_is_ordered_than_made) {
+    const gateway::service_backlog backlog{"s", {{1, 1, 10, 100}}, 2};
+    BOOST_TEST((gateway::expected_delay(limits, backlog, {1, milliseconds{-1}, 1}) >= seconds{20}));
+    BOOST_TEST((gateway::expected_delay(limits, backlog, {1, milliseconds{-1}, 1}) <=
+                gateway::max_expected_delay));
+}
+
+BOOST_AUTO_TEST_CASE(piece_queue_reports_the_rate_of_orders) {
+    gateway::piece_order order;
+    order.priority = 1;
+    order.count = 4;
+    for (int n = 0; n < 100; ++n) {
+        order.target_time = at(n * 100 + 1500);
+        queue.record_order(order, at(n * 100));
+    }
+    const auto backlog = queue.backlog(at(10'000));
+    BOOST_REQUIRE(backlog.size() == 1U);
+    BOOST_TEST(backlog[0].range == 3U);
+    BOOST_TEST(backlog[0].ordered_per_s > 35);
+    BOOST_TEST(backlog[0].ordered_per_s < 45);
+    BOOST_TEST(queue.backlog(at(30'000)).empty());
 }
 
 BOOST_AUTO_TEST_CASE(sustained_limits_with_large_results_bound_the_batch) {
--- a/tests/unit/wire/gateway_codec_test.cpp
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -53,7 +53,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(backlogs_when_decoded_keep_pieces_by_priority) {
-    gateway::backlog_report report{{{"s", {{0, 1, 4}, {2, 5, 9}}, 5, 3, 0.75}}};
+    gateway::backlog_report report{{{"s", {{0, 1, 4}, {2, 5, 9, 2.5}}, 5, 3, 0.75}}};
     const auto message = round_trip(report);
     const auto& read = std::get<gateway::backlog_report>(message.content);
     BOOST_REQUIRE(read.services.size() == 1U);
@@ -69,6 +69,18 @@
     BOOST_TEST((std::get<gateway::instance_leaving>(message.content).instance == instance));
 }
 
+// Guards against gateways that pass no changes on, because they do not know the receiver's clock.
+BOOST_AUTO_TEST_CASE(ping_when_decoded_keeps_the_time_of_its_sender) {
+    const common::time_point sent{seconds{77}};
+    const auto message = round_trip(wire::gateway_ping{true, false, sent});
+    const auto& read = std::get<wire::gateway_ping>(message.content);
+    BOOST_TEST(read.hears_receiver);
+    BOOST_TEST(!read.leaving);
+    BOOST_REQUIRE(read.sent);
+    BOOST_TEST((*read.sent == sent));
+    BOOST_TEST(!std::get<wire::gateway_ping>(round_trip(wire::gateway_ping{}).content).sent);
+}
+
 BOOST_AUTO_TEST_CASE(table_changes_when_decoded_keep_rows_deletions_and_times) {
     gateway::table_relay relay;
     relay.changes = {gateway::store_table::upstreams,
