gateway: apply relayed changes once, and only at gateways that follow others

Gateways that follow the store passed changes on to each other. Changes that lead to the version that a copy already has were applied again; where they held two states of a row, both counted as changes and were passed on again, without end.

Change: changes to the version of the copy are known and only confirm it. Changes go only to gateways of the same failure domain that do not follow the store.

Result: relayed_watch_ignores_changes_that_it_has_already fails on the former code and passes.

--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers.cpp
@@ -177,38 +177,35 @@
 }
 
 void peers::update_store_readers() {
-    std::map<std::string, std::vector<owner_candidate>> domains;
+    std::vector<owner_candidate> members;
     if (!m_leaving) {
-        domains[m_self.failure_domain].push_back({m_self.name, m_self.processor_share});
+        members.push_back({m_self.name, m_self.processor_share});
     }
     for (const auto& [name, it] : m_peers) {
-        if (it.live && !it.leaving) {
-            domains[it.record.failure_domain].push_back({name, it.record.processor_share});
+        if (it.live && !it.leaving && it.record.failure_domain == m_self.failure_domain) {
+            members.push_back({name, it.record.processor_share});
         }
     }
-    m_store_readers.clear();
-    for (const auto& [domain, members] : domains) {
-        for (auto& name : choose_store_readers(members)) {
-            m_store_readers.insert(std::move(name));
-        }
-    }
-    const auto& own_domain = domains[m_self.failure_domain];
-    const store_role role{m_store_readers.contains(m_self.name) || own_domain.empty(),
-                          own_domain.size() > store_readers_per_domain};
+    m_store_readers = choose_store_readers(members);
+    const store_role role{members.empty() || reads_store(m_self.name),
+                          members.size() > m_store_readers.size()};
     if (role != m_role && m_catalog.send(role)) {
         m_role = role;
     }
 }
 
-bool peers::needs_changes(const peer& target, const table_changes& changes) const {
-    const bool same_domain = target.record.failure_domain == m_self.failure_domain;
-    const bool reads_store = m_store_readers.contains(target.record.name);
-    return (same_domain && !reads_store) || (reads_store && !changes.rows.empty());
+bool peers::reads_store(const std::string& name) const {
+    return std::find(m_store_readers.begin(), m_store_readers.end(), name) != m_store_readers.end();
+}
+
+bool peers::is_follower(const peer& target) const {
+    return target.record.failure_domain == m_self.failure_domain &&
+           !reads_store(target.record.name);
 }
 
 void peers::handle(const table_relay& message) {
     for (const auto& [name, it] : m_peers) {
-        if (it.live && it.ping_sent && needs_changes(it, message.changes)) {
+        if (it.live && it.ping_sent && is_follower(it)) {
             send_to(name, table_relay{message.changes, it.remote_time(message.confirmed)});
         }
     }
--- a/source/core/gateway/peers.h
+++ b/source/core/gateway/peers.h
@@ -4,7 +4,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -92,7 +91,8 @@
     /// time.
     void check_for_pause(common::time_point now);
     void update_live();
-    /// Chooses the gateways that follow the store, among those that are live.
+    /// Chooses the gateways of this failure domain that follow the store, among those that are
+    /// live.
     void update_store_readers();
     void connect(peer& target);
     /// Sends an order to the owner of its service.
@@ -101,9 +101,9 @@
     void resend(pending_order& pending);
     /// Assigns the orders of dead owners to the current owners.
     void reassign_orders();
-    /// Whether the gateway, which is live, relies on the changes that this one reads. Those that
-    /// follow the store get them as well, because they may be cut off from it.
-    [[nodiscard]] bool needs_changes(const peer& target, const table_changes& changes) const;
+    [[nodiscard]] bool reads_store(const std::string& name) const;
+    /// Whether the gateway relies on the changes that this one may read from the store.
+    [[nodiscard]] bool is_follower(const peer& target) const;
     [[nodiscard]] bool is_live(const std::string& name) const;
     /// Tells the catalog. Returns whether it was not known yet.
     bool remember_leaving(const incarnation& instance);
@@ -127,8 +127,8 @@
     std::map<std::string, peer> m_peers;
     /// Gateways that may own services.
     std::vector<std::string> m_owners;
-    /// Gateways of all failure domains that follow the store.
-    std::set<std::string> m_store_readers;
+    /// Gateways of this failure domain that follow the store.
+    std::vector<std::string> m_store_readers;
     store_role m_role;
     bool m_leaving = false;
     std::optional<common::time_point> m_last_tick;
--- a/source/core/gateway/table_copy.cpp
+++ b/source/core/gateway/table_copy.cpp
@@ -44,8 +44,8 @@
 }
 
 change_order table_copy::order_of(std::uint64_t since, std::uint64_t version) const {
-    if (version < m_version) {
-        return change_order::older;
+    if (version <= m_version) {
+        return version < m_version ? change_order::older : change_order::known;
     }
     return since > m_version ? change_order::gap : change_order::next;
 }
--- a/source/core/gateway/table_copy.h
+++ b/source/core/gateway/table_copy.h
@@ -30,6 +30,9 @@
 enum class change_order {
     /// The copy is newer.
     older,
+    /// The copy contains the changes. They must not be applied again, because they may hold earlier
+    /// states of a row.
+    known,
     /// The changes lead from the version of the copy, or from an earlier one, to a later version.
     next,
     /// Changes between the version of the copy and `since` are missing.
@@ -92,7 +95,7 @@
 
 template <>
 struct enum_names<gateway::change_order> {
-    static constexpr std::array<std::string_view, 3> table{"older", "next", "gap"};
+    static constexpr std::array<std::string_view, 4> table{"older", "known", "next", "gap"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/table_watch.cpp
@@ -85,12 +85,14 @@
         }
         return;
     case change_order::next:
+        if (!changes.rows.empty()) {
+            m_hooks.on_update({changes.rows, false});
+        }
+        m_copy.advance(changes.version);
+        break;
+    case change_order::known:
         break;
     }
-    if (!changes.rows.empty()) {
-        m_hooks.on_update({changes.rows, false});
-    }
-    m_copy.advance(changes.version);
     if (m_copy.digest() != changes.digest) {
         read_again(changes);
         return;
@@ -224,10 +226,12 @@
     }
     set_available(true);
     // Another gateway may have passed on later changes meanwhile, which these rows must not revert.
-    if (m_copy.order_of(since, response.content.version) == change_order::next) {
-        if (!response.content.rows.empty()) {
-            m_hooks.on_update({std::move(response.content.rows), false});
-        }
+    const auto order = m_copy.order_of(since, response.content.version);
+    const bool is_next = order == change_order::next || since == m_copy.version();
+    if (is_next && !response.content.rows.empty()) {
+        m_hooks.on_update({std::move(response.content.rows), false});
+    }
+    if (order != change_order::older) {
         m_copy.advance(response.content.version);
         confirm();
     }
--- a/tests/unit/gateway/relayed_watch_test.cpp
+++ b/tests/unit/gateway/relayed_watch_test.cpp
@@ -85,9 +85,11 @@
     BOOST_TEST(watch->copy().version() == 20U);
 }
 
+// Guards against earlier states of a row that are applied again and passed on without end.
 BOOST_AUTO_TEST_CASE(relayed_watch_ignores_changes_that_it_has_already) {
-    relay(10, 12, {{"key", "new", 12}});
+    relay(10, 12, {{"key", "old", 11}, {"key", "new", 12}});
     relay(9, 11, {{"key", "old", 11}});
+    relay(9, 12, {{"key", "old", 11}, {"key", "new", 12}});
     BOOST_TEST(updates.size() == 1U);
 }
 
--- a/tests/unit/gateway/table_copy_test.cpp
+++ b/tests/unit/gateway/table_copy_test.cpp
@@ -26,7 +26,8 @@
 
 BOOST_AUTO_TEST_CASE(changes_are_related_to_the_version_of_the_copy) {
     BOOST_TEST((copy.order_of(5, 9) == change_order::older));
-    BOOST_TEST((copy.order_of(5, 10) == change_order::next));
+    BOOST_TEST((copy.order_of(5, 10) == change_order::known));
+    BOOST_TEST((copy.order_of(5, 11) == change_order::next));
     BOOST_TEST((copy.order_of(10, 12) == change_order::next));
     BOOST_TEST((copy.order_of(11, 12) == change_order::gap));
     copy.advance(12);
@@ -196,10 +197,12 @@
             if (order == change_order::gap && !faults.ignore_gaps) {
                 read_changes(to);
             }
-            if (order != change_order::next && !(faults.apply_all && order != change_order::gap)) {
+            const bool is_applied =
+                order == change_order::next || (faults.apply_all && order != change_order::gap);
+            if (!is_applied && order != change_order::known) {
                 continue;
             }
-            for (const auto& row : it.changes.rows) {
+            for (const auto& row : is_applied ? it.changes.rows : std::vector<store_row>{}) {
                 apply(to, row.key,
                       row.value ? std::optional{std::stoull(*row.value)} : std::nullopt);
             }
