--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -320,6 +320,40 @@
     check_new_configuration_is_in_force();
 }
 
+// Guards against gateways that do not learn of a change because those that follow the store for
+// them stop at its moment.
+BOOST_AUTO_TEST_CASE(
+    configuration_while_the_gateways_that_follow_the_store_are_frozen_is_in_force) {
+    const auto follows_others = [this](std::size_t n) {
+        return gateways[n]->log().find("Follows other gateways.") != std::string::npos;
+    };
+    add_gateway(2, 1);
+    add_gateway(3, 1);
+    const auto followers = [&] {
+        std::vector<std::size_t> found;
+        for (std::size_t n = 0; n < gateways.size(); ++n) {
+            if (follows_others(n)) {
+                found.push_back(n);
+            }
+        }
+        return found;
+    };
+    wait_until("two gateways follow the others", [&] { return followers().size() == 2; });
+    check_new_configuration_is_in_force();
+    for (std::size_t n = 0; n < gateways.size(); ++n) {
+        if (!follows_others(n)) {
+            gateways[n]->send_signal(SIGSTOP);
+        }
+    }
+    const auto begin = std::chrono::steady_clock::now();
+    call(store_address, {"POST", "/configuration", {}, "3"});
+    for (const auto n : followers()) {
+        wait_until("the new key is known", [&] { return status_with_key_of(3, n) == 200; });
+    }
+    // Half of the config_apply_ms of the larger deployments.
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < std::chrono::seconds{2}));
+}
+
 // Guards against the same delay when the call after a lost long poll is lost as well.
 BOOST_AUTO_TEST_CASE(configuration_after_a_long_silence_of_the_store_is_in_force_in_time) {
     set_store_silent(true);
