--- a/tests/unit/policy/shared_limit_test.cpp
+++ b/tests/unit/policy/shared_limit_test.cpp
@@ -43,7 +43,8 @@
     for (const std::size_t limit : {75U, 130U, 470U}) {
         for (const std::size_t instances : {1U, 3U, 5U, 200U}) {
             for (const std::size_t processes : {1U, 4U, 29U, 103U, 350U}) {
-                if (processes > instances * limit * divided_share) {
+                if (static_cast<double>(processes) >
+                    static_cast<double>(instances * limit) * divided_share) {
                     continue;
                 }
                 const auto totals = sums(limit, instances, processes);
