tests: take the ports of gateways from below the ephemeral range

The port for peers was chosen as a free ephemeral one, and something else took it before the gateway listened. Shown by starting a gateway with a port that is in use: it logs that it listens for callers and ends 4 ms later with code 70.

Change: ports are chosen at random from 20,000 to 31,999, below the range of outgoing connections and of listeners without a port. If a gateway does not become ready, the test prints its log.

--- a/tests/integration/gateway_fixture.h
+++ b/tests/integration/gateway_fixture.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -16,6 +17,7 @@
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "common/random.h"
 #include "support/child_process.h"
 #include "support/http_call.h"
 
@@ -56,13 +58,26 @@
     }
 
     /// Returns a port on which nothing listens. The port for peers must be in the settings before
-    /// the gateway starts.
+    /// the gateway starts. It is below the range from which the system takes the ports of outgoing
+    /// connections and of listeners without a port, so that none of them takes it meanwhile.
     static unsigned free_port() {
+        constexpr unsigned first_port = 20'000;
+        constexpr unsigned port_count = 12'000;
+        static const auto random = common::system_random();
         boost::asio::io_context context;
-        return boost::asio::ip::tcp::acceptor{context,
-                                              {boost::asio::ip::make_address("127.0.0.1"), 0}}
-            .local_endpoint()
-            .port();
+        for (;;) {
+            const auto port = first_port + common::uniform_below(random, port_count);
+            boost::asio::ip::tcp::acceptor probe{context};
+            const boost::asio::ip::tcp::endpoint address{
+                boost::asio::ip::make_address("127.0.0.1"),
+                static_cast<boost::asio::ip::port_type>(port)};
+            boost::system::error_code ec;
+            probe.open(address.protocol());
+            probe.bind(address, ec);
+            if (!ec) {
+                return static_cast<unsigned>(port);
+            }
+        }
     }
 
     /// Writes the settings file of a gateway and returns its path.
@@ -90,11 +105,16 @@
         };
         addresses.push_back(gateways.back()->listening_address(listener_task("callers")));
         ready_addresses.push_back(gateways.back()->listening_address(listener_task("ready")));
-        wait_until(name + " is ready with upstreams", [&] {
-            return ready_status(static_cast<std::size_t>(n)) == 200 &&
-                   send("GET", "/read/probe", "probe", {}, static_cast<std::size_t>(n)).status ==
-                       200;
-        });
+        try {
+            wait_until(name + " is ready with upstreams", [&] {
+                return ready_status(static_cast<std::size_t>(n)) == 200 &&
+                       send("GET", "/read/probe", "probe", {}, static_cast<std::size_t>(n))
+                               .status == 200;
+            });
+        } catch (const std::exception&) {
+            BOOST_TEST_MESSAGE(gateways.back()->log());
+            throw;
+        }
     }
 
     unsigned ready_status(std::size_t n) const {
