--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -235,38 +235,6 @@
     BOOST_TEST(gateways[0]->wait() == 0);
 }
 
-/// Gateways that close the callers' connections 1.5 s after SIGTERM.
-struct short_stop_fixture : gateway_fixture {
-    short_stop_fixture() : gateway_fixture{{1, 1}, 1500} {}
-};
-
-// Guards against connections that an ordered stop closes without a response to a request that was
-// accepted before (hunt oonwala-kutch mix, seed 1006260159503, LOST).
-BOOST_FIXTURE_TEST_CASE(request_that_runs_when_the_stop_limit_is_reached_ends_as_unknown,
-                        short_stop_fixture) {
-    auto response = std::async(std::launch::async, [&] {
-        return send("POST", "/stream/mute", "l1", {{"X-Model", "m"}});
-    });
-    wait_until("the upstream has the request", [&] { return records("l1").size() == 1; });
-    gateways[0]->send_signal(SIGTERM);
-    BOOST_TEST(response.get().status == 504U);
-}
-
-BOOST_FIXTURE_TEST_CASE(request_that_waits_for_a_stage_at_the_stop_limit_is_refused,
-                        short_stop_fixture) {
-    auto response = std::async(std::launch::async, [&] {
-        return send_raw("POST /slow/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: l2\r\n"
-                        "X-Deadline-Ms: 5000\r\nX-Model: m\r\nX-Pieces: 1\r\n"
-                        "X-Piece-Key: stuck\r\nAuthorization: Bearer key-1\r\n"
-                        "Content-Length: 0\r\n\r\n");
-    });
-    wait_until("the call has begun", [&] { return piece_calls("l2") == 1; });
-    gateways[0]->send_signal(SIGTERM);
-    const auto text = response.get();
-    BOOST_TEST(text.find("HTTP/1.1 503") == 0U);
-    BOOST_TEST(text.find("Retry-After") != std::string::npos);
-}
-
 // Guards against endless reconnection attempts to gateways that have been removed.
 BOOST_AUTO_TEST_CASE(gateway_that_has_stopped_is_removed_by_the_others) {
     const auto admin = gateways[0]->listening_address("jujubemast-gateway/admin/listener");
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -12,6 +12,7 @@
 //                        "0" ends that
 
 #include <algorithm>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -208,16 +209,19 @@
     slow["goal_ms"] = 5000;
     slow["stages"] = boost::json::array{boost::json::object{
         {"service", "slow-stages"}, {"after", boost::json::array{}}, {"byte_count", 100}}};
+    // May be neither repeated nor resumed.
+    auto talk = route("/talk/", "streaming", "engines", "a.example");
+    talk["resumable"] = false;
     const auto pieces = [](double call_ms) {
         return boost::json::object{{"slots", 1},         {"queue", 2},     {"batch", 4},
                                    {"call_ms", call_ms}, {"item_ms", 1.0}, {"headroom_mb", 1.0},
                                    {"handle_s", 4.0}};
     };
     return {{"version", version},
-            {"routes",
-             boost::json::array{draft, slow, route("/stream/", "streaming", "engines", "a.example"),
-                                route("/post/", "unsafe", "desk", "a.example"),
-                                route("/read/", "safe", "desk", "a.example")}},
+            {"routes", boost::json::array{draft, slow, talk,
+                                          route("/stream/", "streaming", "engines", "a.example"),
+                                          route("/post/", "unsafe", "desk", "a.example"),
+                                          route("/read/", "safe", "desk", "a.example")}},
             {"services",
              boost::json::array{
                  boost::json::object{{"name", "engines"}, {"engine", boost::json::object{}}},
@@ -288,9 +292,42 @@
             body};
 }
 
+/// Calls the handler after this time.
+void call_later(const state_pointer& state, std::chrono::milliseconds delay,
+                const std::function<void()>& handler) {
+    const auto timer = std::make_shared<runtime::timer>(*state->loop);
+    // The handler owns the timer, which keeps it alive until it fires.
+    timer->start(delay, [timer, handler] { handler(); });
+}
+
+/// Sends the events from `id` to number 5, 250 ms apart.
+void stream_paced_events(const state_pointer& state, const http::responder& reply, int id) {
+    constexpr std::chrono::milliseconds pause{250};
+    reply.write("id: " + std::to_string(id) + "\ndata: x\n\n");
+    call_later(state, pause, [=] {
+        if (id == 5) {
+            reply.end();
+        } else {
+            stream_paced_events(state, reply, id + 1);
+        }
+    });
+}
+
 /// Sends the events up to number 5 that follow the caller's last one. If the path contains "break",
-/// the first attempt is aborted within event 3.
-void stream_events(const http::request& message, const http::responder& reply) {
+/// the first attempt is aborted within event 3; if it contains "head-only", no event follows the
+/// head; if it contains "paced", there is a pause after each event.
+void stream_events(const state_pointer& state, const http::request& message,
+                   const http::responder& reply) {
+    if (message.target.find("head-only") != std::string::npos) {
+        reply.begin(signed_response(message, 200, ""));
+        state->unanswered.push_back(reply);
+        return;
+    }
+    if (message.target.find("paced") != std::string::npos) {
+        reply.begin(signed_response(message, 200, ""));
+        stream_paced_events(state, reply, 1);
+        return;
+    }
     const auto last_event_id = header(message, "Last-Event-Id");
     const bool aborts = message.target.find("break") != std::string::npos && last_event_id.empty();
     reply.begin(signed_response(message, 200, ""));
@@ -339,9 +376,7 @@
         reply.respond(response);
         return;
     }
-    const auto delay = std::make_shared<runtime::timer>(*state->loop);
-    // The handler owns the timer, which keeps it alive until it fires.
-    delay->start(std::chrono::seconds{1}, [delay, reply, response] { reply.respond(response); });
+    call_later(state, std::chrono::seconds{1}, [reply, response] { reply.respond(response); });
 }
 
 http::disconnect_hook serve_upstream(const state_pointer& state, const std::string& id,
@@ -379,9 +414,13 @@
         reply.respond(
             {503, {{"X-Not-Run", "1"}, {"X-Attempt-Id", header(message, "X-Attempt-Id")}}, ""});
     } else if (!header(message, "X-Model").empty()) {
-        stream_events(message, reply);
+        stream_events(state, message, reply);
     } else if (message.target.find("break") != std::string::npos) {
         reply.abort();
+    } else if (message.target.find("delayed") != std::string::npos) {
+        const auto response = signed_response(message, 200, "answer of " + id);
+        call_later(state, std::chrono::milliseconds{600},
+                   [reply, response] { reply.respond(response); });
     } else {
         reply.respond(signed_response(message, 200, "answer of " + id));
     }
