gateway: name the stop limit as the cause of cut streams

A stream that an ordered stop cut was logged as one that its caller had left, since the close of its connection looks the same to the forwarder.

The forwarder now ends such streams itself, 50 ms before the connections close, with end=cut and the reason. "Stop begins." states the limit and the number of requests in progress.

--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -19,6 +19,9 @@
 // Requests without a response are answered this long before an ordered stop closes their
 // connections.
 constexpr common::duration stop_margin = std::chrono::milliseconds{400};
+// A stream in progress is cut this long before, so that its log line names the cause. The close of
+// its connection would look like one by the caller.
+constexpr common::duration stream_stop_margin = std::chrono::milliseconds{50};
 // Retry delay of refusals for which no better estimate exists.
 constexpr common::duration default_retry_after = std::chrono::milliseconds{300};
 
@@ -225,11 +228,12 @@
 
 void forwarder::handle(const shutdown_started& message) {
     m_stop_deadline = message.deadline;
+    const auto left = message.deadline - common::monotonic_clock::now();
+    m_log.info("Stop begins.", {{"limit_ms", std::to_string(common::to_milliseconds(left))},
+                                {"in_progress", std::to_string(m_exchanges.size())}});
     for (auto& [id, it] : m_exchanges) {
         limit_to_stop(*it);
-        if (!it->relaying) {
-            start_deadline_timer(*it);
-        }
+        start_deadline_timer(*it);
     }
 }
 
@@ -238,9 +242,11 @@
         return;
     }
     ex.first_event_deadline = std::min(ex.first_event_deadline, *m_stop_deadline - stop_margin);
-    if (ex.matched_route->kind != repeatability::stream) {
-        ex.response_deadline = std::min(ex.response_deadline, ex.first_event_deadline);
-    }
+    const auto limit = ex.matched_route->kind == repeatability::stream
+                           ? *m_stop_deadline - stream_stop_margin
+                           : ex.first_event_deadline;
+    ex.cut_by_stop = limit < ex.response_deadline;
+    ex.response_deadline = std::min(ex.response_deadline, limit);
 }
 
 void forwarder::start_deadline_timer(exchange& ex) {
@@ -266,10 +272,11 @@
         pool_of(ex->service).record_failure(*ex->attempt->member(), now);
     }
     if (ex->relaying) {
+        const auto* reason = stalled           ? "the stream stopped within an event"
+                             : ex->cut_by_stop ? "the stop limit was reached during the stream"
+                                               : "the deadline passed during the stream";
         ex->reply.abort();
-        finish(*ex, request_end::timed_out, 0,
-               stalled ? "the stream stopped within an event"
-                       : "the deadline passed during the stream");
+        finish(*ex, ex->cut_by_stop ? request_end::cut : request_end::timed_out, 0, reason);
         return;
     }
     if (may_have_run) {
