gateway: begin a stream's response with its first event

What callers saw: an engine that had sent its head but no event kept the request until a planned stop closed the connection; the begun response broke off (LOST). Without a stop, a failure before the first event broke the response off as well, where a 502 or another engine would have served.

Change: the caller's response begins with the first complete event. Such an attempt ends as broken, not as broken midway.

--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -125,7 +125,7 @@
     /// Applies what an instance says of itself.
     void notice_received(const exchange& ex, const response_head& head);
     [[nodiscard]] attempt_hooks make_hooks(std::uint64_t id);
-    void head_received(exchange& ex, const attempt_response& response);
+    void head_received(exchange& ex);
     void events_received(exchange& ex, std::string events);
     void answered(exchange& ex, const attempt_response& response);
     void attempt_failed(exchange& ex, const attempt_failure& failure);
--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/forwarder_attempts.cpp
@@ -178,7 +178,7 @@
 attempt_hooks forwarder::make_hooks(std::uint64_t id) {
     attempt_hooks hooks;
     hooks.on_notice = [this, id](const response_head& it) { notice_received(*find(id), it); };
-    hooks.on_head = [this, id](const attempt_response& it) { head_received(*find(id), it); };
+    hooks.on_head = [this, id](const attempt_response&) { head_received(*find(id)); };
     hooks.on_events = [this, id](std::string it) { events_received(*find(id), std::move(it)); };
     hooks.on_answered = [this, id](const attempt_response& it) { answered(*find(id), it); };
     hooks.on_failed = [this, id](const attempt_failure& it) { attempt_failed(*find(id), it); };
@@ -206,16 +206,11 @@
     }
 }
 
-void forwarder::head_received(exchange& ex, const attempt_response& response) {
+void forwarder::head_received(exchange& ex) {
     const auto now = common::monotonic_clock::now();
     ex.times.first_byte = ex.times.first_byte.value_or(now);
-    if (ex.matched_route->kind != repeatability::stream) {
-        return;
-    }
-    m_metrics.record_first_byte(ex.matched_route->kind, now - ex.times.arrived);
-    if (!ex.relaying) {
-        ex.relaying = true;
-        ex.reply.begin({response.head.status, m_adapter->response_fields(response.fields), {}});
+    if (ex.matched_route->kind == repeatability::stream) {
+        m_metrics.record_first_byte(ex.matched_route->kind, now - ex.times.arrived);
     }
 }
 
@@ -230,6 +225,12 @@
         m_estimator.record_first_event(ex.service, now - ex.attempt->sent_at(), now);
     }
     times.last_event = now;
+    if (!ex.relaying) {
+        // Until the first event, a failure or another attempt can still end the request.
+        ex.relaying = true;
+        const auto& response = ex.attempt->response();
+        ex.reply.begin({response.head.status, m_adapter->response_fields(response.fields), {}});
+    }
     ex.reply.write(std::move(events));
     // The engine reads its inputs before it sends the first event.
     release_inputs(ex);
--- a/source/core/gateway/upstream_attempt.cpp
+++ b/source/core/gateway/upstream_attempt.cpp
@@ -140,8 +140,7 @@
         start_failure_timer();
         return;
     }
-    m_options.stream_begun = m_options.stream_begun || relays_events();
-    if (m_options.stream_begun) {
+    if (relays_events()) {
         start_event_timer();
     }
     if (const auto hook = m_hooks.on_head) {
@@ -176,6 +175,7 @@
     const auto status = m_events.feed(bytes, complete_events);
     if (!complete_events.empty()) {
         start_event_timer();
+        m_options.stream_begun = true;
         m_hooks.on_events(std::move(complete_events));
     }
     if (status != relay_status::good) {
@@ -222,8 +222,8 @@
         fail({attempt_end::failed, "status " + std::to_string(head.status)});
         return;
     }
-    if (m_options.stream_begun && m_events.has_partial()) {
-        fail({attempt_end::broken_midway, "the last event is incomplete"});
+    if (relays_events() && m_events.has_partial()) {
+        fail({classify_incomplete_response(), "the last event is incomplete"});
         return;
     }
     m_time_limit.cancel();
--- a/tests/unit/gateway/upstream_attempt_test.cpp
+++ b/tests/unit/gateway/upstream_attempt_test.cpp
@@ -211,6 +211,17 @@
     BOOST_TEST(events == first_event);
 }
 
+// Guards against a response whose head alone counts as the begin of the stream: nothing else could
+// then reach the caller, not even a failure.
+BOOST_AUTO_TEST_CASE(stream_that_breaks_off_before_its_first_event_has_not_begun) {
+    run({signed_head("Transfer-Encoding: chunked\r\n"), "", {}, after_response::close});
+    check_failure(attempt_end::broken);
+    options.event_limit = 100ms;
+    run({signed_head("Transfer-Encoding: chunked\r\n") + chunk("id: 1\n"), chunk("data: x\n"),
+         300ms});
+    check_failure(attempt_end::broken);
+}
+
 // Guards against a slow stream that is cut although complete events keep arriving.
 BOOST_AUTO_TEST_CASE(slow_stream_with_complete_events_outlasts_the_limit) {
     options.event_limit = 400ms;
