gateway: refuse requests that cannot end before a stop

Cause: admission in a stop did not look at the time that was left.

Change: response_times keeps the 95th percentile of the responses of each route. A request that a stop would cut is refused with 503 before it is sent unless its stages and such a response fit into the time that is left; checked at its arrival and before its first event at every send. A request with a deadline before the stop limit is not affected.

--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -16,12 +16,6 @@
 constexpr common::duration default_deadline = std::chrono::seconds{30};
 // The response is sent this long before the caller's deadline.
 constexpr common::duration response_margin = std::chrono::milliseconds{25};
-// Requests without a response are answered this long before an ordered stop closes their
-// connections.
-constexpr common::duration stop_margin = std::chrono::milliseconds{400};
-// A stream in progress is cut this long before, so that its log line names the cause. The close of
-// its connection would look like one by the caller.
-constexpr common::duration stream_stop_margin = std::chrono::milliseconds{50};
 // Retry delay of refusals for which no better estimate exists.
 constexpr common::duration default_retry_after = std::chrono::milliseconds{300};
 
@@ -53,6 +47,9 @@
 void forwarder::handle(const discovery_update& message) {
     m_configuration = message.configuration;
     m_upstreams = message.upstreams;
+    if (m_configuration) {
+        m_response_times.retain_routes(*m_configuration);
+    }
     m_estimator.set_upstreams(m_upstreams);
     const auto now = common::monotonic_clock::now();
     if (m_upstreams) {
@@ -199,11 +196,14 @@
             std::min(ex.response_deadline,
                      ex.times.arrived + event_patience(*ex.matched_route) - response_margin);
     }
+    ex.events = event_relay{ex.request.last_event};
+    ex.stages.progress = stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     limit_to_stop(ex);
+    if (!admit_in_stop(ex)) {
+        return;
+    }
     ex.deadline_timer = std::make_unique<runtime::timer>(m_context.loop());
     start_deadline_timer(ex);
-    ex.events = event_relay{ex.request.last_event};
-    ex.stages.progress = stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     pool_of(ex.service).budget().record_first_attempt();
     if (!ex.matched_route->stages.empty() && !admit_stages(ex)) {
         return;
@@ -226,29 +226,6 @@
     return false;
 }
 
-void forwarder::handle(const shutdown_started& message) {
-    m_stop_deadline = message.deadline;
-    const auto left = message.deadline - common::monotonic_clock::now();
-    m_log.info("Stop begins.", {{"limit_ms", std::to_string(common::to_milliseconds(left))},
-                                {"in_progress", std::to_string(m_exchanges.size())}});
-    for (auto& [id, it] : m_exchanges) {
-        limit_to_stop(*it);
-        start_deadline_timer(*it);
-    }
-}
-
-void forwarder::limit_to_stop(exchange& ex) const {
-    if (!m_stop_deadline) {
-        return;
-    }
-    ex.first_event_deadline = std::min(ex.first_event_deadline, *m_stop_deadline - stop_margin);
-    const auto limit = ex.matched_route->kind == repeatability::stream
-                           ? *m_stop_deadline - stream_stop_margin
-                           : ex.first_event_deadline;
-    ex.cut_by_stop = limit < ex.response_deadline;
-    ex.response_deadline = std::min(ex.response_deadline, limit);
-}
-
 void forwarder::start_deadline_timer(exchange& ex) {
     const auto left = ex.first_event_deadline - common::monotonic_clock::now();
     ex.deadline_timer->start(std::max(common::duration::zero(), left),
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -19,6 +19,7 @@
 #include "gateway/service_pool.h"
 #include "gateway/stage_admission.h"
 #include "gateway/stage_estimator.h"
+#include "gateway/stop_admission.h"
 #include "gateway/upstream_attempt.h"
 #include "logging/logger.h"
 #include "runtime/mailbox.h"
@@ -87,6 +88,12 @@
     /// Moves the end of a request without a response forward, so that it is answered before an
     /// ordered stop closes its connection.
     void limit_to_stop(exchange& ex) const;
+    /// Refuses a request that arrives in an ordered stop and may not end before it. Returns whether
+    /// it was admitted.
+    bool admit_in_stop(exchange& ex);
+    /// Refuses a request that would be sent after the delay `until_sent` and may not end before an
+    /// ordered stop cuts it. Returns whether it was refused.
+    bool refuse_if_cut_by_stop(exchange& ex, common::duration until_sent);
     void start_deadline_timer(exchange& ex);
     void deadline_reached(std::uint64_t id);
 
@@ -173,6 +180,7 @@
     std::size_t m_gateway_count = 1;
     /// End of the first pause, for each service whose instances all pause.
     std::map<std::string, std::unique_ptr<runtime::timer>> m_pause_timers;
+    response_times m_response_times;
     /// When an ordered stop closes the callers' connections.
     std::optional<common::time_point> m_stop_deadline;
     forwarder_metrics m_metrics;
--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/forwarder_attempts.cpp
@@ -43,6 +43,9 @@
 }
 
 void forwarder::send(exchange& ex) {
+    if (refuse_if_cut_by_stop(ex, common::duration::zero())) {
+        return;
+    }
     auto& pool = pool_of(ex.service);
     const auto choice = pool.choose(make_routing_request(ex));
     if (choice.outcome != choice_outcome::chosen) {
@@ -239,6 +242,7 @@
 void forwarder::answered(exchange& ex, const attempt_response& response) {
     const auto now = common::monotonic_clock::now();
     pool_of(ex.service).record_success(*ex.attempt->member(), now - ex.attempt->sent_at(), now);
+    m_response_times.record(ex.matched_route->name, now - ex.attempt->sent_at());
     if (ex.relaying) {
         ex.reply.end();
         finish(ex, request_end::answered, response.head.status, "");
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -300,9 +300,9 @@
     timer->start(delay, [timer, handler] { handler(); });
 }
 
-/// Sends the events from `id` to number 5, 250 ms apart.
+/// Sends the events from `id` to number 5, 300 ms apart.
 void stream_paced_events(const state_pointer& state, const http::responder& reply, int id) {
-    constexpr std::chrono::milliseconds pause{250};
+    constexpr std::chrono::milliseconds pause{300};
     reply.write("id: " + std::to_string(id) + "\ndata: x\n\n");
     call_later(state, pause, [=] {
         if (id == 5) {
