gateway: derive the stop limit from the platform's grace

The stop limit of 6,900 ms fitted only a platform that kills 8 s after SIGTERM.

With 8 s all limits are as before.

--- a/source/core/gateway/forwarder_stop.cpp
+++ b/source/core/gateway/forwarder_stop.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/forwarder.h"
 #include "gateway/statuses.h"
+#include "gateway/stop_schedule.h"
 
 // Ends the requests of a gateway that stops, and admits new ones only if they can end in time.
 
@@ -9,9 +10,6 @@
 
 namespace {
 
-// Requests without a response are answered this long before an ordered stop closes their
-// connections.
-constexpr common::duration stop_margin = std::chrono::milliseconds{400};
 // A stream in progress is cut this long before, so that its log line names the cause. The close of
 // its connection would look like one by the caller.
 constexpr common::duration stream_stop_margin = std::chrono::milliseconds{50};
--- a/source/core/gateway/gateway_settings.cpp
+++ b/source/core/gateway/gateway_settings.cpp
@@ -13,6 +13,16 @@
     return value >= 0 ? "" : "must not be negative";
 }
 
+std::string check_termination_grace(double value) {
+    constexpr double min_seconds = 1;
+    constexpr double max_seconds = 86'400;
+    return value >= min_seconds && value <= max_seconds ? "" : "must be from 1 to 86400";
+}
+
+std::string check_not_negative_duration(milliseconds value) {
+    return value >= milliseconds::zero() ? "" : "must not be negative";
+}
+
 } // namespace
 
 const settings::setting<std::string> gateway_settings::name{
@@ -35,6 +45,13 @@
         "processor time of this instance in cores; instances with the most own the stage services",
     .check = check_not_negative,
 };
+const settings::setting<double> gateway_settings::termination_grace{
+    .section = "instance",
+    .key = "termination_grace_s",
+    .fallback = 8,
+    .help = "time after SIGTERM after which the platform kills the process, in s",
+    .check = check_termination_grace,
+};
 const settings::setting<std::string> gateway_settings::log_level{
     .section = "log",
     .key = "level",
@@ -52,14 +69,15 @@
     .section = "callers",
     .key = "stop_grace_ms",
     .fallback = milliseconds{2800},
-    .help = "time after SIGTERM in which new requests are still accepted",
+    .help = "longest time after SIGTERM in which new connections are still accepted",
+    .check = check_not_negative_duration,
 };
 const settings::setting<milliseconds> gateway_settings::callers_stop_limit{
     .section = "callers",
     .key = "stop_limit_ms",
-    .fallback = milliseconds{6900},
-    .help = "time after SIGTERM at which requests in progress are cut off",
-    .check = check_positive_duration,
+    .help = "time after SIGTERM at which requests in progress are cut off; 0 derives it from "
+            "instance.termination_grace_s",
+    .check = check_not_negative_duration,
 };
 const settings::setting<std::int64_t> gateway_settings::callers_max_body_bytes{
     .section = "callers",
@@ -130,6 +148,7 @@
     &name,
     &failure_domain,
     &processor_share,
+    &termination_grace,
     &log_level,
     &callers_listen,
     &callers_stop_grace,
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -11,16 +11,13 @@
 #include "gateway/forwarder.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/peers.h"
+#include "gateway/stop_schedule.h"
 
 namespace jujubemast::gateway {
 
 namespace {
 
 constexpr std::size_t mailbox_capacity = 16384;
-// Limits how long a stop waits for the store, which may be down.
-constexpr common::duration unregister_limit = std::chrono::milliseconds{500};
-// Limits how long a stop waits for gateways that do not acknowledge outcomes.
-constexpr common::duration acknowledgement_limit = std::chrono::milliseconds{500};
 constexpr const char* configuration_condition = "configuration";
 constexpr const char* listener_condition = "listener";
 
@@ -58,6 +55,7 @@
 }
 
 runtime::child_spec make_caller_server(const settings::values& values,
+                                       const stop_schedule& schedule,
                                        const forwarder_mailbox& inbox,
                                        const std::shared_ptr<const adapter>& platform_adapter,
                                        const health_address& health, const peers_mailbox& peers,
@@ -68,20 +66,20 @@
     options.limits.max_body_bytes =
         static_cast<std::size_t>(values.get(gateway_settings::callers_max_body_bytes));
     options.limits.max_header_bytes = std::size_t{64} * 1024;
-    options.stop_grace = values.get(gateway_settings::callers_stop_grace);
+    options.stop_grace = schedule.accept;
     options.idle_timeout = [current] {
         return *current ? (*current)->limits.idle_timeout : caller_limits{}.idle_timeout;
     };
-    options.on_stopping = [=, limit = values.get(gateway_settings::callers_stop_limit)] {
+    options.on_stopping = [=] {
         health.send(admin::set_condition{listener_condition, "stopping"});
-        const shutdown_started message{common::monotonic_clock::now() + limit};
+        const shutdown_started message{common::monotonic_clock::now() + schedule.limit};
         inbox->post(message);
         peers->post(message);
         dispatcher->post(message);
     };
     auto server =
         http::make_server("callers", options, make_caller_handler(inbox, platform_adapter));
-    server.stop_timeout = values.get(gateway_settings::callers_stop_limit);
+    server.stop_timeout = schedule.limit;
     return server;
 }
 
@@ -148,6 +146,7 @@
         values.get(gateway_settings::name), values.get(gateway_settings::peers_listen),
         common::system_random()() >> 1U, values.get(gateway_settings::processor_share),
         values.get(gateway_settings::failure_domain)};
+    const auto schedule = make_stop_schedule(values);
     const auto store = http::parse_endpoint(values.get(gateway_settings::store_address));
 
     // When a child fails, it is restarted together with the children after it. Each child therefore
@@ -169,7 +168,7 @@
                                             runtime::address<dispatcher_message>{dispatcher_inbox},
                                             runtime::address<catalog_message>{catalog_inbox}, self);
                                     }};
-    peers_child.stop_timeout = acknowledgement_limit;
+    peers_child.stop_timeout = schedule.acknowledgement;
     children.push_back(std::move(peers_child));
     children.push_back({"dispatcher", [=](runtime::task_context it) {
                             return std::make_shared<dispatcher>(
@@ -190,10 +189,10 @@
                                               std::move(it), catalog_inbox, store, platform_adapter,
                                               self, hooks, limits);
                                       }};
-    catalog_child.stop_timeout = unregister_limit;
+    catalog_child.stop_timeout = schedule.unregister;
     children.push_back(std::move(catalog_child));
-    children.push_back(make_caller_server(values, forwarder_inbox, platform_adapter, health,
-                                          peers_inbox, dispatcher_inbox, current));
+    children.push_back(make_caller_server(values, schedule, forwarder_inbox, platform_adapter,
+                                          health, peers_inbox, dispatcher_inbox, current));
     return children;
 }
 
--- a/source/core/program/daemon.cpp
+++ b/source/core/program/daemon.cpp
@@ -27,6 +27,9 @@
         throw common::settings_error{"--settings is required"};
     }
     auto values = settings::load(description.settings_table, FLAGS_settings);
+    if (description.check) {
+        description.check(values);
+    }
     logging::initialize(values.get(description.log_level), logging::output::standard_output);
     return values;
 }
--- a/source/core/program/daemon.h
+++ b/source/core/program/daemon.h
@@ -20,6 +20,8 @@
     const settings::table& settings_table;
     const settings::setting<std::string>& log_level;
     daemon_tree make_tree;
+    /// Throws `common::settings_error` if settings contradict each other. May be empty.
+    std::function<void(const settings::values&)> check = {};
 };
 
 /// The main function of a daemon: reads the command line and the settings file, then runs the
