http: refuse a request that is incomplete late in a stop

What callers saw: a body that was still being sent at the stop limit ended with a closed connection and no response. A refusal while the stop was under way could also be lost, since its connection was closed with bytes unread, which resets it; the same for a response before a pipelined request that is not read any more.

Change: server_options::stop_read_limit ends the reading with 408 (not run).

--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -67,6 +67,7 @@
         static_cast<std::size_t>(values.get(gateway_settings::callers_max_body_bytes));
     options.limits.max_header_bytes = std::size_t{64} * 1024;
     options.stop_grace = schedule.accept;
+    options.stop_read_limit = schedule.limit - stop_margin;
     options.idle_timeout = [current] {
         return *current ? (*current)->limits.idle_timeout : caller_limits{}.idle_timeout;
     };
--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -1,5 +1,6 @@
 #include "http/connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <sstream>
 #include <utility>
@@ -270,7 +271,7 @@
     if (m_stop_callback || m_closing) {
         boost::system::error_code ec;
         m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
-        if (m_rejected && !m_stopping) {
+        if (m_rejected || has_unread_input()) {
             m_phase = connection_phase::lingering;
             m_stream.expires_after(linger_time);
             discard_input();
@@ -284,6 +285,11 @@
     read_request();
 }
 
+bool connection::has_unread_input() {
+    boost::system::error_code ec;
+    return m_stream.socket().available(ec) > 0;
+}
+
 void connection::discard_input() {
     m_input.clear();
     m_stream.async_read_some(
@@ -313,6 +319,14 @@
         return;
     }
     m_stop_callback = done;
+    if (m_phase == connection_phase::reading) {
+        limit_read_to_stop();
+    }
+}
+
+void connection::limit_read_to_stop() {
+    const auto left = m_server->stop_read_deadline - common::monotonic_clock::now();
+    start_read_timer(std::clamp(left, common::duration::zero(), m_server->limits.read_timeout));
 }
 
 void connection::close() noexcept {
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -30,6 +30,8 @@
     std::function<common::duration()> idle_timeout;
     /// Set when an ordered stop has begun; every connection then closes after its current response.
     bool stopping = false;
+    /// After this time of an ordered stop, requests that are still incomplete are refused.
+    common::time_point stop_read_deadline;
 };
 
 /// Serves the requests of one accepted connection, one after the other.
@@ -50,6 +52,8 @@
     void read_request();
     void wait_for_next_request();
     void read_message();
+    /// Refuses the request unless it is complete before the deadline of an ordered stop.
+    void limit_read_to_stop();
     void start_read_timer(common::duration limit);
     void request_read(const boost::system::error_code& ec);
     void reject(boost::beast::http::status status, const std::string& title);
@@ -62,6 +66,9 @@
     void write_next();
     void write_completed(const boost::system::error_code& ec);
     void response_complete();
+    /// Whether bytes of the client have not been read. Closing would then reset the connection and
+    /// could discard the response.
+    [[nodiscard]] bool has_unread_input();
     /// Reads and discards what the client still sends, so that closing does not discard the
     /// response.
     void discard_input();
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -54,6 +54,7 @@
 
     void stop(const runtime::stop_done& done) override {
         m_state->stopping = true;
+        m_state->stop_read_deadline = common::monotonic_clock::now() + m_options.stop_read_limit;
         if (m_options.on_stopping) {
             m_options.on_stopping();
         }
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -83,6 +83,8 @@
     server_limits limits;
     /// How long the listener still accepts connections after the start of an ordered stop.
     common::duration stop_grace = common::duration::zero();
+    /// How long after the start of an ordered stop the rest of a request may still arrive.
+    common::duration stop_read_limit = std::chrono::seconds{10};
     /// Returns the current idle timeout; without this hook the one of `limits` applies.
     std::function<common::duration()> idle_timeout;
     /// Called at the start of an ordered stop, before the grace period.
