platform: reject upstream entries whose address cannot be called

Another writer left an entry such as engine:80, 10.0.0.256:80 or [::1]:80 among those of the upstreams. The address was split into host and port but not checked, and the HTTP client throws when it connects to a host that is no IP address. The exception ended the forwarder's task; the supervisor restarted it and the callers' server behind it, and the next request to that service did the same, until the restart intensity ended the process.

parse_endpoint now accepts IP addresses only, as its comment says, and an entry without a port names no upstream.

--- a/source/core/http/message.cpp
+++ b/source/core/http/message.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/ip/address.hpp>
 
 #include "common/error.h"
 
@@ -56,14 +57,27 @@
     return {};
 }
 
+namespace {
+
+bool is_ip_address(const std::string& text) {
+    boost::system::error_code ec;
+    boost::asio::ip::make_address(text, ec);
+    // The function stops reading at a null character.
+    return !ec && text.find('\0') == std::string::npos;
+}
+
+} // namespace
+
 endpoint parse_endpoint(std::string_view text) {
     const auto pos = text.rfind(':');
     unsigned short port = 0;
     if (pos != std::string_view::npos && pos > 0) {
         const auto digits = text.substr(pos + 1);
         const auto result = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-        if (result.ec == std::errc{} && result.ptr == digits.data() + digits.size()) {
-            return endpoint{std::string{text.substr(0, pos)}, port};
+        std::string host{text.substr(0, pos)};
+        if (result.ec == std::errc{} && result.ptr == digits.data() + digits.size() &&
+            is_ip_address(host)) {
+            return endpoint{std::move(host), port};
         }
     }
     throw common::format_error{"not an address of the form IP:PORT: " + std::string{text}};
--- a/tests/integration/gateway_fixture.h
+++ b/tests/integration/gateway_fixture.h
@@ -242,12 +242,24 @@
                       const std::string& address) const {
         boost::json::value entry;
         if (!address.empty()) {
-            entry = boost::json::object{{"service", service}, {"address", address}, {"zone", "z"},
-                                        {"slots", 4},         {"state", "ready"},   {"born", 1}};
+            entry = upstream_entry(service, address);
         }
         const boost::json::object row{{"id", id}, {"entry", entry}};
         call(store_address, {"POST", "/upstream", {}, boost::json::serialize(row)});
     }
+
+    /// Writes bytes, which need not be valid, as the entry of an upstream.
+    void set_upstream_bytes(const std::string& id, const std::string& bytes) const {
+        const boost::json::object row{{"id", id}, {"bytes", bytes}};
+        call(store_address, {"POST", "/upstream", {}, boost::json::serialize(row)});
+    }
+
+    static boost::json::object upstream_entry(const std::string& service,
+                                              const std::string& address) {
+        return {{"service", service}, {"address", address}, {"zone", "z"},
+                {"version", "v1"},    {"slots", 4},         {"state", "ready"},
+                {"cold_left_ms", 0},  {"seq", 1},           {"born", 1}};
+    }
 };
 
 } // namespace jujubemast::tests
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -60,7 +60,11 @@
     std::optional<runtime::executor> loop;
 
     void put(const std::string& table, const std::string& key, const boost::json::value& value) {
-        tables[table][key] = {boost::json::serialize(value), ++version};
+        put_bytes(table, key, boost::json::serialize(value));
+    }
+
+    void put_bytes(const std::string& table, const std::string& key, std::string bytes) {
+        tables[table][key] = {std::move(bytes), ++version};
         respond_to_long_polls();
     }
 
@@ -262,7 +266,9 @@
     } else if (path == "/upstream") {
         const auto row = boost::json::parse(message.body);
         const std::string id{row.at("id").as_string()};
-        if (row.at("entry").is_null()) {
+        if (const auto* bytes = row.as_object().if_contains("bytes")) {
+            state->put_bytes("servers", id, std::string{bytes->as_string()});
+        } else if (row.at("entry").is_null()) {
             state->remove("servers", id);
         } else {
             state->put("servers", id, row.at("entry"));
@@ -397,8 +403,11 @@
                    boost::json::object{{"service", service},
                                        {"address", http::to_string(bound)},
                                        {"zone", "z"},
+                                       {"version", "v1"},
                                        {"slots", 4},
                                        {"state", "ready"},
+                                       {"cold_left_ms", 0},
+                                       {"seq", 1},
                                        {"born", 1}});
     };
     children.push_back(http::make_server(
--- a/tests/unit/users_platform/store_test.cpp
+++ b/tests/unit/users_platform/store_test.cpp
@@ -1,5 +1,7 @@
 #include "store.h"
 
+#include <boost/asio/ip/address.hpp>
+#include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
@@ -34,6 +36,23 @@
             R"("state":"ready","cold_left_ms":0,"seq":4,"born":17})";
         return text;
     }
+
+    static boost::json::object upstream_fields() {
+        return boost::json::parse(upstream_text()).as_object();
+    }
+
+    /// Returns a valid entry in which the value of one field is replaced by other bytes.
+    static std::string upstream_text_with(const std::string& field, const std::string& value) {
+        auto fields = upstream_fields();
+        fields.erase(field);
+        auto text = boost::json::serialize(fields);
+        text.back() = ',';
+        return text + '"' + field + "\":" + value + '}';
+    }
+
+    static void check_upstream_is_rejected(const std::string& key, const std::string& text) {
+        BOOST_CHECK_THROW(users_platform::decode_upstream(row(key, text)), common::format_error);
+    }
 };
 
 BOOST_FIXTURE_TEST_SUITE(store_test, store_fixture)
@@ -85,12 +104,93 @@
           R"({"service":"s","address":"1.1.1.1:1","zone":"a","slots":1,"state":"gone"})",
           R"({"service":5,"address":"1.1.1.1:1","zone":"a","slots":1,"state":"ready"})"}) {
         BOOST_TEST_CONTEXT(bad) {
-            BOOST_CHECK_THROW(users_platform::decode_upstream(row("i-1", bad)),
-                              common::format_error);
+            check_upstream_is_rejected("i-1", bad);
         }
     }
 }
 
+// Guards against an entry whose address made each call to it throw, which ended the gateways again
+// and again.
+BOOST_AUTO_TEST_CASE(upstream_entry_whose_address_cannot_be_called_is_rejected) {
+    for (const auto* value : {R"("")",
+                              R"(":8080")",
+                              R"("10.0.0.9")",
+                              R"("10.0.0.9:")",
+                              R"("10.0.0.9:0")",
+                              R"("10.0.0.9:65536")",
+                              R"("10.0.0.9:99999999999")",
+                              R"("10.0.0.9:-1")",
+                              R"("10.0.0.9:+1")",
+                              R"("10.0.0.9: 1")",
+                              R"("10.0.0.9:1 ")",
+                              R"("10.0.0.9:1e2")",
+                              R"("10.0.0.256:80")",
+                              R"("10.0.0:80")",
+                              R"("10.0.0.9.9:80")",
+                              R"("engine:80")",
+                              R"("[::1]:80")",
+                              R"("[]:80")",
+                              R"("::1")",
+                              R"("10.0.0.9\u0000:80")",
+                              R"("10.0.0.9\r\n:80")",
+                              "7",
+                              "null",
+                              "[]",
+                              "{}",
+                              "true"}) {
+        BOOST_TEST_CONTEXT(value) {
+            check_upstream_is_rejected("i-1", upstream_text_with("address", value));
+        }
+    }
+}
+
+// Guards against a reader that exhausts its stack on an entry of another writer.
+BOOST_AUTO_TEST_CASE(upstream_entry_that_is_deeply_nested_is_rejected) {
+    for (const std::size_t depth : {100, 10'000, 300'000}) {
+        for (const auto& [open, close] : {std::pair{"[", "]"}, {R"({"a":)", "}"}}) {
+            std::string nested;
+            for (std::size_t n = 0; n < depth; ++n) {
+                nested += open;
+            }
+            const auto unclosed = nested;
+            nested += "1";
+            for (std::size_t n = 0; n < depth; ++n) {
+                nested += close;
+            }
+            BOOST_TEST_CONTEXT(open << " " << depth) {
+                check_upstream_is_rejected("i-1", unclosed);
+                check_upstream_is_rejected("i-1", nested);
+                for (const auto* field : {"address", "slots", "state", "extra"}) {
+                    check_upstream_is_rejected("i-1", upstream_text_with(field, nested));
+                }
+            }
+        }
+    }
+}
+
+// Guards against a decoder that accepts one writer's garbage: whatever is decoded can be called.
+BOOST_AUTO_TEST_CASE(upstream_entry_that_is_accepted_names_an_address_that_can_be_called) {
+    check_property(20261205, 3000, [&] {
+        auto text = upstream_text();
+        const auto count = *rc::gen::inRange(1, 4);
+        for (int n = 0; n < count; ++n) {
+            const auto pos = *rc::gen::inRange<std::size_t>(0, text.size());
+            const auto piece = *rc::gen::element<std::string>(
+                "", "0", "9", "-", "e9", ":", ".", ",", "\"", "[", "{", "null", "\\u0000", "\xff");
+            text.replace(pos, *rc::gen::inRange<std::size_t>(0, 3), piece);
+        }
+        try {
+            const auto read = users_platform::decode_upstream(row("i-1", text));
+            boost::system::error_code ec;
+            boost::asio::ip::make_address(read.address.host, ec);
+            RC_ASSERT(!ec);
+            RC_ASSERT(read.address.port != 0);
+        } catch (const common::format_error&) {
+            RC_SUCCEED("rejected");
+        }
+    });
+}
+
 // Guards against malformed bytes in the store that end the process: a decoder either reads them or
 // throws a format error.
 BOOST_AUTO_TEST_CASE(decoders_with_corrupted_bytes_read_or_reject_them) {
