platform: reject upstream entries with missing fields or numbers out of range

An entry whose slots lay beyond 32 bits was read modulo 2^32, so that slots became one and none; entries without slots, with a start time beyond 64 signed bits, without a service name, or without fields that every instance writes (version, cold_left_ms, seq) were used. A key that no header field can carry, for example one of 70,000 bytes, was used as the id of an instance and made each call to it throw.

Such an entry is not from an instance. The new cases of store_test for missing fields, values out of range and keys failed on the former code.

--- a/tests/integration/odd_upstream_entry_test.cpp
+++ b/tests/integration/odd_upstream_entry_test.cpp
@@ -35,6 +35,8 @@
                 {"odd-port-negative", entry_with_address("127.0.0.1:-1")},
                 {"odd-slots-wide", entry_with("slots", "18446744073709551616")},
                 {"odd-slots-infinite", entry_with("slots", "1e400")},
+                {"odd-slots-none", entry_with("slots", "0")},
+                {"odd-seq", entry_with("seq", "-1")},
                 {"odd-born", entry_with("born", "1e30")},
                 {"odd-nested", nested(10'000)},
                 {"odd-nested-field", entry_with("address", nested(10'000))},
--- a/tests/unit/users_platform/store_test.cpp
+++ b/tests/unit/users_platform/store_test.cpp
@@ -107,6 +107,16 @@
             check_upstream_is_rejected("i-1", bad);
         }
     }
+    const auto fields = upstream_fields();
+    for (const auto& it : fields) {
+        if (it.key() != "born") {
+            auto without = fields;
+            without.erase(it.key());
+            BOOST_TEST_CONTEXT("without " << it.key()) {
+                check_upstream_is_rejected("i-1", boost::json::serialize(without));
+            }
+        }
+    }
 }
 
 // Guards against an entry whose address made each call to it throw, which ended the gateways again
@@ -144,6 +154,41 @@
     }
 }
 
+// Guards against an entry whose numbers are out of range: slots were read modulo 2^32, and an
+// instance without slots was used.
+BOOST_AUTO_TEST_CASE(upstream_entry_with_values_out_of_range_is_rejected) {
+    const std::vector<std::pair<const char*, std::vector<const char*>>> odd_values{
+        {"service", {R"("")", "7", "null", "[]", R"(["s"])"}},
+        {"zone", {"7", "null", "{}"}},
+        {"version", {"7", "null"}},
+        {"slots",
+         {"0", "-1", "1.5", "4294967296", "4294967297", "18446744073709551616", "1e400", "-1e400",
+          "1e300", "NaN", "Infinity", R"("64")", "null", "[64]"}},
+        {"state", {R"("")", R"("READY")", R"("ready ")", "1", "null", "[]"}},
+        {"cold_left_ms", {"-1", "1e400", "NaN", R"("0")", "null", "{}"}},
+        {"seq", {"-1", "1.5", "18446744073709551616", "1e400", R"("4")", "null"}},
+        {"born",
+         {"-1", "1.5", "9223372036854775808", "18446744073709551616", "1e30", "1e400", R"("17")",
+          "null", "[]"}}};
+    for (const auto& [field, values] : odd_values) {
+        for (const auto* value : values) {
+            BOOST_TEST_CONTEXT(field << " " << value) {
+                check_upstream_is_rejected("i-1", upstream_text_with(field, value));
+            }
+        }
+    }
+}
+
+// Guards against an id that no header field can carry, which made the calls to it throw.
+BOOST_AUTO_TEST_CASE(upstream_entry_whose_key_is_no_id_is_rejected) {
+    for (const auto& key : {std::string{}, std::string{"i\r\nX: y"}, std::string(1, '\0'),
+                            std::string{"i 1"}, std::string{"i\xff"}, std::string(70'000, 'i')}) {
+        BOOST_TEST_CONTEXT(key.substr(0, 10)) {
+            check_upstream_is_rejected(key, upstream_text());
+        }
+    }
+}
+
 // Guards against a reader that exhausts its stack on an entry of another writer.
 BOOST_AUTO_TEST_CASE(upstream_entry_that_is_deeply_nested_is_rejected) {
     for (const std::size_t depth : {100, 10'000, 300'000}) {
@@ -185,6 +230,8 @@
             boost::asio::ip::make_address(read.address.host, ec);
             RC_ASSERT(!ec);
             RC_ASSERT(read.address.port != 0);
+            RC_ASSERT(read.slots > 0U);
+            RC_ASSERT(!read.service.empty());
         } catch (const common::format_error&) {
             RC_SUCCEED("rejected");
         }
