gateway: refuse requests with a part of the prompt that crashes engines

Each break of a connection before or just after the first event is now evidence against the shared parts of its request. The gateways send each other this evidence, and what refutes it: an answer on a part that began later and goes on, an instance that answers a request sent after the break. A part that three instances crashed on, apart from each other, is quarantined: its requests get 503 with the time until the next trial, and one gateway tries it then. A request that may have crashed its instance is not repeated once two instances have ended on one of its parts.

--- /dev/null
+++ b/source/core/gateway/crash_evidence.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "gateway/caller_request.h"
+#include "gateway/upstream_list.h"
+
+namespace jujubemast::gateway {
+
+/// Digest of the id of a part of a prompt.
+using prompt_part_id = std::uint64_t;
+
+/// Returns the parts that other requests may share: all but the last one.
+std::vector<prompt_part_id> shared_parts_of(const std::vector<prompt_part>& prompt);
+
+/// Returns the ids in hexadecimal, separated by commas.
+std::string to_text(const std::vector<prompt_part_id>& parts);
+
+/// An instance broke its connections. `parts` are those of the requests that it had not begun to
+/// write, or only just.
+struct crash_report {
+    incarnation instance;
+    std::vector<prompt_part_id> parts;
+    common::time_point at;
+
+    friend bool operator==(const crash_report&, const crash_report&) = default;
+};
+
+/// An answer on this part, which began at this time, went on.
+struct sound_report {
+    prompt_part_id part = 0;
+    common::time_point began;
+
+    friend bool operator==(const sound_report&, const sound_report&) = default;
+};
+
+/// The instance has answered a request that was sent to it at this time.
+struct alive_report {
+    incarnation instance;
+    common::time_point sent;
+
+    friend bool operator==(const alive_report&, const alive_report&) = default;
+};
+
+/// A request with this quarantined part is being tried.
+struct trial_report {
+    prompt_part_id part = 0;
+    common::time_point at;
+
+    friend bool operator==(const trial_report&, const trial_report&) = default;
+};
+
+/// The quarantine of a part, for a gateway that has just started.
+struct quarantine_report {
+    prompt_part_id part = 0;
+    std::uint32_t failed_trials = 0;
+    common::time_point trial_due;
+
+    friend bool operator==(const quarantine_report&, const quarantine_report&) = default;
+};
+
+/// What a gateway has seen of instances that crash, and of parts of prompts that may cause it.
+struct crash_evidence {
+    /// The gateway that it is for. Empty means all of them.
+    std::string receiver;
+    std::vector<crash_report> crashes;
+    std::vector<sound_report> sound;
+    std::vector<alive_report> alive;
+    std::vector<trial_report> trials;
+    std::vector<quarantine_report> quarantines;
+
+    /// Adds other evidence. Reports of one crash become one.
+    void add(const crash_evidence& other);
+
+    [[nodiscard]] bool empty() const {
+        return crashes.empty() && sound.empty() && alive.empty() && trials.empty() &&
+               quarantines.empty();
+    }
+};
+
+} // namespace jujubemast::gateway
--- /dev/null
+++ b/source/core/gateway/crash_suspects.cpp
@@ -0,0 +1,319 @@
+#include "gateway/crash_suspects.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubemast::gateway {
+
+namespace {
+
+// Beyond it a doubled quarantine exceeds any limit.
+constexpr unsigned max_doublings = 16;
+
+} // namespace
+
+crash_suspects::crash_suspects(const suspect_limits& limits, change_hook on_change)
+    : m_limits{limits}, m_on_change{std::move(on_change)} {}
+
+void crash_suspects::apply(const crash_evidence& evidence, common::time_point now) {
+    // What dismisses crashes comes before them, so that no part is accused by mistake in between.
+    for (const auto& it : evidence.alive) {
+        apply(it, now);
+    }
+    for (const auto& it : evidence.sound) {
+        apply(it, now);
+    }
+    for (const auto& it : evidence.quarantines) {
+        apply(it, now);
+    }
+    for (const auto& it : evidence.crashes) {
+        apply(it, now);
+    }
+    for (const auto& it : evidence.trials) {
+        apply(it, now);
+    }
+    forget_old(now);
+}
+
+void crash_suspects::apply(const crash_report& report, common::time_point now) {
+    const auto alive = m_alive.find(report.instance);
+    if (alive != m_alive.end() && alive->second >= report.at) {
+        return;
+    }
+    for (const auto part : report.parts) {
+        auto& state = m_parts[part];
+        state.news = std::max(state.news, report.at);
+        if (state.sound_from && *state.sound_from >= report.at) {
+            continue;
+        }
+        const auto [crash, is_new] = state.crashes.try_emplace(report.instance, report.at);
+        // The gateways see the end of one instance at slightly different times.
+        crash->second = std::min(crash->second, report.at);
+        if (!is_new) {
+            continue;
+        }
+        if (state.crashes.size() > m_limits.max_crashes) {
+            state.crashes.erase(
+                std::min_element(state.crashes.begin(), state.crashes.end(),
+                                 [](const auto& a, const auto& b) { return a.second < b.second; }));
+        }
+        if (state.active) {
+            renew(part, state, report.at, now);
+        } else if (state.crashes.size() > 1) {
+            notify(part, state, suspect_change::suspected, now);
+        }
+    }
+}
+
+void crash_suspects::renew(prompt_part_id part, part_state& state, common::time_point crashed,
+                           common::time_point now) {
+    auto& active = *state.active;
+    if (now < active.trial_end) {
+        ++active.failed_trials;
+        active.trial_end = now;
+    }
+    const auto due = crashed + quarantine_time(active.failed_trials);
+    if (due > active.trial_due) {
+        active.trial_due = due;
+        notify(part, state, suspect_change::renewed, now);
+    }
+}
+
+common::duration crash_suspects::quarantine_time(unsigned failed_trials) const {
+    const auto doubled =
+        m_limits.first_quarantine * (std::int64_t{1} << std::min(failed_trials, max_doublings));
+    return std::min(doubled, m_limits.longest_quarantine);
+}
+
+void crash_suspects::apply(const sound_report& report, common::time_point now) {
+    const auto it = m_parts.find(report.part);
+    if (it == m_parts.end()) {
+        return;
+    }
+    auto& state = it->second;
+    state.sound_from = std::max(state.sound_from.value_or(report.began), report.began);
+    const auto dismissed = std::erase_if(
+        state.crashes, [&](const auto& crash) { return crash.second <= *state.sound_from; });
+    if (dismissed > 0 || state.crashes.empty()) {
+        clear_if_refuted(report.part, state, now);
+    }
+}
+
+void crash_suspects::apply(const alive_report& report, common::time_point now) {
+    auto& alive = m_alive.try_emplace(report.instance, report.sent).first->second;
+    alive = std::max(alive, report.sent);
+    for (auto& [part, state] : m_parts) {
+        const auto crash = state.crashes.find(report.instance);
+        if (crash != state.crashes.end() && crash->second <= alive) {
+            state.crashes.erase(crash);
+            clear_if_refuted(part, state, now);
+        }
+    }
+}
+
+void crash_suspects::clear_if_refuted(prompt_part_id part, part_state& state,
+                                      common::time_point now) {
+    if (state.active && incidents(state, common::time_point::max()) < m_limits.incidents) {
+        state.active.reset();
+        notify(part, state, suspect_change::cleared, now);
+    }
+}
+
+void crash_suspects::apply(const trial_report& report, common::time_point now) {
+    const auto it = m_parts.find(report.part);
+    if (it == m_parts.end() || !it->second.active) {
+        return;
+    }
+    auto& active = *it->second.active;
+    active.trial_end = std::max(active.trial_end, report.at + m_limits.trial_time);
+    active.trial_due = std::max(active.trial_due, active.trial_end);
+    it->second.news = std::max(it->second.news, report.at);
+    notify(report.part, it->second, suspect_change::trial_started, now);
+}
+
+void crash_suspects::apply(const quarantine_report& report, common::time_point now) {
+    auto& state = m_parts[report.part];
+    state.news = std::max(state.news, now);
+    const bool is_new = !state.active;
+    if (is_new) {
+        state.active = quarantine{};
+    }
+    state.active->failed_trials = std::max(state.active->failed_trials, report.failed_trials);
+    state.active->trial_due = std::max(state.active->trial_due, report.trial_due);
+    if (is_new) {
+        notify(report.part, state, suspect_change::quarantined, now);
+    }
+}
+
+std::size_t crash_suspects::incidents(const part_state& state, common::time_point until) const {
+    std::vector<common::time_point> times;
+    for (const auto& [instance, at] : state.crashes) {
+        times.push_back(at);
+    }
+    std::sort(times.begin(), times.end());
+    std::size_t count = 0;
+    std::optional<common::time_point> begin;
+    for (const auto at : times) {
+        if (begin && at - *begin < m_limits.incident_span) {
+            continue;
+        }
+        if (at > until) {
+            break;
+        }
+        begin = at;
+        ++count;
+    }
+    return count;
+}
+
+void crash_suspects::update(prompt_part_id part, part_state& state, common::time_point now) {
+    if (state.active || incidents(state, now - m_limits.settle_time) < m_limits.incidents) {
+        return;
+    }
+    state.active = quarantine{};
+    // The same at all gateways, whenever they notice it.
+    const auto last =
+        std::max_element(state.crashes.begin(), state.crashes.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    state.active->trial_due = last->second + quarantine_time(0);
+    notify(part, state, suspect_change::quarantined, now);
+}
+
+bool crash_suspects::is_suspected(prompt_part_id part, common::time_point sound_from) const {
+    const auto it = m_parts.find(part);
+    return it != m_parts.end() &&
+           std::any_of(it->second.crashes.begin(), it->second.crashes.end(),
+                       [&](const auto& crash) { return crash.second <= sound_from; });
+}
+
+bool crash_suspects::is_wrongly_accused(const incarnation& instance,
+                                        common::time_point sent) const {
+    return std::any_of(m_parts.begin(), m_parts.end(), [&](const auto& part) {
+        const auto crash = part.second.crashes.find(instance);
+        return crash != part.second.crashes.end() && sent > crash->second &&
+               sent - crash->second < m_limits.restart_time;
+    });
+}
+
+std::optional<common::duration>
+crash_suspects::quarantine_left(const std::vector<prompt_part_id>& parts, common::time_point now) {
+    std::optional<common::duration> left;
+    for (const auto part : parts) {
+        const auto it = m_parts.find(part);
+        if (it == m_parts.end()) {
+            continue;
+        }
+        update(part, it->second, now);
+        if (it->second.active) {
+            const auto until_trial =
+                std::max(common::duration::zero(), it->second.active->trial_due - now);
+            left = std::max(left.value_or(until_trial), until_trial);
+        }
+    }
+    return left;
+}
+
+bool crash_suspects::may_try(const std::vector<prompt_part_id>& parts, const rank_hook& rank,
+                             common::time_point now) const {
+    return std::all_of(parts.begin(), parts.end(), [&](prompt_part_id part) {
+        const auto it = m_parts.find(part);
+        if (it == m_parts.end() || !it->second.active) {
+            return true;
+        }
+        const auto due = it->second.active->trial_due;
+        if (now < due) {
+            return false;
+        }
+        const auto doublings = static_cast<unsigned>(
+            std::min<std::int64_t>((now - due) / m_limits.trial_step, max_doublings));
+        return rank(part) < std::size_t{1} << doublings;
+    });
+}
+
+bool crash_suspects::is_repeat_risky(const std::vector<prompt_part_id>& parts,
+                                     common::time_point now) const {
+    return std::any_of(parts.begin(), parts.end(), [&](prompt_part_id part) {
+        const auto it = m_parts.find(part);
+        if (it == m_parts.end()) {
+            return false;
+        }
+        const auto& state = it->second;
+        return state.active || (incidents(state, now) + 1 >= m_limits.incidents &&
+                                incidents(state, now - m_limits.settle_time) > 0);
+    });
+}
+
+crash_evidence crash_suspects::snapshot(common::time_point now) const {
+    crash_evidence result;
+    std::map<std::pair<incarnation, common::time_point>, std::vector<prompt_part_id>> crashes;
+    for (const auto& [part, state] : m_parts) {
+        for (const auto& crash : state.crashes) {
+            crashes[crash].push_back(part);
+        }
+        if (state.active) {
+            result.quarantines.push_back(
+                {part, state.active->failed_trials, state.active->trial_due});
+            if (now < state.active->trial_end) {
+                result.trials.push_back({part, state.active->trial_end - m_limits.trial_time});
+            }
+        }
+    }
+    for (const auto& [crash, parts] : crashes) {
+        result.crashes.push_back({crash.first, parts, crash.second});
+    }
+    return result;
+}
+
+std::vector<suspect_view> crash_suspects::quarantined(common::time_point now) const {
+    std::vector<suspect_view> result;
+    for (const auto& [part, state] : m_parts) {
+        if (state.active) {
+            result.push_back(view(part, state, suspect_change::quarantined, now));
+        }
+    }
+    return result;
+}
+
+void crash_suspects::forget_old(common::time_point now) {
+    std::erase_if(m_parts, [&](const auto& it) {
+        const auto& state = it.second;
+        const auto news = state.active ? std::max(state.news, state.active->trial_due) : state.news;
+        return now - news > m_limits.retention;
+    });
+    std::erase_if(m_alive, [&](const auto& it) { return now - it.second > m_limits.retention; });
+    while (m_parts.size() > m_limits.max_parts) {
+        const auto age = [](const auto& it) {
+            return std::pair{it.second.active.has_value(), it.second.news};
+        };
+        m_parts.erase(
+            std::min_element(m_parts.begin(), m_parts.end(),
+                             [&](const auto& a, const auto& b) { return age(a) < age(b); }));
+    }
+}
+
+suspect_view crash_suspects::view(prompt_part_id part, const part_state& state,
+                                  suspect_change change, common::time_point now) const {
+    suspect_view result;
+    result.part = part;
+    result.change = change;
+    result.incidents = incidents(state, now);
+    auto first = now;
+    for (const auto& [instance, at] : state.crashes) {
+        result.instances.push_back(instance);
+        first = std::min(first, at);
+    }
+    result.first_crash_age = now - first;
+    if (state.active) {
+        result.trial_in = std::max(common::duration::zero(), state.active->trial_due - now);
+    }
+    return result;
+}
+
+void crash_suspects::notify(prompt_part_id part, const part_state& state, suspect_change change,
+                            common::time_point now) const {
+    if (m_on_change) {
+        m_on_change(view(part, state, change, now));
+    }
+}
+
+} // namespace jujubemast::gateway
--- a/source/core/gateway/exchange.h
+++ b/source/core/gateway/exchange.h
@@ -10,6 +10,7 @@
 
 #include "gateway/caller_request.h"
 #include "gateway/configuration.h"
+#include "gateway/crash_evidence.h"
 #include "gateway/event_relay.h"
 #include "gateway/stage_progress.h"
 #include "gateway/upstream_attempt.h"
@@ -85,6 +86,13 @@
     /// Ids of the instances that have been tried.
     std::vector<std::string> tried;
 
+    /// The parts of the prompt that other requests may share.
+    std::vector<prompt_part_id> shared_parts;
+    /// First event of the current attempt.
+    std::optional<common::time_point> writing_since;
+    /// The request is the trial of a quarantined part.
+    bool is_trial = false;
+
     [[nodiscard]] bool is_sent() const { return attempt && attempt->in_progress(); }
 
     /// Id of the instance of the last attempt, or an empty string.
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -32,7 +32,11 @@
       m_adapter{std::move(platform_adapter)}, m_options{std::move(options)},
       // Starts at a random number, because another gateway may still remember the orders of this
       // gateway's previous run.
-      m_next_order{m_options.random() >> 1U} {}
+      m_next_order{m_options.random() >> 1U}, m_suspects{{},
+                                                         [this](const suspect_view& part) {
+                                                             log_suspect(part);
+                                                         }},
+      m_evidence_timer{m_context.loop()} {}
 
 void forwarder::start() {
     m_inbox.receive(m_context.wrap([this](const forwarder_message& message) {
@@ -43,6 +47,7 @@
 void forwarder::close() noexcept {
     m_inbox.close();
     m_pause_timers.clear();
+    m_evidence_timer.cancel();
     m_exchanges.clear();
     m_pools.clear();
 }
@@ -145,6 +150,7 @@
         refuse_unknown(added, result);
         return;
     }
+    added.shared_parts = shared_parts_of(added.request.prompt);
     admit(added);
 }
 
@@ -202,6 +208,10 @@
     ex.events = event_relay{ex.request.last_event};
     ex.stages.progress = stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     pool_of(ex.service).budget().record_first_attempt();
+    start_trial_if_due(ex);
+    if (refuse_if_quarantined(ex)) {
+        return;
+    }
     if (!ex.matched_route->stages.empty() && !admit_stages(ex)) {
         return;
     }
@@ -382,6 +392,7 @@
 
 void forwarder::handle(const admin::metrics_query& message) {
     m_metrics.set_in_progress(m_exchanges.size());
+    m_metrics.set_quarantined_parts(m_suspects.quarantined(common::monotonic_clock::now()).size());
     if (const auto age = configuration_age()) {
         m_metrics.set_configuration_age(*age);
     }
@@ -407,6 +418,7 @@
     return boost::json::object{{"configuration", m_configuration ? m_configuration->version : 0},
                                {"gateways", m_gateway_count},
                                {"pools", std::move(pools)},
+                               {"quarantined", dump_quarantined()},
                                {"requests", std::move(requests)}};
 }
 
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -13,6 +13,7 @@
 #include "common/random.h"
 #include "gateway/adapter.h"
 #include "gateway/attempt_decision.h"
+#include "gateway/crash_suspects.h"
 #include "gateway/exchange.h"
 #include "gateway/forwarder_metrics.h"
 #include "gateway/messages.h"
@@ -72,6 +73,8 @@
     void handle(const order_ended& message);
     void handle(const gateway_names_changed& message);
     void handle(const backlog_report& message);
+    void handle(const crash_evidence& message);
+    void handle(const gateway_live& message);
     void handle(const shutdown_started& message);
     void handle(const admin::metrics_query& message);
 
@@ -140,6 +143,23 @@
     void schedule_input_release(exchange& ex);
     [[nodiscard]] std::uint64_t prefix_of(const exchange& ex) const;
 
+    /// Refuses a request with a quarantined part of its prompt, unless it is the trial of that
+    /// part. Returns whether it was refused.
+    bool refuse_if_quarantined(exchange& ex);
+    /// Makes the request the trial of its quarantined parts if one is due at this gateway.
+    void start_trial_if_due(exchange& ex);
+    /// Records that the instance may have crashed on this request.
+    void record_possible_crash(const exchange& ex, const attempt_failure& failure);
+    /// Records that an answer goes on, which clears the parts of its prompt.
+    void record_sound_answer(const exchange& ex, common::time_point began);
+    /// Records a response of an instance that may have been taken for crashed.
+    void record_alive(const exchange& ex);
+    /// Applies evidence and sends it to the other gateways, together with what follows soon.
+    void share_evidence(const crash_evidence& evidence);
+    void send_evidence();
+    void log_suspect(const suspect_view& part) const;
+    [[nodiscard]] boost::json::array dump_quarantined() const;
+
     void respond(exchange& ex, const http::response& response, request_end end,
                  const std::string& reason);
     void refuse(exchange& ex, unsigned status, const std::string& reason,
@@ -177,6 +197,10 @@
     std::optional<common::time_point> m_stop_deadline;
     forwarder_metrics m_metrics;
     logging::logger m_log{"forwarder"};
+    crash_suspects m_suspects;
+    /// Evidence that the other gateways have not got yet.
+    crash_evidence m_unsent_evidence;
+    runtime::timer m_evidence_timer;
 };
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/forwarder_attempts.cpp
@@ -43,6 +43,9 @@
 }
 
 void forwarder::send(exchange& ex) {
+    if (refuse_if_quarantined(ex)) {
+        return;
+    }
     auto& pool = pool_of(ex.service);
     const auto choice = pool.choose(make_routing_request(ex));
     if (choice.outcome != choice_outcome::chosen) {
@@ -125,6 +128,7 @@
     }
     ++ex.sends;
     ++ex.possible_runs;
+    ex.writing_since.reset();
     ex.tried.push_back(member->identity.id);
     ex.times.first_sent = ex.times.first_sent.value_or(now);
     m_log.info("Sent.", {{"attempt", ex.request.attempt_id},
@@ -208,6 +212,7 @@
 
 void forwarder::head_received(exchange& ex, const attempt_response& response) {
     const auto now = common::monotonic_clock::now();
+    record_alive(ex);
     ex.times.first_byte = ex.times.first_byte.value_or(now);
     if (ex.matched_route->kind != repeatability::stream) {
         return;
@@ -230,6 +235,10 @@
         m_estimator.record_first_event(ex.service, now - ex.attempt->sent_at(), now);
     }
     times.last_event = now;
+    ex.writing_since = ex.writing_since.value_or(now);
+    if (now - *ex.writing_since >= m_suspects.limits().sound_time) {
+        record_sound_answer(ex, *ex.writing_since);
+    }
     ex.reply.write(std::move(events));
     // The engine reads its inputs before it sends the first event.
     release_inputs(ex);
@@ -238,6 +247,9 @@
 void forwarder::answered(exchange& ex, const attempt_response& response) {
     const auto now = common::monotonic_clock::now();
     pool_of(ex.service).record_success(*ex.attempt->member(), now - ex.attempt->sent_at(), now);
+    if (ex.writing_since || !ex.relaying) {
+        record_sound_answer(ex, ex.writing_since.value_or(ex.attempt->sent_at()));
+    }
     if (ex.relaying) {
         ex.reply.end();
         finish(ex, request_end::answered, response.head.status, "");
@@ -255,6 +267,7 @@
     if (failure.response_invalid || !not_run) {
         pool_of(ex.service).record_failure(*ex.attempt->member(), common::monotonic_clock::now());
     }
+    record_possible_crash(ex, failure);
     attempt_ended(ex, failure.end, failure.detail);
 }
 
@@ -270,7 +283,10 @@
     facts.max_attempts = ex.matched_route->max_attempts;
     facts.sends = ex.sends;
     facts.time_left = ex.response_deadline - now > min_retry_time;
-    facts.alternative_available = pool.has_alternative(ex.tried, now);
+    // Another instance must not be lost to a request that may have crashed this one.
+    const bool is_risky =
+        !is_certainly_not_run(end) && m_suspects.is_repeat_risky(ex.shared_parts, now);
+    facts.alternative_available = !is_risky && pool.has_alternative(ex.tried, now);
     facts.budget_left = true;
     auto step = decide_next_step(facts);
     const bool is_repeated = step == next_step::retry || step == next_step::remake_inputs;
@@ -285,6 +301,7 @@
                                    {"step", std::string{common::to_name(step)}},
                                    {"runs", std::to_string(facts.possible_runs)},
                                    {"budget", std::to_string(pool.budget().balance())},
+                                   {"parts", to_text(ex.shared_parts)},
                                    {"detail", detail}});
     switch (step) {
     case next_step::retry:
--- a/source/core/gateway/forwarder_metrics.cpp
+++ b/source/core/gateway/forwarder_metrics.cpp
@@ -39,6 +39,20 @@
         .add();
 }
 
+void forwarder_metrics::record_quarantine_refusal() {
+    m_registry
+        .add_counter("jujubemast_gateway_quarantine_refusals_total",
+                     "Requests that were not sent because of a quarantined part of the prompt.")
+        .add();
+}
+
+void forwarder_metrics::set_quarantined_parts(std::size_t n) {
+    m_registry
+        .add_gauge("jujubemast_gateway_quarantined_prompt_parts",
+                   "Parts of prompts that are quarantined because instances crashed on them.")
+        .set(static_cast<double>(n));
+}
+
 void forwarder_metrics::set_in_progress(std::size_t n) {
     m_registry
         .add_gauge("jujubemast_gateway_requests_in_progress", "Requests without a whole answer.")
--- a/source/core/gateway/forwarder_metrics.h
+++ b/source/core/gateway/forwarder_metrics.h
@@ -25,6 +25,8 @@
     void record_step(attempt_end end, next_step step);
     /// Records that a request waits because no instance can take it.
     void record_wait(choice_outcome cause);
+    void record_quarantine_refusal();
+    void set_quarantined_parts(std::size_t n);
     void set_in_progress(std::size_t n);
     void set_configuration_age(common::duration age);
 
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -8,6 +8,7 @@
 #include "admin/metrics_query.h"
 #include "gateway/adapter.h"
 #include "gateway/configuration.h"
+#include "gateway/crash_evidence.h"
 #include "gateway/piece_queue.h"
 #include "gateway/table_copy.h"
 #include "gateway/upstream_list.h"
@@ -84,6 +85,11 @@
     order_key key;
 };
 
+/// Another gateway has become live.
+struct gateway_live {
+    std::string name;
+};
+
 struct gateways_changed {
     std::vector<gateway_record> gateways;
 };
@@ -123,13 +129,14 @@
     friend bool operator==(const store_role&, const store_role&) = default;
 };
 
-using forwarder_message = std::variant<discovery_update, configuration_confirmed, request_received,
-                                       caller_disconnected, order_ended, gateway_names_changed,
-                                       backlog_report, shutdown_started, admin::metrics_query>;
+using forwarder_message =
+    std::variant<discovery_update, configuration_confirmed, request_received, caller_disconnected,
+                 order_ended, gateway_names_changed, backlog_report, crash_evidence, gateway_live,
+                 shutdown_started, admin::metrics_query>;
 
 using peers_message =
     std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
-                 backlog_report, instance_leaving, table_relay, shutdown_started>;
+                 backlog_report, instance_leaving, crash_evidence, table_relay, shutdown_started>;
 
 using dispatcher_message =
     std::variant<discovery_update, piece_order, cancel_order, release_results, owners_changed,
--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers.cpp
@@ -150,6 +150,7 @@
             any_lost = any_lost || !is_live;
             if (is_live) {
                 send_leaving_instances(name);
+                m_forwarder.send(gateway_live{name});
             }
             m_log.info(is_live ? "Gateway is live." : "Gateway is not live.",
                        {{"gateway", name},
@@ -222,6 +223,14 @@
     }
 }
 
+void peers::handle(const crash_evidence& message) {
+    for (const auto& [name, it] : m_peers) {
+        if (it.live && (message.receiver.empty() || message.receiver == name)) {
+            send_to(name, message);
+        }
+    }
+}
+
 bool peers::remember_leaving(const incarnation& instance) {
     const auto now = common::monotonic_clock::now();
     std::erase_if(m_leaving_instances, [&](const auto& it) {
@@ -303,7 +312,8 @@
                                      std::is_same_v<content_type, instance_leaving>) {
                     handle(it);
                     return true;
-                } else if constexpr (std::is_same_v<content_type, backlog_report>) {
+                } else if constexpr (std::is_same_v<content_type, backlog_report> ||
+                                     std::is_same_v<content_type, crash_evidence>) {
                     return m_forwarder.send(it);
                 } else {
                     return m_dispatcher.send(it);
@@ -421,7 +431,8 @@
                 remember_leaving(it.instance);
             } else if constexpr (std::is_same_v<content_type, table_relay>) {
                 m_catalog.send(it);
-            } else if constexpr (std::is_same_v<content_type, backlog_report>) {
+            } else if constexpr (std::is_same_v<content_type, backlog_report> ||
+                                 std::is_same_v<content_type, crash_evidence>) {
                 m_forwarder.send(it);
             } else {
                 m_dispatcher.send(it);
--- a/source/core/gateway/peers.h
+++ b/source/core/gateway/peers.h
@@ -82,6 +82,7 @@
     void handle(const backlog_report& message);
     void handle(const outcome_acknowledged& message);
     void handle(const instance_leaving& message);
+    void handle(const crash_evidence& message);
     void handle(const table_relay& message);
 
     void ping_received(peer& from, const wire::gateway_ping& message, common::time_point now);
--- a/source/core/gateway/upstream_attempt.cpp
+++ b/source/core/gateway/upstream_attempt.cpp
@@ -114,7 +114,7 @@
         fail({attempt_end::not_sent, error.detail});
         return;
     }
-    reject_response(error.detail);
+    reject_response(error.detail, error.kind == http::call_error_kind::closed);
 }
 
 void upstream_attempt::head_received(unsigned status, const http::headers& fields) {
@@ -204,9 +204,9 @@
     return m_options.stream_begun ? attempt_end::broken_midway : attempt_end::broken;
 }
 
-void upstream_attempt::reject_response(const std::string& reason) {
+void upstream_attempt::reject_response(const std::string& reason, bool connection_lost) {
     cancel();
-    fail({classify_incomplete_response(), reason, true});
+    fail({classify_incomplete_response(), reason, true, connection_lost});
 }
 
 void upstream_attempt::response_completed() {
@@ -223,7 +223,8 @@
         return;
     }
     if (m_options.stream_begun && m_events.has_partial()) {
-        fail({attempt_end::broken_midway, "the last event is incomplete"});
+        // A body without a length ends with its connection.
+        fail({attempt_end::broken_midway, "the last event is incomplete", false, true});
         return;
     }
     m_time_limit.cancel();
--- a/source/core/gateway/upstream_attempt.h
+++ b/source/core/gateway/upstream_attempt.h
@@ -42,6 +42,8 @@
     /// The response was invalid or incomplete. The upstream is at fault even if the head states
     /// that the request has not run.
     bool response_invalid = false;
+    /// The instance ended the connection before the response was complete.
+    bool connection_lost = false;
 };
 
 /// Receives the events of an attempt. `on_answered` or `on_failed` ends it, and may destroy it.
@@ -109,7 +111,7 @@
     /// Records that the call holds no connection any more.
     void release_connection();
     /// Ends the attempt because its response is invalid or incomplete.
-    void reject_response(const std::string& reason);
+    void reject_response(const std::string& reason, bool connection_lost = false);
     /// Returns how the attempt ended if its response stays incomplete.
     [[nodiscard]] attempt_end classify_incomplete_response() const;
     [[nodiscard]] bool relays_events() const;
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -6,6 +6,7 @@
 #include <gateway_messages.pb.h>
 
 #include "common/error.h"
+#include "wire/crash_evidence_codec.h"
 
 namespace jujubemast::wire {
 
@@ -126,6 +127,11 @@
     }
 }
 
+void to_proto(pb::gateway_envelope& to, const gateway::crash_evidence& from,
+              common::time_point now) {
+    wire::to_proto(*to.mutable_crash_evidence(), from, now);
+}
+
 gateway::table_relay relay_from_proto(const pb::gateway_table_changes& from) {
     const auto table = common::from_name<gateway::store_table>(from.table());
     if (!table) {
@@ -219,6 +225,9 @@
     case pb::gateway_envelope::kTableChanges:
         result.content = relay_from_proto(envelope.table_changes());
         return result;
+    case pb::gateway_envelope::kCrashEvidence:
+        result.content = evidence_from_proto(envelope.crash_evidence(), now);
+        return result;
     case pb::gateway_envelope::kOrder:
         result.content = order_from_proto(envelope, now);
         return result;
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -8,6 +8,10 @@
 //   POST /configuration  replaces the configuration by the version in the body; each version has an
 //                        API key of its own
 //   POST /upstream       writes the entry of an upstream, or removes it if "entry" is null
+//   GET /crashes         number of times that an engine has crashed
+//   POST /deadly         the part of prompts that crashes each engine that begins to write an
+//   answer
+//                        on it; empty for none
 //   POST /silence        "1" makes the store leave all calls unanswered, also those in progress;
 //                        "0" ends that
 
@@ -16,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include <boost/json.hpp>
 #include <gflags/gflags.h>
@@ -58,6 +63,10 @@
     /// Number of calls for the configuration that were lost while the store was silent.
     int lost_configuration_calls = 0;
     std::optional<runtime::executor> loop;
+    std::string deadly_part;
+    int crashes = 0;
+    /// Instances that are down after a crash.
+    std::set<std::string> down;
 
     void put(const std::string& table, const std::string& key, const boost::json::value& value) {
         tables[table][key] = {boost::json::serialize(value), ++version};
@@ -240,6 +249,11 @@
         state->leave_unanswered(table, reply);
     } else if (path == "/lost") {
         reply.respond(http::json_response(200, std::to_string(state->lost_configuration_calls)));
+    } else if (path == "/crashes") {
+        reply.respond(http::json_response(200, std::to_string(state->crashes)));
+    } else if (path == "/deadly") {
+        state->deadly_part = message.body;
+        reply.respond(http::json_response(200, "{}"));
     } else if (path == "/silence") {
         state->silent = message.body == "1";
         if (state->silent) {
@@ -344,8 +358,37 @@
     delay->start(std::chrono::seconds{1}, [delay, reply, response] { reply.respond(response); });
 }
 
+/// Whether the prompt has the part that crashes engines.
+bool is_deadly(const platform_state& state, const http::request& message) {
+    return !state.deadly_part.empty() &&
+           header(message, "X-Prompt-Prefix").find(state.deadly_part + ":") != std::string::npos;
+}
+
+/// Breaks the response after its head, and takes the instance away until it comes back as a new
+/// incarnation.
+void crash(const state_pointer& state, const std::string& id, const http::request& message,
+           const http::responder& reply) {
+    ++state->crashes;
+    reply.begin(signed_response(message, 200, ""));
+    reply.abort();
+    auto entry = boost::json::parse(*state->tables["servers"][id].value);
+    entry.as_object()["born"] = 1 + state->crashes;
+    state->down.insert(id);
+    state->remove("servers", id);
+    const auto restart = std::make_shared<runtime::timer>(*state->loop);
+    // The handler owns the timer, which keeps it alive until it fires.
+    restart->start(std::chrono::milliseconds{300}, [restart, state, id, entry] {
+        state->down.erase(id);
+        state->put("servers", id, entry);
+    });
+}
+
 http::disconnect_hook serve_upstream(const state_pointer& state, const std::string& id,
                                      const http::request& message, const http::responder& reply) {
+    if (state->down.contains(id)) {
+        reply.abort();
+        return {};
+    }
     if (header(message, "X-Expect-Instance") != id) {
         reply.respond(
             {421, {{"X-Instance-Id", id}, {"X-Attempt-Id", header(message, "X-Attempt-Id")}}, ""});
@@ -371,7 +414,9 @@
                             {"inputs", header(message, "X-Inputs")},
                             {"last_event", header(message, "Last-Event-Id")},
                             {"body", message.body}});
-    if (message.target == "/stage-run") {
+    if (is_deadly(*state, message)) {
+        crash(state, id, message, reply);
+    } else if (message.target == "/stage-run") {
         make_pieces(state, message, reply);
     } else if (message.target.find("mute") != std::string::npos) {
         state->unanswered.push_back(reply);
--- a/tests/unit/wire/gateway_codec_test.cpp
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -42,6 +42,32 @@
     BOOST_TEST((read.deadline == receiver_now + seconds{4}));
 }
 
+// Guards against ages that are interpreted on the clock of another process.
+BOOST_AUTO_TEST_CASE(crash_evidence_when_decoded_on_another_clock_keeps_its_ages) {
+    const gateway::incarnation instance{"i1", 1'700'000'000'123, "10.0.0.1:80"};
+    gateway::crash_evidence evidence;
+    evidence.crashes.push_back({instance, {1, ~0ULL}, sender_now - milliseconds{700}});
+    evidence.sound.push_back({2, sender_now - milliseconds{30}});
+    evidence.alive.push_back({instance, sender_now - milliseconds{40}});
+    evidence.trials.push_back({3, sender_now});
+    evidence.quarantines.push_back({4, 2, sender_now + seconds{20}});
+    const auto message = round_trip(evidence);
+    const auto& read = std::get<gateway::crash_evidence>(message.content);
+    const auto shift = receiver_now - sender_now;
+    for (auto& it : evidence.crashes) {
+        it.at += shift;
+    }
+    evidence.sound[0].began += shift;
+    evidence.alive[0].sent += shift;
+    evidence.trials[0].at += shift;
+    evidence.quarantines[0].trial_due += shift;
+    BOOST_TEST((read.crashes == evidence.crashes));
+    BOOST_TEST((read.sound == evidence.sound));
+    BOOST_TEST((read.alive == evidence.alive));
+    BOOST_TEST((read.trials == evidence.trials));
+    BOOST_TEST((read.quarantines == evidence.quarantines));
+}
+
 BOOST_AUTO_TEST_CASE(outcome_when_decoded_keeps_status_and_handles) {
     gateway::order_finished finished{{"g2", 9}, {gateway::order_status::made, {"h"}, seconds{1}}};
     const auto message = round_trip(finished);
