--- a/source/core/gateway/stop_admission.cpp
+++ b/source/core/gateway/stop_admission.cpp
@@ -34,7 +34,7 @@
 
 bool can_end_before_stop(const response_times& times, const route& matched_route,
                          common::duration until_sent, common::duration left) {
-    const auto taken = times.long_time(matched_route.name).value_or(matched_route.timeout);
+    const auto taken = times.long_time(matched_route.name).value_or(matched_route.latency_target);
     return until_sent + taken <= left;
 }
 
--- a/source/core/gateway/stop_admission.h
+++ b/source/core/gateway/stop_admission.h
@@ -27,9 +27,10 @@
 };
 
 /// Whether a request that is sent after the delay `until_sent` may be expected to end within
-/// `left`, the time until an ordered stop ends its response. A request of a route without recorded
-/// times is assumed to take as long as the route allows. A request that is refused before it is
-/// sent can be repeated at another gateway; one that is cut perhaps cannot.
+/// `left`, the time until an ordered stop ends its response. A route without recorded times is
+/// assumed to meet its latency target: a gateway that stops soon after its start must not refuse
+/// everything. A request that is refused before it is sent can be repeated at another gateway; one
+/// that is cut perhaps cannot.
 [[nodiscard]] bool can_end_before_stop(const response_times& times, const route& matched_route,
                                        common::duration until_sent, common::duration left);
 
