--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -53,6 +53,14 @@
     [[nodiscard]] bool closed() const { return m_closed; }
     void close() { m_socket.close(); }
 
+    /// The error that the connection has met, for example a reset by the server.
+    [[nodiscard]] int pending_error() {
+        int error = 0;
+        socklen_t size = sizeof error;
+        ::getsockopt(m_socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+        return error;
+    }
+
 private:
     boost::asio::io_context m_context;
     tcp::socket m_socket{m_context};
@@ -108,7 +116,9 @@
 
     http::disconnect_hook handle(const http::request& message, const http::responder& reply) {
         ++handled;
-        if (message.target == "/stream") {
+        if (message.target == "/held") {
+            m_held = reply;
+        } else if (message.target == "/stream") {
             reply.begin({200, {}, {}});
             for (int n = 0; n < chunk_count; ++n) {
                 reply.write(std::string(16384, 's'));
@@ -119,6 +129,11 @@
         return [this] { ++disconnects; };
     }
 
+    /// Responds to the last request for /held.
+    void answer_held() {
+        boost::asio::post(m_context, [this] { m_held.respond({200, {}, "held"}); });
+    }
+
     static std::string post(const std::string& fields, const std::string& body) {
         return "POST / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" + body;
     }
@@ -133,6 +148,7 @@
     std::shared_ptr<runtime::task_lifecycle> m_lifecycle = make_lifecycle("test");
     std::shared_ptr<runtime::supervisor> m_root;
     std::thread m_thread;
+    http::responder m_held;
 };
 
 BOOST_FIXTURE_TEST_SUITE(server_test, server_fixture)
@@ -198,6 +214,21 @@
     BOOST_TEST(responses.find("ok 2") < responses.find("ok 3"));
 }
 
+// Guards against a response that is lost because the connection is closed with bytes of the next
+// request unread, which resets it.
+BOOST_AUTO_TEST_CASE(server_when_closing_before_a_pipelined_request_does_not_reset_the_connection) {
+    const auto server = start();
+    raw_client client{server};
+    client.send("GET /held HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    wait_until("the request is handled", [&] { return handled == 1; });
+    client.send(good_request);
+    std::this_thread::sleep_for(std::chrono::milliseconds{50});
+    answer_held();
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    BOOST_TEST(client.pending_error() == 0);
+    BOOST_TEST(client.read().find("held") != std::string::npos);
+}
+
 // Guards against a client that does not read its response and so occupies the server's memory.
 BOOST_AUTO_TEST_CASE(server_when_streamed_response_exceeds_the_buffer_closes_the_connection) {
     chunk_count = 2000;
