gateway: log a malformed row of the store once

A writer that repeats a malformed entry, as a heartbeat does, caused a log line in each gateway for each write. The catalog now remembers the malformed keys of each table and logs a key again only after it was valid or deleted.

--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -74,6 +74,7 @@
     hooks.on_update = [this, table, apply](const table_update& update) {
         if (update.complete) {
             m_watches.at(table)->copy().clear_rows();
+            m_malformed[table].keep_only(update.rows);
             m_pending[table] = {};
         }
         apply(update);
@@ -192,6 +193,26 @@
     register_self();
 }
 
+template <typename Record>
+std::optional<Record> catalog::decode_row(store_table table, std::string_view described,
+                                          const store_row& row,
+                                          const std::function<Record(const store_row&)>& decode) {
+    auto& malformed = m_malformed[table];
+    std::optional<Record> decoded;
+    try {
+        if (row.value) {
+            decoded = decode(row);
+        }
+        malformed.remove(row.key);
+    } catch (const common::format_error& e) {
+        if (malformed.add(row.key)) {
+            m_log.warn("Could not decode the entry of " + std::string{described} + '.',
+                       {{"key", row.key}, {"reason", e.what()}});
+        }
+    }
+    return decoded;
+}
+
 void catalog::apply_configuration_rows(const table_update& update) {
     for (const auto& row : update.rows) {
         std::optional<configuration> decoded;
@@ -225,15 +246,8 @@
     upstream_map all_entries;
     bool changed = false;
     for (const auto& row : update.rows) {
-        std::optional<upstream_instance> decoded;
-        try {
-            if (row.value) {
-                decoded = m_adapter->decode_upstream(row);
-            }
-        } catch (const common::format_error& e) {
-            m_log.warn("Could not decode the entry of an upstream.",
-                       {{"key", row.key}, {"reason", e.what()}});
-        }
+        auto decoded =
+            decode_row(store_table::upstreams, "an upstream", row, m_adapter->decode_upstream);
         record_row(store_table::upstreams, row,
                    decoded ? std::optional{row_digest(*decoded)} : std::nullopt);
         if (!decoded) {
@@ -309,18 +323,13 @@
     }
     for (const auto& row : update.rows) {
         m_gateways.erase(row.key);
-        std::optional<std::uint64_t> content;
-        try {
-            if (row.value) {
-                const auto decoded = m_adapter->decode_gateway(row);
-                content = row_digest(decoded);
-                m_gateways.emplace(row.key, decoded);
-            }
-        } catch (const common::format_error& e) {
-            m_log.warn("Could not decode the entry of a gateway.",
-                       {{"key", row.key}, {"reason", e.what()}});
+        const auto decoded =
+            decode_row(store_table::gateways, "a gateway", row, m_adapter->decode_gateway);
+        if (decoded) {
+            m_gateways.emplace(row.key, *decoded);
         }
-        record_row(store_table::gateways, row, content);
+        record_row(store_table::gateways, row,
+                   decoded ? std::optional{row_digest(*decoded)} : std::nullopt);
     }
     check_registration();
     std::vector<gateway_record> known;
--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/catalog.h
@@ -6,9 +6,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/adapter.h"
+#include "gateway/malformed_rows.h"
 #include "gateway/messages.h"
 #include "gateway/table_watch.h"
 #include "http/client.h"
@@ -51,6 +53,12 @@
     void handle(const store_role& message);
     [[nodiscard]] std::unique_ptr<table_watch> make_watch(store_table table,
                                                           table_watch_hooks hooks);
+    /// Decodes a row. Returns nothing if the row was deleted or is malformed. A malformed row is
+    /// logged once, with a word for what it describes.
+    template <typename Record>
+    std::optional<Record> decode_row(store_table table, std::string_view described,
+                                     const store_row& row,
+                                     const std::function<Record(const store_row&)>& decode);
     /// Records the content of a row, and whether it has to be passed on.
     void record_row(store_table table, const store_row& row, std::optional<std::uint64_t> content);
     void confirmed(store_table table, common::time_point at);
@@ -84,6 +92,7 @@
         common::time_point relayed;
     };
     std::map<store_table, pending_changes> m_pending;
+    std::map<store_table, malformed_rows> m_malformed;
     store_role m_role;
     configuration_pointer m_configuration;
     /// Whether the newest configuration in the store could be decoded.
--- a/tests/integration/odd_upstream_entry_test.cpp
+++ b/tests/integration/odd_upstream_entry_test.cpp
@@ -110,6 +110,18 @@
     check_gateways_are_sound();
 }
 
+// Guards against a line for each heartbeat of a writer that repeats its odd entry.
+BOOST_AUTO_TEST_CASE(odd_entry_that_is_rewritten_is_reported_once) {
+    for (int n = 0; n < 5; ++n) {
+        set_upstream_bytes("odd", entry_with_address("engine:80"));
+        set_upstream("beat", "none", "127.0.0.1:" + std::to_string(n + 1));
+        wait_for_line("Upstream changed. upstream=beat ", static_cast<std::size_t>(n) + 1);
+    }
+    for (const auto& it : gateways) {
+        BOOST_TEST(count(it->log(), std::string{warning} + " key=odd ") == 1U);
+    }
+}
+
 // Guards against an engine that is called although its entry is no longer valid, and against one
 // that is left out although its entry has become valid.
 BOOST_AUTO_TEST_CASE(entry_that_becomes_odd_or_valid_is_followed) {
