gateway: stop using an upstream whose entry becomes malformed in an outage

While the store is unstable, an entry that disappears is kept for 2.2 s, because it may merely have expired. That was also done for an entry that had been rewritten and could no longer be decoded, so requests went on to an instance that no entry named. Such an entry is now dropped at once; entries that are missing are kept as before. The catalog test failed on the former code.

--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -251,7 +251,9 @@
         record_row(store_table::upstreams, row,
                    decoded ? std::optional{row_digest(*decoded)} : std::nullopt);
         if (!decoded) {
-            if (!update.complete && m_upstreams.remove(row.key, now)) {
+            const bool malformed = row.value.has_value();
+            if (malformed ? m_upstreams.discard(row.key)
+                          : !update.complete && m_upstreams.remove(row.key, now)) {
                 changed = true;
                 m_log.info("Upstream is gone.", {{"upstream", row.key}});
             }
--- a/source/core/gateway/upstream_list.cpp
+++ b/source/core/gateway/upstream_list.cpp
@@ -49,6 +49,11 @@
     return m_store_down || (m_store_recovered && now < *m_store_recovered + reregistration_time);
 }
 
+bool upstream_list::discard(const std::string& id) {
+    m_expiring.erase(id);
+    return m_entries.erase(id) > 0;
+}
+
 bool upstream_list::remove(const std::string& id, common::time_point now) {
     const auto it = m_entries.find(id);
     if (it == m_entries.end()) {
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -71,7 +71,11 @@
     /// then on, whatever its entry says. Returns whether the list changed.
     bool mark_leaving(const incarnation& instance);
 
-    /// Handles an entry that was deleted or is invalid. Returns whether the list changed at once.
+    /// Removes an entry that has become malformed. It was rewritten, so it has not expired. Returns
+    /// whether the list changed.
+    bool discard(const std::string& id);
+
+    /// Handles an entry that was deleted. Returns whether the list changed at once.
     bool remove(const std::string& id, common::time_point now);
 
     /// Replaces the list by the whole content of the table. Returns whether the list changed.
--- a/tests/unit/gateway/catalog_test.cpp
+++ b/tests/unit/gateway/catalog_test.cpp
@@ -22,6 +22,7 @@
     std::vector<std::string> requested_paths;
     /// Rows in the next response for a table.
     std::map<std::string, std::vector<store_row>> rows;
+    store_outcome outcome = store_outcome::done;
     /// Paths that get no response.
     std::vector<std::string> unanswered_paths;
     std::size_t confirmations = 0;
@@ -106,7 +107,10 @@
         result.encode_unregister = [=](const std::string& /*name*/) { return get("/unregister"); };
         result.decode_rows = [this](const http::response& response) {
             store_response decoded;
-            decoded.outcome = store_outcome::done;
+            decoded.outcome = outcome;
+            if (outcome != store_outcome::done) {
+                return decoded;
+            }
             const auto table = response.body.substr(response.body.rfind('/') + 1);
             decoded.content.rows = std::exchange(rows[table], {});
             return decoded;
@@ -120,6 +124,15 @@
             decoded.version = std::stoull(*row.value);
             return std::optional{decoded};
         };
+        // An empty value is malformed.
+        result.decode_upstream = [](const store_row& row) {
+            if (row.value->empty()) {
+                throw common::format_error{"empty"};
+            }
+            upstream_instance decoded;
+            decoded.id = row.key;
+            return decoded;
+        };
         // A row's value is the address.
         result.decode_gateway = [](const store_row& row) {
             return gateway_record{row.key, *row.value, 7};
@@ -193,6 +206,23 @@
     BOOST_TEST((published.back().upstreams != nullptr));
 }
 
+// Guards against work for an upstream whose entry becomes malformed while the store is unstable: it
+// was kept like one whose entry has expired.
+BOOST_AUTO_TEST_CASE(upstream_whose_entry_becomes_malformed_in_an_outage_is_gone_at_once) {
+    rows["upstreams"] = {{"a", "1", 1}, {"b", "1", 1}};
+    subject->start();
+    run_rounds(store_table::upstreams);
+    BOOST_REQUIRE(published.back().upstreams->size() == 2U);
+    outcome = store_outcome::unavailable;
+    run_rounds(store_table::upstreams);
+    rows["upstreams"] = {{"a", "", 2}};
+    outcome = store_outcome::done;
+    const auto begin = common::monotonic_clock::now();
+    BOOST_REQUIRE(loop.run_until([&] { return published.back().upstreams->size() == 1U; }));
+    BOOST_TEST((common::monotonic_clock::now() - begin < upstream_list::reregistration_time / 2));
+    BOOST_TEST(published.back().upstreams->contains("b"));
+}
+
 // Guards against changes that followers miss, heartbeats that load them, and configurations that
 // fill the links of small gateways.
 BOOST_AUTO_TEST_CASE(changes_are_passed_on_if_they_are_new_and_small) {
--- a/tests/unit/gateway/upstream_list_test.cpp
+++ b/tests/unit/gateway/upstream_list_test.cpp
@@ -75,6 +75,18 @@
     BOOST_TEST(list.entries().size() == 1U);
 }
 
+// Guards against work for an upstream whose entry has become malformed during an outage: it was
+// kept like one that has expired.
+BOOST_AUTO_TEST_CASE(upstream_whose_entry_is_malformed_in_an_outage_is_gone_at_once) {
+    list.put(entry("a"));
+    list.record_store_outage();
+    list.remove("a", now);
+    BOOST_TEST(list.discard("a"));
+    BOOST_TEST(list.entries().empty());
+    list.record_store_recovery(now);
+    BOOST_TEST(!list.next_expiry().has_value());
+}
+
 // Guards against work for an upstream that was draining before the outage.
 BOOST_AUTO_TEST_CASE(draining_upstream_removed_in_an_outage_is_gone_at_once) {
     auto leaving = entry("a");
