tests: a stream without any event ends with a 502

endless_response_test failed since: for a stream whose first event never ends (no-first) it asked for a broken response, where the caller now gets a complete 502. The case now asks for exactly that, and for a body without bytes of the upstream; the three streams with events are checked as before.

--- a/tests/integration/endless_response_test.cpp
+++ b/tests/integration/endless_response_test.cpp
@@ -229,11 +229,18 @@
     for (const auto& it : malformed_streams) {
         const auto response =
             send("POST", std::string{"/stream/"} + it.name, it.name, {{"X-Model", "m"}});
+        check_reason_is_logged(it.name);
+        if (std::string_view{it.name} == "no-first") {
+            // No event has reached the caller, so the failure can still be reported.
+            BOOST_TEST(response.status == 502U);
+            BOOST_TEST(response.complete);
+            BOOST_TEST(response.body.find("none") == std::string::npos, response.body);
+            continue;
+        }
         BOOST_TEST(!response.complete, it.name);
         const bool whole = response.body.empty() || response.body == "id: 1\ndata: x\n\n" ||
                            response.body == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
         BOOST_TEST(whole, response.body);
-        check_reason_is_logged(it.name);
     }
 }
 
