http: keep the end of a stop apart from the retry of an accept

One timer served both: an accept that failed within the grace period of a stop, for example because of too many open files, replaced the end of that period, and the stop went on until its limit or without end. The two now have timers of their own. The test lowers the limit of file descriptors during a stop; on the former code the stop had not ended after 5 s, now it ends after its grace.

--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -21,10 +21,11 @@
     listener(runtime::task_context context, server_options options, handler handle_request,
              std::shared_ptr<runtime::supervisor> connections,
              std::shared_ptr<runtime::supervisor> refusals)
-        : m_context{std::move(context)}, m_options{std::move(options)},
-          m_handler{std::move(handle_request)}, m_connections{std::move(connections)},
-          m_refusals{std::move(refusals)}, m_state{std::make_shared<server_state>()},
-          m_acceptor{m_context.loop().context()}, m_timer{m_context.loop()} {
+        : m_context{std::move(context)}, m_options{std::move(options)}, m_handler{std::move(
+                                                                            handle_request)},
+          m_connections{std::move(connections)}, m_refusals{std::move(refusals)},
+          m_state{std::make_shared<server_state>()}, m_acceptor{m_context.loop().context()},
+          m_retry_timer{m_context.loop()}, m_grace_timer{m_context.loop()} {
         m_state->limits = m_options.limits;
         m_state->idle_timeout = m_options.idle_timeout;
     }
@@ -62,11 +63,12 @@
             done();
             return;
         }
-        m_timer.start(m_options.stop_grace, m_context.wrap(done));
+        m_grace_timer.start(m_options.stop_grace, m_context.wrap(done));
     }
 
     void close() noexcept override {
-        m_timer.cancel();
+        m_retry_timer.cancel();
+        m_grace_timer.cancel();
         boost::system::error_code ec;
         m_acceptor.close(ec);
     }
@@ -90,7 +92,8 @@
             // Such errors, for example too many open files, are temporary. The delay limits the
             // rate of the retries.
             m_log.warn("Accept failed.", {{"reason", ec.message()}});
-            m_timer.start(std::chrono::milliseconds{100}, m_context.wrap([this] { accept(); }));
+            m_retry_timer.start(std::chrono::milliseconds{100},
+                                m_context.wrap([this] { accept(); }));
             return;
         }
         if (m_connections->child_count() < m_options.limits.max_connections) {
@@ -126,8 +129,10 @@
     std::shared_ptr<runtime::supervisor> m_refusals;
     std::shared_ptr<server_state> m_state;
     tcp::acceptor m_acceptor;
-    /// Ends the grace period of an ordered stop; also delays the retry of a failed accept.
-    runtime::timer m_timer;
+    /// Delays the retry of a failed accept.
+    runtime::timer m_retry_timer;
+    /// Ends the grace period of an ordered stop.
+    runtime::timer m_grace_timer;
     logging::logger m_log{"http"};
     std::uint64_t m_accepted = 0;
     std::uint64_t m_refused = 0;
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include "support/child_process.h"
 #include "support/event_loop.h"
@@ -59,6 +61,26 @@
     bool m_closed = false;
 };
 
+/// Lets this process open no further file descriptors while it exists.
+class descriptor_limit {
+public:
+    descriptor_limit() {
+        ::getrlimit(RLIMIT_NOFILE, &m_former);
+        auto limit = m_former;
+        // Every new descriptor is at least as large as the lowest free one.
+        const int lowest_free = ::dup(0);
+        ::close(lowest_free);
+        limit.rlim_cur = static_cast<rlim_t>(lowest_free);
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    ~descriptor_limit() { ::setrlimit(RLIMIT_NOFILE, &m_former); }
+    descriptor_limit(const descriptor_limit&) = delete;
+    descriptor_limit& operator=(const descriptor_limit&) = delete;
+
+private:
+    rlimit m_former{};
+};
+
 struct server_fixture {
     http::server_options options;
     std::atomic<int> handled = 0;
@@ -106,6 +128,14 @@
         return bound.get_future().get();
     }
 
+    /// Begins an ordered stop. Returns a future that is ready when the stop is complete.
+    std::future<void> stop() {
+        auto stopped = std::make_shared<std::promise<void>>();
+        boost::asio::post(m_context,
+                          [this, stopped] { m_root->stop([stopped] { stopped->set_value(); }); });
+        return stopped->get_future();
+    }
+
     http::disconnect_hook handle(const http::request& message, const http::responder& reply) {
         ++handled;
         if (message.target == "/stream") {
@@ -123,6 +153,8 @@
         return "POST / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" + body;
     }
 
+    boost::asio::io_context client_context;
+
     static constexpr const char* good_request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 private:
@@ -260,6 +292,18 @@
     BOOST_TEST(served.send(good_request).read("ok 0").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a stop that never ends: the retry of a failed accept replaced the end of the grace
+// period.
+BOOST_AUTO_TEST_CASE(server_whose_accept_fails_in_the_grace_of_a_stop_ends_the_stop) {
+    options.stop_grace = std::chrono::milliseconds{300};
+    const auto address = start();
+    tcp::socket client{client_context, tcp::v4()};
+    const descriptor_limit limit;
+    auto stopped = stop();
+    client.connect({boost::asio::ip::make_address(address.host), address.port});
+    BOOST_TEST((stopped.wait_for(std::chrono::seconds{5}) == std::future_status::ready));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
