gateway: a stream that ends without an event has been broken off

An instance that stopped after the head of a stream with neither a length nor chunks was taken to have sent a complete, empty stream, and the caller got a 200 with an empty body, framed as whole. A stream has at least one event, so such an end is now a break: the attempt fails, and the request is handled as after any other broken answer. An empty stream whose end is explicit, and a resumed one of which only the end was missing, stay complete. truncated_attempt_test failed on the former code, at the cut after the last byte of the head.

The integration suites gateway, odd_upstream_entry and planned_stop pass. One case of endless_response fails, with and without this change: a stream that breaks off before its first event (no-first) is answered with a whole 502 where the case expects an incomplete answer.

--- a/source/core/gateway/upstream_attempt.cpp
+++ b/source/core/gateway/upstream_attempt.cpp
@@ -29,6 +29,13 @@
     return head.not_run && !is_success(head.status);
 }
 
+/// Whether only the end of the connection shows where the body of the response ends.
+bool ends_with_connection(unsigned status, const http::headers& fields) {
+    constexpr unsigned no_content = 204;
+    return status != no_content && http::find_header(fields, "Content-Length").empty() &&
+           http::find_header(fields, "Transfer-Encoding").empty();
+}
+
 } // namespace
 
 bool body_budget::reserve(std::size_t held, std::size_t added) {
@@ -226,6 +233,13 @@
         fail({classify_incomplete_response(), "the last event is incomplete"});
         return;
     }
+    // An instance that stops after the head cannot be told from one that has sent the whole stream,
+    // but a stream has at least one event.
+    if (relays_events() && !m_options.stream_begun &&
+        ends_with_connection(head.status, m_response.fields)) {
+        fail({classify_incomplete_response(), "the stream ended without an event"});
+        return;
+    }
     m_time_limit.cancel();
     m_event_timer.cancel();
     const auto hook = m_hooks.on_answered;
--- a/tests/unit/gateway/truncated_attempt_test.cpp
+++ b/tests/unit/gateway/truncated_attempt_test.cpp
@@ -113,8 +113,9 @@
     }
 
     /// Whether a response that ends with its connection is complete after these bytes of its body.
+    /// A stream has at least one event, which an instance that stops after its head has not sent.
     static bool may_end(const valid_response& response, const std::string& body) {
-        return response.kind != repeatability::stream || body.empty() || body.ends_with("\n\n");
+        return response.kind != repeatability::stream || body.ends_with("\n\n");
     }
 };
 
@@ -161,6 +162,15 @@
     }
 }
 
+// Guards against an empty stream whose end the instance has sent and that counts as broken off.
+BOOST_AUTO_TEST_CASE(stream_without_an_event_whose_end_is_explicit_is_complete) {
+    const auto head = "HTTP/1.1 200 OK\r\n" + std::string{seal};
+    for (const std::string end :
+         {"Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+        BOOST_TEST(attempt(repeatability::stream, head + end, after_response::close).is_complete);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
