gateway: spare the parts that only came with the one that crashes engines

A part whose crashes are all explained by another convicted part with more of them is left alone now. If the evidence is equal, a request that lacks one of the parts is tried at once: its answer clears the others, and one more crash settles which part it is.

--- a/source/core/gateway/crash_suspects.cpp
+++ b/source/core/gateway/crash_suspects.cpp
@@ -166,8 +166,35 @@
     return count;
 }
 
+bool crash_suspects::has_rival_outside(const part_state& state,
+                                       const std::vector<prompt_part_id>& parts) const {
+    return std::any_of(m_parts.begin(), m_parts.end(), [&](const auto& it) {
+        const auto& other = it.second;
+        return other.active && !state.crashes.empty() &&
+               std::find(parts.begin(), parts.end(), it.first) == parts.end() &&
+               std::all_of(state.crashes.begin(), state.crashes.end(),
+                           [&](const auto& crash) { return other.crashes.contains(crash.first); });
+    });
+}
+
+bool crash_suspects::is_convicted(const part_state& state, common::time_point now) const {
+    return state.crashes.size() >= m_limits.incidents &&
+           incidents(state, now - m_limits.settle_time) >= m_limits.incidents;
+}
+
+bool crash_suspects::is_explained_by_another(const part_state& state,
+                                             common::time_point now) const {
+    return std::any_of(m_parts.begin(), m_parts.end(), [&](const auto& it) {
+        const auto& other = it.second;
+        return other.crashes.size() > state.crashes.size() &&
+               (other.active || is_convicted(other, now)) &&
+               std::all_of(state.crashes.begin(), state.crashes.end(),
+                           [&](const auto& crash) { return other.crashes.contains(crash.first); });
+    });
+}
+
 void crash_suspects::update(prompt_part_id part, part_state& state, common::time_point now) {
-    if (state.active || incidents(state, now - m_limits.settle_time) < m_limits.incidents) {
+    if (state.active || !is_convicted(state, now) || is_explained_by_another(state, now)) {
         return;
     }
     state.active = quarantine{};
@@ -220,6 +247,9 @@
         if (it == m_parts.end() || !it->second.active) {
             return true;
         }
+        if (now >= it->second.active->trial_end && has_rival_outside(it->second, parts)) {
+            return true;
+        }
         const auto due = it->second.active->trial_due;
         if (now < due) {
             return false;
--- a/source/core/gateway/crash_suspects.h
+++ b/source/core/gateway/crash_suspects.h
@@ -24,7 +24,7 @@
     std::size_t incidents = 3;
     /// An incident counts after this time, in which sound answers clear the parts that only shared
     /// the instance or the request.
-    common::duration settle_time = std::chrono::milliseconds{400};
+    common::duration settle_time = std::chrono::milliseconds{600};
     /// An answer that is still being written this long after its first event is sound.
     common::duration sound_time = std::chrono::milliseconds{150};
     /// A crashed instance is not back within this time. An answer to a request that was sent within
@@ -36,7 +36,7 @@
     common::duration first_quarantine = std::chrono::seconds{20};
     common::duration longest_quarantine = std::chrono::minutes{8};
     /// A trial without a result in this time does not count.
-    common::duration trial_time = std::chrono::seconds{10};
+    common::duration trial_time = std::chrono::seconds{5};
     /// After the end of a quarantine one gateway may start a trial. The number of those that may
     /// doubles each time this span has passed.
     common::duration trial_step = std::chrono::seconds{1};
@@ -92,7 +92,8 @@
     quarantine_left(const std::vector<prompt_part_id>& parts, common::time_point now);
 
     /// Whether this gateway may send a request with quarantined parts as a trial now. The hook
-    /// returns the rank of this gateway among all of them, which differs from part to part.
+    /// returns the rank of this gateway among all of them, which differs from part to part. A
+    /// request that lacks another part with the same evidence is tried without delay.
     [[nodiscard]] bool may_try(const std::vector<prompt_part_id>& parts, const rank_hook& rank,
                                common::time_point now) const;
 
@@ -134,6 +135,16 @@
 
     /// Number of incidents whose first crash is at or before this time.
     [[nodiscard]] std::size_t incidents(const part_state& state, common::time_point until) const;
+    /// Whether a request without the other part may show which of the two is deadly: the other one
+    /// was in the requests of all crashes of this part.
+    [[nodiscard]] bool has_rival_outside(const part_state& state,
+                                         const std::vector<prompt_part_id>& parts) const;
+    /// Whether the settled evidence suffices for a quarantine.
+    [[nodiscard]] bool is_convicted(const part_state& state, common::time_point now) const;
+    /// Whether another convicted part was in the requests of all these crashes and of more. The
+    /// part is not needed to explain them, and may only have come together with the other one.
+    [[nodiscard]] bool is_explained_by_another(const part_state& state,
+                                               common::time_point now) const;
     /// Starts a quarantine that the evidence calls for.
     void update(prompt_part_id part, part_state& state, common::time_point now);
     void renew(prompt_part_id part, part_state& state, common::time_point crashed,
--- a/tests/integration/crashing_part_test.cpp
+++ b/tests/integration/crashing_part_test.cpp
@@ -79,6 +79,15 @@
             BOOST_TEST(response.status == 503U);
             BOOST_TEST(records(id).empty());
         }
+        const auto refusal =
+            call(addresses[gateway], {"POST",
+                                      "/stream/1",
+                                      {{"Host", "a.example"},
+                                       {"X-Attempt-Id", next_id()},
+                                       {"Authorization", "Bearer key-1"},
+                                       {"X-Prompt-Prefix", "common:10,deadly:10,r:5"}},
+                                      "body"});
+        BOOST_TEST(!http::find_header(refusal.fields, "Retry-After").empty());
     }
     BOOST_TEST(counter_value("/crashes") == crashes);
 }
--- a/tests/unit/gateway/crash_suspects_test.cpp
+++ b/tests/unit/gateway/crash_suspects_test.cpp
@@ -145,6 +145,39 @@
     BOOST_TEST(!suspects.is_wrongly_accused(instance(0), now));
 }
 
+// Guards against refusing sound requests whose part only came together with the deadly one.
+BOOST_AUTO_TEST_CASE(part_when_another_one_explains_its_crashes_and_more_is_not_quarantined) {
+    crash(0, {deadly});
+    now += seconds{1};
+    for (int n = 1; n < 4; ++n) {
+        crash(n, {deadly, popular});
+        now += seconds{1};
+    }
+    BOOST_TEST(!is_quarantined(popular));
+    BOOST_TEST(is_quarantined(deadly));
+    // A crash without the other part.
+    crash(4, {popular});
+    now += seconds{1};
+    BOOST_TEST(is_quarantined(popular));
+}
+
+// Guards against refusing sound requests for long because their part came only with the deadly one
+// while the instances crashed (LOST).
+BOOST_AUTO_TEST_CASE(part_when_a_request_lacks_the_other_suspect_is_tried_at_once) {
+    crash_one_after_the_other({deadly, popular});
+    BOOST_TEST(is_quarantined(popular));
+    BOOST_TEST(is_quarantined(deadly));
+    const auto rank = [](prompt_part_id) { return std::size_t{100}; };
+    BOOST_TEST(!suspects.may_try({deadly, popular}, rank, now));
+    BOOST_TEST(suspects.may_try({popular, 77}, rank, now));
+    start_trial(popular);
+    BOOST_TEST(!suspects.may_try({popular, 78}, rank, now));
+    sound(popular, now);
+    BOOST_TEST(!is_quarantined(popular));
+    BOOST_TEST(is_quarantined(deadly));
+    BOOST_TEST(!suspects.may_try({deadly, 79}, rank, now));
+}
+
 // Guards against a repeat that takes the next instance down.
 BOOST_AUTO_TEST_CASE(request_when_its_part_broke_two_instances_is_not_repeated) {
     crash(0, {deadly});
