gateway: announce the trial of a part when it is sent

All gateways put off their trials, although the request could still be refused for its stages or wait for them until its deadline, so a sound part stayed refused for as long as the overload lasted. The request also kept its exemption while it waited, and was sent although the trial had run out or another of its parts had been quarantined meanwhile.

Change: a request with quarantined parts goes on only while a trial is due at its gateway, is checked again before it is sent, and is announced as the trial then.

The two sequences themselves have no test of their own.

--- a/source/core/gateway/exchange.h
+++ b/source/core/gateway/exchange.h
@@ -92,8 +92,6 @@
     std::vector<prompt_part_id> shared_parts;
     /// First event of the current attempt.
     std::optional<common::time_point> writing_since;
-    /// The request is the trial of a quarantined part.
-    bool is_trial = false;
 
     [[nodiscard]] bool is_sent() const { return attempt && attempt->in_progress(); }
 
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -211,7 +211,6 @@
     ex.deadline_timer = std::make_unique<runtime::timer>(m_context.loop());
     start_deadline_timer(ex);
     pool_of(ex.service).budget().record_first_attempt();
-    start_trial_if_due(ex);
     if (refuse_if_quarantined(ex)) {
         return;
     }
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -150,11 +150,14 @@
     void schedule_input_release(exchange& ex);
     [[nodiscard]] std::uint64_t prefix_of(const exchange& ex) const;
 
-    /// Refuses a request with a quarantined part of its prompt, unless it is the trial of that
-    /// part. Returns whether it was refused.
+    /// Refuses a request with a quarantined part of its prompt, unless a trial of that part is due
+    /// at this gateway. Returns whether it was refused.
     bool refuse_if_quarantined(exchange& ex);
-    /// Makes the request the trial of its quarantined parts if one is due at this gateway.
-    void start_trial_if_due(exchange& ex);
+    /// Returns those parts of the request's prompt that are quarantined.
+    [[nodiscard]] std::vector<prompt_part_id> quarantined_parts(const exchange& ex,
+                                                                common::time_point now);
+    /// Makes known that a request with quarantined parts is sent as their trial.
+    void announce_trial(const exchange& ex);
     /// Records that the instance may have crashed on this request.
     void record_possible_crash(const exchange& ex, const attempt_failure& failure);
     /// Records that an answer goes on, which clears the parts of its prompt.
--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/forwarder_attempts.cpp
@@ -126,6 +126,7 @@
             options.cache_source = http::to_string(affinity->identity.address);
         }
     }
+    announce_trial(ex);
     ++ex.sends;
     ++ex.possible_runs;
     ex.writing_since.reset();
--- a/source/core/gateway/forwarder_suspects.cpp
+++ b/source/core/gateway/forwarder_suspects.cpp
@@ -34,45 +34,44 @@
 
 } // namespace
 
+std::vector<prompt_part_id> forwarder::quarantined_parts(const exchange& ex,
+                                                         common::time_point now) {
+    std::vector<prompt_part_id> result;
+    std::copy_if(ex.shared_parts.begin(), ex.shared_parts.end(), std::back_inserter(result),
+                 [&](prompt_part_id part) { return m_suspects.quarantine_left({part}, now); });
+    return result;
+}
+
 bool forwarder::refuse_if_quarantined(exchange& ex) {
-    if (m_suspects.empty() || (ex.is_trial && ex.possible_runs == 0)) {
+    if (m_suspects.empty()) {
         return false;
     }
     const auto now = common::monotonic_clock::now();
+    const auto rank = [this](prompt_part_id part) {
+        return policy::find_share(to_text({part}), m_options.name, m_gateways).rank;
+    };
     const auto left = m_suspects.quarantine_left(ex.shared_parts, now);
-    if (!left) {
+    if (!left || m_suspects.may_try(ex.shared_parts, rank, now)) {
         return false;
     }
-    std::vector<prompt_part_id> quarantined;
-    std::copy_if(ex.shared_parts.begin(), ex.shared_parts.end(), std::back_inserter(quarantined),
-                 [&](prompt_part_id part) { return m_suspects.quarantine_left({part}, now); });
     m_metrics.record_quarantine_refusal();
     refuse(ex, status_unavailable,
-           "instances crash on a part of the prompt: " + to_text(quarantined),
+           "instances crash on a part of the prompt: " + to_text(quarantined_parts(ex, now)),
            std::max<common::duration>(*left, m_suspects.limits().trial_step));
     return true;
 }
 
-void forwarder::start_trial_if_due(exchange& ex) {
+void forwarder::announce_trial(const exchange& ex) {
     const auto now = common::monotonic_clock::now();
-    if (m_suspects.empty() || !m_suspects.quarantine_left(ex.shared_parts, now)) {
-        return;
+    crash_evidence evidence;
+    for (const auto part : quarantined_parts(ex, now)) {
+        evidence.trials.push_back({part, now});
     }
-    const auto rank = [this](prompt_part_id part) {
-        return policy::find_share(to_text({part}), m_options.name, m_gateways).rank;
-    };
-    if (!m_suspects.may_try(ex.shared_parts, rank, now)) {
+    if (evidence.empty()) {
         return;
     }
-    ex.is_trial = true;
     m_log.warn("Request tries a quarantined part of its prompt.",
                {{"attempt", ex.request.attempt_id}, {"parts", to_text(ex.shared_parts)}});
-    crash_evidence evidence;
-    for (const auto part : ex.shared_parts) {
-        if (m_suspects.quarantine_left({part}, now)) {
-            evidence.trials.push_back({part, now});
-        }
-    }
     share_evidence(evidence);
     send_evidence();
 }
