gateway: decide in one place what the end of an attempt says about its prompt

Cause, found by the review: an instance that answers without length or chunks and crashes ended its response like a complete one, which cleared the part that crashed it at all gateways; and an instance that served on after its entry had been removed counted as crashed at its planned end.

Change: judge_attempt decides whether an end is evidence for or against the parts. A response that ends with its connection clears them only if it went on for the time in which a deadly part strikes. A stream that ends with its connection before its first event is evidence against them. Instances that are not registered any more end as planned.

--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -13,6 +13,7 @@
 #include "common/random.h"
 #include "gateway/adapter.h"
 #include "gateway/attempt_decision.h"
+#include "gateway/attempt_evidence.h"
 #include "gateway/crash_suspects.h"
 #include "gateway/exchange.h"
 #include "gateway/forwarder_metrics.h"
@@ -158,8 +159,12 @@
                                                                 common::time_point now);
     /// Makes known that a request with quarantined parts is sent as their trial.
     void announce_trial(const exchange& ex);
+    /// What the end of the current attempt shows of its instance.
+    [[nodiscard]] attempt_outcome outcome_of(const exchange& ex) const;
     /// Records that the instance may have crashed on this request.
     void record_possible_crash(const exchange& ex, const attempt_failure& failure);
+    /// Records a complete response, which may clear the parts of the prompt.
+    void record_answer(const exchange& ex, const attempt_response& response);
     /// Records that an answer goes on, which clears the parts of its prompt.
     void record_sound_answer(const exchange& ex, common::time_point began);
     /// Records a response of an instance that may have been taken for crashed.
--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/forwarder_attempts.cpp
@@ -250,9 +250,7 @@
     const auto now = common::monotonic_clock::now();
     pool_of(ex.service).record_success(*ex.attempt->member(), now - ex.attempt->sent_at(), now);
     m_response_times.record(ex.matched_route->name, now - ex.attempt->sent_at());
-    if (ex.writing_since || !ex.relaying) {
-        record_sound_answer(ex, ex.writing_since.value_or(ex.attempt->sent_at()));
-    }
+    record_answer(ex, response);
     if (ex.relaying) {
         ex.reply.end();
         finish(ex, request_end::answered, response.head.status, "");
--- a/source/core/gateway/forwarder_suspects.cpp
+++ b/source/core/gateway/forwarder_suspects.cpp
@@ -76,25 +76,44 @@
     send_evidence();
 }
 
+attempt_outcome forwarder::outcome_of(const exchange& ex) const {
+    const auto phase = ex.attempt->member()->state.phase();
+    attempt_outcome outcome;
+    outcome.instance_stops = phase == instance_phase::draining || phase == instance_phase::gone;
+    if (ex.writing_since) {
+        outcome.writing = common::monotonic_clock::now() - *ex.writing_since;
+    }
+    return outcome;
+}
+
 void forwarder::record_possible_crash(const exchange& ex, const attempt_failure& failure) {
     if (ex.attempt->response().head.status != 0) {
         record_alive(ex);
     }
-    const auto now = common::monotonic_clock::now();
-    const auto& member = *ex.attempt->member();
-    // An instance that has announced its stop ends with it.
-    const bool is_leaving = member.state.phase() == instance_phase::draining;
-    const bool was_writing =
-        ex.writing_since && now - *ex.writing_since >= m_suspects.limits().sound_time;
-    if (!failure.connection_lost || is_certainly_not_run(failure.end) || is_leaving ||
-        was_writing || ex.shared_parts.empty()) {
+    auto outcome = outcome_of(ex);
+    outcome.connection_ended = failure.connection_lost;
+    outcome.certainly_not_run = is_certainly_not_run(failure.end);
+    if (ex.shared_parts.empty() ||
+        judge_attempt(outcome, m_suspects.limits().sound_time) != part_finding::suspect) {
         return;
     }
     crash_evidence evidence;
-    evidence.crashes.push_back({incarnation_of(member.identity), ex.shared_parts, now});
+    evidence.crashes.push_back({incarnation_of(ex.attempt->member()->identity), ex.shared_parts,
+                                common::monotonic_clock::now()});
     share_evidence(evidence);
 }
 
+void forwarder::record_answer(const exchange& ex, const attempt_response& response) {
+    auto outcome = outcome_of(ex);
+    // A resumed stream may need no more than its end.
+    outcome.answered = ex.writing_since || !ex.relaying;
+    outcome.connection_ended = response.ended_with_connection;
+    if (outcome.answered &&
+        judge_attempt(outcome, m_suspects.limits().sound_time) == part_finding::sound) {
+        record_sound_answer(ex, ex.writing_since.value_or(ex.attempt->sent_at()));
+    }
+}
+
 void forwarder::record_sound_answer(const exchange& ex, common::time_point began) {
     if (m_suspects.empty()) {
         return;
--- a/source/core/gateway/upstream_attempt.cpp
+++ b/source/core/gateway/upstream_attempt.cpp
@@ -234,11 +234,11 @@
         fail({classify_incomplete_response(), "the last event is incomplete", false, true});
         return;
     }
+    m_response.ended_with_connection = ends_with_connection(head.status, m_response.fields);
     // An instance that stops after the head cannot be told from one that has sent the whole stream,
     // but a stream has at least one event.
-    if (relays_events() && !m_options.stream_begun &&
-        ends_with_connection(head.status, m_response.fields)) {
-        fail({classify_incomplete_response(), "the stream ended without an event"});
+    if (relays_events() && !m_options.stream_begun && m_response.ended_with_connection) {
+        fail({classify_incomplete_response(), "the stream ended without an event", false, true});
         return;
     }
     m_time_limit.cancel();
--- a/source/core/gateway/upstream_attempt.h
+++ b/source/core/gateway/upstream_attempt.h
@@ -33,6 +33,8 @@
     response_head head;
     http::headers fields;
     std::string body;
+    /// Only the end of the connection has shown where the body ends.
+    bool ended_with_connection = false;
 };
 
 /// The end of an attempt without a good response.
