gateway: count a stream without an event as a possible crash

A body without a length ends with its connection, so an engine that crashed before its first event looked like a complete, empty answer and left no evidence.

--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/forwarder_attempts.cpp
@@ -249,6 +249,9 @@
     pool_of(ex.service).record_success(*ex.attempt->member(), now - ex.attempt->sent_at(), now);
     if (ex.writing_since || !ex.relaying) {
         record_sound_answer(ex, ex.writing_since.value_or(ex.attempt->sent_at()));
+    } else {
+        // A body without a length also ends like this if the instance crashes before it writes.
+        record_possible_crash(ex, {attempt_end::broken_midway, "no event", false, true});
     }
     if (ex.relaying) {
         ex.reply.end();
--- a/tests/unit/gateway/upstream_attempt_test.cpp
+++ b/tests/unit/gateway/upstream_attempt_test.cpp
@@ -124,6 +124,22 @@
     BOOST_TEST((notice->pause == 500ms));
 }
 
+// Guards against crashes of instances that leave no evidence, and against evidence where the
+// connection did not end.
+BOOST_AUTO_TEST_CASE(failure_when_the_instance_ends_the_connection_says_so) {
+    for (const auto& bytes :
+         {std::string{}, signed_head("Content-Length: 99\r\n"), signed_head("") + "id: 1\nda"}) {
+        raw_response response{bytes, "", {}};
+        response.after = after_response::close;
+        run(response);
+        BOOST_TEST(failure->connection_lost);
+    }
+    run({signed_head("Content-Length: 15\r\n", "other") + first_event, "", {}});
+    BOOST_TEST(!failure->connection_lost);
+    run({head("500 Failed", "X-Attempt-Id: a1\r\nContent-Length: 0\r\n"), "", {}});
+    BOOST_TEST(!failure->connection_lost);
+}
+
 // Guards against the answer to one caller that reaches another.
 BOOST_AUTO_TEST_CASE(success_of_another_attempt_is_not_passed_on) {
     for (const std::string id : {"other", ""}) {
