--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -165,6 +165,8 @@
     void record_possible_crash(const exchange& ex, const attempt_failure& failure);
     /// Records a complete response, which may clear the parts of the prompt.
     void record_answer(const exchange& ex, const attempt_response& response);
+    /// Records what the end of the current attempt shows of the parts of its prompt.
+    void apply_finding(const exchange& ex, part_finding finding);
     /// Records that an answer goes on, which clears the parts of its prompt.
     void record_sound_answer(const exchange& ex, common::time_point began);
     /// Records a response of an instance that may have been taken for crashed.
--- a/source/core/gateway/forwarder_suspects.cpp
+++ b/source/core/gateway/forwarder_suspects.cpp
@@ -93,14 +93,7 @@
     auto outcome = outcome_of(ex);
     outcome.connection_ended = failure.connection_lost;
     outcome.certainly_not_run = is_certainly_not_run(failure.end);
-    if (ex.shared_parts.empty() ||
-        judge_attempt(outcome, m_suspects.limits().sound_time) != part_finding::suspect) {
-        return;
-    }
-    crash_evidence evidence;
-    evidence.crashes.push_back({incarnation_of(ex.attempt->member()->identity), ex.shared_parts,
-                                common::monotonic_clock::now()});
-    share_evidence(evidence);
+    apply_finding(ex, judge_attempt(outcome, m_suspects.limits().sound_time));
 }
 
 void forwarder::record_answer(const exchange& ex, const attempt_response& response) {
@@ -108,9 +101,26 @@
     // A resumed stream may need no more than its end.
     outcome.answered = ex.writing_since || !ex.relaying;
     outcome.connection_ended = response.ended_with_connection;
-    if (outcome.answered &&
-        judge_attempt(outcome, m_suspects.limits().sound_time) == part_finding::sound) {
+    apply_finding(ex, judge_attempt(outcome, m_suspects.limits().sound_time));
+}
+
+void forwarder::apply_finding(const exchange& ex, part_finding finding) {
+    switch (finding) {
+    case part_finding::none:
+        return;
+    case part_finding::suspect: {
+        if (ex.shared_parts.empty()) {
+            return;
+        }
+        crash_evidence evidence;
+        evidence.crashes.push_back({incarnation_of(ex.attempt->member()->identity), ex.shared_parts,
+                                    common::monotonic_clock::now()});
+        share_evidence(evidence);
+        return;
+    }
+    case part_finding::sound:
         record_sound_answer(ex, ex.writing_since.value_or(ex.attempt->sent_at()));
+        return;
     }
 }
 
