http: report a request with a field that is too long as not sent

A message cannot hold a field of 64 KB or more: adding it throws. The exception left client::start and ended the task of the caller. The handles of all inputs of a request are joined in one field, so many or long handles could do that to the forwarder. Such a call now ends as not sent, with too_large, after its start. The client test ended with the exception on the former code.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t max_unparsed_bytes = std::size_t{32} * 1024;
 // Servers normally send at most one or two interim (1xx) responses before the final one.
 constexpr int max_interim_responses = 8;
+// Beast throws an exception when a message gets a field with a longer name or value.
+constexpr std::size_t max_field_bytes = std::size_t{65'535} - 2;
 constexpr unsigned status_switching_protocols = 101;
 constexpr unsigned status_first_final = 200;
 
@@ -86,6 +88,12 @@
     exchange(std::weak_ptr<client::implementation> owner, call_id id, const request& message,
              call_hooks hooks, call_options options)
         : m_owner{std::move(owner)}, m_id{id}, m_hooks{std::move(hooks)}, m_options{options} {
+        m_fits = std::all_of(message.fields.begin(), message.fields.end(), [](const header& it) {
+            return it.name.size() <= max_field_bytes && it.value.size() <= max_field_bytes;
+        });
+        if (!m_fits) {
+            return;
+        }
         m_request.method_string(message.method);
         m_request.target(message.target);
         m_request.version(11);
@@ -99,6 +107,10 @@
 
     void start() {
         const auto owner = m_owner.lock();
+        if (!m_fits) {
+            refuse_later();
+            return;
+        }
         const auto timeout = value_or_default(m_options.total_timeout, owner->limits.total_timeout);
         if (timeout > common::duration::zero()) {
             m_deadline = common::monotonic_clock::now() + timeout;
@@ -137,6 +149,13 @@
             });
     }
 
+    /// Ends the call in the next iteration of the event loop, because the caller does not expect
+    /// its end before its start.
+    void refuse_later() {
+        m_owner.lock()->context.loop().post(wrap(
+            [this] { fail(call_error_kind::too_large, "a field of the request is too long"); }));
+    }
+
     void connect() {
         const auto owner = m_owner.lock();
         owner->close_excess_connections();
@@ -284,8 +303,10 @@
     void fail(call_error_kind kind, std::string detail) {
         const auto owner = m_owner.lock();
         m_ended = true;
-        boost::system::error_code ignored;
-        m_stream->socket().close(ignored);
+        if (m_stream) {
+            boost::system::error_code ignored;
+            m_stream->socket().close(ignored);
+        }
         if (kind == call_error_kind::timeout) {
             // Idle connections to the same server may be dead without being closed, so later calls
             // open new ones.
@@ -344,6 +365,8 @@
     std::optional<common::time_point> m_deadline;
     common::time_point m_head_deadline;
     int m_interim_responses = 0;
+    /// Whether a message can hold all fields of the request.
+    bool m_fits = true;
     bool m_reused = false;
     bool m_sent = false;
     bool m_ended = false;
--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -240,6 +240,27 @@
     check_connection_is_closed();
 }
 
+// Guards against an exception that ends the task of the caller: a message cannot hold a field this
+// long, and inputs of a request are joined in one field.
+BOOST_AUTO_TEST_CASE(client_when_a_request_field_is_too_long_reports_that_it_was_not_sent) {
+    start({{complete_response, "", {}}});
+    for (const auto& field : {http::header{"X-Field", std::string(70'000, 'x')},
+                              http::header{std::string(70'000, 'x'), "value"}}) {
+        result.reset();
+        client->send({"GET", "/", {field}, {}},
+                     [this](http::call_result it) { result = std::move(it); });
+        BOOST_TEST(!result.has_value());
+        BOOST_REQUIRE(loop.run_until([this] { return result.has_value(); }));
+        const auto* error = std::get_if<http::call_error>(&*result);
+        BOOST_REQUIRE(error != nullptr);
+        BOOST_TEST(common::to_name(error->kind) == "too_large");
+        BOOST_TEST(!error->sent);
+        BOOST_TEST(client->calls_in_progress() == 0U);
+    }
+    call();
+    BOOST_TEST(status() == 200U);
+}
+
 // Guards against bytes that belong to no request being read as the response to the next one.
 BOOST_AUTO_TEST_CASE(client_when_bytes_follow_a_complete_response_uses_a_new_connection) {
     for (const auto pause : {0ms, 100ms}) {
