gateway: a refuted quarantine ends at all gateways

Callers with a part that was quarantined by mistake stayed refused at one gateway: while a link was broken, that gateway cleared the part after a sound trial. When the link healed, the report of the other gateway quarantined the part again, but its crashes were skipped as older than the sound answer. No sound answer counted against a quarantine without crashes, and each trial only put the next one off.

A report of a quarantine now carries the time of its last crash. It is ignored where a later sound answer is known, or where that quarantine has been refuted already. A sound answer that began after the last crash counts against a quarantine even if no crash is known here. One that began before it no longer ends such a quarantine.

--- a/source/core/gateway/crash_evidence.h
+++ b/source/core/gateway/crash_evidence.h
@@ -53,11 +53,13 @@
     friend bool operator==(const trial_report&, const trial_report&) = default;
 };
 
-/// The quarantine of a part, for a gateway that has just started.
+/// The quarantine of a part, for a gateway that has just started or was out of reach.
 struct quarantine_report {
     prompt_part_id part = 0;
     std::uint32_t failed_trials = 0;
     common::time_point trial_due;
+    /// Time of the latest crash that speaks for the quarantine.
+    common::time_point last_crash;
 
     friend bool operator==(const quarantine_report&, const quarantine_report&) = default;
 };
--- a/source/core/gateway/crash_suspects.cpp
+++ b/source/core/gateway/crash_suspects.cpp
@@ -68,6 +68,10 @@
 void crash_suspects::renew(prompt_part_id part, part_state& state, common::time_point crashed,
                            common::time_point now) {
     auto& active = *state.active;
+    if (crashed <= active.last_crash) {
+        return;
+    }
+    active.last_crash = crashed;
     if (now < active.trial_end) {
         ++active.failed_trials;
         active.trial_end = now;
@@ -94,7 +98,9 @@
     state.sound_from = std::max(state.sound_from.value_or(report.began), report.began);
     const auto dismissed = std::erase_if(
         state.crashes, [&](const auto& crash) { return crash.second <= *state.sound_from; });
-    if (dismissed > 0 || state.crashes.empty()) {
+    // The crashes of a quarantine that another gateway has reported may be unknown here.
+    const bool refutes_quarantine = state.active && report.began >= state.active->last_crash;
+    if (dismissed > 0 || refutes_quarantine) {
         clear_if_refuted(report.part, state, now);
     }
 }
@@ -114,7 +120,10 @@
 void crash_suspects::clear_if_refuted(prompt_part_id part, part_state& state,
                                       common::time_point now) {
     if (state.active && incidents(state, common::time_point::max()) < m_limits.incidents) {
+        state.refuted_crash = state.active->last_crash;
         state.active.reset();
+        // The refutation is kept for gateways that are out of reach now.
+        state.news = std::max(state.news, now);
         notify(part, state, suspect_change::cleared, now);
     }
 }
@@ -131,8 +140,18 @@
     notify(report.part, it->second, suspect_change::trial_started, now);
 }
 
+bool crash_suspects::is_refuted(const part_state& state, const quarantine_report& report) const {
+    // The gateways see one crash at slightly different times.
+    return (state.sound_from && *state.sound_from >= report.last_crash) ||
+           (state.refuted_crash &&
+            report.last_crash - *state.refuted_crash < m_limits.incident_span);
+}
+
 void crash_suspects::apply(const quarantine_report& report, common::time_point now) {
     auto& state = m_parts[report.part];
+    if (is_refuted(state, report)) {
+        return;
+    }
     state.news = std::max(state.news, now);
     const bool is_new = !state.active;
     if (is_new) {
@@ -140,6 +159,7 @@
     }
     state.active->failed_trials = std::max(state.active->failed_trials, report.failed_trials);
     state.active->trial_due = std::max(state.active->trial_due, report.trial_due);
+    state.active->last_crash = std::max(state.active->last_crash, report.last_crash);
     if (is_new) {
         notify(report.part, state, suspect_change::quarantined, now);
     }
@@ -202,14 +222,19 @@
     const auto last =
         std::max_element(state.crashes.begin(), state.crashes.end(),
                          [](const auto& a, const auto& b) { return a.second < b.second; });
+    state.active->last_crash = last->second;
     state.active->trial_due = last->second + quarantine_time(0);
     notify(part, state, suspect_change::quarantined, now);
 }
 
 bool crash_suspects::is_suspected(prompt_part_id part, common::time_point sound_from) const {
     const auto it = m_parts.find(part);
-    return it != m_parts.end() &&
-           std::any_of(it->second.crashes.begin(), it->second.crashes.end(),
+    if (it == m_parts.end()) {
+        return false;
+    }
+    const auto& state = it->second;
+    return (state.active && state.active->last_crash <= sound_from) ||
+           std::any_of(state.crashes.begin(), state.crashes.end(),
                        [&](const auto& crash) { return crash.second <= sound_from; });
 }
 
@@ -277,12 +302,15 @@
     crash_evidence result;
     std::map<std::pair<incarnation, common::time_point>, std::vector<prompt_part_id>> crashes;
     for (const auto& [part, state] : m_parts) {
+        if (state.sound_from) {
+            result.sound.push_back({part, *state.sound_from});
+        }
         for (const auto& crash : state.crashes) {
             crashes[crash].push_back(part);
         }
         if (state.active) {
-            result.quarantines.push_back(
-                {part, state.active->failed_trials, state.active->trial_due});
+            result.quarantines.push_back({part, state.active->failed_trials,
+                                          state.active->trial_due, state.active->last_crash});
             if (now < state.active->trial_end) {
                 result.trials.push_back({part, state.active->trial_end - m_limits.trial_time});
             }
@@ -291,6 +319,9 @@
     for (const auto& [crash, parts] : crashes) {
         result.crashes.push_back({crash.first, parts, crash.second});
     }
+    for (const auto& [instance, sent] : m_alive) {
+        result.alive.push_back({instance, sent});
+    }
     return result;
 }
 
--- a/source/core/gateway/crash_suspects.h
+++ b/source/core/gateway/crash_suspects.h
@@ -101,7 +101,7 @@
     [[nodiscard]] bool is_repeat_risky(const std::vector<prompt_part_id>& parts,
                                        common::time_point now) const;
 
-    /// Everything that a gateway needs that has just started.
+    /// Everything that a gateway needs that has just started or was out of reach.
     [[nodiscard]] crash_evidence snapshot(common::time_point now) const;
 
     [[nodiscard]] bool empty() const { return m_parts.empty(); }
@@ -113,6 +113,7 @@
 private:
     struct quarantine {
         unsigned failed_trials = 0;
+        common::time_point last_crash;
         common::time_point trial_due;
         /// End of the current trial if it has no result.
         common::time_point trial_end;
@@ -124,6 +125,8 @@
         /// Start of the latest sound answer.
         std::optional<common::time_point> sound_from;
         std::optional<quarantine> active;
+        /// Time of the latest crash of the last quarantine that was refuted.
+        std::optional<common::time_point> refuted_crash;
         common::time_point news;
     };
 
@@ -150,6 +153,8 @@
     void renew(prompt_part_id part, part_state& state, common::time_point crashed,
                common::time_point now);
     [[nodiscard]] common::duration quarantine_time(unsigned failed_trials) const;
+    /// Whether this gateway has evidence against the quarantine that the sender lacked.
+    [[nodiscard]] bool is_refuted(const part_state& state, const quarantine_report& report) const;
     void clear_if_refuted(prompt_part_id part, part_state& state, common::time_point now);
     void forget_old(common::time_point now);
     [[nodiscard]] suspect_view view(prompt_part_id part, const part_state& state,
--- a/source/core/wire/crash_evidence_codec.cpp
+++ b/source/core/wire/crash_evidence_codec.cpp
@@ -63,6 +63,7 @@
         quarantine.set_part(it.part);
         quarantine.set_failed_trials(it.failed_trials);
         quarantine.set_trial_due_us(microseconds(it.trial_due - now));
+        quarantine.set_last_crash_age_us(microseconds(now - it.last_crash));
     }
 }
 
@@ -84,8 +85,9 @@
         result.trials.push_back({it.part(), now - from_microseconds(it.age_us())});
     }
     for (const auto& it : from.quarantines()) {
-        result.quarantines.push_back(
-            {it.part(), it.failed_trials(), now + from_microseconds(it.trial_due_us())});
+        result.quarantines.push_back({it.part(), it.failed_trials(),
+                                      now + from_microseconds(it.trial_due_us()),
+                                      now - from_microseconds(it.last_crash_age_us())});
     }
     return result;
 }
--- a/tests/unit/gateway/crash_suspects_test.cpp
+++ b/tests/unit/gateway/crash_suspects_test.cpp
@@ -256,6 +256,74 @@
     BOOST_TEST(!other.quarantine_left({deadly}, now).has_value());
 }
 
+// Guards against a quarantine without crashes that no sound answer ends, because a gateway that was
+// out of reach has reported it again after this gateway had cleared the part.
+BOOST_AUTO_TEST_CASE(quarantine_when_refuted_while_a_gateway_was_out_of_reach_ends_at_both) {
+    crash_one_after_the_other({deadly});
+    BOOST_TEST(is_quarantined(deadly));
+    gateway::crash_suspects other{limits, {}};
+    other.apply(suspects.snapshot(now), now);
+    now += limits.first_quarantine;
+    start_trial(deadly);
+    sound(deadly, now);
+    now += seconds{10};
+    const auto from_here = suspects.snapshot(now);
+    const auto from_other = other.snapshot(now);
+    suspects.apply(from_other, now);
+    other.apply(from_here, now);
+    BOOST_TEST(!is_quarantined(deadly));
+    BOOST_TEST(!other.quarantine_left({deadly}, now).has_value());
+}
+
+// Guards against the same with an instance that turned out not to have crashed.
+BOOST_AUTO_TEST_CASE(quarantine_when_a_crash_is_dismissed_out_of_reach_ends_at_both) {
+    crash_one_after_the_other({popular});
+    BOOST_TEST(is_quarantined(popular));
+    gateway::crash_suspects other{limits, {}};
+    other.apply(suspects.snapshot(now), now);
+    alive(2);
+    const auto from_here = suspects.snapshot(now);
+    const auto from_other = other.snapshot(now);
+    suspects.apply(from_other, now);
+    other.apply(from_here, now);
+    BOOST_TEST(!is_quarantined(popular));
+    BOOST_TEST(!other.quarantine_left({popular}, now).has_value());
+}
+
+// Guards against a quarantine that is ignored although instances crashed after the sound answer.
+BOOST_AUTO_TEST_CASE(quarantine_when_its_last_crash_is_after_the_sound_answer_is_taken_over) {
+    crash_one_after_the_other({deadly});
+    gateway::crash_suspects other{limits, {}};
+    other.apply(suspects.snapshot(now), now);
+    sound(deadly, now);
+    now += seconds{1};
+    crash_evidence later;
+    for (int n = 10; n < 13; ++n) {
+        now += seconds{1};
+        later.crashes.push_back({instance(n), {deadly}, now});
+    }
+    now += seconds{1};
+    other.apply(later, now);
+    BOOST_TEST(other.quarantine_left({deadly}, now).has_value());
+    suspects.apply(other.snapshot(now), now);
+    BOOST_TEST(is_quarantined(deadly));
+}
+
+// Guards against sound answers that are not shared because the crashes are known elsewhere only.
+BOOST_AUTO_TEST_CASE(part_when_quarantined_without_known_crashes_is_cleared_by_a_later_answer) {
+    const auto last_crash = now;
+    crash_evidence evidence;
+    evidence.quarantines.push_back({deadly, 0, now + limits.first_quarantine, last_crash});
+    suspects.apply(evidence, now);
+    now += seconds{1};
+    BOOST_TEST(!suspects.is_suspected(deadly, last_crash - seconds{1}));
+    sound(deadly, last_crash - seconds{1});
+    BOOST_TEST(is_quarantined(deadly));
+    BOOST_TEST(suspects.is_suspected(deadly, now));
+    sound(deadly, now);
+    BOOST_TEST(!is_quarantined(deadly));
+}
+
 // Guards against memory that grows with every part that any request has had.
 BOOST_AUTO_TEST_CASE(parts_when_there_are_too_many_are_dropped_oldest_first) {
     crash_one_after_the_other({deadly});
--- a/tests/unit/wire/gateway_codec_test.cpp
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -50,7 +50,7 @@
     evidence.sound.push_back({2, sender_now - milliseconds{30}});
     evidence.alive.push_back({instance, sender_now - milliseconds{40}});
     evidence.trials.push_back({3, sender_now});
-    evidence.quarantines.push_back({4, 2, sender_now + seconds{20}});
+    evidence.quarantines.push_back({4, 2, sender_now + seconds{20}, sender_now - milliseconds{50}});
     const auto message = round_trip(evidence);
     const auto& read = std::get<gateway::crash_evidence>(message.content);
     const auto shift = receiver_now - sender_now;
@@ -61,6 +61,7 @@
     evidence.alive[0].sent += shift;
     evidence.trials[0].at += shift;
     evidence.quarantines[0].trial_due += shift;
+    evidence.quarantines[0].last_crash += shift;
     BOOST_TEST((read.crashes == evidence.crashes));
     BOOST_TEST((read.sound == evidence.sound));
     BOOST_TEST((read.alive == evidence.alive));
