gateway: limit the prompt parts that one request adds to crash evidence

A request may carry some 10,000 parts in its header. When it broke, all of them became suspects: the gateway was blocked while it searched for the oldest part once for each part in excess, the evidence against parts that were not yet quarantined was lost, so that callers met more crashes, and the ids filled the messages between the gateways and the log.

Only the first 64 shared parts of a request count, and 1,024 in the report of one crash, when it is put together and when it is read. Reports of each kind in a message are limited too. Parts in excess are dropped in one pass, those with the fewest incidents first. The instances known to be alive are limited. An index of the crashed instances replaces the scan over all parts for each response head and each report of an instance that is alive.

--- a/source/core/gateway/crash_evidence.cpp
+++ b/source/core/gateway/crash_evidence.cpp
@@ -10,7 +10,7 @@
 
 std::vector<prompt_part_id> shared_parts_of(const std::vector<prompt_part>& prompt) {
     std::vector<prompt_part_id> parts;
-    for (std::size_t n = 0; n + 1 < prompt.size(); ++n) {
+    for (std::size_t n = 0; n + 1 < prompt.size() && n < max_shared_parts; ++n) {
         parts.push_back(common::digest_of(prompt[n].id));
     }
     return parts;
@@ -39,6 +39,9 @@
         }
         known->at = std::max(known->at, it.at);
         for (const auto part : it.parts) {
+            if (known->parts.size() >= max_report_parts) {
+                break;
+            }
             if (std::find(known->parts.begin(), known->parts.end(), part) == known->parts.end()) {
                 known->parts.push_back(part);
             }
--- a/source/core/gateway/crash_evidence.h
+++ b/source/core/gateway/crash_evidence.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -13,7 +14,15 @@
 /// Digest of the id of a part of a prompt.
 using prompt_part_id = std::uint64_t;
 
-/// Returns the parts that other requests may share: all but the last one.
+/// Parts of one request that count. Callers choose how many a request has.
+constexpr std::size_t max_shared_parts = 64;
+/// Parts in the report of one crash, which may come from several requests.
+constexpr std::size_t max_report_parts = 1024;
+/// Reports of one kind that are read from a message.
+constexpr std::size_t max_reports = 4096;
+
+/// Returns the parts that other requests may share: all but the last one, and the first
+/// `max_shared_parts` at most.
 std::vector<prompt_part_id> shared_parts_of(const std::vector<prompt_part>& prompt);
 
 /// Returns the ids in hexadecimal, separated by commas.
@@ -74,7 +83,7 @@
     std::vector<trial_report> trials;
     std::vector<quarantine_report> quarantines;
 
-    /// Adds other evidence. Reports of one crash become one.
+    /// Adds other evidence. Reports of one crash become one, with `max_report_parts` at most.
     void add(const crash_evidence& other);
 
     [[nodiscard]] bool empty() const {
--- a/source/core/gateway/crash_suspects.cpp
+++ b/source/core/gateway/crash_suspects.cpp
@@ -1,6 +1,10 @@
 #include "gateway/crash_suspects.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <limits>
+#include <tuple>
 #include <utility>
 
 namespace jujubemast::gateway {
@@ -10,6 +14,30 @@
 // Beyond it a doubled quarantine exceeds any limit.
 constexpr unsigned max_doublings = 16;
 
+/// Returns the entries of the lowest rank that are too many, in no order.
+template <typename map_type, typename rank_function>
+std::vector<typename map_type::iterator> find_excess(map_type& entries, std::size_t limit,
+                                                     const rank_function& rank) {
+    using iterator = typename map_type::iterator;
+    std::vector<iterator> excess;
+    if (entries.size() <= limit) {
+        return excess;
+    }
+    using ranked_entry = std::pair<decltype(rank(*entries.begin())), iterator>;
+    std::vector<ranked_entry> ranked;
+    ranked.reserve(entries.size());
+    for (auto it = entries.begin(); it != entries.end(); ++it) {
+        ranked.emplace_back(rank(*it), it);
+    }
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(entries.size() - limit);
+    std::nth_element(
+        ranked.begin(), end, ranked.end(),
+        [](const ranked_entry& a, const ranked_entry& b) { return a.first < b.first; });
+    std::transform(ranked.begin(), end, std::back_inserter(excess),
+                   [](const ranked_entry& it) { return it.second; });
+    return excess;
+}
+
 } // namespace
 
 crash_suspects::crash_suspects(const suspect_limits& limits, change_hook on_change)
@@ -46,14 +74,12 @@
         if (state.sound_from && *state.sound_from >= report.at) {
             continue;
         }
-        const auto [crash, is_new] = state.crashes.try_emplace(report.instance, report.at);
-        // The gateways see the end of one instance at slightly different times.
-        crash->second = std::min(crash->second, report.at);
-        if (!is_new) {
+        if (!add_crash(part, state, report.instance, report.at)) {
             continue;
         }
         if (state.crashes.size() > m_limits.max_crashes) {
-            state.crashes.erase(
+            drop_crash(
+                part, state,
                 std::min_element(state.crashes.begin(), state.crashes.end(),
                                  [](const auto& a, const auto& b) { return a.second < b.second; }));
         }
@@ -65,6 +91,29 @@
     }
 }
 
+bool crash_suspects::add_crash(prompt_part_id part, part_state& state, const incarnation& instance,
+                               common::time_point at) {
+    const auto [crash, is_new] = state.crashes.try_emplace(instance, at);
+    auto& crashed = m_crashed[instance];
+    // The gateways see the end of one instance at slightly different times.
+    if (at < crash->second) {
+        crashed.erase({crash->second, part});
+        crash->second = at;
+    }
+    crashed.emplace(crash->second, part);
+    return is_new;
+}
+
+crash_suspects::crash_times::iterator
+crash_suspects::drop_crash(prompt_part_id part, part_state& state, crash_times::iterator crash) {
+    const auto crashed = m_crashed.find(crash->first);
+    crashed->second.erase({crash->second, part});
+    if (crashed->second.empty()) {
+        m_crashed.erase(crashed);
+    }
+    return state.crashes.erase(crash);
+}
+
 void crash_suspects::renew(prompt_part_id part, part_state& state, common::time_point crashed,
                            common::time_point now) {
     auto& active = *state.active;
@@ -96,11 +145,14 @@
     }
     auto& state = it->second;
     state.sound_from = std::max(state.sound_from.value_or(report.began), report.began);
-    const auto dismissed = std::erase_if(
-        state.crashes, [&](const auto& crash) { return crash.second <= *state.sound_from; });
+    const auto known_crashes = state.crashes.size();
+    for (auto crash = state.crashes.begin(); crash != state.crashes.end();) {
+        crash = crash->second <= *state.sound_from ? drop_crash(report.part, state, crash)
+                                                   : std::next(crash);
+    }
     // The crashes of a quarantine that another gateway has reported may be unknown here.
     const bool refutes_quarantine = state.active && report.began >= state.active->last_crash;
-    if (dismissed > 0 || refutes_quarantine) {
+    if (state.crashes.size() < known_crashes || refutes_quarantine) {
         clear_if_refuted(report.part, state, now);
     }
 }
@@ -108,12 +160,21 @@
 void crash_suspects::apply(const alive_report& report, common::time_point now) {
     auto& alive = m_alive.try_emplace(report.instance, report.sent).first->second;
     alive = std::max(alive, report.sent);
-    for (auto& [part, state] : m_parts) {
-        const auto crash = state.crashes.find(report.instance);
-        if (crash != state.crashes.end() && crash->second <= alive) {
-            state.crashes.erase(crash);
-            clear_if_refuted(part, state, now);
+    const auto crashed = m_crashed.find(report.instance);
+    if (crashed == m_crashed.end()) {
+        return;
+    }
+    std::vector<prompt_part_id> dismissed;
+    for (const auto& [at, part] : crashed->second) {
+        if (at > alive) {
+            break;
         }
+        dismissed.push_back(part);
+    }
+    for (const auto part : dismissed) {
+        auto& state = m_parts.at(part);
+        drop_crash(part, state, state.crashes.find(report.instance));
+        clear_if_refuted(part, state, now);
     }
 }
 
@@ -240,11 +301,14 @@
 
 bool crash_suspects::is_wrongly_accused(const incarnation& instance,
                                         common::time_point sent) const {
-    return std::any_of(m_parts.begin(), m_parts.end(), [&](const auto& part) {
-        const auto crash = part.second.crashes.find(instance);
-        return crash != part.second.crashes.end() && sent > crash->second &&
-               sent - crash->second < m_limits.restart_time;
-    });
+    const auto crashed = m_crashed.find(instance);
+    if (crashed == m_crashed.end()) {
+        return false;
+    }
+    // The first crash that an answer to this request may refute.
+    const auto crash = crashed->second.upper_bound(
+        {sent - m_limits.restart_time, std::numeric_limits<prompt_part_id>::max()});
+    return crash != crashed->second.end() && crash->first < sent;
 }
 
 std::optional<common::duration>
@@ -336,20 +400,37 @@
 }
 
 void crash_suspects::forget_old(common::time_point now) {
-    std::erase_if(m_parts, [&](const auto& it) {
-        const auto& state = it.second;
+    for (auto it = m_parts.begin(); it != m_parts.end();) {
+        const auto& state = it->second;
         const auto news = state.active ? std::max(state.news, state.active->trial_due) : state.news;
-        return now - news > m_limits.retention;
-    });
+        it = now - news > m_limits.retention ? forget(it) : std::next(it);
+    }
     std::erase_if(m_alive, [&](const auto& it) { return now - it.second > m_limits.retention; });
-    while (m_parts.size() > m_limits.max_parts) {
-        const auto age = [](const auto& it) {
-            return std::pair{it.second.active.has_value(), it.second.news};
-        };
-        m_parts.erase(
-            std::min_element(m_parts.begin(), m_parts.end(),
-                             [&](const auto& a, const auto& b) { return age(a) < age(b); }));
+    forget_excess();
+}
+
+void crash_suspects::forget_excess() {
+    // A caller can make many parts suspects of one incident, but hardly of more.
+    const auto weight = [this](const auto& it) {
+        const auto& state = it.second;
+        return std::tuple{state.active.has_value(), incidents(state, common::time_point::max()),
+                          state.news};
+    };
+    for (const auto it : find_excess(m_parts, m_limits.max_parts, weight)) {
+        forget(it);
+    }
+    const auto sent = [](const auto& it) { return it.second; };
+    for (const auto it : find_excess(m_alive, m_limits.max_alive, sent)) {
+        m_alive.erase(it);
+    }
+}
+
+crash_suspects::part_map::iterator crash_suspects::forget(part_map::iterator part) {
+    auto& state = part->second;
+    while (!state.crashes.empty()) {
+        drop_crash(part->first, state, state.crashes.begin());
     }
+    return m_parts.erase(part);
 }
 
 suspect_view crash_suspects::view(prompt_part_id part, const part_state& state,
--- a/source/core/gateway/crash_suspects.h
+++ b/source/core/gateway/crash_suspects.h
@@ -6,7 +6,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "common/enum_names.h"
@@ -40,8 +42,10 @@
     /// After the end of a quarantine one gateway may start a trial. The number of those that may
     /// doubles each time this span has passed.
     common::duration trial_step = std::chrono::seconds{1};
-    /// The parts with the oldest news are dropped beyond this number.
+    /// Beyond this number, parts with few incidents and old news are dropped.
     std::size_t max_parts = 4096;
+    /// Beyond this number, the instances that answered longest ago are no longer known to be alive.
+    std::size_t max_alive = 1024;
     /// Crashes that are kept for each part.
     std::size_t max_crashes = 16;
 };
@@ -119,9 +123,11 @@
         common::time_point trial_end;
     };
 
+    using crash_times = std::map<incarnation, common::time_point>;
+
     struct part_state {
         /// Time of the crash of each instance.
-        std::map<incarnation, common::time_point> crashes;
+        crash_times crashes;
         /// Start of the latest sound answer.
         std::optional<common::time_point> sound_from;
         std::optional<quarantine> active;
@@ -136,6 +142,12 @@
     void apply(const trial_report& report, common::time_point now);
     void apply(const quarantine_report& report, common::time_point now);
 
+    /// Returns whether the crash of this instance was not known for the part.
+    bool add_crash(prompt_part_id part, part_state& state, const incarnation& instance,
+                   common::time_point at);
+    crash_times::iterator drop_crash(prompt_part_id part, part_state& state,
+                                     crash_times::iterator crash);
+
     /// Number of incidents whose first crash is at or before this time.
     [[nodiscard]] std::size_t incidents(const part_state& state, common::time_point until) const;
     /// Whether a request without the other part may show which of the two is deadly: the other one
@@ -157,6 +169,9 @@
     [[nodiscard]] bool is_refuted(const part_state& state, const quarantine_report& report) const;
     void clear_if_refuted(prompt_part_id part, part_state& state, common::time_point now);
     void forget_old(common::time_point now);
+    void forget_excess();
+    using part_map = std::map<prompt_part_id, part_state>;
+    part_map::iterator forget(part_map::iterator part);
     [[nodiscard]] suspect_view view(prompt_part_id part, const part_state& state,
                                     suspect_change change, common::time_point now) const;
     void notify(prompt_part_id part, const part_state& state, suspect_change change,
@@ -164,7 +179,9 @@
 
     suspect_limits m_limits;
     change_hook m_on_change;
-    std::map<prompt_part_id, part_state> m_parts;
+    part_map m_parts;
+    /// The parts with a crash of each instance, ordered by its time.
+    std::map<incarnation, std::set<std::pair<common::time_point, prompt_part_id>>> m_crashed;
     /// When each instance was shown not to have crashed.
     std::map<incarnation, common::time_point> m_alive;
 };
--- a/source/core/wire/crash_evidence_codec.cpp
+++ b/source/core/wire/crash_evidence_codec.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 
+#include <boost/range/iterator_range_core.hpp>
 #include <gateway_messages.pb.h>
 
 namespace jujubemast::wire {
@@ -34,6 +36,13 @@
     return {from.id(), from.started_ms(), from.address()};
 }
 
+/// Returns the first entries, `limit` at most.
+template <typename entries>
+auto first_of(const entries& all, std::size_t limit) {
+    const auto count = std::min(limit, static_cast<std::size_t>(all.size()));
+    return boost::make_iterator_range_n(all.begin(), count);
+}
+
 } // namespace
 
 void to_proto(pb_evidence& to, const gateway::crash_evidence& from, common::time_point now) {
@@ -69,22 +78,23 @@
 
 gateway::crash_evidence evidence_from_proto(const pb_evidence& from, common::time_point now) {
     gateway::crash_evidence result;
-    for (const auto& it : from.crashes()) {
+    for (const auto& it : first_of(from.crashes(), gateway::max_reports)) {
+        const auto parts = first_of(it.parts(), gateway::max_report_parts);
         result.crashes.push_back({instance_from_proto(it.instance()),
-                                  {it.parts().begin(), it.parts().end()},
+                                  {parts.begin(), parts.end()},
                                   now - from_microseconds(it.age_us())});
     }
-    for (const auto& it : from.sound()) {
+    for (const auto& it : first_of(from.sound(), gateway::max_reports)) {
         result.sound.push_back({it.part(), now - from_microseconds(it.age_us())});
     }
-    for (const auto& it : from.alive()) {
+    for (const auto& it : first_of(from.alive(), gateway::max_reports)) {
         result.alive.push_back(
             {instance_from_proto(it.instance()), now - from_microseconds(it.age_us())});
     }
-    for (const auto& it : from.trials()) {
+    for (const auto& it : first_of(from.trials(), gateway::max_reports)) {
         result.trials.push_back({it.part(), now - from_microseconds(it.age_us())});
     }
-    for (const auto& it : from.quarantines()) {
+    for (const auto& it : first_of(from.quarantines(), gateway::max_reports)) {
         result.quarantines.push_back({it.part(), it.failed_trials(),
                                       now + from_microseconds(it.trial_due_us()),
                                       now - from_microseconds(it.last_crash_age_us())});
--- a/tests/unit/gateway/crash_suspects_test.cpp
+++ b/tests/unit/gateway/crash_suspects_test.cpp
@@ -1,5 +1,8 @@
 #include "gateway/crash_suspects.h"
 
+#include <algorithm>
+#include <numeric>
+
 #include <boost/test/unit_test.hpp>
 
 namespace jujubemast::tests {
@@ -339,6 +342,59 @@
     BOOST_TEST(is_quarantined(deadly));
 }
 
+// Guards against a request with very many parts that drops the evidence against a deadly part.
+BOOST_AUTO_TEST_CASE(part_when_a_report_has_too_many_parts_keeps_its_incidents) {
+    crash_one_after_the_other({deadly}, 2);
+    std::vector<prompt_part_id> parts(13'000);
+    std::iota(parts.begin(), parts.end(), prompt_part_id{100});
+    crash(7, parts);
+    BOOST_TEST(suspects.size() == limits.max_parts);
+    now += seconds{1};
+    crash(2, {deadly});
+    now += limits.settle_time;
+    BOOST_TEST(is_quarantined(deadly));
+}
+
+// Guards against crashes of dropped parts that still count against their instance.
+BOOST_AUTO_TEST_CASE(instance_when_its_parts_are_dropped_is_no_longer_accused) {
+    std::vector<prompt_part_id> parts(limits.max_parts);
+    std::iota(parts.begin(), parts.end(), prompt_part_id{100});
+    crash(1, {popular});
+    now += milliseconds{1};
+    BOOST_TEST(suspects.is_wrongly_accused(instance(1), now));
+    crash(7, parts);
+    BOOST_TEST(!suspects.is_wrongly_accused(instance(1), now));
+}
+
+// Guards against memory that grows with every instance that was taken for crashed.
+BOOST_AUTO_TEST_CASE(instances_alive_when_there_are_too_many_are_dropped_oldest_first) {
+    for (int n = 0; n <= static_cast<int>(limits.max_alive); ++n) {
+        alive(n);
+        now += milliseconds{1};
+    }
+    const auto known = suspects.snapshot(now).alive;
+    BOOST_TEST(known.size() == limits.max_alive);
+    BOOST_TEST(std::none_of(known.begin(), known.end(),
+                            [](const auto& it) { return it.instance == instance(0); }));
+}
+
+// Guards against callers who decide how much a gateway remembers, sends and logs.
+BOOST_AUTO_TEST_CASE(request_when_it_has_too_many_parts_shares_the_first_ones) {
+    const std::vector<gateway::prompt_part> prompt(10'000, {"p", 1});
+    BOOST_TEST(gateway::shared_parts_of(prompt).size() == gateway::max_shared_parts);
+}
+
+BOOST_AUTO_TEST_CASE(crash_report_when_requests_are_added_has_a_limited_number_of_parts) {
+    crash_evidence all;
+    for (prompt_part_id n = 0; n < 2 * gateway::max_report_parts; ++n) {
+        crash_evidence one;
+        one.crashes.push_back({instance(1), {n}, now});
+        all.add(one);
+    }
+    BOOST_REQUIRE(all.crashes.size() == 1U);
+    BOOST_TEST(all.crashes[0].parts.size() == gateway::max_report_parts);
+}
+
 BOOST_AUTO_TEST_CASE(parts_when_nothing_is_heard_of_them_are_dropped) {
     crash_one_after_the_other({deadly});
     BOOST_TEST(is_quarantined(deadly));
--- a/tests/unit/wire/gateway_codec_test.cpp
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -69,6 +69,17 @@
     BOOST_TEST((read.quarantines == evidence.quarantines));
 }
 
+// Guards against a report that occupies the receiver for long.
+BOOST_AUTO_TEST_CASE(crash_report_when_it_has_too_many_parts_is_cut) {
+    const std::vector<gateway::prompt_part_id> parts(13'000, 5);
+    gateway::crash_evidence evidence;
+    evidence.crashes.push_back({{"i1", 1, "a:1"}, parts, sender_now});
+    const auto message = round_trip(evidence);
+    const auto& read = std::get<gateway::crash_evidence>(message.content);
+    BOOST_REQUIRE(read.crashes.size() == 1U);
+    BOOST_TEST(read.crashes[0].parts.size() == gateway::max_report_parts);
+}
+
 BOOST_AUTO_TEST_CASE(outcome_when_decoded_keeps_status_and_handles) {
     gateway::order_finished finished{{"g2", 9}, {gateway::order_status::made, {"h"}, seconds{1}}};
     const auto message = round_trip(finished);
