gateway: try a part with recent sound answers soon after its verdict

A wrong verdict on a popular part refused its callers for 20 s, although the gateways knew that it had been answered shortly before. The first trial of a part that had sound answers within the retention is now due 2 s after the last crash. A failed trial leads to the usual doubled quarantine.

Tests: trial_when_the_part_had_sound_answers_lately_is_due_early failed on the former code; trial_when_the_sound_answers_were_long_ago_is_due_as_usual guards against too early trials. With the change crash_suspects_test, crash_suspects_property_test and gateway_codec_test pass.

--- a/source/core/gateway/crash_suspects.cpp
+++ b/source/core/gateway/crash_suspects.cpp
@@ -125,14 +125,20 @@
         ++active.failed_trials;
         active.trial_end = now;
     }
-    const auto due = crashed + quarantine_time(active.failed_trials);
+    const auto due = crashed + quarantine_time(state, crashed);
     if (due > active.trial_due) {
         active.trial_due = due;
         notify(part, state, suspect_change::renewed, now);
     }
 }
 
-common::duration crash_suspects::quarantine_time(unsigned failed_trials) const {
+common::duration crash_suspects::quarantine_time(const part_state& state,
+                                                 common::time_point crashed) const {
+    const auto failed_trials = state.active->failed_trials;
+    if (failed_trials == 0 && state.sound_from &&
+        crashed - *state.sound_from < m_limits.retention) {
+        return m_limits.first_quarantine_after_sound;
+    }
     const auto doubled =
         m_limits.first_quarantine * (std::int64_t{1} << std::min(failed_trials, max_doublings));
     return std::min(doubled, m_limits.longest_quarantine);
@@ -284,7 +290,7 @@
         std::max_element(state.crashes.begin(), state.crashes.end(),
                          [](const auto& a, const auto& b) { return a.second < b.second; });
     state.active->last_crash = last->second;
-    state.active->trial_due = last->second + quarantine_time(0);
+    state.active->trial_due = last->second + quarantine_time(state, last->second);
     notify(part, state, suspect_change::quarantined, now);
 }
 
--- a/source/core/gateway/crash_suspects.h
+++ b/source/core/gateway/crash_suspects.h
@@ -36,6 +36,9 @@
     common::duration retention = std::chrono::minutes{2};
     /// Length of the first quarantine of a part. Each failed trial doubles it.
     common::duration first_quarantine = std::chrono::seconds{20};
+    /// Length of the first quarantine of a part that had sound answers within the retention. A
+    /// wrong verdict on such a part refuses many requests.
+    common::duration first_quarantine_after_sound = std::chrono::seconds{2};
     common::duration longest_quarantine = std::chrono::minutes{8};
     /// A trial without a result in this time does not count.
     common::duration trial_time = std::chrono::seconds{5};
@@ -164,7 +167,9 @@
     void update(prompt_part_id part, part_state& state, common::time_point now);
     void renew(prompt_part_id part, part_state& state, common::time_point crashed,
                common::time_point now);
-    [[nodiscard]] common::duration quarantine_time(unsigned failed_trials) const;
+    /// Length of a quarantine after this crash.
+    [[nodiscard]] common::duration quarantine_time(const part_state& state,
+                                                   common::time_point crashed) const;
     /// Whether this gateway has evidence against the quarantine that the sender lacked.
     [[nodiscard]] bool is_refuted(const part_state& state, const quarantine_report& report) const;
     void clear_if_refuted(prompt_part_id part, part_state& state, common::time_point now);
--- a/tests/unit/gateway/crash_suspects_test.cpp
+++ b/tests/unit/gateway/crash_suspects_test.cpp
@@ -237,6 +237,40 @@
     }
 }
 
+// Guards against a wrong verdict on a popular part that refuses its requests for long.
+BOOST_AUTO_TEST_CASE(trial_when_the_part_had_sound_answers_lately_is_due_early) {
+    crash(0, {popular});
+    now += seconds{1};
+    sound(popular, now - milliseconds{300});
+    crash_one_after_the_other({popular});
+    const auto last_crash = now - seconds{1};
+    BOOST_TEST(is_quarantined(popular));
+    // The crash of a request that was sent before the verdict.
+    crash(5, {popular});
+    now = last_crash + seconds{1} + limits.first_quarantine_after_sound;
+    BOOST_TEST(may_try(popular, 0));
+    // After a failed trial the part is treated as any other.
+    start_trial(popular);
+    crash(6, {popular});
+    BOOST_TEST((*suspects.quarantine_left({popular}, now) == 2 * limits.first_quarantine));
+}
+
+BOOST_AUTO_TEST_CASE(trial_when_the_sound_answers_were_long_ago_is_due_as_usual) {
+    crash(0, {popular});
+    now += seconds{1};
+    sound(popular, now);
+    const auto sound_from = now;
+    now += seconds{100};
+    crash(1, {popular});
+    now = sound_from + limits.retention;
+    crash(2, {popular});
+    now += seconds{1};
+    crash(3, {popular});
+    now += seconds{1};
+    BOOST_TEST(is_quarantined(popular));
+    BOOST_TEST((*suspects.quarantine_left({popular}, now) == limits.first_quarantine - seconds{1}));
+}
+
 BOOST_AUTO_TEST_CASE(trial_when_it_has_no_result_may_be_repeated) {
     crash_one_after_the_other({deadly});
     BOOST_TEST(is_quarantined(deadly));
