--- a/source/core/gateway/crash_suspects.h
+++ b/source/core/gateway/crash_suspects.h
@@ -6,7 +6,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "common/enum_names.h"
@@ -34,14 +36,19 @@
     common::duration retention = std::chrono::minutes{2};
     /// Length of the first quarantine of a part. Each failed trial doubles it.
     common::duration first_quarantine = std::chrono::seconds{20};
+    /// Length of the first quarantine of a part that had sound answers within the retention. A
+    /// wrong verdict on such a part refuses many requests.
+    common::duration first_quarantine_after_sound = std::chrono::seconds{2};
     common::duration longest_quarantine = std::chrono::minutes{8};
     /// A trial without a result in this time does not count.
     common::duration trial_time = std::chrono::seconds{5};
     /// After the end of a quarantine one gateway may start a trial. The number of those that may
     /// doubles each time this span has passed.
     common::duration trial_step = std::chrono::seconds{1};
-    /// The parts with the oldest news are dropped beyond this number.
+    /// Beyond this number, parts with few incidents and old news are dropped.
     std::size_t max_parts = 4096;
+    /// Beyond this number, the instances that answered longest ago are no longer known to be alive.
+    std::size_t max_alive = 1024;
     /// Crashes that are kept for each part.
     std::size_t max_crashes = 16;
 };
@@ -101,7 +108,7 @@
     [[nodiscard]] bool is_repeat_risky(const std::vector<prompt_part_id>& parts,
                                        common::time_point now) const;
 
-    /// Everything that a gateway needs that has just started.
+    /// Everything that a gateway needs that has just started or was out of reach.
     [[nodiscard]] crash_evidence snapshot(common::time_point now) const;
 
     [[nodiscard]] bool empty() const { return m_parts.empty(); }
@@ -113,17 +120,22 @@
 private:
     struct quarantine {
         unsigned failed_trials = 0;
+        common::time_point last_crash;
         common::time_point trial_due;
         /// End of the current trial if it has no result.
         common::time_point trial_end;
     };
 
+    using crash_times = std::map<incarnation, common::time_point>;
+
     struct part_state {
         /// Time of the crash of each instance.
-        std::map<incarnation, common::time_point> crashes;
+        crash_times crashes;
         /// Start of the latest sound answer.
         std::optional<common::time_point> sound_from;
         std::optional<quarantine> active;
+        /// Time of the latest crash of the last quarantine that was refuted.
+        std::optional<common::time_point> refuted_crash;
         common::time_point news;
     };
 
@@ -133,6 +145,12 @@
     void apply(const trial_report& report, common::time_point now);
     void apply(const quarantine_report& report, common::time_point now);
 
+    /// Returns whether the crash of this instance was not known for the part.
+    bool add_crash(prompt_part_id part, part_state& state, const incarnation& instance,
+                   common::time_point at);
+    crash_times::iterator drop_crash(prompt_part_id part, part_state& state,
+                                     crash_times::iterator crash);
+
     /// Number of incidents whose first crash is at or before this time.
     [[nodiscard]] std::size_t incidents(const part_state& state, common::time_point until) const;
     /// Whether a request without the other part may show which of the two is deadly: the other one
@@ -149,9 +167,16 @@
     void update(prompt_part_id part, part_state& state, common::time_point now);
     void renew(prompt_part_id part, part_state& state, common::time_point crashed,
                common::time_point now);
-    [[nodiscard]] common::duration quarantine_time(unsigned failed_trials) const;
+    /// Length of a quarantine after this crash.
+    [[nodiscard]] common::duration quarantine_time(const part_state& state,
+                                                   common::time_point crashed) const;
+    /// Whether this gateway has evidence against the quarantine that the sender lacked.
+    [[nodiscard]] bool is_refuted(const part_state& state, const quarantine_report& report) const;
     void clear_if_refuted(prompt_part_id part, part_state& state, common::time_point now);
     void forget_old(common::time_point now);
+    void forget_excess();
+    using part_map = std::map<prompt_part_id, part_state>;
+    part_map::iterator forget(part_map::iterator part);
     [[nodiscard]] suspect_view view(prompt_part_id part, const part_state& state,
                                     suspect_change change, common::time_point now) const;
     void notify(prompt_part_id part, const part_state& state, suspect_change change,
@@ -159,7 +184,9 @@
 
     suspect_limits m_limits;
     change_hook m_on_change;
-    std::map<prompt_part_id, part_state> m_parts;
+    part_map m_parts;
+    /// The parts with a crash of each instance, ordered by its time.
+    std::map<incarnation, std::set<std::pair<common::time_point, prompt_part_id>>> m_crashed;
     /// When each instance was shown not to have crashed.
     std::map<incarnation, common::time_point> m_alive;
 };
--- a/tests/unit/gateway/crash_suspects_test.cpp
+++ b/tests/unit/gateway/crash_suspects_test.cpp
@@ -1,5 +1,8 @@
 #include "gateway/crash_suspects.h"
 
+#include <algorithm>
+#include <numeric>
+
 #include <boost/test/unit_test.hpp>
 
 namespace jujubemast::tests {
@@ -234,6 +237,40 @@
     }
 }
 
+// Guards against a wrong verdict on a popular part that refuses its requests for long.
+BOOST_AUTO_TEST_CASE(trial_when_the_part_had_sound_answers_lately_is_due_early) {
+    crash(0, {popular});
+    now += seconds{1};
+    sound(popular, now - milliseconds{300});
+    crash_one_after_the_other({popular});
+    const auto last_crash = now - seconds{1};
+    BOOST_TEST(is_quarantined(popular));
+    // The crash of a request that was sent before the verdict.
+    crash(5, {popular});
+    now = last_crash + seconds{1} + limits.first_quarantine_after_sound;
+    BOOST_TEST(may_try(popular, 0));
+    // After a failed trial the part is treated as any other.
+    start_trial(popular);
+    crash(6, {popular});
+    BOOST_TEST((*suspects.quarantine_left({popular}, now) == 2 * limits.first_quarantine));
+}
+
+BOOST_AUTO_TEST_CASE(trial_when_the_sound_answers_were_long_ago_is_due_as_usual) {
+    crash(0, {popular});
+    now += seconds{1};
+    sound(popular, now);
+    const auto sound_from = now;
+    now += seconds{100};
+    crash(1, {popular});
+    now = sound_from + limits.retention;
+    crash(2, {popular});
+    now += seconds{1};
+    crash(3, {popular});
+    now += seconds{1};
+    BOOST_TEST(is_quarantined(popular));
+    BOOST_TEST((*suspects.quarantine_left({popular}, now) == limits.first_quarantine - seconds{1}));
+}
+
 BOOST_AUTO_TEST_CASE(trial_when_it_has_no_result_may_be_repeated) {
     crash_one_after_the_other({deadly});
     BOOST_TEST(is_quarantined(deadly));
@@ -256,6 +293,74 @@
     BOOST_TEST(!other.quarantine_left({deadly}, now).has_value());
 }
 
+// Guards against a quarantine without crashes that no sound answer ends, because a gateway that was
+// out of reach has reported it again after this gateway had cleared the part.
+BOOST_AUTO_TEST_CASE(quarantine_when_refuted_while_a_gateway_was_out_of_reach_ends_at_both) {
+    crash_one_after_the_other({deadly});
+    BOOST_TEST(is_quarantined(deadly));
+    gateway::crash_suspects other{limits, {}};
+    other.apply(suspects.snapshot(now), now);
+    now += limits.first_quarantine;
+    start_trial(deadly);
+    sound(deadly, now);
+    now += seconds{10};
+    const auto from_here = suspects.snapshot(now);
+    const auto from_other = other.snapshot(now);
+    suspects.apply(from_other, now);
+    other.apply(from_here, now);
+    BOOST_TEST(!is_quarantined(deadly));
+    BOOST_TEST(!other.quarantine_left({deadly}, now).has_value());
+}
+
+// Guards against the same with an instance that turned out not to have crashed.
+BOOST_AUTO_TEST_CASE(quarantine_when_a_crash_is_dismissed_out_of_reach_ends_at_both) {
+    crash_one_after_the_other({popular});
+    BOOST_TEST(is_quarantined(popular));
+    gateway::crash_suspects other{limits, {}};
+    other.apply(suspects.snapshot(now), now);
+    alive(2);
+    const auto from_here = suspects.snapshot(now);
+    const auto from_other = other.snapshot(now);
+    suspects.apply(from_other, now);
+    other.apply(from_here, now);
+    BOOST_TEST(!is_quarantined(popular));
+    BOOST_TEST(!other.quarantine_left({popular}, now).has_value());
+}
+
+// Guards against a quarantine that is ignored although instances crashed after the sound answer.
+BOOST_AUTO_TEST_CASE(quarantine_when_its_last_crash_is_after_the_sound_answer_is_taken_over) {
+    crash_one_after_the_other({deadly});
+    gateway::crash_suspects other{limits, {}};
+    other.apply(suspects.snapshot(now), now);
+    sound(deadly, now);
+    now += seconds{1};
+    crash_evidence later;
+    for (int n = 10; n < 13; ++n) {
+        now += seconds{1};
+        later.crashes.push_back({instance(n), {deadly}, now});
+    }
+    now += seconds{1};
+    other.apply(later, now);
+    BOOST_TEST(other.quarantine_left({deadly}, now).has_value());
+    suspects.apply(other.snapshot(now), now);
+    BOOST_TEST(is_quarantined(deadly));
+}
+
+// Guards against sound answers that are not shared because the crashes are known elsewhere only.
+BOOST_AUTO_TEST_CASE(part_when_quarantined_without_known_crashes_is_cleared_by_a_later_answer) {
+    const auto last_crash = now;
+    crash_evidence evidence;
+    evidence.quarantines.push_back({deadly, 0, now + limits.first_quarantine, last_crash});
+    suspects.apply(evidence, now);
+    now += seconds{1};
+    BOOST_TEST(!suspects.is_suspected(deadly, last_crash - seconds{1}));
+    sound(deadly, last_crash - seconds{1});
+    BOOST_TEST(is_quarantined(deadly));
+    BOOST_TEST(suspects.is_suspected(deadly, now));
+    sound(deadly, now);
+    BOOST_TEST(!is_quarantined(deadly));
+}
+
 // Guards against memory that grows with every part that any request has had.
 BOOST_AUTO_TEST_CASE(parts_when_there_are_too_many_are_dropped_oldest_first) {
     crash_one_after_the_other({deadly});
@@ -271,6 +376,59 @@
     BOOST_TEST(is_quarantined(deadly));
 }
 
+// Guards against a request with very many parts that drops the evidence against a deadly part.
+BOOST_AUTO_TEST_CASE(part_when_a_report_has_too_many_parts_keeps_its_incidents) {
+    crash_one_after_the_other({deadly}, 2);
+    std::vector<prompt_part_id> parts(13'000);
+    std::iota(parts.begin(), parts.end(), prompt_part_id{100});
+    crash(7, parts);
+    BOOST_TEST(suspects.size() == limits.max_parts);
+    now += seconds{1};
+    crash(2, {deadly});
+    now += limits.settle_time;
+    BOOST_TEST(is_quarantined(deadly));
+}
+
+// Guards against crashes of dropped parts that still count against their instance.
+BOOST_AUTO_TEST_CASE(instance_when_its_parts_are_dropped_is_no_longer_accused) {
+    std::vector<prompt_part_id> parts(limits.max_parts);
+    std::iota(parts.begin(), parts.end(), prompt_part_id{100});
+    crash(1, {popular});
+    now += milliseconds{1};
+    BOOST_TEST(suspects.is_wrongly_accused(instance(1), now));
+    crash(7, parts);
+    BOOST_TEST(!suspects.is_wrongly_accused(instance(1), now));
+}
+
+// Guards against memory that grows with every instance that was taken for crashed.
+BOOST_AUTO_TEST_CASE(instances_alive_when_there_are_too_many_are_dropped_oldest_first) {
+    for (int n = 0; n <= static_cast<int>(limits.max_alive); ++n) {
+        alive(n);
+        now += milliseconds{1};
+    }
+    const auto known = suspects.snapshot(now).alive;
+    BOOST_TEST(known.size() == limits.max_alive);
+    BOOST_TEST(std::none_of(known.begin(), known.end(),
+                            [](const auto& it) { return it.instance == instance(0); }));
+}
+
+// Guards against callers who decide how much a gateway remembers, sends and logs.
+BOOST_AUTO_TEST_CASE(request_when_it_has_too_many_parts_shares_the_first_ones) {
+    const std::vector<gateway::prompt_part> prompt(10'000, {"p", 1});
+    BOOST_TEST(gateway::shared_parts_of(prompt).size() == gateway::max_shared_parts);
+}
+
+BOOST_AUTO_TEST_CASE(crash_report_when_requests_are_added_has_a_limited_number_of_parts) {
+    crash_evidence all;
+    for (prompt_part_id n = 0; n < 2 * gateway::max_report_parts; ++n) {
+        crash_evidence one;
+        one.crashes.push_back({instance(1), {n}, now});
+        all.add(one);
+    }
+    BOOST_REQUIRE(all.crashes.size() == 1U);
+    BOOST_TEST(all.crashes[0].parts.size() == gateway::max_report_parts);
+}
+
 BOOST_AUTO_TEST_CASE(parts_when_nothing_is_heard_of_them_are_dropped) {
     crash_one_after_the_other({deadly});
     BOOST_TEST(is_quarantined(deadly));
