http: answer requests that have arrived unread when a connection stops

A caller whose request had reached the socket just before its kept connection stopped got a reset or an end of the stream without an answer, and could not know whether the request ran.

Cause: an ordered stop took a connection for idle if the parser had consumed nothing. Bytes in the socket, in the input buffer or in a completed read still queued on the loop did not count. A connection that had announced to stay open also closed after its response without looking for the next request.

Change: a connection with such input is not idle. It reads the request within the read limit of the stop, also if the read begins after the stop, and answers or refuses it. The check runs one turn of the loop after the stop, behind completed reads. A wait for the next request that is cut short by its timer still reads what has arrived. A connection without input closes at once as before.

--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -100,7 +100,8 @@
                                             : m_server->limits.idle_timeout);
     m_stream.socket().async_wait(boost::asio::socket_base::wait_read,
                                  m_context.wrap([this](const boost::system::error_code& ec) {
-                                     if (ec) {
+                                     // A request may have arrived just when the timer expired.
+                                     if (ec && !has_unread_input()) {
                                          m_context.finish();
                                          return;
                                      }
@@ -109,7 +110,7 @@
 }
 
 void connection::read_message() {
-    start_read_timer(m_server->limits.read_timeout);
+    start_read_timer(read_limit());
     beast_http::async_read(m_stream, m_input, *m_parser,
                            m_context.wrap([this](const boost::system::error_code& ec,
                                                  std::size_t /*size*/) { request_read(ec); }));
@@ -268,7 +269,7 @@
 
 void connection::response_complete() {
     m_on_disconnect = nullptr;
-    if (m_stop_callback || m_closing) {
+    if (m_closing) {
         boost::system::error_code ec;
         m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
         if (m_rejected || has_unread_input()) {
@@ -283,6 +284,9 @@
     // Ends the wait for a disconnect, so that it cannot fire for the next request.
     m_stream.socket().cancel();
     read_request();
+    if (m_stopping) {
+        stop_reading();
+    }
 }
 
 bool connection::has_unread_input() {
@@ -313,20 +317,33 @@
 
 void connection::stop(const runtime::stop_done& done) {
     m_stopping = true;
-    const bool idle = m_phase == connection_phase::reading && !(m_parser && m_parser->got_some());
-    if (idle || m_phase == connection_phase::lingering) {
+    if (m_phase == connection_phase::lingering) {
         done();
         return;
     }
     m_stop_callback = done;
-    if (m_phase == connection_phase::reading) {
-        limit_read_to_stop();
+    // A read that has completed may be queued on the loop, and its bytes are not visible yet.
+    m_context.loop().post(m_context.wrap([this] { stop_reading(); }));
+}
+
+void connection::stop_reading() {
+    if (m_phase != connection_phase::reading) {
+        return;
+    }
+    if (m_parser->got_some() || m_input.size() > 0 || has_unread_input()) {
+        start_read_timer(read_limit());
+    } else {
+        m_stop_callback();
     }
 }
 
-void connection::limit_read_to_stop() {
+common::duration connection::read_limit() const {
+    const auto limit = m_server->limits.read_timeout;
+    if (!m_stopping) {
+        return limit;
+    }
     const auto left = m_server->stop_read_deadline - common::monotonic_clock::now();
-    start_read_timer(std::clamp(left, common::duration::zero(), m_server->limits.read_timeout));
+    return std::clamp(left, common::duration::zero(), limit);
 }
 
 void connection::close() noexcept {
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -52,8 +52,10 @@
     void read_request();
     void wait_for_next_request();
     void read_message();
-    /// Refuses the request unless it is complete before the deadline of an ordered stop.
-    void limit_read_to_stop();
+    /// Ends an ordered stop if the connection is idle. Otherwise limits the read of the request.
+    void stop_reading();
+    /// How long a request may take to arrive; ends at the read deadline of an ordered stop.
+    [[nodiscard]] common::duration read_limit() const;
     void start_read_timer(common::duration limit);
     void request_read(const boost::system::error_code& ec);
     void reject(boost::beast::http::status status, const std::string& title);
