http: linger whenever the server closes a connection unasked

A caller that had asked to keep its connection open and sent its next request just after a stopping server had closed it got a reset, which may discard the response that was just sent.

Cause: after the last response the connection lingered only if unread bytes were there at that moment. Later bytes met a closed socket. The wait for a disconnect also stayed active while lingering and could end it early, because discarded input looks to it like the end of the stream.

Change: the connection lingers after every response on which the client has not asked for the close, until the client closes or the linger time (1 s) is over. The wait for a disconnect is cancelled first. A stop lets a linger run out, so it takes at most the linger time longer; the limit of the supervisor holds as before. Refusals that linger still close at once at a stop, because they stop before the other connections.

--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -20,7 +20,7 @@
 // chunk.
 constexpr std::size_t mailbox_capacity = 4096;
 
-// After an early refusal the client may still be sending. Closing at once would reset the
+// A client that does not expect the close may still be sending. Closing at once would reset the
 // connection and could discard the response before the client has read it.
 constexpr common::duration linger_time = std::chrono::seconds{1};
 constexpr std::size_t discard_buffer_bytes = std::size_t{16} * 1024;
@@ -169,7 +169,8 @@
 void connection::watch_for_disconnect() {
     m_stream.socket().async_wait(boost::asio::socket_base::wait_read,
                                  m_context.wrap([this](const boost::system::error_code& ec) {
-                                     if (ec || m_phase == connection_phase::reading) {
+                                     if (ec || m_phase == connection_phase::reading ||
+                                         m_phase == connection_phase::lingering) {
                                          return;
                                      }
                                      boost::system::error_code error;
@@ -272,13 +273,12 @@
     if (m_closing) {
         boost::system::error_code ec;
         m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
-        if (m_rejected || has_unread_input()) {
-            m_phase = connection_phase::lingering;
-            m_stream.expires_after(linger_time);
-            discard_input();
-            return;
+        const bool expected = !m_keep_alive && !m_rejected;
+        if (expected && !has_unread_input()) {
+            m_context.finish();
+        } else {
+            linger();
         }
-        m_context.finish();
         return;
     }
     // Ends the wait for a disconnect, so that it cannot fire for the next request.
@@ -294,6 +294,14 @@
     return m_stream.socket().available(ec) > 0;
 }
 
+void connection::linger() {
+    m_phase = connection_phase::lingering;
+    // Ends the wait for a disconnect, which would take discarded input for the end of the stream.
+    m_stream.socket().cancel();
+    m_stream.expires_after(linger_time);
+    discard_input();
+}
+
 void connection::discard_input() {
     m_input.clear();
     m_stream.async_read_some(
@@ -317,7 +325,8 @@
 
 void connection::stop(const runtime::stop_done& done) {
     m_stopping = true;
-    if (m_phase == connection_phase::lingering) {
+    // Refusals stop before the other connections and must not delay them.
+    if (m_role == connection_role::refusing && m_phase == connection_phase::lingering) {
         done();
         return;
     }
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -71,6 +71,8 @@
     /// Whether bytes of the client have not been read. Closing would then reset the connection and
     /// could discard the response.
     [[nodiscard]] bool has_unread_input();
+    /// Keeps the connection open for a short time after its last response, until the client closes.
+    void linger();
     /// Reads and discards what the client still sends, so that closing does not discard the
     /// response.
     void discard_input();
