--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -20,7 +20,7 @@
 // chunk.
 constexpr std::size_t mailbox_capacity = 4096;
 
-// After an early refusal the client may still be sending. Closing at once would reset the
+// A client that does not expect the close may still be sending. Closing at once would reset the
 // connection and could discard the response before the client has read it.
 constexpr common::duration linger_time = std::chrono::seconds{1};
 constexpr std::size_t discard_buffer_bytes = std::size_t{16} * 1024;
@@ -100,7 +100,8 @@
                                             : m_server->limits.idle_timeout);
     m_stream.socket().async_wait(boost::asio::socket_base::wait_read,
                                  m_context.wrap([this](const boost::system::error_code& ec) {
-                                     if (ec) {
+                                     // A request may have arrived just when the timer expired.
+                                     if (ec && !has_unread_input()) {
                                          m_context.finish();
                                          return;
                                      }
@@ -109,7 +110,7 @@
 }
 
 void connection::read_message() {
-    start_read_timer(m_server->limits.read_timeout);
+    start_read_timer(read_limit());
     beast_http::async_read(m_stream, m_input, *m_parser,
                            m_context.wrap([this](const boost::system::error_code& ec,
                                                  std::size_t /*size*/) { request_read(ec); }));
@@ -168,7 +169,8 @@
 void connection::watch_for_disconnect() {
     m_stream.socket().async_wait(boost::asio::socket_base::wait_read,
                                  m_context.wrap([this](const boost::system::error_code& ec) {
-                                     if (ec || m_phase == connection_phase::reading) {
+                                     if (ec || m_phase == connection_phase::reading ||
+                                         m_phase == connection_phase::lingering) {
                                          return;
                                      }
                                      boost::system::error_code error;
@@ -268,21 +270,23 @@
 
 void connection::response_complete() {
     m_on_disconnect = nullptr;
-    if (m_stop_callback || m_closing) {
+    if (m_closing) {
         boost::system::error_code ec;
         m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
-        if (m_rejected || has_unread_input()) {
-            m_phase = connection_phase::lingering;
-            m_stream.expires_after(linger_time);
-            discard_input();
-            return;
+        const bool expected = !m_keep_alive && !m_rejected;
+        if (expected && !has_unread_input()) {
+            m_context.finish();
+        } else {
+            linger();
         }
-        m_context.finish();
         return;
     }
     // Ends the wait for a disconnect, so that it cannot fire for the next request.
     m_stream.socket().cancel();
     read_request();
+    if (m_stopping) {
+        stop_reading();
+    }
 }
 
 bool connection::has_unread_input() {
@@ -290,6 +294,14 @@
     return m_stream.socket().available(ec) > 0;
 }
 
+void connection::linger() {
+    m_phase = connection_phase::lingering;
+    // Ends the wait for a disconnect, which would take discarded input for the end of the stream.
+    m_stream.socket().cancel();
+    m_stream.expires_after(linger_time);
+    discard_input();
+}
+
 void connection::discard_input() {
     m_input.clear();
     m_stream.async_read_some(
@@ -313,20 +325,34 @@
 
 void connection::stop(const runtime::stop_done& done) {
     m_stopping = true;
-    const bool idle = m_phase == connection_phase::reading && !(m_parser && m_parser->got_some());
-    if (idle || m_phase == connection_phase::lingering) {
+    // Refusals stop before the other connections and must not delay them.
+    if (m_role == connection_role::refusing && m_phase == connection_phase::lingering) {
         done();
         return;
     }
     m_stop_callback = done;
-    if (m_phase == connection_phase::reading) {
-        limit_read_to_stop();
+    // A read that has completed may be queued on the loop, and its bytes are not visible yet.
+    m_context.loop().post(m_context.wrap([this] { stop_reading(); }));
+}
+
+void connection::stop_reading() {
+    if (m_phase != connection_phase::reading) {
+        return;
+    }
+    if (m_parser->got_some() || m_input.size() > 0 || has_unread_input()) {
+        start_read_timer(read_limit());
+    } else {
+        m_stop_callback();
     }
 }
 
-void connection::limit_read_to_stop() {
+common::duration connection::read_limit() const {
+    const auto limit = m_server->limits.read_timeout;
+    if (!m_stopping) {
+        return limit;
+    }
     const auto left = m_server->stop_read_deadline - common::monotonic_clock::now();
-    start_read_timer(std::clamp(left, common::duration::zero(), m_server->limits.read_timeout));
+    return std::clamp(left, common::duration::zero(), limit);
 }
 
 void connection::close() noexcept {
