http: let the tasks of a server follow its stop limit

With a longer stop limit, callers' connections would still be closed 60 s after the grace period.

Cause: the listener, the supervisors of the connections and the connections kept the default stop timeout of a child, whatever the limit of the server was.

Change: server_options has a stop_limit (default 60 s as before), which make_server gives to the server and to all its tasks.

--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -119,7 +119,7 @@
                                                                   std::move(*shared_socket), state,
                                                                   handle_request, role);
                           },
-                          runtime::restart_policy::temporary});
+                          runtime::restart_policy::temporary, m_options.stop_limit});
     }
 
     runtime::task_context m_context;
@@ -153,7 +153,8 @@
 } // namespace
 
 runtime::child_spec make_server(std::string name, server_options options, handler handle_request) {
-    auto make = [options = std::move(options),
+    const auto limit = options.stop_limit;
+    auto make = [limit, options = std::move(options),
                  handle_request = std::move(handle_request)](runtime::task_context context) {
         // The supervisors of the connections start before the listener, so they exist when its
         // factory runs.
@@ -164,15 +165,16 @@
             return std::make_shared<listener>(std::move(child), options, handle_request,
                                               *connections, *refusals);
         };
+        const auto restart = runtime::restart_policy::permanent;
         return std::make_shared<runtime::supervisor>(
             std::move(context),
             runtime::supervisor_options{.strategy = runtime::restart_strategy::rest_for_one},
             std::vector<runtime::child_spec>{
-                {"connections", make_connection_supervisor(connections)},
-                {"refusals", make_connection_supervisor(refusals)},
-                {"listener", make_listener}});
+                {"connections", make_connection_supervisor(connections), restart, limit},
+                {"refusals", make_connection_supervisor(refusals), restart, limit},
+                {"listener", make_listener, restart, limit}});
     };
-    return {std::move(name), make};
+    return {std::move(name), make, runtime::restart_policy::permanent, limit};
 }
 
 } // namespace jujubemast::http
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -85,6 +85,8 @@
     common::duration stop_grace = common::duration::zero();
     /// How long after the start of an ordered stop the rest of a request may still arrive.
     common::duration stop_read_limit = std::chrono::seconds{10};
+    /// A server whose ordered stop takes longer than this is closed. The grace period counts.
+    common::duration stop_limit = std::chrono::seconds{60};
     /// Returns the current idle timeout; without this hook the one of `limits` applies.
     std::function<common::duration()> idle_timeout;
     /// Called at the start of an ordered stop, before the grace period.
--- a/tests/unit/http/server_fixture.h
+++ b/tests/unit/http/server_fixture.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <atomic>
 #include <future>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -74,6 +75,8 @@
     std::atomic<int> disconnects = 0;
     /// Number of 16 KiB chunks in the response to GET /stream.
     int chunk_count = 0;
+    /// Replaces the stop limit of the whole server, but not the limits of its tasks.
+    std::optional<common::duration> outer_stop_timeout;
 
     server_fixture() {
         options.listen = {"127.0.0.1", 0};
@@ -101,12 +104,16 @@
         m_lifecycle->on_failure = [](const std::exception_ptr& reason) {
             std::rethrow_exception(reason);
         };
+        auto server = http::make_server(
+            "api", options, [this](const http::request& message, const http::responder& reply) {
+                return handle(message, reply);
+            });
+        if (outer_stop_timeout) {
+            server.stop_timeout = *outer_stop_timeout;
+        }
         m_root = std::make_shared<runtime::supervisor>(
             runtime::task_context{m_executor, m_lifecycle}, runtime::supervisor_options{},
-            std::vector<runtime::child_spec>{http::make_server(
-                "api", options, [this](const http::request& message, const http::responder& reply) {
-                    return handle(message, reply);
-                })});
+            std::vector<runtime::child_spec>{std::move(server)});
         m_lifecycle->instance = m_root;
         m_thread = std::thread{[this] {
             m_root->start();
--- a/tests/unit/http/server_stop_test.cpp
+++ b/tests/unit/http/server_stop_test.cpp
@@ -204,6 +204,37 @@
     BOOST_TEST((stopped.wait_for(std::chrono::seconds{5}) == std::future_status::ready));
 }
 
+// Guards against tasks of the server that are closed at a limit other than that of the server.
+BOOST_AUTO_TEST_CASE(server_with_stop_limit_closes_its_connections_at_this_limit) {
+    options.stop_limit = std::chrono::milliseconds{300};
+    outer_stop_timeout = std::chrono::hours{1};
+    const auto server = start();
+    raw_client client{server};
+    client.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_until("the request is handled", [&] { return handled == 1; });
+    auto stopped = stop();
+    BOOST_TEST((stopped.wait_for(std::chrono::seconds{5}) == std::future_status::ready));
+    BOOST_TEST(disconnects == 1);
+}
+
+// Guards against a listener that stops accepting before the end of its grace period or never ends.
+BOOST_AUTO_TEST_CASE(server_whose_grace_exceeds_the_stop_limit_ends_the_grace_at_this_limit) {
+    options.stop_limit = std::chrono::milliseconds{300};
+    options.stop_grace = std::chrono::hours{1};
+    outer_stop_timeout = std::chrono::hours{1};
+    start();
+    auto stopped = stop();
+    BOOST_TEST((stopped.wait_for(std::chrono::seconds{5}) == std::future_status::ready));
+}
+
+// Guards against a caller that has to know the limit twice.
+BOOST_AUTO_TEST_CASE(server_with_stop_limit_passes_it_to_its_supervisor) {
+    options.stop_limit = std::chrono::minutes{7};
+    start();
+    const auto spec = http::make_server("api", options, {});
+    BOOST_TEST((spec.stop_timeout == options.stop_limit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
