gateway: let all tasks of the callers' server follow the stop limit

Cause, found by the review: the inner supervisors and the connections kept the default limit of 60 s. With a grace of the platform over a minute they would close the callers' connections before the limit that the forwarder counts on.

Result: the cases of server_stop_test about the field fail without it; the gateway's own use of a grace over a minute was not played.

--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -68,6 +68,7 @@
     options.limits.max_header_bytes = std::size_t{64} * 1024;
     options.stop_grace = schedule.accept;
     options.stop_read_limit = schedule.limit - stop_margin;
+    options.stop_limit = schedule.limit;
     options.idle_timeout = [current] {
         return *current ? (*current)->limits.idle_timeout : caller_limits{}.idle_timeout;
     };
@@ -78,10 +79,7 @@
         peers->post(message);
         dispatcher->post(message);
     };
-    auto server =
-        http::make_server("callers", options, make_caller_handler(inbox, platform_adapter));
-    server.stop_timeout = schedule.limit;
-    return server;
+    return http::make_server("callers", options, make_caller_handler(inbox, platform_adapter));
 }
 
 catalog_hooks make_catalog_hooks(const forwarder_mailbox& forwarder,
