--- a/source/core/gateway/exchange.h
+++ b/source/core/gateway/exchange.h
@@ -69,7 +69,7 @@
     common::time_point first_event_deadline;
     std::unique_ptr<runtime::timer> deadline_timer;
     /// An ordered stop of this gateway ends the request before its own deadline.
-    bool cut_by_stop = false;
+    bool limited_by_stop = false;
 
     exchange_stages stages;
     std::unique_ptr<runtime::timer> input_release_timer;
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -258,11 +258,11 @@
         pool_of(ex->service).record_failure(*ex->attempt->member(), now);
     }
     if (ex->relaying) {
-        const auto* reason = stalled           ? "the stream stopped within an event"
-                             : ex->cut_by_stop ? "the stop limit was reached during the stream"
-                                               : "the deadline passed during the stream";
+        const auto* reason = stalled               ? "the stream stopped within an event"
+                             : ex->limited_by_stop ? "the stop limit was reached during the stream"
+                                                   : "the deadline passed during the stream";
         ex->reply.abort();
-        finish(*ex, ex->cut_by_stop ? request_end::cut : request_end::timed_out, 0, reason);
+        finish(*ex, ex->limited_by_stop ? request_end::cut : request_end::timed_out, 0, reason);
         return;
     }
     if (may_have_run) {
--- a/source/core/gateway/forwarder_stop.cpp
+++ b/source/core/gateway/forwarder_stop.cpp
@@ -36,13 +36,13 @@
                            ? *m_stop_deadline - stream_stop_margin
                            : ex.first_event_deadline;
     if (limit < ex.response_deadline) {
-        ex.cut_by_stop = true;
+        ex.limited_by_stop = true;
         ex.response_deadline = limit;
     }
 }
 
 bool forwarder::admit_in_stop(exchange& ex) {
-    if (!ex.cut_by_stop) {
+    if (!ex.limited_by_stop) {
         return true;
     }
     const auto now = common::monotonic_clock::now();
@@ -54,7 +54,7 @@
 
 bool forwarder::refuse_if_cut_by_stop(exchange& ex, common::duration until_sent) {
     // A begun stream goes on at another upstream for as long as it can.
-    if (!ex.cut_by_stop || ex.relaying) {
+    if (!ex.limited_by_stop || ex.relaying) {
         return false;
     }
     const auto left = ex.response_deadline - common::monotonic_clock::now();
