tests: check small fleets for falsely quarantined prompt parts

The property test of crash_suspects covered 5 to 29 instances, after a counterexample with 3 while it was written. That narrowed a check without a trace that allows the case. Fleets of 3 and 4 instances have a case of their own now.

--- a/tests/unit/gateway/crash_suspects_property_test.cpp
+++ b/tests/unit/gateway/crash_suspects_property_test.cpp
@@ -170,10 +170,10 @@
     std::vector<request> m_requests;
 };
 
-scenario draw_scenario() {
+scenario draw_scenario(int min_instances = 5, int max_instances = 29) {
     scenario it;
     it.seed = *rc::gen::arbitrary<unsigned>();
-    it.instances = *rc::gen::inRange(5, 30);
+    it.instances = *rc::gen::inRange(min_instances, max_instances + 1);
     it.crash = *rc::gen::inRange(0, 40) / 1000.0;
     it.crash_of_half = *rc::gen::inRange(0, 10) / 1000.0;
     it.reset = *rc::gen::inRange(0, 50) / 1000.0;
@@ -185,6 +185,7 @@
 struct crash_suspects_property_fixture {
     static constexpr std::uint64_t seed = 20261205;
     static constexpr int cases = 60;
+    static constexpr int small_fleet_cases = 1000;
     static constexpr int steps = 1500;
     const common::time_point start{seconds{1000}};
 
@@ -214,6 +215,18 @@
     });
 }
 
+// Guards against the same on a fleet so small that a few failures break most requests.
+BOOST_AUTO_TEST_CASE(popular_parts_of_few_instances_that_fail_at_random_are_never_quarantined) {
+    check_property(seed, small_fleet_cases, [this] {
+        fleet tested{draw_scenario(3, 4)};
+        for (int n = 0; n < steps; ++n) {
+            const auto now = start + n * step;
+            tested.run_step(now);
+            RC_ASSERT(!is_popular_part_quarantined(tested, now));
+        }
+    });
+}
+
 // Guards against a deadly part that takes instance after instance, and against the quarantine of
 // the popular part that its requests have in common with sound ones.
 BOOST_AUTO_TEST_CASE(deadly_part_when_it_comes_again_and_again_is_the_one_that_is_quarantined) {
