gateway: walk the stages of a request in the order of their dependencies

`critical_path_end` looked for the dependents of a stage only among the stages listed after it. If the operator lists a stage before its inputs, its time was missing from every estimate, without an error: requests would be admitted although their stages cannot be made in time.

The walk also followed each path separately, so its time grew exponentially with the number of stages that depend on all earlier ones, and it ended at a stage without pieces.

`stage_order` sorts the stages topologically once for a request, and the critical path takes each stage once, after its inputs. Positions stay those of the configuration, because calls and piece counts refer to them.

Looked through for the order of stages: stage_progress, stage_estimator, stage_admission, forwarder_stages, forwarder_attempts, dispatcher, gateway_codec, platform/stages. Only critical_path_end, which the estimates, the deferral and the admission use, relied on it.

--- a/source/core/gateway/stage_progress.cpp
+++ b/source/core/gateway/stage_progress.cpp
@@ -3,10 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/stage_order.h"
+
 namespace jujubemast::gateway {
 
 stage_progress::stage_progress(const std::vector<stage_spec>& stages,
-                               const std::vector<std::uint32_t>& counts) {
+                               const std::vector<std::uint32_t>& counts)
+    : m_order{stage_order(stages).value_or(std::vector<std::size_t>{})} {
     for (std::size_t n = 0; n < stages.size(); ++n) {
         stage_state added;
         added.service = stages[n].service;
@@ -107,20 +110,37 @@
 common::duration stage_progress::critical_path_end(std::optional<std::uint32_t> after,
                                                    common::duration start,
                                                    const duration_hook& duration_of) const {
+    completion_times completions(m_stages.size());
+    if (after) {
+        completions[*after] = start;
+    }
     auto latest = start;
-    for (std::uint32_t n = after ? *after + 1 : 0; n < m_stages.size(); ++n) {
-        // Every stage has a higher index than the stages that it depends on.
-        const auto& needs = m_stages[n].dependencies;
-        const bool depends =
-            after ? std::find(needs.begin(), needs.end(), *after) != needs.end() : needs.empty();
-        if (m_stages[n].count > 0 && depends) {
-            latest =
-                std::max(latest, critical_path_end(n, start + duration_of(n, start), duration_of));
+    for (const auto n : m_order) {
+        if (after == n) {
+            continue;
+        }
+        const bool begins_path = !after && m_stages[n].dependencies.empty();
+        const auto begin = begins_path ? std::optional{start} : last_completion(n, completions);
+        if (!begin) {
+            continue;
         }
+        const bool skipped = m_stages[n].count == 0;
+        completions[n] =
+            skipped ? *begin : *begin + duration_of(static_cast<std::uint32_t>(n), *begin);
+        latest = std::max(latest, *completions[n]);
     }
     return latest;
 }
 
+std::optional<common::duration>
+stage_progress::last_completion(std::size_t stage, const completion_times& completions) const {
+    std::optional<common::duration> last;
+    for (const auto needed : m_stages[stage].dependencies) {
+        last = std::max(last, completions[needed]);
+    }
+    return last;
+}
+
 bool stage_progress::can_defer(std::uint32_t stage, common::duration spare,
                                const duration_hook& duration_of) const {
     constexpr auto now = common::duration::zero();
--- a/source/core/gateway/stage_progress.h
+++ b/source/core/gateway/stage_progress.h
@@ -17,7 +17,8 @@
 public:
     stage_progress() = default;
 
-    /// `counts` holds the number of pieces of each stage. Stages without pieces are skipped.
+    /// `counts` holds the number of pieces of each stage. Stages without pieces are skipped. The
+    /// stages may be listed in any order, but must not depend on each other in a cycle.
     stage_progress(const std::vector<stage_spec>& stages, const std::vector<std::uint32_t>& counts);
 
     /// Whether a stage that could be ordered now should be ordered later.
@@ -85,11 +86,20 @@
         std::vector<std::string> handles;
     };
 
+    /// When each stage of a path is complete. Empty for stages that are on no path.
+    using completion_times = std::vector<std::optional<common::duration>>;
+
+    /// Returns when the last of the stages that this one depends on is complete, or nothing if none
+    /// of them is on a path.
+    [[nodiscard]] std::optional<common::duration>
+    last_completion(std::size_t stage, const completion_times& completions) const;
     [[nodiscard]] bool inputs_made(const stage_state& of) const;
     [[nodiscard]] bool has_dependent(std::size_t stage) const;
     [[nodiscard]] bool dependents_made(std::size_t stage) const;
 
     std::vector<stage_state> m_stages;
+    /// Positions of the stages, each after those that it depends on.
+    std::vector<std::size_t> m_order;
 };
 
 } // namespace jujubemast::gateway
--- a/tests/unit/gateway/stage_progress_test.cpp
+++ b/tests/unit/gateway/stage_progress_test.cpp
@@ -88,6 +88,51 @@
         (progress.critical_path_end(3, milliseconds{100}, duration_of) == milliseconds{100}));
 }
 
+// Guards against estimates that leave out stages which the operator lists before their inputs: such
+// requests would be admitted although their stages cannot be made in time.
+BOOST_AUTO_TEST_CASE(critical_path_does_not_depend_on_the_order_of_the_stages) {
+    stages = {{"c", {1}, 6000}, {"b", {3}, 60'000}, {"a", {}, 800'000}, {"a", {}, 8000}};
+    const auto progress = make({1, 1, 1, 1});
+    const auto duration_of = [](std::uint32_t n, common::duration /*start*/) -> common::duration {
+        return milliseconds{n == 2 ? 500 : 200};
+    };
+    BOOST_TEST((progress.critical_path_end({}, {}, duration_of) == milliseconds{600}));
+    BOOST_TEST(
+        (progress.critical_path_end(1, milliseconds{100}, duration_of) == milliseconds{300}));
+    BOOST_TEST(progress.can_defer(2, milliseconds{300}, duration_of));
+}
+
+// Guards against a gateway that stops responding: the number of paths grows exponentially with the
+// stages.
+BOOST_AUTO_TEST_CASE(critical_path_of_many_dependent_stages_is_found_at_once) {
+    constexpr std::size_t count = 60;
+    stages.clear();
+    for (std::size_t n = 0; n < count; ++n) {
+        stages.push_back({"a", {}, 1});
+        for (std::size_t needed = 0; needed < n; ++needed) {
+            stages.back().dependencies.push_back(needed);
+        }
+    }
+    const auto progress = make(std::vector<std::uint32_t>(count, 1));
+    std::size_t calls = 0;
+    const auto end = progress.critical_path_end(
+        {}, {}, [&](std::uint32_t /*n*/, common::duration /*start*/) -> common::duration {
+            ++calls;
+            return milliseconds{1};
+        });
+    BOOST_TEST((end == milliseconds{count}));
+    BOOST_TEST(calls == count);
+}
+
+// Guards against an estimate that ends at a stage without pieces.
+BOOST_AUTO_TEST_CASE(critical_path_passes_over_stages_without_pieces) {
+    const auto duration_of = [](std::uint32_t /*n*/,
+                                common::duration /*start*/) -> common::duration {
+        return milliseconds{200};
+    };
+    BOOST_TEST((make({0, 0, 1, 1}).critical_path_end({}, {}, duration_of) == milliseconds{400}));
+}
+
 BOOST_AUTO_TEST_CASE(deferred_stage_is_returned_again) {
     auto progress = make({2, 1, 4, 3});
     BOOST_TEST(progress.take_ready([](std::uint32_t n) { return n == 0; }) ==
