--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -1,5 +1,6 @@
 #include "gateway/catalog.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/json.hpp>
@@ -19,6 +20,9 @@
 // than that of the store by orders of magnitude.
 constexpr std::size_t max_relayed_bytes = std::size_t{8} * 1024;
 
+// Further parts of a configuration that could not be decoded are counted but not logged.
+constexpr std::size_t max_logged_faults = 10;
+
 http::client_limits store_limits() {
     http::client_limits limits;
     limits.connect_timeout = std::chrono::milliseconds{800};
@@ -232,15 +236,28 @@
             continue;
         }
         index_routes(*decoded);
+        check_stages(*decoded);
+        log_faults(*decoded);
         m_configuration = std::make_shared<const configuration>(std::move(*decoded));
         m_log.info("Configuration in force.",
                    {{"version", std::to_string(m_configuration->version)},
                     {"routes", std::to_string(m_configuration->routes.size())},
+                    {"faults", std::to_string(m_configuration->faults.size())},
                     {"row_version", std::to_string(row.version)}});
         publish();
     }
 }
 
+void catalog::log_faults(const configuration& config) const {
+    const auto count = std::min(config.faults.size(), max_logged_faults);
+    for (std::size_t n = 0; n < count; ++n) {
+        m_log.error("Could not decode a part of the configuration.",
+                    {{"version", std::to_string(config.version)},
+                     {"element", config.faults[n].element},
+                     {"reason", config.faults[n].reason}});
+    }
+}
+
 void catalog::apply_upstream_rows(const table_update& update) {
     const auto now = common::monotonic_clock::now();
     upstream_map all_entries;
@@ -366,13 +383,15 @@
     for (const auto& [table, watch] : m_watches) {
         tables[common::to_name(table)] = watch->dump();
     }
-    return boost::json::object{{"configuration", m_configuration ? m_configuration->version : 0},
-                               {"tables", std::move(tables)},
-                               {"reads_store", m_role.reads_store},
-                               {"has_followers", m_role.has_followers},
-                               {"registered", m_registered},
-                               {"upstreams", std::move(upstreams)},
-                               {"gateways", m_gateways.size()}};
+    return boost::json::object{
+        {"configuration", m_configuration ? m_configuration->version : 0},
+        {"configuration_faults", m_configuration ? m_configuration->faults.size() : 0},
+        {"tables", std::move(tables)},
+        {"reads_store", m_role.reads_store},
+        {"has_followers", m_role.has_followers},
+        {"registered", m_registered},
+        {"upstreams", std::move(upstreams)},
+        {"gateways", m_gateways.size()}};
 }
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/catalog.h
@@ -66,6 +66,7 @@
     /// nothing has.
     void relay(store_table table);
     void apply_configuration_rows(const table_update& update);
+    void log_faults(const configuration& config) const;
     void apply_upstream_rows(const table_update& update);
     void apply_gateway_rows(const table_update& update);
     void set_store_available(bool available);
--- a/source/core/gateway/configuration.cpp
+++ b/source/core/gateway/configuration.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway/stage_order.h"
+
 namespace jujubemast::gateway {
 
 void index_routes(configuration& config) {
@@ -16,6 +18,17 @@
     }
 }
 
+void check_stages(configuration& config) {
+    for (auto& it : config.routes) {
+        if (it.usable && !stage_order(it.stages)) {
+            it.usable = false;
+            config.faults.push_back(
+                {"route " + it.name,
+                 "a stage depends on itself, directly or not, or on one that does not exist"});
+        }
+    }
+}
+
 const route* find_route(const configuration& config, std::string_view host, std::string_view path) {
     const auto it = config.routes_by_host.find(std::string{host.substr(0, host.find(':'))});
     if (it == config.routes_by_host.end()) {
--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -36,6 +36,9 @@
 
 /// Routing and quality of service of the requests with one host and path prefix.
 struct route {
+    /// False if a part that decides where its requests go could not be decoded. The route is kept,
+    /// so that its requests are refused and not matched to a route with a shorter prefix.
+    bool usable = true;
     std::string name;
     std::string host;
     std::string prefix;
@@ -88,7 +91,15 @@
     common::duration idle_timeout = std::chrono::seconds{60};
 };
 
-/// One version of the operator's configuration. Immutable once published.
+/// A part of a configuration that could not be decoded.
+struct configuration_fault {
+    /// The element that is affected, for example "routes[2] NAME".
+    std::string element;
+    std::string reason;
+};
+
+/// One version of the operator's configuration. Immutable once published. A part that cannot be
+/// decoded affects only the requests that need it; the rest of the version is in force.
 struct configuration {
     std::uint64_t version = 0;
     std::vector<route> routes;
@@ -97,6 +108,12 @@
     /// Whether callers must present an API key.
     bool keys_required = false;
     caller_limits limits;
+    std::vector<configuration_fault> faults;
+    /// Whether host and prefix of all routes are known. Otherwise a request without a route may
+    /// belong to one that could not be decoded.
+    bool routes_complete = true;
+    /// Whether all API keys are known. Otherwise an unknown key may be a valid one.
+    bool keys_complete = true;
     /// Indexes into `routes` for each host, longest prefix first.
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host;
 };
@@ -106,6 +123,9 @@
 /// Fills `routes_by_host` from `routes`.
 void index_routes(configuration& config);
 
+/// Marks the routes whose stages cannot all be made as unusable, and records why.
+void check_stages(configuration& config);
+
 /// Returns the route of this host with the longest matching path prefix, or null. A port in the
 /// host is ignored.
 const route* find_route(const configuration& config, std::string_view host, std::string_view path);
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -18,6 +18,9 @@
 constexpr common::duration response_margin = std::chrono::milliseconds{25};
 // Retry delay of refusals for which no better estimate exists.
 constexpr common::duration default_retry_after = std::chrono::milliseconds{300};
+// Retry delay of requests that need a malformed part of the configuration. It lasts until the
+// operator writes another version.
+constexpr common::duration undecoded_part_retry_after = std::chrono::seconds{5};
 
 } // namespace
 
@@ -54,6 +57,7 @@
     m_upstreams = message.upstreams;
     if (m_configuration) {
         m_response_times.retain_routes(*m_configuration);
+        m_metrics.set_configuration_faults(m_configuration->faults.size());
     }
     m_estimator.set_upstreams(m_upstreams);
     const auto now = common::monotonic_clock::now();
@@ -160,6 +164,11 @@
         return;
     }
     const std::string reason{common::to_name(result)};
+    if (may_be_in_undecoded_part(result)) {
+        refuse(ex, status_unavailable, "not in the decoded parts of the configuration: " + reason,
+               undecoded_part_retry_after);
+        return;
+    }
     const auto age = configuration_age();
     if (!age || *age > m_options.staleness_limit) {
         refuse(ex, status_unavailable, "not in a configuration that may be out of date: " + reason);
@@ -169,6 +178,12 @@
            "not in the configuration: " + reason);
 }
 
+bool forwarder::may_be_in_undecoded_part(lookup_result result) const {
+    return result == lookup_result::unusable_route ||
+           (result == lookup_result::no_route && !m_configuration->routes_complete) ||
+           (result == lookup_result::unknown_key && !m_configuration->keys_complete);
+}
+
 lookup_result forwarder::look_up(exchange& ex) const {
     if (!m_configuration) {
         return lookup_result::no_configuration;
@@ -177,6 +192,9 @@
     if (ex.matched_route == nullptr) {
         return lookup_result::no_route;
     }
+    if (!ex.matched_route->usable) {
+        return lookup_result::unusable_route;
+    }
     ex.priority = ex.matched_route->priority;
     const auto* owner = find_workspace(*m_configuration, ex.request.api_key);
     if (owner == nullptr && m_configuration->keys_required && !ex.matched_route->is_public) {
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -39,7 +39,7 @@
 };
 
 /// Result of looking up a request in the configuration.
-enum class lookup_result { found, no_configuration, no_route, unknown_key };
+enum class lookup_result { found, no_configuration, no_route, unusable_route, unknown_key };
 
 struct forwarder_options {
     /// Name of this gateway.
@@ -83,8 +83,11 @@
     /// Sets the route, workspace, priority and service of the exchange from the configuration.
     lookup_result look_up(exchange& ex) const;
     /// Refuses a request that does not match the configuration. The refusal is permanent only if
-    /// the configuration is known to be the newest, because callers do not retry after it.
+    /// the configuration is known to be the newest and nothing that could allow the request is
+    /// missing from it, because callers do not retry after it.
     void refuse_unknown(exchange& ex, lookup_result result);
+    /// Whether a part of the configuration that could not be decoded may allow the request.
+    [[nodiscard]] bool may_be_in_undecoded_part(lookup_result result) const;
     void admit(exchange& ex);
     /// Refuses a request whose response cannot begin in time because of its stages. Returns whether
     /// it was admitted.
@@ -227,8 +230,8 @@
 
 template <>
 struct enum_names<gateway::lookup_result> {
-    static constexpr std::array<std::string_view, 4> table{"found", "no_configuration", "no_route",
-                                                           "unknown_key"};
+    static constexpr std::array<std::string_view, 5> table{"found", "no_configuration", "no_route",
+                                                           "unusable_route", "unknown_key"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/gateway/forwarder_metrics.cpp
+++ b/source/core/gateway/forwarder_metrics.cpp
@@ -66,4 +66,11 @@
         .set(common::to_milliseconds(age));
 }
 
+void forwarder_metrics::set_configuration_faults(std::size_t n) {
+    m_registry
+        .add_gauge("jujubemast_gateway_configuration_faults",
+                   "Parts of the configuration in force that could not be decoded.")
+        .set(static_cast<double>(n));
+}
+
 } // namespace jujubemast::gateway
--- a/source/core/gateway/forwarder_metrics.h
+++ b/source/core/gateway/forwarder_metrics.h
@@ -29,6 +29,7 @@
     void set_quarantined_parts(std::size_t n);
     void set_in_progress(std::size_t n);
     void set_configuration_age(common::duration age);
+    void set_configuration_faults(std::size_t n);
 
     [[nodiscard]] std::string text() const { return m_registry.text(); }
 
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -7,6 +7,8 @@
 //   GET /lost            number of calls for the configuration lost while the store was silent
 //   POST /configuration  replaces the configuration by the version in the body; each version has an
 //                        API key of its own
+//   GET /configuration   the current configuration
+//   POST /configuration-bytes  replaces the configuration by the body, which need not be valid
 //   POST /upstream       writes the entry of an upstream, or removes it if "entry" is null
 //   GET /crashes         number of times that an engine has crashed
 //   POST /deadly         the part of prompts that crashes each engine that begins to write an
@@ -292,6 +294,11 @@
             state->put("servers", id, row.at("entry"));
         }
         reply.respond(http::json_response(200, "{}"));
+    } else if (path == "/configuration" && message.method == "GET") {
+        reply.respond(http::json_response(200, *state->tables["op"]["config"].value));
+    } else if (path == "/configuration-bytes") {
+        state->put_bytes("op", "config", message.body);
+        reply.respond(http::json_response(200, "{}"));
     } else if (path == "/configuration") {
         state->put("op", "config", make_configuration(std::stoull(message.body)));
         reply.respond(http::json_response(200, "{}"));
