--- a/tests/unit/users_platform/configuration_test.cpp
+++ b/tests/unit/users_platform/configuration_test.cpp
@@ -108,6 +108,18 @@
                boost::test_tools::per_element());
 }
 
+// Guards against a piece that gets the same input twice.
+BOOST_AUTO_TEST_CASE(dependency_that_is_listed_twice_counts_once) {
+    const auto config =
+        decode_with("/routes/1/stages", R"([{"service": "maker", "after": []},)"
+                                        R"({"service": "maker", "after": [0, 0]}])");
+    const auto& stages = gateway::find_route(config, "h", "/staged/1")->stages;
+    gateway::stage_progress progress{stages, {2, 1}};
+    progress.complete(0, {"h1", "h2"});
+    BOOST_TEST(progress.inputs_of(1) == (std::vector<std::string>{"h1", "h2"}),
+               boost::test_tools::per_element());
+}
+
 // Guards against an old version that stays in force, with withdrawn keys and dropped routes,
 // because one route of the new version is malformed.
 BOOST_AUTO_TEST_CASE(malformed_route_is_unusable_and_the_rest_of_the_version_is_decoded) {
