gateway: end a limit on connections that the configuration no longer has

If a version left out `max_conns` of a service, or the service, the pool kept the share of the former limit until the process ended.

limit_that_is_removed_no_longer_applies failed before: no connection was free after the limit had been removed. The pool now sets its members to unlimited, and the forwarder passes on that a service is unknown.

--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -106,10 +106,9 @@
         return;
     }
     const auto known = m_configuration->services.find(service);
-    if (known != m_configuration->services.end()) {
-        pool.set_connection_limit(known->second.max_connections,
-                                  policy::find_share(service, m_options.name, m_gateways));
-    }
+    const auto limit =
+        known == m_configuration->services.end() ? std::nullopt : known->second.max_connections;
+    pool.set_connection_limit(limit, policy::find_share(service, m_options.name, m_gateways));
 }
 
 void forwarder::handle(const backlog_report& message) {
--- a/source/core/gateway/service_pool.cpp
+++ b/source/core/gateway/service_pool.cpp
@@ -93,6 +93,9 @@
 
 void service_pool::divide_connections() {
     if (!m_connection_limit) {
+        for (const auto& it : m_members) {
+            it->set_permits(unlimited_permits);
+        }
         return;
     }
     // All gateways number the instances in the same way.
@@ -100,8 +103,7 @@
               [](const auto& a, const auto& b) { return a->digest < b->digest; });
     const auto permits = policy::divide_limit(*m_connection_limit, m_members.size(), m_holder);
     for (std::size_t n = 0; n < m_members.size(); ++n) {
-        m_members[n]->permits = permits[n];
-        m_members[n]->client->set_max_connections(permits[n]);
+        m_members[n]->set_permits(permits[n]);
     }
 }
 
--- a/source/core/gateway/service_pool.h
+++ b/source/core/gateway/service_pool.h
@@ -21,6 +21,8 @@
 
 namespace jujubemast::gateway {
 
+inline constexpr std::size_t unlimited_permits = std::numeric_limits<std::size_t>::max();
+
 /// An upstream instance with the state that this gateway keeps for it.
 struct pool_member {
     upstream_instance identity;
@@ -29,7 +31,12 @@
     std::uint32_t in_progress = 0;
     instance_state state;
     /// Connections that this gateway may have to the instance.
-    std::size_t permits = std::numeric_limits<std::size_t>::max();
+    std::size_t permits = unlimited_permits;
+
+    void set_permits(std::size_t n) {
+        permits = n;
+        client->set_max_connections(n);
+    }
 
     [[nodiscard]] bool has_free_connection() const { return client->calls_in_progress() < permits; }
 };
--- a/tests/unit/gateway/service_pool_test.cpp
+++ b/tests/unit/gateway/service_pool_test.cpp
@@ -64,6 +64,15 @@
     BOOST_TEST((choose().outcome == choice_outcome::no_connection));
 }
 
+// Guards against a limit of an older version of the configuration that stays in force.
+BOOST_AUTO_TEST_CASE(limit_that_is_removed_no_longer_applies) {
+    subject.set_connection_limit(1, {0, 2});
+    start_call(*choose().member);
+    BOOST_REQUIRE((choose().outcome == choice_outcome::no_connection));
+    subject.set_connection_limit({}, {0, 2});
+    BOOST_TEST((choose().outcome == choice_outcome::chosen));
+}
+
 BOOST_AUTO_TEST_CASE(pausing_instance_gets_no_request_until_its_pause_ends) {
     member("a")->state.request_pause(now + milliseconds{700});
     for (int n = 0; n < 4; ++n) {
