http: bound the unsent output of all connections together

Each connection may buffer 1 MiB for its client, and a server has up to 4,096 of them: clients that do not read, in front of an upstream that sends without an end, could take any process beyond its memory.

`buffer_budget` bounds what many holders buffer together. A holder gets at most half of what the others leave, so many holders leave room for small ones, and few can use most of the memory. A connection that gets no memory for its output is closed, as one beyond its own limit was already; both are logged now.

server_whose_clients_do_not_read_bounds_their_output_together: with the check in connection::enqueue taken out, its first form ended only when the kernel gave the clients up after 4.5 s; the final form reads the buffered bytes of the server.

--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -63,13 +63,17 @@
 } // namespace
 
 connection::connection(runtime::task_context context, boost::asio::ip::tcp::socket socket,
-                       std::shared_ptr<const server_state> server, handler handle_request,
+                       std::shared_ptr<server_state> server, handler handle_request,
                        connection_role role)
     : m_context{std::move(context)}, m_stream{std::move(socket)}, m_server{std::move(server)},
       m_handler{std::move(handle_request)}, m_inbox{runtime::make_mailbox<reply_command>(
                                                 m_context.loop(), mailbox_capacity)},
       m_read_timer{m_context.loop()}, m_role{role} {}
 
+connection::~connection() {
+    m_server->output.release(m_output_bytes);
+}
+
 void connection::start() {
     set_socket_options(m_stream.socket());
     m_inbox.receive(
@@ -228,13 +232,25 @@
         return;
     }
     if (m_output_bytes + bytes.size() > m_server->limits.max_buffered_bytes) {
-        handle_disconnect();
+        close_slow_reader();
         return;
     }
     enqueue(encode_chunk(bytes));
 }
 
+void connection::close_slow_reader() {
+    m_server->log.warn("The client does not read; closing the connection.",
+                       {{"task", m_context.path()},
+                        {"buffered_bytes", std::to_string(m_output_bytes)},
+                        {"all_buffered_bytes", std::to_string(m_server->output.reserved())}});
+    handle_disconnect();
+}
+
 void connection::enqueue(std::string bytes) {
+    if (!m_server->output.reserve(m_output_bytes, bytes.size())) {
+        close_slow_reader();
+        return;
+    }
     m_output_bytes += bytes.size();
     m_output.push_back(std::move(bytes));
     if (!m_writing) {
@@ -264,6 +280,7 @@
     }
     m_stream.expires_never();
     m_output_bytes -= m_output.front().size();
+    m_server->output.release(m_output.front().size());
     m_output.pop_front();
     write_next();
 }
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -12,7 +12,9 @@
 #include <boost/beast/http.hpp>
 
 #include "common/enum_names.h"
+#include "http/buffer_budget.h"
 #include "http/server.h"
+#include "logging/logger.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
 
@@ -32,14 +34,20 @@
     bool stopping = false;
     /// After this time of an ordered stop, requests that are still incomplete are refused.
     common::time_point stop_read_deadline;
+    /// Memory for the unsent output of all connections.
+    buffer_budget output;
+    logging::logger log{"http"};
 };
 
 /// Serves the requests of one accepted connection, one after the other.
 class connection final : public runtime::task {
 public:
     connection(runtime::task_context context, boost::asio::ip::tcp::socket socket,
-               std::shared_ptr<const server_state> server, handler handle_request,
+               std::shared_ptr<server_state> server, handler handle_request,
                connection_role role = connection_role::serving);
+    ~connection() override;
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
 
     void start() override;
     void stop(const runtime::stop_done& done) override;
@@ -64,7 +72,10 @@
     void send_whole_response(const response& content);
     void start_stream(const response& head);
     void add_chunk(const std::string& bytes);
+    /// Closes the connection if there is no memory for the bytes.
     void enqueue(std::string bytes);
+    /// Closes a connection whose client does not read fast enough.
+    void close_slow_reader();
     void write_next();
     void write_completed(const boost::system::error_code& ec);
     void response_complete();
@@ -81,7 +92,7 @@
 
     runtime::task_context m_context;
     boost::beast::tcp_stream m_stream;
-    std::shared_ptr<const server_state> m_server;
+    std::shared_ptr<server_state> m_server;
     handler m_handler;
     runtime::inbox<reply_command> m_inbox;
     boost::beast::flat_buffer m_input;
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -27,6 +27,7 @@
           m_state{std::make_shared<server_state>()}, m_acceptor{m_context.loop().context()},
           m_retry_timer{m_context.loop()}, m_grace_timer{m_context.loop()} {
         m_state->limits = m_options.limits;
+        m_state->output = buffer_budget{m_options.limits.output_buffer_bytes};
         m_state->idle_timeout = m_options.idle_timeout;
     }
 
@@ -76,7 +77,8 @@
     [[nodiscard]] boost::json::value dump() const override {
         return boost::json::object{{"address", to_string(m_options.listen)},
                                    {"accepted", m_accepted},
-                                   {"refused", m_refused}};
+                                   {"refused", m_refused},
+                                   {"buffered_bytes", m_state->output.reserved()}};
     }
 
 private:
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <variant>
@@ -73,6 +74,9 @@
     std::size_t max_refusals = 64;
     /// A connection whose unsent output exceeds this size is closed.
     std::size_t max_buffered_bytes = std::size_t{1024} * 1024;
+    /// Memory for the unsent output of all connections, in bytes. Beyond it, connections are closed
+    /// as `buffer_budget` decides.
+    std::size_t output_buffer_bytes = std::numeric_limits<std::size_t>::max();
     common::duration read_timeout = std::chrono::seconds{10};
     common::duration write_timeout = std::chrono::seconds{10};
     common::duration idle_timeout = std::chrono::seconds{60};
--- a/tests/unit/http/server_fixture.h
+++ b/tests/unit/http/server_fixture.h
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/json.hpp>
 
 #include "http/server.h"
 #include "support/event_loop.h"
@@ -145,6 +146,21 @@
         return [this] { ++disconnects; };
     }
 
+    /// Returns the number of bytes that all connections buffer for their clients, after the
+    /// commands that are queued now.
+    std::size_t buffered_output() {
+        std::promise<std::size_t> bytes;
+        boost::asio::post(m_context, [&] {
+            boost::asio::post(m_context, [&] {
+                const auto dump = m_root->dump();
+                const auto& bytes_buffered =
+                    dump.at_pointer("/children/api/detail/children/listener/detail/buffered_bytes");
+                bytes.set_value(bytes_buffered.to_number<std::size_t>());
+            });
+        });
+        return bytes.get_future().get();
+    }
+
     /// Responds to the last request for /held.
     void answer_held() {
         boost::asio::post(m_context, [this] { m_held.respond({200, {}, "held"}); });
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -1,3 +1,5 @@
+#include <list>
+
 #include <boost/test/unit_test.hpp>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -125,6 +127,29 @@
     wait_until("the connection is closed", [&] { return disconnects == 1; });
 }
 
+// Guards against a process that ends for lack of memory because many clients do not read: each of
+// them stays within the limit of its connection.
+BOOST_AUTO_TEST_CASE(server_whose_clients_do_not_read_bounds_their_output_together) {
+    constexpr int client_count = 8;
+    // 8 MiB for each client, several times what the kernel buffers and half of the memory.
+    chunk_count = 512;
+    options.limits.max_buffered_bytes = std::size_t{16} * 1024 * 1024;
+    options.limits.output_buffer_bytes = std::size_t{16} * 1024 * 1024;
+    const auto server = start();
+    std::list<raw_client> clients;
+    for (int n = 0; n < client_count; ++n) {
+        clients.emplace_back(server).send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    wait_until("all responses have begun", [&] { return handled == client_count; });
+    const auto buffered = buffered_output();
+    BOOST_TEST(buffered > 0U);
+    BOOST_TEST(buffered < options.limits.output_buffer_bytes);
+    BOOST_TEST(disconnects > 0);
+    BOOST_TEST(disconnects < client_count);
+    raw_client other{server};
+    BOOST_TEST(other.send(good_request).read("ok 0").starts_with("HTTP/1.1 200"));
+}
+
 // Guards against connections beyond the limit that hang or are closed without a response.
 BOOST_AUTO_TEST_CASE(server_when_connections_exceed_the_limit_answers_503_and_recovers) {
     options.limits.max_connections = 2;
