gateway: bound the bodies of responses by the memory of the instance

Another operator saw a machine run out of memory, with the requests of all its clients, because a faulty engine sent bytes without an end.

Here heads and single bodies were bounded, but bodies of up to 64 KB were buffered in any number beside 32 MB for larger ones, the memory of a growing string was not counted, and the figures were constants while instances have 160 to 512 MB.

The bodies share one `buffer_budget` now, and output that callers do not read another one; each is an eighth of `instance.memory_mb` or of the machine's memory if that is less. Reserved memory counts, not bytes. A response without memory ends its attempt, but does not count against its instance.

Code that relied on the former bounds was looked through: upstream_attempt, forwarder_attempts, attempt_decision, connection, client, dispatcher_calls, dispatcher_reports, dispatcher_results, table_watch.

--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/forwarder.cpp
@@ -30,6 +30,7 @@
                      std::shared_ptr<const adapter> platform_adapter, forwarder_options options)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_peers{std::move(peers)},
       m_adapter{std::move(platform_adapter)}, m_options{std::move(options)},
+      m_bodies{m_options.response_buffer_bytes},
       // Starts at a random number, because another gateway may still remember the orders of this
       // gateway's previous run.
       m_next_order{m_options.random() >> 1U}, m_suspects{{},
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -48,6 +48,8 @@
     /// A configuration that the store has not confirmed for this long may be out of date.
     common::duration staleness_limit = std::chrono::seconds{3};
     shared_retry_budget retries;
+    /// Memory for the bodies of responses, in bytes.
+    std::size_t response_buffer_bytes = std::size_t{32} * 1024 * 1024;
     policy::routing_hook route;
     common::random_hook random;
     /// Makes known that an instance is about to stop.
@@ -202,7 +204,8 @@
     std::optional<common::time_point> m_configuration_confirmed;
     upstream_map_pointer m_upstreams;
     std::map<std::string, std::unique_ptr<service_pool>> m_pools;
-    body_budget m_bodies;
+    /// Memory for the bodies of responses.
+    http::buffer_budget m_bodies;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     /// Maps the number of each order to the id of its request.
     std::map<std::uint64_t, std::uint64_t> m_orders;
--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/forwarder_attempts.cpp
@@ -265,7 +265,7 @@
     if (not_run) {
         --ex.possible_runs;
     }
-    if (failure.response_invalid || !not_run) {
+    if (!failure.lacks_memory && (failure.response_invalid || !not_run)) {
         pool_of(ex.service).record_failure(*ex.attempt->member(), common::monotonic_clock::now());
     }
     record_possible_crash(ex, failure);
--- a/source/core/gateway/gateway_settings.cpp
+++ b/source/core/gateway/gateway_settings.cpp
@@ -45,6 +45,14 @@
         "processor time of this instance in cores; instances with the most own the stage services",
     .check = check_not_negative,
 };
+const settings::setting<std::int64_t> gateway_settings::memory_mb{
+    .section = "instance",
+    .key = "memory_mb",
+    .fallback = 256,
+    .help = "memory of this instance in MB, or that of the machine if it is less; bounds what is "
+            "buffered for callers and upstreams",
+    .check = check_positive,
+};
 const settings::setting<double> gateway_settings::termination_grace{
     .section = "instance",
     .key = "termination_grace_s",
@@ -148,6 +156,7 @@
     &name,
     &failure_domain,
     &processor_share,
+    &memory_mb,
     &termination_grace,
     &log_level,
     &callers_listen,
--- a/source/core/gateway/gateway_settings.h
+++ b/source/core/gateway/gateway_settings.h
@@ -9,6 +9,7 @@
     static const settings::setting<std::string> name;
     static const settings::setting<std::string> failure_domain;
     static const settings::setting<double> processor_share;
+    static const settings::setting<std::int64_t> memory_mb;
     static const settings::setting<double> termination_grace;
     static const settings::setting<std::string> log_level;
     static const settings::setting<std::string> callers_listen;
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -10,6 +10,7 @@
 #include "gateway/dispatcher.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/memory_shares.h"
 #include "gateway/peers.h"
 #include "gateway/stop_schedule.h"
 
@@ -54,6 +55,13 @@
     };
 }
 
+memory_shares shares_of_memory(const settings::values& values) {
+    constexpr std::size_t bytes_per_megabyte = 1'000'000;
+    const auto allowed =
+        static_cast<std::size_t>(values.get(gateway_settings::memory_mb)) * bytes_per_megabyte;
+    return divide_memory(std::min(allowed, machine_memory()));
+}
+
 runtime::child_spec make_caller_server(const settings::values& values,
                                        const stop_schedule& schedule,
                                        const forwarder_mailbox& inbox,
@@ -66,6 +74,7 @@
     options.limits.max_body_bytes =
         static_cast<std::size_t>(values.get(gateway_settings::callers_max_body_bytes));
     options.limits.max_header_bytes = std::size_t{64} * 1024;
+    options.limits.output_buffer_bytes = shares_of_memory(values).output;
     options.stop_grace = schedule.accept;
     options.stop_read_limit = schedule.limit - stop_margin;
     options.stop_limit = schedule.limit;
@@ -123,6 +132,7 @@
                        values.get(gateway_settings::retry_window)};
     options.staleness_limit =
         std::max(values.get(gateway_settings::store_staleness_limit), min_staleness_limit);
+    options.response_buffer_bytes = shares_of_memory(values).response_bodies;
     options.random = common::system_random();
     options.route = policy::make_load_aware(routing, common::system_random());
     return options;
--- a/source/core/gateway/upstream_attempt.cpp
+++ b/source/core/gateway/upstream_attempt.cpp
@@ -1,5 +1,6 @@
 #include "gateway/upstream_attempt.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gateway/statuses.h"
@@ -11,10 +12,6 @@
 // Largest response that is buffered and passed on as a whole.
 constexpr std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t max_failure_bytes = std::size_t{256} * 1024;
-// Limit for the buffered bodies of all requests together. Beyond it only bodies of up to
-// `small_response_bytes` are buffered, so that large responses do not crowd out the others.
-constexpr std::size_t max_buffered_bytes = std::size_t{32} * 1024 * 1024;
-constexpr std::size_t small_response_bytes = std::size_t{64} * 1024;
 // A stream is relayed event by event without buffering, and the deadline bounds its length.
 constexpr std::size_t max_stream_bytes = std::size_t{1024} * 1024 * 1024;
 // Time limit for the body of a response that reports a failure.
@@ -38,18 +35,10 @@
 
 } // namespace
 
-bool body_budget::reserve(std::size_t held, std::size_t added) {
-    if (held + added > small_response_bytes && m_buffered + added > max_buffered_bytes) {
-        return false;
-    }
-    m_buffered += added;
-    return true;
-}
-
 upstream_attempt::upstream_attempt(const runtime::task_context& context,
                                    const adapter& platform_adapter,
                                    std::shared_ptr<pool_member> member, event_relay& events,
-                                   body_budget& budget, attempt_options options,
+                                   http::buffer_budget& budget, attempt_options options,
                                    attempt_hooks hooks)
     : m_context{context}, m_adapter{platform_adapter}, m_member{std::move(member)},
       m_events{events}, m_budget{budget}, m_options{std::move(options)}, m_hooks{std::move(hooks)},
@@ -58,7 +47,7 @@
 
 upstream_attempt::~upstream_attempt() {
     cancel();
-    m_budget.release(m_response.body.size());
+    m_budget.release(m_reserved_bytes);
 }
 
 void upstream_attempt::start(const http::request& message) {
@@ -164,19 +153,39 @@
 }
 
 void upstream_attempt::buffer_body(std::string_view bytes) {
-    const auto held = m_response.body.size();
+    const auto size = m_response.body.size() + bytes.size();
     const bool success = is_success(m_response.head.status);
-    if (held + bytes.size() > (success ? max_response_bytes : max_failure_bytes)) {
+    const auto max_size = success ? max_response_bytes : max_failure_bytes;
+    if (size > max_size) {
         reject_response("the body is too large");
         return;
     }
-    if (!m_budget.reserve(held, bytes.size())) {
-        reject_response("the bodies of all requests are too large");
+    if (!reserve_body(size, max_size)) {
+        cancel();
+        fail({.end = classify_incomplete_response(),
+              .detail = "too little memory for the body",
+              .lacks_memory = true});
         return;
     }
     m_response.body += bytes;
 }
 
+bool upstream_attempt::reserve_body(std::size_t size, std::size_t max_size) {
+    if (size <= m_reserved_bytes) {
+        return true;
+    }
+    // Doubling keeps the number of copies small. It must not fail where the exact size fits.
+    const auto doubled = std::min(std::max(size, 2 * m_reserved_bytes), max_size);
+    for (const auto capacity : {doubled, size}) {
+        if (m_budget.reserve(m_reserved_bytes, capacity - m_reserved_bytes)) {
+            m_reserved_bytes = capacity;
+            m_response.body.reserve(capacity);
+            return true;
+        }
+    }
+    return false;
+}
+
 void upstream_attempt::relay_events(std::string_view bytes) {
     std::string complete_events;
     const auto status = m_events.feed(bytes, complete_events);
--- a/source/core/gateway/upstream_attempt.h
+++ b/source/core/gateway/upstream_attempt.h
@@ -11,23 +11,11 @@
 #include "gateway/attempt_decision.h"
 #include "gateway/event_relay.h"
 #include "gateway/service_pool.h"
+#include "http/buffer_budget.h"
 #include "runtime/executor.h"
 
 namespace jujubemast::gateway {
 
-/// Bounds the memory for response bodies that are buffered at the same time.
-class body_budget {
-public:
-    /// Accounts for `added` bytes of a body of which `held` are buffered already. Returns false if
-    /// there is no memory for them.
-    bool reserve(std::size_t held, std::size_t added);
-
-    void release(std::size_t bytes) { m_buffered -= bytes; }
-
-private:
-    std::size_t m_buffered = 0;
-};
-
 /// The part of a response that has been received.
 struct attempt_response {
     response_head head;
@@ -46,6 +34,8 @@
     bool response_invalid = false;
     /// The instance ended the connection before the response was complete.
     bool connection_lost = false;
+    /// This gateway had no memory for the response, which may be sound.
+    bool lacks_memory = false;
 };
 
 /// Receives the events of an attempt. `on_answered` or `on_failed` ends it, and may destroy it.
@@ -82,8 +72,8 @@
 public:
     /// The relay and the budget must outlive the attempt.
     upstream_attempt(const runtime::task_context& context, const adapter& platform_adapter,
-                     std::shared_ptr<pool_member> member, event_relay& events, body_budget& budget,
-                     attempt_options options, attempt_hooks hooks);
+                     std::shared_ptr<pool_member> member, event_relay& events,
+                     http::buffer_budget& budget, attempt_options options, attempt_hooks hooks);
     ~upstream_attempt();
     upstream_attempt(const upstream_attempt&) = delete;
     upstream_attempt& operator=(const upstream_attempt&) = delete;
@@ -103,6 +93,8 @@
     void body_received(std::string_view bytes);
     /// Buffers a part of a response that is passed on as a whole.
     void buffer_body(std::string_view bytes);
+    /// Makes room for a body of this size. Returns false if there is no memory for it.
+    bool reserve_body(std::size_t size, std::size_t max_size);
     void relay_events(std::string_view bytes);
     void response_completed();
     void call_failed(const http::call_error& error);
@@ -123,7 +115,7 @@
     const adapter& m_adapter;
     std::shared_ptr<pool_member> m_member;
     event_relay& m_events;
-    body_budget& m_budget;
+    http::buffer_budget& m_budget;
     attempt_options m_options;
     attempt_hooks m_hooks;
     http::call_id m_call = 0;
@@ -132,6 +124,8 @@
     runtime::timer m_failure_timer;
     runtime::timer m_event_timer;
     attempt_response m_response;
+    /// Bytes of the budget that the body holds.
+    std::size_t m_reserved_bytes = 0;
 };
 
 } // namespace jujubemast::gateway
--- a/tests/integration/endless_response_test.cpp
+++ b/tests/integration/endless_response_test.cpp
@@ -106,19 +106,6 @@
         });
     }
 
-    /// Returns the peak resident memory of a gateway in bytes.
-    std::size_t peak_memory(std::size_t gateway) const {
-        std::ifstream status{"/proc/" + std::to_string(gateways[gateway]->id()) + "/status"};
-        std::string word;
-        std::size_t kib = 0;
-        while (status >> word) {
-            if (word == "VmHWM:") {
-                status >> kib;
-            }
-        }
-        return kib * 1024;
-    }
-
     void check_connections_are_closed() {
         // Each gateway keeps the connection of the probe open.
         wait_until("the connections are closed",
--- a/tests/integration/gateway_fixture.h
+++ b/tests/integration/gateway_fixture.h
@@ -33,11 +33,14 @@
     std::vector<std::string> ready_addresses;
 
     int stop_limit_ms;
+    int memory_mb;
 
     /// `shares` are the processor shares of the gateways, in cores. `stop_limit` is the time in ms
-    /// after SIGTERM at which they close the callers' connections.
-    explicit gateway_fixture(const std::array<double, 2>& shares = {1, 1}, int stop_limit = 6900)
-        : stop_limit_ms{stop_limit} {
+    /// after SIGTERM at which they close the callers' connections. `memory` is the memory of each
+    /// in MB.
+    explicit gateway_fixture(const std::array<double, 2>& shares = {1, 1}, int stop_limit = 6900,
+                             int memory = 256)
+        : stop_limit_ms{stop_limit}, memory_mb{memory} {
         std::string pattern = std::filesystem::temp_directory_path() / "gateway-test-XXXXXX";
         directory = ::mkdtemp(pattern.data());
         platform = std::make_unique<child_process>(
@@ -85,6 +88,7 @@
         auto path = directory + "/" + name + ".yaml";
         std::ofstream{path} << "instance:\n  name: " << name << "\n  failure_domain: z\n"
                             << "  processor_share: " << processor_share << "\n"
+                            << "  memory_mb: " << memory_mb << "\n"
                             << "callers:\n  listen: 127.0.0.1:0\n  stop_grace_ms: 300\n"
                             << "  stop_limit_ms: " << stop_limit_ms << "\n"
                             << "ready:\n  listen: 127.0.0.1:0\n"
@@ -218,11 +222,8 @@
 
     /// Sends bytes on a new connection and returns all bytes received until it is closed.
     std::string send_raw(const std::string& bytes) const {
-        const auto target = http::parse_endpoint(addresses[0]);
         boost::asio::io_context context;
-        boost::asio::ip::tcp::socket socket{context};
-        socket.connect({boost::asio::ip::make_address(target.host), target.port});
-        boost::asio::write(socket, boost::asio::buffer(bytes));
+        auto socket = open_connection(context, bytes);
         std::string text;
         boost::system::error_code ec;
         boost::asio::read(socket, boost::asio::dynamic_buffer(text), ec);
@@ -237,6 +238,34 @@
         return text;
     }
 
+    /// Returns the peak resident memory of a gateway in bytes.
+    std::size_t peak_memory(std::size_t gateway) const {
+        std::ifstream status{"/proc/" + std::to_string(gateways[gateway]->id()) + "/status"};
+        std::string word;
+        std::size_t kib = 0;
+        while (status >> word) {
+            if (word == "VmHWM:") {
+                status >> kib;
+            }
+        }
+        return kib * 1024;
+    }
+
+    /// Opens a connection to a gateway and sends the bytes. The kernel buffers little of what the
+    /// gateway sends before it is read.
+    boost::asio::ip::tcp::socket open_connection(boost::asio::io_context& context,
+                                                 const std::string& bytes,
+                                                 std::size_t gateway = 0) const {
+        const auto target = http::parse_endpoint(addresses[gateway]);
+        constexpr int receive_buffer_bytes = 4096;
+        boost::asio::ip::tcp::socket socket{context};
+        socket.open(boost::asio::ip::tcp::v4());
+        socket.set_option(boost::asio::socket_base::receive_buffer_size{receive_buffer_bytes});
+        socket.connect({boost::asio::ip::make_address(target.host), target.port});
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        return socket;
+    }
+
     /// Writes the entry of an upstream to the store, or removes it.
     void set_upstream(const std::string& id, const std::string& service,
                       const std::string& address) const {
--- a/tests/unit/gateway/truncated_attempt_test.cpp
+++ b/tests/unit/gateway/truncated_attempt_test.cpp
@@ -38,7 +38,7 @@
     event_loop loop;
     std::shared_ptr<runtime::task_lifecycle> life = make_lifecycle("attempt");
     adapter platform = users_platform::make_adapter();
-    body_budget budget;
+    http::buffer_budget budget;
     std::mutex mutex;
     raw_response next;
     raw_response_server server{[this](const std::string& /*request*/) {
--- a/tests/unit/gateway/upstream_attempt_test.cpp
+++ b/tests/unit/gateway/upstream_attempt_test.cpp
@@ -22,7 +22,7 @@
     std::shared_ptr<pool_member> member;
     std::unique_ptr<raw_response_server> server;
     event_relay relay;
-    body_budget budget;
+    http::buffer_budget budget;
     attempt_options options{.kind = repeatability::stream, .attempt_id = "a1"};
     std::string events;
     std::optional<attempt_response> answer;
