--- a/source/core/gateway/stage_estimator.cpp
+++ b/source/core/gateway/stage_estimator.cpp
@@ -13,6 +13,9 @@
 // Results are kept for a limited time. A stage that is expected to start after this share of the
 // lifetime of its inputs would probably lose them.
 constexpr double usable_lifetime_share = 0.7;
+// The owner of a service reports several times a second while there is work. Without a report for
+// this long it is gone or cut off, and its work with it; others count it as lost by then.
+constexpr common::duration max_backlog_age = std::chrono::seconds{2};
 
 const piece_limits* find_limits(const staged_request& request, std::uint32_t stage) {
     const auto known = request.config.services.find(request.matched_route.stages[stage].service);
@@ -81,23 +84,32 @@
                                                             common::time_point now) const {
     std::optional<common::duration> oldest;
     for (const auto& stage : matched_route.stages) {
-        const auto known = m_backlogs.find(stage.service);
-        if (known != m_backlogs.end()) {
-            oldest =
-                std::max(oldest.value_or(common::duration::zero()), now - known->second.received);
+        if (const auto* known = find_backlog(stage.service, now)) {
+            oldest = std::max(oldest.value_or(common::duration::zero()), now - known->received);
         }
     }
     return oldest;
 }
 
+const stage_estimator::known_backlog* stage_estimator::find_backlog(const std::string& service,
+                                                                    common::time_point now) const {
+    const auto known = m_backlogs.find(service);
+    if (known == m_backlogs.end()) {
+        return nullptr;
+    }
+    // The last report before a service falls idle has no successor and stays valid.
+    const auto& reported = known->second.reported;
+    const bool has_work = reported.busy > 0 || !reported.waiting.empty();
+    return has_work && now - known->second.received > max_backlog_age ? nullptr : &known->second;
+}
+
 service_backlog stage_estimator::backlog_of(const staged_request& request, std::uint32_t stage,
-                                            common::duration start) const {
+                                            common::duration start, common::time_point now) const {
     const auto& service = request.matched_route.stages[stage].service;
-    const auto known = m_backlogs.find(service);
+    const auto* known = find_backlog(service, now);
     // No report means that nothing waits and all instances are free.
-    auto backlog = known == m_backlogs.end()
-                       ? service_backlog{service, {}, count_serving_instances(service)}
-                       : known->second.reported;
+    auto backlog = known == nullptr ? service_backlog{service, {}, count_serving_instances(service)}
+                                    : known->reported;
     if (start <= common::duration::zero()) {
         return backlog;
     }
@@ -125,7 +137,7 @@
     const auto later = engine_start_time + shortest_path(request, stage);
     return expected_delay(
         sustained_limits(*limits, request.matched_route.stages[stage].result_bytes),
-        backlog_of(request, stage, start),
+        backlog_of(request, stage, start, now),
         {request.priority, request.target_time - later - now, request.progress.count_of(stage),
          start},
         m_pieces_ahead);
--- a/source/core/gateway/stage_estimator.h
+++ b/source/core/gateway/stage_estimator.h
@@ -89,7 +89,8 @@
     [[nodiscard]] bool results_would_expire(const staged_request& request,
                                             common::time_point now) const;
 
-    /// Age of the oldest report that the estimate for the stages uses. Nothing without reports.
+    /// Age of the oldest report that the estimate for the stages uses. Nothing without valid
+    /// reports.
     [[nodiscard]] std::optional<common::duration> report_age(const route& matched_route,
                                                              common::time_point now) const;
 
@@ -107,7 +108,10 @@
     /// Returns the backlog of the stage's service, with the pieces that will have been ordered
     /// after the delay `start`.
     [[nodiscard]] service_backlog backlog_of(const staged_request& request, std::uint32_t stage,
-                                             common::duration start) const;
+                                             common::duration start, common::time_point now) const;
+    /// Returns the last report of the service, or null if there is none that is still valid.
+    [[nodiscard]] const known_backlog* find_backlog(const std::string& service,
+                                                    common::time_point now) const;
     pieces_ahead_hook m_pieces_ahead;
     std::size_t m_gateway_count = 1;
     upstream_map_pointer m_upstreams;
