gateway: end the calls of others that an instance has reported

A gateway that takes a stage service over does not use an instance while its last report shows calls of other gateways. Reports are requested for a limited time, and not while the instance pauses. If the last one showed a call, the instance was never used again.

A timer now follows each report with calls of others; it requests the next report or lets the calls no longer count. The instance itself queues or refuses what is too much then.

--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/dispatcher.h
@@ -75,7 +75,8 @@
         /// The instance gets no call before this time, for example because it refused one.
         common::time_point backoff_until;
         result_memory memory;
-        /// Calls of other gateways that the instance runs, according to its last report.
+        /// Calls of other gateways that the instance runs, according to its last report. Zero when
+        /// the time of that report is over and no other one is requested.
         std::size_t foreign_calls = 0;
         /// Until this time the instance is polled for reports while it has calls or results of
         /// other gateways.
--- a/source/core/gateway/dispatcher_reports.cpp
+++ b/source/core/gateway/dispatcher_reports.cpp
@@ -98,7 +98,8 @@
                 {"upstream", instance.identity.id},
                 {"foreign_calls", std::to_string(instance.foreign_calls)},
                 {"foreign_bytes", std::to_string(static_cast<std::int64_t>(foreign))}});
-    if ((significant || instance.foreign_calls > 0) && now < instance.poll_reports_until) {
+    // A timer follows each report with calls of others, so that none of them counts for ever.
+    if (instance.foreign_calls > 0 || (significant && now < instance.poll_reports_until)) {
         schedule_report(name, instance);
     }
 }
@@ -119,14 +120,17 @@
         return;
     }
     auto& instance = *it->second;
-    if (service.queue.size() == 0) {
-        // The calls of others end by themselves. Nobody needs to know when.
-        instance.foreign_calls = 0;
+    const bool is_polled = service.queue.size() > 0 && instance.state.accepts_calls() &&
+                           common::monotonic_clock::now() < instance.poll_reports_until;
+    if (is_polled) {
+        if (!instance.report_pending) {
+            send_report_query(name, it->second);
+        }
         return;
     }
-    if (!instance.report_pending && instance.state.accepts_calls()) {
-        send_report_query(name, it->second);
-    }
+    // Without further reports, the instance itself queues or refuses what is too much.
+    instance.foreign_calls = 0;
+    dispatch(name);
 }
 
 } // namespace jujubemast::gateway
--- a/tests/unit/gateway/dispatcher_test.cpp
+++ b/tests/unit/gateway/dispatcher_test.cpp
@@ -26,6 +26,10 @@
     std::vector<std::shared_ptr<runtime::task>> tasks;
     std::vector<std::shared_ptr<runtime::task_lifecycle>> lives;
     discovery_update update;
+    /// The report of the instance.
+    instance_report reported{0, 1e6};
+    /// The pause that the instance asks for in its next response.
+    std::optional<common::duration> pause;
 
     dispatcher_fixture() {
         http::endpoint address;
@@ -83,19 +87,19 @@
         task->start();
     }
 
-    static adapter make_adapter() {
+    adapter make_adapter() {
         const auto get = [](const char* path) { return http::request{"GET", path, {}, {}}; };
         adapter result;
         result.encode_report_query = [=](const std::string&) { return get("/report"); };
-        result.decode_instance_report = [](const std::string&) { return instance_report{0, 1e6}; };
+        result.decode_instance_report = [this](const std::string&) { return reported; };
         result.encode_piece_call = [=](const std::string&, const std::vector<piece_item>&) {
             return get("/make");
         };
         result.decode_piece_response = [](const std::string&) {
             return std::vector<piece_result>{{piece_status::made, "handle"}};
         };
-        result.decode_response_head = [](unsigned status, const http::headers&) {
-            return response_head{.status = status};
+        result.decode_response_head = [this](unsigned status, const http::headers&) {
+            return response_head{.status = status, .pause = std::exchange(pause, {})};
         };
         result.encode_release = [=](const std::string&, const std::vector<std::string>&) {
             return get("/release");
@@ -164,6 +168,27 @@
     BOOST_TEST(count_requests("/report") == (owned ? 2U : 3U));
 }
 
+// Guards against instances that are never used again: the last report after a change of owners
+// still showed a call of the former owner, which went on with its own requests and was lost then.
+BOOST_AUTO_TEST_CASE(instance_is_used_again_after_its_last_report_showed_foreign_calls) {
+    auto all = *update.configuration;
+    // Bounds the time in which reports are requested.
+    all.services["stages"].pieces->result_lifetime = milliseconds{100};
+    update.configuration = std::make_shared<const configuration>(all);
+    reported.calls = 1;
+    inbox->post(update);
+    BOOST_TEST((make_piece(1) == order_status::made));
+    BOOST_TEST(count_requests("/report") <= 3U);
+}
+
+// Guards against the same if the instance accepted no calls when its report was due.
+BOOST_AUTO_TEST_CASE(instance_with_foreign_calls_is_used_again_after_its_pause) {
+    reported.calls = 1;
+    pause = milliseconds{600};
+    inbox->post(update);
+    BOOST_TEST((make_piece(1) == order_status::made));
+}
+
 /// A dispatcher with an instance that sends endless responses.
 struct endless_instance_fixture : dispatcher_fixture {
     std::map<std::string, raw_response> endless;
