--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include "http/socket_options.h"
+#include "http/transfer_coding.h"
 
 namespace jujubemast::http {
 
@@ -220,6 +221,10 @@
             read_head();
             return;
         }
+        if (transfer_coding_of(m_parser->get()) != transfer_coding::supported) {
+            fail(call_error_kind::malformed, "unsupported transfer coding");
+            return;
+        }
         deliver_head();
         read_body();
     }
--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 
 #include "http/socket_options.h"
+#include "http/transfer_coding.h"
 
 namespace jujubemast::http {
 
@@ -115,6 +116,48 @@
 
 void connection::read_message() {
     start_read_timer(read_limit());
+    beast_http::async_read_header(m_stream, m_input, *m_parser,
+                                  m_context.wrap([this](const boost::system::error_code& ec,
+                                                        std::size_t /*size*/) { head_read(ec); }));
+}
+
+void connection::head_read(const boost::system::error_code& ec) {
+    if (ec) {
+        request_read(ec);
+        return;
+    }
+    if (reject_transfer_coding()) {
+        return;
+    }
+    if (m_parser->is_done()) {
+        request_read({});
+        return;
+    }
+    if (m_read_timed_out) {
+        // The timer found no operation that it could cancel.
+        request_read(boost::asio::error::operation_aborted);
+        return;
+    }
+    read_body();
+}
+
+bool connection::reject_transfer_coding() {
+    switch (transfer_coding_of(m_parser->get())) {
+    case transfer_coding::supported:
+        return false;
+    case transfer_coding::unsupported:
+        m_read_timer.cancel();
+        reject(beast_http::status::not_implemented, "unsupported transfer coding");
+        return true;
+    case transfer_coding::unframed:
+        m_read_timer.cancel();
+        reject(beast_http::status::bad_request, "the end of the body cannot be found");
+        return true;
+    }
+    return false;
+}
+
+void connection::read_body() {
     beast_http::async_read(m_stream, m_input, *m_parser,
                            m_context.wrap([this](const boost::system::error_code& ec,
                                                  std::size_t /*size*/) { request_read(ec); }));
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -65,7 +65,11 @@
     /// How long a request may take to arrive; ends at the read deadline of an ordered stop.
     [[nodiscard]] common::duration read_limit() const;
     void start_read_timer(common::duration limit);
+    void head_read(const boost::system::error_code& ec);
+    void read_body();
     void request_read(const boost::system::error_code& ec);
+    /// Refuses the request if its body could not be read correctly. Returns whether it did.
+    bool reject_transfer_coding();
     void reject(boost::beast::http::status status, const std::string& title);
     void watch_for_disconnect();
     void command_received(reply_command command);
--- a/tests/unit/gateway/stage_order_test.cpp
+++ b/tests/unit/gateway/stage_order_test.cpp
@@ -15,6 +15,7 @@
     static std::vector<gateway::stage_spec>
     stages(const std::vector<std::vector<std::size_t>>& dependencies) {
         std::vector<gateway::stage_spec> result;
+        result.reserve(dependencies.size());
         for (const auto& it : dependencies) {
             result.push_back({"s", it, 1});
         }
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -117,6 +117,38 @@
     wait_until("the connection is closed", [&] { return disconnects == 1; });
 }
 
+// Guards against a body that is run as a request: the parser takes a message with another transfer
+// coding to have no body.
+BOOST_AUTO_TEST_CASE(
+    server_when_the_transfer_coding_is_not_chunked_refuses_the_request_and_closes) {
+    const auto server = start();
+    for (const auto& [coding, status] : std::vector<std::pair<std::string, std::string>>{
+             {"gzip", "400"},
+             {"identity", "400"},
+             {"chunked, gzip", "400"},
+             {"xchunked", "400"},
+             {"chunked;a=b", "400"},
+             {"", "400"},
+             {"chunked\r\nTransfer-Encoding: gzip", "400"},
+             {"gzip, chunked", "501"},
+             {"gzip\r\nTransfer-Encoding: chunked", "501"},
+             {"chunked, chunked", "501"}}) {
+        BOOST_TEST_CONTEXT(coding) {
+            raw_client client{server};
+            client.send(post("Transfer-Encoding: " + coding + "\r\n", good_request));
+            const auto answer = client.read();
+            BOOST_TEST(answer.starts_with("HTTP/1.1 " + status), answer);
+            BOOST_TEST(answer.find("HTTP/1.1", 1) == std::string::npos, answer);
+            BOOST_TEST(client.closed());
+        }
+    }
+    BOOST_TEST(handled == 0);
+    raw_client client{server};
+    const auto answer =
+        client.send(post("Transfer-Encoding: Chunked\r\n", "2\r\nok\r\n0\r\n\r\n")).read("ok 2");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+}
+
 // Guards against a client that stops reading and keeps its request open indefinitely.
 BOOST_AUTO_TEST_CASE(server_when_streamed_response_is_not_read_in_time_closes_the_connection) {
     chunk_count = 2000;
--- a/tests/unit/http/truncated_response_test.cpp
+++ b/tests/unit/http/truncated_response_test.cpp
@@ -117,7 +117,8 @@
           "Content-Length: 4\r\nContent-Length: 5", "Content-Length: 5\r\nContent-Length: 4",
           "Content-Length: 4\r\nTransfer-Encoding: chunked",
           "Transfer-Encoding: chunked\r\nContent-Length: 4", "Transfer-Encoding: chunked",
-          "Content-Length : 4", " Content-Length: 4"}) {
+          "Content-Length : 4", " Content-Length: 4", "Transfer-Encoding: gzip",
+          "Transfer-Encoding: identity", "Transfer-Encoding: chunked, gzip"}) {
         BOOST_TEST_CONTEXT(fields) {
             check_incomplete("HTTP/1.1 200 OK\r\n" + fields + "\r\n\r\nbody",
                              after_response::close);
