--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -74,7 +74,11 @@
     options.limits.max_body_bytes =
         static_cast<std::size_t>(values.get(gateway_settings::callers_max_body_bytes));
     options.limits.max_header_bytes = std::size_t{64} * 1024;
-    options.limits.output_buffer_bytes = shares_of_memory(values).output;
+    const auto shares = shares_of_memory(values);
+    options.limits.request_buffer_bytes = shares.request_bodies;
+    // The exchange and the call to the upstream each hold one.
+    options.limits.copies_of_body = 2;
+    options.limits.output_buffer_bytes = shares.output;
     options.stop_grace = schedule.accept;
     options.stop_read_limit = schedule.limit - stop_margin;
     options.stop_limit = schedule.limit;
--- a/source/core/gateway/memory_shares.cpp
+++ b/source/core/gateway/memory_shares.cpp
@@ -7,7 +7,7 @@
 namespace jujubemast::gateway {
 
 memory_shares divide_memory(std::size_t bytes) {
-    return {bytes / 8, bytes / 8};
+    return {bytes / 4, bytes / 8, bytes / 8};
 }
 
 std::size_t machine_memory() {
--- a/source/core/gateway/memory_shares.h
+++ b/source/core/gateway/memory_shares.h
@@ -7,6 +7,8 @@
 /// How much of the memory of an instance may be used for buffers, in bytes. The rest is for
 /// connections, the state of requests, and copies that are made for a moment.
 struct memory_shares {
+    /// Bodies of requests, until their responses are complete.
+    std::size_t request_bodies = 0;
     /// Bodies of responses, until they are complete.
     std::size_t response_bodies = 0;
     /// Output that callers have not read.
--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -24,6 +24,8 @@
 // A client that does not expect the close may still be sending. Closing at once would reset the
 // connection and could discard the response before the client has read it.
 constexpr common::duration linger_time = std::chrono::seconds{1};
+// Retry delay of requests that are refused for lack of connections or memory.
+constexpr std::chrono::seconds retry_after{1};
 constexpr std::size_t discard_buffer_bytes = std::size_t{16} * 1024;
 
 request to_request(beast_http::request<beast_http::string_body>&& message) {
@@ -73,6 +75,7 @@
 
 connection::~connection() {
     m_server->output.release(m_output_bytes);
+    release_body();
 }
 
 void connection::start() {
@@ -158,11 +161,64 @@
 }
 
 void connection::read_body() {
+    const auto length = m_parser->content_length();
+    if (!length) {
+        read_body_part();
+        return;
+    }
+    if (!reserve_body(*length)) {
+        reject_for_memory();
+        return;
+    }
     beast_http::async_read(m_stream, m_input, *m_parser,
                            m_context.wrap([this](const boost::system::error_code& ec,
                                                  std::size_t /*size*/) { request_read(ec); }));
 }
 
+void connection::read_body_part() {
+    beast_http::async_read_some(
+        m_stream, m_input, *m_parser,
+        m_context.wrap([this](const boost::system::error_code& ec, std::size_t /*size*/) {
+            if (ec || m_parser->is_done() || m_read_timed_out) {
+                const bool incomplete = !ec && !m_parser->is_done();
+                request_read(incomplete ? boost::asio::error::operation_aborted : ec);
+                return;
+            }
+            if (!reserve_body(m_parser->get().body().capacity())) {
+                reject_for_memory();
+                return;
+            }
+            read_body_part();
+        }));
+}
+
+bool connection::reserve_body(std::size_t size) {
+    const auto needed = size * m_server->limits.copies_of_body;
+    if (needed <= m_body_bytes) {
+        return true;
+    }
+    if (!m_server->request_bodies.reserve(m_body_bytes, needed - m_body_bytes)) {
+        return false;
+    }
+    m_body_bytes = needed;
+    return true;
+}
+
+void connection::release_body() {
+    m_server->request_bodies.release(std::exchange(m_body_bytes, 0));
+}
+
+void connection::reject_for_memory() {
+    m_server->log.warn(
+        "There is no memory for the body of a request.",
+        {{"task", m_context.path()},
+         {"all_request_bytes", std::to_string(m_server->request_bodies.reserved())}});
+    m_read_timer.cancel();
+    m_parser.reset();
+    release_body();
+    reject(beast_http::status::service_unavailable, "too little memory for the body");
+}
+
 void connection::start_read_timer(common::duration limit) {
     // The stream's own timeout would close the socket, and the client could not be sent an error
     // response.
@@ -207,8 +263,11 @@
     m_keep_alive = false;
     m_rejected = true;
     const auto code = static_cast<unsigned>(status);
-    send_whole_response({code,
-                         {{"Content-Type", "application/problem+json"}},
+    headers fields{{"Content-Type", "application/problem+json"}};
+    if (status == beast_http::status::service_unavailable) {
+        fields.push_back({"Retry-After", std::to_string(retry_after.count())});
+    }
+    send_whole_response({code, std::move(fields),
                          boost::json::serialize(boost::json::object{
                              {"title", title}, {"status", code}, {"execution", "not_run"}})});
 }
@@ -330,6 +389,7 @@
 
 void connection::response_complete() {
     m_on_disconnect = nullptr;
+    release_body();
     if (m_closing) {
         boost::system::error_code ec;
         m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -34,6 +34,8 @@
     bool stopping = false;
     /// After this time of an ordered stop, requests that are still incomplete are refused.
     common::time_point stop_read_deadline;
+    /// Memory for the bodies of the requests of all connections.
+    buffer_budget request_bodies;
     /// Memory for the unsent output of all connections.
     buffer_budget output;
     logging::logger log{"http"};
@@ -66,7 +68,14 @@
     [[nodiscard]] common::duration read_limit() const;
     void start_read_timer(common::duration limit);
     void head_read(const boost::system::error_code& ec);
+    /// Reads the body, or refuses the request if there is no memory for it.
     void read_body();
+    /// Reads a part of a body whose length is not known, and then the next one.
+    void read_body_part();
+    /// Makes room for a body of this size. Returns false if there is no memory for it.
+    bool reserve_body(std::size_t size);
+    void release_body();
+    void reject_for_memory();
     void request_read(const boost::system::error_code& ec);
     /// Refuses the request if its body could not be read correctly. Returns whether it did.
     bool reject_transfer_coding();
@@ -105,6 +114,8 @@
     bool m_read_timed_out = false;
     std::deque<std::string> m_output;
     std::size_t m_output_bytes = 0;
+    /// Memory that is reserved for the body of the current request.
+    std::size_t m_body_bytes = 0;
     bool m_writing = false;
     bool m_keep_alive = false;
     /// The response being written announces that the connection closes after it.
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -27,6 +27,7 @@
           m_state{std::make_shared<server_state>()}, m_acceptor{m_context.loop().context()},
           m_retry_timer{m_context.loop()}, m_grace_timer{m_context.loop()} {
         m_state->limits = m_options.limits;
+        m_state->request_bodies = buffer_budget{m_options.limits.request_buffer_bytes};
         m_state->output = buffer_budget{m_options.limits.output_buffer_bytes};
         m_state->idle_timeout = m_options.idle_timeout;
     }
@@ -78,6 +79,7 @@
         return boost::json::object{{"address", to_string(m_options.listen)},
                                    {"accepted", m_accepted},
                                    {"refused", m_refused},
+                                   {"request_bytes", m_state->request_bodies.reserved()},
                                    {"buffered_bytes", m_state->output.reserved()}};
     }
 
--- a/source/core/http/server.h
+++ b/source/core/http/server.h
@@ -74,6 +74,11 @@
     std::size_t max_refusals = 64;
     /// A connection whose unsent output exceeds this size is closed.
     std::size_t max_buffered_bytes = std::size_t{1024} * 1024;
+    /// Memory for the bodies of requests of all connections, in bytes. Beyond it, requests are
+    /// refused as `buffer_budget` decides.
+    std::size_t request_buffer_bytes = std::numeric_limits<std::size_t>::max();
+    /// Memory that a handler holds for each byte of a body until the response is complete.
+    std::size_t copies_of_body = 1;
     /// Memory for the unsent output of all connections, in bytes. Beyond it, connections are closed
     /// as `buffer_budget` decides.
     std::size_t output_buffer_bytes = std::numeric_limits<std::size_t>::max();
--- a/tests/integration/memory_limit_test.cpp
+++ b/tests/integration/memory_limit_test.cpp
@@ -95,6 +95,34 @@
     check_gateway_is_sound();
 }
 
+// Guards against the same end for large requests that arrive together: requests that had been
+// passed on ended without an answer.
+BOOST_AUTO_TEST_CASE(gateway_with_large_requests_stays_within_its_memory_and_answers_all) {
+    constexpr std::size_t body_bytes = 2'000'000;
+    use_endless_upstream();
+    std::vector<std::future<received_response>> responses;
+    for (int n = 0; n < 30; ++n) {
+        responses.push_back(std::async(std::launch::async, [this, n] {
+            return receive(addresses[0], {"POST",
+                                          "/post/small",
+                                          {{"Host", "a.example"},
+                                           {"X-Attempt-Id", "large-" + std::to_string(n)},
+                                           {"X-Deadline-Ms", "3000"},
+                                           {"Authorization", "Bearer key-1"}},
+                                          std::string(body_bytes, 'b')});
+        }));
+    }
+    std::size_t refused = 0;
+    for (auto& it : responses) {
+        const auto response = it.get();
+        BOOST_TEST((response.status == 503U || response.status == 504U));
+        refused += response.status == 503U ? 1 : 0;
+    }
+    BOOST_TEST(refused > 0U);
+    BOOST_TEST(refused < responses.size());
+    check_gateway_is_sound();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -159,6 +159,39 @@
     wait_until("the connection is closed", [&] { return disconnects == 1; });
 }
 
+// Guards against a process that ends for lack of memory because large requests arrive together:
+// each of them stays within the limit of its connection.
+BOOST_AUTO_TEST_CASE(server_without_memory_for_a_body_refuses_the_request_and_recovers) {
+    options.limits.request_buffer_bytes = std::size_t{16} * 1024;
+    options.limits.read_timeout = std::chrono::seconds{5};
+    const auto server = start();
+    const std::string body(4000, 'b');
+    const auto held = "POST /held HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\n" + body;
+    std::list<raw_client> clients;
+    for (int n = 1; n <= 3; ++n) {
+        clients.emplace_back(server).send(held);
+        wait_until("the request is handled", [&] { return handled == n; });
+    }
+    for (const auto& large :
+         {held, post("Transfer-Encoding: chunked\r\n", "fa0\r\n" + body + "\r\n0\r\n\r\n")}) {
+        raw_client refused{server};
+        const auto answer = refused.send(large).read();
+        BOOST_TEST(answer.starts_with("HTTP/1.1 503"), answer);
+        BOOST_TEST(answer.find("Retry-After: 1") != std::string::npos, answer);
+        BOOST_TEST(refused.closed());
+    }
+    BOOST_TEST(handled == 3);
+    raw_client small{server};
+    BOOST_TEST(
+        small.send(post("Content-Length: 2\r\n", "ok")).read("ok 2").starts_with("HTTP/1.1 200"));
+    clients.clear();
+    wait_until("there is memory again", [&] {
+        raw_client next{server};
+        const auto answer = next.send(post("Content-Length: 4000\r\n", body)).read("ok 4000");
+        return answer.starts_with("HTTP/1.1 200");
+    });
+}
+
 // Guards against a process that ends for lack of memory because many clients do not read: each of
 // them stays within the limit of its connection.
 BOOST_AUTO_TEST_CASE(server_whose_clients_do_not_read_bounds_their_output_together) {
