--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -145,13 +145,15 @@
     void events_received(exchange& ex, std::string events);
     void answered(exchange& ex, const attempt_response& response);
     void attempt_failed(exchange& ex, const attempt_failure& failure);
+    /// The input of the decision on what follows this end of the current attempt, without the
+    /// budget.
+    [[nodiscard]] attempt_facts facts_of(const exchange& ex, attempt_end end,
+                                         common::time_point now);
     /// Decides what follows the end of an attempt, or of a stage, and does it.
     void attempt_ended(exchange& ex, attempt_end end, const std::string& detail);
     void restart_stages(exchange& ex);
     /// How long the upstream may take, if the request may be repeated at another one.
     [[nodiscard]] static std::optional<common::duration> attempt_time_limit(const exchange& ex);
-    /// How long a stream may go without a complete event.
-    [[nodiscard]] static std::optional<common::duration> event_time_limit(const exchange& ex);
     /// Releases the inputs after the time in which an engine that starts at once reads them.
     void schedule_input_release(exchange& ex);
     [[nodiscard]] std::uint64_t prefix_of(const exchange& ex) const;
--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/forwarder_attempts.cpp
@@ -141,7 +141,14 @@
     attempt.attempt_id = ex.request.attempt_id;
     attempt.stream_begun = ex.relaying;
     attempt.time_limit = attempt_time_limit(ex);
-    attempt.event_limit = event_time_limit(ex);
+    if (ex.matched_route->kind == repeatability::stream) {
+        const auto patience = event_patience(*ex.matched_route);
+        attempt.event_limit = patience;
+        if (ex.matched_route->resumable) {
+            // Half of the caller's patience is left for another instance to go on.
+            attempt.early_event_limit = patience / 2;
+        }
+    }
     ex.attempt = std::make_unique<upstream_attempt>(
         m_context, *m_adapter, member, ex.events, m_bodies, std::move(attempt), make_hooks(ex.id));
     ex.attempt->start(m_adapter->encode_forward(ex.request, options));
@@ -156,15 +163,6 @@
     return ex.matched_route->latency_target * attempt_timeout_factor;
 }
 
-std::optional<common::duration> forwarder::event_time_limit(const exchange& ex) {
-    if (ex.matched_route->kind != repeatability::stream) {
-        return std::nullopt;
-    }
-    // Half of the caller's patience is left for another instance to go on.
-    const auto patience = event_patience(*ex.matched_route);
-    return ex.matched_route->resumable ? patience / 2 : patience;
-}
-
 void forwarder::schedule_input_release(exchange& ex) {
     const auto& member = *ex.attempt->member();
     const auto busy = static_cast<double>(member.in_progress * m_gateway_count);
@@ -191,6 +189,14 @@
         const auto& ex = *find(id);
         return pool_of(ex.service).has_alternative(ex.tried, common::monotonic_clock::now());
     };
+    hooks.on_silence = [this, id] {
+        auto& ex = *find(id);
+        const auto now = common::monotonic_clock::now();
+        const auto end = ex.relaying ? attempt_end::broken_midway : attempt_end::broken;
+        auto facts = facts_of(ex, end, now);
+        facts.budget_left = pool_of(ex.service).budget().has_token(now);
+        return decide_next_step(facts) == next_step::retry;
+    };
     return hooks;
 }
 
@@ -272,10 +278,7 @@
     attempt_ended(ex, failure.end, failure.detail);
 }
 
-void forwarder::attempt_ended(exchange& ex, attempt_end end, const std::string& detail) {
-    const auto now = common::monotonic_clock::now();
-    ex.input_release_timer.reset();
-    auto& pool = pool_of(ex.service);
+attempt_facts forwarder::facts_of(const exchange& ex, attempt_end end, common::time_point now) {
     attempt_facts facts;
     facts.end = end;
     facts.kind = ex.matched_route->kind;
@@ -287,7 +290,15 @@
     // Another instance must not be lost to a request that may have crashed this one.
     const bool is_risky =
         !is_certainly_not_run(end) && m_suspects.is_repeat_risky(ex.shared_parts, now);
-    facts.alternative_available = !is_risky && pool.has_alternative(ex.tried, now);
+    facts.alternative_available = !is_risky && pool_of(ex.service).has_alternative(ex.tried, now);
+    return facts;
+}
+
+void forwarder::attempt_ended(exchange& ex, attempt_end end, const std::string& detail) {
+    const auto now = common::monotonic_clock::now();
+    ex.input_release_timer.reset();
+    auto& pool = pool_of(ex.service);
+    auto facts = facts_of(ex, end, now);
     facts.budget_left = true;
     auto step = decide_next_step(facts);
     const bool is_repeated = step == next_step::retry || step == next_step::remake_inputs;
--- a/source/core/gateway/upstream_attempt.cpp
+++ b/source/core/gateway/upstream_attempt.cpp
@@ -206,13 +206,28 @@
 }
 
 void upstream_attempt::start_event_timer() {
-    if (m_options.event_limit) {
-        m_event_timer.start(*m_options.event_limit, m_context.wrap([this] {
-            reject_response("no complete event within the limit");
-        }));
+    if (m_options.early_event_limit) {
+        m_event_timer.start(*m_options.early_event_limit,
+                            m_context.wrap([this] { early_event_limit_reached(); }));
+    } else if (m_options.event_limit) {
+        m_event_timer.start(*m_options.event_limit,
+                            m_context.wrap([this] { end_silent_stream(); }));
+    }
+}
+
+void upstream_attempt::early_event_limit_reached() {
+    if (m_hooks.on_silence()) {
+        end_silent_stream();
+    } else if (m_options.event_limit) {
+        m_event_timer.start(*m_options.event_limit - *m_options.early_event_limit,
+                            m_context.wrap([this] { end_silent_stream(); }));
     }
 }
 
+void upstream_attempt::end_silent_stream() {
+    reject_response("no complete event within the limit");
+}
+
 attempt_end upstream_attempt::classify_incomplete_response() const {
     if (is_refusal(m_response.head)) {
         return m_response.head.input_gone ? attempt_end::input_gone : attempt_end::refused;
--- a/source/core/gateway/upstream_attempt.h
+++ b/source/core/gateway/upstream_attempt.h
@@ -51,6 +51,9 @@
     std::function<void(const attempt_failure&)> on_failed;
     /// Called when the time limit is reached. Returns whether the attempt ends then.
     std::function<bool()> on_time_limit;
+    /// Called when a stream has been silent for `early_event_limit`. Returns whether the attempt
+    /// ends then.
+    std::function<bool()> on_silence;
 };
 
 /// What an attempt needs to know of its request.
@@ -64,6 +67,8 @@
     /// Longest time from the head of a stream to its first complete event, and between two complete
     /// events. Bytes of incomplete events do not count as progress. Unlimited if empty.
     std::optional<common::duration> event_limit;
+    /// An earlier limit, at which the attempt ends only if another one can go on.
+    std::optional<common::duration> early_event_limit;
 };
 
 /// One send of a request to one upstream instance, until the end of the response. Decides what the
@@ -101,6 +106,8 @@
     /// Limits the wait for the body of a failure, which does not affect the decision.
     void start_failure_timer();
     void start_event_timer();
+    void early_event_limit_reached();
+    void end_silent_stream();
     void cancel();
     /// Records that the call holds no connection any more.
     void release_connection();
--- a/source/core/policy/retry_budget.cpp
+++ b/source/core/policy/retry_budget.cpp
@@ -13,9 +13,13 @@
     m_balance = std::min(m_options.max_balance, m_balance + m_options.ratio);
 }
 
-bool retry_budget::try_acquire(common::time_point now) {
+bool retry_budget::has_token(common::time_point now) {
     refill(now);
-    if (m_balance < 1) {
+    return m_balance >= 1;
+}
+
+bool retry_budget::try_acquire(common::time_point now) {
+    if (!has_token(now)) {
         return false;
     }
     m_balance -= 1;
--- a/source/core/policy/retry_budget.h
+++ b/source/core/policy/retry_budget.h
@@ -32,6 +32,9 @@
     /// Takes one extra attempt from the budget. Returns false when the budget is exhausted.
     bool try_acquire(common::time_point now);
 
+    /// Whether an extra attempt could be taken now.
+    [[nodiscard]] bool has_token(common::time_point now);
+
     [[nodiscard]] double balance() const { return m_balance; }
 
 private:
--- a/tests/unit/gateway/upstream_attempt_test.cpp
+++ b/tests/unit/gateway/upstream_attempt_test.cpp
@@ -28,6 +28,8 @@
     std::optional<attempt_response> answer;
     std::optional<attempt_failure> failure;
     std::optional<response_head> notice;
+    int silences = 0;
+    bool can_go_on_elsewhere = false;
     std::unique_ptr<upstream_attempt> subject;
 
     static constexpr const char* first_event = "id: 1\ndata: x\n\n";
@@ -65,6 +67,10 @@
         hooks.on_events = [this](const std::string& it) { events += it; };
         hooks.on_answered = [this](const attempt_response& it) { answer = it; };
         hooks.on_failed = [this](const attempt_failure& it) { failure = it; };
+        hooks.on_silence = [this] {
+            ++silences;
+            return can_go_on_elsewhere;
+        };
         subject = std::make_unique<upstream_attempt>(loop.context(life), platform, member, relay,
                                                      budget, options, hooks);
         subject->start({"POST", "/", {{"X-Attempt-Id", "a1"}}, ""});
@@ -227,6 +233,28 @@
     BOOST_TEST(events == first_event);
 }
 
+// Guards against a silent but sound stream that is cut early although no other attempt can continue
+// it.
+BOOST_AUTO_TEST_CASE(silent_stream_that_cannot_go_on_elsewhere_gets_the_whole_limit) {
+    options.early_event_limit = 200ms;
+    options.event_limit = 700ms;
+    const raw_response silent{signed_head("Transfer-Encoding: chunked\r\n") + chunk(first_event),
+                              chunk(":"), 50ms};
+    for (const bool can_resume : {false, true}) {
+        relay = event_relay{};
+        options.stream_begun = false;
+        silences = 0;
+        can_go_on_elsewhere = can_resume;
+        const auto begin = common::monotonic_clock::now();
+        run(silent);
+        const auto took = common::monotonic_clock::now() - begin;
+        check_failure(attempt_end::broken_midway);
+        BOOST_TEST(silences == 1);
+        BOOST_TEST((took >= (can_resume ? 200ms : 700ms)));
+        BOOST_TEST((can_resume ? took < 600ms : took < 5s));
+    }
+}
+
 // Guards against a response whose head alone counts as the begin of the stream: nothing else could
 // then reach the caller, not even a failure.
 BOOST_AUTO_TEST_CASE(stream_that_breaks_off_before_its_first_event_has_not_begun) {
