--- a/tests/unit/users_platform/store_test.cpp
+++ b/tests/unit/users_platform/store_test.cpp
@@ -8,6 +8,7 @@
 #include "common/error.h"
 #include "configuration.h"
 #include "support/property.h"
+#include "upstreams.h"
 
 namespace jujubemast::tests {
 
