--- a/tests/integration/endless_stage_response_test.cpp
+++ b/tests/integration/endless_stage_response_test.cpp
@@ -80,12 +80,14 @@
     /// Sends requests with stages to both gateways at once and returns their responses.
     std::vector<received_response> send_drafts(const std::string& name, int count) const {
         std::vector<std::future<received_response>> sent;
+        sent.reserve(static_cast<std::size_t>(count));
         for (int n = 0; n < count; ++n) {
             sent.push_back(std::async(std::launch::async, [this, name, n] {
                 return send_draft(name + std::to_string(n), static_cast<std::size_t>(n % 2));
             }));
         }
         std::vector<received_response> responses;
+        responses.reserve(sent.size());
         for (auto& it : sent) {
             responses.push_back(it.get());
         }
--- a/tests/integration/memory_limit_test.cpp
+++ b/tests/integration/memory_limit_test.cpp
@@ -63,6 +63,7 @@
     std::vector<boost::asio::ip::tcp::socket>
     send_many(boost::asio::io_context& context, const std::string& target, int count) const {
         std::vector<boost::asio::ip::tcp::socket> sockets;
+        sockets.reserve(static_cast<std::size_t>(count));
         for (int n = 0; n < count; ++n) {
             sockets.push_back(open_connection(context, request_bytes(target, n)));
         }
@@ -100,8 +101,10 @@
 BOOST_AUTO_TEST_CASE(gateway_with_large_requests_stays_within_its_memory_and_answers_all) {
     constexpr std::size_t body_bytes = 2'000'000;
     use_endless_upstream();
+    constexpr int request_count = 30;
     std::vector<std::future<received_response>> responses;
-    for (int n = 0; n < 30; ++n) {
+    responses.reserve(request_count);
+    for (int n = 0; n < request_count; ++n) {
         responses.push_back(std::async(std::launch::async, [this, n] {
             return receive(addresses[0], {"POST",
                                           "/post/small",
