--- a/tests/integration/endless_stage_response_test.cpp
+++ b/tests/integration/endless_stage_response_test.cpp
@@ -28,10 +28,10 @@
         for (const auto* it : {"s1", "s2"}) {
             set_upstream(it, "stages", "");
         }
-        for (std::size_t n = 0; n < gateways.size(); ++n) {
+        for (const auto& gateway : gateways) {
             wait_until("the gateway uses only the new instances", [&] {
                 const auto state =
-                    call(gateways[n]->listening_address("jujubemast-gateway/admin/listener"),
+                    call(gateway->listening_address("jujubemast-gateway/admin/listener"),
                          {"GET", "/dump", {}, {}})
                         .body;
                 return state.find("\"x3\"") != std::string::npos &&
