--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/forwarder.h
@@ -145,6 +145,8 @@
     void events_received(exchange& ex, std::string events);
     void answered(exchange& ex, const attempt_response& response);
     void attempt_failed(exchange& ex, const attempt_failure& failure);
+    /// Whether a stream could be resumed if its current attempt ended now.
+    [[nodiscard]] bool another_instance_can_go_on(const exchange& ex);
     /// The input of the decision on what follows this end of the current attempt, without the
     /// budget.
     [[nodiscard]] attempt_facts facts_of(const exchange& ex, attempt_end end,
--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/forwarder_attempts.cpp
@@ -22,6 +22,19 @@
 // as well.
 constexpr double max_busy_share = 0.5;
 
+/// Limits how long a stream may go without a complete event.
+void set_event_limits(attempt_options& options, const route& of) {
+    if (of.kind != repeatability::stream) {
+        return;
+    }
+    const auto patience = event_patience(of);
+    options.event_limit = patience;
+    if (of.resumable) {
+        // Half of the caller's patience is left for another instance to go on.
+        options.early_event_limit = patience / 2;
+    }
+}
+
 } // namespace
 
 std::uint64_t forwarder::prefix_of(const exchange& ex) const {
@@ -141,14 +154,7 @@
     attempt.attempt_id = ex.request.attempt_id;
     attempt.stream_begun = ex.relaying;
     attempt.time_limit = attempt_time_limit(ex);
-    if (ex.matched_route->kind == repeatability::stream) {
-        const auto patience = event_patience(*ex.matched_route);
-        attempt.event_limit = patience;
-        if (ex.matched_route->resumable) {
-            // Half of the caller's patience is left for another instance to go on.
-            attempt.early_event_limit = patience / 2;
-        }
-    }
+    set_event_limits(attempt, *ex.matched_route);
     ex.attempt = std::make_unique<upstream_attempt>(
         m_context, *m_adapter, member, ex.events, m_bodies, std::move(attempt), make_hooks(ex.id));
     ex.attempt->start(m_adapter->encode_forward(ex.request, options));
@@ -189,14 +195,7 @@
         const auto& ex = *find(id);
         return pool_of(ex.service).has_alternative(ex.tried, common::monotonic_clock::now());
     };
-    hooks.on_silence = [this, id] {
-        auto& ex = *find(id);
-        const auto now = common::monotonic_clock::now();
-        const auto end = ex.relaying ? attempt_end::broken_midway : attempt_end::broken;
-        auto facts = facts_of(ex, end, now);
-        facts.budget_left = pool_of(ex.service).budget().has_token(now);
-        return decide_next_step(facts) == next_step::retry;
-    };
+    hooks.on_silence = [this, id] { return another_instance_can_go_on(*find(id)); };
     return hooks;
 }
 
@@ -278,6 +277,14 @@
     attempt_ended(ex, failure.end, failure.detail);
 }
 
+bool forwarder::another_instance_can_go_on(const exchange& ex) {
+    const auto now = common::monotonic_clock::now();
+    const auto end = ex.relaying ? attempt_end::broken_midway : attempt_end::broken;
+    auto facts = facts_of(ex, end, now);
+    facts.budget_left = pool_of(ex.service).budget().has_token(now);
+    return decide_next_step(facts) == next_step::retry;
+}
+
 attempt_facts forwarder::facts_of(const exchange& ex, attempt_end end, common::time_point now) {
     attempt_facts facts;
     facts.end = end;
