gateway: pass on a configuration that cannot be decoded

A gateway that reads the store recorded no change for a configuration that it could not decode as a whole. Its followers got the next confirmation with the same digest and took their version for the newest, though their source did not. They would have answered 401 or 404, for good, by a version that may be out of date; the gateways that read the store answered 503.

The row is recorded with a digest of its bytes now, so it is passed on; the followers fail to decode it as well and stop confirming.

Looked through: record_row, relay, table_copy, changes_relayed.

--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/catalog.cpp
@@ -225,6 +225,8 @@
         } catch (const common::format_error& e) {
             m_log.error("Could not decode the configuration; keeping the current one.",
                         {{"row_version", std::to_string(row.version)}, {"reason", e.what()}});
+            // The others must learn that their configuration is not the newest.
+            record_row(store_table::configuration, row, undecoded_row_digest(row));
             m_newest_decoded = false;
             continue;
         }
--- a/source/core/gateway/row_digest.h
+++ b/source/core/gateway/row_digest.h
@@ -10,6 +10,8 @@
 // example as a heartbeat, keeps its digest.
 
 std::uint64_t row_digest(const configuration& content);
+/// Digest of a row that could not be decoded, from its bytes.
+std::uint64_t undecoded_row_digest(const store_row& row);
 std::uint64_t row_digest(const upstream_instance& content);
 std::uint64_t row_digest(const gateway_record& content);
 
--- a/tests/unit/gateway/catalog_test.cpp
+++ b/tests/unit/gateway/catalog_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "common/error.h"
+#include "gateway/row_digest.h"
 #include "http/server.h"
 #include "support/event_loop.h"
 
@@ -223,6 +224,44 @@
     BOOST_TEST(published.back().upstreams->contains("b"));
 }
 
+// Guards against followers that take their configuration for the newest, and refuse requests for
+// good by it, although a newer one could not be decoded: the gateway that reads the store did not
+// pass it on.
+BOOST_AUTO_TEST_CASE(configuration_that_cannot_be_decoded_is_passed_on) {
+    rows["configuration"] = {{"config", "1", 1}};
+    subject->start();
+    run_rounds(store_table::configuration);
+    relayed.clear();
+    rows["configuration"] = {{"config", "", 2}};
+    run_rounds(store_table::configuration);
+    const auto passed_on = std::count_if(relayed.begin(), relayed.end(), [](const auto& it) {
+        return it.changes.table == store_table::configuration && !it.changes.rows.empty() &&
+               it.changes.rows.front().value == "";
+    });
+    BOOST_TEST(passed_on == 1);
+}
+
+BOOST_AUTO_TEST_CASE(follower_does_not_confirm_its_configuration_after_one_that_cannot_be_decoded) {
+    rows["configuration"] = {{"config", "1", 1}};
+    subject->start();
+    run_rounds(store_table::configuration);
+    catalog_inbox->post(store_role{false, false});
+    const store_row malformed{"config", "", 2};
+    table_copy expected;
+    expected.set_row(malformed.key, undecoded_row_digest(malformed));
+    const auto relay = [&](std::uint64_t since) {
+        catalog_inbox->post(
+            table_relay{{store_table::configuration, since, 2, expected.digest(), {malformed}},
+                        common::monotonic_clock::now()});
+        loop.run_ready();
+    };
+    relay(0);
+    const auto before = confirmations;
+    relay(2);
+    BOOST_TEST(confirmations == before);
+    BOOST_TEST(published.back().configuration->version == 1U);
+}
+
 // Guards against changes that followers miss, heartbeats that load them, and configurations that
 // fill the links of small gateways.
 BOOST_AUTO_TEST_CASE(changes_are_passed_on_if_they_are_new_and_small) {
