tests: a malformed route at gateways that follow others

Four gateways of one failure domain, two of which get the version from the others. So far the relay of such a version had only been read. Passes; guards against a version that followers drop as a whole.

--- a/tests/integration/odd_configuration_test.cpp
+++ b/tests/integration/odd_configuration_test.cpp
@@ -106,6 +106,20 @@
     BOOST_TEST(status_with_key_of(1, 2) != 200U);
 }
 
+// Guards against gateways that get a version from others and drop it as a whole.
+BOOST_AUTO_TEST_CASE(version_with_a_malformed_route_is_in_force_at_gateways_that_follow_others) {
+    add_gateway(2, 1);
+    add_gateway(3, 1);
+    const auto followers = [&] {
+        return std::count_if(gateways.begin(), gateways.end(), [](const auto& it) {
+            return it->log().find("Follows other gateways.") != std::string::npos;
+        });
+    };
+    wait_until("two gateways follow the others", [&] { return followers() == 2; });
+    write_version_with_stages({stage({1}), stage({0})});
+    check_version_is_in_force();
+}
+
 // Guards against a permanent refusal of a request that a malformed part may allow.
 BOOST_AUTO_TEST_CASE(request_that_a_malformed_part_may_allow_is_refused_for_now) {
     BOOST_TEST(status_with_key_of(7, 0) == 401U);
