--- a/source/core/gateway/attempt_evidence.cpp
+++ b/source/core/gateway/evidence/attempt_evidence.cpp
@@ -1,6 +1,6 @@
-#include "gateway/attempt_evidence.h"
+#include "gateway/evidence/attempt_evidence.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::evidence {
 
 part_finding judge_attempt(const attempt_outcome& outcome, common::duration sound_time) {
     const bool wrote_on = outcome.writing && *outcome.writing >= sound_time;
@@ -15,4 +15,4 @@
     return part_finding::suspect;
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::evidence
--- a/source/core/gateway/attempt_evidence.h
+++ b/source/core/gateway/evidence/attempt_evidence.h
@@ -7,7 +7,7 @@
 #include "common/enum_names.h"
 #include "common/time.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::evidence {
 
 /// What the end of an attempt says about the parts of its prompt.
 enum class part_finding {
@@ -36,12 +36,12 @@
 /// first event.
 part_finding judge_attempt(const attempt_outcome& outcome, common::duration sound_time);
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::evidence
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::part_finding> {
+struct enum_names<gateway::evidence::part_finding> {
     static constexpr std::array<std::string_view, 3> table{"none", "suspect", "sound"};
 };
 
--- a/source/core/gateway/crash_suspects.cpp
+++ b/source/core/gateway/evidence/crash_suspects.cpp
@@ -1,4 +1,4 @@
-#include "gateway/crash_suspects.h"
+#include "gateway/evidence/crash_suspects.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -7,7 +7,7 @@
 #include <tuple>
 #include <utility>
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::evidence {
 
 namespace {
 
@@ -464,4 +464,4 @@
     }
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::evidence
--- a/source/core/gateway/crash_suspects.h
+++ b/source/core/gateway/evidence/crash_suspects.h
@@ -16,7 +16,7 @@
 #include "gateway/crash_evidence.h"
 #include "gateway/upstream_list.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::evidence {
 
 struct suspect_limits {
     /// Crashes of different instances within this time count as one incident: failures of a rack or
@@ -191,12 +191,12 @@
     std::map<incarnation, common::time_point> m_alive;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::evidence
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::suspect_change> {
+struct enum_names<gateway::evidence::suspect_change> {
     static constexpr std::array<std::string_view, 5> table{"suspected", "quarantined", "renewed",
                                                            "trial_started", "cleared"};
 };
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -6,13 +6,13 @@
 #include "admin/admin_server.h"
 #include "admin/health.h"
 #include "common/random.h"
-#include "gateway/catalog.h"
-#include "gateway/dispatcher.h"
-#include "gateway/forwarder.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/memory_shares.h"
-#include "gateway/peers.h"
+#include "gateway/peers/peers.h"
+#include "gateway/requests/forwarder.h"
+#include "gateway/stages/dispatcher.h"
 #include "gateway/stop_schedule.h"
+#include "gateway/store/catalog.h"
 
 namespace jujubemast::gateway {
 
@@ -95,11 +95,11 @@
     return http::make_server("callers", options, make_caller_handler(inbox, platform_adapter));
 }
 
-catalog_hooks make_catalog_hooks(const forwarder_mailbox& forwarder,
-                                 const dispatcher_mailbox& dispatcher, const peers_mailbox& peers,
-                                 const health_address& health,
-                                 const std::shared_ptr<configuration_pointer>& current) {
-    catalog_hooks hooks;
+store::catalog_hooks make_catalog_hooks(const forwarder_mailbox& forwarder,
+                                        const dispatcher_mailbox& dispatcher,
+                                        const peers_mailbox& peers, const health_address& health,
+                                        const std::shared_ptr<configuration_pointer>& current) {
+    store::catalog_hooks hooks;
     hooks.publish = [=](const discovery_update& it) {
         *current = it.configuration;
         forwarder->post(it);
@@ -120,14 +120,14 @@
     return hooks;
 }
 
-forwarder_options make_forwarder_options(const settings::values& values,
-                                         const peers_mailbox& peers) {
+requests::forwarder_options make_forwarder_options(const settings::values& values,
+                                                   const peers_mailbox& peers) {
     policy::load_aware_options routing;
     // The margin is small because an engine serves the requests of all gateways, and each gateway
     // counts only its own.
     routing.affinity_margin = 0.1;
-    routing.slow_start = instance_warm_up;
-    forwarder_options options;
+    routing.slow_start = instances::instance_warm_up;
+    requests::forwarder_options options;
     options.name = values.get(gateway_settings::name);
     options.announce_leaving = [peers](const instance_leaving& it) { peers->post(it); };
     options.failure_domain = values.get(gateway_settings::failure_domain);
@@ -135,7 +135,7 @@
                        values.get(gateway_settings::retry_reserve),
                        values.get(gateway_settings::retry_window)};
     options.staleness_limit =
-        std::max(values.get(gateway_settings::store_staleness_limit), min_staleness_limit);
+        std::max(values.get(gateway_settings::store_staleness_limit), store::min_staleness_limit);
     options.response_buffer_bytes = shares_of_memory(values).response_bodies;
     options.random = common::system_random();
     options.route = policy::make_load_aware(routing, common::system_random());
@@ -175,7 +175,7 @@
     ready.listen = http::parse_endpoint(values.get(gateway_settings::ready_listen));
     children.push_back(http::make_server("ready", ready, make_ready_handler(health)));
     runtime::child_spec peers_child{"peers", [=](runtime::task_context it) {
-                                        return std::make_shared<peers>(
+                                        return std::make_shared<peers::peers>(
                                             std::move(it), peers_inbox,
                                             runtime::address<forwarder_message>{forwarder_inbox},
                                             runtime::address<dispatcher_message>{dispatcher_inbox},
@@ -184,21 +184,22 @@
     peers_child.stop_timeout = schedule.acknowledgement;
     children.push_back(std::move(peers_child));
     children.push_back({"dispatcher", [=](runtime::task_context it) {
-                            return std::make_shared<dispatcher>(
+                            return std::make_shared<stages::dispatcher>(
                                 std::move(it), dispatcher_inbox,
                                 runtime::address<peers_message>{peers_inbox}, platform_adapter);
                         }});
     children.push_back({"forwarder", [=](runtime::task_context it) {
-                            return std::make_shared<forwarder>(
+                            return std::make_shared<requests::forwarder>(
                                 std::move(it), forwarder_inbox,
                                 runtime::address<peers_message>{peers_inbox}, platform_adapter,
                                 make_forwarder_options(values, peers_inbox));
                         }});
     const auto hooks =
         make_catalog_hooks(forwarder_inbox, dispatcher_inbox, peers_inbox, health, current);
-    const auto limits = limits_for_staleness(values.get(gateway_settings::store_staleness_limit));
+    const auto limits =
+        store::limits_for_staleness(values.get(gateway_settings::store_staleness_limit));
     runtime::child_spec catalog_child{"catalog", [=](runtime::task_context it) {
-                                          return std::make_shared<catalog>(
+                                          return std::make_shared<store::catalog>(
                                               std::move(it), catalog_inbox, store, platform_adapter,
                                               self, hooks, limits);
                                       }};
--- a/source/core/gateway/instance_state.cpp
+++ b/source/core/gateway/instances/instance_state.cpp
@@ -1,8 +1,8 @@
-#include "gateway/instance_state.h"
+#include "gateway/instances/instance_state.h"
 
 #include <algorithm>
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::instances {
 
 void instance_state::set_registered(bool registered, common::time_point now) {
     if (!registered) {
@@ -46,4 +46,4 @@
     }
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::instances
--- a/source/core/gateway/instance_state.h
+++ b/source/core/gateway/instances/instance_state.h
@@ -7,7 +7,7 @@
 #include "common/enum_names.h"
 #include "common/time.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::instances {
 
 /// What one gateway may send to an incarnation of an upstream instance.
 enum class instance_phase {
@@ -117,18 +117,18 @@
 /// Time over which the share of a new instance rises to its full value.
 inline constexpr common::duration instance_warm_up = std::chrono::seconds{2};
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::instances
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::instance_phase> {
+struct enum_names<gateway::instances::instance_phase> {
     static constexpr std::array<std::string_view, 6> table{"joining", "serving",  "pausing",
                                                            "ejected", "draining", "gone"};
 };
 
 template <>
-struct enum_names<gateway::instance_event> {
+struct enum_names<gateway::instances::instance_event> {
     static constexpr std::array<std::string_view, 8> table{
         "registered", "warmed_up",  "pause_requested", "pause_ended",
         "ejected",    "reinstated", "drain_announced", "deregistered"};
--- a/source/core/gateway/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -1,11 +1,11 @@
-#include "gateway/service_pool.h"
+#include "gateway/instances/service_pool.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "common/digest.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::instances {
 
 namespace {
 
@@ -197,4 +197,4 @@
     m_health.record_failure(member.identity.id, now);
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::instances
--- a/source/core/gateway/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -10,16 +10,16 @@
 #include <vector>
 
 #include "common/enum_names.h"
-#include "gateway/instance_state.h"
+#include "gateway/instances/instance_state.h"
+#include "gateway/instances/waiting_requests.h"
 #include "gateway/upstream_list.h"
-#include "gateway/waiting_requests.h"
 #include "http/client.h"
 #include "policy/outlier_detector.h"
 #include "policy/retry_budget.h"
 #include "policy/routing.h"
 #include "policy/shared_limit.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::instances {
 
 inline constexpr std::size_t unlimited_permits = std::numeric_limits<std::size_t>::max();
 
@@ -111,12 +111,12 @@
     waiting_requests m_waiting;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::instances
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::choice_outcome> {
+struct enum_names<gateway::instances::choice_outcome> {
     static constexpr std::array<std::string_view, 4> table{"chosen", "no_connection", "pausing",
                                                            "none"};
 };
--- a/source/core/gateway/waiting_requests.h
+++ b/source/core/gateway/instances/waiting_requests.h
@@ -7,7 +7,7 @@
 
 #include "common/time.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::instances {
 
 /// Requests that wait until an instance of their service can take one: a connection becomes free,
 /// or a pause ends. More urgent priorities come first and, within a priority, the earliest arrival.
@@ -40,4 +40,4 @@
     std::set<waiting> m_waiting;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::instances
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -9,8 +9,9 @@
 #include "gateway/adapter.h"
 #include "gateway/configuration.h"
 #include "gateway/crash_evidence.h"
-#include "gateway/piece_queue.h"
-#include "gateway/table_copy.h"
+#include "gateway/piece_order.h"
+#include "gateway/service_backlog.h"
+#include "gateway/table_changes.h"
 #include "gateway/upstream_list.h"
 #include "http/server.h"
 
--- a/source/core/gateway/peers.cpp
+++ b/source/core/gateway/peers/peers.cpp
@@ -1,4 +1,4 @@
-#include "gateway/peers.h"
+#include "gateway/peers/peers.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,9 +7,9 @@
 
 #include "common/error.h"
 #include "gateway/ownership.h"
-#include "gateway/store_readers.h"
+#include "gateway/store/store_readers.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::peers {
 
 peers::peers(runtime::task_context context, std::shared_ptr<runtime::mailbox<peers_message>> inbox,
              runtime::address<forwarder_message> forwarder,
@@ -187,7 +187,7 @@
             members.push_back({name, it.record.processor_share});
         }
     }
-    m_store_readers = choose_store_readers(members);
+    m_store_readers = store::choose_store_readers(members);
     const store_role role{members.empty() || reads_store(m_self.name),
                           members.size() > m_store_readers.size()};
     if (role != m_role && m_catalog.send(role)) {
@@ -450,4 +450,4 @@
         {"owners", std::move(owners)}, {"known", m_peers.size()}, {"pending", m_pending.size()}};
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::peers
--- a/source/core/gateway/peers.h
+++ b/source/core/gateway/peers/peers.h
@@ -14,7 +14,7 @@
 #include "wire/gateway_codec.h"
 #include "wire/socket.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::peers {
 
 struct peer_limits {
     common::duration ping_interval = std::chrono::milliseconds{500};
@@ -146,4 +146,4 @@
     logging::logger m_log{"peers"};
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::peers
--- a/source/core/gateway/attempt_decision.cpp
+++ b/source/core/gateway/requests/attempt_decision.cpp
@@ -1,6 +1,6 @@
-#include "gateway/attempt_decision.h"
+#include "gateway/requests/attempt_decision.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 namespace {
 
@@ -47,4 +47,4 @@
     return next_step::fail;
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/attempt_decision.h
+++ b/source/core/gateway/requests/attempt_decision.h
@@ -6,7 +6,7 @@
 #include "common/enum_names.h"
 #include "gateway/configuration.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 /// How an attempt to run a request at an upstream ended.
 enum class attempt_end {
@@ -69,18 +69,18 @@
 /// its kind and the route's maximum number of attempts allow it.
 next_step decide_next_step(const attempt_facts& facts);
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::attempt_end> {
+struct enum_names<gateway::requests::attempt_end> {
     static constexpr std::array<std::string_view, 6> table{"not_sent", "refused", "input_gone",
                                                            "failed",   "broken",  "broken_midway"};
 };
 
 template <>
-struct enum_names<gateway::next_step> {
+struct enum_names<gateway::requests::next_step> {
     static constexpr std::array<std::string_view, 6> table{"retry",  "remake_inputs", "pass_on",
                                                            "refuse", "fail",          "abort"};
 };
--- a/source/core/gateway/event_relay.cpp
+++ b/source/core/gateway/requests/event_relay.cpp
@@ -1,10 +1,10 @@
-#include "gateway/event_relay.h"
+#include "gateway/requests/event_relay.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 namespace {
 
@@ -144,4 +144,4 @@
     return relay_status::good;
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/event_relay.h
+++ b/source/core/gateway/requests/event_relay.h
@@ -9,7 +9,7 @@
 
 #include "common/enum_names.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 /// Result of parsing a part of an event stream.
 enum class relay_status {
@@ -66,12 +66,12 @@
     bool m_started = false;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::relay_status> {
+struct enum_names<gateway::requests::relay_status> {
     static constexpr std::array<std::string_view, 4> table{"good", "out_of_order", "not_an_event",
                                                            "too_large"};
 };
--- a/source/core/gateway/exchange.h
+++ b/source/core/gateway/requests/exchange.h
@@ -11,13 +11,13 @@
 #include "gateway/caller_request.h"
 #include "gateway/configuration.h"
 #include "gateway/crash_evidence.h"
-#include "gateway/event_relay.h"
-#include "gateway/stage_progress.h"
-#include "gateway/upstream_attempt.h"
+#include "gateway/requests/event_relay.h"
+#include "gateway/requests/upstream_attempt.h"
+#include "gateway/stages/stage_progress.h"
 #include "http/server.h"
 #include "runtime/executor.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 /// Times of one request, for its log line.
 struct exchange_times {
@@ -38,7 +38,7 @@
         common::duration expected = common::duration::zero();
     };
 
-    stage_progress progress;
+    stages::stage_progress progress;
     /// Stages that have not been ordered yet.
     std::set<std::uint32_t> upcoming;
     /// When the first of the results expires.
@@ -101,4 +101,4 @@
     }
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -1,4 +1,4 @@
-#include "gateway/forwarder.h"
+#include "gateway/requests/forwarder.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,7 +8,7 @@
 #include "common/error.h"
 #include "gateway/statuses.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 namespace {
 
@@ -33,10 +33,8 @@
       m_bodies{m_options.response_buffer_bytes},
       // Starts at a random number, because another gateway may still remember the orders of this
       // gateway's previous run.
-      m_next_order{m_options.random() >> 1U}, m_suspects{{},
-                                                         [this](const suspect_view& part) {
-                                                             log_suspect(part);
-                                                         }},
+      m_next_order{m_options.random() >> 1U},
+      m_suspects{{}, [this](const evidence::suspect_view& part) { log_suspect(part); }},
       m_evidence_timer{m_context.loop()} {}
 
 void forwarder::start() {
@@ -94,7 +92,7 @@
     }
 }
 
-void forwarder::update_limits(const std::string& service, service_pool& pool) const {
+void forwarder::update_limits(const std::string& service, instances::service_pool& pool) const {
     // Each gateway keeps to its own share of the budget, so that the sum holds regardless of what
     // the others do. Up to half of the reserve can accumulate; it refills within one window.
     policy::retry_budget_options options;
@@ -119,10 +117,10 @@
     }
 }
 
-service_pool& forwarder::pool_of(const std::string& service) {
+instances::service_pool& forwarder::pool_of(const std::string& service) {
     auto& pool = m_pools[service];
     if (!pool) {
-        pool = std::make_unique<service_pool>(m_context, m_options.route);
+        pool = std::make_unique<instances::service_pool>(m_context, m_options.route);
         if (m_upstreams) {
             pool->update(service, *m_upstreams, common::monotonic_clock::now());
         }
@@ -221,7 +219,7 @@
                      ex.times.arrived + event_patience(*ex.matched_route) - response_margin);
     }
     ex.events = event_relay{ex.request.last_event};
-    ex.stages.progress = stage_progress{ex.matched_route->stages, ex.request.piece_counts};
+    ex.stages.progress = stages::stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     limit_to_stop(ex);
     if (!admit_in_stop(ex)) {
         return;
@@ -245,7 +243,7 @@
                                            common::monotonic_clock::now());
     ex.stages.expected = decision.expected;
     ex.stages.allowed = decision.allowed;
-    if (decision.outcome == admission_outcome::admitted) {
+    if (decision.outcome == stages::admission_outcome::admitted) {
         return true;
     }
     refuse(ex, status_unavailable, std::string{common::to_name(decision.outcome)},
@@ -423,4 +421,4 @@
                                {"requests", std::move(requests)}};
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -12,22 +12,22 @@
 #include "common/enum_names.h"
 #include "common/random.h"
 #include "gateway/adapter.h"
-#include "gateway/attempt_decision.h"
-#include "gateway/attempt_evidence.h"
-#include "gateway/crash_suspects.h"
-#include "gateway/exchange.h"
-#include "gateway/forwarder_metrics.h"
+#include "gateway/evidence/attempt_evidence.h"
+#include "gateway/evidence/crash_suspects.h"
+#include "gateway/instances/service_pool.h"
 #include "gateway/messages.h"
-#include "gateway/service_pool.h"
-#include "gateway/stage_admission.h"
-#include "gateway/stage_estimator.h"
-#include "gateway/stop_admission.h"
-#include "gateway/upstream_attempt.h"
+#include "gateway/requests/attempt_decision.h"
+#include "gateway/requests/exchange.h"
+#include "gateway/requests/forwarder_metrics.h"
+#include "gateway/requests/stop_admission.h"
+#include "gateway/requests/upstream_attempt.h"
+#include "gateway/stages/stage_admission.h"
+#include "gateway/stages/stage_estimator.h"
 #include "logging/logger.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 /// The retry budget that all gateways of the deployment share.
 struct shared_retry_budget {
@@ -110,7 +110,7 @@
     /// first read.
     [[nodiscard]] std::optional<common::duration> configuration_age() const;
     /// The request as the estimator takes it.
-    [[nodiscard]] static staged_request staged(const exchange& ex);
+    [[nodiscard]] static stages::staged_request staged(const exchange& ex);
     [[nodiscard]] std::string preferred_domain(exchange& ex, std::uint32_t stage,
                                                const std::vector<std::string>& inputs);
     /// Adds the pieces of the request's stages to the counts of upcoming pieces.
@@ -129,10 +129,10 @@
 
     void send(exchange& ex);
     /// Sends the request to this instance.
-    void send_to(exchange& ex, const std::shared_ptr<pool_member>& member);
+    void send_to(exchange& ex, const std::shared_ptr<instances::pool_member>& member);
     [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex) const;
     /// Lets a request wait for an instance, or refuses it if none can take it in time.
-    void wait_for_instance(exchange& ex, const instance_choice& choice);
+    void wait_for_instance(exchange& ex, const instances::instance_choice& choice);
     /// Serves the requests that wait for an instance, later in the event loop.
     void schedule_waiting(const std::string& service);
     /// The same after a delay, at which the first pause of an instance ends.
@@ -169,13 +169,13 @@
     /// Makes known that a request with quarantined parts is sent as their trial.
     void announce_trial(const exchange& ex);
     /// What the end of the current attempt shows of its instance.
-    [[nodiscard]] attempt_outcome outcome_of(const exchange& ex) const;
+    [[nodiscard]] evidence::attempt_outcome outcome_of(const exchange& ex) const;
     /// Records that the instance may have crashed on this request.
     void record_possible_crash(const exchange& ex, const attempt_failure& failure);
     /// Records a complete response, which may clear the parts of the prompt.
     void record_answer(const exchange& ex, const attempt_response& response);
     /// Records what the end of the current attempt shows of the parts of its prompt.
-    void apply_finding(const exchange& ex, part_finding finding);
+    void apply_finding(const exchange& ex, evidence::part_finding finding);
     /// Records that an answer goes on, which clears the parts of its prompt.
     void record_sound_answer(const exchange& ex, common::time_point began);
     /// Records a response of an instance that may have been taken for crashed.
@@ -183,7 +183,7 @@
     /// Applies evidence and sends it to the other gateways, together with what follows soon.
     void share_evidence(const crash_evidence& evidence);
     void send_evidence();
-    void log_suspect(const suspect_view& part) const;
+    void log_suspect(const evidence::suspect_view& part) const;
     [[nodiscard]] boost::json::array dump_quarantined() const;
 
     void respond(exchange& ex, const http::response& response, request_end end,
@@ -195,9 +195,9 @@
                  common::duration took) const;
 
     exchange* find(std::uint64_t id);
-    service_pool& pool_of(const std::string& service);
+    instances::service_pool& pool_of(const std::string& service);
     /// Applies this gateway's share of the limits that all gateways have together.
-    void update_limits(const std::string& service, service_pool& pool) const;
+    void update_limits(const std::string& service, instances::service_pool& pool) const;
 
     runtime::task_context m_context;
     runtime::inbox<forwarder_message> m_inbox;
@@ -207,14 +207,14 @@
     configuration_pointer m_configuration;
     std::optional<common::time_point> m_configuration_confirmed;
     upstream_map_pointer m_upstreams;
-    std::map<std::string, std::unique_ptr<service_pool>> m_pools;
+    std::map<std::string, std::unique_ptr<instances::service_pool>> m_pools;
     /// Memory for the bodies of responses.
     http::buffer_budget m_bodies;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     /// Maps the number of each order to the id of its request.
     std::map<std::uint64_t, std::uint64_t> m_orders;
     std::uint64_t m_next_order;
-    stage_estimator m_estimator;
+    stages::stage_estimator m_estimator;
     /// Names of all gateways.
     std::vector<std::string> m_gateways;
     std::size_t m_gateway_count = 1;
@@ -225,18 +225,18 @@
     std::optional<common::time_point> m_stop_deadline;
     forwarder_metrics m_metrics;
     logging::logger m_log{"forwarder"};
-    crash_suspects m_suspects;
+    evidence::crash_suspects m_suspects;
     /// Evidence that the other gateways have not got yet.
     crash_evidence m_unsent_evidence;
     runtime::timer m_evidence_timer;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::lookup_result> {
+struct enum_names<gateway::requests::lookup_result> {
     static constexpr std::array<std::string_view, 5> table{"found", "no_configuration", "no_route",
                                                            "unusable_route", "unknown_key"};
 };
--- a/source/core/gateway/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -2,12 +2,12 @@
 #include <utility>
 
 #include "common/digest.h"
-#include "gateway/forwarder.h"
+#include "gateway/requests/forwarder.h"
 #include "gateway/statuses.h"
 
 // Sends requests to upstream instances, passes their responses on and decides on retries.
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 namespace {
 
@@ -61,7 +61,7 @@
     }
     auto& pool = pool_of(ex.service);
     const auto choice = pool.choose(make_routing_request(ex));
-    if (choice.outcome != choice_outcome::chosen) {
+    if (choice.outcome != instances::choice_outcome::chosen) {
         wait_for_instance(ex, choice);
         return;
     }
@@ -71,12 +71,12 @@
     send_to(ex, choice.member);
 }
 
-void forwarder::wait_for_instance(exchange& ex, const instance_choice& choice) {
-    if (choice.outcome == choice_outcome::none) {
+void forwarder::wait_for_instance(exchange& ex, const instances::instance_choice& choice) {
+    if (choice.outcome == instances::choice_outcome::none) {
         refuse(ex, status_unavailable, "no upstream takes work");
         return;
     }
-    if (choice.outcome == choice_outcome::pausing) {
+    if (choice.outcome == instances::choice_outcome::pausing) {
         const auto pause = choice.retry_at - common::monotonic_clock::now();
         if (choice.retry_at >= ex.first_event_deadline) {
             refuse(ex, status_unavailable, "all upstreams pause", pause);
@@ -121,7 +121,7 @@
     }
 }
 
-void forwarder::send_to(exchange& ex, const std::shared_ptr<pool_member>& member) {
+void forwarder::send_to(exchange& ex, const std::shared_ptr<instances::pool_member>& member) {
     const auto now = common::monotonic_clock::now();
     auto& pool = pool_of(ex.service);
     const auto prefix = prefix_of(ex);
@@ -201,7 +201,7 @@
 
 void forwarder::notice_received(const exchange& ex, const response_head& head) {
     auto& member = *ex.attempt->member();
-    if (head.leaving && member.state.phase() != instance_phase::draining) {
+    if (head.leaving && member.state.phase() != instances::instance_phase::draining) {
         member.state.announce_drain();
         m_log.info("The instance is leaving.",
                    {{"attempt", ex.request.attempt_id}, {"upstream", member.identity.id}});
@@ -364,4 +364,4 @@
     advance_stages(ex);
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/forwarder_metrics.cpp
+++ b/source/core/gateway/requests/forwarder_metrics.cpp
@@ -1,6 +1,6 @@
-#include "gateway/forwarder_metrics.h"
+#include "gateway/requests/forwarder_metrics.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 void forwarder_metrics::record_end(repeatability kind, request_end end, common::duration time) {
     const std::string kind_name{common::to_name(kind)};
@@ -31,7 +31,7 @@
         .add();
 }
 
-void forwarder_metrics::record_wait(choice_outcome cause) {
+void forwarder_metrics::record_wait(instances::choice_outcome cause) {
     m_registry
         .add_counter("jujubemast_gateway_waits_total",
                      "Requests that waited because no instance could take them.",
@@ -73,4 +73,4 @@
         .set(static_cast<double>(n));
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/forwarder_metrics.h
+++ b/source/core/gateway/requests/forwarder_metrics.h
@@ -7,12 +7,12 @@
 
 #include "common/enum_names.h"
 #include "common/time.h"
-#include "gateway/attempt_decision.h"
 #include "gateway/configuration.h"
-#include "gateway/service_pool.h"
+#include "gateway/instances/service_pool.h"
+#include "gateway/requests/attempt_decision.h"
 #include "metrics/registry.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 /// How a caller's request ended.
 enum class request_end { answered, upstream_failure, refused, failed, timed_out, cut, caller_left };
@@ -24,7 +24,7 @@
     void record_first_byte(repeatability kind, common::duration time);
     void record_step(attempt_end end, next_step step);
     /// Records that a request waits because no instance can take it.
-    void record_wait(choice_outcome cause);
+    void record_wait(instances::choice_outcome cause);
     void record_quarantine_refusal();
     void set_quarantined_parts(std::size_t n);
     void set_in_progress(std::size_t n);
@@ -37,12 +37,12 @@
     metrics::registry m_registry;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::request_end> {
+struct enum_names<gateway::requests::request_end> {
     static constexpr std::array<std::string_view, 7> table{
         "answered", "upstream_failure", "refused", "failed", "timed_out", "cut", "caller_left"};
 };
--- a/source/core/gateway/forwarder_stages.cpp
+++ b/source/core/gateway/requests/forwarder_stages.cpp
@@ -1,12 +1,12 @@
 #include <algorithm>
 #include <utility>
 
-#include "gateway/forwarder.h"
+#include "gateway/requests/forwarder.h"
 #include "gateway/statuses.h"
 
 // Orders the stages of a request and releases their results.
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 namespace {
 
@@ -18,7 +18,7 @@
 
 } // namespace
 
-staged_request forwarder::staged(const exchange& ex) {
+stages::staged_request forwarder::staged(const exchange& ex) {
     return {*ex.configuration, *ex.matched_route, ex.stages.progress, ex.priority,
             ex.times.arrived + ex.matched_route->latency_target};
 }
@@ -144,7 +144,7 @@
         return;
     case order_status::overloaded:
         refuse(*ex, status_unavailable, "stage overloaded",
-               overload_retry_after(message.outcome.retry_after));
+               stages::overload_retry_after(message.outcome.retry_after));
         return;
     case order_status::expired:
         refuse(*ex, status_unavailable, "stage not made in time");
@@ -180,4 +180,4 @@
     }
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/forwarder_stop.cpp
+++ b/source/core/gateway/requests/forwarder_stop.cpp
@@ -1,12 +1,12 @@
 #include <algorithm>
 
-#include "gateway/forwarder.h"
+#include "gateway/requests/forwarder.h"
 #include "gateway/statuses.h"
 #include "gateway/stop_schedule.h"
 
 // Ends the requests of a gateway that stops, and admits new ones only if they can end in time.
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 namespace {
 
@@ -65,4 +65,4 @@
     return true;
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/forwarder_suspects.cpp
+++ b/source/core/gateway/requests/forwarder_suspects.cpp
@@ -5,14 +5,14 @@
 
 #include <boost/json.hpp>
 
-#include "gateway/forwarder.h"
+#include "gateway/requests/forwarder.h"
 #include "gateway/statuses.h"
 #include "policy/shared_limit.h"
 
 // Finds the parts of prompts that crash instances, together with the other gateways, and refuses
 // requests with such parts.
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 namespace {
 
@@ -76,10 +76,11 @@
     send_evidence();
 }
 
-attempt_outcome forwarder::outcome_of(const exchange& ex) const {
+evidence::attempt_outcome forwarder::outcome_of(const exchange& ex) const {
     const auto phase = ex.attempt->member()->state.phase();
-    attempt_outcome outcome;
-    outcome.instance_stops = phase == instance_phase::draining || phase == instance_phase::gone;
+    evidence::attempt_outcome outcome;
+    outcome.instance_stops =
+        phase == instances::instance_phase::draining || phase == instances::instance_phase::gone;
     if (ex.writing_since) {
         outcome.writing = common::monotonic_clock::now() - *ex.writing_since;
     }
@@ -104,11 +105,11 @@
     apply_finding(ex, judge_attempt(outcome, m_suspects.limits().sound_time));
 }
 
-void forwarder::apply_finding(const exchange& ex, part_finding finding) {
+void forwarder::apply_finding(const exchange& ex, evidence::part_finding finding) {
     switch (finding) {
-    case part_finding::none:
+    case evidence::part_finding::none:
         return;
-    case part_finding::suspect: {
+    case evidence::part_finding::suspect: {
         if (ex.shared_parts.empty()) {
             return;
         }
@@ -118,7 +119,7 @@
         share_evidence(evidence);
         return;
     }
-    case part_finding::sound:
+    case evidence::part_finding::sound:
         record_sound_answer(ex, ex.writing_since.value_or(ex.attempt->sent_at()));
         return;
     }
@@ -180,14 +181,14 @@
     }
 }
 
-void forwarder::log_suspect(const suspect_view& part) const {
+void forwarder::log_suspect(const evidence::suspect_view& part) const {
     const logging::fields values{{"part", to_text({part.part})},
                                  {"change", std::string{common::to_name(part.change)}},
                                  {"incidents", std::to_string(part.incidents)},
                                  {"instances", describe_instances(part.instances)},
                                  {"first_crash_ms", in_ms(part.first_crash_age)},
                                  {"trial_in_ms", in_ms(part.trial_in)}};
-    if (part.change == suspect_change::suspected) {
+    if (part.change == evidence::suspect_change::suspected) {
         m_log.info("Suspicion of a prompt part changed.", values);
     } else {
         m_log.warn("Suspicion of a prompt part changed.", values);
@@ -206,4 +207,4 @@
     return parts;
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/stop_admission.cpp
+++ b/source/core/gateway/requests/stop_admission.cpp
@@ -1,8 +1,8 @@
-#include "gateway/stop_admission.h"
+#include "gateway/requests/stop_admission.h"
 
 #include <algorithm>
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 namespace {
 
@@ -38,4 +38,4 @@
     return until_sent + taken <= left;
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/stop_admission.h
+++ b/source/core/gateway/requests/stop_admission.h
@@ -8,7 +8,7 @@
 #include "gateway/configuration.h"
 #include "policy/quantile_estimate.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 /// How long the upstreams' responses to each route have taken lately, from the send of the request
 /// to the end of the response.
@@ -34,4 +34,4 @@
 [[nodiscard]] bool can_end_before_stop(const response_times& times, const route& matched_route,
                                        common::duration until_sent, common::duration left);
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/upstream_attempt.cpp
+++ b/source/core/gateway/requests/upstream_attempt.cpp
@@ -1,11 +1,11 @@
-#include "gateway/upstream_attempt.h"
+#include "gateway/requests/upstream_attempt.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "gateway/statuses.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 namespace {
 
@@ -37,9 +37,9 @@
 
 upstream_attempt::upstream_attempt(const runtime::task_context& context,
                                    const adapter& platform_adapter,
-                                   std::shared_ptr<pool_member> member, event_relay& events,
-                                   http::buffer_budget& budget, attempt_options options,
-                                   attempt_hooks hooks)
+                                   std::shared_ptr<instances::pool_member> member,
+                                   event_relay& events, http::buffer_budget& budget,
+                                   attempt_options options, attempt_hooks hooks)
     : m_context{context}, m_adapter{platform_adapter}, m_member{std::move(member)},
       m_events{events}, m_budget{budget}, m_options{std::move(options)}, m_hooks{std::move(hooks)},
       m_time_limit{context.loop()}, m_failure_timer{context.loop()}, m_event_timer{context.loop()} {
@@ -280,4 +280,4 @@
     hook(failure);
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/upstream_attempt.h
+++ b/source/core/gateway/requests/upstream_attempt.h
@@ -8,13 +8,13 @@
 #include <string_view>
 
 #include "gateway/adapter.h"
-#include "gateway/attempt_decision.h"
-#include "gateway/event_relay.h"
-#include "gateway/service_pool.h"
+#include "gateway/instances/service_pool.h"
+#include "gateway/requests/attempt_decision.h"
+#include "gateway/requests/event_relay.h"
 #include "http/buffer_budget.h"
 #include "runtime/executor.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::requests {
 
 /// The part of a response that has been received.
 struct attempt_response {
@@ -77,7 +77,7 @@
 public:
     /// The relay and the budget must outlive the attempt.
     upstream_attempt(const runtime::task_context& context, const adapter& platform_adapter,
-                     std::shared_ptr<pool_member> member, event_relay& events,
+                     std::shared_ptr<instances::pool_member> member, event_relay& events,
                      http::buffer_budget& budget, attempt_options options, attempt_hooks hooks);
     ~upstream_attempt();
     upstream_attempt(const upstream_attempt&) = delete;
@@ -88,7 +88,7 @@
     /// Whether the response has started but its body, or the current event, is incomplete.
     [[nodiscard]] bool is_stalled() const;
 
-    [[nodiscard]] const std::shared_ptr<pool_member>& member() const { return m_member; }
+    [[nodiscard]] const std::shared_ptr<instances::pool_member>& member() const { return m_member; }
     [[nodiscard]] common::time_point sent_at() const { return m_sent_at; }
     [[nodiscard]] const attempt_response& response() const { return m_response; }
     [[nodiscard]] bool in_progress() const { return m_call != 0; }
@@ -120,7 +120,7 @@
 
     runtime::task_context m_context;
     const adapter& m_adapter;
-    std::shared_ptr<pool_member> m_member;
+    std::shared_ptr<instances::pool_member> m_member;
     event_relay& m_events;
     http::buffer_budget& m_budget;
     attempt_options m_options;
@@ -135,4 +135,4 @@
     std::size_t m_reserved_bytes = 0;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::requests
--- a/source/core/gateway/dispatcher.cpp
+++ b/source/core/gateway/stages/dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "gateway/dispatcher.h"
+#include "gateway/stages/dispatcher.h"
 
 #include <algorithm>
 #include <utility>
@@ -6,8 +6,9 @@
 #include <boost/json.hpp>
 
 #include "gateway/ownership.h"
+#include "gateway/stages/expected_delay.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 namespace {
 
@@ -330,4 +331,4 @@
         {"services", std::move(services)}, {"orders", m_orders.size()}, {"calls", m_calls.size()}};
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/dispatcher.h
+++ b/source/core/gateway/stages/dispatcher.h
@@ -13,16 +13,17 @@
 
 #include "common/enum_names.h"
 #include "gateway/adapter.h"
-#include "gateway/instance_state.h"
+#include "gateway/instances/instance_state.h"
 #include "gateway/messages.h"
-#include "gateway/result_memory.h"
+#include "gateway/stages/piece_queue.h"
+#include "gateway/stages/result_memory.h"
 #include "http/client.h"
 #include "logging/logger.h"
 #include "policy/outlier_detector.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 /// How a call without results ended.
 enum class call_end {
@@ -69,7 +70,7 @@
 
     struct stage_instance {
         upstream_instance identity;
-        instance_state state;
+        instances::instance_state state;
         std::unique_ptr<http::client> client;
         std::size_t calls = 0;
         /// The instance gets no call before this time, for example because it refused one.
@@ -192,12 +193,12 @@
     logging::logger m_log{"dispatcher"};
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::call_end> {
+struct enum_names<gateway::stages::call_end> {
     static constexpr std::array<std::string_view, 3> table{"not_run", "refused", "no_response"};
 };
 
--- a/source/core/gateway/dispatcher_calls.cpp
+++ b/source/core/gateway/stages/dispatcher_calls.cpp
@@ -3,11 +3,12 @@
 #include <utility>
 
 #include "common/error.h"
-#include "gateway/dispatcher.h"
+#include "gateway/stages/dispatcher.h"
+#include "gateway/stages/expected_delay.h"
 
 // Calls that make pieces: sending, timeouts, responses and retries.
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 namespace {
 
@@ -68,7 +69,7 @@
 
 void dispatcher::notice_received(const std::string& service, stage_instance& instance,
                                  const response_head& head) {
-    if (head.leaving && instance.state.phase() != instance_phase::draining) {
+    if (head.leaving && instance.state.phase() != instances::instance_phase::draining) {
         instance.state.announce_drain();
         m_log.info("The instance is leaving.",
                    {{"service", service}, {"upstream", instance.identity.id}});
@@ -266,4 +267,4 @@
     }
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/dispatcher_instances.cpp
+++ b/source/core/gateway/stages/dispatcher_instances.cpp
@@ -1,11 +1,12 @@
 #include <algorithm>
 #include <utility>
 
-#include "gateway/dispatcher.h"
+#include "gateway/stages/dispatcher.h"
+#include "gateway/stages/expected_delay.h"
 
 // Tracks the instances of the services and selects the instance for the next call.
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 namespace {
 
@@ -35,7 +36,7 @@
             listed && is_same_incarnation(known->second, instance.identity), now);
         // An instance that pauses is kept, because its entry may come back before the pause ends.
         // Calls in progress keep the others and their clients alive until they end.
-        const bool removed = instance.state.phase() == instance_phase::gone &&
+        const bool removed = instance.state.phase() == instances::instance_phase::gone &&
                              (listed || instance.state.paused_until() <= now);
         if (removed) {
             service.health.remove_member(it.first);
@@ -48,7 +49,8 @@
         }
         auto& instance = service.instances[id];
         if (!instance) {
-            instance = std::make_shared<stage_instance>(stage_instance{it, instance_state{now}});
+            instance = std::make_shared<stage_instance>(
+                stage_instance{it, instances::instance_state{now}});
             instance->client = std::make_unique<http::client>(m_context, it.address, call_limits());
             service.health.add_member(id);
         }
@@ -68,7 +70,7 @@
 std::optional<common::time_point> dispatcher::first_pause_end(const service_state& service) {
     std::optional<common::time_point> first;
     for (const auto& [id, it] : service.instances) {
-        if (it->state.phase() == instance_phase::pausing) {
+        if (it->state.phase() == instances::instance_phase::pausing) {
             first = std::min(first.value_or(it->state.paused_until()), it->state.paused_until());
         }
     }
@@ -114,7 +116,7 @@
             it->backoff_until > now) {
             continue;
         }
-        if (it->state.phase() == instance_phase::ejected) {
+        if (it->state.phase() == instances::instance_phase::ejected) {
             ejected = it;
         }
         if (!it->state.accepts_work()) {
@@ -128,4 +130,4 @@
     return best || usable_instances(service) > 0 ? best : ejected;
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/dispatcher_reports.cpp
+++ b/source/core/gateway/stages/dispatcher_reports.cpp
@@ -2,14 +2,15 @@
 #include <utility>
 
 #include "common/error.h"
-#include "gateway/dispatcher.h"
+#include "gateway/stages/dispatcher.h"
+#include "gateway/stages/expected_delay.h"
 #include "http/call_failure.h"
 
 // Reports of instances about their load. They are requested when this gateway cannot know the load
 // from its own calls: it does not know the calls and results of a previous owner, nor what became
 // of calls whose responses were lost.
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 namespace {
 
@@ -133,4 +134,4 @@
     dispatch(name);
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/dispatcher_results.cpp
+++ b/source/core/gateway/stages/dispatcher_results.cpp
@@ -1,11 +1,11 @@
 #include <utility>
 
-#include "gateway/dispatcher.h"
+#include "gateway/stages/dispatcher.h"
 #include "http/call_failure.h"
 
 // Releases results that are no longer needed.
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 namespace {
 
@@ -86,4 +86,4 @@
     dispatch(service);
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/estimate_bias.cpp
+++ b/source/core/gateway/stages/estimate_bias.cpp
@@ -1,9 +1,9 @@
-#include "gateway/estimate_bias.h"
+#include "gateway/stages/estimate_bias.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 namespace {
 
@@ -39,4 +39,4 @@
     return 1 + (m_ratio - 1) * std::exp(-std::max(0.0, unobserved / decay_time));
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/estimate_bias.h
+++ b/source/core/gateway/stages/estimate_bias.h
@@ -2,7 +2,7 @@
 
 #include "common/time.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 /// Learns the ratio of actual times to their estimates as an exponentially weighted average.
 /// Without observations the ratio decays to 1: a high ratio can cause all work to be refused, and
@@ -20,4 +20,4 @@
     common::time_point m_recorded;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/piece_queue.cpp
+++ b/source/core/gateway/stages/piece_queue.cpp
@@ -1,11 +1,11 @@
-#include "gateway/piece_queue.h"
+#include "gateway/stages/piece_queue.h"
 
 #include <algorithm>
 #include <cmath>
 #include <map>
 #include <utility>
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 namespace {
 
@@ -114,4 +114,4 @@
     return result;
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/result_memory.cpp
+++ b/source/core/gateway/stages/result_memory.cpp
@@ -1,6 +1,6 @@
-#include "gateway/result_memory.h"
+#include "gateway/stages/result_memory.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 void result_memory::keep(const std::string& handle, double bytes, common::time_point until) {
     m_results[handle] = {bytes, until};
@@ -23,4 +23,4 @@
     return total;
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/result_memory.h
+++ b/source/core/gateway/stages/result_memory.h
@@ -5,7 +5,7 @@
 
 #include "common/time.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 /// Tracks the memory that results use at one instance, from the start of their call until they are
 /// released or expire.
@@ -43,4 +43,4 @@
     result m_foreign;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/stage_admission.cpp
+++ b/source/core/gateway/stages/stage_admission.cpp
@@ -1,8 +1,8 @@
-#include "gateway/stage_admission.h"
+#include "gateway/stages/stage_admission.h"
 
 #include <algorithm>
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 namespace {
 
@@ -47,4 +47,4 @@
     return std::clamp(excess, min_overload_retry, max_overload_retry);
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/stage_admission.h
+++ b/source/core/gateway/stages/stage_admission.h
@@ -5,9 +5,9 @@
 #include <string_view>
 
 #include "common/enum_names.h"
-#include "gateway/stage_estimator.h"
+#include "gateway/stages/stage_estimator.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 /// Whether a request whose stages may be overloaded is admitted, or why not.
 enum class admission_outcome {
@@ -37,12 +37,12 @@
 /// Returns the retry delay for a request that would have taken longer by `excess` than it may.
 common::duration overload_retry_after(common::duration excess);
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::admission_outcome> {
+struct enum_names<gateway::stages::admission_outcome> {
     static constexpr std::array<std::string_view, 3> table{"admitted", "stages overloaded",
                                                            "results of stages would lapse"};
 };
--- a/source/core/gateway/stage_estimator.cpp
+++ b/source/core/gateway/stages/stage_estimator.cpp
@@ -1,10 +1,10 @@
-#include "gateway/stage_estimator.h"
+#include "gateway/stages/stage_estimator.h"
 
 #include <algorithm>
 #include <chrono>
 #include <limits>
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 namespace {
 
@@ -194,4 +194,4 @@
     return false;
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/stage_estimator.h
+++ b/source/core/gateway/stages/stage_estimator.h
@@ -9,12 +9,13 @@
 
 #include "common/time.h"
 #include "gateway/configuration.h"
-#include "gateway/estimate_bias.h"
 #include "gateway/service_backlog.h"
-#include "gateway/stage_progress.h"
+#include "gateway/stages/estimate_bias.h"
+#include "gateway/stages/expected_delay.h"
+#include "gateway/stages/stage_progress.h"
 #include "gateway/upstream_list.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 /// A request whose stages are estimated.
 struct staged_request {
@@ -122,4 +123,4 @@
     std::map<std::string, estimate_bias> m_first_event_biases;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/stage_progress.cpp
+++ b/source/core/gateway/stages/stage_progress.cpp
@@ -1,11 +1,11 @@
-#include "gateway/stage_progress.h"
+#include "gateway/stages/stage_progress.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "gateway/stage_order.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 stage_progress::stage_progress(const std::vector<stage_spec>& stages,
                                const std::vector<std::uint32_t>& counts)
@@ -167,4 +167,4 @@
     }
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/stage_progress.h
+++ b/source/core/gateway/stages/stage_progress.h
@@ -9,7 +9,7 @@
 #include "common/time.h"
 #include "gateway/configuration.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::stages {
 
 /// Progress of the stages of one request. Determines which stages can be ordered, which results are
 /// their inputs, and which results are no longer needed.
@@ -102,4 +102,4 @@
     std::vector<std::size_t> m_order;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::stages
--- a/source/core/gateway/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -1,4 +1,4 @@
-#include "gateway/catalog.h"
+#include "gateway/store/catalog.h"
 
 #include <algorithm>
 #include <utility>
@@ -6,10 +6,10 @@
 #include <boost/json.hpp>
 
 #include "common/error.h"
-#include "gateway/row_digest.h"
+#include "gateway/store/row_digest.h"
 #include "http/call_failure.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::store {
 
 namespace {
 
@@ -396,4 +396,4 @@
         {"gateways", m_gateways.size()}};
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
--- a/source/core/gateway/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -10,15 +10,15 @@
 #include <vector>
 
 #include "gateway/adapter.h"
-#include "gateway/malformed_rows.h"
 #include "gateway/messages.h"
-#include "gateway/table_watch.h"
+#include "gateway/store/malformed_rows.h"
+#include "gateway/store/table_watch.h"
 #include "http/client.h"
 #include "logging/logger.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::store {
 
 /// Callbacks through which the catalog publishes what it reads.
 struct catalog_hooks {
@@ -108,4 +108,4 @@
     logging::logger m_log{"catalog"};
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
--- a/source/core/gateway/malformed_rows.cpp
+++ b/source/core/gateway/store/malformed_rows.cpp
@@ -1,8 +1,8 @@
-#include "gateway/malformed_rows.h"
+#include "gateway/store/malformed_rows.h"
 
 #include <utility>
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::store {
 
 void malformed_rows::keep_only(const std::vector<store_row>& rows) {
     std::set<std::string> kept;
@@ -14,4 +14,4 @@
     m_keys = std::move(kept);
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
--- a/source/core/gateway/malformed_rows.h
+++ b/source/core/gateway/store/malformed_rows.h
@@ -6,7 +6,7 @@
 
 #include "gateway/adapter.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::store {
 
 /// The rows of a table whose content cannot be decoded. Each is reported once, although its writer
 /// may repeat it and the table may be read again.
@@ -25,4 +25,4 @@
     std::set<std::string> m_keys;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
--- a/source/core/gateway/row_digest.cpp
+++ b/source/core/gateway/store/row_digest.cpp
@@ -1,8 +1,8 @@
-#include "gateway/row_digest.h"
+#include "gateway/store/row_digest.h"
 
 #include "common/digest.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::store {
 
 namespace {
 
@@ -34,4 +34,4 @@
                              content.failure_domain);
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
--- a/source/core/gateway/row_digest.h
+++ b/source/core/gateway/store/row_digest.h
@@ -4,7 +4,7 @@
 
 #include "gateway/adapter.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::store {
 
 // Digests of what the gateways use of a row. A row that is rewritten with the same content, for
 // example as a heartbeat, keeps its digest.
@@ -15,4 +15,4 @@
 std::uint64_t row_digest(const upstream_instance& content);
 std::uint64_t row_digest(const gateway_record& content);
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
--- a/source/core/gateway/store_readers.cpp
+++ b/source/core/gateway/store/store_readers.cpp
@@ -1,4 +1,4 @@
-#include "gateway/store_readers.h"
+#include "gateway/store/store_readers.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -7,7 +7,7 @@
 
 #include "common/digest.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::store {
 
 std::vector<std::string> choose_store_readers(const std::vector<owner_candidate>& gateways,
                                               std::size_t count) {
@@ -27,4 +27,4 @@
     return names;
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
--- a/source/core/gateway/store_readers.h
+++ b/source/core/gateway/store/store_readers.h
@@ -6,7 +6,7 @@
 
 #include "gateway/ownership.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::store {
 
 /// Number of gateways in each failure domain that follow the store. A second one makes the failure
 /// of the first unnoticeable.
@@ -20,4 +20,4 @@
 std::vector<std::string> choose_store_readers(const std::vector<owner_candidate>& gateways,
                                               std::size_t count = store_readers_per_domain);
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
--- a/source/core/gateway/table_copy.cpp
+++ b/source/core/gateway/store/table_copy.cpp
@@ -1,10 +1,10 @@
-#include "gateway/table_copy.h"
+#include "gateway/store/table_copy.h"
 
 #include <algorithm>
 
 #include "common/digest.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::store {
 
 namespace {
 
@@ -62,4 +62,4 @@
     return m_confirmed ? *m_confirmed + max_age : common::time_point{};
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
--- a/source/core/gateway/table_copy.h
+++ b/source/core/gateway/store/table_copy.h
@@ -11,20 +11,9 @@
 #include "common/enum_names.h"
 #include "common/time.h"
 #include "gateway/adapter.h"
+#include "gateway/table_changes.h"
 
-namespace jujubemast::gateway {
-
-/// Changes of a table that one gateway passes on to another. They contain the last state of every
-/// row whose content differs between `since` and `version`; rows that were only rewritten are left
-/// out.
-struct table_changes {
-    store_table table = store_table::configuration;
-    std::uint64_t since = 0;
-    std::uint64_t version = 0;
-    /// Digest of the contents of all rows at `version`.
-    std::uint64_t digest = 0;
-    std::vector<store_row> rows;
-};
+namespace jujubemast::gateway::store {
 
 /// How changes relate to the version of a copy.
 enum class change_order {
@@ -89,12 +78,12 @@
     std::optional<common::time_point> m_confirmed;
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::change_order> {
+struct enum_names<gateway::store::change_order> {
     static constexpr std::array<std::string_view, 4> table{"older", "known", "next", "gap"};
 };
 
--- a/source/core/gateway/table_watch.cpp
+++ b/source/core/gateway/store/table_watch.cpp
@@ -1,4 +1,4 @@
-#include "gateway/table_watch.h"
+#include "gateway/store/table_watch.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,7 +7,7 @@
 
 #include "http/call_failure.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::store {
 
 namespace {
 
@@ -294,4 +294,4 @@
     m_hooks.on_state(available);
 }
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
--- a/source/core/gateway/table_watch.h
+++ b/source/core/gateway/store/table_watch.h
@@ -13,12 +13,12 @@
 
 #include "common/enum_names.h"
 #include "gateway/adapter.h"
-#include "gateway/table_copy.h"
+#include "gateway/store/table_copy.h"
 #include "http/client.h"
 #include "logging/logger.h"
 #include "runtime/task.h"
 
-namespace jujubemast::gateway {
+namespace jujubemast::gateway::store {
 
 /// The whole content of a table, or its changes.
 struct table_update {
@@ -152,12 +152,12 @@
     logging::logger m_log{"catalog"};
 };
 
-} // namespace jujubemast::gateway
+} // namespace jujubemast::gateway::store
 
 namespace jujubemast::common {
 
 template <>
-struct enum_names<gateway::watch_source> {
+struct enum_names<gateway::store::watch_source> {
     static constexpr std::array<std::string_view, 3> table{"store", "store_for_others", "others"};
 };
 
--- a/tests/support/pipeline_replay.cpp
+++ b/tests/support/pipeline_replay.cpp
@@ -17,7 +17,7 @@
 
 /// Time between the starts of two calls, as the dispatcher spreads them.
 common::duration call_spacing(const replay_service& service) {
-    return gateway::call_time(service.limits, service.limits.batch / 2) /
+    return gateway::stages::call_time(service.limits, service.limits.batch / 2) /
            static_cast<std::int64_t>(service.instances);
 }
 
@@ -93,7 +93,7 @@
     }
 }
 
-gateway::staged_request pipeline_replay::staged(const request& it) const {
+gateway::stages::staged_request pipeline_replay::staged(const request& it) const {
     return {m_configuration, *it.route, it.progress, it.kind->priority,
             it.arrived + it.kind->target};
 }
@@ -106,11 +106,11 @@
         pieces.push_back(it.second);
     }
     request added{&kind, &route, common::uniform_below(m_random, m_setup.gateways), m_now,
-                  gateway::stage_progress{route.stages, pieces}};
+                  gateway::stages::stage_progress{route.stages, pieces}};
     auto& estimator = m_estimators[added.gateway];
-    const auto decision = gateway::decide_admission(estimator, staged(added), engine_service,
-                                                    kind.target * patience_factor, m_now);
-    if (decision.outcome != gateway::admission_outcome::admitted) {
+    const auto decision = gateway::stages::decide_admission(
+        estimator, staged(added), engine_service, kind.target * patience_factor, m_now);
+    if (decision.outcome != gateway::stages::admission_outcome::admitted) {
         ++counts.refused;
         return;
     }
@@ -183,7 +183,7 @@
                (m_now >= service.next_call || service.queue.size() >= limits.batch)) {
             std::vector<gateway::order_key> expired;
             auto pieces = service.queue.take(
-                limits.batch, m_now, gateway::call_time(limits, 1),
+                limits.batch, m_now, gateway::stages::call_time(limits, 1),
                 [](const gateway::order_key&) { return true; }, expired);
             for (const auto& it : expired) {
                 const auto failed = m_requests.find(it.number);
@@ -200,7 +200,7 @@
             if (!pieces.empty()) {
                 service.next_call = m_now + call_spacing(*service.setup);
                 service.calls.push_back(
-                    {m_now + gateway::call_time(limits, pieces.size()), std::move(pieces)});
+                    {m_now + gateway::stages::call_time(limits, pieces.size()), std::move(pieces)});
             }
         }
     }
--- a/tests/support/pipeline_replay.h
+++ b/tests/support/pipeline_replay.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "common/random.h"
-#include "gateway/piece_queue.h"
-#include "gateway/stage_admission.h"
-#include "gateway/stage_estimator.h"
+#include "gateway/stages/piece_queue.h"
+#include "gateway/stages/stage_admission.h"
+#include "gateway/stages/stage_estimator.h"
 
 namespace jujubemast::tests {
 
@@ -45,7 +45,7 @@
     std::size_t gateways = 1;
     common::duration length = std::chrono::seconds{20};
     std::uint64_t seed = 1;
-    gateway::pieces_ahead_hook pieces_ahead = gateway::pieces_ahead_by_target;
+    gateway::stages::pieces_ahead_hook pieces_ahead = gateway::stages::pieces_ahead_by_target;
 };
 
 /// What became of the requests of a kind.
@@ -78,7 +78,7 @@
         const gateway::route* route = nullptr;
         std::size_t gateway = 0;
         common::time_point arrived;
-        gateway::stage_progress progress;
+        gateway::stages::stage_progress progress;
         std::uint32_t stage = 0;
         std::size_t pieces_left = 0;
         common::time_point ordered;
@@ -87,12 +87,12 @@
 
     struct call {
         common::time_point end;
-        std::vector<gateway::queued_piece> pieces;
+        std::vector<gateway::stages::queued_piece> pieces;
     };
 
     struct service_state {
         const replay_service* setup = nullptr;
-        gateway::piece_queue queue;
+        gateway::stages::piece_queue queue;
         std::vector<call> calls;
         common::time_point next_call;
     };
@@ -103,7 +103,7 @@
     void end_calls();
     void start_calls();
     void report();
-    [[nodiscard]] gateway::staged_request staged(const request& it) const;
+    [[nodiscard]] gateway::stages::staged_request staged(const request& it) const;
 
     replay_setup m_setup;
     common::random_hook m_random;
@@ -111,7 +111,7 @@
     common::time_point m_begin = m_now;
     common::time_point m_next_report = m_now;
     gateway::configuration m_configuration;
-    std::vector<gateway::stage_estimator> m_estimators;
+    std::vector<gateway::stages::stage_estimator> m_estimators;
     std::map<std::string, service_state> m_services;
     std::map<std::uint64_t, request> m_requests;
     std::uint64_t m_next_number = 1;
--- a/tests/unit/docs/reference_page_test.cpp
+++ b/tests/unit/docs/reference_page_test.cpp
@@ -68,7 +68,11 @@
     const std::regex field{R"re(\{\s*"([a-z_]+)",)re"};
     std::set<std::string> used;
     const std::filesystem::path root{JUJUBEMAST_SOURCE_DIR};
-    for (const auto& it : std::filesystem::directory_iterator{root / "source/core/gateway"}) {
+    const auto folder = root / "source/core/gateway";
+    for (const auto& it : std::filesystem::recursive_directory_iterator{folder}) {
+        if (!it.is_regular_file()) {
+            continue;
+        }
         const auto text = read_source(std::filesystem::relative(it.path(), root).string());
         for (std::sregex_iterator at{text.begin(), text.end(), line}, end; at != end; ++at) {
             const auto statement = at->str();
--- a/tests/unit/gateway/attempt_evidence_test.cpp
+++ b/tests/unit/gateway/evidence/attempt_evidence_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/attempt_evidence.h"
+#include "gateway/evidence/attempt_evidence.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 struct attempt_evidence_fixture {
-    attempt_outcome outcome;
+    gateway::evidence::attempt_outcome outcome;
 
     [[nodiscard]] std::string_view finding() const {
         return common::to_name(judge_attempt(outcome, milliseconds{150}));
--- a/tests/unit/gateway/crash_suspects_property_test.cpp
+++ b/tests/unit/gateway/evidence/crash_suspects_property_test.cpp
@@ -5,15 +5,15 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/crash_suspects.h"
+#include "gateway/evidence/crash_suspects.h"
 #include "support/property.h"
 
 namespace jujubemast::tests {
 
 using gateway::crash_evidence;
-using gateway::crash_suspects;
 using gateway::incarnation;
 using gateway::prompt_part_id;
+using gateway::evidence::crash_suspects;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/tests/unit/gateway/crash_suspects_test.cpp
+++ b/tests/unit/gateway/evidence/crash_suspects_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/crash_suspects.h"
+#include "gateway/evidence/crash_suspects.h"
 
 #include <algorithm>
 #include <numeric>
@@ -17,10 +17,11 @@
     static constexpr prompt_part_id deadly = 1;
     static constexpr prompt_part_id popular = 2;
 
-    gateway::suspect_limits limits;
-    std::vector<gateway::suspect_change> changes;
-    gateway::crash_suspects suspects{
-        limits, [this](const gateway::suspect_view& it) { changes.push_back(it.change); }};
+    gateway::evidence::suspect_limits limits;
+    std::vector<gateway::evidence::suspect_change> changes;
+    gateway::evidence::crash_suspects suspects{
+        limits,
+        [this](const gateway::evidence::suspect_view& it) { changes.push_back(it.change); }};
     common::time_point now{seconds{1000}};
 
     static incarnation instance(int n) { return {"i" + std::to_string(n), 1, "a:1"}; }
@@ -75,9 +76,9 @@
     crash(2, {deadly});
     now += limits.settle_time;
     BOOST_TEST(is_quarantined(deadly));
-    const std::vector expected{gateway::suspect_change::suspected,
-                               gateway::suspect_change::suspected,
-                               gateway::suspect_change::quarantined};
+    const std::vector expected{gateway::evidence::suspect_change::suspected,
+                               gateway::evidence::suspect_change::suspected,
+                               gateway::evidence::suspect_change::quarantined};
     BOOST_TEST((changes == expected));
 }
 
@@ -219,7 +220,7 @@
     start_trial(deadly);
     sound(deadly, now);
     BOOST_TEST(!is_quarantined(deadly));
-    BOOST_TEST((changes.back() == gateway::suspect_change::cleared));
+    BOOST_TEST((changes.back() == gateway::evidence::suspect_change::cleared));
 }
 
 // Guards against instances that are lost to trials again and again.
@@ -284,7 +285,7 @@
 BOOST_AUTO_TEST_CASE(snapshot_when_applied_elsewhere_keeps_the_quarantine) {
     crash_one_after_the_other({deadly});
     BOOST_TEST(is_quarantined(deadly));
-    gateway::crash_suspects other{limits, {}};
+    gateway::evidence::crash_suspects other{limits, {}};
     other.apply(suspects.snapshot(now), now);
     BOOST_TEST((other.quarantine_left({deadly}, now) == suspects.quarantine_left({deadly}, now)));
     crash_evidence evidence;
@@ -298,7 +299,7 @@
 BOOST_AUTO_TEST_CASE(quarantine_when_refuted_while_a_gateway_was_out_of_reach_ends_at_both) {
     crash_one_after_the_other({deadly});
     BOOST_TEST(is_quarantined(deadly));
-    gateway::crash_suspects other{limits, {}};
+    gateway::evidence::crash_suspects other{limits, {}};
     other.apply(suspects.snapshot(now), now);
     now += limits.first_quarantine;
     start_trial(deadly);
@@ -316,7 +317,7 @@
 BOOST_AUTO_TEST_CASE(quarantine_when_a_crash_is_dismissed_out_of_reach_ends_at_both) {
     crash_one_after_the_other({popular});
     BOOST_TEST(is_quarantined(popular));
-    gateway::crash_suspects other{limits, {}};
+    gateway::evidence::crash_suspects other{limits, {}};
     other.apply(suspects.snapshot(now), now);
     alive(2);
     const auto from_here = suspects.snapshot(now);
@@ -330,7 +331,7 @@
 // Guards against a quarantine that is ignored although instances crashed after the sound answer.
 BOOST_AUTO_TEST_CASE(quarantine_when_its_last_crash_is_after_the_sound_answer_is_taken_over) {
     crash_one_after_the_other({deadly});
-    gateway::crash_suspects other{limits, {}};
+    gateway::evidence::crash_suspects other{limits, {}};
     other.apply(suspects.snapshot(now), now);
     sound(deadly, now);
     now += seconds{1};
--- a/tests/unit/gateway/instance_state_test.cpp
+++ b/tests/unit/gateway/instances/instance_state_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/instance_state.h"
+#include "gateway/instances/instance_state.h"
 
 #include <algorithm>
 #include <vector>
@@ -10,6 +10,7 @@
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::instances;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/tests/unit/gateway/service_pool_test.cpp
+++ b/tests/unit/gateway/instances/service_pool_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/service_pool.h"
+#include "gateway/instances/service_pool.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -7,6 +7,7 @@
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::instances;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/tests/unit/gateway/waiting_requests_test.cpp
+++ b/tests/unit/gateway/instances/waiting_requests_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/waiting_requests.h"
+#include "gateway/instances/waiting_requests.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -7,7 +7,7 @@
 using std::chrono::seconds;
 
 struct waiting_requests_fixture {
-    gateway::waiting_requests subject;
+    gateway::instances::waiting_requests subject;
     common::time_point now{seconds{100}};
 };
 
--- a/tests/unit/gateway/attempt_decision_test.cpp
+++ b/tests/unit/gateway/requests/attempt_decision_test.cpp
@@ -1,15 +1,15 @@
-#include "gateway/attempt_decision.h"
+#include "gateway/requests/attempt_decision.h"
 
 #include <boost/test/unit_test.hpp>
 
 namespace jujubemast::tests {
 
-using gateway::attempt_end;
-using gateway::next_step;
 using gateway::repeatability;
+using gateway::requests::attempt_end;
+using gateway::requests::next_step;
 
 struct attempt_decision_fixture {
-    gateway::attempt_facts facts;
+    gateway::requests::attempt_facts facts;
 
     attempt_decision_fixture() {
         facts.kind = repeatability::idempotent;
@@ -23,7 +23,7 @@
 
     next_step decide(attempt_end end) {
         facts.end = end;
-        return gateway::decide_next_step(facts);
+        return gateway::requests::decide_next_step(facts);
     }
 };
 
@@ -77,7 +77,7 @@
 BOOST_AUTO_TEST_CASE(request_whose_inputs_are_gone_runs_its_stages_again) {
     facts.possible_runs = 0;
     BOOST_TEST((decide(attempt_end::input_gone) == next_step::remake_inputs));
-    facts.sends = gateway::max_sends;
+    facts.sends = gateway::requests::max_sends;
     BOOST_TEST((decide(attempt_end::input_gone) == next_step::refuse));
 }
 
--- a/tests/unit/gateway/event_relay_test.cpp
+++ b/tests/unit/gateway/requests/event_relay_test.cpp
@@ -1,13 +1,13 @@
-#include "gateway/event_relay.h"
+#include "gateway/requests/event_relay.h"
 
 #include <boost/test/unit_test.hpp>
 
 namespace jujubemast::tests {
 
-using gateway::relay_status;
+using gateway::requests::relay_status;
 
 struct event_relay_fixture {
-    gateway::event_relay relay;
+    gateway::requests::event_relay relay;
     std::string out;
 
     relay_status add(const std::string& bytes) { return relay.feed(bytes, out); }
@@ -47,7 +47,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(event_relay_that_resumes_a_stream_skips_what_the_caller_has) {
-    relay = gateway::event_relay{12};
+    relay = gateway::requests::event_relay{12};
     add("id: 12\ndata: a\n\nid: 13\ndata: b\n\n");
     BOOST_TEST(out == "id: 13\ndata: b\n\n");
 }
@@ -55,17 +55,17 @@
 // Guards against memory and processor time that grow with an event that never ends.
 BOOST_AUTO_TEST_CASE(event_relay_with_an_endless_event_rejects_it_at_the_limit) {
     for (const std::string bytes : {"data: x\n", "x"}) {
-        relay = gateway::event_relay{};
+        relay = gateway::requests::event_relay{};
         out.clear();
         add("id: 1\ndata: a\n\n");
         auto status = add("id: 2\ndata: ");
         std::size_t received = 0;
-        for (; status == relay_status::good && received < 2 * gateway::max_event_bytes;
+        for (; status == relay_status::good && received < 2 * gateway::requests::max_event_bytes;
              received += bytes.size()) {
             status = add(bytes);
         }
         BOOST_TEST((status == relay_status::too_large));
-        BOOST_TEST(received <= gateway::max_event_bytes);
+        BOOST_TEST(received <= gateway::requests::max_event_bytes);
         BOOST_TEST(out == "id: 1\ndata: a\n\n");
         relay.restart();
         BOOST_TEST((add("id: 2\ndata: b\n\n") == relay_status::good));
@@ -73,14 +73,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(event_relay_with_one_large_event_in_one_piece_rejects_it) {
-    const std::string large(gateway::max_event_bytes, 'x');
+    const std::string large(gateway::requests::max_event_bytes, 'x');
     BOOST_TEST((add("id: 1\ndata: " + large + "\n\n") == relay_status::too_large));
     BOOST_TEST(out == "");
 }
 
 BOOST_AUTO_TEST_CASE(event_relay_with_many_events_beyond_the_limit_of_one_passes_all) {
     std::string all;
-    for (int id = 1; all.size() < 4 * gateway::max_event_bytes; ++id) {
+    for (int id = 1; all.size() < 4 * gateway::requests::max_event_bytes; ++id) {
         all += "id: " + std::to_string(id) + "\ndata: some tokens\n\n";
     }
     BOOST_TEST((add(all) == relay_status::good));
@@ -93,7 +93,7 @@
     for (const std::string bytes :
          {"no event\n\n", "id: 2\nda\x01\xff\n\n", "id: 2\n\x80: x\n\n", "other: x\n\n",
           "id: 2\nHTTP/1.1 200 OK\n\n", "<html>\n</html>\n\n"}) {
-        relay = gateway::event_relay{};
+        relay = gateway::requests::event_relay{};
         out.clear();
         BOOST_TEST((add("id: 1\ndata: a\n\n" + bytes) == relay_status::not_an_event), bytes);
         BOOST_TEST(out == "id: 1\ndata: a\n\n");
@@ -103,11 +103,11 @@
 // Guards against spending processor time on a stream without events.
 BOOST_AUTO_TEST_CASE(event_relay_with_endless_comments_or_blank_lines_rejects_them_at_the_limit) {
     for (const std::string bytes : {"\n", ": comment\n\n", "\r\n"}) {
-        relay = gateway::event_relay{};
+        relay = gateway::requests::event_relay{};
         add("id: 1\ndata: a\n\n");
         auto status = relay_status::good;
         std::size_t received = 0;
-        for (; status == relay_status::good && received < 2 * gateway::max_event_bytes;
+        for (; status == relay_status::good && received < 2 * gateway::requests::max_event_bytes;
              received += bytes.size()) {
             status = add(bytes);
         }
--- a/tests/unit/gateway/stop_admission_test.cpp
+++ b/tests/unit/gateway/requests/stop_admission_test.cpp
@@ -1,10 +1,11 @@
-#include "gateway/stop_admission.h"
+#include "gateway/requests/stop_admission.h"
 
 #include <boost/test/unit_test.hpp>
 
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::requests;
 using namespace std::chrono_literals;
 
 struct stop_admission_fixture {
--- a/tests/unit/gateway/truncated_attempt_test.cpp
+++ b/tests/unit/gateway/requests/truncated_attempt_test.cpp
@@ -5,13 +5,15 @@
 #include <boost/test/unit_test.hpp>
 
 #include "adapter.h"
-#include "gateway/upstream_attempt.h"
+#include "gateway/requests/upstream_attempt.h"
 #include "support/event_loop.h"
 #include "support/raw_response_server.h"
 
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::instances;
+using namespace jujubemast::gateway::requests;
 
 /// Attempts at an instance that breaks its responses off.
 struct truncated_attempt_fixture {
--- a/tests/unit/gateway/upstream_attempt_test.cpp
+++ b/tests/unit/gateway/requests/upstream_attempt_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/upstream_attempt.h"
+#include "gateway/requests/upstream_attempt.h"
 
 #include <optional>
 #include <sstream>
@@ -12,6 +12,8 @@
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::instances;
+using namespace jujubemast::gateway::requests;
 using namespace std::chrono_literals;
 
 /// One attempt at an instance that answers with raw bytes.
--- a/tests/unit/gateway/dispatcher_failing_instances_test.cpp
+++ b/tests/unit/gateway/stages/dispatcher_failing_instances_test.cpp
@@ -3,13 +3,14 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/dispatcher.h"
+#include "gateway/stages/dispatcher.h"
 #include "http/server.h"
 #include "support/event_loop.h"
 
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::stages;
 using std::chrono::milliseconds;
 
 /// A dispatcher with three instances of a stage service. An instance works on one call at a time.
--- a/tests/unit/gateway/dispatcher_test.cpp
+++ b/tests/unit/gateway/stages/dispatcher_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/dispatcher.h"
+#include "gateway/stages/dispatcher.h"
 
 #include <algorithm>
 
@@ -12,6 +12,7 @@
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::stages;
 using std::chrono::milliseconds;
 
 /// A dispatcher with one instance of one stage service. The adapter encodes calls as plain paths.
--- a/tests/unit/gateway/estimate_bias_test.cpp
+++ b/tests/unit/gateway/stages/estimate_bias_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/estimate_bias.h"
+#include "gateway/stages/estimate_bias.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -7,7 +7,7 @@
 using std::chrono::milliseconds;
 
 struct estimate_bias_fixture {
-    gateway::estimate_bias bias;
+    gateway::stages::estimate_bias bias;
     common::time_point now = common::time_point{} + std::chrono::hours{1};
 
     void record_late_times() {
--- a/tests/unit/gateway/overload_replay_test.cpp
+++ b/tests/unit/gateway/stages/overload_replay_test.cpp
@@ -63,7 +63,7 @@
     setup.bursts = {{"summary", seconds{2}, seconds{14}, 5}};
     const double kept = share_on_time("question");
     const double summaries = share_on_time("summary");
-    setup.pieces_ahead = gateway::pieces_ahead_by_priority;
+    setup.pieces_ahead = gateway::stages::pieces_ahead_by_priority;
     const double kept_before = share_on_time("question");
     const double summaries_before = share_on_time("summary");
     BOOST_TEST_MESSAGE("question " << kept_before << " -> " << kept << ", summary "
--- a/tests/unit/gateway/piece_queue_test.cpp
+++ b/tests/unit/gateway/stages/piece_queue_test.cpp
@@ -1,8 +1,9 @@
-#include "gateway/piece_queue.h"
+#include "gateway/stages/piece_queue.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/result_memory.h"
+#include "gateway/stages/expected_delay.h"
+#include "gateway/stages/result_memory.h"
 
 namespace jujubemast::tests {
 
@@ -10,7 +11,7 @@
 using std::chrono::seconds;
 
 struct piece_queue_fixture {
-    gateway::piece_queue queue;
+    gateway::stages::piece_queue queue;
     gateway::piece_limits limits;
     std::vector<gateway::order_key> expired;
     std::uint64_t next_number = 1;
@@ -117,21 +118,22 @@
 
 BOOST_AUTO_TEST_CASE(expected_delay_grows_with_the_pieces_ahead_of_the_same_priority) {
     const gateway::service_backlog idle{"s", {}, 2, 0};
-    const gateway::new_pieces added{0, seconds{1}, 1};
-    BOOST_TEST((gateway::expected_delay(limits, idle, added) == milliseconds{260}));
+    const gateway::stages::new_pieces added{0, seconds{1}, 1};
+    BOOST_TEST((gateway::stages::expected_delay(limits, idle, added) == milliseconds{260}));
     // The pieces are nearer to their target than the new one.
     const gateway::service_backlog busy{"s", {{0, 1, 16}, {1, 1, 100}}, 2, 2};
     // Half a full call until an instance is free, one full call ahead, and the own call.
-    BOOST_TEST((gateway::expected_delay(limits, busy, added) == milliseconds{200 + 400 + 260}));
+    BOOST_TEST(
+        (gateway::stages::expected_delay(limits, busy, added) == milliseconds{200 + 400 + 260}));
     // After two full calls no piece is ahead any more.
-    const gateway::new_pieces later{0, seconds{1}, 1, milliseconds{800}};
-    BOOST_TEST((gateway::expected_delay(limits, busy, later) == milliseconds{200 + 260}));
+    const gateway::stages::new_pieces later{0, seconds{1}, 1, milliseconds{800}};
+    BOOST_TEST((gateway::stages::expected_delay(limits, busy, later) == milliseconds{200 + 260}));
 }
 
 // Guards against admission that counts on the full rate of instances that fail some of their calls.
 BOOST_AUTO_TEST_CASE(expected_delay_grows_with_the_calls_that_fail) {
     const gateway::service_backlog failing{"s", {{0, 1, 16}}, 2, 2, 0.5};
-    BOOST_TEST((gateway::expected_delay(limits, failing, {0, seconds{1}, 1}) ==
+    BOOST_TEST((gateway::stages::expected_delay(limits, failing, {0, seconds{1}, 1}) ==
                 milliseconds{200 + 800 + 260}));
 }
 
@@ -146,7 +148,7 @@
     push(1, -1, 6);
     const gateway::service_backlog backlog{"s", queue.backlog(at(0)), 1};
     const auto ahead = [&](common::duration slack) {
-        return gateway::pieces_ahead_by_target(backlog, {1, slack, 1}, milliseconds{0});
+        return gateway::stages::pieces_ahead_by_target(backlog, {1, slack, 1}, milliseconds{0});
     };
     BOOST_TEST(ahead(seconds{1}) == 2.0);
     BOOST_TEST(ahead(milliseconds{1500}) == 2 + 1.5);
@@ -155,7 +157,8 @@
     BOOST_TEST(ahead(seconds{20}) == 2.0 + 3 + 5 + 7);
     // A late piece comes after all others of its priority.
     BOOST_TEST(ahead(milliseconds{-1}) == 2.0 + 3 + 5 + 7 + 6);
-    BOOST_TEST(gateway::pieces_ahead_by_priority(backlog, {1, seconds{1}, 1}, seconds{1}) == 23.0);
+    BOOST_TEST(gateway::stages::pieces_ahead_by_priority(backlog, {1, seconds{1}, 1}, seconds{1}) ==
+               23.0);
 }
 
 // Guards against estimates that leave out the pieces that are ordered later and served earlier.
@@ -163,7 +166,7 @@
     // 40 pieces a second; the instances make 2 * 8 pieces in 400 ms, the same rate.
     const gateway::service_backlog backlog{"s", {{1, 1, 0, 20}, {1, 4, 16}}, 2};
     const auto delay = [&](common::duration slack) {
-        return gateway::expected_delay(limits, backlog, {1, slack, 1}) - milliseconds{260};
+        return gateway::stages::expected_delay(limits, backlog, {1, slack, 1}) - milliseconds{260};
     };
     // No later piece has an earlier target.
     BOOST_TEST((delay(milliseconds{100}) == milliseconds{0}));
@@ -174,9 +177,10 @@
 
 BOOST_AUTO_TEST_CASE(expected_delay_of_a_late_piece_is_bounded_if_more_is_ordered_than_made) {
     const gateway::service_backlog backlog{"s", {{1, 1, 10, 100}}, 2};
-    BOOST_TEST((gateway::expected_delay(limits, backlog, {1, milliseconds{-1}, 1}) >= seconds{20}));
-    BOOST_TEST((gateway::expected_delay(limits, backlog, {1, milliseconds{-1}, 1}) <=
-                gateway::max_expected_delay));
+    BOOST_TEST((gateway::stages::expected_delay(limits, backlog, {1, milliseconds{-1}, 1}) >=
+                seconds{20}));
+    BOOST_TEST((gateway::stages::expected_delay(limits, backlog, {1, milliseconds{-1}, 1}) <=
+                gateway::stages::max_expected_delay));
 }
 
 BOOST_AUTO_TEST_CASE(piece_queue_reports_the_rate_of_orders) {
@@ -196,13 +200,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(sustained_limits_with_large_results_bound_the_batch) {
-    BOOST_TEST(gateway::sustained_limits(limits, 100).batch == 5U);
-    BOOST_TEST(gateway::sustained_limits(limits, 1).batch == 8U);
-    BOOST_TEST(gateway::sustained_limits(limits, 5000).batch == 1U);
+    BOOST_TEST(gateway::stages::sustained_limits(limits, 100).batch == 5U);
+    BOOST_TEST(gateway::stages::sustained_limits(limits, 1).batch == 8U);
+    BOOST_TEST(gateway::stages::sustained_limits(limits, 5000).batch == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(result_memory_counts_results_until_release_or_expiry) {
-    gateway::result_memory memory;
+    gateway::stages::result_memory memory;
     memory.reserve(300);
     BOOST_TEST(memory.used(at(0)) == 300.0);
     memory.unreserve(300);
--- a/tests/unit/gateway/result_memory_test.cpp
+++ b/tests/unit/gateway/stages/result_memory_test.cpp
@@ -1,11 +1,11 @@
-#include "gateway/result_memory.h"
+#include "gateway/stages/result_memory.h"
 
 #include <boost/test/unit_test.hpp>
 
 namespace jujubemast::tests {
 
 struct result_memory_fixture {
-    gateway::result_memory memory;
+    gateway::stages::result_memory memory;
     common::time_point now = common::time_point{} + std::chrono::hours{1};
 };
 
--- a/tests/unit/gateway/stage_estimator_test.cpp
+++ b/tests/unit/gateway/stages/stage_estimator_test.cpp
@@ -1,12 +1,13 @@
-#include "gateway/stage_estimator.h"
+#include "gateway/stages/stage_estimator.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/stage_admission.h"
+#include "gateway/stages/stage_admission.h"
 
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::stages;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/tests/unit/gateway/stage_progress_test.cpp
+++ b/tests/unit/gateway/stages/stage_progress_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/stage_progress.h"
+#include "gateway/stages/stage_progress.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,7 +13,7 @@
 
     static bool never(std::uint32_t /*stage*/) { return false; }
 
-    gateway::stage_progress make(const std::vector<std::uint32_t>& counts) const {
+    gateway::stages::stage_progress make(const std::vector<std::uint32_t>& counts) const {
         return {stages, counts};
     }
 };
--- a/tests/unit/gateway/catalog_test.cpp
+++ b/tests/unit/gateway/store/catalog_test.cpp
@@ -1,17 +1,18 @@
-#include "gateway/catalog.h"
+#include "gateway/store/catalog.h"
 
 #include <algorithm>
 
 #include <boost/test/unit_test.hpp>
 
 #include "common/error.h"
-#include "gateway/row_digest.h"
+#include "gateway/store/row_digest.h"
 #include "http/server.h"
 #include "support/event_loop.h"
 
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::store;
 using std::chrono::milliseconds;
 
 /// A catalog connected to a store whose tables the test cases fill. The adapter encodes calls as
--- a/tests/unit/gateway/endless_store_test.cpp
+++ b/tests/unit/gateway/store/endless_store_test.cpp
@@ -2,13 +2,14 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/table_watch.h"
+#include "gateway/store/table_watch.h"
 #include "support/event_loop.h"
 #include "support/raw_response_server.h"
 
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::store;
 using namespace std::chrono_literals;
 
 /// A table watch whose store sends endless responses. The adapter encodes calls as plain paths.
--- a/tests/unit/gateway/malformed_rows_test.cpp
+++ b/tests/unit/gateway/store/malformed_rows_test.cpp
@@ -1,11 +1,11 @@
-#include "gateway/malformed_rows.h"
+#include "gateway/store/malformed_rows.h"
 
 #include <boost/test/unit_test.hpp>
 
 namespace jujubemast::tests {
 
 struct malformed_rows_fixture {
-    gateway::malformed_rows rows;
+    gateway::store::malformed_rows rows;
 };
 
 BOOST_FIXTURE_TEST_SUITE(malformed_rows_test, malformed_rows_fixture)
--- a/tests/unit/gateway/relayed_watch_test.cpp
+++ b/tests/unit/gateway/store/relayed_watch_test.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "unit/gateway/table_watch_fixture.h"
+#include "unit/gateway/store/table_watch_fixture.h"
 
 namespace jujubemast::tests {
 
--- a/tests/unit/gateway/store_readers_test.cpp
+++ b/tests/unit/gateway/store/store_readers_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/store_readers.h"
+#include "gateway/store/store_readers.h"
 
 #include <algorithm>
 
@@ -7,6 +7,7 @@
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::store;
 
 struct store_readers_fixture {
     std::vector<owner_candidate> gateways;
--- a/tests/unit/gateway/table_copy_test.cpp
+++ b/tests/unit/gateway/store/table_copy_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/table_copy.h"
+#include "gateway/store/table_copy.h"
 
 #include <algorithm>
 #include <deque>
@@ -12,6 +12,7 @@
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::store;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/tests/unit/gateway/table_watch_fixture.h
+++ b/tests/unit/gateway/store/table_watch_fixture.h
@@ -7,13 +7,14 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/table_watch.h"
+#include "gateway/store/table_watch.h"
 #include "http/server.h"
 #include "support/event_loop.h"
 
 namespace jujubemast::tests {
 
 using namespace jujubemast::gateway;
+using namespace jujubemast::gateway::store;
 using std::chrono::milliseconds;
 
 /// A call that the store has received.
--- a/tests/unit/gateway/table_watch_test.cpp
+++ b/tests/unit/gateway/store/table_watch_test.cpp
@@ -1,10 +1,10 @@
-#include "gateway/table_watch.h"
+#include "gateway/store/table_watch.h"
 
 #include <thread>
 
 #include <boost/test/unit_test.hpp>
 
-#include "unit/gateway/table_watch_fixture.h"
+#include "unit/gateway/store/table_watch_fixture.h"
 
 namespace jujubemast::tests {
 
--- a/tests/unit/users_platform/configuration_test.cpp
+++ b/tests/unit/users_platform/configuration_test.cpp
@@ -7,7 +7,7 @@
 #include <rapidcheck.h>
 
 #include "common/error.h"
-#include "gateway/stage_progress.h"
+#include "gateway/stages/stage_progress.h"
 #include "support/property.h"
 
 namespace jujubemast::tests {
@@ -114,7 +114,7 @@
         decode_with("/routes/1/stages", R"([{"service": "maker", "after": []},)"
                                         R"({"service": "maker", "after": [0, 0]}])");
     const auto& stages = gateway::find_route(config, "h", "/staged/1")->stages;
-    gateway::stage_progress progress{stages, {2, 1}};
+    gateway::stages::stage_progress progress{stages, {2, 1}};
     progress.complete(0, {"h1", "h2"});
     BOOST_TEST(progress.inputs_of(1) == (std::vector<std::string>{"h1", "h2"}),
                boost::test_tools::per_element());
@@ -339,8 +339,8 @@
             if (!route.usable) {
                 continue;
             }
-            gateway::stage_progress progress{route.stages,
-                                             std::vector<std::uint32_t>(route.stages.size(), 1)};
+            gateway::stages::stage_progress progress{
+                route.stages, std::vector<std::uint32_t>(route.stages.size(), 1)};
             std::size_t made = 0;
             for (auto ready = progress.take_ready([](std::uint32_t) { return false; });
                  !ready.empty(); ready = progress.take_ready([](std::uint32_t) { return false; })) {
