store, peers: find the store and the others sooner after a start

Change: the first reads time out after 200 ms, growing by half; a registration that was lost is sent again as soon as the store answers a read; gateways ping each other when they first learn of each other and answer the first ping at once.

--- a/source/core/gateway/peers/peers.cpp
+++ b/source/core/gateway/peers/peers.cpp
@@ -79,6 +79,9 @@
         auto& added = m_peers[it.name];
         added.record = it;
         connect(added);
+        // Together with the response this makes both live within milliseconds, so that not every
+        // gateway of a deployment that starts owns all services until the next pings.
+        send_ping(added, common::monotonic_clock::now());
     }
     update_live();
     reassign_orders();
@@ -114,6 +117,15 @@
     m_dispatcher.send(process_paused{pause});
 }
 
+void peers::send_ping(peer& target, common::time_point now) {
+    if (!target.link) {
+        return;
+    }
+    const bool heard = now - target.last_heard < m_limits.silence_limit;
+    target.link->send(wire::encode(
+        {m_self.name, m_self.incarnation, wire::gateway_ping{heard, m_leaving, now}}, now));
+}
+
 void peers::tick() {
     const auto now = common::monotonic_clock::now();
     check_for_pause(now);
@@ -123,10 +135,7 @@
         if (!(heard && it.hears_us) && now - it.connected_at > m_limits.silence_limit) {
             connect(it);
         }
-        if (it.link) {
-            it.link->send(wire::encode(
-                {m_self.name, m_self.incarnation, wire::gateway_ping{heard, m_leaving, now}}, now));
-        }
+        send_ping(it, now);
     }
     update_live();
     for (auto& [number, it] : m_pending) {
@@ -414,7 +423,11 @@
     if (from == m_peers.end() || from->second.record.incarnation != message.incarnation) {
         return;
     }
+    const bool newly_heard = now - from->second.last_heard >= m_limits.silence_limit;
     from->second.last_heard = now;
+    if (newly_heard) {
+        send_ping(from->second, now);
+    }
     std::visit(
         [&](const auto& it) {
             using content_type = std::decay_t<decltype(it)>;
--- a/source/core/gateway/peers/peers.h
+++ b/source/core/gateway/peers/peers.h
@@ -96,6 +96,7 @@
     /// live.
     void update_store_readers();
     void connect(peer& target);
+    void send_ping(peer& target, common::time_point now);
     /// Sends an order to the owner of its service.
     void assign(pending_order& pending);
     /// Sends an order again to get its outcome.
--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr common::duration register_retry = std::chrono::seconds{1};
+// A call that the store has not answered for this long, although it answers others, was lost.
+constexpr common::duration lost_call_time = std::chrono::milliseconds{100};
 // Interval between confirmations that nothing has changed.
 constexpr common::duration min_relay_interval = std::chrono::milliseconds{400};
 // Larger changes are not passed on. A gateway has some twenty followers, and its link may be slower
@@ -172,17 +174,32 @@
 }
 
 void catalog::register_self() {
-    m_client.send(m_adapter->encode_register(m_self), [this](const http::call_result& result) {
-        const auto* response = std::get_if<http::response>(&result);
-        m_registered = response != nullptr && response->status == 200;
-        m_log.info(m_registered ? "Registered." : "Could not register; will retry.",
-                   {{"gateway", m_self.name},
-                    {"address", m_self.address},
-                    {"reason", m_registered ? "" : http::describe_failure(result)}});
-        if (!m_registered) {
-            m_register_timer.start(register_retry, m_context.wrap([this] { register_self(); }));
-        }
-    });
+    m_registration_sent = common::monotonic_clock::now();
+    m_registration =
+        m_client.send(m_adapter->encode_register(m_self), [this](const http::call_result& result) {
+            m_registration.reset();
+            const auto* response = std::get_if<http::response>(&result);
+            m_registered = response != nullptr && response->status == 200;
+            m_log.info(m_registered ? "Registered." : "Could not register; will retry.",
+                       {{"gateway", m_self.name},
+                        {"address", m_self.address},
+                        {"reason", m_registered ? "" : http::describe_failure(result)}});
+            if (!m_registered) {
+                m_register_timer.start(register_retry, m_context.wrap([this] { register_self(); }));
+            }
+        });
+}
+
+void catalog::hasten_registration() {
+    const auto now = common::monotonic_clock::now();
+    if (m_registered || now - m_registration_sent < lost_call_time) {
+        return;
+    }
+    if (const auto lost = std::exchange(m_registration, {})) {
+        m_client.cancel(*lost);
+    }
+    m_register_timer.cancel();
+    register_self();
 }
 
 void catalog::check_registration() {
@@ -352,6 +369,9 @@
         record_row(store_table::gateways, row,
                    decoded ? std::optional{row_digest(*decoded)} : std::nullopt);
     }
+    if (update.complete) {
+        hasten_registration();
+    }
     check_registration();
     std::vector<gateway_record> known;
     for (const auto& [name, it] : m_gateways) {
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -71,6 +71,9 @@
     void apply_gateway_rows(const table_update& update);
     void set_store_available(bool available);
     void register_self();
+    /// Registers again at once if the call in progress was probably lost, because the store has
+    /// responded to a later one.
+    void hasten_registration();
     /// Registers again if the store holds no row of this gateway or a row with other content.
     void check_registration();
     void publish();
@@ -105,6 +108,9 @@
     runtime::timer m_expiry_timer;
     runtime::timer m_register_timer;
     bool m_registered = false;
+    /// The call that registers, if it is in progress, and when it was sent.
+    std::optional<http::call_id> m_registration;
+    common::time_point m_registration_sent;
     logging::logger m_log{"catalog"};
 };
 
--- a/source/core/gateway/store/table_watch.cpp
+++ b/source/core/gateway/store/table_watch.cpp
@@ -43,7 +43,8 @@
                          std::shared_ptr<const adapter> platform_adapter, store_table table,
                          table_watch_hooks hooks, const table_watch_limits& limits)
     : m_context{context}, m_client{client}, m_adapter{std::move(platform_adapter)}, m_table{table},
-      m_hooks{std::move(hooks)}, m_limits{limits}, m_timer{context.loop()} {}
+      m_hooks{std::move(hooks)}, m_limits{limits}, m_timer{context.loop()},
+      m_read_timeout{std::min(limits.first_read_timeout, limits.response_timeout)} {}
 
 void table_watch::cancel() {
     m_timer.cancel();
@@ -139,13 +140,15 @@
 }
 
 void table_watch::send(const http::request& message, common::duration wait,
+                       common::duration response_timeout,
                        std::function<void(const http::call_result&)> done) {
     http::call_options options;
-    options.head_timeout = wait + m_limits.response_timeout;
-    options.total_timeout = wait + m_limits.response_timeout + m_limits.body_timeout;
+    options.head_timeout = wait + response_timeout;
+    options.total_timeout = wait + response_timeout + m_limits.body_timeout;
     options.max_body_bytes = max_page_bytes;
     m_sent = common::monotonic_clock::now();
     m_wait = wait;
+    m_response_timeout = response_timeout;
     m_call = m_client.send(message, std::move(done), options);
 }
 
@@ -154,7 +157,7 @@
         m_page_rows.clear();
         m_first_page_version = 0;
     }
-    send(m_adapter->encode_read(m_table, key), common::duration::zero(),
+    send(m_adapter->encode_read(m_table, key), common::duration::zero(), m_read_timeout,
          [this](const http::call_result& result) { page_received(result); });
 }
 
@@ -162,9 +165,11 @@
     auto response = decode(result);
     if (response.outcome != store_outcome::done) {
         m_copy.invalidate();
+        m_read_timeout = std::min(m_read_timeout * 3 / 2, m_limits.response_timeout);
         call_failed(response);
         return;
     }
+    m_read_timeout = m_limits.response_timeout;
     set_available(true);
     if (m_page_rows.empty()) {
         // Changes between two pages are not missed, because the watch continues after the version
@@ -194,7 +199,7 @@
         wait = common::duration::zero();
     }
     const auto since = m_copy.version();
-    send(m_adapter->encode_watch(m_table, since, wait), wait,
+    send(m_adapter->encode_watch(m_table, since, wait), wait, m_limits.response_timeout,
          [this, since](const http::call_result& result) { changes_received(since, result); });
 }
 
@@ -251,8 +256,9 @@
     const auto waited = common::monotonic_clock::now() - m_sent.value_or(common::time_point{});
     m_sent.reset();
     set_available(false);
-    const bool relayed = m_source == watch_source::others;
-    if (waited >= m_limits.response_timeout && !relayed) {
+    // Others pass on changes only, so a copy that is not complete has to be read.
+    const bool relayed = m_source == watch_source::others && m_copy.is_complete();
+    if (waited >= m_response_timeout && !relayed) {
         resume();
         return;
     }
--- a/source/core/gateway/store/table_watch.h
+++ b/source/core/gateway/store/table_watch.h
@@ -42,6 +42,10 @@
     common::duration wait = std::chrono::milliseconds{1500};
     /// Additional time for the start of the response.
     common::duration response_timeout = std::chrono::milliseconds{1200};
+    /// Time for the start of the response to the first read of a table. A call may hang in a silent
+    /// store, and until the table is read the gateway can serve nothing. Grows by half with each
+    /// lost read, up to `response_timeout`, because a slow store needs more.
+    common::duration first_read_timeout = std::chrono::milliseconds{200};
     /// Additional time for the rest of a response that is still arriving. A large configuration
     /// takes seconds over a slow link.
     common::duration body_timeout = std::chrono::seconds{10};
@@ -109,7 +113,10 @@
     [[nodiscard]] boost::json::value dump() const;
 
 private:
+    /// Sends a call that the store holds for `wait` before its response begins within
+    /// `response_timeout`.
     void send(const http::request& message, common::duration wait,
+              common::duration response_timeout,
               std::function<void(const http::call_result&)> done);
     void read_from(const std::string& key);
     void page_received(const http::call_result& result);
@@ -141,12 +148,16 @@
     watch_source m_source = watch_source::store;
     std::vector<store_row> m_page_rows;
     std::uint64_t m_first_page_version = 0;
+    /// Time for the start of the response to a read of the table.
+    common::duration m_read_timeout;
     bool m_available = true;
     /// Until then a copy that differs again is not read again.
     common::time_point m_next_repair;
     http::call_id m_call = 0;
     /// When the call in progress was sent.
     std::optional<common::time_point> m_sent;
+    /// Time for the start of the response to the call in progress, after the wait.
+    common::duration m_response_timeout = common::duration::zero();
     /// How long the store holds the call in progress.
     common::duration m_wait = common::duration::zero();
     logging::logger m_log{"catalog"};
--- a/tests/unit/gateway/store/catalog_test.cpp
+++ b/tests/unit/gateway/store/catalog_test.cpp
@@ -157,6 +157,23 @@
 
 BOOST_FIXTURE_TEST_SUITE(catalog_test, catalog_fixture)
 
+// Guards against a gateway that the others do not know for seconds after a start, because a store
+// that was silent has lost the call that registers it.
+BOOST_AUTO_TEST_CASE(registration_that_was_lost_is_repeated_when_the_store_answers_a_read) {
+    // A lost call ends after this time.
+    constexpr milliseconds call_limit{1500};
+    unanswered_paths = {"/register", "/read/gateways"};
+    const auto begin = common::monotonic_clock::now();
+    subject->start();
+    const auto registrations = [this] {
+        return std::count(requested_paths.begin(), requested_paths.end(), "/register");
+    };
+    BOOST_REQUIRE(loop.run_until([&] { return registrations() == 1; }));
+    unanswered_paths.clear();
+    BOOST_REQUIRE(loop.run_until([&] { return registrations() == 2; }));
+    BOOST_TEST((common::monotonic_clock::now() - begin < call_limit));
+}
+
 // Guards against permanent refusals based on a configuration that counts as the newest although a
 // newer one could not be decoded.
 BOOST_AUTO_TEST_CASE(configuration_before_one_that_cannot_be_decoded_is_not_confirmed) {
--- a/tests/unit/gateway/store/table_watch_fixture.h
+++ b/tests/unit/gateway/store/table_watch_fixture.h
@@ -30,6 +30,7 @@
     // Long enough to tell the wait times apart on a busy machine.
     static constexpr milliseconds wait{600};
     static constexpr milliseconds response_timeout{400};
+    static constexpr milliseconds first_read_timeout{150};
     static constexpr milliseconds retry_delay{250};
     static constexpr milliseconds batch_interval{150};
     static constexpr milliseconds relayed_wait{300};
@@ -37,6 +38,7 @@
     static constexpr milliseconds slack{500};
 
     event_loop loop;
+    http::endpoint address;
     std::vector<store_call> calls;
     /// Responds to a call. Empty for a store that loses every call.
     std::function<void(const store_call&)> respond = respond_at_once;
@@ -53,7 +55,6 @@
     std::unique_ptr<table_watch> watch;
 
     table_watch_fixture() {
-        http::endpoint address;
         http::server_options options;
         options.listen = {"127.0.0.1", 0};
         options.on_listening = [&](const http::endpoint& bound) { address = bound; };
@@ -70,20 +71,7 @@
         server->start();
         BOOST_REQUIRE(loop.run_until([&] { return address.port != 0; }));
         client = std::make_unique<http::client>(loop.context(client_life), address);
-        table_watch_hooks hooks;
-        hooks.on_update = [this](const table_update& it) { updates.push_back(it); };
-        hooks.on_state = [this](bool available) { states.push_back(available); };
-        hooks.on_confirmed = [this](common::time_point at) { confirmed.push_back(at); };
-        table_watch_limits limits;
-        limits.wait = wait;
-        limits.response_timeout = response_timeout;
-        limits.batch_interval = batch_interval;
-        limits.retry_delay = retry_delay;
-        limits.relayed_wait = relayed_wait;
-        limits.max_relayed_age = max_relayed_age;
-        watch = std::make_unique<table_watch>(loop.context(client_life), *client,
-                                              std::make_shared<const adapter>(make_adapter()),
-                                              store_table::configuration, hooks, limits);
+        watch = make_watch();
         watch->begin();
     }
     table_watch_fixture(const table_watch_fixture&) = delete;
@@ -97,6 +85,24 @@
         loop.run_ready();
     }
 
+    std::unique_ptr<table_watch> make_watch() {
+        table_watch_hooks hooks;
+        hooks.on_update = [this](const table_update& it) { updates.push_back(it); };
+        hooks.on_state = [this](bool available) { states.push_back(available); };
+        hooks.on_confirmed = [this](common::time_point at) { confirmed.push_back(at); };
+        table_watch_limits limits;
+        limits.wait = wait;
+        limits.response_timeout = response_timeout;
+        limits.batch_interval = batch_interval;
+        limits.first_read_timeout = first_read_timeout;
+        limits.retry_delay = retry_delay;
+        limits.relayed_wait = relayed_wait;
+        limits.max_relayed_age = max_relayed_age;
+        return std::make_unique<table_watch>(loop.context(client_life), *client,
+                                             std::make_shared<const adapter>(make_adapter()),
+                                             store_table::configuration, hooks, limits);
+    }
+
     adapter make_adapter() {
         adapter result;
         result.encode_read = [](store_table /*table*/, const std::string& /*from*/) {
--- a/tests/unit/gateway/store/table_watch_test.cpp
+++ b/tests/unit/gateway/store/table_watch_test.cpp
@@ -24,6 +24,26 @@
     BOOST_TEST((states == std::vector<bool>{false}));
 }
 
+// Guards against a start that waits for the full timeout of a read that a silent store has lost,
+// while the gateway can serve nothing.
+BOOST_AUTO_TEST_CASE(lost_first_read_is_repeated_after_a_short_time_that_grows) {
+    // The fixture's read has been sent, and its response is not sent any more.
+    respond = {};
+    watch->cancel();
+    calls.clear();
+    client->close();
+    client = std::make_unique<http::client>(loop.context(client_life), address);
+    watch = make_watch();
+    watch->begin();
+    wait_for_calls(4);
+    BOOST_TEST((between(0, 1) < 2 * first_read_timeout));
+    BOOST_TEST((between(1, 2) >= first_read_timeout * 3 / 2 - milliseconds{1}));
+    BOOST_TEST((between(2, 3) >= first_read_timeout * 9 / 4 - milliseconds{1}));
+    for (const auto& it : calls) {
+        BOOST_TEST(it.target == "/read");
+    }
+}
+
 // Guards against a large response that never arrives completely over a slow link because every call
 // for it is abandoned. The limit of a call covers only the start of its response.
 BOOST_AUTO_TEST_CASE(response_that_takes_longer_than_the_limit_but_keeps_arriving_is_read) {
