stages: keep the inputs of calls while the owner of a service is not settled

Cause: inputs are released 40 ms after their call was sent.

Change: for 2 s after the set of owners changed, inputs are released when their order is complete.

--- a/source/core/gateway/stages/dispatcher.cpp
+++ b/source/core/gateway/stages/dispatcher.cpp
@@ -205,6 +205,7 @@
 }
 
 void dispatcher::handle(const owners_changed& message) {
+    m_owners_changed = common::monotonic_clock::now();
     for (auto& [name, state] : m_services) {
         state.needs_reports =
             state.needs_reports || choose_owner(name, message.owners) != message.self;
@@ -213,6 +214,7 @@
 
 void dispatcher::handle(const process_paused& /*message*/) {
     // Other gateways may have taken the services over meanwhile.
+    m_owners_changed = common::monotonic_clock::now();
     for (auto& [name, state] : m_services) {
         state.needs_reports = true;
     }
--- a/source/core/gateway/stages/dispatcher.h
+++ b/source/core/gateway/stages/dispatcher.h
@@ -142,6 +142,9 @@
     void send_call(const std::string& name, const piece_limits& limits,
                    const std::shared_ptr<stage_instance>& instance,
                    std::vector<queued_piece> pieces);
+    /// Whether other gateways may still call the instances of this gateway's services, because they
+    /// do not know yet who owns these.
+    [[nodiscard]] bool is_ownership_settled(common::time_point now) const;
     /// Called when the call has had enough time to read its inputs.
     void mark_inputs_read(std::uint64_t number);
     void call_ended(std::uint64_t number, const http::call_result& result);
@@ -187,6 +190,8 @@
     std::map<std::string, bool> m_reported_busy;
     runtime::timer m_release_timer;
     bool m_release_scheduled = false;
+    /// When the gateways that may own services last changed, or this process was paused.
+    common::time_point m_owners_changed;
     common::time_point m_stop_deadline;
     runtime::timer m_stop_timer;
     runtime::stop_done m_stop_done;
--- a/source/core/gateway/stages/dispatcher_calls.cpp
+++ b/source/core/gateway/stages/dispatcher_calls.cpp
@@ -22,6 +22,9 @@
 constexpr common::duration call_timeout_margin = std::chrono::milliseconds{300};
 // A free instance starts a call at once and reads the inputs first.
 constexpr common::duration input_read_time = std::chrono::milliseconds{40};
+// Gateways learn within this time who owns a service: one that is silent counts as dead after 1.6
+// s.
+constexpr common::duration ownership_settling_time = std::chrono::seconds{2};
 // A response holds one handle of a few dozen bytes for each piece of the call.
 constexpr std::size_t max_response_bytes = std::size_t{256} * 1024;
 
@@ -85,9 +88,15 @@
     }
 }
 
+bool dispatcher::is_ownership_settled(common::time_point now) const {
+    return now - m_owners_changed >= ownership_settling_time;
+}
+
 void dispatcher::mark_inputs_read(std::uint64_t number) {
     const auto call = m_calls.find(number);
-    if (call == m_calls.end()) {
+    if (call == m_calls.end() || !is_ownership_settled(common::monotonic_clock::now())) {
+        // The call may wait at the instance behind calls of other gateways. Its inputs are released
+        // when its order is complete.
         return;
     }
     for (const auto& it : call->second.pieces) {
