--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -35,7 +35,7 @@
       // gateway's previous run.
       m_next_order{m_options.random() >> 1U},
       m_suspects{{}, [this](const evidence::suspect_view& part) { log_suspect(part); }},
-      m_evidence_timer{m_context.loop()} {}
+      m_evidence_timer{m_context.loop()}, m_settling_timer{m_context.loop()} {}
 
 void forwarder::start() {
     m_inbox.receive(m_context.wrap([this](const forwarder_message& message) {
@@ -47,6 +47,7 @@
     m_inbox.close();
     m_pause_timers.clear();
     m_evidence_timer.cancel();
+    m_settling_timer.cancel();
     m_exchanges.clear();
     m_pools.clear();
 }
@@ -69,6 +70,10 @@
         update_limits(name, *pool);
         schedule_waiting(name);
     }
+    if (m_configuration && m_upstreams) {
+        record_first_list(now);
+        begin_held_requests();
+    }
 }
 
 void forwarder::handle(const configuration_confirmed& message) {
@@ -141,26 +146,35 @@
     added.id = message.id;
     added.reply = message.reply;
     added.times.arrived = common::monotonic_clock::now();
-    added.configuration = m_configuration;
     try {
         added.request = m_adapter->decode_request(message.message);
     } catch (const common::format_error& e) {
         refuse(added, status_bad_request, e.what());
         return;
     }
-    if (const auto result = look_up(added); result != lookup_result::found) {
-        refuse_unknown(added, result);
+    added.shared_parts = shared_parts_of(added.request.prompt);
+    if (!m_configuration || !m_upstreams) {
+        hold(added);
         return;
     }
-    added.shared_parts = shared_parts_of(added.request.prompt);
-    admit(added);
+    begin(added);
 }
 
-void forwarder::refuse_unknown(exchange& ex, lookup_result result) {
-    if (result == lookup_result::no_configuration) {
-        refuse(ex, status_unavailable, "no configuration yet");
+void forwarder::begin(exchange& ex) {
+    ex.configuration = m_configuration;
+    if (const auto result = look_up(ex); result != lookup_result::found) {
+        refuse_unknown(ex, result);
+        return;
+    }
+    if (may_lack_instances(ex)) {
+        hold(ex);
         return;
     }
+    ex.deadline_timer.reset();
+    admit(ex);
+}
+
+void forwarder::refuse_unknown(exchange& ex, lookup_result result) {
     const std::string reason{common::to_name(result)};
     if (may_be_in_undecoded_part(result)) {
         refuse(ex, status_unavailable, "not in the decoded parts of the configuration: " + reason,
@@ -183,9 +197,6 @@
 }
 
 lookup_result forwarder::look_up(exchange& ex) const {
-    if (!m_configuration) {
-        return lookup_result::no_configuration;
-    }
     ex.matched_route = find_route(*m_configuration, ex.request.host, ex.request.path);
     if (ex.matched_route == nullptr) {
         return lookup_result::no_route;
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "common/enum_names.h"
 #include "common/random.h"
@@ -39,7 +40,7 @@
 };
 
 /// Result of looking up a request in the configuration.
-enum class lookup_result { found, no_configuration, no_route, unusable_route, unknown_key };
+enum class lookup_result { found, no_route, unusable_route, unknown_key };
 
 struct forwarder_options {
     /// Name of this gateway.
@@ -82,6 +83,17 @@
     void handle(const shutdown_started& message);
     void handle(const admin::metrics_query& message);
 
+    /// Looks up a request, and admits or refuses it.
+    void begin(exchange& ex);
+    /// Lets a request wait until this gateway has read the store, for a short time at most.
+    void hold(exchange& ex);
+    /// Begins the held requests again.
+    void begin_held_requests();
+    /// Records the first list of upstreams since the start.
+    void record_first_list(common::time_point now);
+    /// Whether a service that the request needs has no instance only because the list of upstreams
+    /// is read for the first time and may be incomplete.
+    [[nodiscard]] bool may_lack_instances(const exchange& ex) const;
     /// Sets the route, workspace, priority and service of the exchange from the configuration.
     lookup_result look_up(exchange& ex) const;
     /// Refuses a request that does not match the configuration. The refusal is permanent only if
@@ -211,6 +223,12 @@
     /// Memory for the bodies of responses.
     http::buffer_budget m_bodies;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
+    /// Requests that wait until this gateway has read the store, in order of their arrival.
+    std::vector<std::uint64_t> m_held;
+    /// When the upstreams were first known, and the end of the time in which they may be
+    /// incomplete.
+    std::optional<common::time_point> m_first_list;
+    runtime::timer m_settling_timer;
     /// Maps the number of each order to the id of its request.
     std::map<std::uint64_t, std::uint64_t> m_orders;
     std::uint64_t m_next_order;
@@ -237,8 +255,8 @@
 
 template <>
 struct enum_names<gateway::requests::lookup_result> {
-    static constexpr std::array<std::string_view, 5> table{"found", "no_configuration", "no_route",
-                                                           "unusable_route", "unknown_key"};
+    static constexpr std::array<std::string_view, 4> table{"found", "no_route", "unusable_route",
+                                                           "unknown_key"};
 };
 
 } // namespace jujubemast::common
