--- a/source/core/gateway/adapter.h
+++ b/source/core/gateway/adapter.h
@@ -90,7 +90,9 @@
 
     /// Returns nothing for rows that do not hold the configuration.
     std::function<std::optional<configuration>(const store_row& row)> decode_configuration;
-    std::function<upstream_instance(const store_row& row)> decode_upstream;
+    /// Counts times that the row gives as remaining from `received`.
+    std::function<upstream_instance(const store_row& row, common::time_point received)>
+        decode_upstream;
     std::function<gateway_record(const store_row& row)> decode_gateway;
 };
 
--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -73,12 +73,22 @@
     common::duration result_lifetime = std::chrono::seconds{1};
 };
 
+/// What a cold instance tolerates, for example after its start.
+struct warm_up_limit {
+    /// How long an instance is cold.
+    common::duration time = common::duration::zero();
+    /// Requests per second of all gateways together that a cold instance tolerates.
+    double rate = 0;
+};
+
 struct service {
     std::string name;
     /// Connections that each instance accepts from all gateways together. It resets further ones.
     std::optional<std::size_t> max_connections;
     /// Set for stage services.
     std::optional<piece_limits> pieces;
+    /// Set if cold instances have a limit.
+    std::optional<warm_up_limit> warm_up;
 };
 
 struct workspace {
--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -1,6 +1,7 @@
 #include "gateway/instances/service_pool.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "common/digest.h"
@@ -66,6 +67,9 @@
         return removed;
     });
     divide_connections();
+    for (const auto& it : m_members) {
+        update_cold(*it, now);
+    }
 }
 
 void service_pool::add_if_new(const upstream_instance& instance, common::time_point now) {
@@ -107,6 +111,45 @@
     }
 }
 
+void service_pool::set_warm_up(std::optional<warm_up_rule> rule, common::time_point now) {
+    m_warm_up = std::move(rule);
+    for (const auto& it : m_members) {
+        update_cold(*it, now);
+    }
+}
+
+void service_pool::update_cold(pool_member& member, common::time_point now) const {
+    auto end = m_warm_up ? cold_end(member.identity, m_warm_up->time) : std::nullopt;
+    if (end && *end <= now) {
+        end.reset();
+    }
+    const bool was_cold = member.cold_until.has_value();
+    member.cold_until = end;
+    if (m_warm_up && was_cold != end.has_value()) {
+        m_warm_up->on_change(member, now);
+    }
+}
+
+common::time_point service_pool::next_send(const pool_member& member,
+                                           common::time_point now) const {
+    if (!m_warm_up || !member.cold_until) {
+        return now;
+    }
+    const auto permits = m_warm_up->permits(member.digest, now);
+    auto next = *member.cold_until;
+    if (const auto permitted = member.sends.next_send(permits.count, now)) {
+        next = std::min(next, *permitted);
+    }
+    return permits.next_change && next > now ? std::min(next, *permits.next_change) : next;
+}
+
+std::vector<std::shared_ptr<const pool_member>> service_pool::cold_members() const {
+    std::vector<std::shared_ptr<const pool_member>> result;
+    std::copy_if(m_members.begin(), m_members.end(), std::back_inserter(result),
+                 [](const auto& it) { return it->cold_until.has_value(); });
+    return result;
+}
+
 void service_pool::set_budget(const policy::retry_budget_options& options) {
     m_budget.set_options(options);
 }
@@ -115,10 +158,11 @@
     for (const auto& it : m_members) {
         it->state.update(now,
                          m_health.state(it->identity.id, now) == policy::rotation_state::ejected);
+        update_cold(*it, now);
     }
 }
 
-std::vector<policy::upstream_view> service_pool::views() const {
+std::vector<policy::upstream_view> service_pool::views(common::time_point now) const {
     std::vector<policy::upstream_view> result;
     result.reserve(m_members.size());
     for (const auto& it : m_members) {
@@ -126,7 +170,8 @@
         view.name = it->identity.id;
         view.name_digest = it->digest;
         view.failure_domain = it->identity.failure_domain;
-        view.available = takes_requests(*it) && it->has_free_connection();
+        view.available =
+            takes_requests(*it) && it->has_free_connection() && next_send(*it, now) <= now;
         view.ejected = it->state.phase() == instance_phase::ejected;
         view.reported_in_progress = it->in_progress;
         view.limit = it->identity.slots;
@@ -138,11 +183,15 @@
 
 instance_choice service_pool::choose(const policy::routing_request& request) {
     update_states(request.now);
-    const auto chosen = m_route(request, views());
+    const auto chosen = m_route(request, views(request.now));
     if (!chosen) {
         return explain_no_choice(request);
     }
     m_health.record_dispatch(m_members[*chosen]->identity.id, request.now);
+    if (m_warm_up) {
+        // Counted for all instances: one that is cold now may have been so before its row came.
+        m_members[*chosen]->sends.record(request.now);
+    }
     return {choice_outcome::chosen, m_members[*chosen], {}};
 }
 
@@ -153,15 +202,18 @@
             continue;
         }
         if (takes_requests(*it)) {
-            return {choice_outcome::no_connection, nullptr, {}};
+            const auto next = next_send(*it, request.now);
+            if (next <= request.now) {
+                result.outcome = choice_outcome::no_connection;
+                continue;
+            }
+            result.outcome = std::min(result.outcome, choice_outcome::cold);
+            result.retry_at = std::min(result.retry_at.value_or(next), next);
+        } else if (it->state.phase() == instance_phase::pausing) {
+            const auto end = it->state.paused_until();
+            result.outcome = std::min(result.outcome, choice_outcome::pausing);
+            result.retry_at = std::min(result.retry_at.value_or(end), end);
         }
-        if (it->state.phase() != instance_phase::pausing) {
-            continue;
-        }
-        const auto end = it->state.paused_until();
-        result.retry_at =
-            result.outcome == choice_outcome::none ? end : std::min(result.retry_at, end);
-        result.outcome = choice_outcome::pausing;
     }
     return result;
 }
@@ -188,6 +240,15 @@
                        });
 }
 
+bool service_pool::has_ready_alternative(const std::vector<std::string>& excluded,
+                                         common::time_point now) {
+    update_states(now);
+    return std::any_of(
+        m_members.begin(), m_members.end(), [&](const std::shared_ptr<pool_member>& it) {
+            return takes_requests(*it) && !is_excluded(excluded, *it) && next_send(*it, now) <= now;
+        });
+}
+
 void service_pool::record_success(const pool_member& member, common::duration service_time,
                                   common::time_point now) {
     m_health.record_success(member.identity.id, service_time, now);
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <memory>
 #include <optional>
@@ -11,7 +12,9 @@
 
 #include "common/enum_names.h"
 #include "gateway/instances/instance_state.h"
+#include "gateway/instances/send_window.h"
 #include "gateway/instances/waiting_requests.h"
+#include "gateway/instances/warm_up_share.h"
 #include "gateway/upstream_list.h"
 #include "http/client.h"
 #include "policy/outlier_detector.h"
@@ -32,6 +35,10 @@
     instance_state state;
     /// Connections that this gateway may have to the instance.
     std::size_t permits = unlimited_permits;
+    /// What this gateway has sent lately, for the limit of cold instances.
+    send_window sends;
+    /// Until when the instance is cold, if it was cold at the last update.
+    std::optional<common::time_point> cold_until;
 
     void set_permits(std::size_t n) {
         permits = n;
@@ -41,11 +48,14 @@
     [[nodiscard]] bool has_free_connection() const { return client->calls_in_progress() < permits; }
 };
 
-/// Whether an instance was chosen for a request, or why not.
+/// Whether an instance was chosen for a request, or why not. If several reasons hold for different
+/// instances, the first one counts.
 enum class choice_outcome {
     chosen,
     /// All connections to the instances that take work are in use.
     no_connection,
+    /// The instances that take work are cold, and this gateway has used its permits.
+    cold,
     /// All instances that would take work pause.
     pausing,
     none
@@ -54,8 +64,18 @@
 struct instance_choice {
     choice_outcome outcome = choice_outcome::none;
     std::shared_ptr<pool_member> member;
-    /// When the first pause ends, if the instances pause.
-    common::time_point retry_at;
+    /// When the first pause ends or the first cold instance may get a request.
+    std::optional<common::time_point> retry_at;
+};
+
+/// The limit of a service on the requests to its cold instances.
+struct warm_up_rule {
+    /// How long an instance is cold after its start or after a drain.
+    common::duration time = common::duration::zero();
+    /// Returns this gateway's permits at the instance with this digest.
+    std::function<warm_up_permits(std::uint64_t instance_digest, common::time_point now)> permits;
+    /// Told when an instance becomes cold, and when it no longer is.
+    std::function<void(const pool_member& member, common::time_point now)> on_change;
 };
 
 /// The instances of one service, with load balancing, outlier detection and the retry budget.
@@ -73,15 +93,24 @@
     /// gateway's position among them. Without a limit any number of connections is allowed.
     void set_connection_limit(std::optional<std::size_t> limit, const policy::share_holder& holder);
 
-    /// Chooses an instance that takes work and has a free connection.
+    /// Sets the limit on the requests to cold instances.
+    void set_warm_up(std::optional<warm_up_rule> rule, common::time_point now);
+
+    /// Chooses an instance that takes work, has a free connection and a permit if it is cold.
     instance_choice choose(const policy::routing_request& request);
 
     /// Returns the instance that a prompt prefix hashes to regardless of load, or null.
     [[nodiscard]] std::shared_ptr<pool_member> affinity_member(std::uint64_t prefix);
 
-    /// Whether an instance that is not excluded accepts work.
+    /// Whether an instance that is not excluded accepts work, now or when it has a permit.
     bool has_alternative(const std::vector<std::string>& excluded, common::time_point now);
 
+    /// The same without the instances that have no permit now.
+    bool has_ready_alternative(const std::vector<std::string>& excluded, common::time_point now);
+
+    /// The instances that were cold at the last update.
+    [[nodiscard]] std::vector<std::shared_ptr<const pool_member>> cold_members() const;
+
     /// The requests of this service that wait for an instance.
     [[nodiscard]] waiting_requests& waiting() { return m_waiting; }
 
@@ -95,9 +124,14 @@
 private:
     /// Brings the phases of all members up to date.
     void update_states(common::time_point now);
-    [[nodiscard]] std::vector<policy::upstream_view> views() const;
+    [[nodiscard]] std::vector<policy::upstream_view> views(common::time_point now) const;
     /// Returns why no member was chosen.
     [[nodiscard]] instance_choice explain_no_choice(const policy::routing_request& request) const;
+    void update_cold(pool_member& member, common::time_point now) const;
+    /// When the limit of cold instances permits a request to the member. If the time is later than
+    /// now, the number of permits may have changed by then.
+    [[nodiscard]] common::time_point next_send(const pool_member& member,
+                                               common::time_point now) const;
     void add_if_new(const upstream_instance& instance, common::time_point now);
     void divide_connections();
 
@@ -106,6 +140,7 @@
     std::vector<std::shared_ptr<pool_member>> m_members;
     std::optional<std::size_t> m_connection_limit;
     policy::share_holder m_holder;
+    std::optional<warm_up_rule> m_warm_up;
     policy::outlier_detector m_health;
     policy::retry_budget m_budget;
     waiting_requests m_waiting;
@@ -117,8 +152,8 @@
 
 template <>
 struct enum_names<gateway::instances::choice_outcome> {
-    static constexpr std::array<std::string_view, 4> table{"chosen", "no_connection", "pausing",
-                                                           "none"};
+    static constexpr std::array<std::string_view, 5> table{"chosen", "no_connection", "cold",
+                                                           "pausing", "none"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -52,6 +52,11 @@
     std::vector<std::string> names;
 };
 
+/// The store has shown that the names of the gateways were complete at a time.
+struct gateway_names_confirmed {
+    common::time_point at;
+};
+
 /// An instance has announced in a response that it is about to stop.
 struct instance_leaving {
     incarnation instance;
@@ -132,8 +137,8 @@
 
 using forwarder_message =
     std::variant<discovery_update, configuration_confirmed, request_received, caller_disconnected,
-                 order_ended, gateway_names_changed, backlog_report, crash_evidence, gateway_live,
-                 shutdown_started, admin::metrics_query>;
+                 order_ended, gateway_names_changed, gateway_names_confirmed, backlog_report,
+                 crash_evidence, gateway_live, shutdown_started, admin::metrics_query>;
 
 using peers_message =
     std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -30,7 +30,9 @@
                      std::shared_ptr<const adapter> platform_adapter, forwarder_options options)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_peers{std::move(peers)},
       m_adapter{std::move(platform_adapter)}, m_options{std::move(options)},
-      m_bodies{m_options.response_buffer_bytes},
+      m_bodies{m_options.response_buffer_bytes}, m_warm_up_share{m_options.name,
+                                                                 {.max_names_age =
+                                                                      m_options.staleness_limit}},
       // Starts at a random number, because another gateway may still remember the orders of this
       // gateway's previous run.
       m_next_order{m_options.random() >> 1U},
@@ -45,7 +47,7 @@
 
 void forwarder::close() noexcept {
     m_inbox.close();
-    m_pause_timers.clear();
+    m_retries.clear();
     m_evidence_timer.cancel();
     m_exchanges.clear();
     m_pools.clear();
@@ -82,34 +84,6 @@
     return common::monotonic_clock::now() - *m_configuration_confirmed;
 }
 
-void forwarder::handle(const gateway_names_changed& message) {
-    m_gateways = message.names;
-    m_gateway_count = std::max<std::size_t>(1, m_gateways.size());
-    m_estimator.set_gateway_count(m_gateway_count);
-    for (auto& [name, pool] : m_pools) {
-        update_limits(name, *pool);
-        schedule_waiting(name);
-    }
-}
-
-void forwarder::update_limits(const std::string& service, instances::service_pool& pool) const {
-    // Each gateway keeps to its own share of the budget, so that the sum holds regardless of what
-    // the others do. Up to half of the reserve can accumulate; it refills within one window.
-    policy::retry_budget_options options;
-    options.ratio = 0.75 * m_options.retries.ratio;
-    options.reserve = 0.4 * m_options.retries.reserve / static_cast<double>(m_gateway_count);
-    options.max_balance = 0.5 * m_options.retries.reserve / static_cast<double>(m_gateway_count);
-    options.reserve_period = m_options.retries.window;
-    pool.set_budget(options);
-    if (!m_configuration) {
-        return;
-    }
-    const auto known = m_configuration->services.find(service);
-    const auto limit =
-        known == m_configuration->services.end() ? std::nullopt : known->second.max_connections;
-    pool.set_connection_limit(limit, policy::find_share(service, m_options.name, m_gateways));
-}
-
 void forwarder::handle(const backlog_report& message) {
     const auto now = common::monotonic_clock::now();
     for (const auto& it : message.services) {
@@ -391,6 +365,7 @@
 
 void forwarder::handle(const admin::metrics_query& message) {
     m_metrics.set_in_progress(m_exchanges.size());
+    m_metrics.set_cold_instances(count_cold());
     m_metrics.set_quarantined_parts(m_suspects.quarantined(common::monotonic_clock::now()).size());
     if (const auto age = configuration_age()) {
         m_metrics.set_configuration_age(*age);
@@ -412,10 +387,12 @@
     boost::json::object pools;
     for (const auto& [name, it] : m_pools) {
         pools[name] = boost::json::object{{"instances", it->size()},
-                                          {"retry_balance", it->budget().balance()}};
+                                          {"retry_balance", it->budget().balance()},
+                                          {"cold", dump_cold(*it)}};
     }
     return boost::json::object{{"configuration", m_configuration ? m_configuration->version : 0},
                                {"gateways", m_gateway_count},
+                               {"warm_up_share", common::to_name(m_warm_up_share.level(now))},
                                {"pools", std::move(pools)},
                                {"quarantined", dump_quarantined()},
                                {"requests", std::move(requests)}};
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -76,6 +76,7 @@
     void handle(const caller_disconnected& message);
     void handle(const order_ended& message);
     void handle(const gateway_names_changed& message);
+    void handle(const gateway_names_confirmed& message);
     void handle(const backlog_report& message);
     void handle(const crash_evidence& message);
     void handle(const gateway_live& message);
@@ -135,8 +136,8 @@
     void wait_for_instance(exchange& ex, const instances::instance_choice& choice);
     /// Serves the requests that wait for an instance, later in the event loop.
     void schedule_waiting(const std::string& service);
-    /// The same after a delay, at which the first pause of an instance ends.
-    void schedule_waiting_after(const std::string& service, common::duration delay);
+    /// The same at a time when an instance may be able to take a request.
+    void schedule_waiting_at(const std::string& service, common::time_point time);
     void serve_waiting(const std::string& service);
     /// Applies what an instance says of itself.
     void notice_received(const exchange& ex, const response_head& head);
@@ -197,7 +198,11 @@
     exchange* find(std::uint64_t id);
     instances::service_pool& pool_of(const std::string& service);
     /// Applies this gateway's share of the limits that all gateways have together.
-    void update_limits(const std::string& service, instances::service_pool& pool) const;
+    void update_limits(const std::string& service, instances::service_pool& pool);
+    [[nodiscard]] instances::warm_up_rule make_warm_up_rule(const std::string& service,
+                                                            const warm_up_limit& limit);
+    [[nodiscard]] std::size_t count_cold() const;
+    [[nodiscard]] static boost::json::array dump_cold(const instances::service_pool& pool);
 
     runtime::task_context m_context;
     runtime::inbox<forwarder_message> m_inbox;
@@ -210,6 +215,7 @@
     std::map<std::string, std::unique_ptr<instances::service_pool>> m_pools;
     /// Memory for the bodies of responses.
     http::buffer_budget m_bodies;
+    instances::warm_up_share m_warm_up_share;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     /// Maps the number of each order to the id of its request.
     std::map<std::uint64_t, std::uint64_t> m_orders;
@@ -218,8 +224,12 @@
     /// Names of all gateways.
     std::vector<std::string> m_gateways;
     std::size_t m_gateway_count = 1;
-    /// End of the first pause, for each service whose instances all pause.
-    std::map<std::string, std::unique_ptr<runtime::timer>> m_pause_timers;
+    /// The next time at which waiting requests of a service are tried again.
+    struct scheduled_retry {
+        std::unique_ptr<runtime::timer> timer;
+        common::time_point at;
+    };
+    std::map<std::string, scheduled_retry> m_retries;
     response_times m_response_times;
     /// When an ordered stop closes the callers' connections.
     std::optional<common::time_point> m_stop_deadline;
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -76,13 +76,16 @@
         refuse(ex, status_unavailable, "no upstream takes work");
         return;
     }
-    if (choice.outcome == instances::choice_outcome::pausing) {
-        const auto pause = choice.retry_at - common::monotonic_clock::now();
-        if (choice.retry_at >= ex.first_event_deadline) {
-            refuse(ex, status_unavailable, "all upstreams pause", pause);
+    if (choice.retry_at) {
+        const bool is_cold = choice.outcome == instances::choice_outcome::cold;
+        const bool needs_connection = choice.outcome == instances::choice_outcome::no_connection;
+        if (!needs_connection && *choice.retry_at >= ex.first_event_deadline) {
+            refuse(ex, status_unavailable,
+                   is_cold ? "all upstreams are cold" : "all upstreams pause",
+                   *choice.retry_at - common::monotonic_clock::now());
             return;
         }
-        schedule_waiting_after(ex.service, pause);
+        schedule_waiting_at(ex.service, *choice.retry_at);
     }
     if (std::exchange(ex.waiting, true)) {
         return;
@@ -102,12 +105,18 @@
     }
 }
 
-void forwarder::schedule_waiting_after(const std::string& service, common::duration delay) {
-    auto& timer = m_pause_timers[service];
-    if (!timer) {
-        timer = std::make_unique<runtime::timer>(m_context.loop());
+void forwarder::schedule_waiting_at(const std::string& service, common::time_point time) {
+    const auto now = common::monotonic_clock::now();
+    auto& retry = m_retries[service];
+    if (!retry.timer) {
+        retry.timer = std::make_unique<runtime::timer>(m_context.loop());
+    }
+    if (retry.at > now && retry.at <= time) {
+        return;
     }
-    timer->start(delay, m_context.wrap([this, service] { serve_waiting(service); }));
+    retry.at = time;
+    retry.timer->start(std::max(common::duration::zero(), time - now),
+                       m_context.wrap([this, service] { serve_waiting(service); }));
 }
 
 void forwarder::serve_waiting(const std::string& service) {
@@ -193,7 +202,7 @@
     hooks.on_failed = [this, id](const attempt_failure& it) { attempt_failed(*find(id), it); };
     hooks.on_time_limit = [this, id] {
         const auto& ex = *find(id);
-        return pool_of(ex.service).has_alternative(ex.tried, common::monotonic_clock::now());
+        return pool_of(ex.service).has_ready_alternative(ex.tried, common::monotonic_clock::now());
     };
     hooks.on_silence = [this, id] { return another_instance_can_go_on(*find(id)); };
     return hooks;
@@ -282,6 +291,8 @@
     const auto end = ex.relaying ? attempt_end::broken_midway : attempt_end::broken;
     auto facts = facts_of(ex, end, now);
     facts.budget_left = pool_of(ex.service).budget().has_token(now);
+    facts.alternative_available =
+        facts.alternative_available && pool_of(ex.service).has_ready_alternative(ex.tried, now);
     return decide_next_step(facts) == next_step::retry;
 }
 
--- a/source/core/gateway/requests/forwarder_metrics.cpp
+++ b/source/core/gateway/requests/forwarder_metrics.cpp
@@ -59,6 +59,13 @@
         .set(static_cast<double>(n));
 }
 
+void forwarder_metrics::set_cold_instances(std::size_t n) {
+    m_registry
+        .add_gauge("jujubemast_gateway_cold_instances",
+                   "Cold instances of services whose cold instances have a limit.")
+        .set(static_cast<double>(n));
+}
+
 void forwarder_metrics::set_configuration_age(common::duration age) {
     m_registry
         .add_gauge("jujubemast_gateway_configuration_age_milliseconds",
--- a/source/core/gateway/requests/forwarder_metrics.h
+++ b/source/core/gateway/requests/forwarder_metrics.h
@@ -28,6 +28,7 @@
     void record_quarantine_refusal();
     void set_quarantined_parts(std::size_t n);
     void set_in_progress(std::size_t n);
+    void set_cold_instances(std::size_t n);
     void set_configuration_age(common::duration age);
     void set_configuration_faults(std::size_t n);
 
--- a/source/core/gateway/stages/dispatcher.cpp
+++ b/source/core/gateway/stages/dispatcher.cpp
@@ -81,6 +81,7 @@
     m_report_timer.cancel();
     m_release_timer.cancel();
     m_dispatch_timers.clear();
+    m_warm_up_timers.clear();
     m_calls.clear();
     m_services.clear();
 }
@@ -222,7 +223,7 @@
     const auto* limits = limits_of(name);
     auto& service = m_services[name];
     while (limits != nullptr && service.queue.size() > 0) {
-        const auto instance = pick_free_instance(service, *limits);
+        const auto instance = pick_free_instance(name, service, *limits);
         if (!instance) {
             return;
         }
--- a/source/core/gateway/stages/dispatcher.h
+++ b/source/core/gateway/stages/dispatcher.h
@@ -14,6 +14,7 @@
 #include "common/enum_names.h"
 #include "gateway/adapter.h"
 #include "gateway/instances/instance_state.h"
+#include "gateway/instances/send_window.h"
 #include "gateway/messages.h"
 #include "gateway/stages/piece_queue.h"
 #include "gateway/stages/result_memory.h"
@@ -87,6 +88,8 @@
         bool awaiting_report = false;
         std::unique_ptr<runtime::timer> report_timer;
         std::vector<std::string> to_release;
+        /// Calls of the last second, for the limit of cold instances.
+        instances::send_window sends;
     };
 
     struct service_state {
@@ -137,8 +140,12 @@
     [[nodiscard]] std::size_t usable_instances(service_state& service) const;
 
     void dispatch(const std::string& name);
-    std::shared_ptr<stage_instance> pick_free_instance(service_state& service,
-                                                       const piece_limits& limits);
+    std::shared_ptr<stage_instance>
+    pick_free_instance(const std::string& name, service_state& service, const piece_limits& limits);
+    /// When the limit of cold instances permits a call to this one.
+    [[nodiscard]] common::time_point next_call_time(const std::string& service,
+                                                    const stage_instance& instance,
+                                                    common::time_point now) const;
     void send_call(const std::string& name, const piece_limits& limits,
                    const std::shared_ptr<stage_instance>& instance,
                    std::vector<queued_piece> pieces);
@@ -182,6 +189,8 @@
     std::map<std::uint64_t, call_state> m_calls;
     std::uint64_t m_next_call = 1;
     std::map<std::string, std::unique_ptr<runtime::timer>> m_dispatch_timers;
+    /// The next time at which a cold instance may be called, by service.
+    std::map<std::string, std::unique_ptr<runtime::timer>> m_warm_up_timers;
     runtime::timer m_report_timer;
     /// Whether the last backlog report of a service showed waiting pieces or busy instances.
     std::map<std::string, bool> m_reported_busy;
--- a/source/core/gateway/stages/dispatcher_calls.cpp
+++ b/source/core/gateway/stages/dispatcher_calls.cpp
@@ -41,6 +41,7 @@
     }
     instance->memory.reserve(bytes);
     ++instance->calls;
+    instance->sends.record(now);
     m_services[name].health.record_dispatch(instance->identity.id, now);
     const auto number = m_next_call++;
     auto& call = m_calls[number];
--- a/source/core/gateway/stages/dispatcher_instances.cpp
+++ b/source/core/gateway/stages/dispatcher_instances.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/instances/warm_up_share.h"
 #include "gateway/stages/dispatcher.h"
 #include "gateway/stages/expected_delay.h"
 
@@ -13,6 +14,9 @@
 // Pieces wait for an instance in the preferred failure domain while at least this many full calls
 // fit in before their target time.
 constexpr int locality_wait_calls = 2;
+// Gateways among which the calls to a cold instance are divided: while the owner of a service
+// changes, two may take themselves for it.
+constexpr std::size_t owners_at_once = 2;
 
 http::client_limits call_limits() {
     http::client_limits limits;
@@ -54,6 +58,7 @@
             instance->client = std::make_unique<http::client>(m_context, it.address, call_limits());
             service.health.add_member(id);
         }
+        instance->identity = it;
         if (it.phase == upstream_phase::draining) {
             instance->state.announce_drain();
         }
@@ -105,17 +110,39 @@
     });
 }
 
+common::time_point dispatcher::next_call_time(const std::string& service,
+                                              const stage_instance& instance,
+                                              common::time_point now) const {
+    const auto it = m_configuration->services.find(service);
+    if (it == m_configuration->services.end() || !it->second.warm_up) {
+        return now;
+    }
+    const auto& limit = *it->second.warm_up;
+    const auto end = instances::cold_end(instance.identity, limit.time);
+    if (!end || *end <= now) {
+        return now;
+    }
+    const auto permits = instances::divide_warm_up_rate(limit.rate).full / owners_at_once;
+    return std::min(*end, instance.sends.next_send(permits, now).value_or(*end));
+}
+
 std::shared_ptr<dispatcher::stage_instance>
-dispatcher::pick_free_instance(service_state& service, const piece_limits& limits) {
+dispatcher::pick_free_instance(const std::string& name, service_state& service,
+                               const piece_limits& limits) {
     const auto now = common::monotonic_clock::now();
     update_states(service);
     std::shared_ptr<stage_instance> best;
     std::shared_ptr<stage_instance> ejected;
+    std::optional<common::time_point> next_permit;
     for (const auto& [id, it] : service.instances) {
         if (it->awaiting_report || it->calls + it->foreign_calls >= limits.slots ||
             it->backoff_until > now) {
             continue;
         }
+        if (const auto permitted = next_call_time(name, *it, now); permitted > now) {
+            next_permit = std::min(next_permit.value_or(permitted), permitted);
+            continue;
+        }
         if (it->state.phase() == instances::instance_phase::ejected) {
             ejected = it;
         }
@@ -126,6 +153,13 @@
             best = it;
         }
     }
+    if (!best && next_permit) {
+        auto& timer = m_warm_up_timers[name];
+        if (!timer) {
+            timer = std::make_unique<runtime::timer>(m_context.loop());
+        }
+        timer->start(*next_permit - now, m_context.wrap([this, name] { dispatch(name); }));
+    }
     // An ejected instance is used only if all instances that accept work are ejected.
     return best || usable_instances(service) > 0 ? best : ejected;
 }
--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -95,12 +95,15 @@
     if (table == store_table::configuration && m_newest_decoded) {
         m_hooks.confirm_configuration({at});
     }
+    if (table == store_table::gateways) {
+        m_hooks.confirm_gateways({at});
+    }
     relay(table);
 }
 
 void catalog::record_row(store_table table, const store_row& row,
-                         std::optional<std::uint64_t> content) {
-    const bool changed = m_watches.at(table)->copy().set_row(row.key, content);
+                         std::optional<std::uint64_t> content, bool is_hidden_change) {
+    const bool changed = m_watches.at(table)->copy().set_row(row.key, content) || is_hidden_change;
     auto& pending = m_pending[table];
     if (changed && m_role.reads_store && pending.since) {
         pending.rows.push_back(row);
@@ -265,11 +268,14 @@
     upstream_map all_entries;
     bool changed = false;
     for (const auto& row : update.rows) {
-        auto decoded =
-            decode_row(store_table::upstreams, "an upstream", row, m_adapter->decode_upstream);
+        auto decoded = decode_row<upstream_instance>(
+            store_table::upstreams, "an upstream", row,
+            [&](const store_row& it) { return m_adapter->decode_upstream(it, now); });
+        const bool cold_for_longer = decoded && m_warm_up.complete(*decoded, row.version, now);
         record_row(store_table::upstreams, row,
-                   decoded ? std::optional{row_digest(*decoded)} : std::nullopt);
+                   decoded ? std::optional{row_digest(*decoded)} : std::nullopt, cold_for_longer);
         if (!decoded) {
+            m_warm_up.removed(row.key, now);
             const bool malformed = row.value.has_value();
             if (malformed ? m_upstreams.discard(row.key)
                           : !update.complete && m_upstreams.remove(row.key, now)) {
@@ -291,6 +297,7 @@
         }
     }
     if (update.complete) {
+        m_warm_up.table_read(now);
         changed = m_upstreams.replace(all_entries, now) || changed;
         m_log.info("Upstreams read.", {{"count", std::to_string(m_upstreams.entries().size())}});
     }
@@ -301,6 +308,19 @@
     }
 }
 
+void catalog::warm_up_domain(const std::string& failure_domain) {
+    m_warm_up.drain_ended(failure_domain, common::monotonic_clock::now());
+    bool changed = false;
+    const auto entries = m_upstreams.entries();
+    for (auto [id, it] : entries) {
+        m_warm_up.set_start(it);
+        changed = m_upstreams.put(it) || changed;
+    }
+    if (changed) {
+        publish();
+    }
+}
+
 void catalog::handle(const instance_leaving& message) {
     if (m_upstreams.mark_leaving(message.instance)) {
         m_log.info("The upstream has announced that it leaves.",
@@ -374,12 +394,16 @@
 }
 
 boost::json::value catalog::dump() const {
+    const auto left = [now = common::monotonic_clock::now()](const auto& until) {
+        return until && *until > now ? common::to_milliseconds(*until - now) : 0;
+    };
     boost::json::array upstreams;
     for (const auto& [id, it] : m_upstreams.entries()) {
         upstreams.emplace_back(boost::json::object{{"id", id},
                                                    {"service", it.service},
                                                    {"address", http::to_string(it.address)},
-                                                   {"phase", common::to_name(it.phase)}});
+                                                   {"phase", common::to_name(it.phase)},
+                                                   {"cold_left_ms", left(it.cold_until)}});
     }
     boost::json::object tables;
     for (const auto& [table, watch] : m_watches) {
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -13,6 +13,7 @@
 #include "gateway/messages.h"
 #include "gateway/store/malformed_rows.h"
 #include "gateway/store/table_watch.h"
+#include "gateway/store/warm_up_tracker.h"
 #include "http/client.h"
 #include "logging/logger.h"
 #include "runtime/mailbox.h"
@@ -26,6 +27,8 @@
     std::function<void(const std::vector<gateway_record>&)> publish_gateways;
     /// A response of the store has shown that the local copy of the configuration is the newest.
     std::function<void(const configuration_confirmed&)> confirm_configuration;
+    /// The same for the names of the gateways.
+    std::function<void(const gateway_names_confirmed&)> confirm_gateways;
     /// Passes changes on to the other gateways.
     std::function<void(const table_relay&)> relay;
     /// Sets why the gateway is not ready. An empty reason means that it can serve requests.
@@ -59,8 +62,10 @@
     std::optional<Record> decode_row(store_table table, std::string_view described,
                                      const store_row& row,
                                      const std::function<Record(const store_row&)>& decode);
-    /// Records the content of a row, and whether it has to be passed on.
-    void record_row(store_table table, const store_row& row, std::optional<std::uint64_t> content);
+    /// Records the content of a row, and whether it has to be passed on, which is always so if the
+    /// digest of the content does not show a change.
+    void record_row(store_table table, const store_row& row, std::optional<std::uint64_t> content,
+                    bool is_hidden_change = false);
     void confirmed(store_table table, common::time_point at);
     /// Passes on what has changed since the last time, or now and then the confirmation that
     /// nothing has.
@@ -69,6 +74,8 @@
     void log_faults(const configuration& config) const;
     void apply_upstream_rows(const table_update& update);
     void apply_gateway_rows(const table_update& update);
+    /// The drain of a failure domain has ended. Its instances are cold for their warm-up time.
+    void warm_up_domain(const std::string& failure_domain);
     void set_store_available(bool available);
     void register_self();
     /// Registers again if the store holds no row of this gateway or a row with other content.
@@ -99,6 +106,7 @@
     /// Whether the newest configuration in the store could be decoded.
     bool m_newest_decoded = true;
     upstream_list m_upstreams;
+    warm_up_tracker m_warm_up;
     bool m_upstreams_read = false;
     bool m_gateways_read = false;
     std::map<std::string, gateway_record> m_gateways;
--- a/source/core/gateway/store/row_digest.cpp
+++ b/source/core/gateway/store/row_digest.cpp
@@ -24,7 +24,9 @@
                              separator + content.service + separator +
                              http::to_string(content.address) + separator + content.failure_domain +
                              separator + std::to_string(content.slots) + separator +
-                             std::string{common::to_name(content.phase)});
+                             std::string{common::to_name(content.phase)} +
+                             // Instances that are not cold have the digest of earlier releases.
+                             (content.cold_until ? "\ncold" : ""));
 }
 
 std::uint64_t row_digest(const gateway_record& content) {
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -31,6 +31,11 @@
     std::string failure_domain;
     std::uint32_t slots = 1;
     upstream_phase phase = upstream_phase::serving;
+    /// Until when the instance is cold according to its row. Empty if the row does not say so.
+    std::optional<common::time_point> cold_until;
+    /// When the instance was seen to start during traffic, or when the last drain of its failure
+    /// domain ended. Its warm-up time runs from then.
+    std::optional<common::time_point> warms_up_from;
 
     friend bool operator==(const upstream_instance&, const upstream_instance&) = default;
 };
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -236,11 +236,14 @@
             {"routes", boost::json::array{draft, slow, talk,
                                           route("/stream/", "streaming", "engines", "a.example"),
                                           route("/post/", "unsafe", "desk", "a.example"),
-                                          route("/read/", "safe", "desk", "a.example")}},
+                                          route("/read/", "safe", "desk", "a.example"),
+                                          route("/fragile/", "safe", "fragile", "a.example")}},
             {"services",
              boost::json::array{
                  boost::json::object{{"name", "engines"}, {"engine", boost::json::object{}}},
                  boost::json::object{{"name", "desk"}},
+                 // A cold instance tolerates 5 requests in a second. The service has no instance.
+                 boost::json::object{{"name", "fragile"}, {"cold_s", 3}, {"cold_per_s", 0.01}},
                  boost::json::object{{"name", "stages"}, {"pieces", pieces(20)}},
                  boost::json::object{{"name", "slow-stages"}, {"pieces", pieces(600)}}}},
             {"limits", boost::json::object{{"max_body_bytes", 100000}, {"idle_timeout_ms", 15000}}},
--- a/tests/unit/gateway/instances/service_pool_test.cpp
+++ b/tests/unit/gateway/instances/service_pool_test.cpp
@@ -17,6 +17,10 @@
     std::shared_ptr<runtime::task_lifecycle> life = make_lifecycle("pool");
     common::time_point now{seconds{100}};
     upstream_map known{{"a", entry("a")}, {"b", entry("b")}};
+    static constexpr seconds warm_up_time{3};
+    /// Permits of this gateway at each cold instance.
+    std::size_t permits = 0;
+    std::vector<std::string> changes;
     service_pool subject{loop.context(life), policy::make_round_robin()};
 
     service_pool_fixture() { subject.update("s", known, now); }
@@ -38,6 +42,25 @@
         return choose({id == "a" ? "b" : "a"}).member;
     }
 
+    void apply_rule() {
+        subject.set_warm_up(
+            warm_up_rule{warm_up_time,
+                         [this](std::uint64_t /*instance_digest*/, common::time_point /*now*/) {
+                             return warm_up_permits{permits, {}};
+                         },
+                         [this](const pool_member& it, common::time_point /*now*/) {
+                             changes.push_back(it.identity.id +
+                                               (it.cold_until ? " cold" : " warm"));
+                         }},
+            now);
+    }
+
+    void make_cold(const std::string& id, common::duration time) {
+        apply_rule();
+        known[id].cold_until = now + time;
+        subject.update("s", known, now);
+    }
+
     static void start_call(pool_member& target) {
         target.client->start({"GET", "/", {}, {}}, {}, {.idempotent = false});
     }
@@ -115,6 +138,89 @@
     BOOST_TEST((choose({"b"}).outcome == choice_outcome::none));
 }
 
+// Guards against a burst at an instance that has just started, which crashes it.
+BOOST_AUTO_TEST_CASE(cold_instance_whose_permits_are_used_gets_no_request_in_the_window) {
+    make_cold("a", seconds{3});
+    permits = 2;
+    for (int n = 0; n < 2; ++n) {
+        BOOST_TEST((choose({"b"}).outcome == choice_outcome::chosen));
+    }
+    const auto refused = choose({"b"});
+    BOOST_TEST((refused.outcome == choice_outcome::cold));
+    BOOST_TEST((refused.retry_at == now + send_window::length));
+    now += send_window::length;
+    BOOST_TEST((choose({"b"}).outcome == choice_outcome::chosen));
+}
+
+BOOST_AUTO_TEST_CASE(request_when_a_cold_instance_has_no_permit_goes_to_a_warm_one) {
+    make_cold("a", seconds{3});
+    permits = 0;
+    for (int n = 0; n < 4; ++n) {
+        BOOST_TEST(choose().member->identity.id == "b");
+    }
+}
+
+// Guards against requests that wait for a permit that this gateway never gets.
+BOOST_AUTO_TEST_CASE(request_without_any_permit_may_be_sent_when_the_instance_is_no_longer_cold) {
+    make_cold("a", seconds{3});
+    permits = 0;
+    BOOST_TEST((choose({"b"}).retry_at == now + seconds{3}));
+    now += seconds{3};
+    BOOST_TEST((choose({"b"}).outcome == choice_outcome::chosen));
+    BOOST_TEST(changes == (std::vector<std::string>{"a cold", "a warm"}),
+               boost::test_tools::per_element());
+}
+
+// Guards against sends just before the row with the news came: they count as well.
+BOOST_AUTO_TEST_CASE(requests_before_an_instance_became_cold_use_its_permits) {
+    permits = 2;
+    apply_rule();
+    choose({"b"});
+    choose({"b"});
+    known["a"].cold_until = now + seconds{3};
+    subject.update("s", known, now);
+    BOOST_TEST((choose({"b"}).outcome == choice_outcome::cold));
+}
+
+BOOST_AUTO_TEST_CASE(instance_of_a_domain_whose_drain_has_ended_is_cold_for_the_warm_up_time) {
+    apply_rule();
+    known["a"].warms_up_from = now;
+    subject.update("s", known, now);
+    permits = 0;
+    BOOST_TEST((choose({"b"}).outcome == choice_outcome::cold));
+    now += warm_up_time;
+    BOOST_TEST((choose({"b"}).outcome == choice_outcome::chosen));
+}
+
+// Guards against a slow restart of services whose instances tolerate any rate.
+BOOST_AUTO_TEST_CASE(cold_instance_of_a_service_without_a_limit_gets_requests) {
+    known["a"].cold_until = now + seconds{3};
+    subject.update("s", known, now);
+    for (int n = 0; n < 100; ++n) {
+        BOOST_TEST((choose({"b"}).outcome == choice_outcome::chosen));
+    }
+}
+
+// Guards against an attempt that is given up for an instance that cannot take the request yet.
+BOOST_AUTO_TEST_CASE(cold_instance_without_a_permit_is_an_alternative_only_for_a_failed_attempt) {
+    make_cold("a", seconds{3});
+    permits = 0;
+    BOOST_TEST(subject.has_alternative({"b"}, now));
+    BOOST_TEST(!subject.has_ready_alternative({"b"}, now));
+    BOOST_TEST(subject.has_ready_alternative({"a"}, now));
+}
+
+// Guards against a wait for a permit while a connection that becomes free could be used.
+BOOST_AUTO_TEST_CASE(request_with_a_cold_instance_and_one_without_connection_waits_for_both) {
+    make_cold("a", seconds{3});
+    permits = 0;
+    subject.set_connection_limit(1, {0, 1});
+    start_call(*choose({"a"}).member);
+    const auto choice = choose();
+    BOOST_TEST((choice.outcome == choice_outcome::no_connection));
+    BOOST_TEST((choice.retry_at == now + seconds{3}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/gateway/stages/dispatcher_test.cpp
+++ b/tests/unit/gateway/stages/dispatcher_test.cpp
@@ -190,6 +190,35 @@
     BOOST_TEST((make_piece(1) == order_status::made));
 }
 
+// Guards against a stage instance that crashes because it gets more calls than it tolerates while
+// it is cold.
+BOOST_AUTO_TEST_CASE(cold_instance_whose_calls_are_used_gets_the_next_one_after_the_window) {
+    auto all = *update.configuration;
+    // Permits two calls in a window.
+    all.services["stages"].warm_up = warm_up_limit{std::chrono::seconds{30}, 0};
+    update.configuration = std::make_shared<const configuration>(all);
+    auto known = *update.upstreams;
+    known.at("i").warms_up_from = common::monotonic_clock::now();
+    update.upstreams = std::make_shared<const upstream_map>(known);
+    inbox->post(update);
+    const auto begin = common::monotonic_clock::now();
+    BOOST_TEST((make_piece(1) == order_status::made));
+    BOOST_TEST((make_piece(2) == order_status::made));
+    BOOST_TEST((make_piece(3) == order_status::made));
+    BOOST_TEST((common::monotonic_clock::now() - begin >= instances::send_window::length));
+    BOOST_TEST(count_requests("/make") == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(instance_that_is_no_longer_cold_gets_any_number_of_calls) {
+    auto all = *update.configuration;
+    all.services["stages"].warm_up = warm_up_limit{std::chrono::seconds{30}, 0};
+    update.configuration = std::make_shared<const configuration>(all);
+    inbox->post(update);
+    for (std::uint64_t n = 1; n <= 8; ++n) {
+        BOOST_TEST((make_piece(n) == order_status::made));
+    }
+}
+
 /// A dispatcher with an instance that sends endless responses.
 struct endless_instance_fixture : dispatcher_fixture {
     std::map<std::string, raw_response> endless;
--- a/tests/unit/gateway/store/catalog_test.cpp
+++ b/tests/unit/gateway/store/catalog_test.cpp
@@ -28,6 +28,7 @@
     /// Paths that get no response.
     std::vector<std::string> unanswered_paths;
     std::size_t confirmations = 0;
+    std::size_t name_confirmations = 0;
     std::vector<table_relay> relayed;
     std::vector<discovery_update> published;
     std::vector<std::string> not_ready_reasons;
@@ -82,6 +83,9 @@
         hooks.confirm_configuration = [this](const configuration_confirmed& /*message*/) {
             ++confirmations;
         };
+        hooks.confirm_gateways = [this](const gateway_names_confirmed& /*message*/) {
+            ++name_confirmations;
+        };
         hooks.relay = [this](const table_relay& it) { relayed.push_back(it); };
         hooks.set_not_ready_reason = [this](const std::string& it) {
             not_ready_reasons.push_back(it);
@@ -126,13 +130,18 @@
             decoded.version = std::stoull(*row.value);
             return std::optional{decoded};
         };
-        // An empty value is malformed.
-        result.decode_upstream = [](const store_row& row) {
+        // An empty value is malformed. Other values are the time in ms for which the instance stays
+        // cold.
+        result.decode_upstream = [](const store_row& row, common::time_point received) {
             if (row.value->empty()) {
                 throw common::format_error{"empty"};
             }
             upstream_instance decoded;
             decoded.id = row.key;
+            const milliseconds cold_left{std::stoi(*row.value)};
+            if (cold_left > common::duration::zero()) {
+                decoded.cold_until = received + cold_left;
+            }
             return decoded;
         };
         // A row's value is the address.
@@ -211,7 +220,7 @@
 // Guards against work for an upstream whose entry becomes malformed while the store is unstable: it
 // was kept like one whose entry has expired.
 BOOST_AUTO_TEST_CASE(upstream_whose_entry_becomes_malformed_in_an_outage_is_gone_at_once) {
-    rows["upstreams"] = {{"a", "1", 1}, {"b", "1", 1}};
+    rows["upstreams"] = {{"a", "0", 1}, {"b", "0", 1}};
     subject->start();
     run_rounds(store_table::upstreams);
     BOOST_REQUIRE(published.back().upstreams->size() == 2U);
@@ -263,6 +272,43 @@
     BOOST_TEST(published.back().configuration->version == 1U);
 }
 
+// Guards against permits for cold instances by names that nobody has confirmed.
+BOOST_AUTO_TEST_CASE(response_for_the_gateways_confirms_their_names) {
+    subject->start();
+    run_rounds(store_table::gateways);
+    const auto before = name_confirmations;
+    run_rounds(store_table::gateways);
+    BOOST_TEST(name_confirmations > before);
+}
+
+// Guards against heartbeats of cold instances that load all gateways, and against followers that
+// take an instance for warm too early or for cold too long.
+BOOST_AUTO_TEST_CASE(row_of_a_cold_instance_is_passed_on_if_it_becomes_warm_or_cold_for_longer) {
+    rows["upstreams"] = {{"a", "60000", 1}};
+    subject->start();
+    run_rounds(store_table::upstreams);
+    BOOST_TEST(published.back().upstreams->at("a").cold_until.has_value());
+    const auto passed_on = [this](const std::string& cold_left, std::uint64_t version) {
+        relayed.clear();
+        rows["upstreams"] = {{"a", cold_left, version}};
+        run_rounds(store_table::upstreams);
+        std::size_t count = 0;
+        for (const auto& it : relayed) {
+            count += it.changes.table == store_table::upstreams ? it.changes.rows.size() : 0;
+        }
+        return count;
+    };
+    const auto before = published.size();
+    BOOST_TEST(passed_on("60000", 2) == 0U);
+    BOOST_TEST(published.size() == before);
+    BOOST_TEST(passed_on("90000", 3) == 1U);
+    BOOST_TEST(published.size() == before + 1);
+    BOOST_TEST(passed_on("0", 4) == 1U);
+    BOOST_TEST(!published.back().upstreams->at("a").cold_until.has_value());
+    BOOST_TEST(passed_on("0", 5) == 0U);
+    BOOST_TEST(published.size() == before + 2);
+}
+
 // Guards against changes that followers miss, heartbeats that load them, and configurations that
 // fill the links of small gateways.
 BOOST_AUTO_TEST_CASE(changes_are_passed_on_if_they_are_new_and_small) {
--- a/tests/unit/users_platform/configuration_test.cpp
+++ b/tests/unit/users_platform/configuration_test.cpp
@@ -85,6 +85,34 @@
 
 BOOST_FIXTURE_TEST_SUITE(configuration_test, configuration_fixture)
 
+BOOST_AUTO_TEST_CASE(service_with_a_warm_up_rate_has_a_limit_for_its_cold_instances) {
+    auto& desk = document.at("services").at(0).as_object();
+    desk["cold_s"] = 3;
+    BOOST_TEST(!decode().services.at("desk").warm_up.has_value());
+    desk["cold_per_s"] = 0;
+    BOOST_TEST(!decode().services.at("desk").warm_up.has_value());
+    desk["cold_per_s"] = 9.3;
+    const auto limit = decode().services.at("desk").warm_up;
+    BOOST_REQUIRE(limit.has_value());
+    BOOST_TEST(limit->rate == 9.3);
+    BOOST_TEST((limit->time == std::chrono::seconds{3}));
+}
+
+// Guards against instances that crash because their limit could not be decoded.
+BOOST_AUTO_TEST_CASE(service_with_a_malformed_warm_up_rate_has_the_lowest_limit) {
+    for (const auto* value : {R"("9")", "-1", "1e300", "[]"}) {
+        auto& desk = document.at("services").at(0).as_object();
+        desk["cold_s"] = 3;
+        desk["cold_per_s"] = boost::json::parse(value);
+        const auto config = decode();
+        const auto limit = config.services.at("desk").warm_up;
+        BOOST_REQUIRE(limit.has_value());
+        BOOST_TEST(limit->rate == 0);
+        BOOST_TEST(config.faults.size() == 1U);
+        BOOST_TEST(config.services.at("desk").max_connections.has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(valid_configuration_has_no_faults) {
     const auto config = decode();
     BOOST_TEST(config.faults.empty());
--- a/tests/unit/users_platform/store_test.cpp
+++ b/tests/unit/users_platform/store_test.cpp
@@ -120,6 +120,19 @@
     }
 }
 
+// Guards against a cold instance that is taken for warm, and against a limit that never ends.
+BOOST_AUTO_TEST_CASE(upstream_entry_with_a_cold_time_counts_it_from_its_arrival) {
+    const common::time_point received{std::chrono::seconds{100}};
+    const auto cold_until = [&](const std::string& left) {
+        return users_platform::decode_upstream(row("i-1", upstream_text_with("cold_left_ms", left)),
+                                               received)
+            .cold_until;
+    };
+    BOOST_TEST(!cold_until("0").has_value());
+    BOOST_TEST((cold_until("1500.5") == received + std::chrono::microseconds{1500500}));
+    BOOST_TEST((cold_until("1e300") == received + std::chrono::hours{1}));
+}
+
 // Guards against an entry whose address made each call to it throw, which ended the gateways again
 // and again.
 BOOST_AUTO_TEST_CASE(upstream_entry_whose_address_cannot_be_called_is_rejected) {
