--- a/tests/integration/cold_instance_test.cpp
+++ b/tests/integration/cold_instance_test.cpp
@@ -71,7 +71,9 @@
     wait_for_state(R"("warm_up_share":"full")");
     boost::asio::io_context context;
     std::vector<boost::asio::ip::tcp::socket> callers;
-    for (int n = 0; n < 20; ++n) {
+    constexpr int caller_count = 20;
+    callers.reserve(caller_count);
+    for (int n = 0; n < caller_count; ++n) {
         callers.push_back(open_connection(context, request(n), n % 2));
     }
     for (auto& it : callers) {
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -236,8 +236,9 @@
             {"routes", boost::json::array{draft, slow, talk,
                                           route("/stream/", "streaming", "engines", "a.example"),
                                           route("/post/", "unsafe", "desk", "a.example"),
-                                          route("/read/", "safe", "desk", "a.example"),
-                                          route("/fragile/", "safe", "fragile", "a.example")}},
+                                          route("/fragile/", "safe", "fragile", "a.example"),
+                                          // Tests copy the last route.
+                                          route("/read/", "safe", "desk", "a.example")}},
             {"services",
              boost::json::array{
                  boost::json::object{{"name", "engines"}, {"engine", boost::json::object{}}},
--- a/tests/unit/gateway/instances/warm_up_share_property_test.cpp
+++ b/tests/unit/gateway/instances/warm_up_share_property_test.cpp
@@ -61,7 +61,7 @@
         for (std::size_t n = 0; n < drawn.gateways; ++n) {
             add_gateway();
         }
-        m_history.push_back({begin, current_names()});
+        m_history.emplace_back(begin, current_names());
         for (auto& it : m_gateways) {
             // In a common start each gateway sees only some of the others at first.
             auto seen = current_names();
@@ -89,7 +89,7 @@
             send(*it);
         }
         if (std::exchange(m_names_dirty, false) || any_row_returns()) {
-            m_history.push_back({m_now, current_names()});
+            m_history.emplace_back(m_now, current_names());
         }
     }
 
