--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -187,12 +187,35 @@
     if (!chosen) {
         return explain_no_choice(request);
     }
-    m_health.record_dispatch(m_members[*chosen]->identity.id, request.now);
+    record_choice(*m_members[*chosen], request.now);
+    return {choice_outcome::chosen, m_members[*chosen], {}};
+}
+
+void service_pool::record_choice(pool_member& member, common::time_point now) {
+    m_health.record_dispatch(member.identity.id, now);
     if (m_warm_up) {
         // Counted for all instances: one that is cold now may have been so before its row came.
-        m_members[*chosen]->sends.record(request.now);
+        member.sends.record(now);
     }
-    return {choice_outcome::chosen, m_members[*chosen], {}};
+}
+
+std::shared_ptr<pool_member> service_pool::preview(const policy::routing_request& request) {
+    update_states(request.now);
+    const auto chosen = m_route(request, views(request.now));
+    return chosen ? m_members[*chosen] : nullptr;
+}
+
+std::shared_ptr<pool_member> service_pool::take(const std::string& id, common::time_point now) {
+    update_states(now);
+    const auto it = std::find_if(m_members.begin(), m_members.end(), [&](const auto& member) {
+        return member->identity.id == id && member->state.accepts_work() &&
+               member->has_free_connection() && next_send(*member, now) <= now;
+    });
+    if (it == m_members.end()) {
+        return nullptr;
+    }
+    record_choice(**it, now);
+    return *it;
 }
 
 instance_choice service_pool::explain_no_choice(const policy::routing_request& request) const {
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -99,6 +99,12 @@
     /// Chooses an instance that takes work, has a free connection and a permit if it is cold.
     instance_choice choose(const policy::routing_request& request);
 
+    /// Returns the instance that `choose` would choose, or null. Records nothing.
+    std::shared_ptr<pool_member> preview(const policy::routing_request& request);
+
+    /// Chooses the instance with this id if it can take a request now. Returns null otherwise.
+    std::shared_ptr<pool_member> take(const std::string& id, common::time_point now);
+
     /// Returns the instance that a prompt prefix hashes to regardless of load, or null.
     [[nodiscard]] std::shared_ptr<pool_member> affinity_member(std::uint64_t prefix);
 
@@ -122,6 +128,8 @@
     [[nodiscard]] std::size_t size() const { return m_members.size(); }
 
 private:
+    /// Records that a request is about to be sent to the member.
+    void record_choice(pool_member& member, common::time_point now);
     /// Brings the phases of all members up to date.
     void update_states(common::time_point now);
     [[nodiscard]] std::vector<policy::upstream_view> views(common::time_point now) const;
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -96,6 +96,22 @@
     std::string name;
 };
 
+/// Asks the owner of a model engine whether the engine may begin to read a long prompt. Its
+/// response names the number.
+struct reading_request {
+    /// The gateway that asks.
+    std::string origin;
+    std::uint64_t number = 0;
+    std::string engine;
+    common::duration reading = common::duration::zero();
+};
+
+struct reading_response {
+    std::string origin;
+    std::uint64_t number = 0;
+    bool granted = false;
+};
+
 struct gateways_changed {
     std::vector<gateway_record> gateways;
 };
@@ -138,11 +154,13 @@
 using forwarder_message =
     std::variant<discovery_update, configuration_confirmed, request_received, caller_disconnected,
                  order_ended, gateway_names_changed, gateway_names_confirmed, backlog_report,
-                 crash_evidence, gateway_live, shutdown_started, admin::metrics_query>;
+                 crash_evidence, gateway_live, reading_request, reading_response, shutdown_started,
+                 admin::metrics_query>;
 
 using peers_message =
     std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
-                 backlog_report, instance_leaving, crash_evidence, table_relay, shutdown_started>;
+                 backlog_report, instance_leaving, crash_evidence, table_relay, reading_request,
+                 reading_response, shutdown_started>;
 
 using dispatcher_message =
     std::variant<discovery_update, piece_order, cancel_order, release_results, owners_changed,
--- a/source/core/gateway/peers/peers.cpp
+++ b/source/core/gateway/peers/peers.cpp
@@ -11,6 +11,16 @@
 
 namespace jujubemast::gateway::peers {
 
+namespace {
+
+/// Whether the forwarder of the receiving gateway handles messages of this type.
+template <typename Content>
+constexpr bool is_for_forwarder =
+    std::is_same_v<Content, backlog_report> || std::is_same_v<Content, crash_evidence> ||
+    std::is_same_v<Content, reading_request> || std::is_same_v<Content, reading_response>;
+
+} // namespace
+
 peers::peers(runtime::task_context context, std::shared_ptr<runtime::mailbox<peers_message>> inbox,
              runtime::address<forwarder_message> forwarder,
              runtime::address<dispatcher_message> dispatcher,
@@ -231,6 +241,17 @@
     }
 }
 
+void peers::handle(const reading_request& message) {
+    auto question = message;
+    question.origin = m_self.name;
+    // If the owner cannot be reached, the request is sent without a grant when its time is over.
+    send_to(choose_owner(message.engine, m_owners), question);
+}
+
+void peers::handle(const reading_response& message) {
+    send_to(message.origin, message);
+}
+
 bool peers::remember_leaving(const incarnation& instance) {
     const auto now = common::monotonic_clock::now();
     std::erase_if(m_leaving_instances, [&](const auto& it) {
@@ -312,8 +333,7 @@
                                      std::is_same_v<content_type, instance_leaving>) {
                     handle(it);
                     return true;
-                } else if constexpr (std::is_same_v<content_type, backlog_report> ||
-                                     std::is_same_v<content_type, crash_evidence>) {
+                } else if constexpr (is_for_forwarder<content_type>) {
                     return m_forwarder.send(it);
                 } else {
                     return m_dispatcher.send(it);
@@ -431,8 +451,7 @@
                 remember_leaving(it.instance);
             } else if constexpr (std::is_same_v<content_type, table_relay>) {
                 m_catalog.send(it);
-            } else if constexpr (std::is_same_v<content_type, backlog_report> ||
-                                 std::is_same_v<content_type, crash_evidence>) {
+            } else if constexpr (is_for_forwarder<content_type>) {
                 m_forwarder.send(it);
             } else {
                 m_dispatcher.send(it);
--- a/source/core/gateway/peers/peers.h
+++ b/source/core/gateway/peers/peers.h
@@ -84,6 +84,8 @@
     void handle(const instance_leaving& message);
     void handle(const crash_evidence& message);
     void handle(const table_relay& message);
+    void handle(const reading_request& message);
+    void handle(const reading_response& message);
 
     void ping_received(peer& from, const wire::gateway_ping& message, common::time_point now);
     void message_received(const std::string& bytes);
--- a/source/core/gateway/requests/exchange.h
+++ b/source/core/gateway/requests/exchange.h
@@ -11,6 +11,7 @@
 #include "gateway/caller_request.h"
 #include "gateway/configuration.h"
 #include "gateway/crash_evidence.h"
+#include "gateway/instances/reading_search.h"
 #include "gateway/requests/event_relay.h"
 #include "gateway/requests/upstream_attempt.h"
 #include "gateway/stages/stage_progress.h"
@@ -80,6 +81,11 @@
     bool relaying = false;
     /// The request waits until an instance can take it.
     bool waiting = false;
+    /// The search for an engine that may read the prompt, before a send.
+    std::optional<instances::reading_search> reading;
+    std::unique_ptr<runtime::timer> reading_timer;
+    /// Number of the last question of the search.
+    std::uint64_t reading_number = 0;
     /// The current attempt, or the last one.
     std::unique_ptr<upstream_attempt> attempt;
     /// Number of sends, and of those that may have run.
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -35,7 +35,7 @@
                                                                       m_options.staleness_limit}},
       // Starts at a random number, because another gateway may still remember the orders of this
       // gateway's previous run.
-      m_next_order{m_options.random() >> 1U},
+      m_next_order{m_options.random() >> 1U}, m_next_question{m_options.random() >> 1U},
       m_suspects{{}, [this](const evidence::suspect_view& part) { log_suspect(part); }},
       m_evidence_timer{m_context.loop()} {}
 
@@ -305,6 +305,7 @@
 void forwarder::finish(exchange& ex, request_end end, unsigned status, const std::string& reason) {
     cancel_orders(ex);
     release_inputs(ex);
+    end_reading_search(ex);
     if (ex.waiting) {
         pool_of(ex.service).waiting().remove(ex.id);
     }
@@ -366,6 +367,7 @@
 void forwarder::handle(const admin::metrics_query& message) {
     m_metrics.set_in_progress(m_exchanges.size());
     m_metrics.set_cold_instances(count_cold());
+    m_metrics.set_reading_engines(m_readings.busy(common::monotonic_clock::now()));
     m_metrics.set_quarantined_parts(m_suspects.quarantined(common::monotonic_clock::now()).size());
     if (const auto age = configuration_age()) {
         m_metrics.set_configuration_age(*age);
@@ -394,6 +396,7 @@
                                {"gateways", m_gateway_count},
                                {"warm_up_share", common::to_name(m_warm_up_share.level(now))},
                                {"pools", std::move(pools)},
+                               {"reading_engines", m_readings.busy(now)},
                                {"quarantined", dump_quarantined()},
                                {"requests", std::move(requests)}};
 }
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -14,6 +14,7 @@
 #include "gateway/adapter.h"
 #include "gateway/evidence/attempt_evidence.h"
 #include "gateway/evidence/crash_suspects.h"
+#include "gateway/instances/reading_schedule.h"
 #include "gateway/instances/service_pool.h"
 #include "gateway/messages.h"
 #include "gateway/requests/attempt_decision.h"
@@ -80,6 +81,8 @@
     void handle(const backlog_report& message);
     void handle(const crash_evidence& message);
     void handle(const gateway_live& message);
+    void handle(const reading_request& message);
+    void handle(const reading_response& message);
     void handle(const shutdown_started& message);
     void handle(const admin::metrics_query& message);
 
@@ -129,6 +132,16 @@
     void release_inputs(exchange& ex);
 
     void send(exchange& ex);
+    /// Sends the request to an instance that can take it, if possible not to those in `avoided`, or
+    /// lets it wait.
+    void send_anywhere(exchange& ex, const std::vector<std::string>& avoided);
+    /// Begins the search for an engine that may read the request's long prompt. Returns false if
+    /// the request needs none.
+    bool start_reading_search(exchange& ex);
+    /// Asks for the next engine of the search. Returns false if there is none.
+    bool ask_for_reading(exchange& ex);
+    void apply_reading_step(exchange& ex, instances::reading_step step);
+    void end_reading_search(exchange& ex);
     /// Sends the request to this instance.
     void send_to(exchange& ex, const std::shared_ptr<instances::pool_member>& member);
     [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex) const;
@@ -220,6 +233,11 @@
     /// Maps the number of each order to the id of its request.
     std::map<std::uint64_t, std::uint64_t> m_orders;
     std::uint64_t m_next_order;
+    /// Long prompts that the engines of this gateway read.
+    instances::reading_schedule m_readings;
+    /// Maps the number of each question for a reading to the id of its request.
+    std::map<std::uint64_t, std::uint64_t> m_reading_questions;
+    std::uint64_t m_next_question;
     stages::stage_estimator m_estimator;
     /// Names of all gateways.
     std::vector<std::string> m_gateways;
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -59,8 +59,19 @@
     if (refuse_if_quarantined(ex) || refuse_if_cut_by_stop(ex, common::duration::zero())) {
         return;
     }
+    if (!start_reading_search(ex)) {
+        send_anywhere(ex, {});
+    }
+}
+
+void forwarder::send_anywhere(exchange& ex, const std::vector<std::string>& avoided) {
     auto& pool = pool_of(ex.service);
-    const auto choice = pool.choose(make_routing_request(ex));
+    auto routing = make_routing_request(ex);
+    routing.excluded.insert(routing.excluded.end(), avoided.begin(), avoided.end());
+    auto choice = pool.choose(routing);
+    if (!avoided.empty() && choice.outcome != instances::choice_outcome::chosen) {
+        choice = pool.choose(make_routing_request(ex));
+    }
     if (choice.outcome != instances::choice_outcome::chosen) {
         wait_for_instance(ex, choice);
         return;
--- a/source/core/gateway/requests/forwarder_metrics.cpp
+++ b/source/core/gateway/requests/forwarder_metrics.cpp
@@ -66,6 +66,21 @@
         .set(static_cast<double>(n));
 }
 
+void forwarder_metrics::record_reading_search(bool granted) {
+    m_registry
+        .add_counter("jujubemast_gateway_reading_searches_total",
+                     "Long prompts for which an engine was looked for that reads no other one.",
+                     {{"granted", granted ? "yes" : "no"}})
+        .add();
+}
+
+void forwarder_metrics::set_reading_engines(std::size_t n) {
+    m_registry
+        .add_gauge("jujubemast_gateway_reading_engines",
+                   "Engines of which this gateway is the owner and that read a long prompt.")
+        .set(static_cast<double>(n));
+}
+
 void forwarder_metrics::set_configuration_age(common::duration age) {
     m_registry
         .add_gauge("jujubemast_gateway_configuration_age_milliseconds",
--- a/source/core/gateway/requests/forwarder_metrics.h
+++ b/source/core/gateway/requests/forwarder_metrics.h
@@ -29,6 +29,9 @@
     void set_quarantined_parts(std::size_t n);
     void set_in_progress(std::size_t n);
     void set_cold_instances(std::size_t n);
+    /// Records the end of a search for an engine that may read a long prompt.
+    void record_reading_search(bool granted);
+    void set_reading_engines(std::size_t n);
     void set_configuration_age(common::duration age);
     void set_configuration_faults(std::size_t n);
 
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -132,6 +132,20 @@
     wire::to_proto(*to.mutable_crash_evidence(), from, now);
 }
 
+void to_proto(pb::gateway_envelope& to, const gateway::reading_request& from,
+              common::time_point /*now*/) {
+    auto& request = *to.mutable_reading_request();
+    request.set_number(from.number);
+    request.set_engine(from.engine);
+    request.set_reading_us(microseconds(from.reading));
+}
+
+void to_proto(pb::gateway_envelope& to, const gateway::reading_response& from,
+              common::time_point /*now*/) {
+    to.mutable_reading_response()->set_number(from.number);
+    to.mutable_reading_response()->set_granted(from.granted);
+}
+
 gateway::table_relay relay_from_proto(const pb::gateway_table_changes& from) {
     const auto table = common::from_name<gateway::store_table>(from.table());
     if (!table) {
@@ -256,6 +270,17 @@
             gateway::instance_leaving{{instance.id(), instance.started_ms(), instance.address()}};
         return result;
     }
+    case pb::gateway_envelope::kReadingRequest: {
+        const auto& request = envelope.reading_request();
+        result.content =
+            gateway::reading_request{envelope.sender(), request.number(), request.engine(),
+                                     std::chrono::microseconds{request.reading_us()}};
+        return result;
+    }
+    case pb::gateway_envelope::kReadingResponse:
+        result.content = gateway::reading_response{"", envelope.reading_response().number(),
+                                                   envelope.reading_response().granted()};
+        return result;
     case pb::gateway_envelope::CONTENT_NOT_SET:
         break;
     }
--- a/source/core/wire/gateway_codec.h
+++ b/source/core/wire/gateway_codec.h
@@ -25,7 +25,7 @@
     std::variant<gateway_ping, gateway::piece_order, gateway::cancel_order,
                  gateway::release_results, gateway::order_finished, gateway::backlog_report,
                  gateway::outcome_acknowledged, gateway::instance_leaving, gateway::table_relay,
-                 gateway::crash_evidence>;
+                 gateway::crash_evidence, gateway::reading_request, gateway::reading_response>;
 
 /// A message from one gateway to another.
 struct gateway_message {
@@ -41,7 +41,7 @@
 std::string encode(const gateway_message& message, common::time_point now);
 
 /// Decodes a message. Orders, their cancellations and acknowledgements get the sender as origin of
-/// their key. Throws
+/// their key, and questions for a reading get it as their origin. Throws
 /// `common::format_error` if the bytes are malformed, the message has no content, or the status of
 /// an order or a table is unknown.
 gateway_message decode_gateway_message(std::string_view bytes, common::time_point now);
--- a/tests/unit/gateway/instances/service_pool_test.cpp
+++ b/tests/unit/gateway/instances/service_pool_test.cpp
@@ -221,6 +221,26 @@
     BOOST_TEST((choice.retry_at == now + seconds{3}));
 }
 
+// Guards against permits that are used by requests which are only being planned.
+BOOST_AUTO_TEST_CASE(preview_of_a_choice_uses_no_permit) {
+    make_cold("a", seconds{3});
+    permits = 1;
+    BOOST_TEST(subject.preview({.excluded = {"b"}, .now = now})->identity.id == "a");
+    BOOST_TEST((choose({"b"}).outcome == choice_outcome::chosen));
+    BOOST_TEST((subject.preview({.excluded = {"b"}, .now = now}) == nullptr));
+}
+
+// Guards against a request to an instance that was good when its engine was asked for.
+BOOST_AUTO_TEST_CASE(instance_that_has_become_unable_is_not_taken) {
+    BOOST_TEST(subject.take("a", now)->identity.id == "a");
+    member("a")->state.request_pause(now + milliseconds{300});
+    BOOST_TEST((subject.take("a", now) == nullptr));
+    known["b"].phase = upstream_phase::draining;
+    subject.update("s", known, now);
+    BOOST_TEST((subject.take("b", now) == nullptr));
+    BOOST_TEST((subject.take("gone", now) == nullptr));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
