--- a/source/core/gateway/instances/warm_up_share.cpp
+++ b/source/core/gateway/instances/warm_up_share.cpp
@@ -55,6 +55,7 @@
     }
     m_gateways = std::move(known);
     m_ranks.clear();
+    schedule_forget();
     const auto self = m_gateways.find(m_self);
     if (self == m_gateways.end() || self->second.removed) {
         m_joined.reset();
@@ -104,11 +105,23 @@
 }
 
 void warm_up_share::forget_removed(common::time_point now) {
-    const auto forgotten = std::erase_if(m_gateways, [&](const auto& it) {
-        return it.second.removed && now - *it.second.removed >= full_share_delay();
+    if (!m_forget_at || now < *m_forget_at) {
+        return;
+    }
+    std::erase_if(m_gateways, [&](const auto& it) {
+        return it.second.removed && now >= *it.second.removed + full_share_delay();
     });
-    if (forgotten > 0) {
-        m_ranks.clear();
+    m_ranks.clear();
+    schedule_forget();
+}
+
+void warm_up_share::schedule_forget() {
+    m_forget_at.reset();
+    for (const auto& [name, it] : m_gateways) {
+        if (it.removed) {
+            const auto time = *it.removed + full_share_delay();
+            m_forget_at = std::min(m_forget_at.value_or(time), time);
+        }
     }
 }
 
--- a/source/core/gateway/instances/warm_up_share.h
+++ b/source/core/gateway/instances/warm_up_share.h
@@ -98,11 +98,14 @@
 
     [[nodiscard]] common::duration full_share_delay() const;
     void forget_removed(common::time_point now);
+    void schedule_forget();
     std::size_t rank_at(std::uint64_t instance_digest);
 
     std::string m_self;
     warm_up_share_options m_options;
     std::map<std::string, known_gateway> m_gateways;
+    /// When the first removed name no longer counts.
+    std::optional<common::time_point> m_forget_at;
     std::optional<common::time_point> m_confirmed;
     /// Since when this gateway's own name is among the names.
     std::optional<common::time_point> m_joined;
