instances: limit the requests that cold instances get; ask before long prompts

A cold instance gets at most its warm-up rate from all gateways together, divided by names alone (warm_up_share; property test over views that differ by a second, four broken variants exceed the bound). Long prompts ask the owner of an engine before they are sent.

--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -15,6 +15,7 @@
 #include "gateway/adapter.h"
 #include "gateway/evidence/attempt_evidence.h"
 #include "gateway/evidence/crash_suspects.h"
+#include "gateway/instances/reading_schedule.h"
 #include "gateway/instances/service_pool.h"
 #include "gateway/messages.h"
 #include "gateway/requests/attempt_decision.h"
@@ -77,9 +78,12 @@
     void handle(const caller_disconnected& message);
     void handle(const order_ended& message);
     void handle(const gateway_names_changed& message);
+    void handle(const gateway_names_confirmed& message);
     void handle(const backlog_report& message);
     void handle(const crash_evidence& message);
     void handle(const gateway_live& message);
+    void handle(const reading_request& message);
+    void handle(const reading_response& message);
     void handle(const shutdown_started& message);
     void handle(const admin::metrics_query& message);
 
@@ -140,6 +144,16 @@
     void release_inputs(exchange& ex);
 
     void send(exchange& ex);
+    /// Sends the request to an instance that can take it, if possible not to those in `avoided`, or
+    /// lets it wait.
+    void send_anywhere(exchange& ex, const std::vector<std::string>& avoided);
+    /// Begins the search for an engine that may read the request's long prompt. Returns false if
+    /// the request needs none.
+    bool start_reading_search(exchange& ex);
+    /// Asks for the next engine of the search. Returns false if there is none.
+    bool ask_for_reading(exchange& ex);
+    void apply_reading_step(exchange& ex, instances::reading_step step);
+    void end_reading_search(exchange& ex);
     /// Sends the request to this instance.
     void send_to(exchange& ex, const std::shared_ptr<instances::pool_member>& member);
     [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex) const;
@@ -147,8 +161,8 @@
     void wait_for_instance(exchange& ex, const instances::instance_choice& choice);
     /// Serves the requests that wait for an instance, later in the event loop.
     void schedule_waiting(const std::string& service);
-    /// The same after a delay, at which the first pause of an instance ends.
-    void schedule_waiting_after(const std::string& service, common::duration delay);
+    /// The same at a time when an instance may be able to take a request.
+    void schedule_waiting_at(const std::string& service, common::time_point time);
     void serve_waiting(const std::string& service);
     /// Applies what an instance says of itself.
     void notice_received(const exchange& ex, const response_head& head);
@@ -209,7 +223,11 @@
     exchange* find(std::uint64_t id);
     instances::service_pool& pool_of(const std::string& service);
     /// Applies this gateway's share of the limits that all gateways have together.
-    void update_limits(const std::string& service, instances::service_pool& pool) const;
+    void update_limits(const std::string& service, instances::service_pool& pool);
+    [[nodiscard]] instances::warm_up_rule make_warm_up_rule(const std::string& service,
+                                                            const warm_up_limit& limit);
+    [[nodiscard]] std::size_t count_cold() const;
+    [[nodiscard]] static boost::json::array dump_cold(const instances::service_pool& pool);
 
     runtime::task_context m_context;
     runtime::inbox<forwarder_message> m_inbox;
@@ -222,6 +240,7 @@
     std::map<std::string, std::unique_ptr<instances::service_pool>> m_pools;
     /// Memory for the bodies of responses.
     http::buffer_budget m_bodies;
+    instances::warm_up_share m_warm_up_share;
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     /// Requests that wait until this gateway has read the store, in order of their arrival.
     std::vector<std::uint64_t> m_held;
@@ -232,12 +251,21 @@
     /// Maps the number of each order to the id of its request.
     std::map<std::uint64_t, std::uint64_t> m_orders;
     std::uint64_t m_next_order;
+    /// Long prompts that the engines of this gateway read.
+    instances::reading_schedule m_readings;
+    /// Maps the number of each question for a reading to the id of its request.
+    std::map<std::uint64_t, std::uint64_t> m_reading_questions;
+    std::uint64_t m_next_question;
     stages::stage_estimator m_estimator;
     /// Names of all gateways.
     std::vector<std::string> m_gateways;
     std::size_t m_gateway_count = 1;
-    /// End of the first pause, for each service whose instances all pause.
-    std::map<std::string, std::unique_ptr<runtime::timer>> m_pause_timers;
+    /// The next time at which waiting requests of a service are tried again.
+    struct scheduled_retry {
+        std::unique_ptr<runtime::timer> timer;
+        common::time_point at;
+    };
+    std::map<std::string, scheduled_retry> m_retries;
     response_times m_response_times;
     /// When an ordered stop closes the callers' connections.
     std::optional<common::time_point> m_stop_deadline;
