gateway: send no new work to drained failure domains

Cause: rows evacuate/ZONE of the table op were ignored, so requests and stage pieces went on to instances in a domain that the operator had drained.

Change: the catalog decodes these rows through the adapter's new hook decode_drain and keeps the newest version of each (store/drained_domains). Published upstreams carry a mark and the time at which the last drain ended. instance_state::accepts_work() is false in a drained domain, and so are the predicates for the fallback to ejected instances and for the wait until a pause ends; the pool, the source of cached prompt parts, the dispatcher and the instance counts of the estimates use them. Releases go on. Orders that wait while all instances are drained are refused.

The relay alone does not reach a gateway that should follow the store but cannot: the followers of the store pass nothing on to each other. A gateway that reads a drain from the store therefore announces it to all live gateways, repeats it with three pings, and gateways that become live get all known drains. Versions decide, so the order of arrival does not matter.

The random sequences found a late end that revived an older drain after a read of the whole table; the version of the table now bounds the versions that are applied.

--- a/source/core/gateway/adapter.h
+++ b/source/core/gateway/adapter.h
@@ -55,6 +55,13 @@
     friend bool operator==(const gateway_record&, const gateway_record&) = default;
 };
 
+/// A row that drains a failure domain.
+struct drain_row {
+    std::string domain;
+    /// Why the content of the row is malformed. Empty if it is not.
+    std::string fault;
+};
+
 /// Converts between the gateway's types and the message formats of one platform. The hooks only
 /// encode and decode and make no decisions. Decoders throw `common::format_error` for malformed
 /// input.
@@ -90,6 +97,9 @@
 
     /// Returns nothing for rows that do not hold the configuration.
     std::function<std::optional<configuration>(const store_row& row)> decode_configuration;
+    /// Decodes a row of the configuration table that drains a failure domain, or did so before it
+    /// was deleted. Returns nothing for other rows. Does not throw.
+    std::function<std::optional<drain_row>(const store_row& row)> decode_drain;
     std::function<upstream_instance(const store_row& row)> decode_upstream;
     std::function<gateway_record(const store_row& row)> decode_gateway;
 };
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -114,6 +114,7 @@
         forwarder->post(std::move(names));
     };
     hooks.relay = [peers](const table_relay& it) { peers->post(it); };
+    hooks.announce_drains = [peers](const domain_drains& it) { peers->post(it); };
     hooks.set_not_ready_reason = [health](const std::string& reason) {
         health.send(admin::set_condition{configuration_condition, reason});
     };
--- a/source/core/gateway/instances/instance_state.h
+++ b/source/core/gateway/instances/instance_state.h
@@ -86,6 +86,10 @@
     /// The instance wants no requests until this time.
     void request_pause(common::time_point until);
 
+    /// Sets whether the operator has drained the failure domain of the instance. It gets no new
+    /// work then, in any phase; what it has it completes.
+    void set_domain_drained(bool drained) { m_domain_drained = drained; }
+
     /// Applies what depends on the time and on the outlier detector.
     void update(common::time_point now, bool ejected);
 
@@ -93,9 +97,23 @@
 
     /// Whether new work may be sent to the instance.
     [[nodiscard]] bool accepts_work() const {
-        return m_phase == instance_phase::joining || m_phase == instance_phase::serving;
+        return !m_domain_drained &&
+               (m_phase == instance_phase::joining || m_phase == instance_phase::serving);
+    }
+
+    /// Whether new work may be sent to the instance if none accepts it: only its failures speak
+    /// against it.
+    [[nodiscard]] bool accepts_work_as_fallback() const {
+        return !m_domain_drained && m_phase == instance_phase::ejected;
     }
 
+    /// Whether the instance will accept work when its pause ends.
+    [[nodiscard]] bool accepts_work_after_pause() const {
+        return !m_domain_drained && m_phase == instance_phase::pausing;
+    }
+
+    [[nodiscard]] bool is_domain_drained() const { return m_domain_drained; }
+
     /// Whether the instance may be asked for anything, new work aside.
     [[nodiscard]] bool accepts_calls() const {
         return m_phase != instance_phase::pausing && m_phase != instance_phase::gone;
@@ -112,6 +130,7 @@
     common::time_point m_registered_at;
     common::time_point m_paused_until;
     bool m_drain_announced = false;
+    bool m_domain_drained = false;
 };
 
 /// Time over which the share of a new instance rises to its full value.
--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -22,7 +22,7 @@
 
 /// Whether requests may be sent to the member: an ejected one gets them if there is no other.
 bool takes_requests(const pool_member& member) {
-    return member.state.accepts_work() || member.state.phase() == instance_phase::ejected;
+    return member.state.accepts_work() || member.state.accepts_work_as_fallback();
 }
 
 bool is_excluded(const std::vector<std::string>& excluded, const pool_member& member) {
@@ -54,6 +54,7 @@
         if (it->identity.phase == upstream_phase::draining) {
             it->state.announce_drain();
         }
+        it->state.set_domain_drained(it->identity.domain_drained);
     }
     // A member that pauses is kept, because its entry may come back before the pause ends. Requests
     // in progress keep the others and their clients alive until they end.
@@ -155,12 +156,15 @@
         if (takes_requests(*it)) {
             return {choice_outcome::no_connection, nullptr, {}};
         }
-        if (it->state.phase() != instance_phase::pausing) {
+        if (result.outcome == choice_outcome::none && it->state.is_domain_drained()) {
+            result.outcome = choice_outcome::drained;
+        }
+        if (!it->state.accepts_work_after_pause()) {
             continue;
         }
         const auto end = it->state.paused_until();
         result.retry_at =
-            result.outcome == choice_outcome::none ? end : std::min(result.retry_at, end);
+            result.outcome != choice_outcome::pausing ? end : std::min(result.retry_at, end);
         result.outcome = choice_outcome::pausing;
     }
     return result;
@@ -171,7 +175,8 @@
     std::uint64_t best_rank = 0;
     for (const auto& it : m_members) {
         const auto rank = policy::rendezvous_rank(prefix, it->digest);
-        if (it->state.phase() != instance_phase::gone && (!best || rank > best_rank)) {
+        if (it->state.phase() != instance_phase::gone && !it->state.is_domain_drained() &&
+            (!best || rank > best_rank)) {
             best = it;
             best_rank = rank;
         }
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -48,6 +48,8 @@
     no_connection,
     /// All instances that would take work pause.
     pausing,
+    /// Instances that would take work are in drained failure domains.
+    drained,
     none
 };
 
@@ -76,7 +78,8 @@
     /// Chooses an instance that takes work and has a free connection.
     instance_choice choose(const policy::routing_request& request);
 
-    /// Returns the instance that a prompt prefix hashes to regardless of load, or null.
+    /// Returns the instance outside the drained failure domains that a prompt prefix hashes to
+    /// regardless of load, or null.
     [[nodiscard]] std::shared_ptr<pool_member> affinity_member(std::uint64_t prefix);
 
     /// Whether an instance that is not excluded accepts work.
@@ -117,8 +120,8 @@
 
 template <>
 struct enum_names<gateway::instances::choice_outcome> {
-    static constexpr std::array<std::string_view, 4> table{"chosen", "no_connection", "pausing",
-                                                           "none"};
+    static constexpr std::array<std::string_view, 5> table{"chosen", "no_connection", "pausing",
+                                                           "drained", "none"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -9,6 +9,7 @@
 #include "gateway/adapter.h"
 #include "gateway/configuration.h"
 #include "gateway/crash_evidence.h"
+#include "gateway/domain_drain.h"
 #include "gateway/piece_order.h"
 #include "gateway/service_backlog.h"
 #include "gateway/table_changes.h"
@@ -135,14 +136,15 @@
                  order_ended, gateway_names_changed, backlog_report, crash_evidence, gateway_live,
                  shutdown_started, admin::metrics_query>;
 
-using peers_message =
-    std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
-                 backlog_report, instance_leaving, crash_evidence, table_relay, shutdown_started>;
+using peers_message = std::variant<piece_order, cancel_order, release_results, order_finished,
+                                   gateways_changed, backlog_report, instance_leaving,
+                                   crash_evidence, table_relay, domain_drains, shutdown_started>;
 
 using dispatcher_message =
     std::variant<discovery_update, piece_order, cancel_order, release_results, owners_changed,
                  process_paused, shutdown_started>;
 
-using catalog_message = std::variant<instance_leaving, process_paused, table_relay, store_role>;
+using catalog_message =
+    std::variant<instance_leaving, process_paused, table_relay, store_role, domain_drains>;
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/peers/peers.cpp
+++ b/source/core/gateway/peers/peers.cpp
@@ -129,6 +129,10 @@
         }
     }
     update_live();
+    if (m_drain_repeats_left > 0) {
+        --m_drain_repeats_left;
+        send_drains_to_all();
+    }
     for (auto& [number, it] : m_pending) {
         if (now - it.sent >= m_limits.resend_interval) {
             resend(it);
@@ -150,6 +154,7 @@
             any_lost = any_lost || !is_live;
             if (is_live) {
                 send_leaving_instances(name);
+                send_drains(name);
                 m_forwarder.send(gateway_live{name});
             }
             m_log.info(is_live ? "Gateway is live." : "Gateway is not live.",
@@ -249,6 +254,34 @@
     }
 }
 
+void peers::handle(const domain_drains& message) {
+    remember_drains(message);
+    m_drain_repeats_left = m_limits.drain_repeats;
+    send_drains_to_all();
+}
+
+void peers::remember_drains(const domain_drains& message) {
+    const auto now = common::monotonic_clock::now();
+    for (const auto& it : message.drains) {
+        m_drains.apply(it, now);
+    }
+}
+
+void peers::send_drains(const std::string& name) {
+    auto drains = m_drains.all();
+    if (!drains.empty()) {
+        send_to(name, domain_drains{std::move(drains)});
+    }
+}
+
+void peers::send_drains_to_all() {
+    for (const auto& [name, it] : m_peers) {
+        if (it.live) {
+            send_drains(name);
+        }
+    }
+}
+
 void peers::reassign_orders() {
     for (auto& [number, it] : m_pending) {
         if (!is_live(it.owner)) {
@@ -305,7 +338,8 @@
             [this](const auto& it) {
                 using content_type = std::decay_t<decltype(it)>;
                 if constexpr (std::is_same_v<content_type, wire::gateway_ping> ||
-                              std::is_same_v<content_type, table_relay>) {
+                              std::is_same_v<content_type, table_relay> ||
+                              std::is_same_v<content_type, domain_drains>) {
                     return true;
                 } else if constexpr (std::is_same_v<content_type, order_finished> ||
                                      std::is_same_v<content_type, outcome_acknowledged> ||
@@ -431,6 +465,9 @@
                 remember_leaving(it.instance);
             } else if constexpr (std::is_same_v<content_type, table_relay>) {
                 m_catalog.send(it);
+            } else if constexpr (std::is_same_v<content_type, domain_drains>) {
+                remember_drains(it);
+                m_catalog.send(it);
             } else if constexpr (std::is_same_v<content_type, backlog_report> ||
                                  std::is_same_v<content_type, crash_evidence>) {
                 m_forwarder.send(it);
--- a/source/core/gateway/peers/peers.h
+++ b/source/core/gateway/peers/peers.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gateway/messages.h"
+#include "gateway/store/drained_domains.h"
 #include "logging/logger.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
@@ -29,6 +30,9 @@
     common::duration leaving_instance_retention = std::chrono::seconds{60};
     /// An outcome that is not acknowledged is resent after this time during a stop.
     common::duration acknowledgement_interval = std::chrono::milliseconds{100};
+    /// Number of pings with which a drain that was read from the store is announced again, because
+    /// a connection that breaks loses what it has not delivered.
+    int drain_repeats = 3;
 };
 
 /// Links to the other gateways. Sends orders to the owner of their service and resends them until
@@ -84,6 +88,7 @@
     void handle(const instance_leaving& message);
     void handle(const crash_evidence& message);
     void handle(const table_relay& message);
+    void handle(const domain_drains& message);
 
     void ping_received(peer& from, const wire::gateway_ping& message, common::time_point now);
     void message_received(const std::string& bytes);
@@ -110,6 +115,11 @@
     bool remember_leaving(const incarnation& instance);
     /// Tells a gateway that has become live which instances are leaving.
     void send_leaving_instances(const std::string& name);
+    /// Merges drains into those that are known.
+    void remember_drains(const domain_drains& message);
+    /// Tells a gateway, or all live ones, which drains are known.
+    void send_drains(const std::string& name);
+    void send_drains_to_all();
     /// Resends the outcomes that are not acknowledged yet. Ends the stop if there are none.
     void continue_stop();
     /// Sends to a gateway by name. Messages to this gateway go to the mailbox of its own
@@ -140,6 +150,8 @@
     std::map<order_key, order_outcome> m_unacknowledged;
     /// Instances that were announced as leaving, with the time of the announcement.
     std::map<incarnation, common::time_point> m_leaving_instances;
+    store::drained_domains m_drains;
+    int m_drain_repeats_left = 0;
     runtime::timer m_timer;
     runtime::timer m_stop_timer;
     runtime::stop_done m_stop_done;
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -70,6 +70,10 @@
     [[nodiscard]] boost::json::value dump() const override;
 
 private:
+    /// Retry delay of requests whose instances are all in drained failure domains. They stay there
+    /// until the operator ends a drain.
+    static constexpr common::duration drained_retry_after = std::chrono::seconds{5};
+
     void handle(const discovery_update& message);
     void handle(const configuration_confirmed& message);
     void handle(const request_received& message);
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -76,6 +76,11 @@
         refuse(ex, status_unavailable, "no upstream takes work");
         return;
     }
+    if (choice.outcome == instances::choice_outcome::drained) {
+        refuse(ex, status_unavailable, "all instances are in drained failure domains",
+               drained_retry_after);
+        return;
+    }
     if (choice.outcome == instances::choice_outcome::pausing) {
         const auto pause = choice.retry_at - common::monotonic_clock::now();
         if (choice.retry_at >= ex.first_event_deadline) {
--- a/source/core/gateway/stages/dispatcher.cpp
+++ b/source/core/gateway/stages/dispatcher.cpp
@@ -224,6 +224,7 @@
     while (limits != nullptr && service.queue.size() > 0) {
         const auto instance = pick_free_instance(service, *limits);
         if (!instance) {
+            refuse_drained_orders(name, service);
             return;
         }
         const auto now = common::monotonic_clock::now();
--- a/source/core/gateway/stages/dispatcher.h
+++ b/source/core/gateway/stages/dispatcher.h
@@ -119,6 +119,8 @@
     void end_stop_if_idle();
 
     void update_instances(const std::string& name, service_state& service);
+    void set_domain_drained(const std::string& name,
+                            const std::shared_ptr<stage_instance>& instance, bool drained);
     /// Brings the phases of all instances up to date.
     static void update_states(service_state& service);
     /// When the first pause of an instance ends; nothing if none pauses.
@@ -167,6 +169,8 @@
                          const http::call_result& result);
     void schedule_report(const std::string& name, stage_instance& instance);
     void poll_report(const std::string& name, const std::string& id);
+    /// Finishes the orders whose pieces wait although all instances are in drained failure domains.
+    void refuse_drained_orders(const std::string& name, service_state& service);
     void schedule_dispatch(const std::string& name, common::duration delay);
     void forget_finished();
 
--- a/source/core/gateway/stages/dispatcher_instances.cpp
+++ b/source/core/gateway/stages/dispatcher_instances.cpp
@@ -13,6 +13,8 @@
 // Pieces wait for an instance in the preferred failure domain while at least this many full calls
 // fit in before their target time.
 constexpr int locality_wait_calls = 2;
+// Retry delay of orders whose instances are all in drained failure domains.
+constexpr common::duration drained_retry = std::chrono::seconds{5};
 
 http::client_limits call_limits() {
     http::client_limits limits;
@@ -57,6 +59,16 @@
         if (it.phase == upstream_phase::draining) {
             instance->state.announce_drain();
         }
+        set_domain_drained(name, instance, it.domain_drained);
+    }
+}
+
+void dispatcher::set_domain_drained(const std::string& name,
+                                    const std::shared_ptr<stage_instance>& instance, bool drained) {
+    const bool was_drained = instance->state.is_domain_drained();
+    instance->state.set_domain_drained(drained);
+    if (was_drained && !drained && instance->awaiting_report) {
+        request_report(name, instance);
     }
 }
 
@@ -70,7 +82,7 @@
 std::optional<common::time_point> dispatcher::first_pause_end(const service_state& service) {
     std::optional<common::time_point> first;
     for (const auto& [id, it] : service.instances) {
-        if (it->state.phase() == instances::instance_phase::pausing) {
+        if (it->state.accepts_work_after_pause()) {
             first = std::min(first.value_or(it->state.paused_until()), it->state.paused_until());
         }
     }
@@ -116,7 +128,7 @@
             it->backoff_until > now) {
             continue;
         }
-        if (it->state.phase() == instances::instance_phase::ejected) {
+        if (it->state.accepts_work_as_fallback()) {
             ejected = it;
         }
         if (!it->state.accepts_work()) {
@@ -130,4 +142,26 @@
     return best || usable_instances(service) > 0 ? best : ejected;
 }
 
+void dispatcher::refuse_drained_orders(const std::string& name, service_state& service) {
+    const auto& all = service.instances;
+    const bool any_usable = std::any_of(all.begin(), all.end(), [](const auto& it) {
+        const auto& state = it.second->state;
+        return state.accepts_work() || state.accepts_work_as_fallback() ||
+               state.accepts_work_after_pause();
+    });
+    const bool any_drained = std::any_of(all.begin(), all.end(), [](const auto& it) {
+        return it.second->state.is_domain_drained();
+    });
+    if (any_usable || !any_drained) {
+        return;
+    }
+    for (const auto& it : service.queue.waiting_orders()) {
+        const auto order = m_orders.find(it);
+        if (order != m_orders.end() && !order->second.finished) {
+            finish_order(order->second, {order_status::overloaded, {}, drained_retry});
+        }
+    }
+    m_log.warn("All instances of a service are in drained failure domains.", {{"service", name}});
+}
+
 } // namespace jujubemast::gateway::stages
--- a/source/core/gateway/stages/dispatcher_reports.cpp
+++ b/source/core/gateway/stages/dispatcher_reports.cpp
@@ -42,7 +42,9 @@
     }
     instance->poll_reports_until = common::monotonic_clock::now() + limits->result_lifetime +
                                    call_time(*limits, limits->batch);
-    if (!instance->report_pending && instance->state.accepts_calls()) {
+    // The report of an instance in a drained failure domain is requested when the drain ends.
+    if (!instance->report_pending && instance->state.accepts_calls() &&
+        !instance->state.is_domain_drained()) {
         send_report_query(name, instance);
     }
 }
@@ -122,6 +124,7 @@
     }
     auto& instance = *it->second;
     const bool is_polled = service.queue.size() > 0 && instance.state.accepts_calls() &&
+                           !instance.state.is_domain_drained() &&
                            common::monotonic_clock::now() < instance.poll_reports_until;
     if (is_polled) {
         if (!instance.report_pending) {
--- a/source/core/gateway/stages/piece_queue.cpp
+++ b/source/core/gateway/stages/piece_queue.cpp
@@ -114,4 +114,12 @@
     return result;
 }
 
+std::set<order_key> piece_queue::waiting_orders() const {
+    std::set<order_key> result;
+    for (const auto& it : m_waiting) {
+        result.insert(it.piece.order);
+    }
+    return result;
+}
+
 } // namespace jujubemast::gateway::stages
--- a/source/core/gateway/stages/piece_queue.h
+++ b/source/core/gateway/stages/piece_queue.h
@@ -57,6 +57,9 @@
 
     [[nodiscard]] std::size_t size() const { return m_waiting.size(); }
 
+    /// Keys of the orders with waiting pieces.
+    [[nodiscard]] std::set<order_key> waiting_orders() const;
+
 private:
     struct waiting {
         int priority = 0;
--- a/source/core/gateway/stages/stage_estimator.cpp
+++ b/source/core/gateway/stages/stage_estimator.cpp
@@ -76,7 +76,8 @@
     }
     return static_cast<std::size_t>(
         std::count_if(m_upstreams->begin(), m_upstreams->end(), [&](const auto& it) {
-            return it.second.service == service && it.second.phase == upstream_phase::serving;
+            return it.second.service == service && it.second.phase == upstream_phase::serving &&
+                   !it.second.domain_drained;
         }));
 }
 
--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -1,6 +1,7 @@
 #include "gateway/store/catalog.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <boost/json.hpp>
@@ -95,6 +96,9 @@
     if (table == store_table::configuration && m_newest_decoded) {
         m_hooks.confirm_configuration({at});
     }
+    if (table == store_table::configuration) {
+        m_drains.advance(m_watches.at(table)->copy().version());
+    }
     relay(table);
 }
 
@@ -217,7 +221,64 @@
     return decoded;
 }
 
+bool catalog::apply_drain_rows(const table_update& update) {
+    const auto now = common::monotonic_clock::now();
+    std::vector<domain_drain> rows;
+    for (const auto& row : update.rows) {
+        const auto decoded = m_adapter->decode_drain(row);
+        if (!decoded) {
+            continue;
+        }
+        auto& malformed = m_malformed[store_table::configuration];
+        if (decoded->fault.empty()) {
+            malformed.remove(row.key);
+        } else if (malformed.add(row.key)) {
+            m_log.warn("Could not decode the drain of a failure domain; it is in force.",
+                       {{"key", row.key}, {"reason", decoded->fault}});
+        }
+        record_row(store_table::configuration, row,
+                   row.value ? std::optional{versioned_row_digest(row)} : std::nullopt);
+        rows.push_back({decoded->domain, row.version, row.value.has_value()});
+    }
+    std::vector<domain_drain> changes;
+    if (update.complete) {
+        const auto version = m_watches.at(store_table::configuration)->copy().version();
+        changes = m_drains.replace(rows, version, now);
+    } else {
+        std::copy_if(rows.begin(), rows.end(), std::back_inserter(changes),
+                     [&](const domain_drain& it) { return m_drains.apply(it, now); });
+    }
+    if (changes.empty()) {
+        return false;
+    }
+    log_drains(changes);
+    if (!update.relayed) {
+        m_hooks.announce_drains({changes});
+    }
+    return true;
+}
+
+void catalog::log_drains(const std::vector<domain_drain>& changes) const {
+    for (const auto& it : changes) {
+        m_log.info(it.in_force ? "Failure domain drained." : "Failure domain no longer drained.",
+                   {{"domain", it.domain}, {"row_version", std::to_string(it.version)}});
+    }
+}
+
+void catalog::handle(const domain_drains& message) {
+    const auto now = common::monotonic_clock::now();
+    std::vector<domain_drain> changes;
+    std::copy_if(message.drains.begin(), message.drains.end(), std::back_inserter(changes),
+                 [&](const domain_drain& it) { return m_drains.apply(it, now); });
+    if (!changes.empty()) {
+        log_drains(changes);
+        publish();
+    }
+}
+
 void catalog::apply_configuration_rows(const table_update& update) {
+    const bool drains_changed = apply_drain_rows(update);
+    bool configuration_changed = false;
     for (const auto& row : update.rows) {
         std::optional<configuration> decoded;
         try {
@@ -246,6 +307,9 @@
                     {"routes", std::to_string(m_configuration->routes.size())},
                     {"faults", std::to_string(m_configuration->faults.size())},
                     {"row_version", std::to_string(row.version)}});
+        configuration_changed = true;
+    }
+    if (drains_changed || configuration_changed) {
         publish();
     }
 }
@@ -368,18 +432,33 @@
                                  : !m_upstreams_read ? "the upstreams are not known yet"
                                  : !m_gateways_read  ? "the other gateways are not known yet"
                                                      : "");
-    m_hooks.publish(
-        {m_configuration,
-         m_upstreams_read ? std::make_shared<const upstream_map>(m_upstreams.entries()) : nullptr});
+    m_hooks.publish({m_configuration, m_upstreams_read ? marked_upstreams() : nullptr});
+}
+
+upstream_map_pointer catalog::marked_upstreams() const {
+    auto marked = std::make_shared<upstream_map>(m_upstreams.entries());
+    for (auto& [id, it] : *marked) {
+        it.domain_drained = m_drains.is_drained(it.failure_domain);
+        it.domain_drain_ended = m_drains.drain_ended(it.failure_domain);
+    }
+    return marked;
 }
 
 boost::json::value catalog::dump() const {
     boost::json::array upstreams;
     for (const auto& [id, it] : m_upstreams.entries()) {
-        upstreams.emplace_back(boost::json::object{{"id", id},
-                                                   {"service", it.service},
-                                                   {"address", http::to_string(it.address)},
-                                                   {"phase", common::to_name(it.phase)}});
+        upstreams.emplace_back(
+            boost::json::object{{"id", id},
+                                {"service", it.service},
+                                {"address", http::to_string(it.address)},
+                                {"failure_domain", it.failure_domain},
+                                {"drained", m_drains.is_drained(it.failure_domain)},
+                                {"phase", common::to_name(it.phase)}});
+    }
+    boost::json::array drains;
+    for (const auto& it : m_drains.all()) {
+        drains.emplace_back(boost::json::object{
+            {"domain", it.domain}, {"drained", it.in_force}, {"row_version", it.version}});
     }
     boost::json::object tables;
     for (const auto& [table, watch] : m_watches) {
@@ -388,6 +467,7 @@
     return boost::json::object{
         {"configuration", m_configuration ? m_configuration->version : 0},
         {"configuration_faults", m_configuration ? m_configuration->faults.size() : 0},
+        {"drains", std::move(drains)},
         {"tables", std::move(tables)},
         {"reads_store", m_role.reads_store},
         {"has_followers", m_role.has_followers},
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -11,6 +11,7 @@
 
 #include "gateway/adapter.h"
 #include "gateway/messages.h"
+#include "gateway/store/drained_domains.h"
 #include "gateway/store/malformed_rows.h"
 #include "gateway/store/table_watch.h"
 #include "http/client.h"
@@ -28,6 +29,8 @@
     std::function<void(const configuration_confirmed&)> confirm_configuration;
     /// Passes changes on to the other gateways.
     std::function<void(const table_relay&)> relay;
+    /// Tells all gateways which drains this one has read from the store.
+    std::function<void(const domain_drains&)> announce_drains;
     /// Sets why the gateway is not ready. An empty reason means that it can serve requests.
     std::function<void(const std::string& reason)> set_not_ready_reason;
 };
@@ -51,6 +54,7 @@
     void handle(const process_paused& message);
     void handle(const table_relay& message);
     void handle(const store_role& message);
+    void handle(const domain_drains& message);
     [[nodiscard]] std::unique_ptr<table_watch> make_watch(store_table table,
                                                           table_watch_hooks hooks);
     /// Decodes a row. Returns nothing if the row was deleted or is malformed. A malformed row is
@@ -66,6 +70,12 @@
     /// nothing has.
     void relay(store_table table);
     void apply_configuration_rows(const table_update& update);
+    /// Applies the rows that drain failure domains, and passes on those that were read from the
+    /// store. Returns whether a drain has begun or ended.
+    bool apply_drain_rows(const table_update& update);
+    void log_drains(const std::vector<domain_drain>& changes) const;
+    /// The upstreams, with marks at those in drained failure domains.
+    [[nodiscard]] upstream_map_pointer marked_upstreams() const;
     void log_faults(const configuration& config) const;
     void apply_upstream_rows(const table_update& update);
     void apply_gateway_rows(const table_update& update);
@@ -98,6 +108,7 @@
     configuration_pointer m_configuration;
     /// Whether the newest configuration in the store could be decoded.
     bool m_newest_decoded = true;
+    drained_domains m_drains;
     upstream_list m_upstreams;
     bool m_upstreams_read = false;
     bool m_gateways_read = false;
--- a/source/core/gateway/store/row_digest.cpp
+++ b/source/core/gateway/store/row_digest.cpp
@@ -19,6 +19,10 @@
     return common::digest_of(row.value.value_or(""));
 }
 
+std::uint64_t versioned_row_digest(const store_row& row) {
+    return common::digest_of(std::to_string(row.version) + separator + row.value.value_or(""));
+}
+
 std::uint64_t row_digest(const upstream_instance& content) {
     return common::digest_of(content.id + separator + std::to_string(content.started_ms) +
                              separator + content.service + separator +
--- a/source/core/gateway/store/row_digest.h
+++ b/source/core/gateway/store/row_digest.h
@@ -12,6 +12,9 @@
 std::uint64_t row_digest(const configuration& content);
 /// Digest of a row that could not be decoded, from its bytes.
 std::uint64_t undecoded_row_digest(const store_row& row);
+/// Digest of the bytes and the version of a row. A row that was deleted and written again with the
+/// same bytes gets another one.
+std::uint64_t versioned_row_digest(const store_row& row);
 std::uint64_t row_digest(const upstream_instance& content);
 std::uint64_t row_digest(const gateway_record& content);
 
--- a/source/core/gateway/store/table_watch.cpp
+++ b/source/core/gateway/store/table_watch.cpp
@@ -86,7 +86,7 @@
         return;
     case change_order::next:
         if (!changes.rows.empty()) {
-            m_hooks.on_update({changes.rows, false});
+            m_hooks.on_update({changes.rows, false, true});
         }
         m_copy.advance(changes.version);
         break;
--- a/source/core/gateway/store/table_watch.h
+++ b/source/core/gateway/store/table_watch.h
@@ -25,6 +25,8 @@
     std::vector<store_row> rows;
     /// Whether the rows are the whole content of the table.
     bool complete = false;
+    /// Whether another gateway has passed the rows on.
+    bool relayed = false;
 };
 
 struct table_watch_hooks {
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -31,6 +31,11 @@
     std::string failure_domain;
     std::uint32_t slots = 1;
     upstream_phase phase = upstream_phase::serving;
+    /// Whether the operator has drained the failure domain. Set in published maps only.
+    bool domain_drained = false;
+    /// When this gateway learned that the last drain of the failure domain has ended. Nothing if
+    /// the domain is drained or was not. Set in published maps only.
+    std::optional<common::time_point> domain_drain_ended = std::nullopt;
 
     friend bool operator==(const upstream_instance&, const upstream_instance&) = default;
 };
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -132,6 +132,25 @@
     wire::to_proto(*to.mutable_crash_evidence(), from, now);
 }
 
+void to_proto(pb::gateway_envelope& to, const gateway::domain_drains& from,
+              common::time_point /*now*/) {
+    auto& drains = *to.mutable_domain_drains();
+    for (const auto& it : from.drains) {
+        auto& drain = *drains.add_drains();
+        drain.set_domain(it.domain);
+        drain.set_version(it.version);
+        drain.set_in_force(it.in_force);
+    }
+}
+
+gateway::domain_drains drains_from_proto(const pb::gateway_domain_drains& from) {
+    gateway::domain_drains result;
+    for (const auto& it : from.drains()) {
+        result.drains.push_back({it.domain(), it.version(), it.in_force()});
+    }
+    return result;
+}
+
 gateway::table_relay relay_from_proto(const pb::gateway_table_changes& from) {
     const auto table = common::from_name<gateway::store_table>(from.table());
     if (!table) {
@@ -228,6 +247,9 @@
     case pb::gateway_envelope::kCrashEvidence:
         result.content = evidence_from_proto(envelope.crash_evidence(), now);
         return result;
+    case pb::gateway_envelope::kDomainDrains:
+        result.content = drains_from_proto(envelope.domain_drains());
+        return result;
     case pb::gateway_envelope::kOrder:
         result.content = order_from_proto(envelope, now);
         return result;
--- /dev/null
+++ b/tests/integration/drained_domain_test.cpp
@@ -0,0 +1,166 @@
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+#include "gateway_fixture.h"
+#include "support/fault_proxy.h"
+
+namespace jujubemast::tests {
+
+/// Three gateways, the last of which reaches the store through a proxy. The upstreams e2 and d2 are
+/// in the failure domain y, the others in z.
+struct drained_domain_fixture : gateway_fixture {
+    // The evacuate_ms of the users' platform.
+    static constexpr std::chrono::milliseconds evacuation_time{5000};
+    static constexpr const char* drain_value = "e30=";
+
+    std::unique_ptr<fault_proxy> proxy;
+    std::vector<std::string> admin_addresses;
+
+    drained_domain_fixture() : gateway_fixture{{0.1, 0.1}} {
+        const auto store = store_address;
+        proxy = std::make_unique<fault_proxy>(store);
+        store_address = proxy->address();
+        // The largest gateway is one of the two that follow the store for the others.
+        add_gateway(2, 1);
+        store_address = store;
+        for (const auto& it : gateways) {
+            admin_addresses.push_back(it->listening_address("jujubemast-gateway/admin/listener"));
+        }
+        move_upstream("e2", "y");
+        move_upstream("d2", "y");
+        wait_until("the gateways know each other and the domains", [&] {
+            return all_dumps([](const std::string& it) {
+                return count(it, R"("failure_domain":"y")") == 2 &&
+                       it.find(R"("known":2)") != std::string::npos;
+            });
+        });
+    }
+
+    static std::size_t count(const std::string& text, const std::string& part) {
+        std::size_t n = 0;
+        for (auto pos = text.find(part); pos != std::string::npos; pos = text.find(part, pos + 1)) {
+            ++n;
+        }
+        return n;
+    }
+
+    [[nodiscard]] std::string dump(std::size_t gateway) const {
+        return std::string{call(admin_addresses[gateway], {"GET", "/dump", {}, {}}).body};
+    }
+
+    [[nodiscard]] bool all_dumps(const std::function<bool(const std::string&)>& condition) const {
+        for (std::size_t n = 0; n < gateways.size(); ++n) {
+            if (!condition(dump(n))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// Writes the entry of an upstream with another failure domain.
+    void move_upstream(const std::string& id, const std::string& domain) const {
+        const auto text = dump(0);
+        const auto found = boost::json::parse(text);
+        const auto& upstreams = find_member(found, "upstreams")->as_array();
+        for (const auto& it : upstreams) {
+            if (it.at("id").as_string() != id) {
+                continue;
+            }
+            auto entry = upstream_entry(std::string{it.at("service").as_string()},
+                                        std::string{it.at("address").as_string()});
+            entry["zone"] = domain;
+            const boost::json::object row{{"id", id}, {"entry", entry}};
+            call(store_address, {"POST", "/upstream", {}, boost::json::serialize(row)});
+        }
+    }
+
+    /// Returns the first list with this name anywhere in a document.
+    static const boost::json::value* find_member(const boost::json::value& in,
+                                                 std::string_view name) {
+        if (!in.is_object()) {
+            return nullptr;
+        }
+        for (const auto& it : in.as_object()) {
+            if (it.key() == name && it.value().is_array()) {
+                return &it.value();
+            }
+            if (const auto* found = find_member(it.value(), name)) {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+
+    /// Writes or deletes the row that drains a failure domain.
+    void set_drained(const std::string& domain, bool drained) const {
+        boost::json::object row{{"table", "op"}, {"part", ""}, {"key", "evacuate/" + domain}};
+        if (drained) {
+            row["value"] = drain_value;
+        }
+        const boost::json::array rows{row};
+        const boost::json::array none;
+        call(store_address,
+             {"POST",
+              "/rows-tx",
+              {},
+              boost::json::serialize(boost::json::object{{"expect", none},
+                                                         {"puts", drained ? rows : none},
+                                                         {"remove", drained ? none : rows}})});
+    }
+
+    void wait_until_known(const std::string& domain, bool drained) const {
+        const auto text =
+            R"("domain":")" + domain + R"(","drained":)" + (drained ? "true" : "false");
+        wait_until("the drain of " + domain + " is known", [&] {
+            return all_dumps(
+                [&](const std::string& it) { return it.find(text) != std::string::npos; });
+        });
+    }
+
+    /// Sends requests through all gateways and returns the instances that got them.
+    [[nodiscard]] std::set<std::string> used_instances(const std::string& name) const {
+        constexpr int requests = 8;
+        std::set<std::string> used;
+        for (std::size_t gateway = 0; gateway < gateways.size(); ++gateway) {
+            for (int n = 0; n < requests; ++n) {
+                const auto attempt = name + std::to_string(gateway) + "-" + std::to_string(n);
+                const auto prompt = "p" + std::to_string(n) + ":10,q:1";
+                BOOST_TEST(send("GET", "/read/1", attempt, {}, gateway).status == 200U);
+                BOOST_TEST(send("POST", "/stream/1", attempt,
+                                {{"X-Model", "m"}, {"X-Prompt-Prefix", prompt}}, gateway)
+                               .complete);
+                for (const auto& it : records(attempt)) {
+                    used.emplace(it.at("upstream").as_string());
+                }
+            }
+        }
+        return used;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(drained_domain_test, drained_domain_fixture)
+
+// Guards against work for a drained failure domain from a gateway that cannot reach the store when
+// the domain is drained.
+BOOST_AUTO_TEST_CASE(drained_domain_gets_no_work_while_a_gateway_is_cut_off_from_the_store) {
+    BOOST_TEST(used_instances("before").contains("d2"));
+    proxy->set_refusing(true);
+    proxy->reset_connections();
+    const auto begin = std::chrono::steady_clock::now();
+    set_drained("y", true);
+    wait_until_known("y", true);
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < evacuation_time));
+    const auto used = used_instances("drained");
+    BOOST_TEST(used.contains("d1"));
+    BOOST_TEST(used.contains("e1"));
+    BOOST_TEST(!used.contains("d2"));
+    BOOST_TEST(!used.contains("e2"));
+    set_drained("y", false);
+    wait_until_known("y", false);
+    BOOST_TEST(used_instances("after").contains("d2"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
--- a/tests/unit/gateway/instances/instance_state_test.cpp
+++ b/tests/unit/gateway/instances/instance_state_test.cpp
@@ -15,7 +15,17 @@
 using std::chrono::seconds;
 
 /// What may happen to an instance.
-enum class step_kind { wait, list, unlist, pause, announce_drain, eject, reinstate };
+enum class step_kind {
+    wait,
+    list,
+    unlist,
+    pause,
+    announce_drain,
+    eject,
+    reinstate,
+    drain_domain,
+    end_drain_of_domain
+};
 
 struct step {
     step_kind kind = step_kind::wait;
@@ -56,6 +66,7 @@
         bool listed = true;
         bool drain_announced = false;
         bool ejected = false;
+        bool domain_drained = false;
         common::time_point paused_until;
         for (const auto& it : steps) {
             switch (it.kind) {
@@ -79,12 +90,24 @@
             case step_kind::reinstate:
                 ejected = it.kind == step_kind::eject;
                 break;
+            case step_kind::drain_domain:
+            case step_kind::end_drain_of_domain:
+                domain_drained = it.kind == step_kind::drain_domain;
+                subject.set_domain_drained(domain_drained);
+                break;
             }
             subject.update(now, ejected);
-            const bool expected = listed && !drain_announced && !ejected && now >= paused_until;
+            const bool may_get_work = listed && !drain_announced && !domain_drained;
+            const bool expected = may_get_work && !ejected && now >= paused_until;
             if (subject.accepts_work() != expected) {
                 return expected ? "usable instance gets no work" : "unusable instance gets work";
             }
+            const bool accepts_any_work = subject.accepts_work() ||
+                                          subject.accepts_work_as_fallback() ||
+                                          subject.accepts_work_after_pause();
+            if (accepts_any_work != may_get_work) {
+                return "drained, draining or unlisted instance may get work";
+            }
             if (subject.accepts_calls() && (!listed || (!drain_announced && now < paused_until))) {
                 return "pausing or unlisted instance gets calls";
             }
@@ -95,7 +118,8 @@
     static std::vector<step> draw_steps() {
         const auto kind = rc::gen::element(
             step_kind::wait, step_kind::wait, step_kind::list, step_kind::unlist, step_kind::pause,
-            step_kind::announce_drain, step_kind::eject, step_kind::reinstate);
+            step_kind::announce_drain, step_kind::eject, step_kind::reinstate,
+            step_kind::drain_domain, step_kind::end_drain_of_domain);
         const auto time = rc::gen::map(rc::gen::inRange(0, 4000),
                                        [](int n) { return common::duration{milliseconds{n}}; });
         return *rc::gen::container<std::vector<step>>(rc::gen::construct<step>(kind, time));
--- a/tests/unit/gateway/instances/service_pool_test.cpp
+++ b/tests/unit/gateway/instances/service_pool_test.cpp
@@ -115,6 +115,55 @@
     BOOST_TEST((choose({"b"}).outcome == choice_outcome::none));
 }
 
+// Guards against requests to an instance in a drained failure domain, by whatever way it is chosen.
+BOOST_AUTO_TEST_CASE(instance_in_a_drained_domain_gets_no_request_in_any_state) {
+    known["a"].domain_drained = true;
+    subject.update("s", known, now);
+    for (int n = 0; n < 4; ++n) {
+        BOOST_TEST(choose().member->identity.id == "b");
+    }
+    BOOST_TEST(!subject.has_alternative({"b"}, now));
+    for (std::uint64_t prefix = 1; prefix < 20; ++prefix) {
+        BOOST_TEST(subject.affinity_member(prefix)->identity.id == "b");
+    }
+    BOOST_TEST((choose({"b"}).outcome == choice_outcome::drained));
+}
+
+// Guards against the fallback to ejected instances, which does not look at the drain.
+BOOST_AUTO_TEST_CASE(ejected_instance_in_a_drained_domain_is_no_fallback) {
+    // Of two instances none may be ejected.
+    known["c"] = entry("c");
+    subject.update("s", known, now);
+    const auto failing = choose({"b", "c"}).member;
+    for (int n = 0; n < 20; ++n) {
+        subject.record_failure(*failing, now);
+    }
+    BOOST_REQUIRE((choose({"b", "c"}).outcome == choice_outcome::chosen));
+    BOOST_REQUIRE((failing->state.phase() == instance_phase::ejected));
+    known["a"].domain_drained = true;
+    subject.update("s", known, now);
+    BOOST_TEST((choose({"b", "c"}).outcome == choice_outcome::drained));
+    BOOST_TEST(!subject.has_alternative({"b", "c"}, now));
+}
+
+// Guards against a request that waits for the end of a pause at an instance that takes no work
+// then.
+BOOST_AUTO_TEST_CASE(pause_of_an_instance_in_a_drained_domain_is_not_waited_for) {
+    member("a")->state.request_pause(now + milliseconds{300});
+    known["a"].domain_drained = known["b"].domain_drained = true;
+    subject.update("s", known, now);
+    BOOST_TEST((choose().outcome == choice_outcome::drained));
+}
+
+BOOST_AUTO_TEST_CASE(instance_gets_requests_again_after_the_drain_of_its_domain) {
+    known["a"].domain_drained = true;
+    subject.update("s", known, now);
+    BOOST_REQUIRE((choose({"b"}).outcome == choice_outcome::drained));
+    known["a"].domain_drained = false;
+    subject.update("s", known, now);
+    BOOST_TEST((choose({"b"}).outcome == choice_outcome::chosen));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/gateway/stages/dispatcher_test.cpp
+++ b/tests/unit/gateway/stages/dispatcher_test.cpp
@@ -190,6 +190,58 @@
     BOOST_TEST((make_piece(1) == order_status::made));
 }
 
+/// A dispatcher whose only instance may be in a drained failure domain.
+struct drained_instance_fixture : dispatcher_fixture {
+    void set_drained(bool drained) {
+        auto known = *update.upstreams;
+        known["i"].domain_drained = drained;
+        update.upstreams = std::make_shared<const upstream_map>(known);
+        inbox->post(update);
+        loop.run_ready();
+    }
+};
+
+// Guards against pieces at an instance in a drained failure domain, and against orders that wait
+// for it.
+BOOST_FIXTURE_TEST_CASE(instance_in_a_drained_domain_gets_no_call, drained_instance_fixture) {
+    set_drained(true);
+    BOOST_TEST((make_piece(1) == order_status::overloaded));
+    BOOST_TEST(requested_paths.empty());
+    set_drained(false);
+    BOOST_TEST((make_piece(2) == order_status::made));
+}
+
+// Guards against results in a drained failure domain that use memory until they expire.
+BOOST_FIXTURE_TEST_CASE(result_in_a_drained_domain_is_released, drained_instance_fixture) {
+    inbox->post(update);
+    BOOST_TEST((make_piece(1) == order_status::made));
+    set_drained(true);
+    const auto address = http::to_string(update.upstreams->at("i").address);
+    inbox->post(release_results{"stages", {address + "/handle"}});
+    BOOST_TEST(loop.run_until([&] { return count_requests("/release") == 1; }));
+}
+
+// Guards against orders that wait until their deadline for instances that take no work any more.
+BOOST_FIXTURE_TEST_CASE(waiting_order_is_refused_once_all_instances_are_drained,
+                        drained_instance_fixture) {
+    pause = milliseconds{1000};
+    inbox->post(update);
+    piece_order order;
+    order.key.number = 1;
+    order.service = "stages";
+    order.count = 1;
+    order.deadline = order.target_time = common::monotonic_clock::now() + std::chrono::seconds{20};
+    inbox->post(order);
+    // The response to the request for a report asks for the pause.
+    BOOST_REQUIRE(loop.run_until([&] { return !pause; }));
+    loop.run_ready();
+    BOOST_REQUIRE(outcomes.empty());
+    set_drained(true);
+    BOOST_REQUIRE(loop.run_until([&] { return !outcomes.empty(); }));
+    BOOST_TEST((outcomes.back().status == order_status::overloaded));
+    BOOST_TEST(count_requests("/make") == 0U);
+}
+
 /// A dispatcher with an instance that sends endless responses.
 struct endless_instance_fixture : dispatcher_fixture {
     std::map<std::string, raw_response> endless;
--- a/tests/unit/gateway/store/catalog_test.cpp
+++ b/tests/unit/gateway/store/catalog_test.cpp
@@ -24,12 +24,15 @@
     std::vector<std::string> requested_paths;
     /// Rows in the next response for a table.
     std::map<std::string, std::vector<store_row>> rows;
+    /// Version of each table in the responses.
+    std::map<std::string, std::uint64_t> versions;
     store_outcome outcome = store_outcome::done;
     /// Paths that get no response.
     std::vector<std::string> unanswered_paths;
     std::size_t confirmations = 0;
     std::vector<table_relay> relayed;
     std::vector<discovery_update> published;
+    std::vector<domain_drains> announced;
     std::vector<std::string> not_ready_reasons;
     std::shared_ptr<runtime::task_lifecycle> server_life = make_lifecycle("store");
     std::shared_ptr<runtime::task_lifecycle> catalog_life = make_lifecycle("catalog");
@@ -83,6 +86,7 @@
             ++confirmations;
         };
         hooks.relay = [this](const table_relay& it) { relayed.push_back(it); };
+        hooks.announce_drains = [this](const domain_drains& it) { announced.push_back(it); };
         hooks.set_not_ready_reason = [this](const std::string& it) {
             not_ready_reasons.push_back(it);
         };
@@ -115,10 +119,14 @@
             }
             const auto table = response.body.substr(response.body.rfind('/') + 1);
             decoded.content.rows = std::exchange(rows[table], {});
+            decoded.content.version = versions[table];
             return decoded;
         };
         // A row's value is the version of the configuration. An empty value is malformed.
-        result.decode_configuration = [](const store_row& row) {
+        result.decode_configuration = [](const store_row& row) -> std::optional<configuration> {
+            if (row.key != "config") {
+                return std::nullopt;
+            }
             if (row.value->empty()) {
                 throw common::format_error{"empty"};
             }
@@ -126,13 +134,21 @@
             decoded.version = std::stoull(*row.value);
             return std::optional{decoded};
         };
-        // An empty value is malformed.
+        // A key that begins with "drain/" drains a domain. An empty value is malformed.
+        result.decode_drain = [](const store_row& row) -> std::optional<drain_row> {
+            if (!row.key.starts_with("drain/")) {
+                return std::nullopt;
+            }
+            return drain_row{row.key.substr(6), row.value == "" ? "empty" : ""};
+        };
+        // The value is the failure domain. An empty value is malformed.
         result.decode_upstream = [](const store_row& row) {
             if (row.value->empty()) {
                 throw common::format_error{"empty"};
             }
             upstream_instance decoded;
             decoded.id = row.key;
+            decoded.failure_domain = *row.value;
             return decoded;
         };
         // A row's value is the address.
@@ -287,6 +303,114 @@
     BOOST_TEST(relayed.empty());
 }
 
+/// A catalog that knows an upstream in each of the domains a and b.
+struct drained_catalog_fixture : catalog_fixture {
+    drained_catalog_fixture() {
+        rows["configuration"] = {{"config", "1", 1}};
+        rows["upstreams"] = {{"in-a", "a", 1}, {"in-b", "b", 1}};
+        versions["configuration"] = 1;
+        subject->start();
+        BOOST_REQUIRE(loop.run_until(
+            [&] { return !not_ready_reasons.empty() && not_ready_reasons.back().empty(); }));
+    }
+
+    /// The store writes a row of the configuration table.
+    void store_row_of_drain(const store_row& row) {
+        rows["configuration"].push_back(row);
+        versions["configuration"] = row.version;
+        run_rounds(store_table::configuration);
+    }
+
+    [[nodiscard]] bool is_drained(const std::string& id) const {
+        return published.back().upstreams->at(id).domain_drained;
+    }
+};
+
+// Guards against work for instances in a domain that the operator has drained.
+BOOST_FIXTURE_TEST_CASE(drained_domain_is_marked_at_its_upstreams_until_its_row_is_deleted,
+                        drained_catalog_fixture) {
+    BOOST_TEST(!is_drained("in-a"));
+    store_row_of_drain({"drain/a", "{}", 2});
+    BOOST_TEST(is_drained("in-a"));
+    BOOST_TEST(!is_drained("in-b"));
+    BOOST_TEST(published.back().configuration->version == 1U);
+    store_row_of_drain({"drain/a", std::nullopt, 3});
+    BOOST_TEST(!is_drained("in-a"));
+    BOOST_TEST(published.back().upstreams->at("in-a").domain_drain_ended.has_value());
+    BOOST_TEST(!published.back().upstreams->at("in-b").domain_drain_ended.has_value());
+    BOOST_REQUIRE(announced.size() == 2U);
+    BOOST_TEST((announced[0].drains == std::vector<domain_drain>{{"a", 2, true}}));
+    BOOST_TEST((announced[1].drains == std::vector<domain_drain>{{"a", 3, false}}));
+}
+
+// Guards against a malformed row that leaves a domain in use although the operator has drained it.
+BOOST_FIXTURE_TEST_CASE(malformed_drain_is_in_force, drained_catalog_fixture) {
+    store_row_of_drain({"drain/a", "", 2});
+    BOOST_TEST(is_drained("in-a"));
+}
+
+// Guards against a gateway that the store does not serve and that never learns of a drain.
+BOOST_FIXTURE_TEST_CASE(drain_that_another_gateway_announces_is_in_force_without_the_store,
+                        drained_catalog_fixture) {
+    outcome = store_outcome::unavailable;
+    run_rounds(store_table::configuration);
+    catalog_inbox->post(domain_drains{{{"a", 5, true}}});
+    loop.run_ready();
+    BOOST_TEST(is_drained("in-a"));
+    // The end of an earlier drain arrives late.
+    catalog_inbox->post(domain_drains{{{"a", 4, false}}});
+    loop.run_ready();
+    BOOST_TEST(is_drained("in-a"));
+    BOOST_TEST(announced.empty());
+}
+
+// Guards against a drain that ends because the store has lost its history and the whole table is
+// read, or that outlasts its row for the same reason.
+BOOST_FIXTURE_TEST_CASE(drain_after_a_read_of_the_whole_table_is_that_of_the_table,
+                        drained_catalog_fixture) {
+    store_row_of_drain({"drain/a", "{}", 2});
+    outcome = store_outcome::history_lost;
+    const auto reads = count_requests("/read/configuration");
+    BOOST_REQUIRE(
+        loop.run_until([&] { return count_requests("/read/configuration") > reads + 1; }));
+    BOOST_TEST(is_drained("in-a"));
+    rows["configuration"] = {{"config", "1", 1}, {"drain/b", "{}", 3}};
+    versions["configuration"] = 4;
+    outcome = store_outcome::done;
+    BOOST_REQUIRE(loop.run_until([&] { return is_drained("in-b"); }));
+    BOOST_TEST(!is_drained("in-a"));
+}
+
+// Guards against followers that keep the version of the first of two drains, so that its late end
+// also ends the second one.
+BOOST_FIXTURE_TEST_CASE(drain_that_was_ended_and_set_again_is_passed_on, drained_catalog_fixture) {
+    store_row_of_drain({"drain/a", "{}", 2});
+    relayed.clear();
+    store_row_of_drain({"drain/a", "{}", 4});
+    const auto passed_on = std::count_if(relayed.begin(), relayed.end(), [](const auto& it) {
+        return !it.changes.rows.empty() && it.changes.rows.front().version == 4;
+    });
+    BOOST_TEST(passed_on == 1);
+}
+
+// Guards against a restarted gateway that serves before it knows the drains.
+BOOST_AUTO_TEST_CASE(gateway_that_has_not_read_the_configuration_table_is_not_ready) {
+    rows["upstreams"] = {{"in-a", "a", 1}};
+    rows["configuration"] = {{"config", "1", 1}, {"drain/a", "{}", 2}};
+    versions["configuration"] = 2;
+    unanswered_paths = {"/read/configuration"};
+    subject->start();
+    run_rounds(store_table::gateways);
+    BOOST_REQUIRE(!not_ready_reasons.empty());
+    BOOST_TEST(std::count(not_ready_reasons.begin(), not_ready_reasons.end(), "") == 0);
+    unanswered_paths.clear();
+    BOOST_REQUIRE(loop.run_until([&] { return not_ready_reasons.back().empty(); }));
+    // No published state has the configuration without the drain.
+    for (const auto& it : published) {
+        BOOST_TEST((!it.configuration || it.upstreams->at("in-a").domain_drained));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/users_platform/configuration_test.cpp
+++ b/tests/unit/users_platform/configuration_test.cpp
@@ -355,6 +355,29 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(drain_row_names_its_failure_domain) {
+    const auto drained = users_platform::decode_drain({"evacuate/z1", "{}", 3});
+    BOOST_REQUIRE(drained.has_value());
+    BOOST_TEST(drained->domain == "z1");
+    BOOST_TEST(drained->fault.empty());
+    const auto deleted = users_platform::decode_drain({"evacuate/z1", std::nullopt, 4});
+    BOOST_REQUIRE(deleted.has_value());
+    BOOST_TEST(deleted->domain == "z1");
+    BOOST_TEST(!users_platform::decode_drain({"config", "{}", 3}).has_value());
+    BOOST_TEST(!users_platform::decode_configuration({"evacuate/z1", "{}", 3}).has_value());
+}
+
+// Guards against a malformed row that leaves a domain in use although the operator has drained it.
+BOOST_AUTO_TEST_CASE(malformed_drain_row_still_names_its_failure_domain) {
+    for (const auto* value : {"", "{", "[]", "null", "\xff"}) {
+        const auto drained = users_platform::decode_drain({"evacuate/z1", value, 3});
+        BOOST_REQUIRE(drained.has_value());
+        BOOST_TEST(drained->domain == "z1");
+        BOOST_TEST(!drained->fault.empty());
+    }
+    BOOST_TEST(!users_platform::decode_drain({"evacuate/", "{}", 3})->fault.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/wire/gateway_codec_test.cpp
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -140,6 +140,12 @@
     BOOST_TEST((read.confirmed == relay.confirmed));
 }
 
+BOOST_AUTO_TEST_CASE(drains_when_decoded_keep_their_versions) {
+    const gateway::domain_drains drains{{{"z1", 1ULL << 40U, true}, {"z2", 7, false}}};
+    const auto message = round_trip(drains);
+    BOOST_TEST((std::get<gateway::domain_drains>(message.content).drains == drains.drains));
+}
+
 BOOST_AUTO_TEST_CASE(acknowledgement_when_decoded_names_the_sender_as_origin) {
     const auto message = round_trip(gateway::outcome_acknowledged{{"", 9}});
     const auto& read = std::get<gateway::outcome_acknowledged>(message.content);
