gateway: refuse requests whose instances are all drained

Cause: a request to a service whose instances are all in drained failure domains was refused only after its stages had been made.

Measured: before the change, integration drained_domain_test/request_whose_instances_are_all_drained_is_refused_before_its_stages failed because the stage had been made; it passes now, and so does drained_services_test.

--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -59,6 +59,8 @@
         m_metrics.set_configuration_faults(m_configuration->faults.size());
     }
     m_estimator.set_upstreams(m_upstreams);
+    m_drained_services =
+        m_upstreams ? instances::find_drained_services(*m_upstreams) : std::set<std::string>{};
     const auto now = common::monotonic_clock::now();
     if (m_upstreams) {
         for (auto& [name, pool] : m_pools) {
@@ -221,7 +223,7 @@
     ex.events = event_relay{ex.request.last_event};
     ex.stages.progress = stages::stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     limit_to_stop(ex);
-    if (!admit_in_stop(ex)) {
+    if (!admit_in_stop(ex) || refuse_if_drained(ex)) {
         return;
     }
     ex.deadline_timer = std::make_unique<runtime::timer>(m_context.loop());
@@ -237,6 +239,25 @@
     advance_stages(ex);
 }
 
+bool forwarder::refuse_if_drained(exchange& ex) {
+    std::string drained;
+    if (m_drained_services.contains(ex.service)) {
+        drained = ex.service;
+    }
+    const auto& stages = ex.matched_route->stages;
+    for (std::uint32_t n = 0; n < stages.size() && drained.empty(); ++n) {
+        if (ex.stages.progress.count_of(n) > 0 && m_drained_services.contains(stages[n].service)) {
+            drained = stages[n].service;
+        }
+    }
+    if (drained.empty()) {
+        return false;
+    }
+    refuse(ex, status_unavailable, "all instances are in drained failure domains: " + drained,
+           drained_retry_after);
+    return true;
+}
+
 bool forwarder::admit_stages(exchange& ex) {
     const auto decision = decide_admission(m_estimator, staged(ex), ex.service,
                                            ex.first_event_deadline - ex.times.arrived,
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,7 @@
 #include "gateway/adapter.h"
 #include "gateway/evidence/attempt_evidence.h"
 #include "gateway/evidence/crash_suspects.h"
+#include "gateway/instances/drained_services.h"
 #include "gateway/instances/service_pool.h"
 #include "gateway/messages.h"
 #include "gateway/requests/attempt_decision.h"
@@ -95,6 +97,9 @@
     /// Whether a part of the configuration that could not be decoded may allow the request.
     [[nodiscard]] bool may_be_in_undecoded_part(lookup_result result) const;
     void admit(exchange& ex);
+    /// Refuses a request that needs a service whose instances are all in drained failure domains.
+    /// Returns whether it was refused.
+    bool refuse_if_drained(exchange& ex);
     /// Refuses a request whose response cannot begin in time because of its stages. Returns whether
     /// it was admitted.
     bool admit_stages(exchange& ex);
@@ -211,6 +216,8 @@
     configuration_pointer m_configuration;
     std::optional<common::time_point> m_configuration_confirmed;
     upstream_map_pointer m_upstreams;
+    /// Services whose instances are all in drained failure domains.
+    std::set<std::string> m_drained_services;
     std::map<std::string, std::unique_ptr<instances::service_pool>> m_pools;
     /// Memory for the bodies of responses.
     http::buffer_budget m_bodies;
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -77,8 +77,8 @@
         return;
     }
     if (choice.outcome == instances::choice_outcome::drained) {
-        refuse(ex, status_unavailable, "all instances are in drained failure domains",
-               drained_retry_after);
+        refuse(ex, status_unavailable,
+               "all instances are in drained failure domains: " + ex.service, drained_retry_after);
         return;
     }
     if (choice.outcome == instances::choice_outcome::pausing) {
--- a/tests/integration/drained_domain_test.cpp
+++ b/tests/integration/drained_domain_test.cpp
@@ -161,6 +161,42 @@
     BOOST_TEST(used_instances("after").contains("d2"));
 }
 
+// Guards against a request that is sent although its domain is drained, and against stages that are
+// made for a request that cannot be sent.
+BOOST_AUTO_TEST_CASE(request_whose_instances_are_all_drained_is_refused_before_its_stages) {
+    move_upstream("s2", "x");
+    wait_until("the stages are in a domain that is not drained", [&] {
+        return all_dumps([](const std::string& it) {
+            return it.find(R"("failure_domain":"x")") != std::string::npos;
+        });
+    });
+    set_drained("z", true);
+    set_drained("y", true);
+    wait_until_known("z", true);
+    wait_until_known("y", true);
+    const http::request staged{"POST",
+                               "/slow/1",
+                               {{"Host", "a.example"},
+                                {"X-Attempt-Id", "staged"},
+                                {"X-Deadline-Ms", "5000"},
+                                {"Authorization", "Bearer key-1"},
+                                {"X-Model", "m"},
+                                {"X-Pieces", "1"},
+                                {"X-Piece-Key", "k"}},
+                               "body"};
+    for (const auto& it : addresses) {
+        const auto response = call(it, staged);
+        BOOST_TEST(response.status == 503U);
+        BOOST_TEST(!http::find_header(response.fields, "Retry-After").empty());
+    }
+    BOOST_TEST(records("staged").empty());
+    BOOST_TEST(send("GET", "/read/1", "refused").status == 503U);
+    BOOST_TEST(records("refused").empty());
+    set_drained("y", false);
+    wait_until_known("y", false);
+    BOOST_TEST(send("GET", "/read/1", "plain").status == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
