gateway: hold new work after a pause until the drains are confirmed

Cause: requests that arrive while a gateway is frozen are read at once when it runs again, and were sent before it learned which domains had been drained.

Held requests wait in the pool's queue with the cause process_paused.

--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -106,6 +106,10 @@
         dispatcher->post(it);
     };
     hooks.confirm_configuration = [=](const configuration_confirmed& it) { forwarder->post(it); };
+    hooks.confirm_drains = [=](const drains_confirmed& it) {
+        forwarder->post(it);
+        dispatcher->post(it);
+    };
     hooks.publish_gateways = [=](const std::vector<gateway_record>& it) {
         peers->post(gateways_changed{it});
         gateway_names_changed names;
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -50,6 +50,8 @@
     pausing,
     /// Instances that would take work are in drained failure domains.
     drained,
+    /// This process was paused and may not know a drain that was set meanwhile.
+    process_paused,
     none
 };
 
@@ -120,8 +122,8 @@
 
 template <>
 struct enum_names<gateway::instances::choice_outcome> {
-    static constexpr std::array<std::string_view, 5> table{"chosen", "no_connection", "pausing",
-                                                           "drained", "none"};
+    static constexpr std::array<std::string_view, 6> table{"chosen",  "no_connection",  "pausing",
+                                                           "drained", "process_paused", "none"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -30,6 +30,11 @@
     common::time_point at;
 };
 
+/// The store has shown that the local set of drained failure domains is the newest.
+struct drains_confirmed {
+    common::time_point at;
+};
+
 /// A request that arrived on a caller's connection.
 struct request_received {
     std::uint64_t id = 0;
@@ -132,17 +137,17 @@
 };
 
 using forwarder_message =
-    std::variant<discovery_update, configuration_confirmed, request_received, caller_disconnected,
-                 order_ended, gateway_names_changed, backlog_report, crash_evidence, gateway_live,
-                 shutdown_started, admin::metrics_query>;
+    std::variant<discovery_update, configuration_confirmed, drains_confirmed, request_received,
+                 caller_disconnected, order_ended, gateway_names_changed, backlog_report,
+                 crash_evidence, gateway_live, shutdown_started, admin::metrics_query>;
 
 using peers_message = std::variant<piece_order, cancel_order, release_results, order_finished,
                                    gateways_changed, backlog_report, instance_leaving,
                                    crash_evidence, table_relay, domain_drains, shutdown_started>;
 
 using dispatcher_message =
-    std::variant<discovery_update, piece_order, cancel_order, release_results, owners_changed,
-                 process_paused, shutdown_started>;
+    std::variant<discovery_update, drains_confirmed, piece_order, cancel_order, release_results,
+                 owners_changed, process_paused, shutdown_started>;
 
 using catalog_message =
     std::variant<instance_leaving, process_paused, table_relay, store_role, domain_drains>;
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -33,7 +33,7 @@
       m_bodies{m_options.response_buffer_bytes},
       // Starts at a random number, because another gateway may still remember the orders of this
       // gateway's previous run.
-      m_next_order{m_options.random() >> 1U},
+      m_next_order{m_options.random() >> 1U}, m_pause_guard_timer{m_context.loop()},
       m_suspects{{}, [this](const evidence::suspect_view& part) { log_suspect(part); }},
       m_evidence_timer{m_context.loop()} {}
 
@@ -41,12 +41,14 @@
     m_inbox.receive(m_context.wrap([this](const forwarder_message& message) {
         std::visit([this](const auto& it) { handle(it); }, message);
     }));
+    check_for_pause();
 }
 
 void forwarder::close() noexcept {
     m_inbox.close();
     m_pause_timers.clear();
     m_evidence_timer.cancel();
+    m_pause_guard_timer.cancel();
     m_exchanges.clear();
     m_pools.clear();
 }
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -16,6 +16,7 @@
 #include "gateway/evidence/attempt_evidence.h"
 #include "gateway/evidence/crash_suspects.h"
 #include "gateway/instances/drained_services.h"
+#include "gateway/instances/pause_guard.h"
 #include "gateway/instances/service_pool.h"
 #include "gateway/messages.h"
 #include "gateway/requests/attempt_decision.h"
@@ -78,6 +79,7 @@
 
     void handle(const discovery_update& message);
     void handle(const configuration_confirmed& message);
+    void handle(const drains_confirmed& message);
     void handle(const request_received& message);
     void handle(const caller_disconnected& message);
     void handle(const order_ended& message);
@@ -142,6 +144,9 @@
     [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex) const;
     /// Lets a request wait for an instance, or refuses it if none can take it in time.
     void wait_for_instance(exchange& ex, const instances::instance_choice& choice);
+    /// Records that this task runs, and serves held requests when their time is over.
+    void check_for_pause();
+    void schedule_all_waiting();
     /// Serves the requests that wait for an instance, later in the event loop.
     void schedule_waiting(const std::string& service);
     /// The same after a delay, at which the first pause of an instance ends.
@@ -231,6 +236,8 @@
     std::size_t m_gateway_count = 1;
     /// End of the first pause, for each service whose instances all pause.
     std::map<std::string, std::unique_ptr<runtime::timer>> m_pause_timers;
+    instances::pause_guard m_pause_guard;
+    runtime::timer m_pause_guard_timer;
     response_times m_response_times;
     /// When an ordered stop closes the callers' connections.
     std::optional<common::time_point> m_stop_deadline;
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -59,6 +59,10 @@
     if (refuse_if_quarantined(ex) || refuse_if_cut_by_stop(ex, common::duration::zero())) {
         return;
     }
+    if (!m_pause_guard.allows_work(common::monotonic_clock::now())) {
+        wait_for_instance(ex, {instances::choice_outcome::process_paused, nullptr, {}});
+        return;
+    }
     auto& pool = pool_of(ex.service);
     const auto choice = pool.choose(make_routing_request(ex));
     if (choice.outcome != instances::choice_outcome::chosen) {
@@ -101,6 +105,26 @@
                                           {"waiting", std::to_string(waiting.size())}});
 }
 
+void forwarder::check_for_pause() {
+    if (m_pause_guard.end_hold_if_due(common::monotonic_clock::now())) {
+        schedule_all_waiting();
+    }
+    m_pause_guard_timer.start(instances::pause_guard::tick,
+                              m_context.wrap([this] { check_for_pause(); }));
+}
+
+void forwarder::handle(const drains_confirmed& message) {
+    if (m_pause_guard.record_confirmed(message.at)) {
+        schedule_all_waiting();
+    }
+}
+
+void forwarder::schedule_all_waiting() {
+    for (const auto& [name, pool] : m_pools) {
+        schedule_waiting(name);
+    }
+}
+
 void forwarder::schedule_waiting(const std::string& service) {
     if (pool_of(service).waiting().size() > 0) {
         m_context.loop().post(m_context.wrap([this, service] { serve_waiting(service); }));
--- a/source/core/gateway/stages/dispatcher.cpp
+++ b/source/core/gateway/stages/dispatcher.cpp
@@ -15,7 +15,7 @@
 // Part of an instance's result memory that is used, because the configured result sizes are
 // approximate.
 constexpr double usable_memory_share = 0.85;
-constexpr common::duration backlog_report_interval = std::chrono::milliseconds{200};
+constexpr common::duration backlog_report_interval = instances::pause_guard::tick;
 // How long an instance is skipped when another failure domain is preferred for all waiting pieces.
 constexpr common::duration locality_backoff = std::chrono::milliseconds{30};
 // Retry delay that is returned while a service has no instance.
@@ -100,8 +100,12 @@
     for (auto& [name, state] : m_services) {
         update_instances(name, state);
     }
-    for (auto& [name, state] : m_services) {
-        dispatch(name);
+    dispatch_all();
+}
+
+void dispatcher::handle(const drains_confirmed& message) {
+    if (m_pause_guard.record_confirmed(message.at)) {
+        dispatch_all();
     }
 }
 
@@ -123,6 +127,9 @@
 }
 
 void dispatcher::report_backlogs() {
+    if (m_pause_guard.end_hold_if_due(common::monotonic_clock::now())) {
+        dispatch_all();
+    }
     backlog_report report;
     for (auto& [name, service] : m_services) {
         auto backlog = backlog_of(name, service);
@@ -218,7 +225,17 @@
     }
 }
 
+void dispatcher::dispatch_all() {
+    for (auto& [name, state] : m_services) {
+        dispatch(name);
+    }
+}
+
 void dispatcher::dispatch(const std::string& name) {
+    if (!m_pause_guard.allows_work(common::monotonic_clock::now())) {
+        // The end of the hold dispatches again.
+        return;
+    }
     const auto* limits = limits_of(name);
     auto& service = m_services[name];
     while (limits != nullptr && service.queue.size() > 0) {
--- a/source/core/gateway/stages/dispatcher.h
+++ b/source/core/gateway/stages/dispatcher.h
@@ -14,6 +14,7 @@
 #include "common/enum_names.h"
 #include "gateway/adapter.h"
 #include "gateway/instances/instance_state.h"
+#include "gateway/instances/pause_guard.h"
 #include "gateway/messages.h"
 #include "gateway/stages/piece_queue.h"
 #include "gateway/stages/result_memory.h"
@@ -110,6 +111,7 @@
     };
 
     void handle(const discovery_update& message);
+    void handle(const drains_confirmed& message);
     void handle(const piece_order& message);
     void handle(const cancel_order& message);
     void handle(const release_results& message);
@@ -139,6 +141,7 @@
     [[nodiscard]] std::size_t usable_instances(service_state& service) const;
 
     void dispatch(const std::string& name);
+    void dispatch_all();
     std::shared_ptr<stage_instance> pick_free_instance(service_state& service,
                                                        const piece_limits& limits);
     void send_call(const std::string& name, const piece_limits& limits,
@@ -186,6 +189,7 @@
     std::map<std::uint64_t, call_state> m_calls;
     std::uint64_t m_next_call = 1;
     std::map<std::string, std::unique_ptr<runtime::timer>> m_dispatch_timers;
+    instances::pause_guard m_pause_guard;
     runtime::timer m_report_timer;
     /// Whether the last backlog report of a service showed waiting pieces or busy instances.
     std::map<std::string, bool> m_reported_busy;
--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -98,6 +98,7 @@
     }
     if (table == store_table::configuration) {
         m_drains.advance(m_watches.at(table)->copy().version());
+        m_hooks.confirm_drains({at});
     }
     relay(table);
 }
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -27,6 +27,8 @@
     std::function<void(const std::vector<gateway_record>&)> publish_gateways;
     /// A response of the store has shown that the local copy of the configuration is the newest.
     std::function<void(const configuration_confirmed&)> confirm_configuration;
+    /// A response of the store has shown that the known drains of failure domains are the newest.
+    std::function<void(const drains_confirmed&)> confirm_drains;
     /// Passes changes on to the other gateways.
     std::function<void(const table_relay&)> relay;
     /// Tells all gateways which drains this one has read from the store.
--- a/tests/integration/drained_domain_test.cpp
+++ b/tests/integration/drained_domain_test.cpp
@@ -1,3 +1,5 @@
+#include <csignal>
+#include <future>
 #include <set>
 
 #include <boost/test/unit_test.hpp>
@@ -161,6 +163,35 @@
     BOOST_TEST(used_instances("after").contains("d2"));
 }
 
+// Guards against requests that arrive at a frozen gateway and are sent to the drained domain before
+// the gateway learns of the drain.
+BOOST_AUTO_TEST_CASE(frozen_gateway_sends_no_work_to_a_domain_that_was_drained_meanwhile) {
+    constexpr std::chrono::milliseconds freeze{3000};
+    constexpr int requests = 12;
+    const auto begin = std::chrono::steady_clock::now();
+    gateways[0]->send_signal(SIGSTOP);
+    set_drained("y", true);
+    std::vector<std::future<received_response>> responses;
+    for (int n = 0; n < requests; ++n) {
+        responses.push_back(std::async(std::launch::async, [this, n] {
+            return send("GET", "/read/1", "frozen-" + std::to_string(n));
+        }));
+    }
+    wait_until("the others know the drain, and the freeze is over", [&] {
+        return dump(1).find(R"("domain":"y","drained":true)") != std::string::npos &&
+               std::chrono::steady_clock::now() - begin > freeze;
+    });
+    gateways[0]->send_signal(SIGCONT);
+    for (auto& it : responses) {
+        BOOST_TEST(it.get().status == 200U);
+    }
+    for (int n = 0; n < requests; ++n) {
+        for (const auto& it : records("frozen-" + std::to_string(n))) {
+            BOOST_TEST(it.at("upstream").as_string() != "d2");
+        }
+    }
+}
+
 // Guards against a request that is sent although its domain is drained, and against stages that are
 // made for a request that cannot be sent.
 BOOST_AUTO_TEST_CASE(request_whose_instances_are_all_drained_is_refused_before_its_stages) {
--- a/tests/unit/gateway/store/catalog_test.cpp
+++ b/tests/unit/gateway/store/catalog_test.cpp
@@ -86,6 +86,7 @@
             ++confirmations;
         };
         hooks.relay = [this](const table_relay& it) { relayed.push_back(it); };
+        hooks.confirm_drains = [](const drains_confirmed& /*message*/) {};
         hooks.announce_drains = [this](const domain_drains& it) { announced.push_back(it); };
         hooks.set_not_ready_reason = [this](const std::string& it) {
             not_ready_reasons.push_back(it);
