gateway: run requests only in the allowed regions

Cause: `allowed_regions` of routes and workspaces was ignored.

Change: the lists are decoded with the configuration; a malformed one makes the route or the workspace unusable (503). The pool checks the request's regions in every choice (send, retry, resumed stream, source of cached prompt parts, fallback to ejected instances), and orders of stages carry them to the owner. Requests whose services have no instance in an allowed region are refused at arrival. The new settings instance.region and instance.regions give the region of each failure domain; an unknown region is allowed only without a list.

How the platform renders the table `zones` into deploy/settings.yaml is not tried: region_table accepts the notations that were thought of.

--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -12,6 +12,7 @@
 
 #include "common/enum_names.h"
 #include "common/time.h"
+#include "gateway/allowed_regions.h"
 
 namespace jujubemast::gateway {
 
@@ -57,6 +58,8 @@
     unsigned max_attempts = 1;
     std::vector<weighted_service> services;
     std::vector<stage_spec> stages;
+    /// Regions in which the requests and their stages may run.
+    allowed_regions regions;
 };
 
 /// Limits of one instance of a stage service.
@@ -82,8 +85,13 @@
 };
 
 struct workspace {
+    /// False if a part that decides where its requests may run could not be decoded. They are
+    /// refused then.
+    bool usable = true;
     std::string name;
     std::optional<int> priority;
+    /// Regions in which its requests and their stages may run, whatever their routes allow.
+    allowed_regions regions;
 };
 
 /// Limits for the connections of callers.
--- a/source/core/gateway/gateway_settings.cpp
+++ b/source/core/gateway/gateway_settings.cpp
@@ -1,5 +1,8 @@
 #include "gateway/gateway_settings.h"
 
+#include "common/error.h"
+#include "gateway/region_table.h"
+
 namespace jujubemast::gateway {
 
 using settings::check_address;
@@ -19,6 +22,15 @@
     return value >= min_seconds && value <= max_seconds ? "" : "must be from 1 to 86400";
 }
 
+std::string check_regions(const std::string& value) {
+    try {
+        parse_region_table(value);
+        return "";
+    } catch (const common::format_error& e) {
+        return e.what();
+    }
+}
+
 std::string check_not_negative_duration(milliseconds value) {
     return value >= milliseconds::zero() ? "" : "must not be negative";
 }
@@ -37,6 +49,19 @@
     .help = "failure domain of this instance",
     .required = true,
 };
+const settings::setting<std::string> gateway_settings::region{
+    .section = "instance",
+    .key = "region",
+    .help = "region of this instance's failure domain, unless instance.regions names it",
+};
+const settings::setting<std::string> gateway_settings::regions{
+    .section = "instance",
+    .key = "regions",
+    .help =
+        "region of each failure domain, as DOMAIN=REGION pairs with commas; work that is limited "
+        "to some regions goes to no instance whose region is unknown",
+    .check = check_regions,
+};
 const settings::setting<double> gateway_settings::processor_share{
     .section = "instance",
     .key = "processor_share",
@@ -155,6 +180,8 @@
 const settings::table gateway_settings::table{
     &name,
     &failure_domain,
+    &region,
+    &regions,
     &processor_share,
     &memory_mb,
     &termination_grace,
--- a/source/core/gateway/gateway_settings.h
+++ b/source/core/gateway/gateway_settings.h
@@ -8,6 +8,8 @@
 struct gateway_settings {
     static const settings::setting<std::string> name;
     static const settings::setting<std::string> failure_domain;
+    static const settings::setting<std::string> region;
+    static const settings::setting<std::string> regions;
     static const settings::setting<double> processor_share;
     static const settings::setting<std::int64_t> memory_mb;
     static const settings::setting<double> termination_grace;
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -9,6 +9,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/memory_shares.h"
 #include "gateway/peers/peers.h"
+#include "gateway/region_table.h"
 #include "gateway/requests/forwarder.h"
 #include "gateway/stages/dispatcher.h"
 #include "gateway/stop_schedule.h"
@@ -95,6 +96,18 @@
     return http::make_server("callers", options, make_caller_handler(inbox, platform_adapter));
 }
 
+std::function<std::string(const std::string&)> make_region_hook(const settings::values& values) {
+    auto regions = parse_region_table(values.get(gateway_settings::regions));
+    const auto own_region = values.get(gateway_settings::region);
+    if (!own_region.empty()) {
+        regions.emplace(values.get(gateway_settings::failure_domain), own_region);
+    }
+    return [regions = std::move(regions)](const std::string& domain) {
+        const auto it = regions.find(domain);
+        return it == regions.end() ? std::string{} : it->second;
+    };
+}
+
 store::catalog_hooks make_catalog_hooks(const forwarder_mailbox& forwarder,
                                         const dispatcher_mailbox& dispatcher,
                                         const peers_mailbox& peers, const health_address& health,
@@ -199,8 +212,9 @@
                                 runtime::address<peers_message>{peers_inbox}, platform_adapter,
                                 make_forwarder_options(values, peers_inbox));
                         }});
-    const auto hooks =
+    auto hooks =
         make_catalog_hooks(forwarder_inbox, dispatcher_inbox, peers_inbox, health, current);
+    hooks.region_of = make_region_hook(values);
     const auto limits =
         store::limits_for_staleness(values.get(gateway_settings::store_staleness_limit));
     runtime::child_spec catalog_child{"catalog", [=](runtime::task_context it) {
--- a/source/core/gateway/instances/drained_services.cpp
+++ b/source/core/gateway/instances/drained_services.cpp
@@ -1,5 +1,7 @@
 #include "gateway/instances/drained_services.h"
 
+#include <algorithm>
+
 namespace jujubemast::gateway::instances {
 
 std::set<std::string> find_drained_services(const upstream_map& known) {
@@ -16,4 +18,13 @@
     return drained;
 }
 
+bool has_instance_in(const upstream_map& known, const std::string& service,
+                     const allowed_regions& regions) {
+    return std::any_of(known.begin(), known.end(), [&](const auto& it) {
+        const auto& instance = it.second;
+        return instance.service == service && !instance.domain_drained &&
+               instance.phase == upstream_phase::serving && regions.allows(instance.region);
+    });
+}
+
 } // namespace jujubemast::gateway::instances
--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -119,7 +119,7 @@
     }
 }
 
-std::vector<policy::upstream_view> service_pool::views() const {
+std::vector<policy::upstream_view> service_pool::views(const allowed_regions& regions) const {
     std::vector<policy::upstream_view> result;
     result.reserve(m_members.size());
     for (const auto& it : m_members) {
@@ -127,7 +127,8 @@
         view.name = it->identity.id;
         view.name_digest = it->digest;
         view.failure_domain = it->identity.failure_domain;
-        view.available = takes_requests(*it) && it->has_free_connection();
+        view.available =
+            takes_requests(*it) && regions.allows(it->identity.region) && it->has_free_connection();
         view.ejected = it->state.phase() == instance_phase::ejected;
         view.reported_in_progress = it->in_progress;
         view.limit = it->identity.slots;
@@ -137,20 +138,22 @@
     return result;
 }
 
-instance_choice service_pool::choose(const policy::routing_request& request) {
+instance_choice service_pool::choose(const policy::routing_request& request,
+                                     const allowed_regions& regions) {
     update_states(request.now);
-    const auto chosen = m_route(request, views());
+    const auto chosen = m_route(request, views(regions));
     if (!chosen) {
-        return explain_no_choice(request);
+        return explain_no_choice(request, regions);
     }
     m_health.record_dispatch(m_members[*chosen]->identity.id, request.now);
     return {choice_outcome::chosen, m_members[*chosen], {}};
 }
 
-instance_choice service_pool::explain_no_choice(const policy::routing_request& request) const {
+instance_choice service_pool::explain_no_choice(const policy::routing_request& request,
+                                                const allowed_regions& regions) const {
     instance_choice result;
     for (const auto& it : m_members) {
-        if (is_excluded(request.excluded, *it)) {
+        if (is_excluded(request.excluded, *it) || !regions.allows(it->identity.region)) {
             continue;
         }
         if (takes_requests(*it)) {
@@ -170,13 +173,14 @@
     return result;
 }
 
-std::shared_ptr<pool_member> service_pool::affinity_member(std::uint64_t prefix) {
+std::shared_ptr<pool_member> service_pool::affinity_member(std::uint64_t prefix,
+                                                           const allowed_regions& regions) const {
     std::shared_ptr<pool_member> best;
     std::uint64_t best_rank = 0;
     for (const auto& it : m_members) {
         const auto rank = policy::rendezvous_rank(prefix, it->digest);
         if (it->state.phase() != instance_phase::gone && !it->state.is_domain_drained() &&
-            (!best || rank > best_rank)) {
+            regions.allows(it->identity.region) && (!best || rank > best_rank)) {
             best = it;
             best_rank = rank;
         }
@@ -184,12 +188,13 @@
     return best;
 }
 
-bool service_pool::has_alternative(const std::vector<std::string>& excluded,
-                                   common::time_point now) {
+bool service_pool::has_alternative(const std::vector<std::string>& excluded, common::time_point now,
+                                   const allowed_regions& regions) {
     update_states(now);
     return std::any_of(m_members.begin(), m_members.end(),
                        [&](const std::shared_ptr<pool_member>& it) {
-                           return takes_requests(*it) && !is_excluded(excluded, *it);
+                           return takes_requests(*it) && regions.allows(it->identity.region) &&
+                                  !is_excluded(excluded, *it);
                        });
 }
 
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "common/enum_names.h"
+#include "gateway/allowed_regions.h"
 #include "gateway/instances/instance_state.h"
 #include "gateway/instances/waiting_requests.h"
 #include "gateway/upstream_list.h"
@@ -77,15 +78,18 @@
     /// gateway's position among them. Without a limit any number of connections is allowed.
     void set_connection_limit(std::optional<std::size_t> limit, const policy::share_holder& holder);
 
-    /// Chooses an instance that takes work and has a free connection.
-    instance_choice choose(const policy::routing_request& request);
+    /// Chooses an instance in an allowed region that takes work and has a free connection.
+    instance_choice choose(const policy::routing_request& request,
+                           const allowed_regions& regions = {});
 
     /// Returns the instance outside the drained failure domains that a prompt prefix hashes to
     /// regardless of load, or null.
-    [[nodiscard]] std::shared_ptr<pool_member> affinity_member(std::uint64_t prefix);
+    [[nodiscard]] std::shared_ptr<pool_member>
+    affinity_member(std::uint64_t prefix, const allowed_regions& regions = {}) const;
 
-    /// Whether an instance that is not excluded accepts work.
-    bool has_alternative(const std::vector<std::string>& excluded, common::time_point now);
+    /// Whether an instance in an allowed region that is not excluded accepts work.
+    bool has_alternative(const std::vector<std::string>& excluded, common::time_point now,
+                         const allowed_regions& regions = {});
 
     /// The requests of this service that wait for an instance.
     [[nodiscard]] waiting_requests& waiting() { return m_waiting; }
@@ -100,9 +104,10 @@
 private:
     /// Brings the phases of all members up to date.
     void update_states(common::time_point now);
-    [[nodiscard]] std::vector<policy::upstream_view> views() const;
+    [[nodiscard]] std::vector<policy::upstream_view> views(const allowed_regions& regions) const;
     /// Returns why no member was chosen.
-    [[nodiscard]] instance_choice explain_no_choice(const policy::routing_request& request) const;
+    [[nodiscard]] instance_choice explain_no_choice(const policy::routing_request& request,
+                                                    const allowed_regions& regions) const;
     void add_if_new(const upstream_instance& instance, common::time_point now);
     void divide_connections();
 
--- a/source/core/gateway/instances/waiting_requests.h
+++ b/source/core/gateway/instances/waiting_requests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -26,6 +27,21 @@
         return m_waiting.empty() ? std::nullopt : std::optional{m_waiting.begin()->id};
     }
 
+    [[nodiscard]] bool contains(std::uint64_t id) const {
+        return std::any_of(m_waiting.begin(), m_waiting.end(),
+                           [id](const waiting& it) { return it.id == id; });
+    }
+
+    /// Returns the request that is served after this one, if both wait.
+    [[nodiscard]] std::optional<std::uint64_t> next_after(std::uint64_t id) const {
+        auto it = std::find_if(m_waiting.begin(), m_waiting.end(),
+                               [id](const waiting& known) { return known.id == id; });
+        if (it == m_waiting.end() || ++it == m_waiting.end()) {
+            return std::nullopt;
+        }
+        return it->id;
+    }
+
     [[nodiscard]] std::size_t size() const { return m_waiting.size(); }
 
 private:
--- a/source/core/gateway/piece_order.h
+++ b/source/core/gateway/piece_order.h
@@ -9,6 +9,7 @@
 
 #include "common/enum_names.h"
 #include "common/time.h"
+#include "gateway/allowed_regions.h"
 
 namespace jujubemast::gateway {
 
@@ -39,6 +40,8 @@
     /// Failure domain in which the pieces need no large transfer. Empty if no domain is better than
     /// the others.
     std::string preferred_domain;
+    /// Regions in which the pieces may be made.
+    allowed_regions regions;
     /// When the results are needed for a response within the latency target.
     common::time_point target_time;
     /// The results are useless after this time.
--- a/source/core/gateway/requests/exchange.h
+++ b/source/core/gateway/requests/exchange.h
@@ -61,6 +61,8 @@
     std::string service;
     std::string workspace;
     int priority = 0;
+    /// Regions in which the request and its stages may run.
+    allowed_regions regions;
 
     exchange_times times;
     common::time_point response_deadline;
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -182,7 +182,7 @@
 }
 
 bool forwarder::may_be_in_undecoded_part(lookup_result result) const {
-    return result == lookup_result::unusable_route ||
+    return result == lookup_result::unusable_route || result == lookup_result::unusable_workspace ||
            (result == lookup_result::no_route && !m_configuration->routes_complete) ||
            (result == lookup_result::unknown_key && !m_configuration->keys_complete);
 }
@@ -203,7 +203,12 @@
     if (owner == nullptr && m_configuration->keys_required && !ex.matched_route->is_public) {
         return lookup_result::unknown_key;
     }
+    ex.regions = ex.matched_route->regions;
+    if (owner != nullptr && !owner->usable) {
+        return lookup_result::unusable_workspace;
+    }
     if (owner != nullptr) {
+        ex.regions = ex.regions.restricted_by(owner->regions);
         ex.workspace = owner->name;
         ex.priority = owner->priority.value_or(ex.priority);
     }
@@ -226,7 +231,7 @@
     ex.events = event_relay{ex.request.last_event};
     ex.stages.progress = stages::stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     limit_to_stop(ex);
-    if (!admit_in_stop(ex) || refuse_if_drained(ex)) {
+    if (!admit_in_stop(ex) || refuse_if_none_allowed(ex)) {
         return;
     }
     ex.deadline_timer = std::make_unique<runtime::timer>(m_context.loop());
@@ -242,22 +247,29 @@
     advance_stages(ex);
 }
 
-bool forwarder::refuse_if_drained(exchange& ex) {
-    std::string drained;
-    if (m_drained_services.contains(ex.service)) {
-        drained = ex.service;
+std::string forwarder::find_obstacle(const exchange& ex, const std::string& service) const {
+    if (m_drained_services.contains(service)) {
+        return "all instances are in drained failure domains: " + service;
+    }
+    if (ex.regions.is_restricted() && m_upstreams &&
+        !instances::has_instance_in(*m_upstreams, service, ex.regions)) {
+        return "no instance in an allowed region: " + service;
     }
+    return {};
+}
+
+bool forwarder::refuse_if_none_allowed(exchange& ex) {
+    auto obstacle = find_obstacle(ex, ex.service);
     const auto& stages = ex.matched_route->stages;
-    for (std::uint32_t n = 0; n < stages.size() && drained.empty(); ++n) {
-        if (ex.stages.progress.count_of(n) > 0 && m_drained_services.contains(stages[n].service)) {
-            drained = stages[n].service;
+    for (std::uint32_t n = 0; n < stages.size() && obstacle.empty(); ++n) {
+        if (ex.stages.progress.count_of(n) > 0) {
+            obstacle = find_obstacle(ex, stages[n].service);
         }
     }
-    if (drained.empty()) {
+    if (obstacle.empty()) {
         return false;
     }
-    refuse(ex, status_unavailable, "all instances are in drained failure domains: " + drained,
-           drained_retry_after);
+    refuse(ex, status_unavailable, obstacle, drained_retry_after);
     return true;
 }
 
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -42,7 +42,14 @@
 };
 
 /// Result of looking up a request in the configuration.
-enum class lookup_result { found, no_configuration, no_route, unusable_route, unknown_key };
+enum class lookup_result {
+    found,
+    no_configuration,
+    no_route,
+    unusable_route,
+    unknown_key,
+    unusable_workspace
+};
 
 struct forwarder_options {
     /// Name of this gateway.
@@ -99,9 +106,11 @@
     /// Whether a part of the configuration that could not be decoded may allow the request.
     [[nodiscard]] bool may_be_in_undecoded_part(lookup_result result) const;
     void admit(exchange& ex);
-    /// Refuses a request that needs a service whose instances are all in drained failure domains.
-    /// Returns whether it was refused.
-    bool refuse_if_drained(exchange& ex);
+    /// Refuses a request that needs a service whose instances are all in drained failure domains or
+    /// in regions that are not allowed. Returns whether it was refused.
+    bool refuse_if_none_allowed(exchange& ex);
+    /// Returns why no instance of a service may get the request, or an empty string.
+    [[nodiscard]] std::string find_obstacle(const exchange& ex, const std::string& service) const;
     /// Refuses a request whose response cannot begin in time because of its stages. Returns whether
     /// it was admitted.
     bool admit_stages(exchange& ex);
@@ -255,8 +264,9 @@
 
 template <>
 struct enum_names<gateway::requests::lookup_result> {
-    static constexpr std::array<std::string_view, 5> table{"found", "no_configuration", "no_route",
-                                                           "unusable_route", "unknown_key"};
+    static constexpr std::array<std::string_view, 6> table{"found",       "no_configuration",
+                                                           "no_route",    "unusable_route",
+                                                           "unknown_key", "unusable_workspace"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -64,7 +64,7 @@
         return;
     }
     auto& pool = pool_of(ex.service);
-    const auto choice = pool.choose(make_routing_request(ex));
+    const auto choice = pool.choose(make_routing_request(ex), ex.regions);
     if (choice.outcome != instances::choice_outcome::chosen) {
         wait_for_instance(ex, choice);
         return;
@@ -141,11 +141,20 @@
 
 void forwarder::serve_waiting(const std::string& service) {
     auto& waiting = pool_of(service).waiting();
-    for (auto first = waiting.front(); first; first = waiting.front()) {
-        send(*find(*first));
-        if (waiting.front() == first) {
+    for (auto id = waiting.front(); id;) {
+        auto& ex = *find(*id);
+        const bool restricted = ex.regions.is_restricted();
+        const bool first = waiting.front() == id;
+        const auto next = restricted ? waiting.next_after(*id) : std::nullopt;
+        send(ex);
+        if (restricted) {
+            // Others may use instances that this request may not.
+            id = next;
+        } else if (first ? waiting.front() == id : waiting.contains(*id)) {
             // No instance can take it yet.
             return;
+        } else {
+            id = waiting.front();
         }
     }
 }
@@ -162,7 +171,7 @@
     options.inputs = ex.stages.progress.final_inputs();
     if (ex.matched_route->kind == repeatability::stream) {
         options.urgency = std::clamp(ex.priority, 0, lowest_urgency);
-        const auto affinity = pool.affinity_member(prefix);
+        const auto affinity = pool.affinity_member(prefix, ex.regions);
         // The cache of an instance that drains is worth reading while it lasts.
         if (prefix != 0 && affinity && affinity != member && affinity->state.accepts_calls()) {
             options.cache_source = http::to_string(affinity->identity.address);
@@ -222,7 +231,8 @@
     hooks.on_failed = [this, id](const attempt_failure& it) { attempt_failed(*find(id), it); };
     hooks.on_time_limit = [this, id] {
         const auto& ex = *find(id);
-        return pool_of(ex.service).has_alternative(ex.tried, common::monotonic_clock::now());
+        return pool_of(ex.service)
+            .has_alternative(ex.tried, common::monotonic_clock::now(), ex.regions);
     };
     hooks.on_silence = [this, id] { return another_instance_can_go_on(*find(id)); };
     return hooks;
@@ -326,7 +336,8 @@
     // Another instance must not be lost to a request that may have crashed this one.
     const bool is_risky =
         !is_certainly_not_run(end) && m_suspects.is_repeat_risky(ex.shared_parts, now);
-    facts.alternative_available = !is_risky && pool_of(ex.service).has_alternative(ex.tried, now);
+    facts.alternative_available =
+        !is_risky && pool_of(ex.service).has_alternative(ex.tried, now, ex.regions);
     return facts;
 }
 
--- a/source/core/gateway/requests/forwarder_stages.cpp
+++ b/source/core/gateway/requests/forwarder_stages.cpp
@@ -80,7 +80,7 @@
         return it == m_upstreams->end() ? std::string{} : it->second.failure_domain;
     }
     if (ex.stages.progress.is_last(stage) && spec.result_bytes >= large_transfer_bytes) {
-        const auto reader = pool_of(ex.service).affinity_member(prefix_of(ex));
+        const auto reader = pool_of(ex.service).affinity_member(prefix_of(ex), ex.regions);
         return reader ? reader->identity.failure_domain : std::string{};
     }
     return {};
@@ -100,6 +100,7 @@
     order.inputs_to_release = ex.stages.progress.sole_input_service(stage);
     order.input_key = order.inputs.empty() ? ex.request.piece_key : std::string{};
     order.priority = ex.priority;
+    order.regions = ex.regions;
     remove_upcoming(ex, stage);
     order.result_bytes = spec.result_bytes;
     order.preferred_domain = preferred_domain(ex, stage, order.inputs);
--- a/source/core/gateway/stages/dispatcher.cpp
+++ b/source/core/gateway/stages/dispatcher.cpp
@@ -168,6 +168,10 @@
         finish_order(state, {order_status::overloaded, {}, no_instance_retry});
         return;
     }
+    if (message.regions.is_restricted() && !may_be_made(service->second, message.regions)) {
+        finish_order(state, {order_status::overloaded, {}, no_instance_retry});
+        return;
+    }
     if (backlog.instances == 0) {
         const auto pause_end = first_pause_end(service->second);
         if (!pause_end || *pause_end + call_time(*limits, message.count) > message.deadline) {
@@ -241,7 +245,7 @@
     while (limits != nullptr && service.queue.size() > 0) {
         const auto instance = pick_free_instance(service, *limits);
         if (!instance) {
-            refuse_drained_orders(name, service);
+            refuse_orders_without_instances(name, service);
             return;
         }
         const auto now = common::monotonic_clock::now();
--- a/source/core/gateway/stages/dispatcher.h
+++ b/source/core/gateway/stages/dispatcher.h
@@ -172,8 +172,12 @@
                          const http::call_result& result);
     void schedule_report(const std::string& name, stage_instance& instance);
     void poll_report(const std::string& name, const std::string& id);
-    /// Finishes the orders whose pieces wait although all instances are in drained failure domains.
-    void refuse_drained_orders(const std::string& name, service_state& service);
+    /// Whether an instance in an allowed region takes work, or will when its pause ends.
+    [[nodiscard]] static bool may_be_made(const service_state& service,
+                                          const allowed_regions& regions);
+    /// Finishes the orders whose pieces wait although all instances are in drained failure domains
+    /// or in regions that are not allowed.
+    void refuse_orders_without_instances(const std::string& name, service_state& service);
     void schedule_dispatch(const std::string& name, common::duration delay);
     void forget_finished();
 
--- a/source/core/gateway/stages/dispatcher_instances.cpp
+++ b/source/core/gateway/stages/dispatcher_instances.cpp
@@ -13,8 +13,8 @@
 // Pieces wait for an instance in the preferred failure domain while at least this many full calls
 // fit in before their target time.
 constexpr int locality_wait_calls = 2;
-// Retry delay of orders whose instances are all in drained failure domains.
-constexpr common::duration drained_retry = std::chrono::seconds{5};
+// Retry delay of orders whose instances are all in drained failure domains or other regions.
+constexpr common::duration none_allowed_retry = std::chrono::seconds{5};
 
 http::client_limits call_limits() {
     http::client_limits limits;
@@ -56,6 +56,8 @@
             instance->client = std::make_unique<http::client>(m_context, it.address, call_limits());
             service.health.add_member(id);
         }
+        // Failure domain and region of an incarnation may change with its row.
+        instance->identity = it;
         if (it.phase == upstream_phase::draining) {
             instance->state.announce_drain();
         }
@@ -103,6 +105,9 @@
         return true;
     }
     const auto& order = it->second.order;
+    if (!order.regions.allows(instance.identity.region)) {
+        return false;
+    }
     if (order.preferred_domain.empty() ||
         order.preferred_domain == instance.identity.failure_domain) {
         return true;
@@ -113,6 +118,7 @@
     }
     return std::none_of(service.instances.begin(), service.instances.end(), [&](const auto& other) {
         return other.second->state.accepts_work() &&
+               order.regions.allows(other.second->identity.region) &&
                other.second->identity.failure_domain == order.preferred_domain;
     });
 }
@@ -142,26 +148,34 @@
     return best || usable_instances(service) > 0 ? best : ejected;
 }
 
-void dispatcher::refuse_drained_orders(const std::string& name, service_state& service) {
-    const auto& all = service.instances;
-    const bool any_usable = std::any_of(all.begin(), all.end(), [](const auto& it) {
+bool dispatcher::may_be_made(const service_state& service, const allowed_regions& regions) {
+    return std::any_of(service.instances.begin(), service.instances.end(), [&](const auto& it) {
         const auto& state = it.second->state;
-        return state.accepts_work() || state.accepts_work_as_fallback() ||
-               state.accepts_work_after_pause();
-    });
-    const bool any_drained = std::any_of(all.begin(), all.end(), [](const auto& it) {
-        return it.second->state.is_domain_drained();
+        return regions.allows(it.second->identity.region) &&
+               (state.accepts_work() || state.accepts_work_as_fallback() ||
+                state.accepts_work_after_pause());
     });
-    if (any_usable || !any_drained) {
-        return;
-    }
+}
+
+void dispatcher::refuse_orders_without_instances(const std::string& name, service_state& service) {
+    const bool any_drained =
+        std::any_of(service.instances.begin(), service.instances.end(),
+                    [](const auto& it) { return it.second->state.is_domain_drained(); });
+    std::size_t refused = 0;
     for (const auto& it : service.queue.waiting_orders()) {
         const auto order = m_orders.find(it);
-        if (order != m_orders.end() && !order->second.finished) {
-            finish_order(order->second, {order_status::overloaded, {}, drained_retry});
+        if (order == m_orders.end() || order->second.finished) {
+            continue;
         }
+        const auto& regions = order->second.order.regions;
+        if ((any_drained || regions.is_restricted()) && !may_be_made(service, regions)) {
+            finish_order(order->second, {order_status::overloaded, {}, none_allowed_retry});
+            ++refused;
+        }
+    }
+    if (refused > 0) {
+        m_log.warn("No instance may take the waiting orders.", {{"service", name}});
     }
-    m_log.warn("All instances of a service are in drained failure domains.", {{"service", name}});
 }
 
 } // namespace jujubemast::gateway::stages
--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -437,9 +437,14 @@
         {m_configuration, m_upstreams_read ? marked_upstreams() : nullptr, m_drains.count()});
 }
 
+std::string catalog::region_of(const std::string& failure_domain) const {
+    return m_hooks.region_of ? m_hooks.region_of(failure_domain) : std::string{};
+}
+
 upstream_map_pointer catalog::marked_upstreams() const {
     auto marked = std::make_shared<upstream_map>(m_upstreams.entries());
     for (auto& [id, it] : *marked) {
+        it.region = region_of(it.failure_domain);
         it.domain_drained = m_drains.is_drained(it.failure_domain);
         it.domain_drain_ended = m_drains.drain_ended(it.failure_domain);
     }
@@ -454,6 +459,7 @@
                                 {"service", it.service},
                                 {"address", http::to_string(it.address)},
                                 {"failure_domain", it.failure_domain},
+                                {"region", region_of(it.failure_domain)},
                                 {"drained", m_drains.is_drained(it.failure_domain)},
                                 {"phase", common::to_name(it.phase)}});
     }
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -23,6 +23,8 @@
 
 /// Callbacks through which the catalog publishes what it reads.
 struct catalog_hooks {
+    /// Returns the region of a failure domain, or an empty name if it is unknown. May be empty.
+    std::function<std::string(const std::string& failure_domain)> region_of;
     std::function<void(const discovery_update&)> publish;
     std::function<void(const std::vector<gateway_record>&)> publish_gateways;
     /// A response of the store has shown that the local copy of the configuration is the newest.
@@ -76,7 +78,8 @@
     /// store. Returns whether a drain has begun or ended.
     bool apply_drain_rows(const table_update& update);
     void log_drains(const std::vector<domain_drain>& changes) const;
-    /// The upstreams, with marks at those in drained failure domains.
+    [[nodiscard]] std::string region_of(const std::string& failure_domain) const;
+    /// The upstreams, with their regions and marks at those in drained failure domains.
     [[nodiscard]] upstream_map_pointer marked_upstreams() const;
     void log_faults(const configuration& config) const;
     void apply_upstream_rows(const table_update& update);
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -31,6 +31,8 @@
     std::string failure_domain;
     std::uint32_t slots = 1;
     upstream_phase phase = upstream_phase::serving;
+    /// Region of the failure domain. Empty if it is unknown. Set in published maps only.
+    std::string region = {};
     /// Whether the operator has drained the failure domain. Set in published maps only.
     bool domain_drained = false;
     /// When this gateway learned that the last drain of the failure domain has ended. Nothing if
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 
 #include <gateway_messages.pb.h>
 
@@ -49,6 +50,12 @@
     order.set_result_bytes(from.result_bytes);
     order.set_preferred_domain(from.preferred_domain);
     order.set_inputs_to_release(from.inputs_to_release);
+    if (from.regions.is_restricted()) {
+        auto& regions = *order.mutable_allowed_regions();
+        for (const auto& it : from.regions.names()) {
+            regions.add_names(it);
+        }
+    }
     order.set_target_us(microseconds(from.target_time - now));
     order.set_latest_us(microseconds(from.deadline - now));
 }
@@ -204,6 +211,11 @@
     result.result_bytes = order.result_bytes();
     result.preferred_domain = order.preferred_domain();
     result.inputs_to_release = order.inputs_to_release();
+    if (order.has_allowed_regions()) {
+        const auto& names = order.allowed_regions().names();
+        result.regions =
+            gateway::allowed_regions{std::set<std::string>{names.begin(), names.end()}};
+    }
     result.target_time = now + std::chrono::microseconds{order.target_us()};
     result.deadline = now + std::chrono::microseconds{order.latest_us()};
     return result;
--- a/tests/integration/drained_domain_test.cpp
+++ b/tests/integration/drained_domain_test.cpp
@@ -111,6 +111,22 @@
                                                          {"remove", drained ? none : rows}})});
     }
 
+    /// Replaces the configuration by a version in which the routes have these allowed regions, and
+    /// waits until it is in force.
+    void set_allowed_regions(int version, const boost::json::value& regions) const {
+        const auto former = call(store_address, {"GET", "/configuration", {}, {}}).body;
+        auto document = boost::json::parse(former);
+        document.at("version") = version;
+        for (auto& it : document.at("routes").as_array()) {
+            it.as_object()["allowed_regions"] = regions;
+        }
+        call(store_address, {"POST", "/configuration-bytes", {}, boost::json::serialize(document)});
+        const auto text = R"("configuration":)" + std::to_string(version) + ',';
+        wait_until("the configuration is in force", [&] {
+            return all_dumps([&](const std::string& it) { return count(it, text) >= 2; });
+        });
+    }
+
     void wait_until_known(const std::string& domain, bool drained) const {
         const auto text =
             R"("domain":")" + domain + R"(","drained":)" + (drained ? "true" : "false");
@@ -230,6 +246,28 @@
     BOOST_TEST(send("GET", "/read/1", "plain").status == 200U);
 }
 
+// Guards against requests that run in a region that the operator has excluded.
+BOOST_AUTO_TEST_CASE(request_with_allowed_regions_runs_only_there) {
+    set_allowed_regions(5, boost::json::array{"r2"});
+    const auto used = used_instances("r2");
+    BOOST_TEST(used.contains("d2"));
+    BOOST_TEST(used.contains("e2"));
+    BOOST_TEST(!used.contains("d1"));
+    BOOST_TEST(!used.contains("e1"));
+    // The instances of the stages are in the other region.
+    BOOST_TEST(send_staged("staged", "k", 0).status == 503U);
+    BOOST_TEST(records("staged").empty());
+    set_allowed_regions(6, boost::json::array{"r1", "r2"});
+    BOOST_TEST(send_staged("allowed", "k", 0).complete);
+    int version = 7;
+    for (const auto* regions : {R"(["other"])", "[]", R"("r1")", "[7]"}) {
+        const auto attempt = "refused-" + std::to_string(version);
+        set_allowed_regions(version++, boost::json::parse(regions));
+        BOOST_TEST(send("GET", "/read/1", attempt).status == 503U);
+        BOOST_TEST(records(attempt).empty());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/integration/gateway_fixture.h
+++ b/tests/integration/gateway_fixture.h
@@ -87,6 +87,7 @@
     std::string write_settings(const std::string& name, double processor_share = 1) const {
         auto path = directory + "/" + name + ".yaml";
         std::ofstream{path} << "instance:\n  name: " << name << "\n  failure_domain: z\n"
+                            << "  regions: z=r1,y=r2\n"
                             << "  processor_share: " << processor_share << "\n"
                             << "  memory_mb: " << memory_mb << "\n"
                             << "callers:\n  listen: 127.0.0.1:0\n  stop_grace_ms: 300\n"
--- a/tests/unit/gateway/instances/service_pool_test.cpp
+++ b/tests/unit/gateway/instances/service_pool_test.cpp
@@ -164,6 +164,28 @@
     BOOST_TEST((choose({"b"}).outcome == choice_outcome::chosen));
 }
 
+// Guards against a request that runs in a region that the operator has excluded, by whatever way
+// its instance is chosen.
+BOOST_AUTO_TEST_CASE(request_with_allowed_regions_gets_only_instances_there) {
+    const allowed_regions regions{{"r1"}};
+    known["a"].region = "r1";
+    known["b"].region = "r2";
+    subject.update("s", known, now);
+    for (int n = 0; n < 4; ++n) {
+        BOOST_TEST(subject.choose({.now = now}, regions).member->identity.id == "a");
+    }
+    BOOST_TEST(!subject.has_alternative({"a"}, now, regions));
+    BOOST_TEST(subject.has_alternative({"a"}, now));
+    for (std::uint64_t prefix = 1; prefix < 20; ++prefix) {
+        BOOST_TEST(subject.affinity_member(prefix, regions)->identity.id == "a");
+    }
+    // The region of an instance whose failure domain is not in the settings is unknown.
+    known["a"].region = "";
+    subject.update("s", known, now);
+    BOOST_TEST((subject.choose({.now = now}, regions).outcome == choice_outcome::none));
+    BOOST_TEST((choose().outcome == choice_outcome::chosen));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/gateway/stages/dispatcher_test.cpp
+++ b/tests/unit/gateway/stages/dispatcher_test.cpp
@@ -109,8 +109,9 @@
     }
 
     /// Orders one piece and waits for the outcome.
-    order_status make_piece(std::uint64_t number) {
+    order_status make_piece(std::uint64_t number, const allowed_regions& regions = {}) {
         piece_order order;
+        order.regions = regions;
         order.key.number = number;
         order.service = "stages";
         order.count = 1;
@@ -211,6 +212,17 @@
     BOOST_TEST((make_piece(2) == order_status::made));
 }
 
+// Guards against pieces that are made in a region that the operator has excluded.
+BOOST_FIXTURE_TEST_CASE(order_with_allowed_regions_is_made_only_there, drained_instance_fixture) {
+    auto known = *update.upstreams;
+    known["i"].region = "r1";
+    update.upstreams = std::make_shared<const upstream_map>(known);
+    inbox->post(update);
+    BOOST_TEST((make_piece(1, allowed_regions{{"r1"}}) == order_status::made));
+    BOOST_TEST((make_piece(2, allowed_regions{{"r2"}}) == order_status::overloaded));
+    BOOST_TEST(count_requests("/make") == 1U);
+}
+
 // Guards against results in a drained failure domain that use memory until they expire.
 BOOST_FIXTURE_TEST_CASE(result_in_a_drained_domain_is_released, drained_instance_fixture) {
     inbox->post(update);
--- a/tests/unit/users_platform/configuration_test.cpp
+++ b/tests/unit/users_platform/configuration_test.cpp
@@ -1,6 +1,7 @@
 #include "configuration.h"
 
 #include <algorithm>
+#include <set>
 
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
@@ -151,6 +152,39 @@
     }
 }
 
+// Guards against a request that runs in a region that the operator has excluded, because the list
+// of regions could not be decoded.
+BOOST_AUTO_TEST_CASE(malformed_regions_make_the_route_or_the_workspace_unusable) {
+    for (const auto* value : {"7", R"("r1")", "{}", "[7]", "[null]", R"(["r1", ""])"}) {
+        BOOST_TEST_CONTEXT(value) {
+            const auto route = decode_with("/routes/1/allowed_regions", value);
+            BOOST_TEST(!is_usable(route, "/staged/1"));
+            BOOST_TEST(is_usable(route, "/plain/1"));
+            BOOST_TEST(names_element(route, "staged"));
+            const auto tenant = decode_with("/tenants/0/allowed_regions", value);
+            BOOST_TEST(!gateway::find_workspace(tenant, "k1")->usable);
+            BOOST_TEST(gateway::find_workspace(tenant, "k3")->usable);
+            BOOST_TEST(names_element(tenant, "tenants[0]"));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(regions_of_routes_and_workspaces_are_decoded) {
+    const auto config = decode_with("/routes/1/allowed_regions", R"(["r1", "r2"])");
+    const auto& regions = gateway::find_route(config, "h", "/staged/1")->regions;
+    BOOST_TEST(regions.allows("r2"));
+    BOOST_TEST(!regions.allows("r3"));
+    BOOST_TEST(!regions.allows(""));
+    BOOST_TEST(!gateway::find_route(config, "h", "/plain/1")->regions.is_restricted());
+    const auto tenant = decode_with("/tenants/0/allowed_regions", R"(["r2", "r3"])");
+    const auto both = regions.restricted_by(gateway::find_workspace(tenant, "k1")->regions);
+    BOOST_TEST((both.names() == std::set<std::string>{"r2"}));
+    // An empty list allows no region.
+    const auto none = decode_with("/routes/1/allowed_regions", "[]");
+    BOOST_TEST(is_usable(none, "/staged/1"));
+    BOOST_TEST(!gateway::find_route(none, "h", "/staged/1")->regions.allows("r1"));
+}
+
 // Guards against a route that is unusable because of a member with a default.
 BOOST_AUTO_TEST_CASE(route_with_a_malformed_option_uses_the_default) {
     const std::vector<std::pair<const char*, std::vector<const char*>>> odd_values{
--- a/tests/unit/wire/gateway_codec_test.cpp
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -42,6 +42,18 @@
     BOOST_TEST((read.deadline == receiver_now + seconds{4}));
 }
 
+// Guards against pieces that are made in other regions because the owner does not learn of the
+// list.
+BOOST_AUTO_TEST_CASE(order_when_decoded_keeps_its_allowed_regions) {
+    gateway::piece_order order;
+    const auto decoded = [&] { return std::get<gateway::piece_order>(round_trip(order).content); };
+    BOOST_TEST(!decoded().regions.is_restricted());
+    for (const auto& names : {std::set<std::string>{}, std::set<std::string>{"r1", "r2"}}) {
+        order.regions = gateway::allowed_regions{names};
+        BOOST_TEST((decoded().regions == order.regions));
+    }
+}
+
 // Guards against ages that are interpreted on the clock of another process.
 BOOST_AUTO_TEST_CASE(crash_evidence_when_decoded_on_another_clock_keeps_its_ages) {
     const gateway::incarnation instance{"i1", 1'700'000'000'123, "10.0.0.1:80"};
