--- a/source/core/gateway/store/drained_domains.cpp
+++ b/source/core/gateway/store/drained_domains.cpp
@@ -41,8 +41,11 @@
         }
     }
     for (auto& [domain, known] : m_domains) {
-        const bool listed = std::any_of(
-            rows.begin(), rows.end(), [&](const domain_drain& it) { return it.domain == domain; });
+        // A structured binding cannot be captured.
+        const auto& name = domain;
+        const bool listed = std::any_of(rows.begin(), rows.end(), [&name](const domain_drain& it) {
+            return it.domain == name;
+        });
         if (!listed && known.in_force && known.version <= version) {
             known = {version, false, now};
             changes.push_back({domain, version, false});
--- a/tests/integration/drained_domain_test.cpp
+++ b/tests/integration/drained_domain_test.cpp
@@ -194,6 +194,7 @@
     wait_until("the others know the drain",
                [&] { return dump(1).find(R"("domain":"y","drained":true)") != std::string::npos; });
     std::vector<std::future<received_response>> responses;
+    responses.reserve(requests);
     for (int n = 0; n < requests; ++n) {
         responses.push_back(std::async(std::launch::async, [this, n] {
             return send("GET", "/read/1", "frozen-" + std::to_string(n));
