gateway: drained failure domains and allowed regions

Rows that drain a failure domain are read with the configuration, announced to all gateways, and mark its instances, which no choice takes any more; requests that need only such instances get 503 at arrival. Allowed regions of routes and workspaces bind every choice of an instance, that of an engine for a long prompt included.

--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -23,7 +23,7 @@
 
 /// Whether requests may be sent to the member: an ejected one gets them if there is no other.
 bool takes_requests(const pool_member& member) {
-    return member.state.accepts_work() || member.state.phase() == instance_phase::ejected;
+    return member.state.accepts_work() || member.state.accepts_work_as_fallback();
 }
 
 bool is_excluded(const std::vector<std::string>& excluded, const pool_member& member) {
@@ -55,6 +55,7 @@
         if (it->identity.phase == upstream_phase::draining) {
             it->state.announce_drain();
         }
+        it->state.set_domain_drained(it->identity.domain_drained);
     }
     // A member that pauses is kept, because its entry may come back before the pause ends. Requests
     // in progress keep the others and their clients alive until they end.
@@ -162,7 +163,8 @@
     }
 }
 
-std::vector<policy::upstream_view> service_pool::views(common::time_point now) const {
+std::vector<policy::upstream_view> service_pool::views(common::time_point now,
+                                                       const allowed_regions& regions) const {
     std::vector<policy::upstream_view> result;
     result.reserve(m_members.size());
     for (const auto& it : m_members) {
@@ -170,8 +172,8 @@
         view.name = it->identity.id;
         view.name_digest = it->digest;
         view.failure_domain = it->identity.failure_domain;
-        view.available =
-            takes_requests(*it) && it->has_free_connection() && next_send(*it, now) <= now;
+        view.available = takes_requests(*it) && regions.allows(it->identity.region) &&
+                         it->has_free_connection() && next_send(*it, now) <= now;
         view.ejected = it->state.phase() == instance_phase::ejected;
         view.reported_in_progress = it->in_progress;
         view.limit = it->identity.slots;
@@ -181,11 +183,12 @@
     return result;
 }
 
-instance_choice service_pool::choose(const policy::routing_request& request) {
+instance_choice service_pool::choose(const policy::routing_request& request,
+                                     const allowed_regions& regions) {
     update_states(request.now);
-    const auto chosen = m_route(request, views(request.now));
+    const auto chosen = m_route(request, views(request.now, regions));
     if (!chosen) {
-        return explain_no_choice(request);
+        return explain_no_choice(request, regions);
     }
     record_choice(*m_members[*chosen], request.now);
     return {choice_outcome::chosen, m_members[*chosen], {}};
@@ -199,9 +202,10 @@
     }
 }
 
-std::shared_ptr<pool_member> service_pool::preview(const policy::routing_request& request) {
+std::shared_ptr<pool_member> service_pool::preview(const policy::routing_request& request,
+                                                   const allowed_regions& regions) {
     update_states(request.now);
-    const auto chosen = m_route(request, views(request.now));
+    const auto chosen = m_route(request, views(request.now, regions));
     return chosen ? m_members[*chosen] : nullptr;
 }
 
@@ -218,10 +222,11 @@
     return *it;
 }
 
-instance_choice service_pool::explain_no_choice(const policy::routing_request& request) const {
+instance_choice service_pool::explain_no_choice(const policy::routing_request& request,
+                                                const allowed_regions& regions) const {
     instance_choice result;
     for (const auto& it : m_members) {
-        if (is_excluded(request.excluded, *it)) {
+        if (is_excluded(request.excluded, *it) || !regions.allows(it->identity.region)) {
             continue;
         }
         if (takes_requests(*it)) {
@@ -232,21 +237,26 @@
             }
             result.outcome = std::min(result.outcome, choice_outcome::cold);
             result.retry_at = std::min(result.retry_at.value_or(next), next);
-        } else if (it->state.phase() == instance_phase::pausing) {
+        } else if (it->state.accepts_work_after_pause()) {
             const auto end = it->state.paused_until();
             result.outcome = std::min(result.outcome, choice_outcome::pausing);
             result.retry_at = std::min(result.retry_at.value_or(end), end);
         }
+        if (it->state.is_domain_drained()) {
+            result.outcome = std::min(result.outcome, choice_outcome::drained);
+        }
     }
     return result;
 }
 
-std::shared_ptr<pool_member> service_pool::affinity_member(std::uint64_t prefix) {
+std::shared_ptr<pool_member> service_pool::affinity_member(std::uint64_t prefix,
+                                                           const allowed_regions& regions) const {
     std::shared_ptr<pool_member> best;
     std::uint64_t best_rank = 0;
     for (const auto& it : m_members) {
         const auto rank = policy::rendezvous_rank(prefix, it->digest);
-        if (it->state.phase() != instance_phase::gone && (!best || rank > best_rank)) {
+        if (it->state.phase() != instance_phase::gone && !it->state.is_domain_drained() &&
+            regions.allows(it->identity.region) && (!best || rank > best_rank)) {
             best = it;
             best_rank = rank;
         }
@@ -254,22 +264,24 @@
     return best;
 }
 
-bool service_pool::has_alternative(const std::vector<std::string>& excluded,
-                                   common::time_point now) {
+bool service_pool::has_alternative(const std::vector<std::string>& excluded, common::time_point now,
+                                   const allowed_regions& regions) {
     update_states(now);
     return std::any_of(m_members.begin(), m_members.end(),
                        [&](const std::shared_ptr<pool_member>& it) {
-                           return takes_requests(*it) && !is_excluded(excluded, *it);
+                           return takes_requests(*it) && regions.allows(it->identity.region) &&
+                                  !is_excluded(excluded, *it);
                        });
 }
 
 bool service_pool::has_ready_alternative(const std::vector<std::string>& excluded,
-                                         common::time_point now) {
+                                         common::time_point now, const allowed_regions& regions) {
     update_states(now);
-    return std::any_of(
-        m_members.begin(), m_members.end(), [&](const std::shared_ptr<pool_member>& it) {
-            return takes_requests(*it) && !is_excluded(excluded, *it) && next_send(*it, now) <= now;
-        });
+    return std::any_of(m_members.begin(), m_members.end(),
+                       [&](const std::shared_ptr<pool_member>& it) {
+                           return takes_requests(*it) && !is_excluded(excluded, *it) &&
+                                  regions.allows(it->identity.region) && next_send(*it, now) <= now;
+                       });
 }
 
 void service_pool::record_success(const pool_member& member, common::duration service_time,
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "common/enum_names.h"
+#include "gateway/allowed_regions.h"
 #include "gateway/instances/instance_state.h"
 #include "gateway/instances/send_window.h"
 #include "gateway/instances/waiting_requests.h"
@@ -58,6 +59,10 @@
     cold,
     /// All instances that would take work pause.
     pausing,
+    /// Instances that would take work are in drained failure domains.
+    drained,
+    /// This process was paused and may not know a drain that was set meanwhile.
+    process_paused,
     none
 };
 
@@ -96,23 +101,31 @@
     /// Sets the limit on the requests to cold instances.
     void set_warm_up(std::optional<warm_up_rule> rule, common::time_point now);
 
-    /// Chooses an instance that takes work, has a free connection and a permit if it is cold.
-    instance_choice choose(const policy::routing_request& request);
+    /// Chooses an instance in an allowed region that takes work, has a free connection and a permit
+    /// if it is cold.
+    instance_choice choose(const policy::routing_request& request,
+                           const allowed_regions& regions = {});
 
     /// Returns the instance that `choose` would choose, or null. Records nothing.
-    std::shared_ptr<pool_member> preview(const policy::routing_request& request);
+    std::shared_ptr<pool_member> preview(const policy::routing_request& request,
+                                         const allowed_regions& regions = {});
 
     /// Chooses the instance with this id if it can take a request now. Returns null otherwise.
     std::shared_ptr<pool_member> take(const std::string& id, common::time_point now);
 
-    /// Returns the instance that a prompt prefix hashes to regardless of load, or null.
-    [[nodiscard]] std::shared_ptr<pool_member> affinity_member(std::uint64_t prefix);
+    /// Returns the instance outside the drained failure domains that a prompt prefix hashes to
+    /// regardless of load, or null.
+    [[nodiscard]] std::shared_ptr<pool_member>
+    affinity_member(std::uint64_t prefix, const allowed_regions& regions = {}) const;
 
-    /// Whether an instance that is not excluded accepts work, now or when it has a permit.
-    bool has_alternative(const std::vector<std::string>& excluded, common::time_point now);
+    /// Whether an instance in an allowed region that is not excluded accepts work, now or when it
+    /// has a permit.
+    bool has_alternative(const std::vector<std::string>& excluded, common::time_point now,
+                         const allowed_regions& regions = {});
 
     /// The same without the instances that have no permit now.
-    bool has_ready_alternative(const std::vector<std::string>& excluded, common::time_point now);
+    bool has_ready_alternative(const std::vector<std::string>& excluded, common::time_point now,
+                               const allowed_regions& regions = {});
 
     /// The instances that were cold at the last update.
     [[nodiscard]] std::vector<std::shared_ptr<const pool_member>> cold_members() const;
@@ -132,9 +145,11 @@
     void record_choice(pool_member& member, common::time_point now);
     /// Brings the phases of all members up to date.
     void update_states(common::time_point now);
-    [[nodiscard]] std::vector<policy::upstream_view> views(common::time_point now) const;
+    [[nodiscard]] std::vector<policy::upstream_view> views(common::time_point now,
+                                                           const allowed_regions& regions) const;
     /// Returns why no member was chosen.
-    [[nodiscard]] instance_choice explain_no_choice(const policy::routing_request& request) const;
+    [[nodiscard]] instance_choice explain_no_choice(const policy::routing_request& request,
+                                                    const allowed_regions& regions) const;
     void update_cold(pool_member& member, common::time_point now) const;
     /// When the limit of cold instances permits a request to the member. If the time is later than
     /// now, the number of permits may have changed by then.
@@ -160,8 +175,8 @@
 
 template <>
 struct enum_names<gateway::instances::choice_outcome> {
-    static constexpr std::array<std::string_view, 5> table{"chosen", "no_connection", "cold",
-                                                           "pausing", "none"};
+    static constexpr std::array<std::string_view, 7> table{
+        "chosen", "no_connection", "cold", "pausing", "drained", "process_paused", "none"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -9,6 +9,7 @@
 #include "gateway/adapter.h"
 #include "gateway/configuration.h"
 #include "gateway/crash_evidence.h"
+#include "gateway/domain_drain.h"
 #include "gateway/piece_order.h"
 #include "gateway/service_backlog.h"
 #include "gateway/table_changes.h"
@@ -22,6 +23,8 @@
 struct discovery_update {
     configuration_pointer configuration;
     upstream_map_pointer upstreams;
+    /// Number of failure domains that the operator has drained, with or without upstreams.
+    std::size_t drained_domains = 0;
 };
 
 /// The store has shown that the local copy of the configuration is the newest.
@@ -29,6 +32,11 @@
     common::time_point at;
 };
 
+/// The store has shown that the local set of drained failure domains is the newest.
+struct drains_confirmed {
+    common::time_point at;
+};
+
 /// A request that arrived on a caller's connection.
 struct request_received {
     std::uint64_t id = 0;
@@ -152,20 +160,21 @@
 };
 
 using forwarder_message =
-    std::variant<discovery_update, configuration_confirmed, request_received, caller_disconnected,
-                 order_ended, gateway_names_changed, gateway_names_confirmed, backlog_report,
-                 crash_evidence, gateway_live, reading_request, reading_response, shutdown_started,
-                 admin::metrics_query>;
+    std::variant<discovery_update, configuration_confirmed, drains_confirmed, request_received,
+                 caller_disconnected, order_ended, gateway_names_changed, gateway_names_confirmed,
+                 backlog_report, crash_evidence, gateway_live, reading_request, reading_response,
+                 shutdown_started, admin::metrics_query>;
 
 using peers_message =
     std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
-                 backlog_report, instance_leaving, crash_evidence, table_relay, reading_request,
-                 reading_response, shutdown_started>;
+                 backlog_report, instance_leaving, crash_evidence, table_relay, domain_drains,
+                 reading_request, reading_response, shutdown_started>;
 
 using dispatcher_message =
-    std::variant<discovery_update, piece_order, cancel_order, release_results, owners_changed,
-                 process_paused, shutdown_started>;
+    std::variant<discovery_update, drains_confirmed, piece_order, cancel_order, release_results,
+                 owners_changed, process_paused, shutdown_started>;
 
-using catalog_message = std::variant<instance_leaving, process_paused, table_relay, store_role>;
+using catalog_message =
+    std::variant<instance_leaving, process_paused, table_relay, store_role, domain_drains>;
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -36,13 +36,17 @@
       // Starts at a random number, because another gateway may still remember the orders of this
       // gateway's previous run.
       m_next_order{m_options.random() >> 1U}, m_next_question{m_options.random() >> 1U},
-      m_suspects{{}, [this](const evidence::suspect_view& part) { log_suspect(part); }},
+      m_pause_guard_timer{m_context.loop()}, m_suspects{{},
+                                                        [this](const evidence::suspect_view& part) {
+                                                            log_suspect(part);
+                                                        }},
       m_evidence_timer{m_context.loop()}, m_settling_timer{m_context.loop()} {}
 
 void forwarder::start() {
     m_inbox.receive(m_context.wrap([this](const forwarder_message& message) {
         std::visit([this](const auto& it) { handle(it); }, message);
     }));
+    check_for_pause();
 }
 
 void forwarder::close() noexcept {
@@ -50,6 +54,7 @@
     m_retries.clear();
     m_evidence_timer.cancel();
     m_settling_timer.cancel();
+    m_pause_guard_timer.cancel();
     m_exchanges.clear();
     m_pools.clear();
 }
@@ -57,11 +62,14 @@
 void forwarder::handle(const discovery_update& message) {
     m_configuration = message.configuration;
     m_upstreams = message.upstreams;
+    m_metrics.set_drained_domains(message.drained_domains);
     if (m_configuration) {
         m_response_times.retain_routes(*m_configuration);
         m_metrics.set_configuration_faults(m_configuration->faults.size());
     }
     m_estimator.set_upstreams(m_upstreams);
+    m_drained_services =
+        m_upstreams ? instances::find_drained_services(*m_upstreams) : std::set<std::string>{};
     const auto now = common::monotonic_clock::now();
     if (m_upstreams) {
         for (auto& [name, pool] : m_pools) {
@@ -165,7 +173,7 @@
 }
 
 bool forwarder::may_be_in_undecoded_part(lookup_result result) const {
-    return result == lookup_result::unusable_route ||
+    return result == lookup_result::unusable_route || result == lookup_result::unusable_workspace ||
            (result == lookup_result::no_route && !m_configuration->routes_complete) ||
            (result == lookup_result::unknown_key && !m_configuration->keys_complete);
 }
@@ -183,7 +191,12 @@
     if (owner == nullptr && m_configuration->keys_required && !ex.matched_route->is_public) {
         return lookup_result::unknown_key;
     }
+    ex.regions = ex.matched_route->regions;
+    if (owner != nullptr && !owner->usable) {
+        return lookup_result::unusable_workspace;
+    }
     if (owner != nullptr) {
+        ex.regions = ex.regions.restricted_by(owner->regions);
         ex.workspace = owner->name;
         ex.priority = owner->priority.value_or(ex.priority);
     }
@@ -206,7 +219,7 @@
     ex.events = event_relay{ex.request.last_event};
     ex.stages.progress = stages::stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     limit_to_stop(ex);
-    if (!admit_in_stop(ex)) {
+    if (!admit_in_stop(ex) || refuse_if_none_allowed(ex)) {
         return;
     }
     ex.deadline_timer = std::make_unique<runtime::timer>(m_context.loop());
@@ -222,6 +235,32 @@
     advance_stages(ex);
 }
 
+std::string forwarder::find_obstacle(const exchange& ex, const std::string& service) const {
+    if (m_drained_services.contains(service)) {
+        return "all instances are in drained failure domains: " + service;
+    }
+    if (ex.regions.is_restricted() && m_upstreams &&
+        !instances::has_instance_in(*m_upstreams, service, ex.regions)) {
+        return "no instance in an allowed region: " + service;
+    }
+    return {};
+}
+
+bool forwarder::refuse_if_none_allowed(exchange& ex) {
+    auto obstacle = find_obstacle(ex, ex.service);
+    const auto& stages = ex.matched_route->stages;
+    for (std::uint32_t n = 0; n < stages.size() && obstacle.empty(); ++n) {
+        if (ex.stages.progress.count_of(n) > 0) {
+            obstacle = find_obstacle(ex, stages[n].service);
+        }
+    }
+    if (obstacle.empty()) {
+        return false;
+    }
+    refuse(ex, status_unavailable, obstacle, drained_retry_after);
+    return true;
+}
+
 bool forwarder::admit_stages(exchange& ex) {
     const auto decision = decide_admission(m_estimator, staged(ex), ex.service,
                                            ex.first_event_deadline - ex.times.arrived,
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,8 @@
 #include "gateway/adapter.h"
 #include "gateway/evidence/attempt_evidence.h"
 #include "gateway/evidence/crash_suspects.h"
+#include "gateway/instances/drained_services.h"
+#include "gateway/instances/pause_guard.h"
 #include "gateway/instances/reading_schedule.h"
 #include "gateway/instances/service_pool.h"
 #include "gateway/messages.h"
@@ -41,7 +44,7 @@
 };
 
 /// Result of looking up a request in the configuration.
-enum class lookup_result { found, no_route, unusable_route, unknown_key };
+enum class lookup_result { found, no_route, unusable_route, unknown_key, unusable_workspace };
 
 struct forwarder_options {
     /// Name of this gateway.
@@ -72,8 +75,13 @@
     [[nodiscard]] boost::json::value dump() const override;
 
 private:
+    /// Retry delay of requests whose instances are all in drained failure domains. They stay there
+    /// until the operator ends a drain.
+    static constexpr common::duration drained_retry_after = std::chrono::seconds{5};
+
     void handle(const discovery_update& message);
     void handle(const configuration_confirmed& message);
+    void handle(const drains_confirmed& message);
     void handle(const request_received& message);
     void handle(const caller_disconnected& message);
     void handle(const order_ended& message);
@@ -107,6 +115,11 @@
     /// Whether a part of the configuration that could not be decoded may allow the request.
     [[nodiscard]] bool may_be_in_undecoded_part(lookup_result result) const;
     void admit(exchange& ex);
+    /// Refuses a request that needs a service whose instances are all in drained failure domains or
+    /// in regions that are not allowed. Returns whether it was refused.
+    bool refuse_if_none_allowed(exchange& ex);
+    /// Returns why no instance of a service may get the request, or an empty string.
+    [[nodiscard]] std::string find_obstacle(const exchange& ex, const std::string& service) const;
     /// Refuses a request whose response cannot begin in time because of its stages. Returns whether
     /// it was admitted.
     bool admit_stages(exchange& ex);
@@ -159,6 +172,9 @@
     [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex) const;
     /// Lets a request wait for an instance, or refuses it if none can take it in time.
     void wait_for_instance(exchange& ex, const instances::instance_choice& choice);
+    /// Records that this task runs, and serves held requests when their time is over.
+    void check_for_pause();
+    void schedule_all_waiting();
     /// Serves the requests that wait for an instance, later in the event loop.
     void schedule_waiting(const std::string& service);
     /// The same at a time when an instance may be able to take a request.
@@ -237,6 +253,8 @@
     configuration_pointer m_configuration;
     std::optional<common::time_point> m_configuration_confirmed;
     upstream_map_pointer m_upstreams;
+    /// Services whose instances are all in drained failure domains.
+    std::set<std::string> m_drained_services;
     std::map<std::string, std::unique_ptr<instances::service_pool>> m_pools;
     /// Memory for the bodies of responses.
     http::buffer_budget m_bodies;
@@ -266,6 +284,8 @@
         common::time_point at;
     };
     std::map<std::string, scheduled_retry> m_retries;
+    instances::pause_guard m_pause_guard;
+    runtime::timer m_pause_guard_timer;
     response_times m_response_times;
     /// When an ordered stop closes the callers' connections.
     std::optional<common::time_point> m_stop_deadline;
@@ -283,8 +303,8 @@
 
 template <>
 struct enum_names<gateway::requests::lookup_result> {
-    static constexpr std::array<std::string_view, 4> table{"found", "no_route", "unusable_route",
-                                                           "unknown_key"};
+    static constexpr std::array<std::string_view, 5> table{"found", "no_route", "unusable_route",
+                                                           "unknown_key", "unusable_workspace"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -59,6 +59,10 @@
     if (refuse_if_quarantined(ex) || refuse_if_cut_by_stop(ex, common::duration::zero())) {
         return;
     }
+    if (!m_pause_guard.allows_work(common::monotonic_clock::now())) {
+        wait_for_instance(ex, {instances::choice_outcome::process_paused, nullptr, {}});
+        return;
+    }
     if (!start_reading_search(ex)) {
         send_anywhere(ex, {});
     }
@@ -68,9 +72,9 @@
     auto& pool = pool_of(ex.service);
     auto routing = make_routing_request(ex);
     routing.excluded.insert(routing.excluded.end(), avoided.begin(), avoided.end());
-    auto choice = pool.choose(routing);
+    auto choice = pool.choose(routing, ex.regions);
     if (!avoided.empty() && choice.outcome != instances::choice_outcome::chosen) {
-        choice = pool.choose(make_routing_request(ex));
+        choice = pool.choose(make_routing_request(ex), ex.regions);
     }
     if (choice.outcome != instances::choice_outcome::chosen) {
         wait_for_instance(ex, choice);
@@ -87,6 +91,11 @@
         refuse(ex, status_unavailable, "no upstream takes work");
         return;
     }
+    if (choice.outcome == instances::choice_outcome::drained) {
+        refuse(ex, status_unavailable,
+               "all instances are in drained failure domains: " + ex.service, drained_retry_after);
+        return;
+    }
     if (choice.retry_at) {
         const bool is_cold = choice.outcome == instances::choice_outcome::cold;
         const bool needs_connection = choice.outcome == instances::choice_outcome::no_connection;
@@ -110,6 +119,26 @@
                                           {"waiting", std::to_string(waiting.size())}});
 }
 
+void forwarder::check_for_pause() {
+    if (m_pause_guard.end_hold_if_due(common::monotonic_clock::now())) {
+        schedule_all_waiting();
+    }
+    m_pause_guard_timer.start(instances::pause_guard::tick,
+                              m_context.wrap([this] { check_for_pause(); }));
+}
+
+void forwarder::handle(const drains_confirmed& message) {
+    if (m_pause_guard.record_confirmed(message.at)) {
+        schedule_all_waiting();
+    }
+}
+
+void forwarder::schedule_all_waiting() {
+    for (const auto& [name, pool] : m_pools) {
+        schedule_waiting(name);
+    }
+}
+
 void forwarder::schedule_waiting(const std::string& service) {
     if (pool_of(service).waiting().size() > 0) {
         m_context.loop().post(m_context.wrap([this, service] { serve_waiting(service); }));
@@ -132,11 +161,20 @@
 
 void forwarder::serve_waiting(const std::string& service) {
     auto& waiting = pool_of(service).waiting();
-    for (auto first = waiting.front(); first; first = waiting.front()) {
-        send(*find(*first));
-        if (waiting.front() == first) {
+    for (auto id = waiting.front(); id;) {
+        auto& ex = *find(*id);
+        const bool restricted = ex.regions.is_restricted();
+        const bool first = waiting.front() == id;
+        const auto next = restricted ? waiting.next_after(*id) : std::nullopt;
+        send(ex);
+        if (restricted) {
+            // Others may use instances that this request may not.
+            id = next;
+        } else if (first ? waiting.front() == id : waiting.contains(*id)) {
             // No instance can take it yet.
             return;
+        } else {
+            id = waiting.front();
         }
     }
 }
@@ -153,7 +191,7 @@
     options.inputs = ex.stages.progress.final_inputs();
     if (ex.matched_route->kind == repeatability::stream) {
         options.urgency = std::clamp(ex.priority, 0, lowest_urgency);
-        const auto affinity = pool.affinity_member(prefix);
+        const auto affinity = pool.affinity_member(prefix, ex.regions);
         // The cache of an instance that drains is worth reading while it lasts.
         if (prefix != 0 && affinity && affinity != member && affinity->state.accepts_calls()) {
             options.cache_source = http::to_string(affinity->identity.address);
@@ -213,7 +251,8 @@
     hooks.on_failed = [this, id](const attempt_failure& it) { attempt_failed(*find(id), it); };
     hooks.on_time_limit = [this, id] {
         const auto& ex = *find(id);
-        return pool_of(ex.service).has_ready_alternative(ex.tried, common::monotonic_clock::now());
+        return pool_of(ex.service)
+            .has_ready_alternative(ex.tried, common::monotonic_clock::now(), ex.regions);
     };
     hooks.on_silence = [this, id] { return another_instance_can_go_on(*find(id)); };
     return hooks;
@@ -303,7 +342,8 @@
     auto facts = facts_of(ex, end, now);
     facts.budget_left = pool_of(ex.service).budget().has_token(now);
     facts.alternative_available =
-        facts.alternative_available && pool_of(ex.service).has_ready_alternative(ex.tried, now);
+        facts.alternative_available &&
+        pool_of(ex.service).has_ready_alternative(ex.tried, now, ex.regions);
     return decide_next_step(facts) == next_step::retry;
 }
 
@@ -319,7 +359,8 @@
     // Another instance must not be lost to a request that may have crashed this one.
     const bool is_risky =
         !is_certainly_not_run(end) && m_suspects.is_repeat_risky(ex.shared_parts, now);
-    facts.alternative_available = !is_risky && pool_of(ex.service).has_alternative(ex.tried, now);
+    facts.alternative_available =
+        !is_risky && pool_of(ex.service).has_alternative(ex.tried, now, ex.regions);
     return facts;
 }
 
--- a/source/core/gateway/requests/forwarder_readings.cpp
+++ b/source/core/gateway/requests/forwarder_readings.cpp
@@ -51,7 +51,7 @@
     auto routing = make_routing_request(ex);
     const auto& refused = ex.reading->refused();
     routing.excluded.insert(routing.excluded.end(), refused.begin(), refused.end());
-    const auto member = pool_of(ex.service).preview(routing);
+    const auto member = pool_of(ex.service).preview(routing, ex.regions);
     if (!member) {
         return false;
     }
--- a/source/core/gateway/stages/dispatcher.cpp
+++ b/source/core/gateway/stages/dispatcher.cpp
@@ -15,7 +15,7 @@
 // Part of an instance's result memory that is used, because the configured result sizes are
 // approximate.
 constexpr double usable_memory_share = 0.85;
-constexpr common::duration backlog_report_interval = std::chrono::milliseconds{200};
+constexpr common::duration backlog_report_interval = instances::pause_guard::tick;
 // How long an instance is skipped when another failure domain is preferred for all waiting pieces.
 constexpr common::duration locality_backoff = std::chrono::milliseconds{30};
 // Retry delay that is returned while a service has no instance.
@@ -101,8 +101,12 @@
     for (auto& [name, state] : m_services) {
         update_instances(name, state);
     }
-    for (auto& [name, state] : m_services) {
-        dispatch(name);
+    dispatch_all();
+}
+
+void dispatcher::handle(const drains_confirmed& message) {
+    if (m_pause_guard.record_confirmed(message.at)) {
+        dispatch_all();
     }
 }
 
@@ -124,6 +128,9 @@
 }
 
 void dispatcher::report_backlogs() {
+    if (m_pause_guard.end_hold_if_due(common::monotonic_clock::now())) {
+        dispatch_all();
+    }
     backlog_report report;
     for (auto& [name, service] : m_services) {
         auto backlog = backlog_of(name, service);
@@ -162,6 +169,10 @@
         finish_order(state, {order_status::overloaded, {}, no_instance_retry});
         return;
     }
+    if (message.regions.is_restricted() && !may_be_made(service->second, message.regions)) {
+        finish_order(state, {order_status::overloaded, {}, no_instance_retry});
+        return;
+    }
     if (backlog.instances == 0) {
         const auto pause_end = first_pause_end(service->second);
         if (!pause_end || *pause_end + call_time(*limits, message.count) > message.deadline) {
@@ -221,12 +232,23 @@
     }
 }
 
+void dispatcher::dispatch_all() {
+    for (auto& [name, state] : m_services) {
+        dispatch(name);
+    }
+}
+
 void dispatcher::dispatch(const std::string& name) {
+    if (!m_pause_guard.allows_work(common::monotonic_clock::now())) {
+        // The end of the hold dispatches again.
+        return;
+    }
     const auto* limits = limits_of(name);
     auto& service = m_services[name];
     while (limits != nullptr && service.queue.size() > 0) {
         const auto instance = pick_free_instance(name, service, *limits);
         if (!instance) {
+            refuse_orders_without_instances(name, service);
             return;
         }
         const auto now = common::monotonic_clock::now();
--- a/source/core/gateway/stages/dispatcher.h
+++ b/source/core/gateway/stages/dispatcher.h
@@ -14,6 +14,7 @@
 #include "common/enum_names.h"
 #include "gateway/adapter.h"
 #include "gateway/instances/instance_state.h"
+#include "gateway/instances/pause_guard.h"
 #include "gateway/instances/send_window.h"
 #include "gateway/messages.h"
 #include "gateway/stages/piece_queue.h"
@@ -113,6 +114,7 @@
     };
 
     void handle(const discovery_update& message);
+    void handle(const drains_confirmed& message);
     void handle(const piece_order& message);
     void handle(const cancel_order& message);
     void handle(const release_results& message);
@@ -122,6 +124,8 @@
     void end_stop_if_idle();
 
     void update_instances(const std::string& name, service_state& service);
+    void set_domain_drained(const std::string& name,
+                            const std::shared_ptr<stage_instance>& instance, bool drained);
     /// Brings the phases of all instances up to date.
     static void update_states(service_state& service);
     /// When the first pause of an instance ends; nothing if none pauses.
@@ -140,6 +144,7 @@
     [[nodiscard]] std::size_t usable_instances(service_state& service) const;
 
     void dispatch(const std::string& name);
+    void dispatch_all();
     std::shared_ptr<stage_instance>
     pick_free_instance(const std::string& name, service_state& service, const piece_limits& limits);
     /// When the limit of cold instances permits a call to this one.
@@ -177,6 +182,12 @@
                          const http::call_result& result);
     void schedule_report(const std::string& name, stage_instance& instance);
     void poll_report(const std::string& name, const std::string& id);
+    /// Whether an instance in an allowed region takes work, or will when its pause ends.
+    [[nodiscard]] static bool may_be_made(const service_state& service,
+                                          const allowed_regions& regions);
+    /// Finishes the orders whose pieces wait although all instances are in drained failure domains
+    /// or in regions that are not allowed.
+    void refuse_orders_without_instances(const std::string& name, service_state& service);
     void schedule_dispatch(const std::string& name, common::duration delay);
     void forget_finished();
 
@@ -194,6 +205,7 @@
     std::map<std::string, std::unique_ptr<runtime::timer>> m_dispatch_timers;
     /// The next time at which a cold instance may be called, by service.
     std::map<std::string, std::unique_ptr<runtime::timer>> m_warm_up_timers;
+    instances::pause_guard m_pause_guard;
     runtime::timer m_report_timer;
     /// Whether the last backlog report of a service showed waiting pieces or busy instances.
     std::map<std::string, bool> m_reported_busy;
--- a/source/core/gateway/stages/dispatcher_instances.cpp
+++ b/source/core/gateway/stages/dispatcher_instances.cpp
@@ -17,6 +17,8 @@
 // Gateways among which the calls to a cold instance are divided: while the owner of a service
 // changes, two may take themselves for it.
 constexpr std::size_t owners_at_once = 2;
+// Retry delay of orders whose instances are all in drained failure domains or other regions.
+constexpr common::duration none_allowed_retry = std::chrono::seconds{5};
 
 http::client_limits call_limits() {
     http::client_limits limits;
@@ -58,10 +60,21 @@
             instance->client = std::make_unique<http::client>(m_context, it.address, call_limits());
             service.health.add_member(id);
         }
+        // Failure domain and region of an incarnation may change with its row.
         instance->identity = it;
         if (it.phase == upstream_phase::draining) {
             instance->state.announce_drain();
         }
+        set_domain_drained(name, instance, it.domain_drained);
+    }
+}
+
+void dispatcher::set_domain_drained(const std::string& name,
+                                    const std::shared_ptr<stage_instance>& instance, bool drained) {
+    const bool was_drained = instance->state.is_domain_drained();
+    instance->state.set_domain_drained(drained);
+    if (was_drained && !drained && instance->awaiting_report) {
+        request_report(name, instance);
     }
 }
 
@@ -75,7 +88,7 @@
 std::optional<common::time_point> dispatcher::first_pause_end(const service_state& service) {
     std::optional<common::time_point> first;
     for (const auto& [id, it] : service.instances) {
-        if (it->state.phase() == instances::instance_phase::pausing) {
+        if (it->state.accepts_work_after_pause()) {
             first = std::min(first.value_or(it->state.paused_until()), it->state.paused_until());
         }
     }
@@ -96,6 +109,9 @@
         return true;
     }
     const auto& order = it->second.order;
+    if (!order.regions.allows(instance.identity.region)) {
+        return false;
+    }
     if (order.preferred_domain.empty() ||
         order.preferred_domain == instance.identity.failure_domain) {
         return true;
@@ -106,6 +122,7 @@
     }
     return std::none_of(service.instances.begin(), service.instances.end(), [&](const auto& other) {
         return other.second->state.accepts_work() &&
+               order.regions.allows(other.second->identity.region) &&
                other.second->identity.failure_domain == order.preferred_domain;
     });
 }
@@ -143,7 +160,7 @@
             next_permit = std::min(next_permit.value_or(permitted), permitted);
             continue;
         }
-        if (it->state.phase() == instances::instance_phase::ejected) {
+        if (it->state.accepts_work_as_fallback()) {
             ejected = it;
         }
         if (!it->state.accepts_work()) {
@@ -164,4 +181,34 @@
     return best || usable_instances(service) > 0 ? best : ejected;
 }
 
+bool dispatcher::may_be_made(const service_state& service, const allowed_regions& regions) {
+    return std::any_of(service.instances.begin(), service.instances.end(), [&](const auto& it) {
+        const auto& state = it.second->state;
+        return regions.allows(it.second->identity.region) &&
+               (state.accepts_work() || state.accepts_work_as_fallback() ||
+                state.accepts_work_after_pause());
+    });
+}
+
+void dispatcher::refuse_orders_without_instances(const std::string& name, service_state& service) {
+    const bool any_drained =
+        std::any_of(service.instances.begin(), service.instances.end(),
+                    [](const auto& it) { return it.second->state.is_domain_drained(); });
+    std::size_t refused = 0;
+    for (const auto& it : service.queue.waiting_orders()) {
+        const auto order = m_orders.find(it);
+        if (order == m_orders.end() || order->second.finished) {
+            continue;
+        }
+        const auto& regions = order->second.order.regions;
+        if ((any_drained || regions.is_restricted()) && !may_be_made(service, regions)) {
+            finish_order(order->second, {order_status::overloaded, {}, none_allowed_retry});
+            ++refused;
+        }
+    }
+    if (refused > 0) {
+        m_log.warn("No instance may take the waiting orders.", {{"service", name}});
+    }
+}
+
 } // namespace jujubemast::gateway::stages
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -11,6 +11,7 @@
 
 #include "gateway/adapter.h"
 #include "gateway/messages.h"
+#include "gateway/store/drained_domains.h"
 #include "gateway/store/malformed_rows.h"
 #include "gateway/store/table_watch.h"
 #include "gateway/store/warm_up_tracker.h"
@@ -23,14 +24,20 @@
 
 /// Callbacks through which the catalog publishes what it reads.
 struct catalog_hooks {
+    /// Returns the region of a failure domain, or an empty name if it is unknown. May be empty.
+    std::function<std::string(const std::string& failure_domain)> region_of;
     std::function<void(const discovery_update&)> publish;
     std::function<void(const std::vector<gateway_record>&)> publish_gateways;
     /// A response of the store has shown that the local copy of the configuration is the newest.
     std::function<void(const configuration_confirmed&)> confirm_configuration;
     /// The same for the names of the gateways.
     std::function<void(const gateway_names_confirmed&)> confirm_gateways;
+    /// A response of the store has shown that the known drains of failure domains are the newest.
+    std::function<void(const drains_confirmed&)> confirm_drains;
     /// Passes changes on to the other gateways.
     std::function<void(const table_relay&)> relay;
+    /// Tells all gateways which drains this one has read from the store.
+    std::function<void(const domain_drains&)> announce_drains;
     /// Sets why the gateway is not ready. An empty reason means that it can serve requests.
     std::function<void(const std::string& reason)> set_not_ready_reason;
 };
@@ -54,6 +61,7 @@
     void handle(const process_paused& message);
     void handle(const table_relay& message);
     void handle(const store_role& message);
+    void handle(const domain_drains& message);
     [[nodiscard]] std::unique_ptr<table_watch> make_watch(store_table table,
                                                           table_watch_hooks hooks);
     /// Decodes a row. Returns nothing if the row was deleted or is malformed. A malformed row is
@@ -71,11 +79,16 @@
     /// nothing has.
     void relay(store_table table);
     void apply_configuration_rows(const table_update& update);
+    /// Applies the rows that drain failure domains, and passes on those that were read from the
+    /// store. Returns whether a drain has begun or ended.
+    bool apply_drain_rows(const table_update& update);
+    void log_drains(const std::vector<domain_drain>& changes) const;
+    [[nodiscard]] std::string region_of(const std::string& failure_domain) const;
+    /// The upstreams, with their regions and marks at those in drained failure domains.
+    [[nodiscard]] upstream_map_pointer marked_upstreams() const;
     void log_faults(const configuration& config) const;
     void apply_upstream_rows(const table_update& update);
     void apply_gateway_rows(const table_update& update);
-    /// The drain of a failure domain has ended. Its instances are cold for their warm-up time.
-    void warm_up_domain(const std::string& failure_domain);
     void set_store_available(bool available);
     void register_self();
     /// Registers again at once if the call in progress was probably lost, because the store has
@@ -108,6 +121,7 @@
     configuration_pointer m_configuration;
     /// Whether the newest configuration in the store could be decoded.
     bool m_newest_decoded = true;
+    drained_domains m_drains;
     upstream_list m_upstreams;
     warm_up_tracker m_warm_up;
     bool m_upstreams_read = false;
--- a/source/core/gateway/store/warm_up_tracker.cpp
+++ b/source/core/gateway/store/warm_up_tracker.cpp
@@ -26,7 +26,7 @@
     known.row_version = row_version;
     known.removed.reset();
     known.entry = entry;
-    set_start(entry);
+    entry.warms_up_from = known.started;
     return is_extended;
 }
 
@@ -44,17 +44,4 @@
     }
 }
 
-void warm_up_tracker::drain_ended(const std::string& failure_domain, common::time_point now) {
-    m_drains_ended[failure_domain] = now;
-}
-
-void warm_up_tracker::set_start(upstream_instance& entry) const {
-    const auto known = m_known.find(entry.id);
-    entry.warms_up_from = known != m_known.end() ? known->second.started : std::nullopt;
-    const auto drain = m_drains_ended.find(entry.failure_domain);
-    if (drain != m_drains_ended.end()) {
-        entry.warms_up_from = std::max(entry.warms_up_from.value_or(drain->second), drain->second);
-    }
-}
-
 } // namespace jujubemast::gateway::store
--- a/source/core/gateway/store/warm_up_tracker.h
+++ b/source/core/gateway/store/warm_up_tracker.h
@@ -32,13 +32,6 @@
     /// because it had expired, the instance has not started again.
     void removed(const std::string& id, common::time_point now);
 
-    /// The drain of a failure domain has ended. Its instances warm up from now on, those included
-    /// whose rows come later.
-    void drain_ended(const std::string& failure_domain, common::time_point now);
-
-    /// Sets when the instance began to warm up.
-    void set_start(upstream_instance& entry) const;
-
 private:
     /// How long an instance is remembered after its row was deleted.
     static constexpr common::duration retention = std::chrono::minutes{10};
@@ -51,8 +44,6 @@
     };
 
     std::map<std::string, known_instance> m_known;
-    /// End of the last drain of each failure domain.
-    std::map<std::string, common::time_point> m_drains_ended;
     std::optional<common::time_point> m_first_read;
 };
 
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -36,6 +36,10 @@
     /// When the instance was seen to start during traffic, or when the last drain of its failure
     /// domain ended. Its warm-up time runs from then.
     std::optional<common::time_point> warms_up_from;
+    /// Region of the failure domain. Empty if it is unknown. Set in published maps only.
+    std::string region = {};
+    /// Whether the operator has drained the failure domain. Set in published maps only.
+    bool domain_drained = false;
 
     friend bool operator==(const upstream_instance&, const upstream_instance&) = default;
 };
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 
 #include <gateway_messages.pb.h>
 
@@ -49,6 +50,12 @@
     order.set_result_bytes(from.result_bytes);
     order.set_preferred_domain(from.preferred_domain);
     order.set_inputs_to_release(from.inputs_to_release);
+    if (from.regions.is_restricted()) {
+        auto& regions = *order.mutable_allowed_regions();
+        for (const auto& it : from.regions.names()) {
+            regions.add_names(it);
+        }
+    }
     order.set_target_us(microseconds(from.target_time - now));
     order.set_latest_us(microseconds(from.deadline - now));
 }
@@ -146,6 +153,25 @@
     to.mutable_reading_response()->set_granted(from.granted);
 }
 
+void to_proto(pb::gateway_envelope& to, const gateway::domain_drains& from,
+              common::time_point /*now*/) {
+    auto& drains = *to.mutable_domain_drains();
+    for (const auto& it : from.drains) {
+        auto& drain = *drains.add_drains();
+        drain.set_domain(it.domain);
+        drain.set_version(it.version);
+        drain.set_in_force(it.in_force);
+    }
+}
+
+gateway::domain_drains drains_from_proto(const pb::gateway_domain_drains& from) {
+    gateway::domain_drains result;
+    for (const auto& it : from.drains()) {
+        result.drains.push_back({it.domain(), it.version(), it.in_force()});
+    }
+    return result;
+}
+
 gateway::table_relay relay_from_proto(const pb::gateway_table_changes& from) {
     const auto table = common::from_name<gateway::store_table>(from.table());
     if (!table) {
@@ -199,6 +225,11 @@
     result.result_bytes = order.result_bytes();
     result.preferred_domain = order.preferred_domain();
     result.inputs_to_release = order.inputs_to_release();
+    if (order.has_allowed_regions()) {
+        const auto& names = order.allowed_regions().names();
+        result.regions =
+            gateway::allowed_regions{std::set<std::string>{names.begin(), names.end()}};
+    }
     result.target_time = now + std::chrono::microseconds{order.target_us()};
     result.deadline = now + std::chrono::microseconds{order.latest_us()};
     return result;
@@ -242,6 +273,9 @@
     case pb::gateway_envelope::kCrashEvidence:
         result.content = evidence_from_proto(envelope.crash_evidence(), now);
         return result;
+    case pb::gateway_envelope::kDomainDrains:
+        result.content = drains_from_proto(envelope.domain_drains());
+        return result;
     case pb::gateway_envelope::kOrder:
         result.content = order_from_proto(envelope, now);
         return result;
--- a/tests/unit/users_platform/configuration_test.cpp
+++ b/tests/unit/users_platform/configuration_test.cpp
@@ -1,6 +1,7 @@
 #include "configuration.h"
 
 #include <algorithm>
+#include <set>
 
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
@@ -179,6 +180,39 @@
     }
 }
 
+// Guards against a request that runs in a region that the operator has excluded, because the list
+// of regions could not be decoded.
+BOOST_AUTO_TEST_CASE(malformed_regions_make_the_route_or_the_workspace_unusable) {
+    for (const auto* value : {"7", R"("r1")", "{}", "[7]", "[null]", R"(["r1", ""])"}) {
+        BOOST_TEST_CONTEXT(value) {
+            const auto route = decode_with("/routes/1/allowed_regions", value);
+            BOOST_TEST(!is_usable(route, "/staged/1"));
+            BOOST_TEST(is_usable(route, "/plain/1"));
+            BOOST_TEST(names_element(route, "staged"));
+            const auto tenant = decode_with("/tenants/0/allowed_regions", value);
+            BOOST_TEST(!gateway::find_workspace(tenant, "k1")->usable);
+            BOOST_TEST(gateway::find_workspace(tenant, "k3")->usable);
+            BOOST_TEST(names_element(tenant, "tenants[0]"));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(regions_of_routes_and_workspaces_are_decoded) {
+    const auto config = decode_with("/routes/1/allowed_regions", R"(["r1", "r2"])");
+    const auto& regions = gateway::find_route(config, "h", "/staged/1")->regions;
+    BOOST_TEST(regions.allows("r2"));
+    BOOST_TEST(!regions.allows("r3"));
+    BOOST_TEST(!regions.allows(""));
+    BOOST_TEST(!gateway::find_route(config, "h", "/plain/1")->regions.is_restricted());
+    const auto tenant = decode_with("/tenants/0/allowed_regions", R"(["r2", "r3"])");
+    const auto both = regions.restricted_by(gateway::find_workspace(tenant, "k1")->regions);
+    BOOST_TEST((both.names() == std::set<std::string>{"r2"}));
+    // An empty list allows no region.
+    const auto none = decode_with("/routes/1/allowed_regions", "[]");
+    BOOST_TEST(is_usable(none, "/staged/1"));
+    BOOST_TEST(!gateway::find_route(none, "h", "/staged/1")->regions.allows("r1"));
+}
+
 // Guards against a route that is unusable because of a member with a default.
 BOOST_AUTO_TEST_CASE(route_with_a_malformed_option_uses_the_default) {
     const std::vector<std::pair<const char*, std::vector<const char*>>> odd_values{
@@ -383,6 +417,29 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(drain_row_names_its_failure_domain) {
+    const auto drained = users_platform::decode_drain({"evacuate/z1", "{}", 3});
+    BOOST_REQUIRE(drained.has_value());
+    BOOST_TEST(drained->domain == "z1");
+    BOOST_TEST(drained->fault.empty());
+    const auto deleted = users_platform::decode_drain({"evacuate/z1", std::nullopt, 4});
+    BOOST_REQUIRE(deleted.has_value());
+    BOOST_TEST(deleted->domain == "z1");
+    BOOST_TEST(!users_platform::decode_drain({"config", "{}", 3}).has_value());
+    BOOST_TEST(!users_platform::decode_configuration({"evacuate/z1", "{}", 3}).has_value());
+}
+
+// Guards against a malformed row that leaves a domain in use although the operator has drained it.
+BOOST_AUTO_TEST_CASE(malformed_drain_row_still_names_its_failure_domain) {
+    for (const auto* value : {"", "{", "[]", "null", "\xff"}) {
+        const auto drained = users_platform::decode_drain({"evacuate/z1", value, 3});
+        BOOST_REQUIRE(drained.has_value());
+        BOOST_TEST(drained->domain == "z1");
+        BOOST_TEST(!drained->fault.empty());
+    }
+    BOOST_TEST(!users_platform::decode_drain({"evacuate/", "{}", 3})->fault.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
