tests: clients that send without an end

Cause: Beast's parser keeps a trailer, the line of a chunk's size and its extension until they are complete, without a limit. Nothing bounded what a client could make the gateway hold in this way.

The limits of the configuration for header (431) and body (413) were ignored.

Unit tests red: trailers passed on as fields, trailers and chunk extensions longer than a header may be. Green: header fields that arrive one by one, a body in chunks of one byte.

--- a/tests/unit/http/server_fixture.h
+++ b/tests/unit/http/server_fixture.h
@@ -74,6 +74,8 @@
     http::server_options options;
     std::atomic<int> handled = 0;
     std::atomic<int> disconnects = 0;
+    /// Fields of the last request.
+    http::headers last_fields;
     /// Number of 16 KiB chunks in the response to GET /stream.
     int chunk_count = 0;
     /// Replaces the stop limit of the whole server, but not the limits of its tasks.
@@ -132,6 +134,7 @@
     }
 
     http::disconnect_hook handle(const http::request& message, const http::responder& reply) {
+        last_fields = message.fields;
         ++handled;
         if (message.target == "/held") {
             m_held = reply;
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -57,6 +57,82 @@
     BOOST_TEST(handled == 0);
 }
 
+// Guards against a limit of the header that counts only the bytes that are not parsed yet: a header
+// that arrives in segments of one field could then go on without an end.
+BOOST_AUTO_TEST_CASE(server_when_header_fields_arrive_one_by_one_answers_431_at_the_limit) {
+    options.limits.read_timeout = std::chrono::seconds{20};
+    const auto server = start();
+    raw_client client{server};
+    client.send("GET / HTTP/1.1\r\n");
+    for (std::size_t sent = 0; sent < 2 * options.limits.max_header_bytes; sent += 100) {
+        client.send("X-Field: " + std::string(89, 'f') + "\r\n");
+        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    client.send("\r\n");
+    BOOST_TEST(client.read().starts_with("HTTP/1.1 431"));
+    BOOST_TEST(handled == 0);
+}
+
+// Guards against trailer fields that are taken for fields of the header, for example to replace
+// those that authenticate a request.
+BOOST_AUTO_TEST_CASE(server_when_request_has_trailers_does_not_pass_them_on) {
+    const auto server = start();
+    raw_client client{server};
+    const auto answer =
+        client.send(post("Transfer-Encoding: chunked\r\n", "1\r\nx\r\n0\r\nX-Trailer: t\r\n\r\n"))
+            .read("ok 1");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(http::find_header(last_fields, "Host") == "h");
+    BOOST_TEST(http::find_header(last_fields, "X-Trailer").empty());
+}
+
+// Guards against trailers and chunk extensions that are accepted although they are longer than a
+// header may be.
+BOOST_AUTO_TEST_CASE(server_when_trailers_or_chunk_extensions_are_too_long_refuses_the_request) {
+    const auto server = start();
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string text(options.limits.max_header_bytes, 't');
+    std::string short_trailers;
+    for (std::size_t n = 0; n < options.limits.max_header_bytes; n += 4) {
+        short_trailers += "a:\r\n";
+    }
+    std::string extensions;
+    for (std::size_t n = 0; n < options.limits.max_body_bytes; n += 16) {
+        extensions += "1;e=" + std::string(100, 'e') + "\r\nx\r\n";
+    }
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"1\r\nx\r\n0\r\nX-Trailer: " + text + "\r\n\r\n", "431"},
+        {"1\r\nx\r\n0\r\nX-Trailer: " + text + text, "431"},
+        {"1\r\nx\r\n0\r\n" + short_trailers + "\r\n", "431"},
+        {"0\r\n" + short_trailers, "431"},
+        {"1;e=" + text + text, "413"},
+        {"1;e=" + text + text + "\r\nx\r\n0\r\n\r\n", "413"},
+        {extensions + "0\r\n\r\n", "413"}};
+    for (const auto& [body, status] : cases) {
+        BOOST_TEST_CONTEXT(body.substr(0, 30)) {
+            raw_client client{server};
+            const auto answer = client.send(post(chunked, body)).read();
+            BOOST_TEST(answer.starts_with("HTTP/1.1 " + status), answer.substr(0, 40));
+            BOOST_TEST(answer.find("not_run") != std::string::npos);
+        }
+    }
+    BOOST_TEST(handled == 0);
+}
+
+// Guards against a limit of the framing that refuses a valid body in the smallest chunks.
+BOOST_AUTO_TEST_CASE(server_when_body_has_chunks_of_one_byte_accepts_it_up_to_the_limit) {
+    options.limits.read_timeout = std::chrono::seconds{20};
+    const auto server = start();
+    std::string body;
+    for (std::size_t n = 0; n < options.limits.max_body_bytes; ++n) {
+        body += "1\r\nx\r\n";
+    }
+    raw_client client{server};
+    const auto answer =
+        client.send(post("Transfer-Encoding: chunked\r\n", body + "0\r\n\r\n")).read("ok 4096");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+}
+
 // Guards against connections that are kept open by requests which never arrive completely.
 BOOST_AUTO_TEST_CASE(server_when_request_arrives_too_slowly_answers_408_and_closes) {
     const auto server = start();
