http, gateway: bound what the clients of a server make it hold

Cause: Beast's parser keeps the line of a chunk's size with its extension, and trailers, without a limit until they are complete, and adds trailers to the fields of the header. Memory was bounded for bodies and output only. Idle connections could take all descriptors. Of the caller limits of the configuration only the idle timeout was applied.

Change: the connection reads the socket itself, 16 KB at a time, and request_reader feeds the parser and counts what is not content: header and trailers together stay below max_header_bytes (431), chunk lines below that plus 8 bytes for each byte of content (413). Trailers are dropped. connection_account counts input, header, body and output of a connection against a limit of its own and against the budgets of the server; the gateway takes these from memory_shares. The listener of callers gets a third of the descriptors; at the limit the connection that has waited longest without a request in progress is closed for a new one. A client that floods is read from last and little. A body may take as long as it arrives with 16 KB/s, and a large response as long as the client reads 64 KB within each write timeout. max_header_bytes, max_body_bytes and header_timeout_ms are decoded; without them the former limits apply. The ready and admin ports get small limits of their own.

The stand-in's configuration allowed 100,000 bytes of body, which no one enforced, while memory_limit_test sends 2 MB; it now has the figures of the deployments.

--- a/source/core/admin/admin_server.cpp
+++ b/source/core/admin/admin_server.cpp
@@ -38,10 +38,22 @@
 
 } // namespace
 
+http::server_limits default_admin_limits() {
+    constexpr std::size_t mebibyte = std::size_t{1024} * 1024;
+    http::server_limits limits;
+    limits.max_body_bytes = mebibyte / 16;
+    limits.max_connections = 64;
+    limits.request_buffer_bytes = mebibyte;
+    limits.input_buffer_bytes = mebibyte;
+    limits.output_buffer_bytes = 64 * mebibyte;
+    return limits;
+}
+
 runtime::child_spec make_admin_server(const http::endpoint& listen,
-                                      runtime::address<health_message> health, admin_hooks hooks) {
+                                      runtime::address<health_message> health, admin_hooks hooks,
+                                      const http::server_limits& limits) {
     return http::make_server(
-        "admin", {.listen = listen, .limits = {.max_connections = 64}},
+        "admin", {.listen = listen, .limits = limits},
         [health = std::move(health), hooks = std::move(hooks)](
             const http::request& request, const http::responder& reply) -> http::disconnect_hook {
             const bool forwarded = forward_health_query(request, reply, health) ||
--- a/source/core/admin/admin_server.h
+++ b/source/core/admin/admin_server.h
@@ -23,9 +23,13 @@
     query_hook query;
 };
 
+/// Limits of an admin server, whose clients are few and send small requests.
+http::server_limits default_admin_limits();
+
 /// Returns the child specification of the admin server, which serves GET /livez, /readyz, /dump and
 /// /metrics.
 runtime::child_spec make_admin_server(const http::endpoint& listen,
-                                      runtime::address<health_message> health, admin_hooks hooks);
+                                      runtime::address<health_message> health, admin_hooks hooks,
+                                      const http::server_limits& limits = default_admin_limits());
 
 } // namespace jujubemast::admin
--- a/source/core/gateway/configuration.h
+++ b/source/core/gateway/configuration.h
@@ -86,8 +86,15 @@
     std::optional<int> priority;
 };
 
-/// Limits for the connections of callers.
+/// Limits for the connections of callers. Without a value, that of the gateway's own settings
+/// applies.
 struct caller_limits {
+    /// Limit of the start line and all fields of a request, including trailers.
+    std::optional<std::size_t> max_header_bytes;
+    std::optional<std::size_t> max_body_bytes;
+    /// Longest time from the first byte of a request to the end of its header.
+    std::optional<common::duration> header_timeout;
+    /// How long a connection may be idle before a request.
     common::duration idle_timeout = std::chrono::seconds{60};
 };
 
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -7,7 +7,7 @@
 #include "admin/health.h"
 #include "common/random.h"
 #include "gateway/gateway_settings.h"
-#include "gateway/memory_shares.h"
+#include "gateway/listener_limits.h"
 #include "gateway/peers/peers.h"
 #include "gateway/requests/forwarder.h"
 #include "gateway/stages/dispatcher.h"
@@ -55,13 +55,6 @@
     };
 }
 
-memory_shares shares_of_memory(const settings::values& values) {
-    constexpr std::size_t bytes_per_megabyte = 1'000'000;
-    const auto allowed =
-        static_cast<std::size_t>(values.get(gateway_settings::memory_mb)) * bytes_per_megabyte;
-    return divide_memory(std::min(allowed, machine_memory()));
-}
-
 runtime::child_spec make_caller_server(const settings::values& values,
                                        const stop_schedule& schedule,
                                        const forwarder_mailbox& inbox,
@@ -71,19 +64,12 @@
                                        const std::shared_ptr<configuration_pointer>& current) {
     http::server_options options;
     options.listen = http::parse_endpoint(values.get(gateway_settings::callers_listen));
-    options.limits.max_body_bytes =
-        static_cast<std::size_t>(values.get(gateway_settings::callers_max_body_bytes));
-    options.limits.max_header_bytes = std::size_t{64} * 1024;
-    const auto shares = shares_of_memory(values);
-    options.limits.request_buffer_bytes = shares.request_bodies;
-    // The exchange and the call to the upstream each hold one.
-    options.limits.copies_of_body = 2;
-    options.limits.output_buffer_bytes = shares.output;
+    options.limits = caller_server_limits(values);
     options.stop_grace = schedule.accept;
     options.stop_read_limit = schedule.limit - stop_margin;
     options.stop_limit = schedule.limit;
-    options.idle_timeout = [current] {
-        return *current ? (*current)->limits.idle_timeout : caller_limits{}.idle_timeout;
+    options.current_limits = [current, limits = options.limits] {
+        return limits_of_requests(limits, *current);
     };
     options.on_stopping = [=] {
         health.send(admin::set_condition{listener_condition, "stopping"});
@@ -170,8 +156,10 @@
     children.push_back(admin::make_admin_server(
         http::parse_endpoint(values.get(gateway_settings::admin_listen)), health,
         {process.dump,
-         [forwarder_inbox](const admin::metrics_query& it) { return forwarder_inbox->post(it); }}));
+         [forwarder_inbox](const admin::metrics_query& it) { return forwarder_inbox->post(it); }},
+        admin_server_limits(values)));
     http::server_options ready;
+    ready.limits = ready_server_limits();
     ready.listen = http::parse_endpoint(values.get(gateway_settings::ready_listen));
     children.push_back(http::make_server("ready", ready, make_ready_handler(health)));
     runtime::child_spec peers_child{"peers", [=](runtime::task_context it) {
--- a/source/core/gateway/memory_shares.cpp
+++ b/source/core/gateway/memory_shares.cpp
@@ -7,7 +7,12 @@
 namespace jujubemast::gateway {
 
 memory_shares divide_memory(std::size_t bytes) {
-    return {bytes / 4, bytes / 8, bytes / 8};
+    return {.request_bodies = bytes / 4,
+            .response_bodies = bytes / 8,
+            .output = bytes / 8,
+            .input = bytes / 16,
+            .admin_output = bytes / 16,
+            .connection = bytes / 8};
 }
 
 std::size_t machine_memory() {
--- a/source/core/gateway/memory_shares.h
+++ b/source/core/gateway/memory_shares.h
@@ -13,6 +13,12 @@
     std::size_t response_bodies = 0;
     /// Output that callers have not read.
     std::size_t output = 0;
+    /// Headers of requests, and what callers have sent of requests that are not complete.
+    std::size_t input = 0;
+    /// Output that operators have not read.
+    std::size_t admin_output = 0;
+    /// Everything that one connection of a caller may hold.
+    std::size_t connection = 0;
 };
 
 /// Divides the memory of an instance with this many bytes.
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -7,13 +8,13 @@
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
 
 #include "common/enum_names.h"
-#include "http/buffer_budget.h"
+#include "http/connection_account.h"
+#include "http/request_reader.h"
 #include "http/server.h"
+#include "http/waiting_connections.h"
 #include "logging/logger.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
@@ -29,15 +30,15 @@
 /// State that the connections of one server share with their listener.
 struct server_state {
     server_limits limits;
-    std::function<common::duration()> idle_timeout;
+    std::function<request_limits()> current_limits;
     /// Set when an ordered stop has begun; every connection then closes after its current response.
     bool stopping = false;
     /// After this time of an ordered stop, requests that are still incomplete are refused.
     common::time_point stop_read_deadline;
-    /// Memory for the bodies of the requests of all connections.
-    buffer_budget request_bodies;
-    /// Memory for the unsent output of all connections.
-    buffer_budget output;
+    std::shared_ptr<server_memory> memory = std::make_shared<server_memory>();
+    waiting_connections waiting;
+    /// Receives input that is discarded. Nobody reads it, so the connections share it.
+    std::array<char, std::size_t{16} * 1024> discarded{};
     logging::logger log{"http"};
 };
 
@@ -57,29 +58,31 @@
     [[nodiscard]] boost::json::value dump() const override;
 
 private:
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     void read_request();
-    void wait_for_next_request();
+    /// Waits for the first byte of a request, for the idle timeout at most.
+    void wait_for_request();
     void read_message();
+    /// Continues with what the input contains.
+    void parse_input();
+    void read_more();
     /// Ends an ordered stop if the connection is idle. Otherwise limits the read of the request.
     void stop_reading();
-    /// How long a request may take to arrive; ends at the read deadline of an ordered stop.
-    [[nodiscard]] common::duration read_limit() const;
-    void start_read_timer(common::duration limit);
-    void head_read(const boost::system::error_code& ec);
-    /// Reads the body, or refuses the request if there is no memory for it.
-    void read_body();
-    /// Reads a part of a body whose length is not known, and then the next one.
-    void read_body_part();
+    /// Until when the current read may last: to the first byte, the end of the header or the end of
+    /// the body. Ends at the read deadline of an ordered stop.
+    [[nodiscard]] common::time_point read_deadline() const;
+    void start_read_timer();
+    /// Ends the read of a request, because of an error or because it took too long.
+    void read_failed();
+    void head_read();
     /// Makes room for a body of this size. Returns false if there is no memory for it.
-    bool reserve_body(std::size_t size);
-    void release_body();
+    [[nodiscard]] bool reserve_body(std::size_t size);
     void reject_for_memory();
-    void request_read(const boost::system::error_code& ec);
-    /// Refuses the request if its body could not be read correctly. Returns whether it did.
-    bool reject_transfer_coding();
-    void reject(boost::beast::http::status status, const std::string& title);
+    void request_read();
+    void reject(request_fault fault);
+    void reject(unsigned status, std::string_view title);
+    /// Lists the connection among those that are closed when descriptors are needed.
+    void begin_waiting();
+    void end_waiting();
     void watch_for_disconnect();
     void command_received(reply_command command);
     void send_whole_response(const response& content);
@@ -90,7 +93,7 @@
     /// Closes a connection whose client does not read fast enough.
     void close_slow_reader();
     void write_next();
-    void write_completed(const boost::system::error_code& ec);
+    void write_completed(const boost::system::error_code& ec, std::size_t size);
     void response_complete();
     /// Whether bytes of the client have not been read. Closing would then reset the connection and
     /// could discard the response.
@@ -108,21 +111,30 @@
     std::shared_ptr<server_state> m_server;
     handler m_handler;
     runtime::inbox<reply_command> m_inbox;
-    boost::beast::flat_buffer m_input;
-    std::optional<parser> m_parser;
+    connection_account m_account;
+    request_reader m_reader;
+    request_limits m_limits;
     runtime::timer m_read_timer;
     bool m_read_timed_out = false;
+    /// When the wait for a request began, or its first byte arrived.
+    common::time_point m_read_start;
+    bool m_idle = true;
+    bool m_head_read = false;
+    /// Bytes of the current body, as far as they have arrived.
+    std::size_t m_body_received = 0;
+    std::optional<waiting_connections::id> m_waiting_id;
     std::deque<std::string> m_output;
-    std::size_t m_output_bytes = 0;
-    /// Memory that is reserved for the body of the current request.
-    std::size_t m_body_bytes = 0;
+    /// Bytes of the first element of `m_output` that have been sent.
+    std::size_t m_output_sent = 0;
     bool m_writing = false;
     bool m_keep_alive = false;
     /// The response being written announces that the connection closes after it.
     bool m_closing = false;
     bool m_stopping = false;
-    bool m_has_served_request = false;
     bool m_rejected = false;
+    /// Whether the request was refused because it exceeds a limit that ordinary ones never reach.
+    bool m_floods = false;
+    common::time_point m_linger_end;
     std::size_t m_discarded_bytes = 0;
     connection_role m_role;
     connection_phase m_phase = connection_phase::reading;
--- a/source/core/http/server.cpp
+++ b/source/core/http/server.cpp
@@ -27,9 +27,11 @@
           m_state{std::make_shared<server_state>()}, m_acceptor{m_context.loop().context()},
           m_retry_timer{m_context.loop()}, m_grace_timer{m_context.loop()} {
         m_state->limits = m_options.limits;
-        m_state->request_bodies = buffer_budget{m_options.limits.request_buffer_bytes};
-        m_state->output = buffer_budget{m_options.limits.output_buffer_bytes};
-        m_state->idle_timeout = m_options.idle_timeout;
+        m_state->memory->input = buffer_budget{m_options.limits.input_buffer_bytes};
+        m_state->memory->bodies = buffer_budget{m_options.limits.request_buffer_bytes};
+        m_state->memory->output = buffer_budget{m_options.limits.output_buffer_bytes};
+        m_state->memory->connection_limit = m_options.limits.max_connection_bytes;
+        m_state->current_limits = m_options.current_limits;
     }
 
     void start() override {
@@ -79,8 +81,11 @@
         return boost::json::object{{"address", to_string(m_options.listen)},
                                    {"accepted", m_accepted},
                                    {"refused", m_refused},
-                                   {"request_bytes", m_state->request_bodies.reserved()},
-                                   {"buffered_bytes", m_state->output.reserved()}};
+                                   {"closed_for_others", m_closed_for_others},
+                                   {"waiting", m_state->waiting.size()},
+                                   {"input_bytes", m_state->memory->input.reserved()},
+                                   {"request_bytes", m_state->memory->bodies.reserved()},
+                                   {"buffered_bytes", m_state->memory->output.reserved()}};
     }
 
 private:
@@ -100,7 +105,8 @@
                                 m_context.wrap([this] { accept(); }));
             return;
         }
-        if (m_connections->child_count() < m_options.limits.max_connections) {
+        if (m_connections->child_count() < m_options.limits.max_connections ||
+            close_waiting_connection()) {
             start_connection(std::move(socket), *m_connections, connection_role::serving);
         } else {
             ++m_refused;
@@ -113,6 +119,20 @@
         accept();
     }
 
+    /// Closes the connection that has waited longest. Returns false if all have requests in
+    /// progress, or none may be closed.
+    bool close_waiting_connection() {
+        if (m_options.limits.when_full == connection_overflow::refuse_new) {
+            return false;
+        }
+        const auto oldest = m_state->waiting.take_oldest();
+        if (!oldest || !oldest->send(make_room{})) {
+            return false;
+        }
+        ++m_closed_for_others;
+        return true;
+    }
+
     void start_connection(tcp::socket socket, runtime::supervisor& parent, connection_role role) {
         ++m_accepted;
         auto shared_socket = std::make_shared<tcp::socket>(std::move(socket));
@@ -140,6 +160,8 @@
     logging::logger m_log{"http"};
     std::uint64_t m_accepted = 0;
     std::uint64_t m_refused = 0;
+    /// Connections that were closed because new ones arrived at the limit.
+    std::uint64_t m_closed_for_others = 0;
 };
 
 /// Returns the factory of a supervisor for connections, which also stores the supervisor in
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -243,7 +243,10 @@
                  boost::json::object{{"name", "desk"}},
                  boost::json::object{{"name", "stages"}, {"pieces", pieces(20)}},
                  boost::json::object{{"name", "slow-stages"}, {"pieces", pieces(600)}}}},
-            {"limits", boost::json::object{{"max_body_bytes", 100000}, {"idle_timeout_ms", 15000}}},
+            {"limits", boost::json::object{{"max_header_bytes", 16384},
+                                           {"max_body_bytes", 4194304},
+                                           {"header_timeout_ms", 3000},
+                                           {"idle_timeout_ms", 15000}}},
             {"tenants",
              boost::json::array{boost::json::object{
                  {"name", "w"},
--- a/tests/unit/http/server_fixture.h
+++ b/tests/unit/http/server_fixture.h
@@ -51,6 +51,21 @@
         return text;
     }
 
+    /// Reads until the server closes the connection, with a pause after this many bytes. Returns
+    /// the number of bytes.
+    std::size_t read_slowly(std::size_t bytes, std::chrono::milliseconds pause) {
+        std::string buf(bytes, '\0');
+        std::size_t total = 0;
+        for (;;) {
+            const auto n = ::recv(m_socket.native_handle(), buf.data(), buf.size(), MSG_WAITALL);
+            if (n <= 0) {
+                return total;
+            }
+            total += static_cast<std::size_t>(n);
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
     /// Whether the last read ended because the server closed the connection.
     [[nodiscard]] bool closed() const { return m_closed; }
     void close() { m_socket.close(); }
@@ -78,6 +93,8 @@
     http::headers last_fields;
     /// Number of 16 KiB chunks in the response to GET /stream.
     int chunk_count = 0;
+    /// Size of the response to GET /large.
+    std::size_t large_response_bytes = 0;
     /// Replaces the stop limit of the whole server, but not the limits of its tasks.
     std::optional<common::duration> outer_stop_timeout;
 
@@ -138,6 +155,8 @@
         ++handled;
         if (message.target == "/held") {
             m_held = reply;
+        } else if (message.target == "/large") {
+            reply.respond({200, {}, std::string(large_response_bytes, 'l')});
         } else if (message.target == "/stream") {
             reply.begin({200, {}, {}});
             for (int n = 0; n < chunk_count; ++n) {
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -313,6 +313,79 @@
     });
 }
 
+// Guards against clients that keep all connections open without requests and so lock out others.
+BOOST_AUTO_TEST_CASE(server_when_full_closes_the_connection_that_waits_longest_for_a_new_one) {
+    options.limits.max_connections = 2;
+    options.limits.when_full = http::connection_overflow::close_longest_waiting;
+    options.limits.read_timeout = std::chrono::seconds{20};
+    const auto server = start();
+    raw_client busy{server};
+    busy.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_until("the request is handled", [&] { return handled == 1; });
+    raw_client silent{server};
+    silent.send("GET / HT");
+    raw_client third{server};
+    BOOST_TEST(third.send(good_request).read("ok 0").starts_with("HTTP/1.1 200"));
+    BOOST_TEST(silent.read().empty());
+    BOOST_TEST(silent.closed());
+    third.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_until("the other request is handled", [&] { return handled == 3; });
+    raw_client fourth{server};
+    BOOST_TEST(fourth.send(good_request).read().starts_with("HTTP/1.1 503"));
+    answer_held();
+    BOOST_TEST(third.read("held").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against a response that is cut although its client reads it steadily: the time limit of a
+// write applied to all of it.
+BOOST_AUTO_TEST_CASE(server_when_client_reads_a_large_response_slowly_sends_all_of_it) {
+    constexpr std::size_t response_bytes = std::size_t{16} * 1024 * 1024;
+    options.limits.max_body_bytes = response_bytes;
+    options.limits.write_timeout = std::chrono::milliseconds{500};
+    large_response_bytes = response_bytes;
+    const auto server = start();
+    raw_client client{server};
+    client.send("GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    // About 1.2 s for the whole response, several pieces of it in each write timeout.
+    BOOST_TEST(client.read_slowly(std::size_t{64} * 1024, std::chrono::milliseconds{5}) >
+               response_bytes);
+}
+
+// Guards against a body that is refused for the time it takes although it arrives steadily.
+BOOST_AUTO_TEST_CASE(server_when_body_arrives_at_the_lowest_rate_accepts_it) {
+    options.limits.min_body_rate = 1000;
+    const auto server = start();
+    raw_client client{server};
+    client.send(post("Content-Length: 4000\r\n", ""));
+    for (int n = 0; n < 40; ++n) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        client.send(std::string(100, 'x'));
+    }
+    BOOST_TEST(client.read("ok 4000").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against many headers that together use more memory than there is: each is within its
+// limit, but short fields take many times their size.
+BOOST_AUTO_TEST_CASE(server_whose_clients_hold_many_headers_bounds_them_together) {
+    options.limits.input_buffer_bytes = std::size_t{128} * 1024;
+    const auto server = start();
+    std::string fields;
+    for (int n = 0; n < 300; ++n) {
+        fields += "a: b\r\n";
+    }
+    std::list<raw_client> clients;
+    for (int n = 0; n < 8; ++n) {
+        clients.emplace_back(server).send("GET /held HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
+    }
+    std::size_t refused = 0;
+    for (auto it = std::next(clients.begin(), 2); it != clients.end(); ++it) {
+        refused += it->read("not_run").starts_with("HTTP/1.1 503") ? 1 : 0;
+    }
+    BOOST_TEST(refused == 6U);
+    raw_client other{server};
+    BOOST_TEST(other.send(good_request).read("ok 0").starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a flood of connections that uses more resources than the two limits allow.
 BOOST_AUTO_TEST_CASE(server_when_flooded_with_connections_refuses_a_bounded_number_with_503) {
     options.limits.max_connections = 1;
--- a/tests/unit/users_platform/configuration_test.cpp
+++ b/tests/unit/users_platform/configuration_test.cpp
@@ -31,7 +31,8 @@
             {"name": "desk", "max_conns": 9},
             {"name": "maker", "pieces": {"slots": 1, "queue": 2, "batch": 8, "call_ms": 240,
              "item_ms": 26, "headroom_mb": 9.6, "handle_s": 4}}],
-        "limits": {"idle_timeout_ms": 15000},
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000},
         "tenants": [{"name": "w", "api_keys": ["k1", "k2"], "priority": 0},
                     {"name": "v", "api_keys": ["k3"]}]})");
 
@@ -180,6 +181,7 @@
           "/routes/1/traffic_split", "/routes/1/resumable", "/routes/1/public", "/routes/1/goal_ms",
           "/routes/1/gap_target_ms", "/routes/1/priority", "/routes/1/max_attempts",
           "/services/0/max_conns", "/services/1/pieces", "/limits", "/limits/idle_timeout_ms",
+          "/limits/max_header_bytes", "/limits/max_body_bytes", "/limits/header_timeout_ms",
           "/tenants/0/priority"}) {
         BOOST_TEST_CONTEXT(pointer) {
             const auto config = decode_with(pointer, "null");
@@ -280,6 +282,32 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(limits_of_callers_are_decoded) {
+    const auto limits = decode_with("/version", "4").limits;
+    BOOST_TEST((limits.max_header_bytes == 16384U));
+    BOOST_TEST((limits.max_body_bytes == 4194304U));
+    BOOST_TEST((limits.header_timeout == std::chrono::seconds{3}));
+    BOOST_TEST((limits.idle_timeout == std::chrono::seconds{15}));
+}
+
+// Guards against a malformed limit that makes the gateway refuse all requests or ignores the
+// others.
+BOOST_AUTO_TEST_CASE(malformed_limit_uses_the_default_and_leaves_the_others_in_force) {
+    for (const auto* name : {"max_header_bytes", "max_body_bytes", "header_timeout_ms"}) {
+        for (const auto* value : {"\"x\"", "-1", "1e30", "[]"}) {
+            BOOST_TEST_CONTEXT(name << " " << value) {
+                const auto config = decode_with("/limits/" + std::string{name}, value);
+                const auto& limits = config.limits;
+                BOOST_TEST(config.faults.size() == 1U);
+                BOOST_TEST((limits.idle_timeout == std::chrono::seconds{15}));
+                const int set = (limits.max_header_bytes ? 1 : 0) +
+                                (limits.max_body_bytes ? 1 : 0) + (limits.header_timeout ? 1 : 0);
+                BOOST_TEST(set == 2);
+            }
+        }
+    }
+}
+
 // Guards against a version that a malformed document replaces: without a version or without JSON
 // nothing in it can be told to be newer.
 BOOST_AUTO_TEST_CASE(document_without_version_is_rejected) {
