http: release the output of a connection that is closed for lack of memory

server_whose_clients_do_not_read_bounds_their_output_together failed now and then on a busy machine (buffered > 0 and disconnects < client_count). There were two causes.

The write timeout of the fixture, 300 ms, closed all clients when more time passed before the checks.

A fault of the product: a connection that was closed for lack of memory kept its share of the budget until its task had been removed, one turn of the event loop later. Connections that grew together were all closed in the same turn, and the first of them would have been enough. Its output is now released at once, and it takes no further commands (phase closed).

--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -105,8 +105,7 @@
         }
         return;
     }
-    if (m_phase == connection_phase::reading || m_phase == connection_phase::finishing ||
-        m_phase == connection_phase::lingering) {
+    if (m_phase != connection_phase::handling && m_phase != connection_phase::streaming) {
         return;
     }
     if (auto* complete = std::get_if<send_response>(&command)) {
@@ -194,6 +193,9 @@
 
 void connection::write_completed(const boost::system::error_code& ec, std::size_t size) {
     m_writing = false;
+    if (m_phase == connection_phase::closed) {
+        return;
+    }
     if (ec) {
         handle_disconnect();
         return;
@@ -266,7 +268,21 @@
         }));
 }
 
+void connection::drop_output() {
+    const std::size_t in_use = m_writing ? 1 : 0;
+    while (m_output.size() > in_use) {
+        m_account.release(memory_use::output, m_output.back().size());
+        m_output.pop_back();
+    }
+}
+
 void connection::handle_disconnect() {
+    if (m_phase == connection_phase::closed) {
+        return;
+    }
+    m_phase = connection_phase::closed;
+    // Other connections that need memory in this turn of the event loop would be closed as well.
+    drop_output();
     if (auto hook = std::exchange(m_on_disconnect, nullptr)) {
         hook();
     }
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -21,8 +21,8 @@
 
 namespace jujubemast::http {
 
-/// State of a server connection.
-enum class connection_phase { reading, handling, streaming, finishing, lingering };
+/// State of a server connection. A closed one waits for its supervisor to remove it.
+enum class connection_phase { reading, handling, streaming, finishing, lingering, closed };
 
 /// Whether a connection serves requests or only responds that there are too many connections.
 enum class connection_role { serving, refusing };
@@ -104,6 +104,8 @@
     /// response.
     void discard_input();
     void handle_disconnect();
+    /// Drops the output that no write is using.
+    void drop_output();
     [[nodiscard]] bool keeps_alive() const;
 
     runtime::task_context m_context;
@@ -148,8 +150,8 @@
 
 template <>
 struct enum_names<http::connection_phase> {
-    static constexpr std::array<std::string_view, 5> table{"reading", "handling", "streaming",
-                                                           "finishing", "lingering"};
+    static constexpr std::array<std::string_view, 6> table{"reading",   "handling",  "streaming",
+                                                           "finishing", "lingering", "closed"};
 };
 
 template <>
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -276,6 +276,8 @@
     chunk_count = 512;
     options.limits.max_buffered_bytes = std::size_t{16} * 1024 * 1024;
     options.limits.output_buffer_bytes = std::size_t{16} * 1024 * 1024;
+    // A write timeout would close all clients before the checks if the machine is busy.
+    options.limits.write_timeout = std::chrono::hours{1};
     const auto server = start();
     std::list<raw_client> clients;
     for (int n = 0; n < client_count; ++n) {
