gateway: bound the messages at the port for other gateways

Cause: ZeroMQ accepts a frame of any length and queues 1,000 messages of any size for each connection.

Change: the links between gateways accept messages of 512 KB and queue 8 of them. The report of all crash evidence to a gateway that becomes live could be larger, so it is divided, in the order in which its parts are applied.

The floods of this port now wait for the handshake. Without that, libzmq 4.3.4 resets a client that sends messages together with its handshake, and two of the cases tested nothing.

--- a/source/core/gateway/crash_evidence.cpp
+++ b/source/core/gateway/crash_evidence.cpp
@@ -56,4 +56,28 @@
     append(quarantines, other.quarantines);
 }
 
+std::vector<crash_evidence> crash_evidence::divide(std::size_t weight) const {
+    std::vector<crash_evidence> result;
+    std::size_t used = weight;
+    const auto distribute = [&](const auto& reports, auto member, auto weight_of) {
+        for (const auto& it : reports) {
+            const auto added = weight_of(it);
+            if (used + added > weight) {
+                result.emplace_back().receiver = receiver;
+                used = 0;
+            }
+            used += added;
+            (result.back().*member).push_back(it);
+        }
+    };
+    const auto one = [](const auto& /*report*/) { return std::size_t{1}; };
+    distribute(alive, &crash_evidence::alive, one);
+    distribute(sound, &crash_evidence::sound, one);
+    distribute(quarantines, &crash_evidence::quarantines, one);
+    distribute(crashes, &crash_evidence::crashes,
+               [](const crash_report& it) { return 1 + it.parts.size(); });
+    distribute(trials, &crash_evidence::trials, one);
+    return result;
+}
+
 } // namespace jujubemast::gateway
--- a/source/core/gateway/crash_evidence.h
+++ b/source/core/gateway/crash_evidence.h
@@ -86,6 +86,11 @@
     /// Adds other evidence. Reports of one crash become one, with `max_report_parts` at most.
     void add(const crash_evidence& other);
 
+    /// Divides the evidence into parts of at most `weight`, in the order in which it is applied:
+    /// what dismisses crashes first. A report weighs one, and another one for each part of a
+    /// prompt.
+    [[nodiscard]] std::vector<crash_evidence> divide(std::size_t weight) const;
+
     [[nodiscard]] bool empty() const {
         return crashes.empty() && sound.empty() && alive.empty() && trials.empty() &&
                quarantines.empty();
--- a/source/core/gateway/peers/peers.cpp
+++ b/source/core/gateway/peers/peers.cpp
@@ -11,6 +11,20 @@
 
 namespace jujubemast::gateway::peers {
 
+namespace {
+
+// Bounds what ZeroMQ holds for one connection at 4 MB. A message between gateways takes a few KB,
+// and reports of crashes are divided into messages of less than half of this size.
+constexpr wire::socket_limits link_limits{.high_water_mark = 1000,
+                                          .receive_high_water_mark = 8,
+                                          .max_message_bytes = std::int64_t{512} * 1024};
+
+// The largest report, of an instance with a long address, takes about 100 bytes, and each part of a
+// prompt 10.
+constexpr std::size_t max_evidence_weight = 2048;
+
+} // namespace
+
 peers::peers(runtime::task_context context, std::shared_ptr<runtime::mailbox<peers_message>> inbox,
              runtime::address<forwarder_message> forwarder,
              runtime::address<dispatcher_message> dispatcher,
@@ -25,7 +39,8 @@
         m_context, m_self.address,
         [this](const std::string& /*routing_id*/, const std::string& bytes) {
             message_received(bytes);
-        });
+        },
+        link_limits);
     m_owners = {m_self.name};
     m_inbox.receive(m_context.wrap([this](const peers_message& message) {
         std::visit([this](const auto& it) { handle(it); }, message);
@@ -87,8 +102,8 @@
 void peers::connect(peer& target) {
     target.connected_at = common::monotonic_clock::now();
     try {
-        target.link = std::make_unique<wire::dealer>(m_context, target.record.address,
-                                                     [](const std::string& /*bytes*/) {});
+        target.link = std::make_unique<wire::dealer>(
+            m_context, target.record.address, [](const std::string& /*bytes*/) {}, link_limits);
     } catch (const common::network_error& e) {
         m_log.warn("Could not connect to a gateway.",
                    {{"gateway", target.record.name}, {"reason", e.what()}});
@@ -224,9 +239,11 @@
 }
 
 void peers::handle(const crash_evidence& message) {
-    for (const auto& [name, it] : m_peers) {
-        if (it.live && (message.receiver.empty() || message.receiver == name)) {
-            send_to(name, message);
+    for (const auto& part : message.divide(max_evidence_weight)) {
+        for (const auto& [name, it] : m_peers) {
+            if (it.live && (part.receiver.empty() || part.receiver == name)) {
+                send_to(name, part);
+            }
         }
     }
 }
--- a/source/core/wire/socket.cpp
+++ b/source/core/wire/socket.cpp
@@ -26,7 +26,8 @@
           m_descriptor{m_context.loop().context()} {
         m_native.set(zmq::sockopt::linger, 0);
         m_native.set(zmq::sockopt::sndhwm, limits.high_water_mark);
-        m_native.set(zmq::sockopt::rcvhwm, limits.high_water_mark);
+        m_native.set(zmq::sockopt::rcvhwm, limits.receive_high_water_mark);
+        m_native.set(zmq::sockopt::maxmsgsize, limits.max_message_bytes);
     }
 
     ~async_socket() { close(); }
--- a/source/core/wire/socket.h
+++ b/source/core/wire/socket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -11,8 +12,12 @@
 
 /// Limits of a ZeroMQ socket.
 struct socket_limits {
-    /// Messages that ZeroMQ may queue in each direction of one connection.
+    /// Messages that ZeroMQ may queue for sending on one connection.
     int high_water_mark = 1000;
+    /// Messages that ZeroMQ may queue after receiving them on one connection.
+    int receive_high_water_mark = 1000;
+    /// A connection that sends a larger message is closed. Negative for no limit.
+    std::int64_t max_message_bytes = -1;
 };
 
 /// The connecting end of a link: a ZeroMQ DEALER socket connected to one sidecar or gateway. It
--- a/tests/integration/hostile_clients_test.cpp
+++ b/tests/integration/hostile_clients_test.cpp
@@ -74,7 +74,8 @@
 
     void check_flood(const flood& content, const http::endpoint& server) const {
         client_connections connections;
-        connections.send_flood(server, clients, content, bytes_of_client);
+        const auto sent = connections.send_flood(server, clients, content, bytes_of_client);
+        BOOST_TEST_MESSAGE("bytes sent: " << sent);
         check_gateway_is_sound();
     }
 
@@ -208,17 +209,26 @@
 // frames.
 BOOST_AUTO_TEST_CASE(
     gateway_with_an_endless_frame_at_its_port_for_gateways_stays_within_its_memory) {
-    check_flood({zmtp_handshake() + zmtp_frame_head(1'000'000'000, false), std::string(1000, 'x')},
-                peers());
+    check_flood(
+        {zmtp_handshake() + zmtp_frame_head(1'000'000'000, false), std::string(1000, 'x'), true},
+        peers());
 }
 
 BOOST_AUTO_TEST_CASE(gateway_with_endless_frames_at_its_port_for_gateways_stays_within_its_memory) {
-    check_flood({zmtp_handshake(), zmtp_frame_head(1000, true) + std::string(1000, 'x')}, peers());
+    check_flood({zmtp_handshake(), zmtp_frame_head(1000, true) + std::string(1000, 'x'), true},
+                peers());
 }
 
 BOOST_AUTO_TEST_CASE(
     gateway_with_unknown_messages_at_its_port_for_gateways_stays_within_its_memory) {
-    check_flood({zmtp_handshake(), zmtp_frame_head(1000, false) + std::string(1000, 'x')}, peers());
+    check_flood({zmtp_handshake(), zmtp_frame_head(1000, false) + std::string(1000, 'x'), true},
+                peers());
+}
+
+BOOST_AUTO_TEST_CASE(gateway_with_large_messages_at_its_port_for_gateways_stays_within_its_memory) {
+    check_flood(
+        {zmtp_handshake(), zmtp_frame_head(1'000'000, false) + std::string(1'000'000, 'x'), true},
+        peers());
 }
 
 // Guards against clients whose open connections leave no descriptor for ordinary callers, the store
@@ -233,6 +243,13 @@
     check_gateway_is_sound();
 }
 
+// The same for connections to the port for other gateways.
+BOOST_AUTO_TEST_CASE(gateway_with_many_connections_at_its_port_for_gateways_keeps_descriptors) {
+    client_connections connections;
+    connections.open(peers(), 400, zmtp_handshake());
+    check_gateway_is_sound();
+}
+
 // Guards against limits that the operator has set and the gateway ignores.
 BOOST_AUTO_TEST_CASE(gateway_with_caller_limits_in_its_configuration_refuses_what_exceeds_them) {
     set_limits({{"max_header_bytes", 2000},
--- a/tests/support/flooding_client.cpp
+++ b/tests/support/flooding_client.cpp
@@ -1,5 +1,7 @@
 #include "support/flooding_client.h"
 
+#include <array>
+#include <atomic>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -46,15 +48,33 @@
     return true;
 }
 
-void send_repeatedly(int descriptor, const flood& content, std::size_t limit) {
+/// Reads until the server sends nothing for a moment. Returns whether it has sent anything.
+bool wait_for_handshake(int descriptor) {
+    const timeval limit{0, 200'000};
+    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    std::array<char, 4096> buf{};
+    bool received = false;
+    while (::recv(descriptor, buf.data(), buf.size(), 0) > 0) {
+        received = true;
+    }
+    return received;
+}
+
+std::size_t send_repeatedly(int descriptor, const flood& content, std::size_t limit) {
     std::string block = content.repeated;
     while (block.size() < block_bytes) {
         block += content.repeated;
     }
     bool open = send_bytes(descriptor, content.begin);
-    for (std::size_t sent = 0; open && sent < limit; sent += block.size()) {
+    if (open && content.has_handshake) {
+        open = wait_for_handshake(descriptor);
+    }
+    std::size_t sent = 0;
+    while (open && sent < limit) {
         open = send_bytes(descriptor, block);
+        sent += open ? block.size() : 0;
     }
+    return sent;
 }
 
 } // namespace
@@ -75,19 +95,23 @@
     }
 }
 
-void client_connections::send_flood(const http::endpoint& server, int count, const flood& content,
-                                    std::size_t limit) {
+std::size_t client_connections::send_flood(const http::endpoint& server, int count,
+                                           const flood& content, std::size_t limit) {
     std::vector<std::thread> senders;
+    std::atomic<std::size_t> sent = 0;
     for (int n = 0; n < count; ++n) {
         const int descriptor = connect_to(server);
         if (descriptor >= 0) {
             m_descriptors.push_back(descriptor);
-            senders.emplace_back([=] { send_repeatedly(descriptor, content, limit); });
+            senders.emplace_back([descriptor, &content, limit, &sent] {
+                sent += send_repeatedly(descriptor, content, limit);
+            });
         }
     }
     for (auto& it : senders) {
         it.join();
     }
+    return sent;
 }
 
 } // namespace jujubemast::tests
--- a/tests/support/flooding_client.h
+++ b/tests/support/flooding_client.h
@@ -14,6 +14,8 @@
     std::string begin;
     /// Sent again and again.
     std::string repeated;
+    /// Whether the server sends bytes after `begin` for which the client waits, as in a handshake.
+    bool has_handshake = false;
 };
 
 /// Connections to one server that are closed by the destructor. Responses are not read.
@@ -29,9 +31,9 @@
 
     /// Opens connections and sends the flood on all of them at the same time, at most `limit` bytes
     /// on each. Returns when these have been sent, or the server has closed the connections or has
-    /// not read from them for a second.
-    void send_flood(const http::endpoint& server, int count, const flood& content,
-                    std::size_t limit);
+    /// not read from them for a second. Returns how many bytes were sent after the first ones.
+    std::size_t send_flood(const http::endpoint& server, int count, const flood& content,
+                           std::size_t limit);
 
     [[nodiscard]] std::size_t count() const { return m_descriptors.size(); }
 
