gateway, http: count the fields of responses as memory

Cause: short header fields of a response take many times their size: once in the parser, until the response is complete, and once in the attempt. Only bodies counted against the share for responses.

Change: the client drops the fields of the parser after it has passed them on; an attempt reserves the memory for its fields, as for its body, after the response is known to belong to the request.

--- a/source/core/gateway/requests/upstream_attempt.cpp
+++ b/source/core/gateway/requests/upstream_attempt.cpp
@@ -47,7 +47,7 @@
 
 upstream_attempt::~upstream_attempt() {
     cancel();
-    m_budget.release(m_reserved_bytes);
+    m_budget.release(m_reserved_bytes + m_field_bytes);
 }
 
 void upstream_attempt::start(const http::request& message) {
@@ -116,7 +116,6 @@
 void upstream_attempt::head_received(unsigned status, const http::headers& fields) {
     auto& head = m_response.head;
     head = m_adapter.decode_response_head(status, fields);
-    m_response.fields = fields;
     const bool success = is_success(status);
     if (head.attempt_id != m_options.attempt_id) {
         // Nothing in it is believed, not even that the request has not run: a faulty upstream may
@@ -129,6 +128,11 @@
         reject_response("the answer is not signed");
         return;
     }
+    if (!reserve_fields(fields)) {
+        lacks_memory("too little memory for the header");
+        return;
+    }
+    m_response.fields = fields;
     if (head.leaving || head.pause) {
         m_hooks.on_notice(head);
     }
@@ -161,15 +165,26 @@
         return;
     }
     if (!reserve_body(size, max_size)) {
-        cancel();
-        fail({.end = classify_incomplete_response(),
-              .detail = "too little memory for the body",
-              .lacks_memory = true});
+        lacks_memory("too little memory for the body");
         return;
     }
     m_response.body += bytes;
 }
 
+void upstream_attempt::lacks_memory(const char* detail) {
+    cancel();
+    fail({.end = classify_incomplete_response(), .detail = detail, .lacks_memory = true});
+}
+
+bool upstream_attempt::reserve_fields(const http::headers& fields) {
+    const auto size = http::memory_of(fields);
+    if (!m_budget.reserve(0, size)) {
+        return false;
+    }
+    m_field_bytes = size;
+    return true;
+}
+
 bool upstream_attempt::reserve_body(std::size_t size, std::size_t max_size) {
     if (size <= m_reserved_bytes) {
         return true;
@@ -177,7 +192,7 @@
     // Doubling keeps the number of copies small. It must not fail where the exact size fits.
     const auto doubled = std::min(std::max(size, 2 * m_reserved_bytes), max_size);
     for (const auto capacity : {doubled, size}) {
-        if (m_budget.reserve(m_reserved_bytes, capacity - m_reserved_bytes)) {
+        if (m_budget.reserve(m_reserved_bytes + m_field_bytes, capacity - m_reserved_bytes)) {
             m_reserved_bytes = capacity;
             m_response.body.reserve(capacity);
             return true;
--- a/source/core/gateway/requests/upstream_attempt.h
+++ b/source/core/gateway/requests/upstream_attempt.h
@@ -100,6 +100,10 @@
     void buffer_body(std::string_view bytes);
     /// Makes room for a body of this size. Returns false if there is no memory for it.
     bool reserve_body(std::size_t size, std::size_t max_size);
+    /// Makes room for the fields of the response. Returns false if there is no memory for them.
+    [[nodiscard]] bool reserve_fields(const http::headers& fields);
+    /// Ends the attempt for lack of memory.
+    void lacks_memory(const char* detail);
     void relay_events(std::string_view bytes);
     void response_completed();
     void call_failed(const http::call_error& error);
@@ -131,6 +135,8 @@
     runtime::timer m_failure_timer;
     runtime::timer m_event_timer;
     attempt_response m_response;
+    /// Bytes of the budget that the fields hold.
+    std::size_t m_field_bytes = 0;
     /// Bytes of the budget that the body holds.
     std::size_t m_reserved_bytes = 0;
 };
--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -225,7 +225,12 @@
             fail(call_error_kind::malformed, "unsupported transfer coding");
             return;
         }
+        m_keep_alive = m_parser->get().keep_alive();
+        const auto field = m_parser->get()[beast_http::field::keep_alive];
+        m_server_timeout = parse_keep_alive_timeout({field.data(), field.size()});
         deliver_head();
+        // Short fields take many times their size, and nobody needs them until the response ends.
+        m_parser->get().clear();
         read_body();
     }
 
@@ -279,7 +284,7 @@
         owner->calls.erase(m_id);
         // Bytes after a complete response belong to no request, so the connection is not used
         // again.
-        if (m_options.idempotent && m_parser->get().keep_alive() && m_input.size() == 0) {
+        if (m_options.idempotent && m_keep_alive && m_input.size() == 0) {
             m_stream->expires_never();
             owner->keep_idle_connection(std::move(m_stream), idle_lifetime());
         } else {
@@ -329,9 +334,7 @@
         // A request that is sent at the moment when the server closes the connection would be lost.
         constexpr common::duration margin = std::chrono::milliseconds{500};
         const auto limit = m_owner.lock()->limits.idle_lifetime;
-        const auto field = m_parser->get()[beast_http::field::keep_alive];
-        const auto server_timeout = parse_keep_alive_timeout({field.data(), field.size()});
-        return server_timeout ? std::min(limit, *server_timeout - margin) : limit;
+        return m_server_timeout ? std::min(limit, *m_server_timeout - margin) : limit;
     }
 
     /// Returns the value set for the call, or that of the client when the call sets none.
@@ -369,6 +372,9 @@
     /// Deadline of the whole call; none without a total timeout.
     std::optional<common::time_point> m_deadline;
     common::time_point m_head_deadline;
+    /// What the head of the response says about the use of the connection after it.
+    bool m_keep_alive = false;
+    std::optional<common::duration> m_server_timeout;
     int m_interim_responses = 0;
     /// Whether a message can hold all fields of the request.
     bool m_fits = true;
--- a/source/core/http/message.cpp
+++ b/source/core/http/message.cpp
@@ -1,6 +1,7 @@
 #include "http/message.h"
 
 #include <charconv>
+#include <numeric>
 #include <utility>
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -19,6 +20,14 @@
     return {};
 }
 
+std::size_t memory_of(const headers& fields) {
+    // Two strings, and a list that grows by doubling.
+    constexpr std::size_t bytes_per_field = 160;
+    return std::accumulate(
+        fields.begin(), fields.end(), fields.size() * bytes_per_field,
+        [](std::size_t sum, const header& it) { return sum + it.name.size() + it.value.size(); });
+}
+
 response json_response(unsigned status, std::string body) {
     return response{status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
--- a/source/core/http/message.h
+++ b/source/core/http/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +17,10 @@
 /// Returns the value of the first header with this name (compared without case), or an empty view.
 std::string_view find_header(const headers& fields, std::string_view name);
 
+/// Returns about how much memory the fields take. Short ones take many times the bytes that they
+/// have on the connection.
+std::size_t memory_of(const headers& fields);
+
 struct request {
     std::string method;
     std::string target;
--- a/source/core/http/request_reader.cpp
+++ b/source/core/http/request_reader.cpp
@@ -18,8 +18,6 @@
 // Bytes of framing that are allowed for each byte of content, in addition to the limit of the
 // header. A chunk of one byte takes five.
 constexpr std::size_t framing_bytes_per_content_byte = 8;
-// Memory for a field in addition to its text: the two strings, and the list that grows by half.
-constexpr std::size_t field_overhead_bytes = 160;
 constexpr std::string_view line_end = "\r\n";
 
 /// Whether unparsed input that begins with the line of a chunk's size belongs to the last chunk, so
@@ -125,7 +123,7 @@
         m_content_length = *length;
     }
     m_request = to_head(message);
-    m_head_memory = 2 * m_head_bytes + m_request.fields.size() * field_overhead_bytes;
+    m_head_memory = m_head_bytes + memory_of(m_request.fields);
     // The parser adds trailers to the fields of the message, where they are not wanted.
     message.clear();
     return read_progress::head_complete;
