docs, gateway: limits of connections

header_timeout_ms of the configuration was cut to the 10 s of the server's own limit; it now applies as it is. callers.max_body_bytes says that the configuration has precedence.

--- a/source/core/gateway/gateway_settings.cpp
+++ b/source/core/gateway/gateway_settings.cpp
@@ -91,7 +91,7 @@
     .section = "callers",
     .key = "max_body_bytes",
     .fallback = std::int64_t{8} * 1024 * 1024,
-    .help = "largest body of a request",
+    .help = "largest body of a request, if the configuration has no limit",
     .check = check_positive,
 };
 const settings::setting<std::string> gateway_settings::ready_listen{
--- a/source/core/http/connection_reading.cpp
+++ b/source/core/http/connection_reading.cpp
@@ -156,9 +156,10 @@
     if (m_head_read) {
         const std::chrono::duration<double> body_time{static_cast<double>(m_body_received) /
                                                       static_cast<double>(limits.min_body_rate)};
-        limit = limits.read_timeout + std::chrono::duration_cast<common::duration>(body_time);
+        limit = std::max(limits.read_timeout, m_limits.header_timeout) +
+                std::chrono::duration_cast<common::duration>(body_time);
     } else if (!m_idle) {
-        limit = std::min(m_limits.header_timeout, limits.read_timeout);
+        limit = m_limits.header_timeout;
     }
     const auto deadline = m_read_start + limit;
     return m_stopping ? std::min(deadline, m_server->stop_read_deadline) : deadline;
