--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -282,8 +282,7 @@
         const auto owner = m_owner.lock();
         m_ended = true;
         owner->calls.erase(m_id);
-        // Bytes after a complete response belong to no request, so the connection is not used
-        // again.
+        // With bytes after a complete response, which belong to no request, it is not used again.
         if (m_options.idempotent && m_keep_alive && m_input.size() == 0) {
             m_stream->expires_never();
             owner->keep_idle_connection(std::move(m_stream), idle_lifetime());
--- a/tests/integration/hostile_upstreams_test.cpp
+++ b/tests/integration/hostile_upstreams_test.cpp
@@ -52,6 +52,7 @@
         replace_upstreams("desk", {"d1", "d2"}, {"x1"}, upstream.address());
         boost::asio::io_context context;
         std::vector<boost::asio::ip::tcp::socket> sockets;
+        sockets.reserve(requests);
         for (int n = 0; n < requests; ++n) {
             sockets.push_back(open_connection(
                 context, "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r" +
