stages: take smaller pieces behind one that does not fit

Cause: a call ended at the first piece whose result did not fit into the result memory of its instance. A service that produces results of 800 KB and of 8 KB left the small ones waiting at an instance with free memory, and large ones at the front filled the batch before any small one was looked at.

Change: the queue gets the free memory with the size of the batch, and a hook (call_fill_hook) decides how many pieces of each order a call takes. fill_with_fitting leaves what does not fit and goes on; the pieces behind take at most a quarter of the result that did not fit, so that they cannot keep it from fitting later. fill_until_misfit is the former policy.

--- a/source/core/gateway/stages/dispatcher.cpp
+++ b/source/core/gateway/stages/dispatcher.cpp
@@ -257,8 +257,10 @@
             return;
         }
         std::vector<order_key> expired;
+        call_room room{limits->batch, limits->result_memory_bytes * usable_memory_share -
+                                          instance->memory.used(now)};
         auto taken = service.queue.take(
-            limits->batch, now, call_time(*limits, 1),
+            room, now, call_time(*limits, 1),
             [&](const order_key& it) { return may_take(service, *instance, *limits, it); },
             expired);
         for (const auto& it : expired) {
@@ -272,22 +274,7 @@
             const auto order = m_orders.find(it.order);
             return order == m_orders.end() || order->second.finished;
         });
-        // Pieces whose results do not fit into the instance's memory return to the queue.
-        double free_bytes =
-            limits->result_memory_bytes * usable_memory_share - instance->memory.used(now);
-        auto fits = taken.begin();
-        for (; fits != taken.end(); ++fits) {
-            free_bytes -= m_orders.at(fits->order).order.result_bytes;
-            if (free_bytes < 0) {
-                break;
-            }
-        }
-        for (auto it = fits; it != taken.end(); ++it) {
-            service.queue.push(m_orders.at(it->order).order, it->piece);
-        }
-        const bool none_fits = fits == taken.begin() && !taken.empty();
-        taken.erase(fits, taken.end());
-        if (none_fits) {
+        if (taken.empty() && room.lacks_memory) {
             instance->backoff_until = now + refusal_backoff;
             schedule_dispatch(name, refusal_backoff);
             continue;
--- a/source/core/gateway/stages/piece_queue.cpp
+++ b/source/core/gateway/stages/piece_queue.cpp
@@ -17,37 +17,38 @@
 } // namespace
 
 void piece_queue::push(const piece_order& order, std::uint32_t piece) {
-    m_waiting.insert({order.priority, order.target_time, {order.key, piece}, order.deadline});
+    m_waiting.insert({order.priority,
+                      order.target_time,
+                      {order.key, piece},
+                      order.deadline,
+                      order.result_bytes});
 }
 
 void piece_queue::remove(const order_key& order) {
     std::erase_if(m_waiting, [&](const waiting& it) { return it.piece.order == order; });
 }
 
-std::vector<queued_piece> piece_queue::take(std::size_t max_count, common::time_point now,
+std::vector<queued_piece> piece_queue::take(call_room& room, common::time_point now,
                                             common::duration call_time,
                                             const admission_hook& may_take,
-                                            std::vector<order_key>& expired) {
+                                            std::vector<order_key>& expired,
+                                            const call_fill_hook& fill) {
     const auto end = now + call_time;
     std::vector<queued_piece> taken;
     // The first pieces of orders that can no longer meet their target time.
     std::vector<position> late;
-    // Keeps the pieces of one order in one call where they fit, because a result occupies memory
-    // until the other results of its order are complete.
     const auto take_order = [&](position first) {
-        const auto end_of_pieces = end_of_order(first);
-        const auto count = static_cast<std::size_t>(std::distance(first, end_of_pieces));
-        if (count > max_count - taken.size() && !taken.empty()) {
-            return;
-        }
-        for (auto it = first; it != end_of_pieces && taken.size() < max_count;
-             it = m_waiting.erase(it)) {
+        const auto waiting_pieces =
+            static_cast<std::size_t>(std::distance(first, end_of_order(first)));
+        auto it = first;
+        for (auto n = fill(room, {waiting_pieces, first->result_bytes}); n > 0; --n) {
             taken.push_back(it->piece);
+            it = m_waiting.erase(it);
         }
     };
     const auto take_late = [&] {
         for (const auto& it : late) {
-            if (taken.size() < max_count) {
+            if (room.pieces > 0) {
                 take_order(it);
             }
         }
@@ -59,7 +60,7 @@
             take_late();
             priority = it->priority;
         }
-        if (taken.size() >= max_count) {
+        if (room.pieces == 0) {
             break;
         }
         const auto after = end_of_order(it);
--- a/source/core/gateway/stages/piece_queue.h
+++ b/source/core/gateway/stages/piece_queue.h
@@ -18,6 +18,7 @@
 #include "gateway/caller_request.h"
 #include "gateway/piece_order.h"
 #include "gateway/service_backlog.h"
+#include "gateway/stages/call_fill.h"
 
 namespace jujubemast::gateway::stages {
 
@@ -45,11 +46,12 @@
     /// Whether a call may take pieces of this order now.
     using admission_hook = std::function<bool(const order_key& order)>;
 
-    /// Takes up to `max_count` pieces for a call that lasts at least `call_time`. Orders whose
+    /// Takes pieces that fit into the room of a call that lasts at least `call_time`. Orders whose
     /// deadline such a call would miss are removed and appended to `expired`.
-    std::vector<queued_piece> take(std::size_t max_count, common::time_point now,
+    std::vector<queued_piece> take(call_room& room, common::time_point now,
                                    common::duration call_time, const admission_hook& may_take,
-                                   std::vector<order_key>& expired);
+                                   std::vector<order_key>& expired,
+                                   const call_fill_hook& fill = fill_with_fitting);
 
     /// Numbers of waiting pieces by priority and range of slack, and the rates at which such pieces
     /// are ordered.
@@ -66,6 +68,7 @@
         common::time_point target_time;
         queued_piece piece;
         common::time_point deadline;
+        double result_bytes = 0;
 
         friend bool operator<(const waiting& a, const waiting& b) {
             return std::tie(a.priority, a.target_time, a.piece) <
--- a/tests/support/pipeline_replay.cpp
+++ b/tests/support/pipeline_replay.cpp
@@ -182,8 +182,9 @@
         while (service.calls.size() < service.setup->instances && service.queue.size() > 0 &&
                (m_now >= service.next_call || service.queue.size() >= limits.batch)) {
             std::vector<gateway::order_key> expired;
+            gateway::stages::call_room room{limits.batch};
             auto pieces = service.queue.take(
-                limits.batch, m_now, gateway::stages::call_time(limits, 1),
+                room, m_now, gateway::stages::call_time(limits, 1),
                 [](const gateway::order_key&) { return true; }, expired);
             for (const auto& it : expired) {
                 const auto failed = m_requests.find(it.number);
--- a/tests/unit/gateway/stages/piece_queue_test.cpp
+++ b/tests/unit/gateway/stages/piece_queue_test.cpp
@@ -41,7 +41,8 @@
     std::vector<std::uint64_t> take(std::size_t max_count, int now_ms = 0) {
         std::vector<std::uint64_t> numbers;
         const auto all = [](const gateway::order_key&) { return true; };
-        for (const auto& it : queue.take(max_count, at(now_ms), milliseconds{260}, all, expired)) {
+        gateway::stages::call_room room{max_count};
+        for (const auto& it : queue.take(room, at(now_ms), milliseconds{260}, all, expired)) {
             numbers.push_back(it.order.number);
         }
         return numbers;
@@ -109,8 +110,9 @@
 BOOST_AUTO_TEST_CASE(piece_queue_with_pieces_for_another_domain_leaves_them) {
     push(0, 1000);
     push(0, 2000);
+    gateway::stages::call_room room{8};
     const auto taken = queue.take(
-        8, at(0), milliseconds{260}, [](const gateway::order_key& it) { return it.number != 1; },
+        room, at(0), milliseconds{260}, [](const gateway::order_key& it) { return it.number != 1; },
         expired);
     BOOST_REQUIRE(taken.size() == 1U);
     BOOST_TEST(taken[0].order.number == 2U);
