instances: estimate an engine's load from the whole pool

Cause: inputs are released 60 ms after a send if the engine has free slots. The estimate multiplied the own requests at the engine by the number of gateways, so two requests of one of 27 gateways counted as 54 of 64 slots and the inputs stayed in result memory until the first event.

Change: has_free_slot_by_pool predicts the requests of the other gateways from the own ones at the engine and in the pool (gamma prior around the mean of the pool) and requires three standard deviations up to the slots. has_free_slot_by_own_requests is the former rule; both are free_slot_hook.

No run with real engines yet.

--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -284,6 +284,22 @@
                        });
 }
 
+known_load service_pool::load_of(const pool_member& member, std::size_t gateways) const {
+    known_load result;
+    result.instances = 0;
+    result.gateways = gateways;
+    result.slots = member.identity.slots;
+    for (const auto& it : m_members) {
+        if (takes_requests(*it)) {
+            ++result.instances;
+            result.own_in_pool += it->in_progress;
+        }
+    }
+    result.own_here = std::max(1U, member.in_progress) - 1;
+    result.own_in_pool = std::max<std::size_t>(1, result.own_in_pool) - 1;
+    return result;
+}
+
 void service_pool::record_success(const pool_member& member, common::duration service_time,
                                   common::time_point now) {
     m_health.record_success(member.identity.id, service_time, now);
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -13,6 +13,7 @@
 #include "common/enum_names.h"
 #include "gateway/allowed_regions.h"
 #include "gateway/instances/instance_state.h"
+#include "gateway/instances/load_estimate.h"
 #include "gateway/instances/send_window.h"
 #include "gateway/instances/waiting_requests.h"
 #include "gateway/instances/warm_up_share.h"
@@ -133,6 +134,9 @@
     /// The requests of this service that wait for an instance.
     [[nodiscard]] waiting_requests& waiting() { return m_waiting; }
 
+    /// What this gateway knows about the load of a member that a request was just sent to.
+    [[nodiscard]] known_load load_of(const pool_member& member, std::size_t gateways) const;
+
     void record_success(const pool_member& member, common::duration service_time,
                         common::time_point now);
     void record_failure(const pool_member& member, common::time_point now);
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -56,6 +56,8 @@
     /// Memory for the bodies of responses, in bytes.
     std::size_t response_buffer_bytes = std::size_t{32} * 1024 * 1024;
     policy::routing_hook route;
+    /// Decides whether an engine has free slots and reads its inputs at once.
+    instances::free_slot_hook has_free_slot = instances::has_free_slot_by_pool;
     common::random_hook random;
     /// Makes known that an instance is about to stop.
     std::function<void(const instance_leaving&)> announce_leaving;
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -18,9 +18,6 @@
 constexpr int lowest_urgency = 9;
 // An engine with free slots starts a request at once and reads the inputs first.
 constexpr common::duration input_read_time = std::chrono::milliseconds{60};
-// An engine is assumed to have free slots up to this share of them, because other gateways use it
-// as well.
-constexpr double max_busy_share = 0.5;
 
 /// Limits how long a stream may go without a complete event.
 void set_event_limits(attempt_options& options, const route& of) {
@@ -229,8 +226,8 @@
 
 void forwarder::schedule_input_release(exchange& ex) {
     const auto& member = *ex.attempt->member();
-    const auto busy = static_cast<double>(member.in_progress * m_gateway_count);
-    if (ex.matched_route->stages.empty() || busy > max_busy_share * member.identity.slots) {
+    if (ex.matched_route->stages.empty() ||
+        !m_options.has_free_slot(pool_of(ex.service).load_of(member, m_gateway_count))) {
         return;
     }
     ex.input_release_timer = std::make_unique<runtime::timer>(m_context.loop());
