instances: keep a grant for a long prompt until its reading has ended

Cause: a grant lasted for the estimated reading time and 20 ms, but the time to the first event was 1,317 ms at the 99th percentile.

Change: the gateway that asked sends reading_ended to the owner of the engine with the first event of the attempt, when the attempt ends without one, or when a possible grant is not used. A refusal says when the engine is expected to be free; if all engines were refused, the request goes to the one that is free first.

The effect on the pauses of streams has not been measured.

--- a/source/core/gateway/instances/reading_search.cpp
+++ b/source/core/gateway/instances/reading_search.cpp
@@ -9,7 +9,8 @@
     m_engine = std::move(engine);
 }
 
-reading_step reading_search::answered(std::uint64_t number, bool granted, common::time_point now) {
+reading_step reading_search::answered(std::uint64_t number, bool granted, common::duration free_in,
+                                      common::time_point now) {
     if (m_number != number) {
         return reading_step::none;
     }
@@ -17,7 +18,12 @@
     if (granted) {
         return reading_step::send_there;
     }
-    m_refused.push_back(m_engine);
+    if (m_refused.empty() || now + free_in < m_first_free_at) {
+        m_refused.insert(m_refused.begin(), m_engine);
+        m_first_free_at = now + free_in;
+    } else {
+        m_refused.push_back(m_engine);
+    }
     return m_refused.size() < m_limits.max_questions && now < m_ends ? reading_step::ask
                                                                      : reading_step::send_anywhere;
 }
--- a/source/core/gateway/instances/reading_search.h
+++ b/source/core/gateway/instances/reading_search.h
@@ -44,7 +44,10 @@
     /// Records that the owner of an engine is asked under a number.
     void asked(std::uint64_t number, std::string engine);
 
-    reading_step answered(std::uint64_t number, bool granted, common::time_point now);
+    /// Applies a response. If refused, `free_in` is the expected time until the engine has read its
+    /// current prompt.
+    reading_step answered(std::uint64_t number, bool granted, common::duration free_in,
+                          common::time_point now);
 
     /// The time of the search is over.
     reading_step time_over();
@@ -52,7 +55,7 @@
     [[nodiscard]] common::time_point ends() const { return m_ends; }
     /// The engine that was asked for last.
     [[nodiscard]] const std::string& engine() const { return m_engine; }
-    /// Engines that read another prompt.
+    /// Engines that read another prompt. The first one is expected to end its reading first.
     [[nodiscard]] const std::vector<std::string>& refused() const { return m_refused; }
 
 private:
@@ -61,6 +64,7 @@
     std::optional<std::uint64_t> m_number;
     std::string m_engine;
     std::vector<std::string> m_refused;
+    common::time_point m_first_free_at;
 };
 
 } // namespace jujubemast::gateway::instances
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -110,6 +110,17 @@
     std::string origin;
     std::uint64_t number = 0;
     bool granted = false;
+    /// If refused: the expected time until the engine has read its current prompt.
+    common::duration free_in = common::duration::zero();
+};
+
+/// Tells the owner of a model engine that a reading that it may have granted has ended, or does not
+/// begin. If this message is lost, the grant ends by itself.
+struct reading_ended {
+    /// The gateway that asked, and the number of its question.
+    std::string origin;
+    std::uint64_t number = 0;
+    std::string engine;
 };
 
 struct gateways_changed {
@@ -154,13 +165,13 @@
 using forwarder_message =
     std::variant<discovery_update, configuration_confirmed, request_received, caller_disconnected,
                  order_ended, gateway_names_changed, gateway_names_confirmed, backlog_report,
-                 crash_evidence, gateway_live, reading_request, reading_response, shutdown_started,
-                 admin::metrics_query>;
+                 crash_evidence, gateway_live, reading_request, reading_response, reading_ended,
+                 shutdown_started, admin::metrics_query>;
 
 using peers_message =
     std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
                  backlog_report, instance_leaving, crash_evidence, table_relay, reading_request,
-                 reading_response, shutdown_started>;
+                 reading_response, reading_ended, shutdown_started>;
 
 using dispatcher_message =
     std::variant<discovery_update, piece_order, cancel_order, release_results, owners_changed,
--- a/source/core/gateway/peers/peers.cpp
+++ b/source/core/gateway/peers/peers.cpp
@@ -17,7 +17,8 @@
 template <typename Content>
 constexpr bool is_for_forwarder =
     std::is_same_v<Content, backlog_report> || std::is_same_v<Content, crash_evidence> ||
-    std::is_same_v<Content, reading_request> || std::is_same_v<Content, reading_response>;
+    std::is_same_v<Content, reading_request> || std::is_same_v<Content, reading_response> ||
+    std::is_same_v<Content, reading_ended>;
 
 } // namespace
 
@@ -261,6 +262,12 @@
     send_to(message.origin, message);
 }
 
+void peers::handle(const reading_ended& message) {
+    auto ended = message;
+    ended.origin = m_self.name;
+    send_to(choose_owner(message.engine, m_owners), ended);
+}
+
 bool peers::remember_leaving(const incarnation& instance) {
     const auto now = common::monotonic_clock::now();
     std::erase_if(m_leaving_instances, [&](const auto& it) {
--- a/source/core/gateway/peers/peers.h
+++ b/source/core/gateway/peers/peers.h
@@ -86,6 +86,7 @@
     void handle(const table_relay& message);
     void handle(const reading_request& message);
     void handle(const reading_response& message);
+    void handle(const reading_ended& message);
 
     void ping_received(peer& from, const wire::gateway_ping& message, common::time_point now);
     void message_received(const std::string& bytes);
--- a/source/core/gateway/requests/exchange.h
+++ b/source/core/gateway/requests/exchange.h
@@ -12,6 +12,7 @@
 #include "gateway/configuration.h"
 #include "gateway/crash_evidence.h"
 #include "gateway/instances/reading_search.h"
+#include "gateway/messages.h"
 #include "gateway/requests/event_relay.h"
 #include "gateway/requests/upstream_attempt.h"
 #include "gateway/stages/stage_progress.h"
@@ -86,6 +87,9 @@
     std::unique_ptr<runtime::timer> reading_timer;
     /// Number of the last question of the search.
     std::uint64_t reading_number = 0;
+    /// What the owner of the engine is told when the reading ends. Set while it may have granted
+    /// one.
+    std::optional<reading_ended> reading_end;
     /// The current attempt, or the last one.
     std::unique_ptr<upstream_attempt> attempt;
     /// Number of sends, and of those that may have run.
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -317,6 +317,7 @@
     cancel_orders(ex);
     release_inputs(ex);
     end_reading_search(ex);
+    end_reading(ex);
     if (ex.waiting) {
         pool_of(ex.service).waiting().remove(ex.id);
     }
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -84,6 +84,7 @@
     void handle(const gateway_live& message);
     void handle(const reading_request& message);
     void handle(const reading_response& message);
+    void handle(const reading_ended& message);
     void handle(const shutdown_started& message);
     void handle(const admin::metrics_query& message);
 
@@ -144,8 +145,8 @@
     void release_inputs(exchange& ex);
 
     void send(exchange& ex);
-    /// Sends the request to an instance that can take it, if possible not to those in `avoided`, or
-    /// lets it wait.
+    /// Sends the request to an instance that can take it, or lets it wait. If possible, it is not
+    /// sent to those in `avoided`, and otherwise to the first of them.
     void send_anywhere(exchange& ex, const std::vector<std::string>& avoided);
     /// Begins the search for an engine that may read the request's long prompt. Returns false if
     /// the request needs none.
@@ -154,6 +155,8 @@
     bool ask_for_reading(exchange& ex);
     void apply_reading_step(exchange& ex, instances::reading_step step);
     void end_reading_search(exchange& ex);
+    /// Tells the owner of the engine that the prompt has been read, or is not read there.
+    void end_reading(exchange& ex);
     /// Sends the request to this instance.
     void send_to(exchange& ex, const std::shared_ptr<instances::pool_member>& member);
     [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex) const;
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -70,7 +70,11 @@
     routing.excluded.insert(routing.excluded.end(), avoided.begin(), avoided.end());
     auto choice = pool.choose(routing);
     if (!avoided.empty() && choice.outcome != instances::choice_outcome::chosen) {
-        choice = pool.choose(make_routing_request(ex));
+        if (auto first = pool.take(avoided.front(), routing.now)) {
+            choice = {instances::choice_outcome::chosen, std::move(first), {}};
+        } else {
+            choice = pool.choose(make_routing_request(ex));
+        }
     }
     if (choice.outcome != instances::choice_outcome::chosen) {
         wait_for_instance(ex, choice);
@@ -267,7 +271,8 @@
         record_sound_answer(ex, *ex.writing_since);
     }
     ex.reply.write(std::move(events));
-    // The engine reads its inputs before it sends the first event.
+    // The engine reads its prompt and its inputs before it sends the first event.
+    end_reading(ex);
     release_inputs(ex);
 }
 
@@ -326,6 +331,7 @@
 void forwarder::attempt_ended(exchange& ex, attempt_end end, const std::string& detail) {
     const auto now = common::monotonic_clock::now();
     ex.input_release_timer.reset();
+    end_reading(ex);
     auto& pool = pool_of(ex.service);
     auto facts = facts_of(ex, end, now);
     facts.budget_left = true;
--- a/source/core/gateway/requests/forwarder_readings.cpp
+++ b/source/core/gateway/requests/forwarder_readings.cpp
@@ -10,19 +10,29 @@
 
 void forwarder::handle(const reading_request& message) {
     const auto now = common::monotonic_clock::now();
-    m_peers.send(reading_response{message.origin, message.number,
-                                  m_readings.request(message.engine, message.reading, now)});
+    const bool granted =
+        m_readings.request(message.engine, {message.origin, message.number}, message.reading, now);
+    m_peers.send(reading_response{message.origin, message.number, granted,
+                                  granted ? common::duration::zero()
+                                          : m_readings.free_in(message.engine, now)});
+}
+
+void forwarder::handle(const reading_ended& message) {
+    m_readings.end(message.engine, {message.origin, message.number});
 }
 
 void forwarder::handle(const reading_response& message) {
     const auto question = m_reading_questions.find(message.number);
     if (question == m_reading_questions.end()) {
-        // The search has ended. The grant ends by itself.
+        // The search has ended, and the owner has been told so.
         return;
     }
     auto& ex = *find(question->second);
-    apply_reading_step(
-        ex, ex.reading->answered(message.number, message.granted, common::monotonic_clock::now()));
+    if (!message.granted) {
+        ex.reading_end.reset();
+    }
+    apply_reading_step(ex, ex.reading->answered(message.number, message.granted, message.free_in,
+                                                common::monotonic_clock::now()));
 }
 
 bool forwarder::start_reading_search(exchange& ex) {
@@ -59,8 +69,12 @@
     ex.reading_number = m_next_question++;
     m_reading_questions[ex.reading_number] = ex.id;
     ex.reading->asked(ex.reading_number, member->identity.id);
-    return m_peers.send(reading_request{"", ex.reading_number, member->identity.id,
-                                        instances::reading_time(ex.request.prompt_tokens)});
+    if (!m_peers.send(reading_request{"", ex.reading_number, member->identity.id,
+                                      instances::reading_time(ex.request.prompt_tokens)})) {
+        return false;
+    }
+    ex.reading_end = reading_ended{"", ex.reading_number, member->identity.id};
+    return true;
 }
 
 void forwarder::apply_reading_step(exchange& ex, instances::reading_step step) {
@@ -81,9 +95,11 @@
                                          {"refused", std::to_string(search.refused().size())}});
     if (member) {
         send_to(ex, member);
-    } else {
-        send_anywhere(ex, search.refused());
+        return;
     }
+    // The owner may have granted a reading that does not take place.
+    end_reading(ex);
+    send_anywhere(ex, search.refused());
 }
 
 void forwarder::end_reading_search(exchange& ex) {
@@ -92,4 +108,10 @@
     ex.reading.reset();
 }
 
+void forwarder::end_reading(exchange& ex) {
+    if (const auto ended = std::exchange(ex.reading_end, {})) {
+        m_peers.send(*ended);
+    }
+}
+
 } // namespace jujubemast::gateway::requests
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -144,6 +144,13 @@
               common::time_point /*now*/) {
     to.mutable_reading_response()->set_number(from.number);
     to.mutable_reading_response()->set_granted(from.granted);
+    to.mutable_reading_response()->set_free_in_us(microseconds(from.free_in));
+}
+
+void to_proto(pb::gateway_envelope& to, const gateway::reading_ended& from,
+              common::time_point /*now*/) {
+    to.mutable_reading_ended()->set_number(from.number);
+    to.mutable_reading_ended()->set_engine(from.engine);
 }
 
 gateway::table_relay relay_from_proto(const pb::gateway_table_changes& from) {
@@ -278,8 +285,14 @@
         return result;
     }
     case pb::gateway_envelope::kReadingResponse:
-        result.content = gateway::reading_response{"", envelope.reading_response().number(),
-                                                   envelope.reading_response().granted()};
+        result.content = gateway::reading_response{
+            "", envelope.reading_response().number(), envelope.reading_response().granted(),
+            std::chrono::microseconds{envelope.reading_response().free_in_us()}};
+        return result;
+    case pb::gateway_envelope::kReadingEnded:
+        result.content =
+            gateway::reading_ended{envelope.sender(), envelope.reading_ended().number(),
+                                   envelope.reading_ended().engine()};
         return result;
     case pb::gateway_envelope::CONTENT_NOT_SET:
         break;
--- a/source/core/wire/gateway_codec.h
+++ b/source/core/wire/gateway_codec.h
@@ -25,7 +25,8 @@
     std::variant<gateway_ping, gateway::piece_order, gateway::cancel_order,
                  gateway::release_results, gateway::order_finished, gateway::backlog_report,
                  gateway::outcome_acknowledged, gateway::instance_leaving, gateway::table_relay,
-                 gateway::crash_evidence, gateway::reading_request, gateway::reading_response>;
+                 gateway::crash_evidence, gateway::reading_request, gateway::reading_response,
+                 gateway::reading_ended>;
 
 /// A message from one gateway to another.
 struct gateway_message {
--- a/tests/integration/long_prompt_test.cpp
+++ b/tests/integration/long_prompt_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/read.hpp>
 
+#include "common/time.h"
 #include "gateway/ownership.h"
 #include "gateway_fixture.h"
 
@@ -96,6 +97,25 @@
     BOOST_TEST(engine_of(ids[0]) != engine_of(ids[1]));
 }
 
+// Guards against an engine that is blocked until the limit of its grant after it has read the
+// prompt, and against an end that does not reach the owner.
+BOOST_AUTO_TEST_CASE(long_prompt_that_has_been_read_ends_its_grant_before_the_limit) {
+    const std::chrono::milliseconds limit{3000};
+    for (std::size_t n = 0; n < gateways.size(); ++n) {
+        // A busy machine may take longer than the limit; then the request shows nothing.
+        wait_until("a grant has ended before its limit", [&] {
+            wait_for_free_engines();
+            const auto id = "read" + std::to_string(next_request++);
+            const auto begin = common::monotonic_clock::now();
+            const auto response =
+                send("POST", "/stream/1", id, {{"X-Model", "m"}, {"X-Token-Count", "54600,10"}}, n);
+            wait_for_free_engines();
+            return response.status == 200 && was_granted(id) &&
+                   common::monotonic_clock::now() - begin < limit;
+        });
+    }
+}
+
 // Guards against requests that are lost or delayed with the gateway that owns their engine, and
 // against a second send when its response comes late.
 BOOST_AUTO_TEST_CASE(long_prompt_whose_owner_is_frozen_is_sent_once_without_a_grant) {
