--- a/tests/integration/long_prompt_test.cpp
+++ b/tests/integration/long_prompt_test.cpp
@@ -4,16 +4,21 @@
 #include <vector>
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 
 #include "common/time.h"
 #include "gateway/ownership.h"
 #include "gateway_fixture.h"
+#include "support/raw_response_server.h"
 
 namespace jujubemast::tests {
 
 /// Two gateways and two model engines. Prompts of 54,600 tokens take an engine about a second to
 /// read.
 struct long_prompt_fixture : gateway_fixture {
+    /// How long a grant for such a prompt lasts if its end is not reported.
+    static constexpr std::chrono::seconds grant_limit{3};
+
     int next_request = 0;
 
     long_prompt_fixture() {
@@ -100,7 +105,6 @@
 // Guards against an engine that is blocked until the limit of its grant after it has read the
 // prompt, and against an end that does not reach the owner.
 BOOST_AUTO_TEST_CASE(long_prompt_that_has_been_read_ends_its_grant_before_the_limit) {
-    const std::chrono::milliseconds limit{3000};
     for (std::size_t n = 0; n < gateways.size(); ++n) {
         // A busy machine may take longer than the limit; then the request shows nothing.
         wait_until("a grant has ended before its limit", [&] {
@@ -111,11 +115,38 @@
                 send("POST", "/stream/1", id, {{"X-Model", "m"}, {"X-Token-Count", "54600,10"}}, n);
             wait_for_free_engines();
             return response.status == 200 && was_granted(id) &&
-                   common::monotonic_clock::now() - begin < limit;
+                   common::monotonic_clock::now() - begin < grant_limit;
         });
     }
 }
 
+// Guards against a grant that lasts as long as the stream. The engine is silent after the first
+// event.
+BOOST_AUTO_TEST_CASE(stream_whose_first_event_has_arrived_has_no_grant_any_more) {
+    raw_response_server engine{[](const std::string& request) {
+        const auto begin = request.find("X-Attempt-Id: ");
+        return raw_response{"HTTP/1.1 200 OK\r\n" +
+                                request.substr(begin, request.find("\r\n", begin) - begin) +
+                                "\r\nX-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "f\r\nid: 1\ndata: x\n\n\r\n",
+                            "0\r\n\r\n", std::chrono::seconds{4}};
+    }};
+    replace_upstreams("engines", {"e1", "e2"}, {"x1"}, engine.address());
+    // A busy machine may take longer than the limit; then the request shows nothing.
+    wait_until("a grant has ended before its limit", [&] {
+        wait_for_free_engines();
+        const auto id = "silent" + std::to_string(next_request++);
+        const auto begin = common::monotonic_clock::now();
+        boost::asio::io_context context;
+        auto caller = open_connection(context, request(id), 0);
+        std::string text;
+        boost::system::error_code ec;
+        boost::asio::read_until(caller, boost::asio::dynamic_buffer(text), "id: 1", ec);
+        wait_for_free_engines();
+        return !ec && was_granted(id) && common::monotonic_clock::now() - begin < grant_limit;
+    });
+}
+
 // Guards against requests that are lost or delayed with the gateway that owns their engine, and
 // against a second send when its response comes late.
 BOOST_AUTO_TEST_CASE(long_prompt_whose_owner_is_frozen_is_sent_once_without_a_grant) {
