--- a/source/core/gateway/peers/peers.cpp
+++ b/source/core/gateway/peers/peers.cpp
@@ -17,7 +17,8 @@
 template <typename Content>
 constexpr bool is_for_forwarder =
     std::is_same_v<Content, backlog_report> || std::is_same_v<Content, crash_evidence> ||
-    std::is_same_v<Content, reading_request> || std::is_same_v<Content, reading_response>;
+    std::is_same_v<Content, reading_request> || std::is_same_v<Content, reading_response> ||
+    std::is_same_v<Content, reading_ended>;
 
 // Bounds what ZeroMQ holds for one connection at 4 MB. A message between gateways takes a few KB,
 // and reports of crashes are divided into messages of less than half of this size.
@@ -279,6 +280,12 @@
     send_to(message.origin, message);
 }
 
+void peers::handle(const reading_ended& message) {
+    auto ended = message;
+    ended.origin = m_self.name;
+    send_to(choose_owner(message.engine, m_owners), ended);
+}
+
 bool peers::remember_leaving(const incarnation& instance) {
     const auto now = common::monotonic_clock::now();
     std::erase_if(m_leaving_instances, [&](const auto& it) {
--- a/source/core/wire/gateway_codec.h
+++ b/source/core/wire/gateway_codec.h
@@ -26,7 +26,7 @@
                  gateway::release_results, gateway::order_finished, gateway::backlog_report,
                  gateway::outcome_acknowledged, gateway::instance_leaving, gateway::table_relay,
                  gateway::crash_evidence, gateway::domain_drains, gateway::reading_request,
-                 gateway::reading_response>;
+                 gateway::reading_response, gateway::reading_ended>;
 
 /// A message from one gateway to another.
 struct gateway_message {
