--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -203,9 +203,21 @@
 }
 
 std::shared_ptr<pool_member> service_pool::preview(const policy::routing_request& request,
-                                                   const allowed_regions& regions) {
+                                                   const allowed_regions& regions,
+                                                   std::string_view failure_domain) {
     update_states(request.now);
-    const auto chosen = m_route(request, views(request.now, regions));
+    const auto all = views(request.now, regions);
+    std::optional<std::size_t> chosen;
+    if (!failure_domain.empty()) {
+        auto local = all;
+        for (auto& it : local) {
+            it.available = it.available && it.failure_domain == failure_domain;
+        }
+        chosen = m_route(request, local);
+    }
+    if (!chosen) {
+        chosen = m_route(request, all);
+    }
     return chosen ? m_members[*chosen] : nullptr;
 }
 
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -107,9 +107,11 @@
     instance_choice choose(const policy::routing_request& request,
                            const allowed_regions& regions = {});
 
-    /// Returns the instance that `choose` would choose, or null. Records nothing.
+    /// Returns the instance that `choose` would choose, or null. Records nothing. If a failure
+    /// domain is given, one in it is returned if there is any.
     std::shared_ptr<pool_member> preview(const policy::routing_request& request,
-                                         const allowed_regions& regions = {});
+                                         const allowed_regions& regions = {},
+                                         std::string_view failure_domain = {});
 
     /// Chooses the instance with this id if it can take a request now. Returns null otherwise.
     std::shared_ptr<pool_member> take(const std::string& id, common::time_point now);
--- a/source/core/gateway/requests/forwarder_readings.cpp
+++ b/source/core/gateway/requests/forwarder_readings.cpp
@@ -61,7 +61,13 @@
     auto routing = make_routing_request(ex);
     const auto& refused = ex.reading->refused();
     routing.excluded.insert(routing.excluded.end(), refused.begin(), refused.end());
-    const auto member = pool_of(ex.service).preview(routing, ex.regions);
+    auto& pool = pool_of(ex.service);
+    // The results of the stages were made near this engine, which also holds the shared parts of
+    // the prompt, so the others in its failure domain read both without a transfer between domains.
+    const auto affinity = pool.affinity_member(prefix_of(ex), ex.regions);
+    const auto member = pool.preview(routing, ex.regions,
+                                     affinity ? std::string_view{affinity->identity.failure_domain}
+                                              : std::string_view{});
     if (!member) {
         return false;
     }
--- a/tests/unit/gateway/instances/service_pool_test.cpp
+++ b/tests/unit/gateway/instances/service_pool_test.cpp
@@ -230,6 +230,19 @@
     BOOST_TEST((subject.preview({.excluded = {"b"}, .now = now}) == nullptr));
 }
 
+// Guards against stage results and prompt parts that cross failure domains although an instance in
+// theirs is available.
+BOOST_AUTO_TEST_CASE(preview_with_a_failure_domain_prefers_the_instances_in_it) {
+    known["a"].failure_domain = "y";
+    known["b"].failure_domain = "x";
+    subject.update("s", known, now);
+    for (int n = 0; n < 8; ++n) {
+        BOOST_TEST(subject.preview({.now = now}, {}, "x")->identity.id == "b");
+        BOOST_TEST(subject.preview({.now = now}, {}, "y")->identity.id == "a");
+    }
+    BOOST_TEST(subject.preview({.excluded = {"b"}, .now = now}, {}, "x")->identity.id == "a");
+}
+
 // Guards against a request to an instance that was good when its engine was asked for.
 BOOST_AUTO_TEST_CASE(instance_that_has_become_unable_is_not_taken) {
     BOOST_TEST(subject.take("a", now)->identity.id == "a");
