gateway: large stage results and their reader in the same failure domain

Cause: the model engine is chosen by the hash of the prompt's prefix after the results are made, wherever they are. Pieces wait for the preferred domain only while two full calls fit in before their target time, which is hardly ever so for the last stage. With four domains three quarters of the results cross domains.

Change: the choice compares the routing policy's engine with the engine that the prefix hashes to in each domain that stores results of the request, by bytes, prompt parts to read and load. prefix_memory tells which engines have lately got the prefix from this gateway; the reading of a prompt part is divided by its expected uses.

--- a/source/core/gateway/gateway_settings.cpp
+++ b/source/core/gateway/gateway_settings.cpp
@@ -151,6 +151,14 @@
     .help = "window in which retries are counted",
     .check = check_positive_duration,
 };
+const settings::setting<double> gateway_settings::placement_price{
+    .section = "placement",
+    .key = "price_ms_per_gb",
+    .fallback = 25'000,
+    .help = "waiting time of a caller, in ms, that a gigabyte between failure domains may cost; 0 "
+            "places work as if transfers were free",
+    .check = check_not_negative,
+};
 
 const settings::table gateway_settings::table{
     &name,
@@ -171,6 +179,7 @@
     &retry_ratio,
     &retry_reserve,
     &retry_window,
+    &placement_price,
 };
 
 } // namespace jujubemast::gateway
--- a/source/core/gateway/gateway_settings.h
+++ b/source/core/gateway/gateway_settings.h
@@ -24,6 +24,7 @@
     static const settings::setting<double> retry_ratio;
     static const settings::setting<double> retry_reserve;
     static const settings::setting<std::chrono::milliseconds> retry_window;
+    static const settings::setting<double> placement_price;
 
     static const settings::table table;
 };
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -120,6 +120,12 @@
     return hooks;
 }
 
+policy::transfer_terms transfer_terms_of(const settings::values& values) {
+    policy::transfer_terms terms;
+    terms.price_ms_per_gb = values.get(gateway_settings::placement_price);
+    return terms;
+}
+
 requests::forwarder_options make_forwarder_options(const settings::values& values,
                                                    const peers_mailbox& peers) {
     policy::load_aware_options routing;
@@ -139,6 +145,10 @@
     options.response_buffer_bytes = shares_of_memory(values).response_bodies;
     options.random = common::system_random();
     options.route = policy::make_load_aware(routing, common::system_random());
+    if (const auto terms = transfer_terms_of(values); terms.enabled()) {
+        options.place = policy::make_placement_by_cost(terms);
+        options.follow_stored_results = true;
+    }
     return options;
 }
 
@@ -186,7 +196,8 @@
     children.push_back({"dispatcher", [=](runtime::task_context it) {
                             return std::make_shared<stages::dispatcher>(
                                 std::move(it), dispatcher_inbox,
-                                runtime::address<peers_message>{peers_inbox}, platform_adapter);
+                                runtime::address<peers_message>{peers_inbox}, platform_adapter,
+                                stages::make_piece_placement(transfer_terms_of(values)));
                         }});
     children.push_back({"forwarder", [=](runtime::task_context it) {
                             return std::make_shared<requests::forwarder>(
--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -29,10 +29,29 @@
     return std::find(excluded.begin(), excluded.end(), member.identity.id) != excluded.end();
 }
 
+/// Returns the member with the highest rank for the prefix among those that the predicate accepts.
+template <typename Predicate>
+std::shared_ptr<pool_member>
+first_by_prefix(const std::vector<std::shared_ptr<pool_member>>& members, std::uint64_t prefix,
+                const Predicate& accepts) {
+    std::shared_ptr<pool_member> best;
+    std::uint64_t best_rank = 0;
+    for (const auto& it : members) {
+        const auto rank = policy::rendezvous_rank(prefix, it->digest);
+        if (it->state.phase() != instance_phase::gone && accepts(*it) &&
+            (!best || rank > best_rank)) {
+            best = it;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
-service_pool::service_pool(runtime::task_context context, policy::routing_hook route)
-    : m_context{std::move(context)}, m_route{std::move(route)} {}
+service_pool::service_pool(runtime::task_context context, policy::routing_hook route,
+                           policy::placement_hook place)
+    : m_context{std::move(context)}, m_route{std::move(route)}, m_place{std::move(place)} {}
 
 void service_pool::update(const std::string& service, const upstream_map& known,
                           common::time_point now) {
@@ -118,7 +137,8 @@
     }
 }
 
-std::vector<policy::upstream_view> service_pool::views() const {
+std::vector<policy::upstream_view>
+service_pool::views(const policy::routing_request& request) const {
     std::vector<policy::upstream_view> result;
     result.reserve(m_members.size());
     for (const auto& it : m_members) {
@@ -131,19 +151,26 @@
         view.reported_in_progress = it->in_progress;
         view.limit = it->identity.slots;
         view.available_since = it->state.registered_at();
+        view.holds_prefix =
+            !request.inputs.empty() && m_prefixes.holds(request.prefix, it->digest, request.now);
         result.push_back(std::move(view));
     }
     return result;
 }
 
-instance_choice service_pool::choose(const policy::routing_request& request) {
+instance_choice service_pool::choose(policy::routing_request request) {
     update_states(request.now);
-    const auto chosen = m_route(request, views());
-    if (!chosen) {
+    request.prefix_uses = m_prefixes.uses(request.prefix, request.now);
+    const auto placed = m_place(request, views(request), m_route);
+    if (!placed.index) {
         return explain_no_choice(request);
     }
-    m_health.record_dispatch(m_members[*chosen]->identity.id, request.now);
-    return {choice_outcome::chosen, m_members[*chosen], {}};
+    const auto& member = m_members[*placed.index];
+    m_health.record_dispatch(member->identity.id, request.now);
+    if (request.prefix != 0) {
+        m_prefixes.record(request.prefix, member->digest, request.now);
+    }
+    return {choice_outcome::chosen, member, {}, placed.reason, placed.remote_bytes};
 }
 
 instance_choice service_pool::explain_no_choice(const policy::routing_request& request) const {
@@ -153,7 +180,8 @@
             continue;
         }
         if (takes_requests(*it)) {
-            return {choice_outcome::no_connection, nullptr, {}};
+            result.outcome = choice_outcome::no_connection;
+            return result;
         }
         if (it->state.phase() != instance_phase::pausing) {
             continue;
@@ -167,16 +195,14 @@
 }
 
 std::shared_ptr<pool_member> service_pool::affinity_member(std::uint64_t prefix) {
-    std::shared_ptr<pool_member> best;
-    std::uint64_t best_rank = 0;
-    for (const auto& it : m_members) {
-        const auto rank = policy::rendezvous_rank(prefix, it->digest);
-        if (it->state.phase() != instance_phase::gone && (!best || rank > best_rank)) {
-            best = it;
-            best_rank = rank;
-        }
-    }
-    return best;
+    return first_by_prefix(m_members, prefix, [](const pool_member&) { return true; });
+}
+
+std::shared_ptr<pool_member> service_pool::affinity_member_in(std::string_view failure_domain,
+                                                              std::uint64_t prefix) {
+    return first_by_prefix(m_members, prefix, [&](const pool_member& it) {
+        return it.identity.failure_domain == failure_domain;
+    });
 }
 
 bool service_pool::has_alternative(const std::vector<std::string>& excluded,
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -11,10 +11,12 @@
 
 #include "common/enum_names.h"
 #include "gateway/instances/instance_state.h"
+#include "gateway/instances/prefix_memory.h"
 #include "gateway/instances/waiting_requests.h"
 #include "gateway/upstream_list.h"
 #include "http/client.h"
 #include "policy/outlier_detector.h"
+#include "policy/placement.h"
 #include "policy/retry_budget.h"
 #include "policy/routing.h"
 #include "policy/shared_limit.h"
@@ -56,12 +58,17 @@
     std::shared_ptr<pool_member> member;
     /// When the first pause ends, if the instances pause.
     common::time_point retry_at;
+    /// Why the instance of its failure domain was chosen.
+    policy::placement_reason reason = policy::placement_reason::routing;
+    /// Bytes of the inputs that cross failure domains.
+    double remote_bytes = 0;
 };
 
 /// The instances of one service, with load balancing, outlier detection and the retry budget.
 class service_pool {
 public:
-    service_pool(runtime::task_context context, policy::routing_hook route);
+    service_pool(runtime::task_context context, policy::routing_hook route,
+                 policy::placement_hook place = policy::place_by_routing);
 
     /// Updates the members from the known upstreams of this service.
     void update(const std::string& service, const upstream_map& known, common::time_point now);
@@ -73,12 +80,17 @@
     /// gateway's position among them. Without a limit any number of connections is allowed.
     void set_connection_limit(std::optional<std::size_t> limit, const policy::share_holder& holder);
 
-    /// Chooses an instance that takes work and has a free connection.
-    instance_choice choose(const policy::routing_request& request);
+    /// Chooses an instance that takes work and has a free connection. `prefix_uses` of the request
+    /// is set here.
+    instance_choice choose(policy::routing_request request);
 
     /// Returns the instance that a prompt prefix hashes to regardless of load, or null.
     [[nodiscard]] std::shared_ptr<pool_member> affinity_member(std::uint64_t prefix);
 
+    /// The same among the instances of one failure domain.
+    [[nodiscard]] std::shared_ptr<pool_member> affinity_member_in(std::string_view failure_domain,
+                                                                  std::uint64_t prefix);
+
     /// Whether an instance that is not excluded accepts work.
     bool has_alternative(const std::vector<std::string>& excluded, common::time_point now);
 
@@ -95,7 +107,8 @@
 private:
     /// Brings the phases of all members up to date.
     void update_states(common::time_point now);
-    [[nodiscard]] std::vector<policy::upstream_view> views() const;
+    [[nodiscard]] std::vector<policy::upstream_view>
+    views(const policy::routing_request& request) const;
     /// Returns why no member was chosen.
     [[nodiscard]] instance_choice explain_no_choice(const policy::routing_request& request) const;
     void add_if_new(const upstream_instance& instance, common::time_point now);
@@ -103,6 +116,8 @@
 
     runtime::task_context m_context;
     policy::routing_hook m_route;
+    policy::placement_hook m_place;
+    prefix_memory m_prefixes;
     std::vector<std::shared_ptr<pool_member>> m_members;
     std::optional<std::size_t> m_connection_limit;
     policy::share_holder m_holder;
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -120,7 +120,8 @@
 instances::service_pool& forwarder::pool_of(const std::string& service) {
     auto& pool = m_pools[service];
     if (!pool) {
-        pool = std::make_unique<instances::service_pool>(m_context, m_options.route);
+        pool =
+            std::make_unique<instances::service_pool>(m_context, m_options.route, m_options.place);
         if (m_upstreams) {
             pool->update(service, *m_upstreams, common::monotonic_clock::now());
         }
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -14,6 +14,7 @@
 #include "gateway/adapter.h"
 #include "gateway/evidence/attempt_evidence.h"
 #include "gateway/evidence/crash_suspects.h"
+#include "gateway/instances/domain_index.h"
 #include "gateway/instances/service_pool.h"
 #include "gateway/messages.h"
 #include "gateway/requests/attempt_decision.h"
@@ -51,6 +52,9 @@
     /// Memory for the bodies of responses, in bytes.
     std::size_t response_buffer_bytes = std::size_t{32} * 1024 * 1024;
     policy::routing_hook route;
+    policy::placement_hook place = policy::place_by_routing;
+    /// Whether a stage prefers the domain that stores large results which the request itself reads.
+    bool follow_stored_results = false;
     common::random_hook random;
     /// Makes known that an instance is about to stop.
     std::function<void(const instance_leaving&)> announce_leaving;
@@ -111,6 +115,8 @@
     [[nodiscard]] std::optional<common::duration> configuration_age() const;
     /// The request as the estimator takes it.
     [[nodiscard]] static stages::staged_request staged(const exchange& ex);
+    /// Returns the results that the request itself reads, by the failure domain that stores them.
+    [[nodiscard]] std::vector<policy::stored_bytes> stored_results(const exchange& ex);
     [[nodiscard]] std::string preferred_domain(exchange& ex, std::uint32_t stage,
                                                const std::vector<std::string>& inputs);
     /// Adds the pieces of the request's stages to the counts of upcoming pieces.
@@ -129,8 +135,12 @@
 
     void send(exchange& ex);
     /// Sends the request to this instance.
-    void send_to(exchange& ex, const std::shared_ptr<instances::pool_member>& member);
-    [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex) const;
+    void send_to(exchange& ex, const instances::instance_choice& choice);
+    [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex);
+    /// Returns the address of an instance that has the prompt's prefix in its cache, or an empty
+    /// string if the chosen one needs none.
+    [[nodiscard]] std::string cache_source(const exchange& ex,
+                                           const instances::instance_choice& choice);
     /// Lets a request wait for an instance, or refuses it if none can take it in time.
     void wait_for_instance(exchange& ex, const instances::instance_choice& choice);
     /// Serves the requests that wait for an instance, later in the event loop.
@@ -207,6 +217,7 @@
     configuration_pointer m_configuration;
     std::optional<common::time_point> m_configuration_confirmed;
     upstream_map_pointer m_upstreams;
+    instances::domain_index m_domains;
     std::map<std::string, std::unique_ptr<instances::service_pool>> m_pools;
     /// Memory for the bodies of responses.
     http::buffer_budget m_bodies;
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "common/digest.h"
@@ -16,6 +17,8 @@
 // An idempotent request is retried at another upstream after this multiple of its latency target.
 constexpr int attempt_timeout_factor = 2;
 constexpr int lowest_urgency = 9;
+// Speed at which an engine reads a prompt, as measured at the users' engines.
+constexpr double prompt_tokens_per_ms = 56.6;
 // An engine with free slots starts a request at once and reads the inputs first.
 constexpr common::duration input_read_time = std::chrono::milliseconds{60};
 // An engine is assumed to have free slots up to this share of them, because other gateways use it
@@ -46,12 +49,21 @@
     return common::digest_of(parts.size() > 1 ? parts[parts.size() - 2].id : parts[0].id);
 }
 
-policy::routing_request forwarder::make_routing_request(const exchange& ex) const {
+policy::routing_request forwarder::make_routing_request(const exchange& ex) {
     policy::routing_request routing;
     routing.failure_domain = m_options.failure_domain;
     routing.excluded = ex.tried;
     routing.prefix = prefix_of(ex);
     routing.now = common::monotonic_clock::now();
+    routing.inputs = stored_results(ex);
+    const auto& parts = ex.request.prompt;
+    routing.prefix_shared = parts.size() > 1;
+    const auto shared_end = routing.prefix_shared ? parts.end() - 1 : parts.end();
+    const auto tokens =
+        std::accumulate(parts.begin(), shared_end, 0.0,
+                        [](double sum, const prompt_part& it) { return sum + it.tokens; });
+    routing.prompt_ms = tokens / prompt_tokens_per_ms;
+    routing.senders = m_gateway_count;
     return routing;
 }
 
@@ -68,7 +80,7 @@
     if (std::exchange(ex.waiting, false)) {
         pool.waiting().remove(ex.id);
     }
-    send_to(ex, choice.member);
+    send_to(ex, choice);
 }
 
 void forwarder::wait_for_instance(exchange& ex, const instances::instance_choice& choice) {
@@ -121,10 +133,26 @@
     }
 }
 
-void forwarder::send_to(exchange& ex, const std::shared_ptr<instances::pool_member>& member) {
-    const auto now = common::monotonic_clock::now();
+std::string forwarder::cache_source(const exchange& ex, const instances::instance_choice& choice) {
     auto& pool = pool_of(ex.service);
     const auto prefix = prefix_of(ex);
+    if (prefix == 0) {
+        return {};
+    }
+    // An engine reads a token again in 1/57 ms, while its cached form has 18,432 bytes, which cost
+    // more than that between domains. A request that follows its inputs gets no such source.
+    const bool moved = choice.reason == policy::placement_reason::moved_to_inputs;
+    const auto source =
+        moved ? pool.affinity_member_in(choice.member->identity.failure_domain, prefix)
+              : pool.affinity_member(prefix);
+    // The cache of an instance that drains is worth reading while it lasts.
+    const bool is_useful = source && source != choice.member && source->state.accepts_calls();
+    return is_useful ? http::to_string(source->identity.address) : std::string{};
+}
+
+void forwarder::send_to(exchange& ex, const instances::instance_choice& choice) {
+    const auto now = common::monotonic_clock::now();
+    const auto& member = choice.member;
     forward_options options;
     options.upstream_id = member->identity.id;
     options.remaining = ex.response_deadline - now;
@@ -133,11 +161,7 @@
     options.inputs = ex.stages.progress.final_inputs();
     if (ex.matched_route->kind == repeatability::stream) {
         options.urgency = std::clamp(ex.priority, 0, lowest_urgency);
-        const auto affinity = pool.affinity_member(prefix);
-        // The cache of an instance that drains is worth reading while it lasts.
-        if (prefix != 0 && affinity && affinity != member && affinity->state.accepts_calls()) {
-            options.cache_source = http::to_string(affinity->identity.address);
-        }
+        options.cache_source = cache_source(ex, choice);
     }
     announce_trial(ex);
     ++ex.sends;
@@ -145,10 +169,13 @@
     ex.writing_since.reset();
     ex.tried.push_back(member->identity.id);
     ex.times.first_sent = ex.times.first_sent.value_or(now);
-    m_log.info("Sent.", {{"attempt", ex.request.attempt_id},
-                         {"upstream", options.upstream_id},
-                         {"send", std::to_string(ex.sends)},
-                         {"in_progress", std::to_string(member->in_progress + 1)}});
+    m_log.info("Sent.",
+               {{"attempt", ex.request.attempt_id},
+                {"upstream", options.upstream_id},
+                {"send", std::to_string(ex.sends)},
+                {"in_progress", std::to_string(member->in_progress + 1)},
+                {"placement", std::string{common::to_name(choice.reason)}},
+                {"remote_bytes", std::to_string(static_cast<std::int64_t>(choice.remote_bytes))}});
     attempt_options attempt;
     attempt.kind = ex.matched_route->kind;
     attempt.attempt_id = ex.request.attempt_id;
--- a/source/core/gateway/requests/forwarder_stages.cpp
+++ b/source/core/gateway/requests/forwarder_stages.cpp
@@ -63,6 +63,30 @@
     }
 }
 
+std::vector<policy::stored_bytes> forwarder::stored_results(const exchange& ex) {
+    std::vector<policy::stored_bytes> stored;
+    double sum = 0;
+    const auto& stages = ex.matched_route->stages;
+    for (std::uint32_t n = 0; n < stages.size(); ++n) {
+        if (!ex.stages.progress.is_last(n)) {
+            continue;
+        }
+        for (const auto& handle : ex.stages.progress.results_of(n)) {
+            auto domain = m_domains.domain_of(handle, m_upstreams);
+            const auto known = std::find_if(stored.begin(), stored.end(), [&](const auto& it) {
+                return it.failure_domain == domain;
+            });
+            sum += stages[n].result_bytes;
+            if (known != stored.end()) {
+                known->bytes += stages[n].result_bytes;
+            } else {
+                stored.push_back({std::move(domain), stages[n].result_bytes});
+            }
+        }
+    }
+    return sum < large_transfer_bytes ? std::vector<policy::stored_bytes>{} : stored;
+}
+
 std::string forwarder::preferred_domain(exchange& ex, std::uint32_t stage,
                                         const std::vector<std::string>& inputs) {
     const auto& spec = ex.matched_route->stages[stage];
@@ -71,15 +95,17 @@
         input_bytes += ex.matched_route->stages[n].result_bytes *
                        ex.stages.progress.count_of(static_cast<std::uint32_t>(n));
     }
-    if (input_bytes >= large_transfer_bytes && m_upstreams && !inputs.empty()) {
-        const auto instance_address = inputs.front().substr(0, inputs.front().find('/'));
-        const auto it =
-            std::find_if(m_upstreams->begin(), m_upstreams->end(), [&](const auto& known) {
-                return http::to_string(known.second.address) == instance_address;
-            });
-        return it == m_upstreams->end() ? std::string{} : it->second.failure_domain;
+    if (input_bytes >= large_transfer_bytes && !inputs.empty()) {
+        return m_domains.domain_of(inputs.front(), m_upstreams);
     }
     if (ex.stages.progress.is_last(stage) && spec.result_bytes >= large_transfer_bytes) {
+        const auto stored = m_options.follow_stored_results ? stored_results(ex)
+                                                            : std::vector<policy::stored_bytes>{};
+        if (!stored.empty()) {
+            return std::max_element(stored.begin(), stored.end(),
+                                    [](const auto& a, const auto& b) { return a.bytes < b.bytes; })
+                ->failure_domain;
+        }
         const auto reader = pool_of(ex.service).affinity_member(prefix_of(ex));
         return reader ? reader->identity.failure_domain : std::string{};
     }
--- a/source/core/gateway/stages/dispatcher.cpp
+++ b/source/core/gateway/stages/dispatcher.cpp
@@ -36,10 +36,11 @@
 dispatcher::dispatcher(runtime::task_context context,
                        std::shared_ptr<runtime::mailbox<dispatcher_message>> inbox,
                        runtime::address<peers_message> peers,
-                       std::shared_ptr<const adapter> platform_adapter)
+                       std::shared_ptr<const adapter> platform_adapter, piece_placement placement)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_peers{std::move(peers)},
-      m_adapter{std::move(platform_adapter)}, m_report_timer{m_context.loop()},
-      m_release_timer{m_context.loop()}, m_stop_timer{m_context.loop()} {}
+      m_adapter{std::move(platform_adapter)}, m_placement{std::move(placement)},
+      m_report_timer{m_context.loop()}, m_release_timer{m_context.loop()}, m_stop_timer{
+                                                                               m_context.loop()} {}
 
 void dispatcher::start() {
     m_inbox.receive(m_context.wrap([this](const dispatcher_message& message) {
--- a/source/core/gateway/stages/dispatcher.h
+++ b/source/core/gateway/stages/dispatcher.h
@@ -15,6 +15,7 @@
 #include "gateway/adapter.h"
 #include "gateway/instances/instance_state.h"
 #include "gateway/messages.h"
+#include "gateway/stages/piece_placement.h"
 #include "gateway/stages/piece_queue.h"
 #include "gateway/stages/result_memory.h"
 #include "http/client.h"
@@ -43,7 +44,7 @@
     dispatcher(runtime::task_context context,
                std::shared_ptr<runtime::mailbox<dispatcher_message>> inbox,
                runtime::address<peers_message> peers,
-               std::shared_ptr<const adapter> platform_adapter);
+               std::shared_ptr<const adapter> platform_adapter, piece_placement placement = {});
 
     void start() override;
     /// Completes the orders of all gateways, until the deadline of `shutdown_started` at the
@@ -66,6 +67,15 @@
         unsigned failures = 0;
         bool finished = false;
         order_outcome outcome;
+        /// Failure domain of the call that took the first pieces. The others are made there as
+        /// well, so that one engine can read all of them without a transfer.
+        std::string started_domain;
+        /// Since when the pieces wait for an instance in the preferred domain.
+        std::optional<common::time_point> held_since;
+
+        [[nodiscard]] const std::string& preferred_domain() const {
+            return started_domain.empty() ? order.preferred_domain : started_domain;
+        }
     };
 
     struct stage_instance {
@@ -73,6 +83,8 @@
         instances::instance_state state;
         std::unique_ptr<http::client> client;
         std::size_t calls = 0;
+        /// When its last call is expected to end.
+        common::time_point expected_end;
         /// The instance gets no call before this time, for example because it refused one.
         common::time_point backoff_until;
         result_memory memory;
@@ -132,7 +144,12 @@
     /// Whether a call to this instance may take pieces of the order. Returns false if an instance
     /// in the preferred failure domain should take them.
     [[nodiscard]] bool may_take(service_state& service, const stage_instance& instance,
-                                const piece_limits& limits, const order_key& order) const;
+                                const piece_limits& limits, const order_key& order);
+    /// Returns the expected time until an instance in this failure domain is free. Nothing if none
+    /// there accepts work.
+    [[nodiscard]] static std::optional<common::duration>
+    until_free_in(const std::string& failure_domain, const service_state& service,
+                  const piece_limits& limits, common::time_point now);
     void report_backlogs();
     [[nodiscard]] std::size_t usable_instances(service_state& service) const;
 
@@ -174,6 +191,7 @@
     runtime::inbox<dispatcher_message> m_inbox;
     runtime::address<peers_message> m_peers;
     std::shared_ptr<const adapter> m_adapter;
+    piece_placement m_placement;
     configuration_pointer m_configuration;
     upstream_map_pointer m_upstreams;
     std::map<std::string, service_state> m_services;
--- a/source/core/gateway/stages/dispatcher_calls.cpp
+++ b/source/core/gateway/stages/dispatcher_calls.cpp
@@ -34,13 +34,19 @@
     std::vector<piece_item> items;
     double bytes = 0;
     for (const auto& it : pieces) {
-        const auto& order = m_orders.at(it.order).order;
+        auto& state = m_orders.at(it.order);
+        const auto& order = state.order;
         items.push_back({order.attempt_id, order.stage, it.piece, order.deadline - now,
                          order.input_key, order.inputs});
         bytes += order.result_bytes;
+        if (m_placement.keeps_orders_together && state.started_domain.empty() &&
+            order.result_bytes >= large_result_bytes) {
+            state.started_domain = instance->identity.failure_domain;
+        }
     }
     instance->memory.reserve(bytes);
     ++instance->calls;
+    instance->expected_end = now + call_time(limits, pieces.size());
     m_services[name].health.record_dispatch(instance->identity.id, now);
     const auto number = m_next_call++;
     auto& call = m_calls[number];
--- a/source/core/gateway/stages/dispatcher_instances.cpp
+++ b/source/core/gateway/stages/dispatcher_instances.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-// Pieces wait for an instance in the preferred failure domain while at least this many full calls
-// fit in before their target time.
-constexpr int locality_wait_calls = 2;
-
 http::client_limits call_limits() {
     http::client_limits limits;
     limits.connect_timeout = std::chrono::milliseconds{500};
@@ -85,30 +81,70 @@
 }
 
 bool dispatcher::may_take(service_state& service, const stage_instance& instance,
-                          const piece_limits& limits, const order_key& key) const {
+                          const piece_limits& limits, const order_key& key) {
     const auto it = m_orders.find(key);
     if (it == m_orders.end()) {
         return true;
     }
-    const auto& order = it->second.order;
-    if (order.preferred_domain.empty() ||
-        order.preferred_domain == instance.identity.failure_domain) {
+    auto& state = it->second;
+    const auto& preferred = state.preferred_domain();
+    if (preferred.empty() || preferred == instance.identity.failure_domain) {
         return true;
     }
     const auto now = common::monotonic_clock::now();
-    if (order.target_time - now < call_time(limits, limits.batch) * locality_wait_calls) {
-        return true;
+    const auto& order = state.order;
+    hold_facts facts;
+    facts.until_target = order.target_time - now;
+    facts.full_call = call_time(limits, limits.batch);
+    facts.until_preferred = until_free_in(preferred, service, limits, now);
+    facts.held = now - state.held_since.value_or(now);
+    facts.result_bytes = order.result_bytes;
+    facts.is_started = !state.started_domain.empty();
+    const bool held = m_placement.hold(facts);
+    if (held) {
+        state.held_since = state.held_since.value_or(now);
     }
-    return std::none_of(service.instances.begin(), service.instances.end(), [&](const auto& other) {
-        return other.second->state.accepts_work() &&
-               other.second->identity.failure_domain == order.preferred_domain;
-    });
+    return !held;
+}
+
+std::optional<common::duration> dispatcher::until_free_in(const std::string& failure_domain,
+                                                          const service_state& service,
+                                                          const piece_limits& limits,
+                                                          common::time_point now) {
+    std::optional<common::duration> first;
+    for (const auto& [id, it] : service.instances) {
+        if (!it->state.accepts_work() || it->identity.failure_domain != failure_domain) {
+            continue;
+        }
+        auto free_at = std::max(now, it->backoff_until);
+        if (it->awaiting_report || it->foreign_calls >= limits.slots) {
+            // It is not known when these calls began.
+            free_at = std::max(free_at, now + call_time(limits, limits.batch));
+        } else if (it->calls + it->foreign_calls >= limits.slots) {
+            free_at = std::max(free_at, it->expected_end);
+        }
+        first = std::min(first.value_or(free_at - now), free_at - now);
+    }
+    return first;
 }
 
 std::shared_ptr<dispatcher::stage_instance>
 dispatcher::pick_free_instance(service_state& service, const piece_limits& limits) {
     const auto now = common::monotonic_clock::now();
     update_states(service);
+    const auto first = service.queue.first();
+    const auto order = first ? m_orders.find(*first) : m_orders.end();
+    const bool is_known = order != m_orders.end();
+    const auto& preferred = is_known ? order->second.preferred_domain() : std::string{};
+    const double result_bytes = is_known ? order->second.order.result_bytes : 0;
+    const auto pieces =
+        std::min(service.queue.size(), sustained_limits(limits, result_bytes).batch);
+    const auto facts_of = [&](stage_instance& it) {
+        const double used = it.memory.used(now);
+        return free_instance{it.identity.failure_domain == preferred, used,
+                             limits.result_memory_bytes - used,
+                             result_bytes * static_cast<double>(pieces)};
+    };
     std::shared_ptr<stage_instance> best;
     std::shared_ptr<stage_instance> ejected;
     for (const auto& [id, it] : service.instances) {
@@ -122,7 +158,7 @@
         if (!it->state.accepts_work()) {
             continue;
         }
-        if (!best || it->memory.used(now) < best->memory.used(now)) {
+        if (!best || m_placement.is_better(facts_of(*it), facts_of(*best))) {
             best = it;
         }
     }
--- a/source/core/gateway/stages/piece_queue.cpp
+++ b/source/core/gateway/stages/piece_queue.cpp
@@ -85,6 +85,10 @@
                         [&](const waiting& other) { return other.piece.order != order; });
 }
 
+std::optional<order_key> piece_queue::first() const {
+    return m_waiting.empty() ? std::nullopt : std::optional{m_waiting.begin()->piece.order};
+}
+
 double piece_queue::order_count::at(common::time_point now) const {
     return pieces * std::exp(-std::chrono::duration<double>(now - updated) / order_rate_window);
 }
--- a/source/core/gateway/stages/piece_queue.h
+++ b/source/core/gateway/stages/piece_queue.h
@@ -55,6 +55,9 @@
     /// are ordered.
     [[nodiscard]] std::vector<waiting_pieces> backlog(common::time_point now) const;
 
+    /// Returns the order that is served first, if pieces wait.
+    [[nodiscard]] std::optional<order_key> first() const;
+
     [[nodiscard]] std::size_t size() const { return m_waiting.size(); }
 
 private:
--- a/source/core/gateway/stages/stage_progress.h
+++ b/source/core/gateway/stages/stage_progress.h
@@ -32,6 +32,11 @@
 
     [[nodiscard]] std::uint32_t count_of(std::uint32_t stage) const;
 
+    /// Returns the results of this stage that are not released yet.
+    [[nodiscard]] const std::vector<std::string>& results_of(std::uint32_t stage) const {
+        return m_stages[stage].handles;
+    }
+
     void complete(std::uint32_t stage, std::vector<std::string> handles);
 
     /// Whether all stages are complete.
--- /dev/null
+++ b/source/core/policy/placement.cpp
@@ -0,0 +1,187 @@
+#include "policy/placement.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+namespace jujubemast::policy {
+
+namespace {
+
+// A domain counts as busier than the others only above this multiple of their mean load.
+constexpr double significant_ratio = 1.3;
+// Requests that are added to the count of each domain, so that few requests show no difference.
+constexpr double prior_requests = 8;
+// An entry may send more than its part, so the load of the whole pool is never estimated higher.
+constexpr double max_mean_share = 0.7;
+
+/// Makes the decision of `make_placement_by_cost` for one request.
+class cost_comparison {
+public:
+    cost_comparison(const transfer_terms& terms, const routing_request& request,
+                    std::span<const upstream_view> upstreams, const routing_hook& route)
+        : m_terms{terms}, m_request{request}, m_upstreams{upstreams}, m_route{route} {
+        for (const auto& it : request.inputs) {
+            m_input_bytes += it.bytes;
+        }
+    }
+
+    placement_choice choose() {
+        const auto routed = m_route(m_request, m_upstreams);
+        if (!routed) {
+            return {};
+        }
+        const auto& home = m_upstreams[*routed].failure_domain;
+        const auto* largest = largest_input();
+        if (largest->failure_domain == home) {
+            return {routed, placement_reason::at_inputs, remote_bytes(home)};
+        }
+        const auto home_work = work_at(*routed);
+        placement_choice best{routed, placement_reason::none_at_inputs, remote_bytes(home)};
+        double best_cost = estimate_cost(m_terms, home_work).total_ms();
+        for (const auto& it : m_request.inputs) {
+            const auto local =
+                it.failure_domain == home ? std::nullopt : choose_in(it.failure_domain);
+            if (!local) {
+                continue;
+            }
+            const auto work = work_at(*local);
+            const double cost = estimate_cost(m_terms, work).total_ms();
+            if (cost < best_cost) {
+                best = {local, placement_reason::moved_to_inputs, work.remote_bytes};
+                best_cost = cost;
+            } else if (best.index == routed && &it == largest) {
+                const bool is_busier =
+                    work.wait_ms - home_work.wait_ms > work.prompt_ms - home_work.prompt_ms;
+                best.reason = is_busier ? placement_reason::load : placement_reason::prompt;
+            }
+        }
+        return best;
+    }
+
+private:
+    [[nodiscard]] const stored_bytes* largest_input() const {
+        return &*std::max_element(
+            m_request.inputs.begin(), m_request.inputs.end(),
+            [](const stored_bytes& a, const stored_bytes& b) { return a.bytes < b.bytes; });
+    }
+
+    [[nodiscard]] double remote_bytes(std::string_view domain) const {
+        double local = 0;
+        for (const auto& it : m_request.inputs) {
+            local += it.failure_domain == domain ? it.bytes : 0;
+        }
+        return m_input_bytes - local;
+    }
+
+    /// Returns the choice of the routing policy among the upstreams of one domain. An upstream that
+    /// the policy would use only as a last resort is no alternative to one in another domain.
+    [[nodiscard]] std::optional<std::size_t> choose_in(std::string_view domain) const {
+        std::vector<upstream_view> views;
+        std::vector<std::size_t> indices;
+        for (std::size_t n = 0; n < m_upstreams.size(); ++n) {
+            const auto& it = m_upstreams[n];
+            if (it.failure_domain == domain && !it.ejected && !it.probing) {
+                views.push_back(it);
+                indices.push_back(n);
+            }
+        }
+        const auto chosen = m_route(m_request, views);
+        return chosen ? std::optional{indices[*chosen]} : std::nullopt;
+    }
+
+    [[nodiscard]] placed_work work_at(std::size_t n) const {
+        const auto& domain = m_upstreams[n].failure_domain;
+        placed_work work;
+        work.remote_bytes = remote_bytes(domain);
+        work.remote_passages = work.remote_bytes > 0 ? 2 : 0;
+        work.wait_ms = queue_wait_ms(busy_share_of(m_request, m_upstreams, domain));
+        work.prompt_ms = holds_prompt(n) ? 0 : m_request.prompt_ms / (1 + expected_uses());
+        return work;
+    }
+
+    [[nodiscard]] bool holds_prompt(std::size_t n) const {
+        const bool is_in_use = m_request.prefix_shared || m_request.prefix_uses > 0;
+        return m_request.prefix == 0 || m_upstreams[n].holds_prefix ||
+               (is_in_use && is_first_by_prefix(n));
+    }
+
+    /// Whether all entries send the prefix to this upstream unless it is overloaded.
+    [[nodiscard]] bool is_first_by_prefix(std::size_t n) const {
+        const auto rank = rendezvous_rank(m_request.prefix, m_upstreams[n].name_digest);
+        return std::none_of(m_upstreams.begin(), m_upstreams.end(), [&](const upstream_view& it) {
+            return is_eligible(m_request, it) &&
+                   rendezvous_rank(m_request.prefix, it.name_digest) > rank;
+        });
+    }
+
+    /// Returns how many requests of all entries will use the prompt parts that one upstream of a
+    /// domain reads now. Its cost is shared among them.
+    [[nodiscard]] double expected_uses() const {
+        std::vector<std::string_view> domains;
+        for (const auto& it : m_upstreams) {
+            if (std::find(domains.begin(), domains.end(), it.failure_domain) == domains.end()) {
+                domains.push_back(it.failure_domain);
+            }
+        }
+        return m_request.prefix_uses * static_cast<double>(m_request.senders) /
+               static_cast<double>(domains.size());
+    }
+
+    const transfer_terms& m_terms;
+    const routing_request& m_request;
+    std::span<const upstream_view> m_upstreams;
+    const routing_hook& m_route;
+    double m_input_bytes = 0;
+};
+
+} // namespace
+
+placement_choice place_by_routing(const routing_request& request,
+                                  std::span<const upstream_view> upstreams,
+                                  const routing_hook& route) {
+    return {route(request, upstreams), placement_reason::routing, 0};
+}
+
+placement_hook make_placement_by_cost(const transfer_terms& terms) {
+    return [terms](const routing_request& request, std::span<const upstream_view> upstreams,
+                   const routing_hook& route) {
+        const bool is_single =
+            std::all_of(upstreams.begin(), upstreams.end(), [&](const upstream_view& it) {
+                return it.failure_domain == upstreams.front().failure_domain;
+            });
+        if (is_single || request.inputs.empty()) {
+            return place_by_routing(request, upstreams, route);
+        }
+        return cost_comparison{terms, request, upstreams, route}.choose();
+    };
+}
+
+double busy_share_of(const routing_request& request, std::span<const upstream_view> upstreams,
+                     std::string_view failure_domain) {
+    double slots = 0;
+    double work = 0;
+    double domain_slots = 0;
+    double domain_work = 0;
+    for (const auto& it : upstreams) {
+        if (!is_eligible(request, it)) {
+            continue;
+        }
+        const double requests = relative_load(it) * it.limit;
+        slots += it.limit;
+        work += requests;
+        if (it.failure_domain == failure_domain) {
+            domain_slots += it.limit;
+            domain_work += requests;
+        }
+    }
+    if (domain_slots <= 0) {
+        return 0;
+    }
+    const double mean = work / slots;
+    const double ratio = (domain_work + prior_requests) / (mean * domain_slots + prior_requests);
+    const double mean_share = std::min(max_mean_share, mean * static_cast<double>(request.senders));
+    return mean_share * std::max(1.0, ratio / significant_ratio);
+}
+
+} // namespace jujubemast::policy
--- a/source/core/policy/routing.h
+++ b/source/core/policy/routing.h
@@ -40,6 +40,14 @@
     std::uint32_t sent_since_report = 0;
     /// When the upstream became available to this entry.
     common::time_point available_since;
+    /// This entry has lately sent it a prompt with the prefix of the work.
+    bool holds_prefix = false;
+};
+
+/// Inputs that are stored in one failure domain.
+struct stored_bytes {
+    std::string failure_domain;
+    double bytes = 0;
 };
 
 /// Properties of the work that routing takes into account.
@@ -51,6 +59,16 @@
     /// Digest of the prefix of the prompt, for cache affinity; zero when there is none.
     std::uint64_t prefix = 0;
     common::time_point now;
+    /// Large inputs that the upstream will read. Empty if the work has none.
+    std::vector<stored_bytes> inputs;
+    /// Other requests share the prefix, so upstreams that it maps to have it in their cache.
+    bool prefix_shared = false;
+    /// Time in which an upstream reads the shared prompt parts if its cache lacks them.
+    double prompt_ms = 0;
+    /// Requests with the same prefix that this entry has sent lately.
+    double prefix_uses = 0;
+    /// Number of entries that send work to the same upstreams.
+    std::size_t senders = 1;
 };
 
 /// Returns the index of the chosen upstream, or nothing when none is eligible.
