gateway: domain of plain calls and of prompt copies; metrics of placement

Cause: a call without prompt goes to the better of two random instances, so with four domains more than half of these calls cross domains. If the engine that a prompt maps to is overloaded, the next one by hash copies the prompt part, mostly from another domain (up to 99 MB). Nothing shows how much crosses domains, or why.

Change: domain_balance divides the first sends of plain calls by the overflow policy; the demand is estimated from the own requests and the gateways of each domain. Retries may go to any domain. Requests without large results whose engine is overloaded stay in its domain unless that is busier, and a source of cached parts in the same domain is preferred. The line 'Sent.' has domain, placement and remote_bytes; jujubemast_gateway_sends_total and jujubemast_gateway_remote_result_bytes_total count the same.

Unit tests only; not measured under load.

--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -111,6 +111,9 @@
         gateway_names_changed names;
         std::transform(it.begin(), it.end(), std::back_inserter(names.names),
                        [](const gateway_record& known) { return known.name; });
+        for (const auto& known : it) {
+            ++names.per_domain[known.failure_domain];
+        }
         forwarder->post(std::move(names));
     };
     hooks.relay = [peers](const table_relay& it) { peers->post(it); };
@@ -147,7 +150,8 @@
     options.route = policy::make_load_aware(routing, common::system_random());
     if (const auto terms = transfer_terms_of(values); terms.enabled()) {
         options.place = policy::make_placement_by_cost(terms);
-        options.follow_stored_results = true;
+        options.overflow = policy::make_gradual_overflow({});
+        options.weigh_transfers = true;
     }
     return options;
 }
--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -50,8 +50,9 @@
 } // namespace
 
 service_pool::service_pool(runtime::task_context context, policy::routing_hook route,
-                           policy::placement_hook place)
-    : m_context{std::move(context)}, m_route{std::move(route)}, m_place{std::move(place)} {}
+                           policy::placement_hook place, policy::overflow_hook overflow)
+    : m_context{std::move(context)}, m_route{std::move(route)}, m_place{std::move(place)},
+      m_balance{std::move(overflow)} {}
 
 void service_pool::update(const std::string& service, const upstream_map& known,
                           common::time_point now) {
@@ -158,9 +159,28 @@
     return result;
 }
 
+void service_pool::set_gateways(const std::string& own_domain,
+                                const std::map<std::string, std::size_t>& counts) {
+    m_balance.set_gateways(own_domain, counts);
+}
+
+std::string service_pool::choose_target_domain(common::time_point now) {
+    domain_balance::slot_counts slots;
+    std::size_t in_progress = m_waiting.size();
+    for (const auto& it : m_members) {
+        in_progress += it->in_progress;
+        slots[it->identity.failure_domain] += it->state.accepts_work() ? it->identity.slots : 0;
+    }
+    return m_balance.choose(slots, in_progress, now);
+}
+
 instance_choice service_pool::choose(policy::routing_request request) {
     update_states(request.now);
     request.prefix_uses = m_prefixes.uses(request.prefix, request.now);
+    // A retry may go to any domain, because that of the first attempt may be what failed.
+    if (request.prefix == 0 && request.inputs.empty() && request.excluded.empty()) {
+        request.target_domain = choose_target_domain(request.now);
+    }
     const auto placed = m_place(request, views(request), m_route);
     if (!placed.index) {
         return explain_no_choice(request);
@@ -170,7 +190,8 @@
     if (request.prefix != 0) {
         m_prefixes.record(request.prefix, member->digest, request.now);
     }
-    return {choice_outcome::chosen, member, {}, placed.reason, placed.remote_bytes};
+    return {choice_outcome::chosen, member, {}, placed.reason, !request.inputs.empty(),
+            placed.remote_bytes};
 }
 
 instance_choice service_pool::explain_no_choice(const policy::routing_request& request) const {
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <limits>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "common/enum_names.h"
+#include "gateway/instances/domain_balance.h"
 #include "gateway/instances/instance_state.h"
 #include "gateway/instances/prefix_memory.h"
 #include "gateway/instances/waiting_requests.h"
@@ -60,6 +62,8 @@
     common::time_point retry_at;
     /// Why the instance of its failure domain was chosen.
     policy::placement_reason reason = policy::placement_reason::routing;
+    /// The request has large inputs.
+    bool has_inputs = false;
     /// Bytes of the inputs that cross failure domains.
     double remote_bytes = 0;
 };
@@ -68,7 +72,8 @@
 class service_pool {
 public:
     service_pool(runtime::task_context context, policy::routing_hook route,
-                 policy::placement_hook place = policy::place_by_routing);
+                 policy::placement_hook place = policy::place_by_routing,
+                 policy::overflow_hook overflow = {});
 
     /// Updates the members from the known upstreams of this service.
     void update(const std::string& service, const upstream_map& known, common::time_point now);
@@ -80,8 +85,12 @@
     /// gateway's position among them. Without a limit any number of connections is allowed.
     void set_connection_limit(std::optional<std::size_t> limit, const policy::share_holder& holder);
 
-    /// Chooses an instance that takes work and has a free connection. `prefix_uses` of the request
-    /// is set here.
+    /// Sets the failure domain of this gateway and the number of gateways in each domain.
+    void set_gateways(const std::string& own_domain,
+                      const std::map<std::string, std::size_t>& counts);
+
+    /// Chooses an instance that takes work and has a free connection. `prefix_uses` and
+    /// `target_domain` of the request are set here.
     instance_choice choose(policy::routing_request request);
 
     /// Returns the instance that a prompt prefix hashes to regardless of load, or null.
@@ -91,6 +100,12 @@
     [[nodiscard]] std::shared_ptr<pool_member> affinity_member_in(std::string_view failure_domain,
                                                                   std::uint64_t prefix);
 
+    /// Whether this gateway has lately sent a prompt with this prefix to the instance.
+    [[nodiscard]] bool has_prefix(const pool_member& member, std::uint64_t prefix,
+                                  common::time_point now) const {
+        return m_prefixes.holds(prefix, member.digest, now);
+    }
+
     /// Whether an instance that is not excluded accepts work.
     bool has_alternative(const std::vector<std::string>& excluded, common::time_point now);
 
@@ -113,11 +128,14 @@
     [[nodiscard]] instance_choice explain_no_choice(const policy::routing_request& request) const;
     void add_if_new(const upstream_instance& instance, common::time_point now);
     void divide_connections();
+    /// Returns the failure domain for a request without prompt and inputs.
+    [[nodiscard]] std::string choose_target_domain(common::time_point now);
 
     runtime::task_context m_context;
     policy::routing_hook m_route;
     policy::placement_hook m_place;
     prefix_memory m_prefixes;
+    domain_balance m_balance;
     std::vector<std::shared_ptr<pool_member>> m_members;
     std::optional<std::size_t> m_connection_limit;
     policy::share_holder m_holder;
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -50,6 +51,8 @@
 /// The gateways that share the limits of the upstreams have changed.
 struct gateway_names_changed {
     std::vector<std::string> names;
+    /// Number of gateways in each failure domain.
+    std::map<std::string, std::size_t> per_domain;
 };
 
 /// An instance has announced in a response that it is about to stop.
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -85,6 +85,7 @@
 void forwarder::handle(const gateway_names_changed& message) {
     m_gateways = message.names;
     m_gateway_count = std::max<std::size_t>(1, m_gateways.size());
+    m_gateways_per_domain = message.per_domain;
     m_estimator.set_gateway_count(m_gateway_count);
     for (auto& [name, pool] : m_pools) {
         update_limits(name, *pool);
@@ -101,6 +102,7 @@
     options.max_balance = 0.5 * m_options.retries.reserve / static_cast<double>(m_gateway_count);
     options.reserve_period = m_options.retries.window;
     pool.set_budget(options);
+    pool.set_gateways(m_options.failure_domain, m_gateways_per_domain);
     if (!m_configuration) {
         return;
     }
@@ -120,8 +122,8 @@
 instances::service_pool& forwarder::pool_of(const std::string& service) {
     auto& pool = m_pools[service];
     if (!pool) {
-        pool =
-            std::make_unique<instances::service_pool>(m_context, m_options.route, m_options.place);
+        pool = std::make_unique<instances::service_pool>(m_context, m_options.route,
+                                                         m_options.place, m_options.overflow);
         if (m_upstreams) {
             pool->update(service, *m_upstreams, common::monotonic_clock::now());
         }
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -53,8 +53,12 @@
     std::size_t response_buffer_bytes = std::size_t{32} * 1024 * 1024;
     policy::routing_hook route;
     policy::placement_hook place = policy::place_by_routing;
-    /// Whether a stage prefers the domain that stores large results which the request itself reads.
-    bool follow_stored_results = false;
+    /// Divides requests without prompt and inputs among the failure domains. Without it the routing
+    /// policy alone decides.
+    policy::overflow_hook overflow;
+    /// Whether bytes between failure domains count when a stage is ordered and when a source of
+    /// cached prompt parts is named.
+    bool weigh_transfers = false;
     common::random_hook random;
     /// Makes known that an instance is about to stop.
     std::function<void(const instance_leaving&)> announce_leaving;
@@ -136,6 +140,9 @@
     void send(exchange& ex);
     /// Sends the request to this instance.
     void send_to(exchange& ex, const instances::instance_choice& choice);
+    /// Counts a send within or across failure domains.
+    void record_placement(const instances::pool_member& member,
+                          const instances::instance_choice& choice);
     [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex);
     /// Returns the address of an instance that has the prompt's prefix in its cache, or an empty
     /// string if the chosen one needs none.
@@ -229,6 +236,7 @@
     /// Names of all gateways.
     std::vector<std::string> m_gateways;
     std::size_t m_gateway_count = 1;
+    std::map<std::string, std::size_t> m_gateways_per_domain;
     /// End of the first pause, for each service whose instances all pause.
     std::map<std::string, std::unique_ptr<runtime::timer>> m_pause_timers;
     response_times m_response_times;
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -19,6 +19,8 @@
 constexpr int lowest_urgency = 9;
 // Speed at which an engine reads a prompt, as measured at the users' engines.
 constexpr double prompt_tokens_per_ms = 56.6;
+// Size of a token of a prompt in the cache of an engine.
+constexpr double bytes_per_prompt_token = 18'432;
 // An engine with free slots starts a request at once and reads the inputs first.
 constexpr common::duration input_read_time = std::chrono::milliseconds{60};
 // An engine is assumed to have free slots up to this share of them, because other gateways use it
@@ -63,6 +65,7 @@
         std::accumulate(parts.begin(), shared_end, 0.0,
                         [](double sum, const prompt_part& it) { return sum + it.tokens; });
     routing.prompt_ms = tokens / prompt_tokens_per_ms;
+    routing.prompt_bytes = tokens * bytes_per_prompt_token;
     routing.senders = m_gateway_count;
     return routing;
 }
@@ -139,17 +142,29 @@
     if (prefix == 0) {
         return {};
     }
-    // An engine reads a token again in 1/57 ms, while its cached form has 18,432 bytes, which cost
-    // more than that between domains. A request that follows its inputs gets no such source.
+    // An engine reads a token again in less time than the bytes of its cached form are worth
+    // between domains. A request that follows its inputs therefore gets a source in the same domain
+    // only; others prefer one there that has lately got the prefix.
+    const auto now = common::monotonic_clock::now();
+    const auto near = pool.affinity_member_in(choice.member->identity.failure_domain, prefix);
     const bool moved = choice.reason == policy::placement_reason::moved_to_inputs;
-    const auto source =
-        moved ? pool.affinity_member_in(choice.member->identity.failure_domain, prefix)
-              : pool.affinity_member(prefix);
+    const bool near_is_known = m_options.weigh_transfers && near && near != choice.member &&
+                               pool.has_prefix(*near, prefix, now);
+    const auto source = moved || near_is_known ? near : pool.affinity_member(prefix);
     // The cache of an instance that drains is worth reading while it lasts.
     const bool is_useful = source && source != choice.member && source->state.accepts_calls();
     return is_useful ? http::to_string(source->identity.address) : std::string{};
 }
 
+void forwarder::record_placement(const instances::pool_member& member,
+                                 const instances::instance_choice& choice) {
+    // Large inputs are the only transfer that counts where there are any.
+    const bool crosses = choice.has_inputs
+                             ? choice.remote_bytes > 0
+                             : member.identity.failure_domain != m_options.failure_domain;
+    m_metrics.record_placement(choice.reason, crosses, choice.remote_bytes);
+}
+
 void forwarder::send_to(exchange& ex, const instances::instance_choice& choice) {
     const auto now = common::monotonic_clock::now();
     const auto& member = choice.member;
@@ -163,6 +178,7 @@
         options.urgency = std::clamp(ex.priority, 0, lowest_urgency);
         options.cache_source = cache_source(ex, choice);
     }
+    record_placement(*member, choice);
     announce_trial(ex);
     ++ex.sends;
     ++ex.possible_runs;
@@ -174,6 +190,7 @@
                 {"upstream", options.upstream_id},
                 {"send", std::to_string(ex.sends)},
                 {"in_progress", std::to_string(member->in_progress + 1)},
+                {"domain", member->identity.failure_domain},
                 {"placement", std::string{common::to_name(choice.reason)}},
                 {"remote_bytes", std::to_string(static_cast<std::int64_t>(choice.remote_bytes))}});
     attempt_options attempt;
--- a/source/core/gateway/requests/forwarder_metrics.cpp
+++ b/source/core/gateway/requests/forwarder_metrics.cpp
@@ -39,6 +39,20 @@
         .add();
 }
 
+void forwarder_metrics::record_placement(policy::placement_reason reason, bool crosses,
+                                         double remote_bytes) {
+    m_registry
+        .add_counter("jujubemast_gateway_sends_total",
+                     "Sends within and across failure domains, and why.",
+                     {{"domain", crosses ? "other" : "same"},
+                      {"reason", std::string{common::to_name(reason)}}})
+        .add();
+    m_registry
+        .add_counter("jujubemast_gateway_remote_result_bytes_total",
+                     "Estimated bytes of stage results that were read from other failure domains.")
+        .add(static_cast<std::uint64_t>(remote_bytes));
+}
+
 void forwarder_metrics::record_quarantine_refusal() {
     m_registry
         .add_counter("jujubemast_gateway_quarantine_refusals_total",
--- a/source/core/gateway/requests/forwarder_metrics.h
+++ b/source/core/gateway/requests/forwarder_metrics.h
@@ -25,6 +25,8 @@
     void record_step(attempt_end end, next_step step);
     /// Records that a request waits because no instance can take it.
     void record_wait(instances::choice_outcome cause);
+    /// Records a send, and whether it or its inputs cross failure domains.
+    void record_placement(policy::placement_reason reason, bool crosses, double remote_bytes);
     void record_quarantine_refusal();
     void set_quarantined_parts(std::size_t n);
     void set_in_progress(std::size_t n);
--- a/source/core/policy/placement.cpp
+++ b/source/core/policy/placement.cpp
@@ -26,7 +26,18 @@
         }
     }
 
-    placement_choice choose() {
+    placement_choice choose() const {
+        if (!m_request.inputs.empty()) {
+            return choose_by_inputs();
+        }
+        if (m_request.prefix != 0) {
+            return choose_by_prompt();
+        }
+        return choose_by_target();
+    }
+
+private:
+    [[nodiscard]] placement_choice choose_by_inputs() const {
         const auto routed = m_route(m_request, m_upstreams);
         if (!routed) {
             return {};
@@ -59,7 +70,46 @@
         return best;
     }
 
-private:
+    /// An upstream that does not hold the prompt copies it from the one that does, or reads it,
+    /// whichever costs less. A copy within the domain has no price.
+    [[nodiscard]] placement_choice choose_by_prompt() const {
+        const auto routed = m_route(m_request, m_upstreams);
+        const auto first = first_by_prefix();
+        if (!routed || !first || *routed == *first) {
+            return {routed, placement_reason::routing, 0};
+        }
+        const auto& home = m_upstreams[*first].failure_domain;
+        const auto& routed_domain = m_upstreams[*routed].failure_domain;
+        const auto near = routed_domain == home ? std::nullopt : choose_in(home);
+        if (!near) {
+            return {routed, placement_reason::routing, 0};
+        }
+        const double copy_ms =
+            std::min(m_request.prompt_ms, price_of(m_terms, m_request.prompt_bytes));
+        const auto cost = [&](const std::string& domain, double prompt_ms) {
+            placed_work work;
+            work.wait_ms = queue_wait_ms(busy_share_of(m_request, m_upstreams, domain));
+            work.prompt_ms = prompt_ms;
+            return estimate_cost(m_terms, work).total_ms();
+        };
+        if (cost(home, 0) < cost(routed_domain, copy_ms)) {
+            return {near, placement_reason::near_prompt, 0};
+        }
+        return {routed, placement_reason::routing, 0};
+    }
+
+    [[nodiscard]] placement_choice choose_by_target() const {
+        const auto& target = m_request.target_domain;
+        if (target.empty()) {
+            return place_by_routing(m_request, m_upstreams, m_route);
+        }
+        if (const auto chosen = choose_in(target)) {
+            const bool is_local = target == m_request.failure_domain;
+            return {chosen, is_local ? placement_reason::local : placement_reason::overflow, 0};
+        }
+        return {m_route(m_request, m_upstreams), placement_reason::none_in_target, 0};
+    }
+
     [[nodiscard]] const stored_bytes* largest_input() const {
         return &*std::max_element(
             m_request.inputs.begin(), m_request.inputs.end(),
@@ -103,16 +153,21 @@
     [[nodiscard]] bool holds_prompt(std::size_t n) const {
         const bool is_in_use = m_request.prefix_shared || m_request.prefix_uses > 0;
         return m_request.prefix == 0 || m_upstreams[n].holds_prefix ||
-               (is_in_use && is_first_by_prefix(n));
+               (is_in_use && first_by_prefix() == n);
     }
 
-    /// Whether all entries send the prefix to this upstream unless it is overloaded.
-    [[nodiscard]] bool is_first_by_prefix(std::size_t n) const {
-        const auto rank = rendezvous_rank(m_request.prefix, m_upstreams[n].name_digest);
-        return std::none_of(m_upstreams.begin(), m_upstreams.end(), [&](const upstream_view& it) {
-            return is_eligible(m_request, it) &&
-                   rendezvous_rank(m_request.prefix, it.name_digest) > rank;
-        });
+    /// Returns the upstream to which all entries send the prefix unless it is overloaded.
+    [[nodiscard]] std::optional<std::size_t> first_by_prefix() const {
+        std::optional<std::size_t> first;
+        std::uint64_t first_rank = 0;
+        for (std::size_t n = 0; n < m_upstreams.size(); ++n) {
+            const auto rank = rendezvous_rank(m_request.prefix, m_upstreams[n].name_digest);
+            if (is_eligible(m_request, m_upstreams[n]) && (!first || rank > first_rank)) {
+                first = n;
+                first_rank = rank;
+            }
+        }
+        return first;
     }
 
     /// Returns how many requests of all entries will use the prompt parts that one upstream of a
@@ -150,7 +205,7 @@
             std::all_of(upstreams.begin(), upstreams.end(), [&](const upstream_view& it) {
                 return it.failure_domain == upstreams.front().failure_domain;
             });
-        if (is_single || request.inputs.empty()) {
+        if (is_single) {
             return place_by_routing(request, upstreams, route);
         }
         return cost_comparison{terms, request, upstreams, route}.choose();
--- a/source/core/policy/placement.h
+++ b/source/core/policy/placement.h
@@ -26,7 +26,17 @@
     /// To read the prompt in the domain of the inputs would cost more than to move the inputs.
     prompt,
     /// The upstreams in the domain of the inputs are busy.
-    load
+    load,
+    /// The upstream that the prompt maps to is overloaded; another one of its domain can copy the
+    /// prompt from it.
+    near_prompt,
+    /// Work without inputs and prompt in the domain of this entry.
+    local,
+    /// Work without inputs and prompt that leaves the domain of this entry, which is overloaded or
+    /// has no upstream.
+    overflow,
+    /// No upstream in the domain that should serve the work takes it.
+    none_in_target
 };
 
 struct placement_choice {
@@ -48,7 +58,9 @@
                                   const routing_hook& route);
 
 /// Compares the choice of the routing policy with its choice in each domain that stores inputs, by
-/// the time and the bytes that each costs.
+/// the time and the bytes that each costs. Work without inputs whose prompt maps to an overloaded
+/// upstream stays in the domain of that one if its others are not busier, and work without a prompt
+/// goes to its target domain.
 placement_hook make_placement_by_cost(const transfer_terms& terms);
 
 /// Returns the part of the slots of a domain's upstreams that is in use, as far as the requests of
@@ -64,8 +76,9 @@
 
 template <>
 struct enum_names<policy::placement_reason> {
-    static constexpr std::array<std::string_view, 6> table{
-        "routing", "at_inputs", "moved_to_inputs", "none_at_inputs", "prompt", "load"};
+    static constexpr std::array<std::string_view, 10> table{
+        "routing", "at_inputs",   "moved_to_inputs", "none_at_inputs", "prompt",
+        "load",    "near_prompt", "local",           "overflow",       "none_in_target"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/policy/routing.h
+++ b/source/core/policy/routing.h
@@ -59,12 +59,16 @@
     /// Digest of the prefix of the prompt, for cache affinity; zero when there is none.
     std::uint64_t prefix = 0;
     common::time_point now;
+    /// Failure domain that should serve the work. Empty if any may.
+    std::string target_domain;
     /// Large inputs that the upstream will read. Empty if the work has none.
     std::vector<stored_bytes> inputs;
     /// Other requests share the prefix, so upstreams that it maps to have it in their cache.
     bool prefix_shared = false;
     /// Time in which an upstream reads the shared prompt parts if its cache lacks them.
     double prompt_ms = 0;
+    /// Size of the shared prompt parts in the cache of an upstream.
+    double prompt_bytes = 0;
     /// Requests with the same prefix that this entry has sent lately.
     double prefix_uses = 0;
     /// Number of entries that send work to the same upstreams.
--- a/tests/unit/gateway/instances/service_pool_test.cpp
+++ b/tests/unit/gateway/instances/service_pool_test.cpp
@@ -109,6 +109,38 @@
     BOOST_TEST((choose({"b"}).outcome == choice_outcome::pausing));
 }
 
+// Guards against engines that read large results from another failure domain.
+BOOST_AUTO_TEST_CASE(request_with_stored_inputs_goes_to_an_instance_in_their_domain) {
+    known["a"].failure_domain = "fd-1";
+    known["b"].failure_domain = "fd-2";
+    service_pool placed{loop.context(life), policy::make_load_aware({}, common::seeded_random(1)),
+                        policy::make_placement_by_cost({})};
+    placed.update("s", known, now);
+    for (const auto* domain : {"fd-1", "fd-2"}) {
+        policy::routing_request request{.prefix = 1, .now = now, .inputs = {{domain, 1e6}}};
+        const auto choice = placed.choose(request);
+        BOOST_REQUIRE((choice.outcome == choice_outcome::chosen));
+        BOOST_TEST(choice.member->identity.failure_domain == domain);
+        BOOST_TEST(placed.has_prefix(*choice.member, 1, now));
+    }
+}
+
+// Guards against a retry at the only instances that have failed it.
+BOOST_AUTO_TEST_CASE(request_without_prompt_stays_in_the_domain_until_it_is_retried) {
+    known["a"].failure_domain = "fd-1";
+    known["b"].failure_domain = "fd-2";
+    service_pool placed{loop.context(life), policy::make_round_robin(),
+                        policy::make_placement_by_cost({}), policy::make_gradual_overflow({})};
+    placed.set_gateways("fd-1", {{"fd-1", 1}, {"fd-2", 1}});
+    placed.update("s", known, now);
+    policy::routing_request request{.failure_domain = "fd-1", .now = now};
+    for (int n = 0; n < 10; ++n) {
+        BOOST_TEST(placed.choose(request).member->identity.id == "a");
+    }
+    request.excluded = {"a"};
+    BOOST_TEST(placed.choose(request).member->identity.id == "b");
+}
+
 BOOST_AUTO_TEST_CASE(draining_instance_gets_no_request) {
     known["a"].phase = upstream_phase::draining;
     subject.update("s", known, now);
--- a/tests/unit/policy/placement_test.cpp
+++ b/tests/unit/policy/placement_test.cpp
@@ -133,6 +133,49 @@
     BOOST_TEST((choose().reason == placement_reason::routing));
 }
 
+// Guards against the copy of a long prompt part from another domain whenever the engine that it
+// maps to has a few requests more than the others.
+BOOST_AUTO_TEST_CASE(request_whose_prompt_maps_to_an_overloaded_upstream_stays_in_its_domain) {
+    request.inputs.clear();
+    request.prompt_bytes = 90e6;
+    std::size_t moved = 0;
+    for (int n = 0; n < 200; ++n) {
+        ++request.prefix;
+        for (auto& it : upstreams) {
+            it.reported_in_progress = 0;
+        }
+        const auto first = route(request, upstreams).value();
+        upstreams[first].reported_in_progress = 20;
+        const auto choice = choose();
+        BOOST_TEST(choice.index.value() != first);
+        BOOST_TEST(domain_of(*choice.index) == domain_of(first));
+        moved += choice.reason == placement_reason::near_prompt ? 1 : 0;
+    }
+    BOOST_TEST(moved > 50U);
+}
+
+BOOST_AUTO_TEST_CASE(request_whose_prompt_maps_to_a_busy_domain_leaves_it) {
+    request.inputs.clear();
+    request.prompt_bytes = 90e6;
+    set_load("fd-1", 60);
+    BOOST_TEST(domain_of(choose().index.value()) == "fd-2");
+}
+
+BOOST_AUTO_TEST_CASE(request_without_prompt_goes_to_its_target_domain) {
+    request.inputs.clear();
+    request.prefix = 0;
+    for (const auto* target : {"fd-1", "fd-2"}) {
+        request.target_domain = target;
+        for (int n = 0; n < 20; ++n) {
+            BOOST_TEST(domain_of(choose().index.value()) == target);
+        }
+    }
+    BOOST_TEST((choose().reason == placement_reason::overflow));
+    upstreams[2].ejected = upstreams[3].ejected = true;
+    BOOST_TEST(domain_of(choose().index.value()) == "fd-1");
+    BOOST_TEST((choose().reason == placement_reason::none_in_target));
+}
+
 // Guards against a change for deployments with one failure domain.
 BOOST_AUTO_TEST_CASE(request_in_a_single_domain_follows_the_routing_policy) {
     for (auto& it : upstreams) {
