gateway: retries and resumed streams go where the prompt is held

Cause: after a failure the next engine by hash gets the request and reads the prompt once more, also if this gateway has lately sent the prompt to another engine, for example for requests that followed their stage results.

Change: a retry without large results goes to an engine that holds the prompt, if its load is near that of the next engine by hash and the estimate is lower. An engine counts as holder by hash only if it is the first one, also if that one has just failed.

Result: unit test of the choice; not measured under load.

--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -142,6 +142,7 @@
 service_pool::views(const policy::routing_request& request) const {
     std::vector<policy::upstream_view> result;
     result.reserve(m_members.size());
+    const bool is_weighed = !request.inputs.empty() || !request.excluded.empty();
     for (const auto& it : m_members) {
         policy::upstream_view view;
         view.name = it->identity.id;
@@ -152,8 +153,7 @@
         view.reported_in_progress = it->in_progress;
         view.limit = it->identity.slots;
         view.available_since = it->state.registered_at();
-        view.holds_prefix =
-            !request.inputs.empty() && m_prefixes.holds(request.prefix, it->digest, request.now);
+        view.holds_prefix = is_weighed && m_prefixes.holds(request.prefix, it->digest, request.now);
         result.push_back(std::move(view));
     }
     return result;
--- a/source/core/policy/placement.cpp
+++ b/source/core/policy/placement.cpp
@@ -14,6 +14,9 @@
 constexpr double prior_requests = 8;
 // An entry may send more than its part, so the load of the whole pool is never estimated higher.
 constexpr double max_mean_share = 0.7;
+// An upstream that holds the prompt may have this many more requests per slot than the one of the
+// routing policy. It is the margin that the policy itself allows for a prompt.
+constexpr double max_extra_load = 0.1;
 
 /// Makes the decision of `make_placement_by_cost` for one request.
 class cost_comparison {
@@ -31,7 +34,7 @@
             return choose_by_inputs();
         }
         if (m_request.prefix != 0) {
-            return choose_by_prompt();
+            return m_request.excluded.empty() ? choose_by_prompt() : choose_holder();
         }
         return choose_by_target();
     }
@@ -98,6 +101,23 @@
         return {routed, placement_reason::routing, 0};
     }
 
+    /// After a failure no other upstream holds the prompt but those that lately got it, for example
+    /// because they read results of other requests.
+    [[nodiscard]] placement_choice choose_holder() const {
+        const auto routed = m_route(m_request, m_upstreams);
+        if (!routed || m_upstreams[*routed].holds_prefix) {
+            return {routed, placement_reason::routing, 0};
+        }
+        const double highest_load = relative_load(m_upstreams[*routed]) + max_extra_load;
+        const auto holder = choose_where([&](const upstream_view& it) {
+            return it.holds_prefix && relative_load(it) <= highest_load;
+        });
+        const bool is_better = holder && estimate_cost(m_terms, work_at(*holder)).total_ms() <
+                                             estimate_cost(m_terms, work_at(*routed)).total_ms();
+        return is_better ? placement_choice{holder, placement_reason::prompt_held, 0}
+                         : placement_choice{routed, placement_reason::routing, 0};
+    }
+
     [[nodiscard]] placement_choice choose_by_target() const {
         const auto& target = m_request.target_domain;
         if (target.empty()) {
@@ -124,14 +144,15 @@
         return m_input_bytes - local;
     }
 
-    /// Returns the choice of the routing policy among the upstreams of one domain. An upstream that
-    /// the policy would use only as a last resort is no alternative to one in another domain.
-    [[nodiscard]] std::optional<std::size_t> choose_in(std::string_view domain) const {
+    /// Returns the choice of the routing policy among the upstreams that the predicate accepts. An
+    /// upstream that the policy would use only as a last resort is no alternative to others.
+    template <typename Predicate>
+    [[nodiscard]] std::optional<std::size_t> choose_where(const Predicate& accepts) const {
         std::vector<upstream_view> views;
         std::vector<std::size_t> indices;
         for (std::size_t n = 0; n < m_upstreams.size(); ++n) {
             const auto& it = m_upstreams[n];
-            if (it.failure_domain == domain && !it.ejected && !it.probing) {
+            if (accepts(it) && !it.ejected && !it.probing) {
                 views.push_back(it);
                 indices.push_back(n);
             }
@@ -140,6 +161,10 @@
         return chosen ? std::optional{indices[*chosen]} : std::nullopt;
     }
 
+    [[nodiscard]] std::optional<std::size_t> choose_in(std::string_view domain) const {
+        return choose_where([&](const upstream_view& it) { return it.failure_domain == domain; });
+    }
+
     [[nodiscard]] placed_work work_at(std::size_t n) const {
         const auto& domain = m_upstreams[n].failure_domain;
         placed_work work;
@@ -156,13 +181,14 @@
                (is_in_use && first_by_prefix() == n);
     }
 
-    /// Returns the upstream to which all entries send the prefix unless it is overloaded.
+    /// Returns the upstream to which all entries send the prefix unless it is overloaded, also if
+    /// this request has failed there.
     [[nodiscard]] std::optional<std::size_t> first_by_prefix() const {
         std::optional<std::size_t> first;
         std::uint64_t first_rank = 0;
         for (std::size_t n = 0; n < m_upstreams.size(); ++n) {
             const auto rank = rendezvous_rank(m_request.prefix, m_upstreams[n].name_digest);
-            if (is_eligible(m_request, m_upstreams[n]) && (!first || rank > first_rank)) {
+            if (m_upstreams[n].available && (!first || rank > first_rank)) {
                 first = n;
                 first_rank = rank;
             }
--- a/source/core/policy/placement.h
+++ b/source/core/policy/placement.h
@@ -30,6 +30,8 @@
     /// The upstream that the prompt maps to is overloaded; another one of its domain can copy the
     /// prompt from it.
     near_prompt,
+    /// A retry or a resumed stream at an upstream that has lately got the prompt.
+    prompt_held,
     /// Work without inputs and prompt in the domain of this entry.
     local,
     /// Work without inputs and prompt that leaves the domain of this entry, which is overloaded or
@@ -76,9 +78,9 @@
 
 template <>
 struct enum_names<policy::placement_reason> {
-    static constexpr std::array<std::string_view, 10> table{
-        "routing", "at_inputs",   "moved_to_inputs", "none_at_inputs", "prompt",
-        "load",    "near_prompt", "local",           "overflow",       "none_in_target"};
+    static constexpr std::array<std::string_view, 11> table{
+        "routing",     "at_inputs",   "moved_to_inputs", "none_at_inputs", "prompt",        "load",
+        "near_prompt", "prompt_held", "local",           "overflow",       "none_in_target"};
 };
 
 } // namespace jujubemast::common
--- a/tests/unit/policy/placement_test.cpp
+++ b/tests/unit/policy/placement_test.cpp
@@ -161,6 +161,26 @@
     BOOST_TEST(domain_of(choose().index.value()) == "fd-2");
 }
 
+// Guards against retries and resumed streams whose prompt is read once more although another engine
+// holds it.
+BOOST_AUTO_TEST_CASE(retry_goes_to_an_upstream_that_holds_the_prompt) {
+    request.inputs.clear();
+    const auto failed = route(request, upstreams).value();
+    request.excluded = {upstreams[failed].name};
+    const auto next = route(request, upstreams).value();
+    for (std::size_t n = 0; n < upstreams.size(); ++n) {
+        upstreams[n].holds_prefix = n != next;
+    }
+    const auto choice = choose();
+    BOOST_TEST(upstreams[choice.index.value()].holds_prefix);
+    BOOST_TEST(*choice.index != failed);
+    BOOST_TEST((choice.reason == placement_reason::prompt_held));
+    for (std::size_t n = 0; n < upstreams.size(); ++n) {
+        upstreams[n].reported_in_progress = n == next ? 0 : 20;
+    }
+    BOOST_TEST((choose().index == next));
+}
+
 BOOST_AUTO_TEST_CASE(request_without_prompt_goes_to_its_target_domain) {
     request.inputs.clear();
     request.prefix = 0;
