ctl, gateway: explain where a request would go now

Cause: nothing shows why a gateway would choose an instance, short of sending the request.

Change: 'jujubemast-ctl route ADDRESS HOST PATH [NAME=VALUE...]' asks the gateway's admin address (GET /route). The forwarder calls the functions of the choice with its live state and lists each instance with its verdict, load and estimated cost, as text or JSON. Nothing is sent or recorded. Unknown parameters and malformed values get an error that names them.

Result: integration suite route_explanation_test; unit tests of the question, the target and the text.

--- a/source/core/ctl/command.h
+++ b/source/core/ctl/command.h
@@ -34,7 +34,8 @@
     ticket_in_force,
     ticket_status,
     dump,
-    explain
+    explain,
+    route
 };
 
 /// The output and the result of a command.
@@ -80,10 +81,12 @@
 
 template <>
 struct enum_names<ctl::command> {
-    static constexpr std::array<std::string_view, 11> table{
-        "ticket create",    "ticket list",     "ticket show",     "ticket diff",   "ticket accept",
-        "ticket supersede", "ticket withdraw", "ticket in-force", "ticket status", "dump",
-        "explain"};
+    static constexpr std::array<std::string_view, 12> table{"ticket create",   "ticket list",
+                                                            "ticket show",     "ticket diff",
+                                                            "ticket accept",   "ticket supersede",
+                                                            "ticket withdraw", "ticket in-force",
+                                                            "ticket status",   "dump",
+                                                            "explain",         "route"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/ctl/command_table.cpp
+++ b/source/core/ctl/command_table.cpp
@@ -8,6 +8,7 @@
 #include "ctl/dump_command.h"
 #include "ctl/explain_command.h"
 #include "ctl/query_commands.h"
+#include "ctl/route_command.h"
 #include "ctl/status_command.h"
 
 namespace jujubemast::ctl {
@@ -59,7 +60,11 @@
          make_dump_command},
         {command::explain, "ID FILE...",
          "explains from log files how the request with this attempt id ended", 2,
-         make_explain_command, true}};
+         make_explain_command, true},
+        {command::route, "ADDRESS HOST PATH [NAME=VALUE...]",
+         "explains where a gateway would send a request now; prompt=ID:TOKENS,... "
+         "results=DOMAIN:BYTES,... tried=ID,...",
+         3, make_route_command, true}};
     return table;
 }
 
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -44,6 +44,15 @@
     };
 }
 
+/// Forwards GET /route, which explains where a request would go now.
+admin::query_hook make_route_handler(const forwarder_mailbox& inbox) {
+    return [inbox](const http::request& message, const http::responder& reply) {
+        const auto [path, query] = http::split_target(message.target);
+        return path == "/route" && message.method == "GET" &&
+               inbox->post(route_query{std::string{query}, reply});
+    };
+}
+
 /// Answers readiness checks.
 http::handler make_ready_handler(const health_address& health) {
     return [health](const http::request& /*message*/,
@@ -148,10 +157,10 @@
     options.response_buffer_bytes = shares_of_memory(values).response_bodies;
     options.random = common::system_random();
     options.route = policy::make_load_aware(routing, common::system_random());
-    if (const auto terms = transfer_terms_of(values); terms.enabled()) {
-        options.place = policy::make_placement_by_cost(terms);
+    options.transfer = transfer_terms_of(values);
+    if (options.transfer.enabled()) {
+        options.place = policy::make_placement_by_cost(options.transfer);
         options.overflow = policy::make_gradual_overflow({});
-        options.weigh_transfers = true;
     }
     return options;
 }
@@ -184,7 +193,8 @@
     children.push_back(admin::make_admin_server(
         http::parse_endpoint(values.get(gateway_settings::admin_listen)), health,
         {process.dump,
-         [forwarder_inbox](const admin::metrics_query& it) { return forwarder_inbox->post(it); }}));
+         [forwarder_inbox](const admin::metrics_query& it) { return forwarder_inbox->post(it); },
+         make_route_handler(forwarder_inbox)}));
     http::server_options ready;
     ready.listen = http::parse_endpoint(values.get(gateway_settings::ready_listen));
     children.push_back(http::make_server("ready", ready, make_ready_handler(health)));
--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -164,23 +164,24 @@
     m_balance.set_gateways(own_domain, counts);
 }
 
-std::string service_pool::choose_target_domain(common::time_point now) {
+void service_pool::prepare(policy::routing_request& request, domain_balance& balance) const {
+    request.prefix_uses = m_prefixes.uses(request.prefix, request.now);
+    // A retry may go to any domain, because that of the first attempt may be what failed.
+    if (request.prefix != 0 || !request.inputs.empty() || !request.excluded.empty()) {
+        return;
+    }
     domain_balance::slot_counts slots;
     std::size_t in_progress = m_waiting.size();
     for (const auto& it : m_members) {
         in_progress += it->in_progress;
         slots[it->identity.failure_domain] += it->state.accepts_work() ? it->identity.slots : 0;
     }
-    return m_balance.choose(slots, in_progress, now);
+    request.target_domain = balance.choose(slots, in_progress, request.now);
 }
 
 instance_choice service_pool::choose(policy::routing_request request) {
     update_states(request.now);
-    request.prefix_uses = m_prefixes.uses(request.prefix, request.now);
-    // A retry may go to any domain, because that of the first attempt may be what failed.
-    if (request.prefix == 0 && request.inputs.empty() && request.excluded.empty()) {
-        request.target_domain = choose_target_domain(request.now);
-    }
+    prepare(request, m_balance);
     const auto placed = m_place(request, views(request), m_route);
     if (!placed.index) {
         return explain_no_choice(request);
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "common/enum_names.h"
+#include "gateway/instances/choice_explanation.h"
 #include "gateway/instances/domain_balance.h"
 #include "gateway/instances/instance_state.h"
 #include "gateway/instances/prefix_memory.h"
@@ -93,6 +94,10 @@
     /// `target_domain` of the request are set here.
     instance_choice choose(policy::routing_request request);
 
+    /// Explains the choice for a request without sending it.
+    [[nodiscard]] choice_explanation explain(policy::routing_request request,
+                                             const policy::transfer_terms& terms);
+
     /// Returns the instance that a prompt prefix hashes to regardless of load, or null.
     [[nodiscard]] std::shared_ptr<pool_member> affinity_member(std::uint64_t prefix);
 
@@ -128,8 +133,8 @@
     [[nodiscard]] instance_choice explain_no_choice(const policy::routing_request& request) const;
     void add_if_new(const upstream_instance& instance, common::time_point now);
     void divide_connections();
-    /// Returns the failure domain for a request without prompt and inputs.
-    [[nodiscard]] std::string choose_target_domain(common::time_point now);
+    /// Sets what the pool knows for the choice.
+    void prepare(policy::routing_request& request, domain_balance& balance) const;
 
     runtime::task_context m_context;
     policy::routing_hook m_route;
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -30,6 +30,13 @@
     common::time_point at;
 };
 
+/// Asks the forwarder to explain where a request would go now. It responds itself.
+struct route_query {
+    /// The query string of the request to the admin address.
+    std::string query;
+    http::responder reply;
+};
+
 /// A request that arrived on a caller's connection.
 struct request_received {
     std::uint64_t id = 0;
@@ -136,7 +143,7 @@
 using forwarder_message =
     std::variant<discovery_update, configuration_confirmed, request_received, caller_disconnected,
                  order_ended, gateway_names_changed, backlog_report, crash_evidence, gateway_live,
-                 shutdown_started, admin::metrics_query>;
+                 shutdown_started, admin::metrics_query, route_query>;
 
 using peers_message =
     std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -56,9 +56,9 @@
     /// Divides requests without prompt and inputs among the failure domains. Without it the routing
     /// policy alone decides.
     policy::overflow_hook overflow;
-    /// Whether bytes between failure domains count when a stage is ordered and when a source of
-    /// cached prompt parts is named.
-    bool weigh_transfers = false;
+    /// What bytes between failure domains cost. Without a price they do not count when a stage is
+    /// ordered or a source of cached prompt parts is named.
+    policy::transfer_terms transfer{.price_ms_per_gb = 0};
     common::random_hook random;
     /// Makes known that an instance is about to stop.
     std::function<void(const instance_leaving&)> announce_leaving;
@@ -89,6 +89,7 @@
     void handle(const gateway_live& message);
     void handle(const shutdown_started& message);
     void handle(const admin::metrics_query& message);
+    void handle(const route_query& query);
 
     /// Sets the route, workspace, priority and service of the exchange from the configuration.
     lookup_result look_up(exchange& ex) const;
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -148,7 +148,7 @@
     const auto now = common::monotonic_clock::now();
     const auto near = pool.affinity_member_in(choice.member->identity.failure_domain, prefix);
     const bool moved = choice.reason == policy::placement_reason::moved_to_inputs;
-    const bool near_is_known = m_options.weigh_transfers && near && near != choice.member &&
+    const bool near_is_known = m_options.transfer.enabled() && near && near != choice.member &&
                                pool.has_prefix(*near, prefix, now);
     const auto source = moved || near_is_known ? near : pool.affinity_member(prefix);
     // The cache of an instance that drains is worth reading while it lasts.
--- a/source/core/gateway/requests/forwarder_stages.cpp
+++ b/source/core/gateway/requests/forwarder_stages.cpp
@@ -100,7 +100,7 @@
     }
     if (ex.stages.progress.is_last(stage) && spec.result_bytes >= large_transfer_bytes) {
         const auto stored =
-            m_options.weigh_transfers ? stored_results(ex) : std::vector<policy::stored_bytes>{};
+            m_options.transfer.enabled() ? stored_results(ex) : std::vector<policy::stored_bytes>{};
         if (!stored.empty()) {
             return std::max_element(stored.begin(), stored.end(),
                                     [](const auto& a, const auto& b) { return a.bytes < b.bytes; })
--- a/source/core/policy/placement.cpp
+++ b/source/core/policy/placement.cpp
@@ -18,17 +18,82 @@
 // routing policy. It is the margin that the policy itself allows for a prompt.
 constexpr double max_extra_load = 0.1;
 
-/// Makes the decision of `make_placement_by_cost` for one request.
-class cost_comparison {
+/// Estimates what the work requires at each upstream.
+class work_estimate {
 public:
-    cost_comparison(const transfer_terms& terms, const routing_request& request,
-                    std::span<const upstream_view> upstreams, const routing_hook& route)
-        : m_terms{terms}, m_request{request}, m_upstreams{upstreams}, m_route{route} {
+    work_estimate(const routing_request& request, std::span<const upstream_view> upstreams)
+        : m_request{request}, m_upstreams{upstreams} {
         for (const auto& it : request.inputs) {
             m_input_bytes += it.bytes;
         }
     }
 
+    [[nodiscard]] placed_work work_at(std::size_t n) const {
+        const auto& domain = m_upstreams[n].failure_domain;
+        placed_work work;
+        work.remote_bytes = remote_bytes(domain);
+        work.remote_passages = work.remote_bytes > 0 ? 2 : 0;
+        work.wait_ms = queue_wait_ms(busy_share_of(m_request, m_upstreams, domain));
+        work.prompt_ms = holds_prompt(n) ? 0 : m_request.prompt_ms / (1 + expected_uses());
+        return work;
+    }
+
+    /// Returns the upstream to which all entries send the prefix unless it is overloaded, also if
+    /// this request has failed there.
+    [[nodiscard]] std::optional<std::size_t> first_by_prefix() const {
+        std::optional<std::size_t> first;
+        std::uint64_t first_rank = 0;
+        for (std::size_t n = 0; n < m_upstreams.size(); ++n) {
+            const auto rank = rendezvous_rank(m_request.prefix, m_upstreams[n].name_digest);
+            if (m_upstreams[n].available && (!first || rank > first_rank)) {
+                first = n;
+                first_rank = rank;
+            }
+        }
+        return first;
+    }
+
+    [[nodiscard]] double remote_bytes(std::string_view domain) const {
+        double local = 0;
+        for (const auto& it : m_request.inputs) {
+            local += it.failure_domain == domain ? it.bytes : 0;
+        }
+        return m_input_bytes - local;
+    }
+
+private:
+    [[nodiscard]] bool holds_prompt(std::size_t n) const {
+        const bool is_in_use = m_request.prefix_shared || m_request.prefix_uses > 0;
+        return m_request.prefix == 0 || m_upstreams[n].holds_prefix ||
+               (is_in_use && first_by_prefix() == n);
+    }
+
+    /// Returns how many requests of all entries will use the prompt parts that one upstream of a
+    /// domain reads now. Its cost is shared among them.
+    [[nodiscard]] double expected_uses() const {
+        std::vector<std::string_view> domains;
+        for (const auto& it : m_upstreams) {
+            if (std::find(domains.begin(), domains.end(), it.failure_domain) == domains.end()) {
+                domains.push_back(it.failure_domain);
+            }
+        }
+        return m_request.prefix_uses * static_cast<double>(m_request.senders) /
+               static_cast<double>(domains.size());
+    }
+
+    const routing_request& m_request;
+    std::span<const upstream_view> m_upstreams;
+    double m_input_bytes = 0;
+};
+
+/// Makes the decision of `make_placement_by_cost` for one request.
+class cost_comparison {
+public:
+    cost_comparison(const transfer_terms& terms, const routing_request& request,
+                    std::span<const upstream_view> upstreams, const routing_hook& route)
+        : m_terms{terms}, m_request{request}, m_upstreams{upstreams}, m_route{route},
+          m_estimate{request, upstreams} {}
+
     placement_choice choose() const {
         if (!m_request.inputs.empty()) {
             return choose_by_inputs();
@@ -77,7 +142,7 @@
     /// whichever costs less. A copy within the domain has no price.
     [[nodiscard]] placement_choice choose_by_prompt() const {
         const auto routed = m_route(m_request, m_upstreams);
-        const auto first = first_by_prefix();
+        const auto first = m_estimate.first_by_prefix();
         if (!routed || !first || *routed == *first) {
             return {routed, placement_reason::routing, 0};
         }
@@ -136,14 +201,6 @@
             [](const stored_bytes& a, const stored_bytes& b) { return a.bytes < b.bytes; });
     }
 
-    [[nodiscard]] double remote_bytes(std::string_view domain) const {
-        double local = 0;
-        for (const auto& it : m_request.inputs) {
-            local += it.failure_domain == domain ? it.bytes : 0;
-        }
-        return m_input_bytes - local;
-    }
-
     /// Returns the choice of the routing policy among the upstreams that the predicate accepts. An
     /// upstream that the policy would use only as a last resort is no alternative to others.
     template <typename Predicate>
@@ -165,55 +222,17 @@
         return choose_where([&](const upstream_view& it) { return it.failure_domain == domain; });
     }
 
-    [[nodiscard]] placed_work work_at(std::size_t n) const {
-        const auto& domain = m_upstreams[n].failure_domain;
-        placed_work work;
-        work.remote_bytes = remote_bytes(domain);
-        work.remote_passages = work.remote_bytes > 0 ? 2 : 0;
-        work.wait_ms = queue_wait_ms(busy_share_of(m_request, m_upstreams, domain));
-        work.prompt_ms = holds_prompt(n) ? 0 : m_request.prompt_ms / (1 + expected_uses());
-        return work;
-    }
-
-    [[nodiscard]] bool holds_prompt(std::size_t n) const {
-        const bool is_in_use = m_request.prefix_shared || m_request.prefix_uses > 0;
-        return m_request.prefix == 0 || m_upstreams[n].holds_prefix ||
-               (is_in_use && first_by_prefix() == n);
-    }
-
-    /// Returns the upstream to which all entries send the prefix unless it is overloaded, also if
-    /// this request has failed there.
-    [[nodiscard]] std::optional<std::size_t> first_by_prefix() const {
-        std::optional<std::size_t> first;
-        std::uint64_t first_rank = 0;
-        for (std::size_t n = 0; n < m_upstreams.size(); ++n) {
-            const auto rank = rendezvous_rank(m_request.prefix, m_upstreams[n].name_digest);
-            if (m_upstreams[n].available && (!first || rank > first_rank)) {
-                first = n;
-                first_rank = rank;
-            }
-        }
-        return first;
-    }
+    [[nodiscard]] placed_work work_at(std::size_t n) const { return m_estimate.work_at(n); }
 
-    /// Returns how many requests of all entries will use the prompt parts that one upstream of a
-    /// domain reads now. Its cost is shared among them.
-    [[nodiscard]] double expected_uses() const {
-        std::vector<std::string_view> domains;
-        for (const auto& it : m_upstreams) {
-            if (std::find(domains.begin(), domains.end(), it.failure_domain) == domains.end()) {
-                domains.push_back(it.failure_domain);
-            }
-        }
-        return m_request.prefix_uses * static_cast<double>(m_request.senders) /
-               static_cast<double>(domains.size());
+    [[nodiscard]] double remote_bytes(std::string_view domain) const {
+        return m_estimate.remote_bytes(domain);
     }
 
     const transfer_terms& m_terms;
     const routing_request& m_request;
     std::span<const upstream_view> m_upstreams;
     const routing_hook& m_route;
-    double m_input_bytes = 0;
+    work_estimate m_estimate;
 };
 
 } // namespace
@@ -238,6 +257,11 @@
     };
 }
 
+placed_work estimate_work(const routing_request& request, std::span<const upstream_view> upstreams,
+                          std::size_t n) {
+    return work_estimate{request, upstreams}.work_at(n);
+}
+
 double busy_share_of(const routing_request& request, std::span<const upstream_view> upstreams,
                      std::string_view failure_domain) {
     double slots = 0;
--- a/source/core/policy/placement.h
+++ b/source/core/policy/placement.h
@@ -65,6 +65,11 @@
 /// goes to its target domain.
 placement_hook make_placement_by_cost(const transfer_terms& terms);
 
+/// Returns what placing the work at this upstream requires, for the comparison and for
+/// explanations.
+placed_work estimate_work(const routing_request& request, std::span<const upstream_view> upstreams,
+                          std::size_t n);
+
 /// Returns the part of the slots of a domain's upstreams that is in use, as far as the requests of
 /// this entry show it. All entries follow the same rules, so the work of one is a sample of the
 /// work of all; differences between domains that a sample of this size may show by chance are left
