policy: the domain of the results does not fill up its engines

Cause: in a replay with half of all slots in use and 70% of the results made in one domain, the engines of that domain got 1.15 times their slots. Load differences counted only from 1.3 times the mean, and the wait rose linearly, below the price of the bytes.

Change: the estimated wait rises with the square from 0.7 of the slots, four requests are added to the count of each domain instead of eight and a margin, and the mean share counts as 0.65 at most.

--- a/source/core/policy/domain_cost.cpp
+++ b/source/core/policy/domain_cost.cpp
@@ -7,10 +7,13 @@
 namespace {
 
 constexpr double bytes_per_gigabyte = 1e9;
-// Requests arrive in bursts, and the load is estimated from the requests of one gateway, so waiting
-// begins before all slots are in use.
+// The load is estimated from the requests of one gateway. With smaller shares, chance differences
+// between its counts would move requests away from their inputs.
 constexpr double busy_share = 0.7;
-constexpr double wait_ms_at_full_load = 120;
+// The wait rises with the square, so that a domain with most of the inputs does not fill up: with a
+// linear rise to 120 ms its engines got 1.15 times their slots in the replay.
+constexpr double wait_ms_at_85_percent = 120;
+constexpr double share_until_then = 0.15;
 
 } // namespace
 
@@ -24,7 +27,8 @@
 }
 
 double queue_wait_ms(double busy_slots_share) {
-    return wait_ms_at_full_load * std::max(0.0, busy_slots_share - busy_share) / (1 - busy_share);
+    const double excess = std::max(0.0, busy_slots_share - busy_share) / share_until_then;
+    return wait_ms_at_85_percent * excess * excess;
 }
 
 } // namespace jujubemast::policy
--- a/source/core/policy/domain_cost.h
+++ b/source/core/policy/domain_cost.h
@@ -41,9 +41,9 @@
 
 placement_cost estimate_cost(const transfer_terms& terms, const placed_work& work);
 
-/// Returns the expected wait, in milliseconds, at a group of instances with this share of its slots
-/// in use. Up to 0.7 a free slot is found at once; from there the wait rises to 120 ms when all
-/// slots are in use, and further with the requests that wait.
+/// Returns the wait, in milliseconds, that counts for instances with this estimated share of their
+/// slots in use. Up to 0.7 a free slot is found at once; from there the wait rises with the square,
+/// to 120 ms at 0.85.
 double queue_wait_ms(double busy_slots_share);
 
 } // namespace jujubemast::policy
--- a/source/core/policy/placement.cpp
+++ b/source/core/policy/placement.cpp
@@ -8,12 +8,10 @@
 
 namespace {
 
-// A domain counts as busier than the others only above this multiple of their mean load.
-constexpr double significant_ratio = 1.3;
 // Requests that are added to the count of each domain, so that few requests show no difference.
-constexpr double prior_requests = 8;
+constexpr double prior_requests = 4;
 // An entry may send more than its part, so the load of the whole pool is never estimated higher.
-constexpr double max_mean_share = 0.7;
+constexpr double max_mean_share = 0.65;
 // An upstream that holds the prompt may have this many more requests per slot than the one of the
 // routing policy. It is the margin that the policy itself allows for a prompt.
 constexpr double max_extra_load = 0.1;
@@ -285,8 +283,7 @@
     }
     const double mean = work / slots;
     const double ratio = (domain_work + prior_requests) / (mean * domain_slots + prior_requests);
-    const double mean_share = std::min(max_mean_share, mean * static_cast<double>(request.senders));
-    return mean_share * std::max(1.0, ratio / significant_ratio);
+    return ratio * std::min(max_mean_share, mean * static_cast<double>(request.senders));
 }
 
 } // namespace jujubemast::policy
--- a/source/core/policy/placement.h
+++ b/source/core/policy/placement.h
@@ -72,8 +72,7 @@
 
 /// Returns the part of the slots of a domain's upstreams that is in use, as far as the requests of
 /// this entry show it. All entries follow the same rules, so the work of one is a sample of the
-/// work of all; differences between domains that a sample of this size may show by chance are left
-/// out.
+/// work of all.
 double busy_share_of(const routing_request& request, std::span<const upstream_view> upstreams,
                      std::string_view failure_domain);
 
