--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -45,6 +45,15 @@
     };
 }
 
+/// Forwards GET /route, which explains where a request would go now.
+admin::query_hook make_route_handler(const forwarder_mailbox& inbox) {
+    return [inbox](const http::request& message, const http::responder& reply) {
+        const auto [path, query] = http::split_target(message.target);
+        return path == "/route" && message.method == "GET" &&
+               inbox->post(route_query{std::string{query}, reply});
+    };
+}
+
 /// Answers readiness checks.
 http::handler make_ready_handler(const health_address& health) {
     return [health](const http::request& /*message*/,
@@ -115,6 +124,9 @@
         gateway_names_changed names;
         std::transform(it.begin(), it.end(), std::back_inserter(names.names),
                        [](const gateway_record& known) { return known.name; });
+        for (const auto& known : it) {
+            ++names.per_domain[known.failure_domain];
+        }
         forwarder->post(std::move(names));
     };
     hooks.relay = [peers](const table_relay& it) { peers->post(it); };
@@ -125,6 +137,12 @@
     return hooks;
 }
 
+policy::transfer_terms transfer_terms_of(const settings::values& values) {
+    policy::transfer_terms terms;
+    terms.price_ms_per_gb = values.get(gateway_settings::placement_price);
+    return terms;
+}
+
 requests::forwarder_options make_forwarder_options(const settings::values& values,
                                                    const peers_mailbox& peers) {
     policy::load_aware_options routing;
@@ -144,6 +162,11 @@
     options.response_buffer_bytes = shares_of_memory(values).response_bodies;
     options.random = common::system_random();
     options.route = policy::make_load_aware(routing, common::system_random());
+    options.transfer = transfer_terms_of(values);
+    if (options.transfer.enabled()) {
+        options.place = policy::make_placement_by_cost(options.transfer);
+        options.overflow = policy::make_gradual_overflow({});
+    }
     return options;
 }
 
@@ -175,7 +198,8 @@
     children.push_back(admin::make_admin_server(
         http::parse_endpoint(values.get(gateway_settings::admin_listen)), health,
         {process.dump,
-         [forwarder_inbox](const admin::metrics_query& it) { return forwarder_inbox->post(it); }},
+         [forwarder_inbox](const admin::metrics_query& it) { return forwarder_inbox->post(it); },
+         make_route_handler(forwarder_inbox)},
         admin_server_limits(values)));
     http::server_options ready;
     ready.limits = ready_server_limits();
@@ -193,7 +217,8 @@
     children.push_back({"dispatcher", [=](runtime::task_context it) {
                             return std::make_shared<stages::dispatcher>(
                                 std::move(it), dispatcher_inbox,
-                                runtime::address<peers_message>{peers_inbox}, platform_adapter);
+                                runtime::address<peers_message>{peers_inbox}, platform_adapter,
+                                stages::make_piece_placement(transfer_terms_of(values)));
                         }});
     children.push_back({"forwarder", [=](runtime::task_context it) {
                             return std::make_shared<requests::forwarder>(
--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -30,10 +30,31 @@
     return std::find(excluded.begin(), excluded.end(), member.identity.id) != excluded.end();
 }
 
+/// Returns the member with the highest rank for the prefix among those in allowed regions and
+/// outside the drained failure domains that the predicate accepts.
+template <typename Predicate>
+std::shared_ptr<pool_member>
+first_by_prefix(const std::vector<std::shared_ptr<pool_member>>& members, std::uint64_t prefix,
+                const allowed_regions& regions, const Predicate& accepts) {
+    std::shared_ptr<pool_member> best;
+    std::uint64_t best_rank = 0;
+    for (const auto& it : members) {
+        const auto rank = policy::rendezvous_rank(prefix, it->digest);
+        if (it->state.phase() != instance_phase::gone && !it->state.is_domain_drained() &&
+            regions.allows(it->identity.region) && accepts(*it) && (!best || rank > best_rank)) {
+            best = it;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
-service_pool::service_pool(runtime::task_context context, policy::routing_hook route)
-    : m_context{std::move(context)}, m_route{std::move(route)} {}
+service_pool::service_pool(runtime::task_context context, policy::routing_hook route,
+                           policy::placement_hook place, policy::overflow_hook overflow)
+    : m_context{std::move(context)}, m_route{std::move(route)}, m_place{std::move(place)},
+      m_balance{std::move(overflow)} {}
 
 void service_pool::update(const std::string& service, const upstream_map& known,
                           common::time_point now) {
@@ -163,10 +184,12 @@
     }
 }
 
-std::vector<policy::upstream_view> service_pool::views(common::time_point now,
+std::vector<policy::upstream_view> service_pool::views(const policy::routing_request& request,
                                                        const allowed_regions& regions) const {
+    const auto now = request.now;
     std::vector<policy::upstream_view> result;
     result.reserve(m_members.size());
+    const bool is_weighed = !request.inputs.empty() || !request.excluded.empty();
     for (const auto& it : m_members) {
         policy::upstream_view view;
         view.name = it->identity.id;
@@ -178,38 +201,78 @@
         view.reported_in_progress = it->in_progress;
         view.limit = it->identity.slots;
         view.available_since = it->state.registered_at();
+        view.holds_prefix = is_weighed && m_prefixes.holds(request.prefix, it->digest, request.now);
         result.push_back(std::move(view));
     }
     return result;
 }
 
-instance_choice service_pool::choose(const policy::routing_request& request,
-                                     const allowed_regions& regions) {
+void service_pool::set_gateways(const std::string& own_domain,
+                                const std::map<std::string, std::size_t>& counts) {
+    m_balance.set_gateways(own_domain, counts);
+}
+
+void service_pool::prepare(policy::routing_request& request, const allowed_regions& regions,
+                           domain_balance& balance) const {
+    request.prefix_uses = m_prefixes.uses(request.prefix, request.now);
+    // A retry may go to any domain, because that of the first attempt may be what failed. The
+    // shares of the domains count all regions, so they say nothing for a request that is limited to
+    // some.
+    if (request.prefix != 0 || !request.inputs.empty() || !request.excluded.empty() ||
+        regions.is_restricted()) {
+        return;
+    }
+    domain_balance::slot_counts slots;
+    std::size_t in_progress = m_waiting.size();
+    for (const auto& it : m_members) {
+        in_progress += it->in_progress;
+        slots[it->identity.failure_domain] += it->state.accepts_work() ? it->identity.slots : 0;
+    }
+    request.target_domain = balance.choose(slots, in_progress, request.now);
+}
+
+instance_choice service_pool::place(policy::routing_request request, const allowed_regions& regions,
+                                    domain_balance& balance) {
     update_states(request.now);
-    const auto chosen = m_route(request, views(request.now, regions));
-    if (!chosen) {
+    prepare(request, regions, balance);
+    const auto placed = m_place(request, views(request, regions), m_route);
+    if (!placed.index) {
         return explain_no_choice(request, regions);
     }
-    record_choice(*m_members[*chosen], request.now);
-    return {choice_outcome::chosen, m_members[*chosen], {}};
+    return {choice_outcome::chosen, m_members[*placed.index], {},
+            placed.reason,          !request.inputs.empty(),  placed.remote_bytes};
 }
 
-void service_pool::record_choice(pool_member& member, common::time_point now) {
+instance_choice service_pool::choose(const policy::routing_request& request,
+                                     const allowed_regions& regions) {
+    auto choice = place(request, regions, m_balance);
+    if (choice.outcome == choice_outcome::chosen) {
+        record_choice(*choice.member, request.prefix, request.now);
+    }
+    return choice;
+}
+
+void service_pool::record_choice(pool_member& member, std::uint64_t prefix,
+                                 common::time_point now) {
     m_health.record_dispatch(member.identity.id, now);
     if (m_warm_up) {
         // Counted for all instances: one that is cold now may have been so before its row came.
         member.sends.record(now);
     }
+    if (prefix != 0) {
+        m_prefixes.record(prefix, member.digest, now);
+    }
 }
 
-std::shared_ptr<pool_member> service_pool::preview(const policy::routing_request& request,
-                                                   const allowed_regions& regions) {
-    update_states(request.now);
-    const auto chosen = m_route(request, views(request.now, regions));
-    return chosen ? m_members[*chosen] : nullptr;
+instance_choice service_pool::preview(const policy::routing_request& request,
+                                      const allowed_regions& regions) {
+    // The shares of the domains must be as if nothing had been asked.
+    auto balance = m_balance;
+    return place(request, regions, balance);
 }
 
-std::shared_ptr<pool_member> service_pool::take(const std::string& id, common::time_point now) {
+std::shared_ptr<pool_member> service_pool::take(const std::string& id, common::time_point now,
+                                                std::uint64_t prefix) {
     update_states(now);
     const auto it = std::find_if(m_members.begin(), m_members.end(), [&](const auto& member) {
         return member->identity.id == id && member->state.accepts_work() &&
@@ -218,7 +281,7 @@
     if (it == m_members.end()) {
         return nullptr;
     }
-    record_choice(**it, now);
+    record_choice(**it, prefix, now);
     return *it;
 }
 
@@ -251,17 +314,15 @@
 
 std::shared_ptr<pool_member> service_pool::affinity_member(std::uint64_t prefix,
                                                            const allowed_regions& regions) const {
-    std::shared_ptr<pool_member> best;
-    std::uint64_t best_rank = 0;
-    for (const auto& it : m_members) {
-        const auto rank = policy::rendezvous_rank(prefix, it->digest);
-        if (it->state.phase() != instance_phase::gone && !it->state.is_domain_drained() &&
-            regions.allows(it->identity.region) && (!best || rank > best_rank)) {
-            best = it;
-            best_rank = rank;
-        }
-    }
-    return best;
+    return first_by_prefix(m_members, prefix, regions, [](const pool_member&) { return true; });
+}
+
+std::shared_ptr<pool_member>
+service_pool::affinity_member_in(std::string_view failure_domain, std::uint64_t prefix,
+                                 const allowed_regions& regions) const {
+    return first_by_prefix(m_members, prefix, regions, [&](const pool_member& it) {
+        return it.identity.failure_domain == failure_domain;
+    });
 }
 
 bool service_pool::has_alternative(const std::vector<std::string>& excluded, common::time_point now,
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,14 +13,18 @@
 
 #include "common/enum_names.h"
 #include "gateway/allowed_regions.h"
+#include "gateway/instances/choice_explanation.h"
+#include "gateway/instances/domain_balance.h"
 #include "gateway/instances/instance_state.h"
 #include "gateway/instances/load_estimate.h"
+#include "gateway/instances/prefix_memory.h"
 #include "gateway/instances/send_window.h"
 #include "gateway/instances/waiting_requests.h"
 #include "gateway/instances/warm_up_share.h"
 #include "gateway/upstream_list.h"
 #include "http/client.h"
 #include "policy/outlier_detector.h"
+#include "policy/placement.h"
 #include "policy/retry_budget.h"
 #include "policy/routing.h"
 #include "policy/shared_limit.h"
@@ -72,6 +77,12 @@
     std::shared_ptr<pool_member> member;
     /// When the first pause ends or the first cold instance may get a request.
     std::optional<common::time_point> retry_at;
+    /// Why the instance of its failure domain was chosen.
+    policy::placement_reason reason = policy::placement_reason::routing;
+    /// The request has large inputs.
+    bool has_inputs = false;
+    /// Bytes of the inputs that cross failure domains.
+    double remote_bytes = 0;
 };
 
 /// The limit of a service on the requests to its cold instances.
@@ -87,7 +98,9 @@
 /// The instances of one service, with load balancing, outlier detection and the retry budget.
 class service_pool {
 public:
-    service_pool(runtime::task_context context, policy::routing_hook route);
+    service_pool(runtime::task_context context, policy::routing_hook route,
+                 policy::placement_hook place = policy::place_by_routing,
+                 policy::overflow_hook overflow = {});
 
     /// Updates the members from the known upstreams of this service.
     void update(const std::string& service, const upstream_map& known, common::time_point now);
@@ -102,23 +115,45 @@
     /// Sets the limit on the requests to cold instances.
     void set_warm_up(std::optional<warm_up_rule> rule, common::time_point now);
 
+    /// Sets the failure domain of this gateway and the number of gateways in each domain.
+    void set_gateways(const std::string& own_domain,
+                      const std::map<std::string, std::size_t>& counts);
+
     /// Chooses an instance in an allowed region that takes work, has a free connection and a permit
-    /// if it is cold.
+    /// if it is cold. `prefix_uses` and `target_domain` of the request are set here.
     instance_choice choose(const policy::routing_request& request,
                            const allowed_regions& regions = {});
 
-    /// Returns the instance that `choose` would choose, or null. Records nothing.
-    std::shared_ptr<pool_member> preview(const policy::routing_request& request,
-                                         const allowed_regions& regions = {});
+    /// Returns the choice that `choose` would make. Records nothing.
+    instance_choice preview(const policy::routing_request& request,
+                            const allowed_regions& regions = {});
+
+    /// Explains the choice for a request without sending it.
+    [[nodiscard]] choice_explanation explain(policy::routing_request request,
+                                             const policy::transfer_terms& terms,
+                                             const allowed_regions& regions = {});
 
-    /// Chooses the instance with this id if it can take a request now. Returns null otherwise.
-    std::shared_ptr<pool_member> take(const std::string& id, common::time_point now);
+    /// Chooses the instance with this id if it can take a request with this prompt prefix now.
+    /// Returns null otherwise.
+    std::shared_ptr<pool_member> take(const std::string& id, common::time_point now,
+                                      std::uint64_t prefix = 0);
 
     /// Returns the instance outside the drained failure domains that a prompt prefix hashes to
     /// regardless of load, or null.
     [[nodiscard]] std::shared_ptr<pool_member>
     affinity_member(std::uint64_t prefix, const allowed_regions& regions = {}) const;
 
+    /// The same among the instances of one failure domain.
+    [[nodiscard]] std::shared_ptr<pool_member>
+    affinity_member_in(std::string_view failure_domain, std::uint64_t prefix,
+                       const allowed_regions& regions = {}) const;
+
+    /// Whether this gateway has lately sent a prompt with this prefix to the instance.
+    [[nodiscard]] bool has_prefix(const pool_member& member, std::uint64_t prefix,
+                                  common::time_point now) const {
+        return m_prefixes.holds(prefix, member.digest, now);
+    }
+
     /// Whether an instance in an allowed region that is not excluded accepts work, now or when it
     /// has a permit.
     bool has_alternative(const std::vector<std::string>& excluded, common::time_point now,
@@ -146,11 +181,17 @@
 
 private:
     /// Records that a request is about to be sent to the member.
-    void record_choice(pool_member& member, common::time_point now);
+    void record_choice(pool_member& member, std::uint64_t prefix, common::time_point now);
     /// Brings the phases of all members up to date.
     void update_states(common::time_point now);
-    [[nodiscard]] std::vector<policy::upstream_view> views(common::time_point now,
+    [[nodiscard]] std::vector<policy::upstream_view> views(const policy::routing_request& request,
                                                            const allowed_regions& regions) const;
+    /// Chooses an instance and records nothing but in `balance`.
+    instance_choice place(policy::routing_request request, const allowed_regions& regions,
+                          domain_balance& balance);
+    [[nodiscard]] candidate_verdict verdict_of(const pool_member& member,
+                                               const policy::routing_request& request,
+                                               const allowed_regions& regions) const;
     /// Returns why no member was chosen.
     [[nodiscard]] instance_choice explain_no_choice(const policy::routing_request& request,
                                                     const allowed_regions& regions) const;
@@ -161,9 +202,15 @@
                                                common::time_point now) const;
     void add_if_new(const upstream_instance& instance, common::time_point now);
     void divide_connections();
+    /// Sets what the pool knows for the choice.
+    void prepare(policy::routing_request& request, const allowed_regions& regions,
+                 domain_balance& balance) const;
 
     runtime::task_context m_context;
     policy::routing_hook m_route;
+    policy::placement_hook m_place;
+    prefix_memory m_prefixes;
+    domain_balance m_balance;
     std::vector<std::shared_ptr<pool_member>> m_members;
     std::optional<std::size_t> m_connection_limit;
     policy::share_holder m_holder;
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -37,6 +38,13 @@
     common::time_point at;
 };
 
+/// Asks the forwarder to explain where a request would go now. It responds itself.
+struct route_query {
+    /// The query string of the request to the admin address.
+    std::string query;
+    http::responder reply;
+};
+
 /// A request that arrived on a caller's connection.
 struct request_received {
     std::uint64_t id = 0;
@@ -58,6 +66,8 @@
 /// The gateways that share the limits of the upstreams have changed.
 struct gateway_names_changed {
     std::vector<std::string> names;
+    /// Number of gateways in each failure domain.
+    std::map<std::string, std::size_t> per_domain;
 };
 
 /// The store has shown that the names of the gateways were complete at a time.
@@ -163,7 +173,7 @@
     std::variant<discovery_update, configuration_confirmed, drains_confirmed, request_received,
                  caller_disconnected, order_ended, gateway_names_changed, gateway_names_confirmed,
                  backlog_report, crash_evidence, gateway_live, reading_request, reading_response,
-                 shutdown_started, admin::metrics_query>;
+                 shutdown_started, admin::metrics_query, route_query>;
 
 using peers_message =
     std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
--- a/source/core/gateway/requests/exchange.h
+++ b/source/core/gateway/requests/exchange.h
@@ -12,6 +12,7 @@
 #include "gateway/configuration.h"
 #include "gateway/crash_evidence.h"
 #include "gateway/instances/reading_search.h"
+#include "gateway/instances/service_pool.h"
 #include "gateway/requests/event_relay.h"
 #include "gateway/requests/upstream_attempt.h"
 #include "gateway/stages/stage_progress.h"
@@ -85,6 +86,8 @@
     bool waiting = false;
     /// The search for an engine that may read the prompt, before a send.
     std::optional<instances::reading_search> reading;
+    /// The choice that the last question of the search asks about.
+    instances::instance_choice reading_choice;
     std::unique_ptr<runtime::timer> reading_timer;
     /// Number of the last question of the search.
     std::uint64_t reading_number = 0;
--- a/source/core/gateway/requests/forwarder_limits.cpp
+++ b/source/core/gateway/requests/forwarder_limits.cpp
@@ -13,6 +13,7 @@
 void forwarder::handle(const gateway_names_changed& message) {
     m_gateways = message.names;
     m_gateway_count = std::max<std::size_t>(1, m_gateways.size());
+    m_gateways_per_domain = message.per_domain;
     m_estimator.set_gateway_count(m_gateway_count);
     m_warm_up_share.set_names(message.names, common::monotonic_clock::now());
     for (auto& [name, pool] : m_pools) {
@@ -42,6 +43,7 @@
     options.max_balance = 0.5 * m_options.retries.reserve / static_cast<double>(m_gateway_count);
     options.reserve_period = m_options.retries.window;
     pool.set_budget(options);
+    pool.set_gateways(m_options.failure_domain, m_gateways_per_domain);
     if (!m_configuration) {
         return;
     }
--- a/source/core/gateway/requests/forwarder_readings.cpp
+++ b/source/core/gateway/requests/forwarder_readings.cpp
@@ -51,7 +51,8 @@
     auto routing = make_routing_request(ex);
     const auto& refused = ex.reading->refused();
     routing.excluded.insert(routing.excluded.end(), refused.begin(), refused.end());
-    const auto member = pool_of(ex.service).preview(routing, ex.regions);
+    ex.reading_choice = pool_of(ex.service).preview(routing, ex.regions);
+    const auto& member = ex.reading_choice.member;
     if (!member) {
         return false;
     }
@@ -70,9 +71,12 @@
     }
     const auto search = *ex.reading;
     end_reading_search(ex);
-    std::shared_ptr<instances::pool_member> member;
+    auto choice = std::exchange(ex.reading_choice, {});
+    auto& member = choice.member;
+    member = nullptr;
     if (step == instances::reading_step::send_there) {
-        member = pool_of(ex.service).take(search.engine(), common::monotonic_clock::now());
+        member = pool_of(ex.service)
+                     .take(search.engine(), common::monotonic_clock::now(), prefix_of(ex));
     }
     m_metrics.record_reading_search(member != nullptr);
     m_log.info("Looked for an engine.", {{"attempt", ex.request.attempt_id},
@@ -80,7 +84,7 @@
                                          {"granted", member ? "yes" : "no"},
                                          {"refused", std::to_string(search.refused().size())}});
     if (member) {
-        send_to(ex, member);
+        send_to(ex, choice);
     } else {
         send_anywhere(ex, search.refused());
     }
--- a/tests/unit/gateway/instances/service_pool_test.cpp
+++ b/tests/unit/gateway/instances/service_pool_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/instances/service_pool.h"
 
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "support/event_loop.h"
@@ -132,6 +134,38 @@
     BOOST_TEST((choose({"b"}).outcome == choice_outcome::pausing));
 }
 
+// Guards against engines that read large results from another failure domain.
+BOOST_AUTO_TEST_CASE(request_with_stored_inputs_goes_to_an_instance_in_their_domain) {
+    known["a"].failure_domain = "fd-1";
+    known["b"].failure_domain = "fd-2";
+    service_pool placed{loop.context(life), policy::make_load_aware({}, common::seeded_random(1)),
+                        policy::make_placement_by_cost({})};
+    placed.update("s", known, now);
+    for (const auto* domain : {"fd-1", "fd-2"}) {
+        policy::routing_request request{.prefix = 1, .now = now, .inputs = {{domain, 1e6}}};
+        const auto choice = placed.choose(request);
+        BOOST_REQUIRE((choice.outcome == choice_outcome::chosen));
+        BOOST_TEST(choice.member->identity.failure_domain == domain);
+        BOOST_TEST(placed.has_prefix(*choice.member, 1, now));
+    }
+}
+
+// Guards against a retry at the only instances that have failed it.
+BOOST_AUTO_TEST_CASE(request_without_prompt_stays_in_the_domain_until_it_is_retried) {
+    known["a"].failure_domain = "fd-1";
+    known["b"].failure_domain = "fd-2";
+    service_pool placed{loop.context(life), policy::make_round_robin(),
+                        policy::make_placement_by_cost({}), policy::make_gradual_overflow({})};
+    placed.set_gateways("fd-1", {{"fd-1", 1}, {"fd-2", 1}});
+    placed.update("s", known, now);
+    policy::routing_request request{.failure_domain = "fd-1", .now = now};
+    for (int n = 0; n < 10; ++n) {
+        BOOST_TEST(placed.choose(request).member->identity.id == "a");
+    }
+    request.excluded = {"a"};
+    BOOST_TEST(placed.choose(request).member->identity.id == "b");
+}
+
 BOOST_AUTO_TEST_CASE(draining_instance_gets_no_request) {
     known["a"].phase = upstream_phase::draining;
     subject.update("s", known, now);
@@ -225,9 +259,9 @@
 BOOST_AUTO_TEST_CASE(preview_of_a_choice_uses_no_permit) {
     make_cold("a", seconds{3});
     permits = 1;
-    BOOST_TEST(subject.preview({.excluded = {"b"}, .now = now})->identity.id == "a");
+    BOOST_TEST(subject.preview({.excluded = {"b"}, .now = now}).member->identity.id == "a");
     BOOST_TEST((choose({"b"}).outcome == choice_outcome::chosen));
-    BOOST_TEST((subject.preview({.excluded = {"b"}, .now = now}) == nullptr));
+    BOOST_TEST((subject.preview({.excluded = {"b"}, .now = now}).member == nullptr));
 }
 
 // Guards against a request to an instance that was good when its engine was asked for.
@@ -313,6 +347,71 @@
     BOOST_TEST((choose().outcome == choice_outcome::chosen));
 }
 
+// Guards against a placement by cost that prefers a domain to the rules which instances get work:
+// a drain, the allowed regions, the permits of cold instances.
+BOOST_AUTO_TEST_CASE(placement_near_the_inputs_takes_only_instances_that_may_get_work) {
+    known["a"].failure_domain = "fd-1";
+    known["a"].region = "r1";
+    known["b"].failure_domain = "fd-2";
+    known["b"].region = "r2";
+    service_pool placed{loop.context(life), policy::make_load_aware({}, common::seeded_random(1)),
+                        policy::make_placement_by_cost({})};
+    const policy::routing_request request{.prefix = 1, .now = now, .inputs = {{"fd-1", 1e9}}};
+    placed.update("s", known, now);
+    BOOST_REQUIRE(placed.choose(request).member->identity.id == "a");
+    BOOST_REQUIRE(placed.preview(request).member->identity.id == "a");
+
+    BOOST_TEST(placed.choose(request, allowed_regions{{"r2"}}).member->identity.id == "b");
+    BOOST_TEST(placed.preview(request, allowed_regions{{"r2"}}).member->identity.id == "b");
+    known["a"].cold_until = now + seconds{3};
+    placed.set_warm_up(
+        warm_up_rule{warm_up_time,
+                     [](std::uint64_t /*instance_digest*/, common::time_point /*now*/) {
+                         return warm_up_permits{0, {}};
+                     },
+                     [](const pool_member& /*member*/, common::time_point /*now*/) {}},
+        now);
+    placed.update("s", known, now);
+    BOOST_TEST(placed.choose(request).member->identity.id == "b");
+    known["a"].cold_until.reset();
+    known["a"].domain_drained = true;
+    placed.update("s", known, now);
+    BOOST_TEST(placed.choose(request).member->identity.id == "b");
+}
+
+// Guards against a copy of a prompt from an instance in a drained domain or in a region that is not
+// allowed.
+BOOST_AUTO_TEST_CASE(affinity_member_of_a_domain_respects_drains_and_regions) {
+    known["a"].failure_domain = "fd-1";
+    known["a"].region = "r1";
+    subject.update("s", known, now);
+    BOOST_REQUIRE(subject.affinity_member_in("fd-1", 1, allowed_regions{{"r1"}}));
+    BOOST_TEST(!subject.affinity_member_in("fd-1", 1, allowed_regions{{"r2"}}));
+    known["a"].domain_drained = true;
+    subject.update("s", known, now);
+    BOOST_TEST(!subject.affinity_member_in("fd-1", 1));
+}
+
+// Guards against an explanation that calls an instance eligible which may get no work.
+BOOST_AUTO_TEST_CASE(explanation_names_drained_domain_region_and_cold_as_reasons) {
+    const auto verdict_of_a = [&](const allowed_regions& regions = {}) {
+        const auto explained = subject.explain({.now = now}, {}, regions);
+        return common::to_name(std::find_if(explained.candidates.begin(),
+                                            explained.candidates.end(),
+                                            [](const auto& it) { return it.id == "a"; })
+                                   ->verdict);
+    };
+    known["a"].region = "r1";
+    known["b"].region = "r2";
+    subject.update("s", known, now);
+    BOOST_TEST(verdict_of_a(allowed_regions{{"r2"}}) == "other_region");
+    make_cold("a", seconds{3});
+    BOOST_TEST(verdict_of_a() == "cold");
+    known["a"].domain_drained = true;
+    subject.update("s", known, now);
+    BOOST_TEST(verdict_of_a() == "domain_drained");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
