--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -16,6 +16,7 @@
 #include "gateway/adapter.h"
 #include "gateway/evidence/attempt_evidence.h"
 #include "gateway/evidence/crash_suspects.h"
+#include "gateway/instances/domain_index.h"
 #include "gateway/instances/drained_services.h"
 #include "gateway/instances/pause_guard.h"
 #include "gateway/instances/reading_schedule.h"
@@ -58,6 +59,13 @@
     policy::routing_hook route;
     /// Decides whether an engine has free slots and reads its inputs at once.
     instances::free_slot_hook has_free_slot = instances::has_free_slot_by_pool;
+    policy::placement_hook place = policy::place_by_routing;
+    /// Divides requests without prompt and inputs among the failure domains. Without it the routing
+    /// policy alone decides.
+    policy::overflow_hook overflow;
+    /// What bytes between failure domains cost. Without a price they do not count when a stage is
+    /// ordered or a source of cached prompt parts is named.
+    policy::transfer_terms transfer{.price_ms_per_gb = 0};
     common::random_hook random;
     /// Makes known that an instance is about to stop.
     std::function<void(const instance_leaving&)> announce_leaving;
@@ -97,6 +105,7 @@
     void handle(const reading_ended& message);
     void handle(const shutdown_started& message);
     void handle(const admin::metrics_query& message);
+    void handle(const route_query& query);
 
     /// Looks up a request, and admits or refuses it.
     void begin(exchange& ex);
@@ -143,6 +152,8 @@
     [[nodiscard]] std::optional<common::duration> configuration_age() const;
     /// The request as the estimator takes it.
     [[nodiscard]] static stages::staged_request staged(const exchange& ex);
+    /// Returns the results that the request itself reads, by the failure domain that stores them.
+    [[nodiscard]] std::vector<policy::stored_bytes> stored_results(const exchange& ex);
     [[nodiscard]] std::string preferred_domain(exchange& ex, std::uint32_t stage,
                                                const std::vector<std::string>& inputs);
     /// Adds the pieces of the request's stages to the counts of upcoming pieces.
@@ -173,8 +184,15 @@
     /// Tells the owner of the engine that the prompt has been read, or is not read there.
     void end_reading(exchange& ex);
     /// Sends the request to this instance.
-    void send_to(exchange& ex, const std::shared_ptr<instances::pool_member>& member);
-    [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex) const;
+    void send_to(exchange& ex, const instances::instance_choice& choice);
+    /// Counts a send within or across failure domains.
+    void record_placement(const instances::pool_member& member,
+                          const instances::instance_choice& choice);
+    [[nodiscard]] policy::routing_request make_routing_request(const exchange& ex);
+    /// Returns the address of an instance that has the prompt's prefix in its cache, or an empty
+    /// string if the chosen one needs none.
+    [[nodiscard]] std::string cache_source(const exchange& ex,
+                                           const instances::instance_choice& choice);
     /// Lets a request wait for an instance, or refuses it if none can take it in time.
     void wait_for_instance(exchange& ex, const instances::instance_choice& choice);
     /// Records that this task runs, and serves held requests when their time is over.
@@ -260,6 +278,7 @@
     upstream_map_pointer m_upstreams;
     /// Services whose instances are all in drained failure domains.
     std::set<std::string> m_drained_services;
+    instances::domain_index m_domains;
     std::map<std::string, std::unique_ptr<instances::service_pool>> m_pools;
     /// Memory for the bodies of responses.
     http::buffer_budget m_bodies;
@@ -283,6 +302,7 @@
     /// Names of all gateways.
     std::vector<std::string> m_gateways;
     std::size_t m_gateway_count = 1;
+    std::map<std::string, std::size_t> m_gateways_per_domain;
     /// The next time at which waiting requests of a service are tried again.
     struct scheduled_retry {
         std::unique_ptr<runtime::timer> timer;
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "common/digest.h"
@@ -16,6 +17,10 @@
 // An idempotent request is retried at another upstream after this multiple of its latency target.
 constexpr int attempt_timeout_factor = 2;
 constexpr int lowest_urgency = 9;
+// Speed at which an engine reads a prompt, as measured at the users' engines.
+constexpr double prompt_tokens_per_ms = 56.6;
+// Size of a token of a prompt in the cache of an engine.
+constexpr double bytes_per_prompt_token = 18'432;
 // An engine with free slots starts a request at once and reads the inputs first.
 constexpr common::duration input_read_time = std::chrono::milliseconds{60};
 
@@ -43,12 +48,22 @@
     return common::digest_of(parts.size() > 1 ? parts[parts.size() - 2].id : parts[0].id);
 }
 
-policy::routing_request forwarder::make_routing_request(const exchange& ex) const {
+policy::routing_request forwarder::make_routing_request(const exchange& ex) {
     policy::routing_request routing;
     routing.failure_domain = m_options.failure_domain;
     routing.excluded = ex.tried;
     routing.prefix = prefix_of(ex);
     routing.now = common::monotonic_clock::now();
+    routing.inputs = stored_results(ex);
+    const auto& parts = ex.request.prompt;
+    routing.prefix_shared = parts.size() > 1;
+    const auto shared_end = routing.prefix_shared ? parts.end() - 1 : parts.end();
+    const auto tokens =
+        std::accumulate(parts.begin(), shared_end, 0.0,
+                        [](double sum, const prompt_part& it) { return sum + it.tokens; });
+    routing.prompt_ms = tokens / prompt_tokens_per_ms;
+    routing.prompt_bytes = tokens * bytes_per_prompt_token;
+    routing.senders = m_gateway_count;
     return routing;
 }
 
@@ -84,7 +99,7 @@
     if (std::exchange(ex.waiting, false)) {
         pool.waiting().remove(ex.id);
     }
-    send_to(ex, choice.member);
+    send_to(ex, choice);
 }
 
 void forwarder::wait_for_instance(exchange& ex, const instances::instance_choice& choice) {
@@ -180,10 +195,39 @@
     }
 }
 
-void forwarder::send_to(exchange& ex, const std::shared_ptr<instances::pool_member>& member) {
-    const auto now = common::monotonic_clock::now();
+std::string forwarder::cache_source(const exchange& ex, const instances::instance_choice& choice) {
     auto& pool = pool_of(ex.service);
     const auto prefix = prefix_of(ex);
+    if (prefix == 0) {
+        return {};
+    }
+    // An engine reads a token again in less time than the bytes of its cached form are worth
+    // between domains. A request that follows its inputs therefore gets a source in the same domain
+    // only; others prefer one there that has lately got the prefix.
+    const auto now = common::monotonic_clock::now();
+    const auto near =
+        pool.affinity_member_in(choice.member->identity.failure_domain, prefix, ex.regions);
+    const bool moved = choice.reason == policy::placement_reason::moved_to_inputs;
+    const bool near_is_known = m_options.transfer.enabled() && near && near != choice.member &&
+                               pool.has_prefix(*near, prefix, now);
+    const auto source = moved || near_is_known ? near : pool.affinity_member(prefix, ex.regions);
+    // The cache of an instance that drains is worth reading while it lasts.
+    const bool is_useful = source && source != choice.member && source->state.accepts_calls();
+    return is_useful ? http::to_string(source->identity.address) : std::string{};
+}
+
+void forwarder::record_placement(const instances::pool_member& member,
+                                 const instances::instance_choice& choice) {
+    // Large inputs are the only transfer that counts where there are any.
+    const bool crosses = choice.has_inputs
+                             ? choice.remote_bytes > 0
+                             : member.identity.failure_domain != m_options.failure_domain;
+    m_metrics.record_placement(choice.reason, crosses, choice.remote_bytes);
+}
+
+void forwarder::send_to(exchange& ex, const instances::instance_choice& choice) {
+    const auto now = common::monotonic_clock::now();
+    const auto& member = choice.member;
     forward_options options;
     options.upstream_id = member->identity.id;
     options.remaining = ex.response_deadline - now;
@@ -192,22 +236,23 @@
     options.inputs = ex.stages.progress.final_inputs();
     if (ex.matched_route->kind == repeatability::stream) {
         options.urgency = std::clamp(ex.priority, 0, lowest_urgency);
-        const auto affinity = pool.affinity_member(prefix, ex.regions);
-        // The cache of an instance that drains is worth reading while it lasts.
-        if (prefix != 0 && affinity && affinity != member && affinity->state.accepts_calls()) {
-            options.cache_source = http::to_string(affinity->identity.address);
-        }
+        options.cache_source = cache_source(ex, choice);
     }
+    record_placement(*member, choice);
     announce_trial(ex);
     ++ex.sends;
     ++ex.possible_runs;
     ex.writing_since.reset();
     ex.tried.push_back(member->identity.id);
     ex.times.first_sent = ex.times.first_sent.value_or(now);
-    m_log.info("Sent.", {{"attempt", ex.request.attempt_id},
-                         {"upstream", options.upstream_id},
-                         {"send", std::to_string(ex.sends)},
-                         {"in_progress", std::to_string(member->in_progress + 1)}});
+    m_log.info("Sent.",
+               {{"attempt", ex.request.attempt_id},
+                {"upstream", options.upstream_id},
+                {"send", std::to_string(ex.sends)},
+                {"in_progress", std::to_string(member->in_progress + 1)},
+                {"domain", member->identity.failure_domain},
+                {"placement", std::string{common::to_name(choice.reason)}},
+                {"remote_bytes", std::to_string(static_cast<std::int64_t>(choice.remote_bytes))}});
     attempt_options attempt;
     attempt.kind = ex.matched_route->kind;
     attempt.attempt_id = ex.request.attempt_id;
--- a/source/core/gateway/requests/forwarder_readings.cpp
+++ b/source/core/gateway/requests/forwarder_readings.cpp
@@ -65,9 +65,10 @@
     // The results of the stages were made near this engine, which also holds the shared parts of
     // the prompt, so the others in its failure domain read both without a transfer between domains.
     const auto affinity = pool.affinity_member(prefix_of(ex), ex.regions);
-    const auto member = pool.preview(routing, ex.regions,
+    ex.reading_choice = pool.preview(routing, ex.regions,
                                      affinity ? std::string_view{affinity->identity.failure_domain}
                                               : std::string_view{});
+    const auto& member = ex.reading_choice.member;
     if (!member) {
         return false;
     }
@@ -90,9 +91,12 @@
     }
     const auto search = *ex.reading;
     end_reading_search(ex);
-    std::shared_ptr<instances::pool_member> member;
+    auto choice = std::exchange(ex.reading_choice, {});
+    auto& member = choice.member;
+    member = nullptr;
     if (step == instances::reading_step::send_there) {
-        member = pool_of(ex.service).take(search.engine(), common::monotonic_clock::now());
+        member = pool_of(ex.service)
+                     .take(search.engine(), common::monotonic_clock::now(), prefix_of(ex));
     }
     m_metrics.record_reading_search(member != nullptr);
     m_log.info("Looked for an engine.", {{"attempt", ex.request.attempt_id},
@@ -100,7 +104,7 @@
                                          {"granted", member ? "yes" : "no"},
                                          {"refused", std::to_string(search.refused().size())}});
     if (member) {
-        send_to(ex, member);
+        send_to(ex, choice);
         return;
     }
     // The owner may have granted a reading that does not take place.
--- a/source/core/gateway/stages/dispatcher.h
+++ b/source/core/gateway/stages/dispatcher.h
@@ -17,6 +17,7 @@
 #include "gateway/instances/pause_guard.h"
 #include "gateway/instances/send_window.h"
 #include "gateway/messages.h"
+#include "gateway/stages/piece_placement.h"
 #include "gateway/stages/piece_queue.h"
 #include "gateway/stages/result_memory.h"
 #include "http/client.h"
@@ -45,7 +46,7 @@
     dispatcher(runtime::task_context context,
                std::shared_ptr<runtime::mailbox<dispatcher_message>> inbox,
                runtime::address<peers_message> peers,
-               std::shared_ptr<const adapter> platform_adapter);
+               std::shared_ptr<const adapter> platform_adapter, piece_placement placement = {});
 
     void start() override;
     /// Completes the orders of all gateways, until the deadline of `shutdown_started` at the
@@ -68,6 +69,15 @@
         unsigned failures = 0;
         bool finished = false;
         order_outcome outcome;
+        /// Failure domain of the call that took the first pieces. The others are made there as
+        /// well, so that one engine can read all of them without a transfer.
+        std::string started_domain;
+        /// Since when the pieces wait for an instance in the preferred domain.
+        std::optional<common::time_point> held_since;
+
+        [[nodiscard]] const std::string& preferred_domain() const {
+            return started_domain.empty() ? order.preferred_domain : started_domain;
+        }
     };
 
     struct stage_instance {
@@ -75,6 +85,8 @@
         instances::instance_state state;
         std::unique_ptr<http::client> client;
         std::size_t calls = 0;
+        /// When its last call is expected to end.
+        common::time_point expected_end;
         /// The instance gets no call before this time, for example because it refused one.
         common::time_point backoff_until;
         result_memory memory;
@@ -138,8 +150,15 @@
     [[nodiscard]] service_backlog backlog_of(const std::string& name, service_state& service) const;
     /// Whether a call to this instance may take pieces of the order. Returns false if an instance
     /// in the preferred failure domain should take them.
-    [[nodiscard]] bool may_take(service_state& service, const stage_instance& instance,
-                                const piece_limits& limits, const order_key& order) const;
+    [[nodiscard]] bool may_take(const std::string& name, const stage_instance& instance,
+                                const piece_limits& limits, const order_key& order);
+    /// Returns the expected time until an instance in this failure domain and an allowed region
+    /// is free. Nothing if none there accepts work.
+    [[nodiscard]] std::optional<common::duration> until_free_in(const std::string& failure_domain,
+                                                                const allowed_regions& regions,
+                                                                const std::string& name,
+                                                                const piece_limits& limits,
+                                                                common::time_point now) const;
     void report_backlogs();
     [[nodiscard]] std::size_t usable_instances(service_state& service) const;
 
@@ -195,6 +214,7 @@
     runtime::inbox<dispatcher_message> m_inbox;
     runtime::address<peers_message> m_peers;
     std::shared_ptr<const adapter> m_adapter;
+    piece_placement m_placement;
     configuration_pointer m_configuration;
     upstream_map_pointer m_upstreams;
     std::map<std::string, service_state> m_services;
--- a/source/core/gateway/stages/dispatcher_instances.cpp
+++ b/source/core/gateway/stages/dispatcher_instances.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-// Pieces wait for an instance in the preferred failure domain while at least this many full calls
-// fit in before their target time.
-constexpr int locality_wait_calls = 2;
 // Gateways among which the calls to a cold instance are divided: while the owner of a service
 // changes, two may take themselves for it.
 constexpr std::size_t owners_at_once = 2;
@@ -102,29 +99,57 @@
                       [](const auto& it) { return it.second->state.accepts_work(); }));
 }
 
-bool dispatcher::may_take(service_state& service, const stage_instance& instance,
-                          const piece_limits& limits, const order_key& key) const {
+bool dispatcher::may_take(const std::string& name, const stage_instance& instance,
+                          const piece_limits& limits, const order_key& key) {
     const auto it = m_orders.find(key);
     if (it == m_orders.end()) {
         return true;
     }
-    const auto& order = it->second.order;
-    if (!order.regions.allows(instance.identity.region)) {
+    auto& state = it->second;
+    if (!state.order.regions.allows(instance.identity.region)) {
         return false;
     }
-    if (order.preferred_domain.empty() ||
-        order.preferred_domain == instance.identity.failure_domain) {
+    const auto& preferred = state.preferred_domain();
+    if (preferred.empty() || preferred == instance.identity.failure_domain) {
         return true;
     }
     const auto now = common::monotonic_clock::now();
-    if (order.target_time - now < call_time(limits, limits.batch) * locality_wait_calls) {
-        return true;
+    const auto& order = state.order;
+    hold_facts facts;
+    facts.until_target = order.target_time - now;
+    facts.full_call = call_time(limits, limits.batch);
+    facts.until_preferred = until_free_in(preferred, order.regions, name, limits, now);
+    facts.held = now - state.held_since.value_or(now);
+    facts.result_bytes = order.result_bytes;
+    facts.is_started = !state.started_domain.empty();
+    const bool held = m_placement.hold(facts);
+    if (held) {
+        state.held_since = state.held_since.value_or(now);
     }
-    return std::none_of(service.instances.begin(), service.instances.end(), [&](const auto& other) {
-        return other.second->state.accepts_work() &&
-               order.regions.allows(other.second->identity.region) &&
-               other.second->identity.failure_domain == order.preferred_domain;
-    });
+    return !held;
+}
+
+std::optional<common::duration> dispatcher::until_free_in(const std::string& failure_domain,
+                                                          const allowed_regions& regions,
+                                                          const std::string& name,
+                                                          const piece_limits& limits,
+                                                          common::time_point now) const {
+    std::optional<common::duration> first;
+    for (const auto& [id, it] : m_services.at(name).instances) {
+        if (!it->state.accepts_work() || !regions.allows(it->identity.region) ||
+            it->identity.failure_domain != failure_domain) {
+            continue;
+        }
+        auto free_at = std::max({now, it->backoff_until, next_call_time(name, *it, now)});
+        if (it->awaiting_report || it->foreign_calls >= limits.slots) {
+            // It is not known when these calls began.
+            free_at = std::max(free_at, now + call_time(limits, limits.batch));
+        } else if (it->calls + it->foreign_calls >= limits.slots) {
+            free_at = std::max(free_at, it->expected_end);
+        }
+        first = std::min(first.value_or(free_at - now), free_at - now);
+    }
+    return first;
 }
 
 common::time_point dispatcher::next_call_time(const std::string& service,
@@ -148,6 +173,20 @@
                                const piece_limits& limits) {
     const auto now = common::monotonic_clock::now();
     update_states(service);
+    const auto first = service.queue.first();
+    const auto order = first ? m_orders.find(*first) : m_orders.end();
+    const bool is_known = order != m_orders.end();
+    const auto& preferred = is_known ? order->second.preferred_domain() : std::string{};
+    const double result_bytes = is_known ? order->second.order.result_bytes : 0;
+    const auto pieces =
+        std::min(service.queue.size(), sustained_limits(limits, result_bytes).batch);
+    const auto facts_of = [&](stage_instance& it) {
+        const double used = it.memory.used(now);
+        const bool is_preferred = is_known && it.identity.failure_domain == preferred &&
+                                  order->second.order.regions.allows(it.identity.region);
+        return free_instance{is_preferred, used, limits.result_memory_bytes - used,
+                             result_bytes * static_cast<double>(pieces)};
+    };
     std::shared_ptr<stage_instance> best;
     std::shared_ptr<stage_instance> ejected;
     std::optional<common::time_point> next_permit;
@@ -166,7 +205,7 @@
         if (!it->state.accepts_work()) {
             continue;
         }
-        if (!best || it->memory.used(now) < best->memory.used(now)) {
+        if (!best || m_placement.is_better(facts_of(*it), facts_of(*best))) {
             best = it;
         }
     }
