tests: pieces stay in the allowed regions whatever domain they prefer

Change: a case of dispatcher_placement_test orders pieces for a preferred domain outside the allowed regions.

--- a/tests/unit/gateway/stages/dispatcher_placement_test.cpp
+++ b/tests/unit/gateway/stages/dispatcher_placement_test.cpp
@@ -32,6 +32,10 @@
     std::vector<std::shared_ptr<runtime::task>> tasks;
     std::vector<std::shared_ptr<runtime::task_lifecycle>> lives;
     std::uint64_t next_order = 1;
+    /// Region of each failure domain, if known.
+    std::map<std::string, std::string> regions;
+    /// Regions of the next orders.
+    allowed_regions allowed;
 
     dispatcher_placement_fixture() {
         for (auto& [domain, address] : addresses) {
@@ -74,8 +78,11 @@
         upstream_map known;
         for (const auto& [domain, address] : addresses) {
             const auto id = "instance-of-" + domain;
-            known[id] = {
-                .id = id, .service = "stages", .address = address, .failure_domain = domain};
+            known[id] = {.id = id,
+                         .service = "stages",
+                         .address = address,
+                         .failure_domain = domain,
+                         .region = regions[domain]};
         }
         configuration all;
         all.services["stages"] = {"stages", std::nullopt,
@@ -142,6 +149,7 @@
         order.count = count;
         order.result_bytes = 800'000;
         order.preferred_domain = domain;
+        order.regions = allowed;
         // Less than two calls, as for most last stages.
         order.target_time = common::monotonic_clock::now() + call_time * 3 / 2;
         order.deadline = common::monotonic_clock::now() + std::chrono::seconds{5};
@@ -212,6 +220,20 @@
     BOOST_TEST((outcomes[0].status == order_status::made));
 }
 
+// Guards against a preferred domain that leads pieces out of the regions of their order.
+BOOST_AUTO_TEST_CASE(piece_whose_preferred_domain_is_not_allowed_is_made_in_an_allowed_region) {
+    regions = {{"fd-0", "r2"}, {"fd-1", "r1"}, {"fd-2", "r2"}};
+    start_dispatcher(make_piece_placement({}), 1);
+    settle();
+    allowed = allowed_regions{{"r1"}};
+    for (std::size_t n = 1; n <= 3; ++n) {
+        order("fd-2", 1);
+        wait_for_outcomes(n);
+        BOOST_TEST((outcomes.back().status == order_status::made));
+        BOOST_TEST(called.back() == "fd-1");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
