tests: compare the mean load without an integer division

Cause: clang-tidy rejects the division in load_estimate_test.

Change: the comparison multiplies instead. The cases are the same.

--- a/tests/unit/gateway/instances/load_estimate_test.cpp
+++ b/tests/unit/gateway/instances/load_estimate_test.cpp
@@ -95,7 +95,7 @@
                                         << now.in_time << ", too early " << before.too_early
                                         << " -> " << now.too_early);
         BOOST_TEST(now.too_early <= 0.005);
-        if (mean <= slots / 4) {
+        if (4 * mean <= static_cast<double>(slots)) {
             BOOST_TEST(before.in_time < 0.9);
             BOOST_TEST(now.in_time >= 0.95);
         }
