--- a/source/core/gateway/stages/dispatcher.cpp
+++ b/source/core/gateway/stages/dispatcher.cpp
@@ -218,18 +218,21 @@
 }
 
 void dispatcher::handle(const owners_changed& message) {
-    m_owners_changed = common::monotonic_clock::now();
     for (auto& [name, state] : m_services) {
-        state.needs_reports =
-            state.needs_reports || choose_owner(name, message.owners) != message.self;
+        auto owner = choose_owner(name, message.owners);
+        state.needs_reports = state.needs_reports || owner != message.self;
+        if (owner != state.owner) {
+            state.owner = std::move(owner);
+            state.owner_changed = common::monotonic_clock::now();
+        }
     }
 }
 
 void dispatcher::handle(const process_paused& /*message*/) {
     // Other gateways may have taken the services over meanwhile.
-    m_owners_changed = common::monotonic_clock::now();
     for (auto& [name, state] : m_services) {
         state.needs_reports = true;
+        state.owner_changed = common::monotonic_clock::now();
     }
 }
 
--- a/source/core/gateway/stages/dispatcher.h
+++ b/source/core/gateway/stages/dispatcher.h
@@ -113,6 +113,9 @@
         policy::outlier_detector health;
         /// Another gateway may have used the instances since this one last did.
         bool needs_reports = true;
+        /// The owner of the service, and since when: its last change, or a pause of this process.
+        std::string owner;
+        common::time_point owner_changed = common::monotonic_clock::now();
     };
 
     struct call_state {
@@ -173,9 +176,10 @@
     void send_call(const std::string& name, const piece_limits& limits,
                    const std::shared_ptr<stage_instance>& instance,
                    std::vector<queued_piece> pieces);
-    /// Whether other gateways may still call the instances of this gateway's services, because they
-    /// do not know yet who owns these.
-    [[nodiscard]] bool is_ownership_settled(common::time_point now) const;
+    /// Returns false if other gateways may still call the instances of a service, because they do
+    /// not know yet who owns it.
+    [[nodiscard]] bool is_ownership_settled(const std::string& service,
+                                            common::time_point now) const;
     /// Called when the call has had enough time to read its inputs.
     void mark_inputs_read(std::uint64_t number);
     void call_ended(std::uint64_t number, const http::call_result& result);
@@ -231,8 +235,6 @@
     std::map<std::string, bool> m_reported_busy;
     runtime::timer m_release_timer;
     bool m_release_scheduled = false;
-    /// When the gateways that may own services last changed, or this process was paused.
-    common::time_point m_owners_changed;
     common::time_point m_stop_deadline;
     runtime::timer m_stop_timer;
     runtime::stop_done m_stop_done;
--- a/source/core/gateway/stages/dispatcher_calls.cpp
+++ b/source/core/gateway/stages/dispatcher_calls.cpp
@@ -95,13 +95,16 @@
     }
 }
 
-bool dispatcher::is_ownership_settled(common::time_point now) const {
-    return now - m_owners_changed >= ownership_settling_time;
+bool dispatcher::is_ownership_settled(const std::string& service, common::time_point now) const {
+    const auto known = m_services.find(service);
+    return known != m_services.end() &&
+           now - known->second.owner_changed >= ownership_settling_time;
 }
 
 void dispatcher::mark_inputs_read(std::uint64_t number) {
     const auto call = m_calls.find(number);
-    if (call == m_calls.end() || !is_ownership_settled(common::monotonic_clock::now())) {
+    if (call == m_calls.end() ||
+        !is_ownership_settled(call->second.service, common::monotonic_clock::now())) {
         // The call may wait at the instance behind calls of other gateways. Its inputs are released
         // when its order is complete.
         return;
