--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -232,10 +232,16 @@
 }
 
 instance_choice service_pool::place(policy::routing_request request, const allowed_regions& regions,
-                                    domain_balance& balance) {
+                                    domain_balance& balance, std::string_view failure_domain) {
     update_states(request.now);
     prepare(request, regions, balance);
-    const auto placed = m_place(request, views(request, regions), m_route);
+    auto candidates = views(request, regions);
+    if (!failure_domain.empty()) {
+        for (auto& it : candidates) {
+            it.available = it.available && it.failure_domain == failure_domain;
+        }
+    }
+    const auto placed = m_place(request, candidates, m_route);
     if (!placed.index) {
         return explain_no_choice(request, regions);
     }
@@ -269,17 +275,11 @@
                                       std::string_view failure_domain) {
     // The shares of the domains must be as if nothing had been asked.
     auto balance = m_balance;
-    if (failure_domain.empty()) {
-        return place(request, regions, balance);
-    }
-    auto local = request;
-    for (const auto& it : m_members) {
-        if (it->identity.failure_domain != failure_domain) {
-            local.excluded.push_back(it->identity.id);
-        }
+    const auto choice = place(request, regions, balance, failure_domain);
+    if (choice.outcome == choice_outcome::chosen || failure_domain.empty()) {
+        return choice;
     }
-    const auto choice = place(local, regions, balance);
-    return choice.outcome == choice_outcome::chosen ? choice : preview(request, regions);
+    return place(request, regions, balance);
 }
 
 std::shared_ptr<pool_member> service_pool::take(const std::string& id, common::time_point now,
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -190,7 +190,7 @@
                                                            const allowed_regions& regions) const;
     /// Chooses an instance and records nothing but in `balance`.
     instance_choice place(policy::routing_request request, const allowed_regions& regions,
-                          domain_balance& balance);
+                          domain_balance& balance, std::string_view failure_domain = {});
     [[nodiscard]] candidate_verdict verdict_of(const pool_member& member,
                                                const policy::routing_request& request,
                                                const allowed_regions& regions) const;
--- a/tests/integration/gateway_start_test.cpp
+++ b/tests/integration/gateway_start_test.cpp
@@ -41,6 +41,24 @@
     BOOST_TEST(!http::find_header(refused.fields, "Retry-After").empty());
 }
 
+// Guards against a process that ends by a signal because a request without a route is in progress
+// when it is stopped.
+BOOST_AUTO_TEST_CASE(gateway_that_is_stopped_while_it_holds_a_request_refuses_it_and_exits) {
+    boost::asio::io_context context;
+    auto caller = open_connection(context,
+                                  "GET /read/1 HTTP/1.1\r\nHost: a.example\r\n"
+                                  "X-Attempt-Id: held\r\nX-Deadline-Ms: 5000\r\n\r\n",
+                                  2);
+    const auto admin = started->listening_address("jujubemast-gateway/admin/listener");
+    wait_until("the request has arrived", [&] {
+        const auto metrics = call(admin, {"GET", "/metrics", {}, {}}).body;
+        return metrics.find("jujubemast_gateway_requests_in_progress 1") != std::string::npos ||
+               started->log().find("Request ended.") != std::string::npos;
+    });
+    started->send_signal(SIGTERM);
+    BOOST_TEST(started->wait() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
