--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -275,7 +275,7 @@
                                       std::string_view failure_domain) {
     // The shares of the domains must be as if nothing had been asked.
     auto balance = m_balance;
-    const auto choice = place(request, regions, balance, failure_domain);
+    auto choice = place(request, regions, balance, failure_domain);
     if (choice.outcome == choice_outcome::chosen || failure_domain.empty()) {
         return choice;
     }
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -33,6 +33,7 @@
       m_bodies{m_options.response_buffer_bytes}, m_warm_up_share{m_options.name,
                                                                  {.max_names_age =
                                                                       m_options.staleness_limit}},
+      m_settling_timer{m_context.loop()},
       // Starts at a random number, because another gateway may still remember the orders of this
       // gateway's previous run.
       m_next_order{m_options.random() >> 1U}, m_next_question{m_options.random() >> 1U},
@@ -40,7 +41,7 @@
                                                         [this](const evidence::suspect_view& part) {
                                                             log_suspect(part);
                                                         }},
-      m_evidence_timer{m_context.loop()}, m_settling_timer{m_context.loop()} {}
+      m_evidence_timer{m_context.loop()} {}
 
 void forwarder::start() {
     m_inbox.receive(m_context.wrap([this](const forwarder_message& message) {
