--- a/review/6/case.py
+++ b/review/6/case.py
@@ -78,13 +78,13 @@
                for service, slots in (("jujube-pool", 64), ("rebate-ledger", 6)) for n in range(3)]
     for it in engines:
         await it.start(HEARTBEAT_S)
-    links, clients = [], []
-    for zone, ports in zip(ZONES[:2], [gateways.free_ports(8)[:4], gateways.free_ports(8)[4:]]):
+    links, clients, ports = [], [], gateways.free_ports(8)
+    for zone, own_ports in zip(ZONES, (ports[:4], ports[4:])):
         link = standins.Proxy(store.server.address)
         await link.start()
         links.append(link)
         gateway = gateways.Gateway(f"front-{zone}-1", zone, ZONES, link.address, BOUNDS, folder,
-                                   ports)
+                                   own_ports)
         gateway.start()
         started.append(gateway)
     for it in started:
@@ -154,4 +154,7 @@
 
 if __name__ == "__main__":
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    sys.exit(main())
+    code = main()
+    sys.stdout.flush()
+    # Without the destructors of asyncio, which complain about connections that are still open.
+    os._exit(code)
--- a/review/lib2/gateways.py
+++ b/review/lib2/gateways.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -20,7 +21,7 @@
     first_outgoing = int(
         pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
     ports = []
-    for port in range(first_outgoing - 1, 10000, -1):
+    for port in random.sample(range(10000, first_outgoing), first_outgoing - 10000):
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -181,6 +181,8 @@
         self.address = ""
         self.open = set()
         self.silent = set()
+        # New connections get no answer while this is set.
+        self.hang = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -199,6 +201,8 @@
             return
         link = object()
         self.open.add(link)
+        if self.hang:
+            self.silent.add(link)
         await asyncio.gather(self.forward(link, reader, far_writer),
                              self.forward(link, far_reader, writer))
         self.open.discard(link)
@@ -339,11 +343,11 @@
         self.idle = []
         self.answers = []
 
-    async def send(self, route, *, method="POST", deadline_ms=4000, more=()):
+    async def send(self, route, *, method="POST", deadline_ms=4000, key=None, more=()):
         answer = Answer(f"{self.name}-{len(self.answers)}", route, self.name, now())
         self.answers.append(answer)
         fields = [("Host", self.host), ("X-Attempt-Id", answer.attempt),
-                  ("X-Deadline-Ms", str(deadline_ms)), ("Authorization", f"Bearer {self.key}"),
+                  ("X-Deadline-Ms", str(deadline_ms)), ("Authorization", f"Bearer {key or self.key}"),
                   *more]
         body = b"" if method == "GET" else b"body"
         lines = [f"{method} /{route}/{answer.attempt} HTTP/1.1",
