--- a/review/8/case.py
+++ b/review/8/case.py
@@ -23,8 +23,8 @@
 KEY = "9dnn2ctnfzs989anu6ws"
 REQUESTS = 20
 PIECES = "1,0,6" if TROUBLE else "1,4,6"
-# Service, `after`, size of a result, time of a call and of a piece in ms, pieces of a call, memory for
-# results in MB (agri-rueck, route claim-explain).
+# Service, `after`, size of a result, time of a call and of a piece in ms, pieces of a call, memory
+# for results in MB (agri-rueck, route claim-explain).
 STAGES = (("trustee-portal", [], 8000, 240.0, 26.0, 8, 9.6),
           ("canton-feed", [0], 60000, 240.0, 17.0, 12, 1.3),
           ("coop-sync", [1], 6000, 240.0, 11.0, 18, 0.2))
--- a/review/lib2/gateways.py
+++ b/review/lib2/gateways.py
@@ -50,7 +50,8 @@
 class Gateway:
     """One gateway process. Signals go to its process id only."""
 
-    def __init__(self, name, zone, zones, store, bounds, folder, ports, cpu_share=0.19):
+    def __init__(self, name, zone, zones, store, bounds, folder, ports, *, region="ch-mitte",
+                 cpu_share=0.19):
         self.name = name
         self.folder = folder
         self.process = None
@@ -60,8 +61,8 @@
         self.front = f"127.0.0.1:{front}"
         self.ready = f"127.0.0.1:{ready}"
         self.admin = f"127.0.0.1:{admin}"
-        fields = {"node_name": name, "zone": zone, "region": "ch-mitte",
-                  "zones": {it: "ch-mitte" for it in zones}, "ip": "127.0.0.1",
+        fields = {"node_name": name, "zone": zone, "region": region,
+                  "zones": {it: region for it in zones}, "ip": "127.0.0.1",
                   "internal_ports": [peers, admin],
                   "listen": {"front": self.front, "ready": self.ready},
                   "limits": {"cpu_share": cpu_share, "memory_mb": 260},
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -347,7 +347,8 @@
         answer = Answer(f"{self.name}-{len(self.answers)}", route, self.name, now())
         self.answers.append(answer)
         fields = [("Host", self.host), ("X-Attempt-Id", answer.attempt),
-                  ("X-Deadline-Ms", str(deadline_ms)), ("Authorization", f"Bearer {key or self.key}"),
+                  ("X-Deadline-Ms", str(deadline_ms)),
+                  ("Authorization", f"Bearer {key or self.key}"),
                   *more]
         body = b"" if method == "GET" else b"body"
         lines = [f"{method} /{route}/{answer.attempt} HTTP/1.1",
