--- a/review/6/case.py
+++ b/review/6/case.py
@@ -28,13 +28,17 @@
 # The engine reports nothing before it leaves. Its entry is removed this long after the connections
 # went silent, and it goes on serving for drain_ms and a little longer.
 REMOVED_AFTER_S = 0.5
-SERVES_ON_S = DRAIN_S + 2.0
+SERVES_ON_S = DRAIN_S + 2.5
+# agri-rueck takes away a share of 0.13 of a service's engines (scale_in): one of nine.
+POOL_ENGINES = 9
+LEDGER_ENGINES = 3
+GATEWAYS = 4
 # Clocks of the client and the engine are the same; this covers the time on the way.
 MARGIN_S = 0.05
-REQUESTS_PER_S = 20
-CLASSES = (("dossier-draft", [("X-Model", "m"), ("X-Token-Count", "1460,80"),
-                              ("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410")]),
-           ("rebate-post", []))
+REQUESTS_PER_S = 36
+# One request in this many is a rebate-post, the others are streams.
+POST_EVERY = 6
+STREAM = [("X-Model", "m"), ("X-Token-Count", "1460,80")]
 
 
 def configuration():
@@ -55,17 +59,17 @@
 
 
 async def traffic(clients, end, tasks):
-    turn = 0
+    number = 0
     while standins.now() < end:
-        for client in clients:
-            name, more = CLASSES[turn % len(CLASSES)]
-            deadline_ms = 12000 if more else 1500
-            more = [(field, value + f",{turn:x}{client.name}:200" if "Prefix" in field else value)
-                    for field, value in more]
-            tasks.append(asyncio.create_task(client.send(name, deadline_ms=deadline_ms,
-                                                         more=more)))
-            turn += 1
-        turn += 1
+        client = clients[number % len(clients)]
+        if (number // len(clients)) % POST_EVERY == 0:
+            sending = client.send("rebate-post", deadline_ms=1500)
+        else:
+            # Shared parts of their own, so that the prompts are spread over all engines.
+            prefix = ("X-Prompt-Prefix", f"5c1e07a2:800,a{number:x}:410,b{number:x}:250")
+            sending = client.send("dossier-draft", deadline_ms=12000, more=[*STREAM, prefix])
+        tasks.append(asyncio.create_task(sending))
+        number += 1
         await asyncio.sleep(1 / REQUESTS_PER_S)
 
 
@@ -73,18 +77,21 @@
     store = standins.Store()
     await store.server.start()
     await store.put("op", "config", configuration())
-    engines = [standins.Engine(store, record, f"i-{service}-{n}", service, ZONES[n], slots=slots,
-                               events=30)
-               for service, slots in (("jujube-pool", 64), ("rebate-ledger", 6)) for n in range(3)]
+    engines = [standins.Engine(store, record, f"i-{service}-{n}", service, ZONES[n % len(ZONES)],
+                               slots=slots, events=30)
+               for service, slots, count in (("jujube-pool", 64, POOL_ENGINES),
+                                             ("rebate-ledger", 6, LEDGER_ENGINES))
+               for n in range(count)]
     for it in engines:
         await it.start(HEARTBEAT_S)
-    links, clients, ports = [], [], gateways.free_ports(8)
-    for zone, own_ports in zip(ZONES, (ports[:4], ports[4:])):
+    links, clients, ports = [], [], gateways.free_ports(4 * GATEWAYS)
+    for n in range(GATEWAYS):
+        zone = ZONES[n % len(ZONES)]
         link = standins.Proxy(store.server.address)
         await link.start()
         links.append(link)
-        gateway = gateways.Gateway(f"front-{zone}-1", zone, ZONES, link.address, BOUNDS, folder,
-                                   own_ports)
+        gateway = gateways.Gateway(f"front-{zone}-{n}", zone, ZONES, link.address, BOUNDS, folder,
+                                   ports[4 * n:4 * n + 4])
         gateway.start()
         started.append(gateway)
     for it in started:
@@ -99,7 +106,7 @@
         for it in links:
             record.add(f"{it.silence_open()} open connections to the store go silent")
     await asyncio.sleep(REMOVED_AFTER_S)
-    leaving = [engines[0], engines[3]]
+    leaving = [engines[0]]
     removed = {it: await it.remove_entry() for it in leaving}
     await asyncio.sleep(SERVES_ON_S)
     for it in leaving:
