store: take a lost or refused call for an outage only if entries can have expired

Cause: a table watch knew one failure only, "my last call failed", and the list of upstreams took it for "the store is away". The next response ended the supposed outage before its rows were applied, so the removal that it brought was deferred by 2.2 s, in addition to the 2.7 s of the lost call.

Now a lost call is repeated at once on a new connection before it counts as a failure; the time for which a table was out of sight is measured from the last sign that the store serves it, responses read by other gateways and 429 included; and missing entries are kept only after an outage of two heartbeat intervals, since an entry expires after three. An outage ends before the rows that show it are applied. Long polls are kept short enough that entries cannot expire behind one lost call. New setting store.heartbeat_ms; a key without a value counts as not set, because a template leaves it so where the value is not known.

--- a/source/core/gateway/adapter.h
+++ b/source/core/gateway/adapter.h
@@ -31,7 +31,15 @@
 };
 
 /// The result of a call to the store.
-enum class store_outcome { done, history_lost, conflict, unavailable, malformed };
+enum class store_outcome {
+    done,
+    history_lost,
+    conflict,
+    /// The store refuses the call because of the number of calls.
+    throttled,
+    unavailable,
+    malformed
+};
 
 struct store_response {
     store_outcome outcome = store_outcome::unavailable;
@@ -112,8 +120,8 @@
 
 template <>
 struct enum_names<gateway::store_outcome> {
-    static constexpr std::array<std::string_view, 5> table{"done", "history_lost", "conflict",
-                                                           "unavailable", "malformed"};
+    static constexpr std::array<std::string_view, 6> table{
+        "done", "history_lost", "conflict", "throttled", "unavailable", "malformed"};
 };
 
 template <>
--- a/source/core/gateway/gateway_settings.cpp
+++ b/source/core/gateway/gateway_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "common/error.h"
 #include "gateway/region_table.h"
+#include "gateway/upstream_list.h"
 
 namespace jujubemast::gateway {
 
@@ -155,6 +156,14 @@
             "2000 act as 2000",
     .check = check_positive_duration,
 };
+const settings::setting<milliseconds> gateway_settings::store_heartbeat{
+    .section = "store",
+    .key = "heartbeat_ms",
+    .fallback = upstream_list::default_heartbeat,
+    .help = "interval at which upstreams renew their entries in the store; an entry expires after "
+            "three intervals without a renewal",
+    .check = check_positive_duration,
+};
 const settings::setting<double> gateway_settings::retry_ratio{
     .section = "retries",
     .key = "ratio",
@@ -203,6 +212,7 @@
     &admin_listen,
     &store_address,
     &store_staleness_limit,
+    &store_heartbeat,
     &retry_ratio,
     &retry_reserve,
     &retry_window,
--- a/source/core/gateway/gateway_settings.h
+++ b/source/core/gateway/gateway_settings.h
@@ -23,6 +23,7 @@
     static const settings::setting<std::string> admin_listen;
     static const settings::setting<std::string> store_address;
     static const settings::setting<std::chrono::milliseconds> store_staleness_limit;
+    static const settings::setting<std::chrono::milliseconds> store_heartbeat;
     static const settings::setting<double> retry_ratio;
     static const settings::setting<double> retry_reserve;
     static const settings::setting<std::chrono::milliseconds> retry_window;
--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -229,12 +229,13 @@
     auto hooks =
         make_catalog_hooks(forwarder_inbox, dispatcher_inbox, peers_inbox, health, current);
     hooks.region_of = make_region_hook(values);
+    const auto heartbeat = values.get(gateway_settings::store_heartbeat);
     const auto limits =
-        store::limits_for_staleness(values.get(gateway_settings::store_staleness_limit));
+        store::limits_for_staleness(values.get(gateway_settings::store_staleness_limit), heartbeat);
     runtime::child_spec catalog_child{"catalog", [=](runtime::task_context it) {
                                           return std::make_shared<store::catalog>(
                                               std::move(it), catalog_inbox, store, platform_adapter,
-                                              self, hooks, limits);
+                                              self, hooks, limits, heartbeat);
                                       }};
     catalog_child.stop_timeout = schedule.unregister;
     children.push_back(std::move(catalog_child));
--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -50,23 +50,32 @@
 catalog::catalog(runtime::task_context context,
                  std::shared_ptr<runtime::mailbox<catalog_message>> inbox, http::endpoint store,
                  std::shared_ptr<const adapter> platform_adapter, gateway_record self,
-                 catalog_hooks hooks, const table_watch_limits& limits)
+                 catalog_hooks hooks, const table_watch_limits& limits, common::duration heartbeat)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)},
       m_adapter{std::move(platform_adapter)}, m_self{std::move(self)}, m_hooks{std::move(hooks)},
       m_limits{limits}, m_client{m_context, std::move(store), store_limits()},
-      m_expiry_timer{m_context.loop()}, m_register_timer{m_context.loop()} {}
+      m_upstreams{heartbeat}, m_expiry_timer{m_context.loop()}, m_register_timer{m_context.loop()} {
+}
 
 void catalog::start() {
+    table_watch_hooks configuration_hooks;
+    configuration_hooks.on_update = [this](const table_update& it) {
+        apply_configuration_rows(it);
+    };
     m_watches[store_table::configuration] =
-        make_watch(store_table::configuration,
-                   {[this](const table_update& it) { apply_configuration_rows(it); }, {}, {}});
-    m_watches[store_table::upstreams] = make_watch(
-        store_table::upstreams, {[this](const table_update& it) { apply_upstream_rows(it); },
-                                 [this](bool available) { set_store_available(available); },
-                                 {}});
-    m_watches[store_table::gateways] =
-        make_watch(store_table::gateways,
-                   {[this](const table_update& it) { apply_gateway_rows(it); }, {}, {}});
+        make_watch(store_table::configuration, std::move(configuration_hooks));
+    table_watch_hooks upstream_hooks;
+    upstream_hooks.on_update = [this](const table_update& it) { apply_upstream_rows(it); };
+    upstream_hooks.on_unavailable = [this] {
+        m_upstreams.record_store_outage();
+        schedule_expiry();
+    };
+    upstream_hooks.on_available = [this](common::duration unseen) { upstreams_available(unseen); };
+    m_watches[store_table::upstreams] =
+        make_watch(store_table::upstreams, std::move(upstream_hooks));
+    table_watch_hooks gateway_hooks;
+    gateway_hooks.on_update = [this](const table_update& it) { apply_gateway_rows(it); };
+    m_watches[store_table::gateways] = make_watch(store_table::gateways, std::move(gateway_hooks));
     m_inbox.receive(m_context.wrap([this](const catalog_message& message) {
         std::visit([this](const auto& it) { handle(it); }, message);
     }));
@@ -86,9 +95,6 @@
         }
         apply(update);
     };
-    if (!hooks.on_state) {
-        hooks.on_state = [](bool /*available*/) {};
-    }
     hooks.on_confirmed = [this, table](common::time_point at) { confirmed(table, at); };
     return std::make_unique<table_watch>(m_context, m_client, m_adapter, table, std::move(hooks),
                                          m_limits);
@@ -404,12 +410,13 @@
     }
 }
 
-void catalog::set_store_available(bool available) {
-    if (available) {
-        m_upstreams.record_store_recovery(common::monotonic_clock::now());
-    } else {
-        m_upstreams.record_store_outage();
-    }
+void catalog::upstreams_available(common::duration unseen) {
+    const auto now = common::monotonic_clock::now();
+    const auto unseen_ms = std::chrono::duration_cast<std::chrono::milliseconds>(unseen).count();
+    m_upstreams.record_store_recovery(now, unseen);
+    m_log.info("The entries of upstreams can be read again.",
+               {{"unseen_ms", std::to_string(unseen_ms)},
+                {"may_have_expired", m_upstreams.may_have_expired(now) ? "yes" : "no"}});
     schedule_expiry();
 }
 
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -49,7 +49,8 @@
 public:
     catalog(runtime::task_context context, std::shared_ptr<runtime::mailbox<catalog_message>> inbox,
             http::endpoint store, std::shared_ptr<const adapter> platform_adapter,
-            gateway_record self, catalog_hooks hooks, const table_watch_limits& limits);
+            gateway_record self, catalog_hooks hooks, const table_watch_limits& limits,
+            common::duration heartbeat = upstream_list::default_heartbeat);
 
     void start() override;
     void stop(const runtime::stop_done& done) override;
@@ -89,7 +90,8 @@
     void log_faults(const configuration& config) const;
     void apply_upstream_rows(const table_update& update);
     void apply_gateway_rows(const table_update& update);
-    void set_store_available(bool available);
+    /// The table of the upstreams is available again, after a time without a sign of it.
+    void upstreams_available(common::duration unseen);
     void register_self();
     /// Registers again at once if the call in progress was probably lost, because the store has
     /// responded to a later one.
--- a/source/core/gateway/store/table_watch.cpp
+++ b/source/core/gateway/store/table_watch.cpp
@@ -22,6 +22,10 @@
 
 // Time for the call that follows a lost one.
 constexpr common::duration next_call_time = std::chrono::milliseconds{300};
+// Shortest wait of a long poll, so that short limits do not cause a tight loop of calls.
+constexpr common::duration min_wait = std::chrono::milliseconds{300};
+// Ratio of the time allowed for a response to the time that the last one took.
+constexpr int response_time_reserve = 2;
 // Gateways of different releases may never agree on the content of a row.
 constexpr common::duration repair_interval = std::chrono::seconds{10};
 // Stores return pages of about 1 MB. The response to a watch holds all rows that changed since its
@@ -30,10 +34,13 @@
 
 } // namespace
 
-table_watch_limits limits_for_staleness(common::duration limit) {
+table_watch_limits limits_for_staleness(common::duration limit, common::duration heartbeat) {
     table_watch_limits limits;
     limit = std::max<common::duration>(limit, min_staleness_limit);
-    limits.wait = limit - limits.response_timeout - next_call_time;
+    const auto unseen_limit = upstream_list::shortest_expiry(heartbeat);
+    limits.wait = std::max(min_wait, std::min(limit - limits.response_timeout - next_call_time,
+                                              unseen_limit - limits.batch_interval -
+                                                  limits.kept_connection_timeout - next_call_time));
     limits.relayed_wait = limit / 5;
     limits.max_relayed_age = 2 * limits.relayed_wait;
     return limits;
@@ -44,7 +51,9 @@
                          table_watch_hooks hooks, const table_watch_limits& limits)
     : m_context{context}, m_client{client}, m_adapter{std::move(platform_adapter)}, m_table{table},
       m_hooks{std::move(hooks)}, m_limits{limits}, m_timer{context.loop()},
-      m_read_timeout{std::min(limits.first_read_timeout, limits.response_timeout)} {}
+      m_read_timeout{std::min(limits.first_read_timeout, limits.response_timeout)},
+      m_kept_connection_timeout{std::min(limits.kept_connection_timeout, limits.response_timeout)} {
+}
 
 void table_watch::cancel() {
     m_timer.cancel();
@@ -53,6 +62,7 @@
 void table_watch::refresh() {
     m_timer.cancel();
     m_client.cancel(m_call);
+    m_repeated = false;
     if (m_copy.is_complete()) {
         watch(common::duration::zero());
     } else {
@@ -74,6 +84,7 @@
 }
 
 void table_watch::changes_relayed(const table_changes& changes, common::time_point confirmed) {
+    record_available(confirmed);
     if (!m_copy.is_complete()) {
         return;
     }
@@ -166,11 +177,13 @@
     if (response.outcome != store_outcome::done) {
         m_copy.invalidate();
         m_read_timeout = std::min(m_read_timeout * 3 / 2, m_limits.response_timeout);
-        call_failed(response);
+        if (!repeat_lost_call(result)) {
+            call_failed(response);
+        }
         return;
     }
     m_read_timeout = m_limits.response_timeout;
-    set_available(true);
+    store_responded();
     if (m_page_rows.empty()) {
         // Changes between two pages are not missed, because the watch continues after the version
         // of the first page.
@@ -195,11 +208,13 @@
 }
 
 void table_watch::watch(common::duration wait) {
-    if (!m_available) {
+    if (!m_available || m_repeated) {
         wait = common::duration::zero();
     }
     const auto since = m_copy.version();
-    send(m_adapter->encode_watch(m_table, since, wait), wait, m_limits.response_timeout,
+    const bool may_be_silent = m_available && !m_repeated;
+    send(m_adapter->encode_watch(m_table, since, wait), wait,
+         may_be_silent ? m_kept_connection_timeout : m_limits.response_timeout,
          [this, since](const http::call_result& result) { changes_received(since, result); });
 }
 
@@ -216,6 +231,7 @@
 void table_watch::changes_received(std::uint64_t since, const http::call_result& result) {
     auto response = decode(result);
     if (response.outcome == store_outcome::history_lost) {
+        store_responded();
         m_log.info(
             "The store has lost the change history of a table; reading the whole table.",
             {{"table", std::string{common::to_name(m_table)}}, {"version", std::to_string(since)}});
@@ -226,10 +242,13 @@
         return;
     }
     if (response.outcome != store_outcome::done) {
-        call_failed(response);
+        if (!repeat_lost_call(result)) {
+            call_failed(response);
+        }
         return;
     }
-    set_available(true);
+    // Before the rows are applied, because what a removed row means depends on it.
+    store_responded();
     // Another gateway may have passed on later changes meanwhile, which these rows must not revert.
     const auto order = m_copy.order_of(since, response.content.version);
     const bool is_next = order == change_order::next || since == m_copy.version();
@@ -244,7 +263,50 @@
     schedule_watch(m_limits.batch_interval);
 }
 
+bool table_watch::repeat_lost_call(const http::call_result& result) {
+    const auto* error = std::get_if<http::call_error>(&result);
+    if (m_repeated || !m_available || error == nullptr ||
+        error->kind != http::call_error_kind::timeout) {
+        return false;
+    }
+    m_log.info(
+        "A call to the store was lost; repeating it on a new connection.",
+        {{"table", std::string{common::to_name(m_table)}}, {"waited_ms", age_in_ms(m_sent)}});
+    m_sent.reset();
+    m_repeated = true;
+    // The client has closed the connection of the lost call and all idle ones.
+    resume();
+    return true;
+}
+
+void table_watch::store_responded() {
+    const auto now = common::monotonic_clock::now();
+    if (m_sent && m_wait == common::duration::zero()) {
+        // A store that takes long is not called twice.
+        m_kept_connection_timeout = std::clamp<common::duration>(
+            response_time_reserve * (now - *m_sent), m_limits.kept_connection_timeout,
+            std::max(m_limits.kept_connection_timeout, m_limits.response_timeout));
+    }
+    m_repeated = false;
+    record_available(response_time());
+    set_available(true);
+}
+
+void table_watch::record_available(common::time_point at) {
+    const auto unseen = m_outage.record_available(at, common::monotonic_clock::now());
+    if (unseen && m_hooks.on_available) {
+        m_hooks.on_available(*unseen);
+    }
+}
+
 void table_watch::call_failed(const store_response& response) {
+    if (response.outcome == store_outcome::throttled) {
+        record_available(response_time());
+    } else if (m_outage.record_failure(m_sent.value_or(common::monotonic_clock::now())) &&
+               m_hooks.on_unavailable) {
+        m_hooks.on_unavailable();
+    }
+    m_repeated = false;
     if (m_available) {
         m_log.warn("Store does not answer.",
                    {{"table", std::string{common::to_name(m_table)}},
@@ -275,12 +337,15 @@
     }
 }
 
-void table_watch::confirm() {
+common::time_point table_watch::response_time() const {
     // If this process was paused, the response may be old. The store holds a call no longer than
-    // its wait time, so the copy is known to be the newest only up to the send time plus that wait.
+    // its wait time.
     const auto now = common::monotonic_clock::now();
-    const auto confirmed = std::min(now, m_sent.value_or(now) + m_wait);
-    m_copy.confirm(confirmed);
+    return std::min(now, m_sent.value_or(now) + m_wait);
+}
+
+void table_watch::confirm() {
+    m_copy.confirm(response_time());
     m_sent.reset();
     if (m_hooks.on_confirmed) {
         m_hooks.on_confirmed(*m_copy.confirmed());
@@ -297,7 +362,6 @@
                                             {"waited_ms", age_in_ms(m_sent)},
                                             {"copy_age_ms", age_in_ms(m_copy.confirmed())}});
     }
-    m_hooks.on_state(available);
 }
 
 } // namespace jujubemast::gateway::store
--- a/source/core/gateway/store/table_watch.h
+++ b/source/core/gateway/store/table_watch.h
@@ -13,6 +13,7 @@
 
 #include "common/enum_names.h"
 #include "gateway/adapter.h"
+#include "gateway/store/outage_detector.h"
 #include "gateway/store/table_copy.h"
 #include "http/client.h"
 #include "logging/logger.h"
@@ -31,8 +32,11 @@
 
 struct table_watch_hooks {
     std::function<void(const table_update&)> on_update;
-    /// Called when the store becomes available or unavailable.
-    std::function<void(bool available)> on_state;
+    /// Called when the store is found to be unavailable. May be empty.
+    std::function<void()> on_unavailable;
+    /// Called when it is found to be available again, before the rows that show this are applied,
+    /// with the time for which it had shown no sign of being available. May be empty.
+    std::function<void(common::duration unseen)> on_available;
     /// Called when a response, or another gateway, shows that the local copy was the newest at a
     /// time. May be empty.
     std::function<void(common::time_point at)> on_confirmed;
@@ -44,6 +48,10 @@
     common::duration wait = std::chrono::milliseconds{1500};
     /// Additional time for the start of the response.
     common::duration response_timeout = std::chrono::milliseconds{1200};
+    /// The same for a call that may use an earlier connection, which may have gone silent. The call
+    /// is then sent once more on a new connection. Grows up to `response_timeout` with the time
+    /// that the store takes.
+    common::duration kept_connection_timeout = std::chrono::milliseconds{300};
     /// Time for the start of the response to the first read of a table. A call may hang in a silent
     /// store, and until the table is read the gateway can serve nothing. Grows by half with each
     /// lost read, up to `response_timeout`, because a slow store needs more.
@@ -78,14 +86,18 @@
 inline constexpr std::chrono::milliseconds min_staleness_limit{2000};
 
 /// Returns limits with which changes in the store are seen within `limit` even if one call is lost.
-/// Values below `min_staleness_limit` are raised to it.
-table_watch_limits limits_for_staleness(common::duration limit);
+/// Values below `min_staleness_limit` are raised to it. A long poll is so short that the entry of
+/// an upstream that renews it once in `heartbeat` cannot expire in an outage that one lost call
+/// hides.
+table_watch_limits limits_for_staleness(common::duration limit, common::duration heartbeat);
 
 /// Reads one table of the store and follows its changes, by long polls or as another gateway passes
 /// them on. In the latter case it asks the store itself when changes are missing or nothing has
 /// been heard for a short time. If the store has lost the change history, the whole table is read
-/// again. While the store is unavailable, calls do not wait for changes, so that a lost call does
-/// not delay the detection of its recovery. Belongs to one task.
+/// again. A call without a response may only show that its connection has gone silent, so it is
+/// sent once more on a new connection before the store counts as unavailable. While the store is
+/// unavailable, calls do not wait for changes, so that a lost call does not delay the detection of
+/// its recovery. Belongs to one task.
 class table_watch {
 public:
     table_watch(const runtime::task_context& context, http::client& client,
@@ -131,9 +143,17 @@
     void schedule_watch(common::duration min_delay);
     /// Decodes the result of a call to the store.
     [[nodiscard]] store_response decode(const http::call_result& result) const;
+    /// Repeats a call that was lost, perhaps with its connection. Returns whether it has done so.
+    bool repeat_lost_call(const http::call_result& result);
     void call_failed(const store_response& response);
     void resume();
+    /// The store has answered the call in progress.
+    void store_responded();
+    /// The store was available at a time, according to its response or to another gateway.
+    void record_available(common::time_point at);
     void set_available(bool available);
+    /// When the store sent the response that has arrived, at the latest.
+    [[nodiscard]] common::time_point response_time() const;
     /// Records that the copy was the newest when the store sent its response.
     void confirm();
     /// Reads the whole table again, because the copy differs from that of another gateway.
@@ -153,6 +173,11 @@
     /// Time for the start of the response to a read of the table.
     common::duration m_read_timeout;
     bool m_available = true;
+    outage_detector m_outage;
+    /// Whether the call in progress repeats one that was lost.
+    bool m_repeated = false;
+    /// Time for the start of the response to a call that may use an earlier connection.
+    common::duration m_kept_connection_timeout;
     /// Until then a copy that differs again is not read again.
     common::time_point m_next_repair;
     http::call_id m_call = 0;
--- a/source/core/gateway/upstream_list.cpp
+++ b/source/core/gateway/upstream_list.cpp
@@ -45,7 +45,7 @@
     return true;
 }
 
-bool upstream_list::is_store_unstable(common::time_point now) const {
+bool upstream_list::may_have_expired(common::time_point now) const {
     return m_store_down || (m_store_recovered && now < *m_store_recovered + reregistration_time);
 }
 
@@ -60,7 +60,7 @@
         return false;
     }
     // A draining instance leaves on purpose, so its entry has not merely expired.
-    if (is_store_unstable(now) && it->second.phase == upstream_phase::serving) {
+    if (may_have_expired(now) && it->second.phase == upstream_phase::serving) {
         m_expiring.try_emplace(id, (m_store_recovered ? *m_store_recovered : now) +
                                        reregistration_time);
         return false;
@@ -87,10 +87,17 @@
     return changed;
 }
 
-void upstream_list::record_store_recovery(common::time_point now) {
+void upstream_list::record_store_recovery(common::time_point now, common::duration unseen) {
     if (!std::exchange(m_store_down, false)) {
         return;
     }
+    if (unseen < m_shortest_expiry) {
+        // Instances could not renew their entries meanwhile.
+        for (auto& [id, until] : m_expiring) {
+            until += unseen;
+        }
+        return;
+    }
     m_store_recovered = now;
     for (auto& [id, until] : m_expiring) {
         until = now + reregistration_time;
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -63,15 +63,30 @@
 using upstream_map = std::map<std::string, upstream_instance>;
 using upstream_map_pointer = std::shared_ptr<const upstream_map>;
 
-/// The upstream instances registered in the store. An entry that disappears during a store outage
-/// may merely have expired because the instance could not renew it. It is kept until the store has
-/// been back for `reregistration_time`.
+/// The upstream instances registered in the store. An entry that disappears in an outage of the
+/// store may merely have expired because the instance could not renew it. It is kept until the
+/// store has been back for `reregistration_time`. After an outage that was too short for an entry
+/// to expire, an entry that is missing belongs to an instance that has left.
 class upstream_list {
 public:
+    /// Interval at which instances renew their entries, unless the settings name another one.
+    static constexpr std::chrono::milliseconds default_heartbeat{1200};
+    /// An entry expires when this many renewals in a row are missing.
+    static constexpr int missed_heartbeats_to_expiry = 3;
+
+    /// Returns the shortest outage in which an entry can expire. The last renewal may have been due
+    /// up to one interval before the outage began.
+    static constexpr common::duration shortest_expiry(common::duration heartbeat) {
+        return (missed_heartbeats_to_expiry - 1) * heartbeat;
+    }
+
     /// An instance that is alive renews its expired entry within this time after the store
     /// recovers.
     static constexpr common::duration reregistration_time = std::chrono::milliseconds{2200};
 
+    explicit upstream_list(common::duration heartbeat = default_heartbeat)
+        : m_shortest_expiry{shortest_expiry(heartbeat)} {}
+
     /// Adds or replaces an entry. Returns whether it differs from the stored one; an entry that an
     /// instance rewrites as its heartbeat does not differ.
     bool put(upstream_instance entry);
@@ -93,8 +108,12 @@
     /// Records that the store does not respond.
     void record_store_outage() { m_store_down = true; }
 
-    /// Records that the store responds again.
-    void record_store_recovery(common::time_point now);
+    /// Records that the store responds again, after a time in which it was not seen to be
+    /// available.
+    void record_store_recovery(common::time_point now, common::duration unseen);
+
+    /// Whether an entry that disappears now may have expired in an outage.
+    [[nodiscard]] bool may_have_expired(common::time_point now) const;
 
     /// Removes expired entries whose grace period has ended. Returns whether the list changed.
     bool expire(common::time_point now);
@@ -105,17 +124,17 @@
     [[nodiscard]] const upstream_map& entries() const { return m_entries; }
 
 private:
-    [[nodiscard]] bool is_store_unstable(common::time_point now) const;
-
     /// Number of announcements that are remembered.
     static constexpr std::size_t max_leaving = 1024;
 
     upstream_map m_entries;
     /// Instances that have announced that they are about to stop, oldest first.
     std::deque<incarnation> m_leaving;
-    /// Entries that were deleted while the store was unstable, with the time of their removal.
+    /// Entries that may have expired, with the time of their removal.
     std::map<std::string, common::time_point> m_expiring;
+    common::duration m_shortest_expiry;
     bool m_store_down = false;
+    /// End of the last outage in which entries may have expired.
     std::optional<common::time_point> m_store_recovered;
 };
 
--- a/source/core/settings/settings.cpp
+++ b/source/core/settings/settings.cpp
@@ -77,7 +77,8 @@
         const YAML::Node node = section.IsDefined() && section.IsMap()
                                     ? section[std::string{definition.key}]
                                     : YAML::Node{YAML::NodeType::Undefined};
-        if (!node.IsDefined()) {
+        // A template leaves a key without a value where the value is not known.
+        if (!node.IsDefined() || node.IsNull()) {
             if (definition.required) {
                 add_error(section, name, "is required");
             }
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -4,6 +4,7 @@
 //   GET /records         requests that the upstreams have received
 //   GET /freed           number of results that were released
 //   GET /reports         number of reports that the upstreams have sent
+//   GET /polls           number of long polls for the upstreams in progress
 //   GET /lost            number of calls for the configuration lost while the store was silent
 //   POST /configuration  replaces the configuration by the version in the body; each version has an
 //                        API key of its own
@@ -266,6 +267,10 @@
         state->leave_unanswered(table, reply);
     } else if (path == "/lost") {
         reply.respond(http::json_response(200, std::to_string(state->lost_configuration_calls)));
+    } else if (path == "/polls") {
+        const auto polls = std::count_if(state->long_polls.begin(), state->long_polls.end(),
+                                         [](const long_poll& it) { return it.table == "servers"; });
+        reply.respond(http::json_response(200, std::to_string(polls)));
     } else if (path == "/crashes") {
         reply.respond(http::json_response(200, std::to_string(state->crashes)));
     } else if (path == "/deadly") {
--- a/tests/unit/gateway/store/catalog_test.cpp
+++ b/tests/unit/gateway/store/catalog_test.cpp
@@ -19,6 +19,10 @@
 /// plain paths: /read/TABLE and /watch/TABLE, with the table's name; /register; /unregister.
 struct catalog_fixture {
     static constexpr const char* own_name = "self";
+    /// So short that entries may have expired after any failed call.
+    static constexpr milliseconds short_heartbeat{20};
+
+    milliseconds heartbeat;
 
     event_loop loop;
     std::vector<std::string> requested_paths;
@@ -42,7 +46,7 @@
         runtime::make_mailbox<catalog_message>(loop.executor(), 100);
     std::shared_ptr<catalog> subject;
 
-    catalog_fixture() {
+    explicit catalog_fixture(milliseconds renewal = short_heartbeat) : heartbeat{renewal} {
         http::endpoint address;
         http::server_options options;
         options.listen = {"127.0.0.1", 0};
@@ -66,7 +70,7 @@
         subject = std::make_shared<catalog>(loop.context(catalog_life), catalog_inbox, address,
                                             std::make_shared<const adapter>(make_adapter()),
                                             gateway_record{own_name, "10.0.0.1:1", 7}, make_hooks(),
-                                            limits);
+                                            limits, heartbeat);
         catalog_life->instance = subject;
     }
     catalog_fixture(const catalog_fixture&) = delete;
@@ -271,6 +275,80 @@
     BOOST_TEST(published.back().upstreams->contains("b"));
 }
 
+/// A catalog in whose store no entry expires during a test case.
+struct lasting_entries_fixture : catalog_fixture {
+    lasting_entries_fixture() : catalog_fixture{std::chrono::hours{1}} {
+        rows["upstreams"] = {{"a", "0", 1}, {"b", "0", 1}};
+        subject->start();
+        run_rounds(store_table::upstreams);
+        BOOST_REQUIRE(published.back().upstreams->size() == 2U);
+    }
+
+    /// Deletes an entry, and checks that it is gone as soon as the store responds.
+    void check_deleted_entry_is_gone_at_once() {
+        rows["upstreams"] = {{"a", std::nullopt, 2}};
+        const auto before = count_requests(path("/watch/", store_table::upstreams));
+        BOOST_REQUIRE(loop.run_until(
+            [&] { return count_requests(path("/watch/", store_table::upstreams)) >= before + 3; }));
+        BOOST_TEST(published.back().upstreams->size() == 1U);
+    }
+};
+
+// Guards against requests to an upstream that has left while the connections to the store had gone
+// silent: the lost call counted as an outage, and the next response as its end, which deferred the
+// removal that this response brought.
+BOOST_FIXTURE_TEST_CASE(upstream_removed_while_a_connection_is_silent_is_gone_at_once,
+                        lasting_entries_fixture) {
+    const auto target = path("/watch/", store_table::upstreams);
+    unanswered_paths = {target};
+    const auto before = count_requests(target);
+    BOOST_REQUIRE(loop.run_until([&] { return count_requests(target) > before; }));
+    unanswered_paths.clear();
+    check_deleted_entry_is_gone_at_once();
+}
+
+// Guards against the same after a single call that the store refuses.
+BOOST_FIXTURE_TEST_CASE(upstream_removed_after_a_refused_call_is_gone_at_once,
+                        lasting_entries_fixture) {
+    for (const auto refusal : {store_outcome::unavailable, store_outcome::throttled}) {
+        rows["upstreams"] = {{"a", "0", 3}};
+        run_rounds(store_table::upstreams);
+        BOOST_REQUIRE(published.back().upstreams->size() == 2U);
+        outcome = refusal;
+        run_rounds(store_table::upstreams);
+        outcome = store_outcome::done;
+        check_deleted_entry_is_gone_at_once();
+    }
+}
+
+// Guards against the same for a gateway that follows others, while its own call to the store fails.
+BOOST_FIXTURE_TEST_CASE(upstream_removed_in_the_store_that_others_read_is_gone_at_once,
+                        lasting_entries_fixture) {
+    const auto target = path("/watch/", store_table::upstreams);
+    outcome = store_outcome::unavailable;
+    run_rounds(store_table::upstreams);
+    catalog_inbox->post(table_relay{{store_table::upstreams, 0, 5, 0, {{"a", std::nullopt, 5}}},
+                                    common::monotonic_clock::now()});
+    loop.run_ready();
+    BOOST_TEST(published.back().upstreams->size() == 1U);
+}
+
+// Guards against upstreams that are lost with the entries that they could not renew in an outage.
+BOOST_AUTO_TEST_CASE(upstream_removed_in_a_long_outage_stays_for_its_reregistration) {
+    rows["upstreams"] = {{"a", "0", 1}, {"b", "0", 1}};
+    subject->start();
+    run_rounds(store_table::upstreams);
+    outcome = store_outcome::unavailable;
+    run_rounds(store_table::upstreams);
+    rows["upstreams"] = {{"a", std::nullopt, 2}};
+    outcome = store_outcome::done;
+    const auto recovered = common::monotonic_clock::now();
+    run_rounds(store_table::upstreams);
+    BOOST_TEST(published.back().upstreams->size() == 2U);
+    BOOST_REQUIRE(loop.run_until([&] { return published.back().upstreams->size() == 1U; }));
+    BOOST_TEST((common::monotonic_clock::now() - recovered >= upstream_list::reregistration_time));
+}
+
 // Guards against followers that take their configuration for the newest, and refuse requests for
 // good by it, although a newer one could not be decoded: the gateway that reads the store did not
 // pass it on.
--- a/tests/unit/gateway/store/endless_store_test.cpp
+++ b/tests/unit/gateway/store/endless_store_test.cpp
@@ -48,7 +48,8 @@
             loop.context(life), *client, std::make_shared<const adapter>(make_adapter()),
             store_table::configuration,
             table_watch_hooks{[this](const table_update&) { ++updates; },
-                              [this](bool available) { states.push_back(available); },
+                              [this] { states.push_back(false); },
+                              [this](common::duration) { states.push_back(true); },
                               [this](common::time_point) { ++confirmations; }},
             short_waits);
         watch->begin();
--- a/tests/unit/gateway/store/relayed_watch_test.cpp
+++ b/tests/unit/gateway/store/relayed_watch_test.cpp
@@ -123,9 +123,9 @@
     watch->set_source(watch_source::store_for_others);
     wait_for_calls(2);
     BOOST_TEST(calls[1].target == "/watch/300");
-    BOOST_TEST((limits_for_staleness(std::chrono::seconds{3}).relayed_wait +
+    BOOST_TEST((limits_for_staleness(std::chrono::seconds{3}, heartbeat).relayed_wait +
                     2 * table_watch_limits{}.batch_interval <=
-                limits_for_staleness(std::chrono::seconds{3}).max_relayed_age));
+                limits_for_staleness(std::chrono::seconds{3}, heartbeat).max_relayed_age));
 }
 
 BOOST_AUTO_TEST_CASE(watch_that_is_no_longer_relayed_polls_the_store) {
--- a/tests/unit/gateway/store/table_watch_fixture.h
+++ b/tests/unit/gateway/store/table_watch_fixture.h
@@ -30,12 +30,14 @@
     // Long enough to tell the wait times apart on a busy machine.
     static constexpr milliseconds wait{600};
     static constexpr milliseconds response_timeout{400};
+    static constexpr milliseconds kept_connection_timeout{200};
     static constexpr milliseconds first_read_timeout{150};
     static constexpr milliseconds retry_delay{250};
     static constexpr milliseconds batch_interval{150};
     static constexpr milliseconds relayed_wait{300};
     static constexpr milliseconds max_relayed_age{800};
     static constexpr milliseconds slack{500};
+    static constexpr milliseconds heartbeat{1200};
 
     event_loop loop;
     http::endpoint address;
@@ -44,7 +46,13 @@
     std::function<void(const store_call&)> respond = respond_at_once;
     std::vector<common::time_point> confirmed;
     std::vector<bool> states;
+    /// For how long the store had not been seen when it was available again.
+    std::vector<common::duration> unseen_times;
     std::vector<table_update> updates;
+    /// Called at each update. May be empty.
+    std::function<void()> on_update;
+    /// Timers of responses that take time.
+    std::vector<std::unique_ptr<runtime::timer>> delayed;
     /// Version and rows in the responses of the store.
     std::uint64_t stored_version = 0;
     std::vector<store_row> stored_rows;
@@ -87,12 +95,22 @@
 
     std::unique_ptr<table_watch> make_watch() {
         table_watch_hooks hooks;
-        hooks.on_update = [this](const table_update& it) { updates.push_back(it); };
-        hooks.on_state = [this](bool available) { states.push_back(available); };
+        hooks.on_update = [this](const table_update& it) {
+            updates.push_back(it);
+            if (on_update) {
+                on_update();
+            }
+        };
+        hooks.on_unavailable = [this] { states.push_back(false); };
+        hooks.on_available = [this](common::duration unseen) {
+            states.push_back(true);
+            unseen_times.push_back(unseen);
+        };
         hooks.on_confirmed = [this](common::time_point at) { confirmed.push_back(at); };
         table_watch_limits limits;
         limits.wait = wait;
         limits.response_timeout = response_timeout;
+        limits.kept_connection_timeout = kept_connection_timeout;
         limits.batch_interval = batch_interval;
         limits.first_read_timeout = first_read_timeout;
         limits.retry_delay = retry_delay;
@@ -116,6 +134,7 @@
         result.decode_rows = [this](const http::response& response) {
             const auto outcome = response.status == 200   ? store_outcome::done
                                  : response.status == 410 ? store_outcome::history_lost
+                                 : response.status == 429 ? store_outcome::throttled
                                                           : store_outcome::unavailable;
             return store_response{outcome, {stored_rows, false, stored_version}, {}};
         };
--- a/tests/unit/gateway/store/table_watch_test.cpp
+++ b/tests/unit/gateway/store/table_watch_test.cpp
@@ -24,6 +24,86 @@
     BOOST_TEST((states == std::vector<bool>{false}));
 }
 
+// Guards against upstreams that are kept although they have left: a long poll that was lost with
+// its connection counted as an outage of the store.
+BOOST_AUTO_TEST_CASE(store_that_answers_the_repetition_of_a_lost_call_was_not_unavailable) {
+    respond = respond_to_reads;
+    wait_for_calls(3);
+    BOOST_TEST(calls[2].target == "/watch/0");
+    BOOST_TEST((between(1, 2) >= wait + kept_connection_timeout - milliseconds{1}));
+    BOOST_TEST((between(1, 2) < wait + response_timeout));
+    respond = respond_at_once;
+    respond_at_once(calls[2]);
+    wait_for_calls(4);
+    BOOST_TEST(calls[3].target == "/watch/600");
+    BOOST_TEST(states.empty());
+}
+
+// Guards against the same for a store that refuses a call because there are too many.
+BOOST_AUTO_TEST_CASE(store_that_throttles_calls_is_not_unavailable) {
+    respond = [](const store_call& call) {
+        call.reply.respond({call.target == "/read" ? 200U : 429U, {}, "rows"});
+    };
+    wait_for_calls(4);
+    BOOST_TEST(states.empty());
+    BOOST_TEST((between(2, 3) >= retry_delay - milliseconds{1}));
+}
+
+// Guards against rows that are applied as if the store had been available all the time.
+BOOST_AUTO_TEST_CASE(end_of_an_outage_is_reported_before_the_rows_that_show_it) {
+    wait_for_calls(2);
+    BOOST_REQUIRE(loop.run_until([&] { return !confirmed.empty(); }));
+    const auto seen = confirmed.back();
+    respond = [](const store_call& call) { call.reply.respond({503, {}, ""}); };
+    BOOST_REQUIRE(loop.run_until([&] { return !states.empty(); }));
+    run_for(2 * retry_delay);
+    updates.clear();
+    std::size_t states_at_update = 0;
+    on_update = [&] { states_at_update = states.size(); };
+    stored_version = 5;
+    stored_rows = {{"key", "value", 5}};
+    respond = respond_at_once;
+    BOOST_REQUIRE(loop.run_until([&] { return !updates.empty(); }));
+    BOOST_TEST((states == std::vector<bool>{false, true}));
+    BOOST_TEST(states_at_update == 2U);
+    BOOST_TEST((unseen_times.front() >= 2 * retry_delay));
+    BOOST_TEST((unseen_times.front() <= common::monotonic_clock::now() - seen));
+}
+
+// Guards against twice the calls to a store that takes long for each.
+BOOST_AUTO_TEST_CASE(calls_to_a_slow_store_are_not_repeated) {
+    static constexpr auto response_time = kept_connection_timeout + milliseconds{50};
+    respond = [this](const store_call& call) {
+        if (call.target == "/watch/600") {
+            // Lost.
+            return;
+        }
+        delayed.push_back(std::make_unique<runtime::timer>(loop.executor()));
+        delayed.back()->start(response_time, [call] { respond_at_once(call); });
+    };
+    // The first lost poll is repeated and shows how long the store takes.
+    BOOST_REQUIRE(loop.run_until([&] {
+        return std::count_if(calls.begin(), calls.end(),
+                             [](const store_call& it) { return it.target == "/watch/600"; }) == 2;
+    }));
+    const auto second = calls.back().at;
+    const auto n = calls.size();
+    wait_for_calls(n + 1);
+    BOOST_TEST((calls[n].at - second >= wait + response_timeout - milliseconds{1}));
+}
+
+// Guards against a poll so long that an outage in which entries expire passes unseen behind it.
+BOOST_AUTO_TEST_CASE(long_poll_is_shorter_than_an_outage_in_which_an_entry_can_expire) {
+    for (const auto staleness : {milliseconds{3000}, milliseconds{4000}, milliseconds{60'000}}) {
+        for (const auto renewal : {milliseconds{1200}, milliseconds{2000}, milliseconds{5000}}) {
+            const auto limits = limits_for_staleness(staleness, renewal);
+            BOOST_TEST((limits.batch_interval + limits.wait + limits.kept_connection_timeout <
+                        upstream_list::shortest_expiry(renewal)));
+            BOOST_TEST((limits.wait + limits.response_timeout < staleness));
+        }
+    }
+}
+
 // Guards against a start that waits for the full timeout of a read that a silent store has lost,
 // while the gateway can serve nothing.
 BOOST_AUTO_TEST_CASE(lost_first_read_is_repeated_after_a_short_time_that_grows) {
@@ -88,9 +168,10 @@
 // Guards against gateways that do not start, or call the store in a tight loop, if the configured
 // staleness limit is very short.
 BOOST_AUTO_TEST_CASE(limits_for_a_staleness_below_the_minimum_are_those_of_the_minimum) {
-    BOOST_TEST((limits_for_staleness(milliseconds{500}).wait ==
-                limits_for_staleness(min_staleness_limit).wait));
-    BOOST_TEST((limits_for_staleness(milliseconds{500}).wait > common::duration::zero()));
+    BOOST_TEST((limits_for_staleness(milliseconds{500}, heartbeat).wait ==
+                limits_for_staleness(min_staleness_limit, heartbeat).wait));
+    BOOST_TEST(
+        (limits_for_staleness(milliseconds{500}, heartbeat).wait > common::duration::zero()));
 }
 
 // Guards against calling a store in a tight loop while it refuses calls.
--- a/tests/unit/gateway/upstream_list_test.cpp
+++ b/tests/unit/gateway/upstream_list_test.cpp
@@ -11,7 +11,11 @@
 using std::chrono::seconds;
 
 struct upstream_list_fixture {
-    gateway::upstream_list list;
+    static constexpr milliseconds heartbeat{1000};
+    /// The shortest time without the store in which entries may have expired.
+    static constexpr milliseconds long_outage{2000};
+
+    gateway::upstream_list list{heartbeat};
     common::time_point now{seconds{100}};
 
     static gateway::upstream_instance entry(const std::string& id, std::int64_t started_ms = 1) {
@@ -57,7 +61,7 @@
     list.put(entry("a"));
     list.put(entry("b"));
     list.record_store_outage();
-    list.record_store_recovery(now);
+    list.record_store_recovery(now, long_outage);
     BOOST_TEST(!list.replace({{"b", entry("b")}}, now));
     BOOST_TEST(list.entries().size() == 2U);
     BOOST_TEST(!list.expire(now + seconds{1}));
@@ -65,11 +69,37 @@
     BOOST_TEST(list.entries().size() == 1U);
 }
 
+// Guards against requests to an upstream that has left: a call to the store that was lost or
+// refused counted as an outage, whose end deferred the removal that the next response brought.
+BOOST_AUTO_TEST_CASE(upstream_missing_after_an_outage_too_short_for_expiry_is_gone_at_once) {
+    list.put(entry("a"));
+    list.record_store_outage();
+    list.record_store_recovery(now, long_outage - milliseconds{1});
+    BOOST_TEST(!list.may_have_expired(now));
+    BOOST_TEST(list.remove("a", now));
+    BOOST_TEST(list.entries().empty());
+}
+
+// Guards against the removal of an upstream that could not renew its entry, because the store
+// failed again before the upstream had had its time for that.
+BOOST_AUTO_TEST_CASE(upstream_kept_after_an_outage_stays_longer_after_a_short_second_one) {
+    list.put(entry("a"));
+    list.record_store_outage();
+    list.record_store_recovery(now, long_outage);
+    BOOST_TEST(!list.remove("a", now));
+    const auto end = now + gateway::upstream_list::reregistration_time;
+    list.record_store_outage();
+    BOOST_TEST(!list.next_expiry().has_value());
+    list.record_store_recovery(end, seconds{1});
+    BOOST_TEST(!list.expire(end + seconds{1} - milliseconds{1}));
+    BOOST_TEST(list.expire(end + seconds{1}));
+}
+
 BOOST_AUTO_TEST_CASE(expired_upstream_whose_entry_returns_stays) {
     list.put(entry("a"));
     list.record_store_outage();
     list.remove("a", now);
-    list.record_store_recovery(now);
+    list.record_store_recovery(now, long_outage);
     list.put(entry("a"));
     BOOST_TEST(!list.expire(now + seconds{10}));
     BOOST_TEST(list.entries().size() == 1U);
@@ -83,7 +113,7 @@
     list.remove("a", now);
     BOOST_TEST(list.discard("a"));
     BOOST_TEST(list.entries().empty());
-    list.record_store_recovery(now);
+    list.record_store_recovery(now, long_outage);
     BOOST_TEST(!list.next_expiry().has_value());
 }
 
--- a/tests/unit/users_platform/store_test.cpp
+++ b/tests/unit/users_platform/store_test.cpp
@@ -75,7 +75,7 @@
         return users_platform::decode_rows({status, {}, "{}"}).outcome;
     };
     BOOST_TEST((outcome(410) == gateway::store_outcome::history_lost));
-    BOOST_TEST((outcome(429) == gateway::store_outcome::unavailable));
+    BOOST_TEST((outcome(429) == gateway::store_outcome::throttled));
     BOOST_TEST((outcome(503) == gateway::store_outcome::unavailable));
     BOOST_TEST((outcome(200) == gateway::store_outcome::malformed));
 }
