stages: refuse requests that leave a stage without inputs; drop omitted stages from the graph

Callers that omit the last stage were never served: the upstream got no results, and all stages were made three times.

Cause: an omitted stage stood in the graph as one that is made already without results, and the key was sent wherever there were no inputs.

Now the graph of a request is that of the route without the omitted stages, and a request that leaves a stage with dependencies without any of them is refused with 400 when its route is known, before anything is ordered. Its callers cannot be served by handing on results from further up, because `inputs` are those of the stages in `after` and a piece with `after` must not be given the key.

--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include "common/error.h"
+#include "gateway/stages/piece_counts.h"
 #include "gateway/statuses.h"
 
 namespace jujubemast::gateway::requests {
@@ -98,6 +99,11 @@
     return common::monotonic_clock::now() - *m_configuration_confirmed;
 }
 
+bool forwarder::has_current_configuration() const {
+    const auto age = configuration_age();
+    return age && *age <= m_options.staleness_limit;
+}
+
 void forwarder::handle(const backlog_report& message) {
     const auto now = common::monotonic_clock::now();
     for (const auto& it : message.services) {
@@ -165,8 +171,7 @@
                undecoded_part_retry_after);
         return;
     }
-    const auto age = configuration_age();
-    if (!age || *age > m_options.staleness_limit) {
+    if (!has_current_configuration()) {
         refuse(ex, status_unavailable, "not in a configuration that may be out of date: " + reason);
         return;
     }
@@ -218,6 +223,9 @@
             std::min(ex.response_deadline,
                      ex.times.arrived + event_patience(*ex.matched_route) - response_margin);
     }
+    if (refuse_unusable_piece_counts(ex)) {
+        return;
+    }
     ex.events = event_relay{ex.request.last_event};
     ex.stages.progress = stages::stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     limit_to_stop(ex);
@@ -237,6 +245,18 @@
     advance_stages(ex);
 }
 
+bool forwarder::refuse_unusable_piece_counts(exchange& ex) {
+    const auto fault =
+        stages::check_piece_counts(ex.matched_route->stages, ex.request.piece_counts);
+    if (fault == stages::piece_count_fault::none) {
+        return false;
+    }
+    // A newer configuration may have other stages.
+    refuse(ex, has_current_configuration() ? status_bad_request : status_unavailable,
+           "unusable numbers of pieces: " + std::string{common::to_name(fault)});
+    return true;
+}
+
 std::string forwarder::find_obstacle(const exchange& ex, const std::string& service) const {
     if (m_drained_services.contains(service)) {
         return "all instances are in drained failure domains: " + service;
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -130,6 +130,9 @@
     /// Refuses a request that needs a service whose instances are all in drained failure domains or
     /// in regions that are not allowed. Returns whether it was refused.
     bool refuse_if_none_allowed(exchange& ex);
+    /// Refuses a request whose stages cannot be made with its numbers of pieces. Returns whether it
+    /// has done so.
+    bool refuse_unusable_piece_counts(exchange& ex);
     /// Returns why no instance of a service may get the request, or an empty string.
     [[nodiscard]] std::string find_obstacle(const exchange& ex, const std::string& service) const;
     /// Refuses a request whose response cannot begin in time because of its stages. Returns whether
@@ -150,6 +153,8 @@
     /// Time since the store last confirmed that the configuration is the newest. Nothing before the
     /// first read.
     [[nodiscard]] std::optional<common::duration> configuration_age() const;
+    /// Whether the store has confirmed the configuration within the staleness limit.
+    [[nodiscard]] bool has_current_configuration() const;
     /// The request as the estimator takes it.
     [[nodiscard]] static stages::staged_request staged(const exchange& ex);
     /// Returns the results that the request itself reads, by the failure domain that stores them.
--- a/source/core/gateway/requests/forwarder_stages.cpp
+++ b/source/core/gateway/requests/forwarder_stages.cpp
@@ -124,7 +124,7 @@
     order.count = ex.stages.progress.count_of(stage);
     order.inputs = ex.stages.progress.inputs_of(stage);
     order.inputs_to_release = ex.stages.progress.sole_input_service(stage);
-    order.input_key = order.inputs.empty() ? ex.request.piece_key : std::string{};
+    order.input_key = spec.dependencies.empty() ? ex.request.piece_key : std::string{};
     order.priority = ex.priority;
     order.regions = ex.regions;
     remove_upcoming(ex, stage);
--- a/source/core/gateway/stages/stage_estimator.cpp
+++ b/source/core/gateway/stages/stage_estimator.cpp
@@ -186,7 +186,9 @@
         }
         const auto wait = expected_stage(request, n, common::duration::zero(), now);
         for (const auto input : stages[n].dependencies) {
-            const auto* producer = find_limits(request, static_cast<std::uint32_t>(input));
+            const auto position = static_cast<std::uint32_t>(input);
+            const auto* producer =
+                request.progress.count_of(position) > 0 ? find_limits(request, position) : nullptr;
             if (producer != nullptr && wait > producer->result_lifetime * usable_lifetime_share) {
                 return true;
             }
--- a/source/core/gateway/stages/stage_progress.cpp
+++ b/source/core/gateway/stages/stage_progress.cpp
@@ -1,9 +1,11 @@
 #include "gateway/stages/stage_progress.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "gateway/stage_order.h"
+#include "gateway/stages/piece_counts.h"
 
 namespace jujubemast::gateway::stages {
 
@@ -13,9 +15,13 @@
     for (std::size_t n = 0; n < stages.size(); ++n) {
         stage_state added;
         added.service = stages[n].service;
-        added.dependencies = stages[n].dependencies;
-        added.count = n < counts.size() ? counts[n] : 0;
+        added.count = piece_count_of(counts, n);
         added.state = added.count == 0 ? phase::made : phase::waiting;
+        if (added.count > 0) {
+            std::copy_if(stages[n].dependencies.begin(), stages[n].dependencies.end(),
+                         std::back_inserter(added.dependencies),
+                         [&](std::size_t m) { return piece_count_of(counts, m) > 0; });
+        }
         m_stages.push_back(std::move(added));
     }
 }
@@ -72,8 +78,8 @@
         return {};
     }
     const auto readers = std::count_if(m_stages.begin(), m_stages.end(), [&](const auto& it) {
-        return it.count > 0 && std::find(it.dependencies.begin(), it.dependencies.end(),
-                                         needs.front()) != it.dependencies.end();
+        return std::find(it.dependencies.begin(), it.dependencies.end(), needs.front()) !=
+               it.dependencies.end();
     });
     return readers == 1 ? m_stages[needs.front()].service : std::string{};
 }
@@ -116,7 +122,7 @@
     }
     auto latest = start;
     for (const auto n : m_order) {
-        if (after == n) {
+        if (after == n || m_stages[n].count == 0) {
             continue;
         }
         const bool begins_path = !after && m_stages[n].dependencies.empty();
@@ -124,9 +130,7 @@
         if (!begin) {
             continue;
         }
-        const bool skipped = m_stages[n].count == 0;
-        completions[n] =
-            skipped ? *begin : *begin + duration_of(static_cast<std::uint32_t>(n), *begin);
+        completions[n] = *begin + duration_of(static_cast<std::uint32_t>(n), *begin);
         latest = std::max(latest, *completions[n]);
     }
     return latest;
--- a/source/core/gateway/stages/stage_progress.h
+++ b/source/core/gateway/stages/stage_progress.h
@@ -12,12 +12,13 @@
 namespace jujubemast::gateway::stages {
 
 /// Progress of the stages of one request. Determines which stages can be ordered, which results are
-/// their inputs, and which results are no longer needed.
+/// their inputs, and which results are no longer needed. Stages that the request omits have no part
+/// in this: they provide no inputs, and nothing is made for them.
 class stage_progress {
 public:
     stage_progress() = default;
 
-    /// `counts` holds the number of pieces of each stage. Stages without pieces are skipped. The
+    /// `counts` holds the number of pieces of each stage, as `check_piece_counts` allows it. The
     /// stages may be listed in any order, but must not depend on each other in a cycle.
     stage_progress(const std::vector<stage_spec>& stages, const std::vector<std::uint32_t>& counts);
 
@@ -27,7 +28,8 @@
     /// Returns the stages that can be ordered now and marks them as ordered.
     std::vector<std::uint32_t> take_ready(const defer_hook& defer);
 
-    /// Returns the results of all pieces of the stages that this one depends on.
+    /// Returns the results of all pieces of the stages that this one depends on. Empty only for a
+    /// stage that depends on none.
     [[nodiscard]] std::vector<std::string> inputs_of(std::uint32_t stage) const;
 
     [[nodiscard]] std::uint32_t count_of(std::uint32_t stage) const;
@@ -85,6 +87,7 @@
 
     struct stage_state {
         std::string service;
+        /// Without the stages that the request omits.
         std::vector<std::size_t> dependencies;
         std::uint32_t count = 0;
         phase state = phase::waiting;
