http: end a call whose answer has an invalid status or is interim with a body

Callers got as their answer what stood in the body of a response with status 000 or 099, and `600 <unknown-status>` for 600 (reports on odd answers, MIXED).

Cause: the client took every status below 200 for an interim answer, after which the final one follows on the connection. An interim answer has no body, so the body of a 000, or of a 103 that wrongly announces one, was read as the next head.

Now a status outside 100 to 599, and an interim answer with a Content-Length or a transfer coding, end the call as malformed, and its connection is closed. All HTTP calls of the gateway, sidecar, entry and ctl go through this client; looked through for other readers of responses: none.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -29,8 +29,10 @@
 constexpr int max_interim_responses = 8;
 // Beast throws an exception when a message gets a field with a longer name or value.
 constexpr std::size_t max_field_bytes = std::size_t{65'535} - 2;
+constexpr unsigned status_first_valid = 100;
 constexpr unsigned status_switching_protocols = 101;
 constexpr unsigned status_first_final = 200;
+constexpr unsigned status_last_valid = 599;
 
 struct idle_connection {
     std::unique_ptr<boost::beast::tcp_stream> stream;
@@ -56,6 +58,14 @@
     return call_error_kind::closed;
 }
 
+/// Whether fields of a response say that a body follows. It would be taken for the next response if
+/// the response cannot have a body.
+template <typename Message>
+bool announces_body(const Message& response) {
+    return response.find(beast_http::field::content_length) != response.end() ||
+           response.find(beast_http::field::transfer_encoding) != response.end();
+}
+
 } // namespace
 
 struct client::implementation : std::enable_shared_from_this<client::implementation> {
@@ -208,12 +218,21 @@
 
     void head_received() {
         const auto status = m_parser->get().result_int();
+        if (status < status_first_valid || status > status_last_valid) {
+            // Such a code has no meaning (RFC 9110, section 15), also none for the bytes after it.
+            fail(call_error_kind::malformed, "invalid status " + std::to_string(status));
+            return;
+        }
         if (status == status_switching_protocols) {
             fail(call_error_kind::malformed, "the server changes the protocol unasked");
             return;
         }
         if (status < status_first_final) {
             // The final response follows on the same connection (RFC 9110, section 15.2).
+            if (announces_body(m_parser->get())) {
+                fail(call_error_kind::malformed, "an interim answer with a body");
+                return;
+            }
             if (++m_interim_responses > max_interim_responses) {
                 fail(call_error_kind::malformed, "too many interim answers");
                 return;
--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -119,6 +119,47 @@
     check_connection_is_closed();
 }
 
+// Guards against an answer inside the body of a response that is no answer: a response with status
+// 000 was taken for an interim one, and its body for the final response.
+BOOST_AUTO_TEST_CASE(client_when_the_status_is_invalid_delivers_nothing) {
+    for (const auto* const invalid : {"000", "001", "099", "600", "999"}) {
+        for (const bool reused : {false, true}) {
+            BOOST_TEST_CONTEXT("status " << invalid << " reused " << reused) {
+                const std::string body = complete_response;
+                const raw_response odd{"HTTP/1.1 " + std::string{invalid} +
+                                           " X\r\nContent-Length: " + std::to_string(body.size()) +
+                                           "\r\n\r\n" + body,
+                                       "",
+                                       {}};
+                start(reused ? std::vector{raw_response{body, "", {}}, odd} : std::vector{odd});
+                if (reused) {
+                    call();
+                    BOOST_TEST(status() == 200U);
+                }
+                call();
+                check_error(http::call_error_kind::malformed);
+                check_connection_is_closed();
+            }
+        }
+    }
+}
+
+// Guards against the same with an interim response that has a body.
+BOOST_AUTO_TEST_CASE(client_when_an_interim_response_announces_a_body_delivers_nothing) {
+    const std::string body = complete_response;
+    for (const auto& field : {"Content-Length: " + std::to_string(body.size()),
+                              std::string{"Transfer-Encoding: chunked"}}) {
+        BOOST_TEST_CONTEXT(field) {
+            std::string bytes = "HTTP/1.1 103 X\r\n";
+            bytes.append(field).append("\r\n\r\n").append(body);
+            start({{bytes, "", {}}});
+            call();
+            check_error(http::call_error_kind::malformed);
+            check_connection_is_closed();
+        }
+    }
+}
+
 // Guards against an interim response that is taken for the final one, so that the real final
 // response is read as the response to the next request on the connection.
 BOOST_AUTO_TEST_CASE(client_when_interim_responses_come_first_delivers_the_final_one) {
