http: deliver a framed response that the server sent before it cut the upload off

Callers got 502 for an upload that an upstream had refused at once with the promise that it has not run, so no other upstream was tried.

Cause: the client reads after the write; the upstream's close with unread bytes fails the write, and that ended the call with the response unread.

Now the client reads on after a write that was cut off, and delivers a response with a length or in chunks.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -191,16 +191,25 @@
         beast_http::async_write(*m_stream, m_request,
                                 wrap([this](const boost::system::error_code& ec, std::size_t size) {
                                     m_sent = !ec || size > 0;
-                                    if (ec) {
-                                        transport_failed(ec);
-                                        return;
-                                    }
                                     m_head_deadline =
                                         common::monotonic_clock::now() + head_timeout();
-                                    read_head();
+                                    if (!ec) {
+                                        read_head();
+                                    } else if (ec != boost::beast::error::timeout && m_sent) {
+                                        read_early_head(ec);
+                                    } else {
+                                        transport_failed(ec);
+                                    }
                                 }));
     }
 
+    /// Reads a response that the server has sent before it closed the connection, which ended the
+    /// write of the request.
+    void read_early_head(const boost::system::error_code& write_error) {
+        m_write_error = write_error;
+        read_head();
+    }
+
     void read_head() {
         m_parser.emplace();
         m_parser->body_limit(max_body_bytes());
@@ -244,7 +253,13 @@
             fail(call_error_kind::malformed, "unsupported transfer coding");
             return;
         }
-        m_keep_alive = m_parser->get().keep_alive();
+        if (m_write_error && m_parser->need_eof()) {
+            // The write has taken the error of the connection, so that its end looks like that of
+            // the response.
+            transport_failed(*m_write_error);
+            return;
+        }
+        m_keep_alive = m_parser->get().keep_alive() && !m_write_error;
         const auto field = m_parser->get()[beast_http::field::keep_alive];
         m_server_timeout = parse_keep_alive_timeout({field.data(), field.size()});
         deliver_head();
@@ -320,6 +335,7 @@
         if (m_reused && nothing_received && m_options.idempotent &&
             m_options.retry_on_stale_connection && ec != boost::beast::error::timeout) {
             m_reused = false;
+            m_write_error.reset();
             m_parser.reset();
             m_input.clear();
             connect();
@@ -396,6 +412,8 @@
     int m_interim_responses = 0;
     /// Whether a message can hold all fields of the request.
     bool m_fits = true;
+    /// Why the request could not be written to its end.
+    std::optional<boost::system::error_code> m_write_error;
     bool m_reused = false;
     bool m_sent = false;
     bool m_ended = false;
