stages: an order costs the same however many pieces wait

Cause: with each order its owner looked at all waiting pieces three times: to count them, to remove those of an order that ends, and, since failure domains can be drained, to build a set of the keys of all waiting orders whenever no instance is free. With 1,500 to 3,000 pieces waiting and 500 orders a second that takes more than the owner's processor share, and its configuration waits behind the orders on the same event loop. The more it falls behind, the more each order costs.

Now the queue knows where the pieces of each order stand and keeps the counts of pieces up to date, and orders are checked against drained domains and allowed regions only where that can matter.

--- a/source/core/gateway/stages/dispatcher_instances.cpp
+++ b/source/core/gateway/stages/dispatcher_instances.cpp
@@ -233,14 +233,19 @@
     const bool any_drained =
         std::any_of(service.instances.begin(), service.instances.end(),
                     [](const auto& it) { return it.second->state.is_domain_drained(); });
+    // Called with each order while all instances are busy, so it must not look at all of them.
+    const bool none_left = any_drained && !may_be_made(service, {});
+    const auto& restricted = service.queue.restricted_orders();
+    const auto candidates = none_left
+                                ? service.queue.waiting_orders()
+                                : std::vector<order_key>{restricted.begin(), restricted.end()};
     std::size_t refused = 0;
-    for (const auto& it : service.queue.waiting_orders()) {
+    for (const auto& it : candidates) {
         const auto order = m_orders.find(it);
         if (order == m_orders.end() || order->second.finished) {
             continue;
         }
-        const auto& regions = order->second.order.regions;
-        if ((any_drained || regions.is_restricted()) && !may_be_made(service, regions)) {
+        if (none_left || !may_be_made(service, order->second.order.regions)) {
             finish_order(order->second, {order_status::overloaded, {}, none_allowed_retry});
             ++refused;
         }
--- a/source/core/gateway/stages/piece_queue.cpp
+++ b/source/core/gateway/stages/piece_queue.cpp
@@ -11,21 +11,54 @@
 
 // Time over which the rate of orders is averaged.
 constexpr std::chrono::duration<double> order_rate_window{2};
+// The slack of the waiting pieces is determined again after this time. Much shorter than the ranges
+// of slack.
+constexpr common::duration max_count_age = std::chrono::milliseconds{10};
 // Smaller rates, in pieces per second, are not reported.
 constexpr double min_order_rate = 0.5;
 
 } // namespace
 
 void piece_queue::push(const piece_order& order, std::uint32_t piece) {
-    m_waiting.insert({order.priority,
-                      order.target_time,
-                      {order.key, piece},
-                      order.deadline,
-                      order.result_bytes});
+    const auto [it, is_new] = m_waiting.insert({order.priority,
+                                                order.target_time,
+                                                {order.key, piece},
+                                                order.deadline,
+                                                order.result_bytes});
+    if (!is_new) {
+        return;
+    }
+    ++m_counts[counted_kind(*it)];
+    auto& position = m_orders[order.key];
+    position.priority = order.priority;
+    position.target_time = order.target_time;
+    ++position.pieces;
+    if (order.regions.is_restricted()) {
+        m_restricted_orders.insert(order.key);
+    }
 }
 
 void piece_queue::remove(const order_key& order) {
-    std::erase_if(m_waiting, [&](const waiting& it) { return it.piece.order == order; });
+    const auto known = m_orders.find(order);
+    if (known == m_orders.end()) {
+        return;
+    }
+    // The pieces of an order stand side by side.
+    auto it = m_waiting.lower_bound(
+        {known->second.priority, known->second.target_time, {order, 0}, {}, 0});
+    for (auto n = known->second.pieces; n > 0; --n) {
+        it = erase(it);
+    }
+}
+
+piece_queue::position piece_queue::erase(position it) {
+    --m_counts[counted_kind(*it)];
+    const auto known = m_orders.find(it->piece.order);
+    if (--known->second.pieces == 0) {
+        m_restricted_orders.erase(known->first);
+        m_orders.erase(known);
+    }
+    return m_waiting.erase(it);
 }
 
 std::vector<queued_piece> piece_queue::take(call_room& room, common::time_point now,
@@ -43,7 +76,7 @@
         auto it = first;
         for (auto n = fill(room, {waiting_pieces, first->result_bytes}); n > 0; --n) {
             taken.push_back(it->piece);
-            it = m_waiting.erase(it);
+            it = erase(it);
         }
     };
     const auto take_late = [&] {
@@ -66,7 +99,9 @@
         const auto after = end_of_order(it);
         if (it->deadline < end) {
             expired.push_back(it->piece.order);
-            m_waiting.erase(it, after);
+            while (it != after) {
+                it = erase(it);
+            }
         } else if (may_take(it->piece.order)) {
             if (it->target_time < end) {
                 late.push_back(it);
@@ -99,30 +134,48 @@
     counted = {counted.at(now) + order.count, now};
 }
 
-std::vector<waiting_pieces> piece_queue::backlog(common::time_point now) const {
-    std::map<std::pair<int, std::size_t>, waiting_pieces> kinds;
-    for (const auto& [kind, counted] : m_ordered) {
+piece_queue::kind piece_queue::counted_kind(const waiting& piece) const {
+    return {piece.priority, slack_range(piece.target_time - m_counted_at)};
+}
+
+void piece_queue::count_pieces(common::time_point now) {
+    m_counted_at = now;
+    m_counts.clear();
+    for (const auto& it : m_waiting) {
+        ++m_counts[counted_kind(it)];
+    }
+}
+
+std::vector<waiting_pieces> piece_queue::backlog(common::time_point now) {
+    if (now < m_counted_at || now > m_counted_at + max_count_age) {
+        count_pieces(now);
+    }
+    std::map<kind, waiting_pieces> kinds;
+    for (const auto& [of, counted] : m_ordered) {
         const double per_s = counted.at(now) / order_rate_window.count();
         if (per_s >= min_order_rate) {
-            kinds[kind].ordered_per_s = per_s;
+            kinds[of].ordered_per_s = per_s;
         }
     }
-    for (const auto& it : m_waiting) {
-        ++kinds[{it.priority, slack_range(it.target_time - now)}].pieces;
+    for (const auto& [of, count] : m_counts) {
+        if (count > 0) {
+            kinds[of].pieces = count;
+        }
     }
     std::vector<waiting_pieces> result;
     result.reserve(kinds.size());
-    for (auto& [kind, it] : kinds) {
-        std::tie(it.priority, it.range) = kind;
+    for (auto& [of, it] : kinds) {
+        std::tie(it.priority, it.range) = of;
         result.push_back(it);
     }
     return result;
 }
 
-std::set<order_key> piece_queue::waiting_orders() const {
-    std::set<order_key> result;
-    for (const auto& it : m_waiting) {
-        result.insert(it.piece.order);
+std::vector<order_key> piece_queue::waiting_orders() const {
+    std::vector<order_key> result;
+    result.reserve(m_orders.size());
+    for (const auto& [key, position] : m_orders) {
+        result.push_back(key);
     }
     return result;
 }
--- a/source/core/gateway/stages/piece_queue.h
+++ b/source/core/gateway/stages/piece_queue.h
@@ -32,7 +32,8 @@
 
 /// The pieces of one service that wait for a call. More urgent priorities are served first and,
 /// within a priority, the earliest target time. Pieces that can no longer meet their target time
-/// come last within their priority.
+/// come last within their priority. Thousands of pieces may wait, so the cost of adding or removing
+/// an order does not depend on their number.
 class piece_queue {
 public:
     void push(const piece_order& order, std::uint32_t piece);
@@ -54,8 +55,8 @@
                                    const call_fill_hook& fill = fill_with_fitting);
 
     /// Numbers of waiting pieces by priority and range of slack, and the rates at which such pieces
-    /// are ordered.
-    [[nodiscard]] std::vector<waiting_pieces> backlog(common::time_point now) const;
+    /// are ordered. The slack of pieces that were counted lately is that of their last count.
+    [[nodiscard]] std::vector<waiting_pieces> backlog(common::time_point now);
 
     /// Returns the order that is served first, if pieces wait.
     [[nodiscard]] std::optional<order_key> first() const;
@@ -63,7 +64,12 @@
     [[nodiscard]] std::size_t size() const { return m_waiting.size(); }
 
     /// Keys of the orders with waiting pieces.
-    [[nodiscard]] std::set<order_key> waiting_orders() const;
+    [[nodiscard]] std::vector<order_key> waiting_orders() const;
+
+    /// Those of the orders with waiting pieces that are limited to some regions.
+    [[nodiscard]] const std::set<order_key>& restricted_orders() const {
+        return m_restricted_orders;
+    }
 
 private:
     struct waiting {
@@ -80,6 +86,8 @@
     };
 
     using position = std::set<waiting>::iterator;
+    /// Priority and range of slack.
+    using kind = std::pair<int, std::size_t>;
 
     /// Number of pieces ordered lately, of which older ones count less.
     struct order_count {
@@ -92,9 +100,26 @@
     /// The first piece after those of the same order.
     [[nodiscard]] position end_of_order(position it) const;
 
+    /// Where the waiting pieces of an order stand in the queue.
+    struct order_position {
+        int priority = 0;
+        common::time_point target_time;
+        std::size_t pieces = 0;
+    };
+
+    /// Removes a piece and returns the position after it.
+    position erase(position it);
+    /// The kind of a piece at the last count.
+    [[nodiscard]] kind counted_kind(const waiting& piece) const;
+    void count_pieces(common::time_point now);
+
     std::set<waiting> m_waiting;
-    /// By priority and range of slack.
-    std::map<std::pair<int, std::size_t>, order_count> m_ordered;
+    std::map<order_key, order_position> m_orders;
+    std::set<order_key> m_restricted_orders;
+    std::map<kind, order_count> m_ordered;
+    /// The waiting pieces of each kind, which pieces that come and go keep up to date.
+    std::map<kind, std::size_t> m_counts;
+    common::time_point m_counted_at;
 };
 
 } // namespace jujubemast::gateway::stages
--- a/tests/support/pipeline_replay.cpp
+++ b/tests/support/pipeline_replay.cpp
@@ -208,7 +208,7 @@
 }
 
 void pipeline_replay::report() {
-    for (const auto& [name, service] : m_services) {
+    for (auto& [name, service] : m_services) {
         const gateway::service_backlog backlog{name, service.queue.backlog(m_now),
                                                service.setup->instances, service.calls.size()};
         for (auto& it : m_estimators) {
