http: refuse TRACE; end a call that cannot be encoded without an exception

A client that sent a few TRACE requests with a body ended the process of a gateway, and the requests of all other clients with it.

Cause: the request was passed on, and Beast throws when it prepares a TRACE with a body. That happened in the constructor of the call, so the forwarder task failed each time, until its supervisor gave up.

Now TRACE is refused with 501 where requests are read, and the client checks what cannot be encoded and ends such a call as not sent.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -58,6 +58,17 @@
     return call_error_kind::closed;
 }
 
+/// Whether Beast can encode a request. It throws an exception for fields that are too long and for
+/// TRACE with a body.
+bool is_encodable(const request& message) {
+    if (message.method == "TRACE" && !message.body.empty()) {
+        return false;
+    }
+    return std::all_of(message.fields.begin(), message.fields.end(), [](const header& it) {
+        return it.name.size() <= max_field_bytes && it.value.size() <= max_field_bytes;
+    });
+}
+
 /// Whether fields of a response say that a body follows. It would be taken for the next response if
 /// the response cannot have a body.
 template <typename Message>
@@ -99,10 +110,8 @@
     exchange(std::weak_ptr<client::implementation> owner, call_id id, const request& message,
              call_hooks hooks, call_options options)
         : m_owner{std::move(owner)}, m_id{id}, m_hooks{std::move(hooks)}, m_options{options} {
-        m_fits = std::all_of(message.fields.begin(), message.fields.end(), [](const header& it) {
-            return it.name.size() <= max_field_bytes && it.value.size() <= max_field_bytes;
-        });
-        if (!m_fits) {
+        m_encodable = is_encodable(message);
+        if (!m_encodable) {
             return;
         }
         m_request.method_string(message.method);
@@ -118,7 +127,7 @@
 
     void start() {
         const auto owner = m_owner.lock();
-        if (!m_fits) {
+        if (!m_encodable) {
             refuse_later();
             return;
         }
@@ -163,8 +172,8 @@
     /// Ends the call in the next iteration of the event loop, because the caller does not expect
     /// its end before its start.
     void refuse_later() {
-        m_owner.lock()->context.loop().post(wrap(
-            [this] { fail(call_error_kind::too_large, "a field of the request is too long"); }));
+        m_owner.lock()->context.loop().post(
+            wrap([this] { fail(call_error_kind::too_large, "the request cannot be encoded"); }));
     }
 
     void connect() {
@@ -410,8 +419,7 @@
     bool m_keep_alive = false;
     std::optional<common::duration> m_server_timeout;
     int m_interim_responses = 0;
-    /// Whether a message can hold all fields of the request.
-    bool m_fits = true;
+    bool m_encodable = true;
     /// Why the request could not be written to its end.
     std::optional<boost::system::error_code> m_write_error;
     bool m_reused = false;
--- a/source/core/http/request_reader.cpp
+++ b/source/core/http/request_reader.cpp
@@ -62,6 +62,7 @@
     case request_fault::framing_too_large:
         return 413;
     case request_fault::unsupported_transfer_coding:
+    case request_fault::unsupported_method:
         return 501;
     }
     return 400;
@@ -110,6 +111,9 @@
 
 read_progress request_reader::finish_head() {
     auto& message = m_parser->get();
+    if (message.method() == beast_http::verb::trace) {
+        return fail(request_fault::unsupported_method);
+    }
     switch (transfer_coding_of(message)) {
     case transfer_coding::supported:
         break;
--- a/source/core/http/request_reader.h
+++ b/source/core/http/request_reader.h
@@ -28,7 +28,9 @@
     body_too_large,
     framing_too_large,
     unsupported_transfer_coding,
-    unframed_body
+    unframed_body,
+    /// TRACE. It is not forwarded, and with a body it is not valid (RFC 9110, section 9.3.8).
+    unsupported_method
 };
 
 /// The status with which a request with this fault is refused.
@@ -139,13 +141,14 @@
 /// The names are the titles of the refusals.
 template <>
 struct enum_names<http::request_fault> {
-    static constexpr std::array<std::string_view, 7> table{"malformed request",
+    static constexpr std::array<std::string_view, 8> table{"malformed request",
                                                            "header too large",
                                                            "trailers too large",
                                                            "body too large",
                                                            "chunk extensions too large",
                                                            "unsupported transfer coding",
-                                                           "the end of the body cannot be found"};
+                                                           "the end of the body cannot be found",
+                                                           "unsupported method"};
 };
 
 } // namespace jujubemast::common
--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -302,6 +302,24 @@
     BOOST_TEST(status() == 200U);
 }
 
+// Guards against a request of one caller that ends the task of the client by an exception: Beast
+// cannot encode a TRACE request with a body.
+BOOST_AUTO_TEST_CASE(client_when_the_method_is_odd_ends_the_call_without_an_exception) {
+    start({{complete_response, "", {}}});
+    for (const std::string method : {"TRACE", "CONNECT", "OPTIONS", "PROPFIND", "DELETE",
+                                     "M-SEARCH", "trace", "X", "", "\x01", "A B"}) {
+        for (const std::string body : {"", "body"}) {
+            BOOST_TEST_CONTEXT(method << " with " << body.size() << " bytes") {
+                result.reset();
+                client->send({method, "/", {}, body},
+                             [this](http::call_result it) { result = std::move(it); });
+                BOOST_REQUIRE(loop.run_until([this] { return result.has_value(); }));
+                BOOST_TEST((status() == 0U) == (method == "TRACE" && !body.empty()));
+            }
+        }
+    }
+}
+
 // Guards against bytes that belong to no request being read as the response to the next one.
 BOOST_AUTO_TEST_CASE(client_when_bytes_follow_a_complete_response_uses_a_new_connection) {
     // Checks no time, and the server's threads may wait for a processor.
