store: move the registration of a gateway out of the catalog

The row that a gateway keeps of itself in the store is a subject of its own: registration.cpp begins, hastens, checks and ends it, and the catalog tells it what it reads. Behaviour is unchanged; catalog_test covers it as before.

--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -8,15 +8,11 @@
 
 #include "common/error.h"
 #include "gateway/store/row_digest.h"
-#include "http/call_failure.h"
 
 namespace jujubemast::gateway::store {
 
 namespace {
 
-constexpr common::duration register_retry = std::chrono::seconds{1};
-// A call that the store has not answered for this long, although it answers others, was lost.
-constexpr common::duration lost_call_time = std::chrono::milliseconds{100};
 // Interval between confirmations that nothing has changed.
 constexpr common::duration min_relay_interval = std::chrono::milliseconds{400};
 // Larger changes are not passed on. A gateway has some twenty followers, and its link may be slower
@@ -54,8 +50,8 @@
     : m_context{std::move(context)}, m_inbox{std::move(inbox)},
       m_adapter{std::move(platform_adapter)}, m_self{std::move(self)}, m_hooks{std::move(hooks)},
       m_limits{limits}, m_client{m_context, std::move(store), store_limits()},
-      m_upstreams{heartbeat}, m_expiry_timer{m_context.loop()}, m_register_timer{m_context.loop()} {
-}
+      m_registration{m_context, m_client, m_adapter, m_self}, m_upstreams{heartbeat},
+      m_expiry_timer{m_context.loop()} {}
 
 void catalog::start() {
     table_watch_hooks configuration_hooks;
@@ -82,7 +78,7 @@
     for (const auto& [table, watch] : m_watches) {
         watch->begin();
     }
-    register_self();
+    m_registration.begin();
 }
 
 std::unique_ptr<table_watch> catalog::make_watch(store_table table, table_watch_hooks hooks) {
@@ -164,70 +160,17 @@
 }
 
 void catalog::stop(const runtime::stop_done& done) {
-    m_registered = false;
-    m_register_timer.cancel();
-    m_client.send(
-        m_adapter->encode_unregister(m_self.name), [this, done](const http::call_result& result) {
-            const auto* response = std::get_if<http::response>(&result);
-            if (response == nullptr || response->status != 200) {
-                // The row remains in the store. The other gateways notice that this one no longer
-                // sends pings.
-                m_log.info("Could not unregister.",
-                           {{"gateway", m_self.name}, {"reason", http::describe_failure(result)}});
-            }
-            done();
-        });
+    m_registration.end(done);
 }
 
 void catalog::close() noexcept {
     m_inbox.close();
     m_expiry_timer.cancel();
-    m_register_timer.cancel();
+    m_registration.close();
     m_client.close();
     m_watches.clear();
 }
 
-void catalog::register_self() {
-    m_registration_sent = common::monotonic_clock::now();
-    m_registration =
-        m_client.send(m_adapter->encode_register(m_self), [this](const http::call_result& result) {
-            m_registration.reset();
-            const auto* response = std::get_if<http::response>(&result);
-            m_registered = response != nullptr && response->status == 200;
-            m_log.info(m_registered ? "Registered." : "Could not register; will retry.",
-                       {{"gateway", m_self.name},
-                        {"address", m_self.address},
-                        {"reason", m_registered ? "" : http::describe_failure(result)}});
-            if (!m_registered) {
-                m_register_timer.start(register_retry, m_context.wrap([this] { register_self(); }));
-            }
-        });
-}
-
-void catalog::hasten_registration() {
-    const auto now = common::monotonic_clock::now();
-    if (m_registered || now - m_registration_sent < lost_call_time) {
-        return;
-    }
-    if (const auto lost = std::exchange(m_registration, {})) {
-        m_client.cancel(*lost);
-    }
-    m_register_timer.cancel();
-    register_self();
-}
-
-void catalog::check_registration() {
-    const auto it = m_gateways.find(m_self.name);
-    if (!m_registered || (it != m_gateways.end() && it->second == m_self)) {
-        return;
-    }
-    // The store may apply a call from the previous run of this gateway late, after that call's
-    // response was lost.
-    m_log.warn("The row of this gateway was removed or replaced.", {{"gateway", m_self.name}});
-    m_registered = false;
-    register_self();
-}
-
 template <typename Record>
 std::optional<Record> catalog::decode_row(store_table table, std::string_view described,
                                           const store_row& row,
@@ -449,9 +392,10 @@
                    decoded ? std::optional{row_digest(*decoded)} : std::nullopt);
     }
     if (update.complete) {
-        hasten_registration();
+        m_registration.hasten();
     }
-    check_registration();
+    const auto own = m_gateways.find(m_self.name);
+    m_registration.check(own == m_gateways.end() ? nullptr : &own->second);
     std::vector<gateway_record> known;
     for (const auto& [name, it] : m_gateways) {
         known.push_back(it);
@@ -520,7 +464,7 @@
         {"tables", std::move(tables)},
         {"reads_store", m_role.reads_store},
         {"has_followers", m_role.has_followers},
-        {"registered", m_registered},
+        {"registered", m_registration.is_registered()},
         {"upstreams", std::move(upstreams)},
         {"gateways", m_gateways.size()}};
 }
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -13,6 +13,7 @@
 #include "gateway/messages.h"
 #include "gateway/store/drained_domains.h"
 #include "gateway/store/malformed_rows.h"
+#include "gateway/store/registration.h"
 #include "gateway/store/table_watch.h"
 #include "gateway/store/warm_up_tracker.h"
 #include "http/client.h"
@@ -92,12 +93,6 @@
     void apply_gateway_rows(const table_update& update);
     /// The table of the upstreams is available again, after a time without a sign of it.
     void upstreams_available(common::duration unseen);
-    void register_self();
-    /// Registers again at once if the call in progress was probably lost, because the store has
-    /// responded to a later one.
-    void hasten_registration();
-    /// Registers again if the store holds no row of this gateway or a row with other content.
-    void check_registration();
     void publish();
     void schedule_expiry();
 
@@ -108,6 +103,7 @@
     catalog_hooks m_hooks;
     table_watch_limits m_limits;
     http::client m_client;
+    registration m_registration;
     std::map<store_table, std::unique_ptr<table_watch>> m_watches;
     /// Changes of a table that have not been passed on.
     struct pending_changes {
@@ -130,11 +126,6 @@
     bool m_gateways_read = false;
     std::map<std::string, gateway_record> m_gateways;
     runtime::timer m_expiry_timer;
-    runtime::timer m_register_timer;
-    bool m_registered = false;
-    /// The call that registers, if it is in progress, and when it was sent.
-    std::optional<http::call_id> m_registration;
-    common::time_point m_registration_sent;
     logging::logger m_log{"catalog"};
 };
 
