http: answer pipelined requests that were read before a planned stop

Cause: after the begin of a stop each response closed its connection and dropped what had been read behind its request.

Now a connection stays open in a stop as long as such bytes are there; the last response announces the close, and the read and stop limits bound it.

--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -313,7 +313,9 @@
 }
 
 bool connection::keeps_alive() const {
-    return m_keep_alive && !m_stopping && !m_server->stopping;
+    // A request that has been read behind the current one gets its response also in a stop.
+    const bool stopping = m_stopping || m_server->stopping;
+    return m_keep_alive && (!stopping || m_reader.has_further_input());
 }
 
 boost::json::value connection::dump() const {
--- a/source/core/http/request_reader.h
+++ b/source/core/http/request_reader.h
@@ -84,6 +84,9 @@
     /// Whether bytes of a request have arrived.
     [[nodiscard]] bool has_input() const { return m_head_bytes > 0 || m_input.size() > 0; }
 
+    /// Whether bytes behind the current request have been read.
+    [[nodiscard]] bool has_further_input() const { return m_input.size() > 0; }
+
     /// Memory for unparsed input.
     [[nodiscard]] std::size_t input_bytes() const { return m_input.capacity(); }
 
--- a/tests/unit/http/server_stop_test.cpp
+++ b/tests/unit/http/server_stop_test.cpp
@@ -120,6 +120,26 @@
     BOOST_TEST(read_until_stopped().starts_with("HTTP/1.1 200"));
 }
 
+// Guards against requests that get no response at a planned stop, although they have been read:
+// the response to the request before them closed the connection.
+BOOST_AUTO_TEST_CASE(connection_with_pipelined_requests_at_stop_answers_all_that_were_read) {
+    start_connection();
+    loop.run_ready();
+    send(std::string{good_request} + good_request + good_request);
+    stop();
+    const auto text = read_until_stopped();
+    BOOST_TEST(handled == 3);
+    std::size_t responses = 0;
+    for (auto at = text.find("served"); at != std::string::npos; at = text.find("served", at + 1)) {
+        ++responses;
+    }
+    BOOST_TEST(responses == 3U);
+    // Only the last one announces that the connection closes.
+    BOOST_TEST(text.find("Connection: close") != std::string::npos);
+    BOOST_TEST(text.find("Connection: close") == text.rfind("Connection: close"));
+    BOOST_TEST(text.find("Connection: close") > text.rfind("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(connection_that_has_announced_to_stay_open_answers_next_request_at_stop) {
     // Larger than the buffers of the sockets, so that the stop begins before the response is sent.
     response_body = std::string(std::size_t{16} * 1024 * 1024, 's') + "end";
