http: an answer to HEAD has no body

Cause: the client waited for a body that the answer to HEAD never has, until the request's time was over, and the server wrote the body of its refusal.

Now the client's parser takes the head for the whole answer, and the server sends no body, whoever made the answer; without the length of the answer to GET it sends no Content-Length.

--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -222,6 +222,8 @@
     void read_head() {
         m_parser.emplace();
         m_parser->body_limit(max_body_bytes());
+        // The response to HEAD has no body, whatever its fields say (RFC 9110, section 9.3.2).
+        m_parser->skip(m_request.method() == beast_http::verb::head);
         set_operation_timeout(m_head_deadline - common::monotonic_clock::now());
         beast_http::async_read_header(
             *m_stream, m_input, *m_parser,
@@ -262,7 +264,7 @@
             fail(call_error_kind::malformed, "unsupported transfer coding");
             return;
         }
-        if (m_write_error && m_parser->need_eof()) {
+        if (m_write_error && !m_parser->is_done() && m_parser->need_eof()) {
             // The write has taken the error of the connection, so that its end looks like that of
             // the response.
             transport_failed(*m_write_error);
--- a/source/core/http/connection.cpp
+++ b/source/core/http/connection.cpp
@@ -116,7 +116,7 @@
         add_chunk(chunk->bytes);
     } else if (std::holds_alternative<end_stream>(command)) {
         m_phase = connection_phase::finishing;
-        enqueue("0\r\n\r\n");
+        end_stream_body();
     } else {
         m_on_disconnect = nullptr;
         m_context.finish();
@@ -133,6 +133,13 @@
     m_closing = !keeps_alive();
     message.keep_alive(!m_closing);
     message.prepare_payload();
+    if (m_is_head) {
+        if (content.body.empty()) {
+            // The response to GET may have a body of another length.
+            message.erase(beast_http::field::content_length);
+        }
+        message.body().clear();
+    }
     m_phase = connection_phase::finishing;
     enqueue(serialize(message));
 }
@@ -144,7 +151,7 @@
 }
 
 void connection::add_chunk(const std::string& bytes) {
-    if (m_phase != connection_phase::streaming || bytes.empty()) {
+    if (m_phase != connection_phase::streaming || bytes.empty() || m_is_head) {
         return;
     }
     if (m_account.held(memory_use::output) + bytes.size() > m_server->limits.max_buffered_bytes) {
@@ -154,6 +161,14 @@
     enqueue(encode_chunk(bytes));
 }
 
+void connection::end_stream_body() {
+    if (!m_is_head) {
+        enqueue("0\r\n\r\n");
+    } else if (!m_writing) {
+        write_next();
+    }
+}
+
 void connection::close_slow_reader() {
     m_server->log.warn(
         "The client does not read; closing the connection.",
--- a/source/core/http/connection.h
+++ b/source/core/http/connection.h
@@ -88,6 +88,7 @@
     void send_whole_response(const response& content);
     void start_stream(const response& head);
     void add_chunk(const std::string& bytes);
+    void end_stream_body();
     /// Closes the connection if there is no memory for the bytes.
     void enqueue(std::string bytes);
     /// Closes a connection whose client does not read fast enough.
@@ -130,6 +131,8 @@
     std::size_t m_output_sent = 0;
     bool m_writing = false;
     bool m_keep_alive = false;
+    /// Whether the current request is HEAD. Its response has no body, whoever has written it.
+    bool m_is_head = false;
     /// The response being written announces that the connection closes after it.
     bool m_closing = false;
     bool m_stopping = false;
--- a/source/core/http/connection_reading.cpp
+++ b/source/core/http/connection_reading.cpp
@@ -45,6 +45,7 @@
     m_reader.release_buffer();
     (void)m_account.set(memory_use::input, m_reader.input_bytes());
     m_head_read = false;
+    m_is_head = false;
     m_body_received = 0;
     begin_waiting();
     if (m_reader.has_input()) {
@@ -189,7 +190,9 @@
     end_waiting();
     m_phase = connection_phase::handling;
     m_keep_alive = m_reader.keep_alive();
-    m_on_disconnect = m_handler(m_reader.take(), responder{m_inbox.address()});
+    auto message = m_reader.take();
+    m_is_head = message.method == "HEAD";
+    m_on_disconnect = m_handler(std::move(message), responder{m_inbox.address()});
     watch_for_disconnect();
 }
 
--- a/tests/unit/http/client_test.cpp
+++ b/tests/unit/http/client_test.cpp
@@ -320,6 +320,25 @@
     }
 }
 
+// Guards against a call that waits for a body which never comes: the response to HEAD has none,
+// whatever its fields say.
+BOOST_AUTO_TEST_CASE(client_when_the_method_is_head_expects_no_body) {
+    for (const std::string fields :
+         {"Content-Length: 800\r\n", "Transfer-Encoding: chunked\r\n", "X-A: b\r\n"}) {
+        BOOST_TEST_CONTEXT(fields) {
+            start({{"HTTP/1.1 200 OK\r\n" + fields + "\r\n", "", {}}, {complete_response, "", {}}});
+            result.reset();
+            client->send({"HEAD", "/", {}, {}},
+                         [this](http::call_result it) { result = std::move(it); });
+            BOOST_REQUIRE(loop.run_until([this] { return result.has_value(); }));
+            BOOST_TEST(status() == 200U);
+            call();
+            BOOST_TEST(status() == 200U);
+            BOOST_TEST(server->connections() == 1U);
+        }
+    }
+}
+
 // Guards against bytes that belong to no request being read as the response to the next one.
 BOOST_AUTO_TEST_CASE(client_when_bytes_follow_a_complete_response_uses_a_new_connection) {
     // Checks no time, and the server's threads may wait for a processor.
--- a/tests/unit/http/server_test.cpp
+++ b/tests/unit/http/server_test.cpp
@@ -168,6 +168,20 @@
     BOOST_TEST(responses.find("ok 2") < responses.find("ok 3"));
 }
 
+// Guards against a body that stands where the response to the next request is due: the response to
+// HEAD has none.
+BOOST_AUTO_TEST_CASE(server_when_the_method_is_head_sends_no_body) {
+    const auto server = start();
+    raw_client client{server};
+    const auto text =
+        client.send("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n" + post("Content-Length: 3\r\n", "xxx"))
+            .read("ok 3");
+    BOOST_TEST(text.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(text.find("Content-Length: 4") != std::string::npos);
+    BOOST_TEST(text.find("ok 0") == std::string::npos);
+    BOOST_TEST(text.substr(text.find("\r\n\r\n") + 4).starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a response that is lost because the connection is closed with bytes of the next
 // request unread, which resets it.
 BOOST_AUTO_TEST_CASE(server_when_closing_before_a_pipelined_request_does_not_reset_the_connection) {
