--- a/source/core/gateway/stages/piece_counts.h
+++ b/source/core/gateway/stages/piece_counts.h
@@ -21,10 +21,9 @@
 };
 
 /// Checks a request's numbers of pieces against the stages of its route. A route without stages
-/// ignores them. Zero, or no number, omits a stage; a
-/// request may omit all of them. A stage that depends on several gets the results of those that are
-/// not omitted. It never gets the results of stages further up in place of an omitted one, because
-/// they are not what it works on.
+/// ignores them. Zero, or no number, omits a stage; a request may omit all of them. A stage that
+/// depends on several gets the results of those that are not omitted. It never gets the results of
+/// stages further up in place of an omitted one, because they are not what it works on.
 piece_count_fault check_piece_counts(const std::vector<stage_spec>& stages,
                                      const std::vector<std::uint32_t>& counts);
 
