catalog: log and dump the era of the store

Responses of the store are now decoded with their era; the catalog logs a change of it, with the version of the copy that noticed it, and the dump has store_era.

No logic depends on it yet.

--- a/source/core/gateway/adapter.h
+++ b/source/core/gateway/adapter.h
@@ -45,6 +45,9 @@
     store_outcome outcome = store_outcome::unavailable;
     store_rows content;
     std::string detail;
+    /// How many times the store has come back from an older copy of itself. A store that does not
+    /// say so belongs to the era that is known.
+    std::optional<std::uint64_t> era;
 };
 
 /// Store tables that the gateway reads.
--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -92,6 +92,7 @@
         apply(update);
     };
     hooks.on_confirmed = [this, table](common::time_point at) { confirmed(table, at); };
+    hooks.on_era = [this, table](std::uint64_t era) { era_seen(table, era); };
     return std::make_unique<table_watch>(m_context, m_client, m_adapter, table, std::move(hooks),
                                          m_limits);
 }
@@ -110,6 +111,20 @@
     relay(table);
 }
 
+void catalog::era_seen(store_table table, std::uint64_t era) {
+    if (era == m_era) {
+        return;
+    }
+    const auto former = std::exchange(m_era, era);
+    if (former != 0) {
+        m_log.warn("The store names another era.",
+                   {{"table", std::string{common::to_name(table)}},
+                    {"former_era", std::to_string(former)},
+                    {"era", std::to_string(era)},
+                    {"version", std::to_string(m_watches.at(table)->copy().version())}});
+    }
+}
+
 void catalog::record_row(store_table table, const store_row& row,
                          std::optional<std::uint64_t> content, bool is_hidden_change) {
     const bool changed = m_watches.at(table)->copy().set_row(row.key, content) || is_hidden_change;
@@ -462,6 +477,7 @@
         {"configuration_faults", m_configuration ? m_configuration->faults.size() : 0},
         {"drains", std::move(drains)},
         {"tables", std::move(tables)},
+        {"store_era", m_era},
         {"reads_store", m_role.reads_store},
         {"has_followers", m_role.has_followers},
         {"registered", m_registration.is_registered()},
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -77,6 +77,8 @@
     void record_row(store_table table, const store_row& row, std::optional<std::uint64_t> content,
                     bool is_hidden_change = false);
     void confirmed(store_table table, common::time_point at);
+    /// A response of the store names its era.
+    void era_seen(store_table table, std::uint64_t era);
     /// Passes on what has changed since the last time, or now and then the confirmation that
     /// nothing has.
     void relay(store_table table);
@@ -116,6 +118,8 @@
     std::map<store_table, pending_changes> m_pending;
     std::map<store_table, malformed_rows> m_malformed;
     store_role m_role;
+    /// The latest era that a response of the store has named.
+    std::uint64_t m_era = 0;
     configuration_pointer m_configuration;
     /// Whether the newest configuration in the store could be decoded.
     bool m_newest_decoded = true;
--- a/source/core/gateway/store/table_watch.cpp
+++ b/source/core/gateway/store/table_watch.cpp
@@ -139,7 +139,11 @@
     if (std::holds_alternative<http::call_error>(result)) {
         return {store_outcome::unavailable, {}, http::describe_failure(result)};
     }
-    return m_adapter->decode_rows(std::get<http::response>(result));
+    auto response = m_adapter->decode_rows(std::get<http::response>(result));
+    if (response.era && m_hooks.on_era) {
+        m_hooks.on_era(*response.era);
+    }
+    return response;
 }
 
 boost::json::value table_watch::dump() const {
--- a/source/core/gateway/store/table_watch.h
+++ b/source/core/gateway/store/table_watch.h
@@ -40,6 +40,8 @@
     /// Called when a response, or another gateway, shows that the local copy was the newest at a
     /// time. May be empty.
     std::function<void(common::time_point at)> on_confirmed;
+    /// Called with the era that a response names. May be empty.
+    std::function<void(std::uint64_t era)> on_era;
 };
 
 struct table_watch_limits {
