--- a/source/core/gateway/adapter.h
+++ b/source/core/gateway/adapter.h
@@ -45,8 +45,8 @@
     store_outcome outcome = store_outcome::unavailable;
     store_rows content;
     std::string detail;
-    /// How many times the store has come back from an older copy of itself. A store that does not
-    /// say so belongs to the era that is known.
+    /// Grows each time the store is restored from an older copy. A response that does not name it
+    /// belongs to the latest era that is known.
     std::optional<std::uint64_t> era;
 };
 
@@ -103,6 +103,8 @@
     std::function<http::request(store_table table, std::uint64_t after, common::duration wait)>
         encode_watch;
     std::function<store_response(const http::response& response)> decode_rows;
+    /// Returns the era that a response of the store names. May be empty.
+    std::function<std::optional<std::uint64_t>(const http::response& response)> decode_store_era;
     std::function<http::request(const gateway_record& self)> encode_register;
     std::function<http::request(const std::string& name)> encode_unregister;
 
--- a/source/core/gateway/domain_drain.h
+++ b/source/core/gateway/domain_drain.h
@@ -1,15 +1,16 @@
 #pragma once
 
-#include <cstdint>
 #include <string>
 #include <vector>
 
+#include "gateway/store_position.h"
+
 namespace jujubemast::gateway {
 
-/// Whether the operator has drained a failure domain, at one version of the row that says so.
+/// Whether the operator has drained a failure domain, at the position of the row that says so.
 struct domain_drain {
     std::string domain;
-    std::uint64_t version = 0;
+    store_position position;
     bool in_force = false;
 
     friend bool operator==(const domain_drain&, const domain_drain&) = default;
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,11 +27,14 @@
     upstream_map_pointer upstreams;
     /// Number of failure domains that the operator has drained, with or without upstreams.
     std::size_t drained_domains = 0;
+    /// How many times this gateway has seen the store restored from an older copy.
+    std::size_t store_restores = 0;
 };
 
 /// The store has shown that the local copy of the configuration is the newest.
 struct configuration_confirmed {
-    common::time_point at;
+    /// Nothing if the store was restored and may lack a newer configuration.
+    std::optional<common::time_point> at;
 };
 
 /// The store has shown that the local set of drained failure domains is the newest.
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -65,6 +65,7 @@
     m_configuration = message.configuration;
     m_upstreams = message.upstreams;
     m_metrics.set_drained_domains(message.drained_domains);
+    m_metrics.set_store_restores(message.store_restores);
     if (m_configuration) {
         m_response_times.retain_routes(*m_configuration);
         m_metrics.set_configuration_faults(m_configuration->faults.size());
--- a/source/core/gateway/requests/forwarder_metrics.cpp
+++ b/source/core/gateway/requests/forwarder_metrics.cpp
@@ -74,6 +74,13 @@
         .set(static_cast<double>(n));
 }
 
+void forwarder_metrics::set_store_restores(std::size_t n) {
+    m_registry
+        .add_gauge("jujubemast_gateway_store_restores",
+                   "Restores of the store from an older copy since this gateway has started.")
+        .set(static_cast<double>(n));
+}
+
 void forwarder_metrics::set_in_progress(std::size_t n) {
     m_registry
         .add_gauge("jujubemast_gateway_requests_in_progress", "Requests without a whole answer.")
--- a/source/core/gateway/requests/forwarder_metrics.h
+++ b/source/core/gateway/requests/forwarder_metrics.h
@@ -30,6 +30,7 @@
     void record_quarantine_refusal();
     void set_quarantined_parts(std::size_t n);
     void set_drained_domains(std::size_t n);
+    void set_store_restores(std::size_t n);
     void set_in_progress(std::size_t n);
     void set_cold_instances(std::size_t n);
     /// Records the end of a search for an engine that may read a long prompt.
--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -50,8 +50,10 @@
     : m_context{std::move(context)}, m_inbox{std::move(inbox)},
       m_adapter{std::move(platform_adapter)}, m_self{std::move(self)}, m_hooks{std::move(hooks)},
       m_limits{limits}, m_client{m_context, std::move(store), store_limits()},
-      m_registration{m_context, m_client, m_adapter, m_self}, m_upstreams{heartbeat},
-      m_expiry_timer{m_context.loop()} {}
+      m_registration{m_context, m_client, m_adapter, m_self,
+                     [this](std::uint64_t era) { era_seen(era); }},
+      m_upstreams{heartbeat}, m_expiry_timer{m_context.loop()},
+      m_reregistration_timer{m_context.loop()}, m_restore_timer{m_context.loop()} {}
 
 void catalog::start() {
     table_watch_hooks configuration_hooks;
@@ -92,39 +94,25 @@
         apply(update);
     };
     hooks.on_confirmed = [this, table](common::time_point at) { confirmed(table, at); };
-    hooks.on_era = [this, table](std::uint64_t era) { era_seen(table, era); };
+    hooks.on_era = [this](std::uint64_t era) { era_seen(era); };
     return std::make_unique<table_watch>(m_context, m_client, m_adapter, table, std::move(hooks),
                                          m_limits);
 }
 
 void catalog::confirmed(store_table table, common::time_point at) {
-    if (table == store_table::configuration && m_newest_decoded) {
+    if (table == store_table::configuration && m_newest_in_force && !m_restored) {
         m_hooks.confirm_configuration({at});
     }
     if (table == store_table::gateways) {
         m_hooks.confirm_gateways({at});
     }
     if (table == store_table::configuration) {
-        m_drains.advance(m_watches.at(table)->copy().version());
+        m_drains.advance(m_watches.at(table)->copy().position());
         m_hooks.confirm_drains({at});
     }
     relay(table);
 }
 
-void catalog::era_seen(store_table table, std::uint64_t era) {
-    if (era == m_era) {
-        return;
-    }
-    const auto former = std::exchange(m_era, era);
-    if (former != 0) {
-        m_log.warn("The store names another era.",
-                   {{"table", std::string{common::to_name(table)}},
-                    {"former_era", std::to_string(former)},
-                    {"era", std::to_string(era)},
-                    {"version", std::to_string(m_watches.at(table)->copy().version())}});
-    }
-}
-
 void catalog::record_row(store_table table, const store_row& row,
                          std::optional<std::uint64_t> content, bool is_hidden_change) {
     const bool changed = m_watches.at(table)->copy().set_row(row.key, content) || is_hidden_change;
@@ -144,14 +132,14 @@
     }
     pending.relayed = now;
     auto rows = std::exchange(pending.rows, {});
-    auto since = std::exchange(pending.since, copy.version()).value_or(copy.version());
+    auto since = std::exchange(pending.since, copy.position()).value_or(copy.position());
     if (count_bytes(rows) > max_relayed_bytes) {
         // The others see that changes are missing and ask the store.
-        since = copy.version();
+        since = copy.position();
         rows.clear();
     }
     m_hooks.relay(
-        {{table, since, copy.version(), copy.digest(), std::move(rows)}, *copy.confirmed()});
+        {{table, since, copy.position(), copy.digest(), std::move(rows)}, *copy.confirmed()});
 }
 
 void catalog::handle(const table_relay& message) {
@@ -181,6 +169,8 @@
 void catalog::close() noexcept {
     m_inbox.close();
     m_expiry_timer.cancel();
+    m_reregistration_timer.cancel();
+    m_restore_timer.cancel();
     m_registration.close();
     m_client.close();
     m_watches.clear();
@@ -208,6 +198,7 @@
 
 bool catalog::apply_drain_rows(const table_update& update) {
     const auto now = common::monotonic_clock::now();
+    const auto era = m_watches.at(store_table::configuration)->copy().position().era;
     std::vector<domain_drain> rows;
     for (const auto& row : update.rows) {
         const auto decoded = m_adapter->decode_drain(row);
@@ -223,12 +214,12 @@
         }
         record_row(store_table::configuration, row,
                    row.value ? std::optional{versioned_row_digest(row)} : std::nullopt);
-        rows.push_back({decoded->domain, row.version, row.value.has_value()});
+        rows.push_back({decoded->domain, {era, row.version}, row.value.has_value()});
     }
     std::vector<domain_drain> changes;
     if (update.complete) {
-        const auto version = m_watches.at(store_table::configuration)->copy().version();
-        changes = m_drains.replace(rows, version, now);
+        const auto position = m_watches.at(store_table::configuration)->copy().position();
+        changes = m_drains.replace(rows, position, now);
     } else {
         std::copy_if(rows.begin(), rows.end(), std::back_inserter(changes),
                      [&](const domain_drain& it) { return m_drains.apply(it, now); });
@@ -246,12 +237,15 @@
 void catalog::log_drains(const std::vector<domain_drain>& changes) const {
     for (const auto& it : changes) {
         m_log.info(it.in_force ? "Failure domain drained." : "Failure domain no longer drained.",
-                   {{"domain", it.domain}, {"row_version", std::to_string(it.version)}});
+                   {{"domain", it.domain}, {"row_version", std::to_string(it.position.version)}});
     }
 }
 
 void catalog::handle(const domain_drains& message) {
     const auto now = common::monotonic_clock::now();
+    for (const auto& it : message.drains) {
+        era_seen(it.position.era);
+    }
     std::vector<domain_drain> changes;
     std::copy_if(message.drains.begin(), message.drains.end(), std::back_inserter(changes),
                  [&](const domain_drain& it) { return m_drains.apply(it, now); });
@@ -264,6 +258,10 @@
 void catalog::apply_configuration_rows(const table_update& update) {
     const bool drains_changed = apply_drain_rows(update);
     bool configuration_changed = false;
+    if (update.complete && m_configuration) {
+        // The older copy of a restored store may lack the row.
+        m_newest_in_force = false;
+    }
     for (const auto& row : update.rows) {
         std::optional<configuration> decoded;
         try {
@@ -273,14 +271,18 @@
                         {{"row_version", std::to_string(row.version)}, {"reason", e.what()}});
             // The others must learn that their configuration is not the newest.
             record_row(store_table::configuration, row, undecoded_row_digest(row));
-            m_newest_decoded = false;
+            m_newest_in_force = false;
             continue;
         }
         if (decoded) {
             record_row(store_table::configuration, row, row_digest(*decoded));
         }
-        m_newest_decoded = m_newest_decoded || decoded;
-        if (!decoded || (m_configuration && decoded->version <= m_configuration->version)) {
+        if (!decoded) {
+            continue;
+        }
+        // The older copy of a restored store may hold an earlier version, whose keys are withdrawn.
+        m_newest_in_force = !m_configuration || decoded->version >= m_configuration->version;
+        if (m_configuration && decoded->version <= m_configuration->version) {
             continue;
         }
         index_routes(*decoded);
@@ -311,13 +313,15 @@
 
 void catalog::apply_upstream_rows(const table_update& update) {
     const auto now = common::monotonic_clock::now();
+    const auto era = m_watches.at(store_table::upstreams)->copy().position().era;
     upstream_map all_entries;
     bool changed = false;
     for (const auto& row : update.rows) {
         auto decoded = decode_row<upstream_instance>(
             store_table::upstreams, "an upstream", row,
             [&](const store_row& it) { return m_adapter->decode_upstream(it, now); });
-        const bool cold_for_longer = decoded && m_warm_up.complete(*decoded, row.version, now);
+        const bool cold_for_longer =
+            decoded && m_warm_up.complete(*decoded, {era, row.version}, now);
         record_row(store_table::upstreams, row,
                    decoded ? std::optional{row_digest(*decoded)} : std::nullopt, cold_for_longer);
         if (!decoded) {
@@ -394,40 +398,36 @@
 
 void catalog::apply_gateway_rows(const table_update& update) {
     if (update.complete) {
-        m_gateways.clear();
+        m_gateways.begin_replace(common::monotonic_clock::now());
     }
     for (const auto& row : update.rows) {
-        m_gateways.erase(row.key);
         const auto decoded =
             decode_row(store_table::gateways, "a gateway", row, m_adapter->decode_gateway);
-        if (decoded) {
-            m_gateways.emplace(row.key, *decoded);
-        }
+        m_gateways.put(row.key, decoded);
         record_row(store_table::gateways, row,
                    decoded ? std::optional{row_digest(*decoded)} : std::nullopt);
     }
     if (update.complete) {
         m_registration.hasten();
     }
-    const auto own = m_gateways.find(m_self.name);
-    m_registration.check(own == m_gateways.end() ? nullptr : &own->second);
-    std::vector<gateway_record> known;
-    for (const auto& [name, it] : m_gateways) {
-        known.push_back(it);
-    }
-    m_hooks.publish_gateways(known);
+    m_registration.check(m_gateways.find_stored(m_self.name));
+    publish_gateways();
     if (!std::exchange(m_gateways_read, true)) {
         publish();
     }
 }
 
+void catalog::publish_gateways() {
+    m_hooks.publish_gateways(m_gateways.all());
+}
+
 void catalog::publish() {
     m_hooks.set_not_ready_reason(!m_configuration    ? "no configuration is known yet"
                                  : !m_upstreams_read ? "the upstreams are not known yet"
                                  : !m_gateways_read  ? "the other gateways are not known yet"
                                                      : "");
-    m_hooks.publish(
-        {m_configuration, m_upstreams_read ? marked_upstreams() : nullptr, m_drains.count()});
+    m_hooks.publish({m_configuration, m_upstreams_read ? marked_upstreams() : nullptr,
+                     m_drains.count(), m_restores});
 }
 
 std::string catalog::region_of(const std::string& failure_domain) const {
@@ -465,8 +465,10 @@
     }
     boost::json::array drains;
     for (const auto& it : m_drains.all()) {
-        drains.emplace_back(boost::json::object{
-            {"domain", it.domain}, {"drained", it.in_force}, {"row_version", it.version}});
+        drains.emplace_back(boost::json::object{{"domain", it.domain},
+                                                {"drained", it.in_force},
+                                                {"era", it.position.era},
+                                                {"row_version", it.position.version}});
     }
     boost::json::object tables;
     for (const auto& [table, watch] : m_watches) {
@@ -478,6 +480,7 @@
         {"drains", std::move(drains)},
         {"tables", std::move(tables)},
         {"store_era", m_era},
+        {"store_restores", m_restores},
         {"reads_store", m_role.reads_store},
         {"has_followers", m_role.has_followers},
         {"registered", m_registration.is_registered()},
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -12,6 +12,7 @@
 #include "gateway/adapter.h"
 #include "gateway/messages.h"
 #include "gateway/store/drained_domains.h"
+#include "gateway/store/gateway_list.h"
 #include "gateway/store/malformed_rows.h"
 #include "gateway/store/registration.h"
 #include "gateway/store/table_watch.h"
@@ -77,8 +78,18 @@
     void record_row(store_table table, const store_row& row, std::optional<std::uint64_t> content,
                     bool is_hidden_change = false);
     void confirmed(store_table table, common::time_point at);
-    /// A response of the store names its era.
-    void era_seen(store_table table, std::uint64_t era);
+    /// The store, or another gateway, has named an era of the store. If it is a later one, the
+    /// store was restored from an older copy, and all tables are read again.
+    void era_seen(std::uint64_t era);
+    /// Prepares what is known for a store that lacks rows, or has earlier states of them.
+    void record_restore();
+    /// The gateways whose rows are still missing after a restore are removed.
+    void remove_missing_gateways();
+    /// From now on the rows of the restored store decide alone.
+    void end_restore();
+    /// How long this gateway waits before it reads the tables of a restored store, so that not all
+    /// gateways read at once.
+    [[nodiscard]] common::duration read_delay() const;
     /// Passes on what has changed since the last time, or now and then the confirmation that
     /// nothing has.
     void relay(store_table table);
@@ -93,6 +104,7 @@
     void log_faults(const configuration& config) const;
     void apply_upstream_rows(const table_update& update);
     void apply_gateway_rows(const table_update& update);
+    void publish_gateways();
     /// The table of the upstreams is available again, after a time without a sign of it.
     void upstreams_available(common::duration unseen);
     void publish();
@@ -112,24 +124,31 @@
         std::vector<store_row> rows;
         /// The version up to which changes have been passed on. Empty if the others have to ask the
         /// store first, because this gateway has not seen all changes before.
-        std::optional<std::uint64_t> since;
+        std::optional<store_position> since;
         common::time_point relayed;
     };
     std::map<store_table, pending_changes> m_pending;
     std::map<store_table, malformed_rows> m_malformed;
     store_role m_role;
-    /// The latest era that a response of the store has named.
+    /// The latest known era of the store.
     std::uint64_t m_era = 0;
+    std::size_t m_restores = 0;
+    /// Whether the store was restored a short time ago, so that the operator may not have written
+    /// the newest configuration again.
+    bool m_restored = false;
     configuration_pointer m_configuration;
-    /// Whether the newest configuration in the store could be decoded.
-    bool m_newest_decoded = true;
+    /// Whether the newest configuration in the store could be decoded, and is not older than the
+    /// one that is known.
+    bool m_newest_in_force = true;
     drained_domains m_drains;
     upstream_list m_upstreams;
     warm_up_tracker m_warm_up;
     bool m_upstreams_read = false;
     bool m_gateways_read = false;
-    std::map<std::string, gateway_record> m_gateways;
+    gateway_list m_gateways;
     runtime::timer m_expiry_timer;
+    runtime::timer m_reregistration_timer;
+    runtime::timer m_restore_timer;
     logging::logger m_log{"catalog"};
 };
 
--- /dev/null
+++ b/source/core/gateway/store/catalog_restore.cpp
@@ -0,0 +1,88 @@
+#include <algorithm>
+
+#include "common/digest.h"
+#include "gateway/store/catalog.h"
+
+// The store comes back from an older copy of itself: it lacks the latest writes, has earlier states
+// of other rows, and gives out versions again.
+
+namespace jujubemast::gateway::store {
+
+namespace {
+
+// Each gateway reads three tables. With this time between two gateways their reads stay far below
+// the limits of the store.
+constexpr common::duration read_interval = std::chrono::milliseconds{3};
+constexpr common::duration max_read_delay = std::chrono::seconds{1};
+
+} // namespace
+
+void catalog::era_seen(std::uint64_t era) {
+    if (era <= m_era) {
+        return;
+    }
+    const auto former = std::exchange(m_era, era);
+    const bool is_first =
+        former == 0 && std::none_of(m_watches.begin(), m_watches.end(),
+                                    [](const auto& it) { return it.second->copy().is_complete(); });
+    const auto delay = read_delay();
+    for (const auto& [table, watch] : m_watches) {
+        m_pending[table] = {};
+        watch->begin_era(era, delay);
+    }
+    if (is_first) {
+        return;
+    }
+    m_log.warn("The store was restored from an older copy, so its tables are read again.",
+               {{"former_era", std::to_string(former)},
+                {"era", std::to_string(era)},
+                {"delay_ms", std::to_string(common::to_milliseconds(delay))}});
+    record_restore();
+}
+
+common::duration catalog::read_delay() const {
+    const auto spread =
+        std::min(max_read_delay, read_interval * static_cast<int>(m_gateways.size()));
+    const auto steps =
+        static_cast<std::uint64_t>(std::max<common::duration::rep>(spread.count(), 1));
+    return common::duration{
+        static_cast<common::duration::rep>(common::digest_of(m_self.name) % steps)};
+}
+
+void catalog::record_restore() {
+    const auto now = common::monotonic_clock::now();
+    ++m_restores;
+    m_restored = true;
+    m_upstreams.record_restore(now);
+    m_gateways.record_restore(now);
+    m_drains.record_restore(now);
+    m_hooks.confirm_configuration({});
+    schedule_expiry();
+    m_reregistration_timer.start(gateway_list::reregistration_time,
+                                 m_context.wrap([this] { remove_missing_gateways(); }));
+    m_restore_timer.start(drained_domains::rewrite_time, m_context.wrap([this] { end_restore(); }));
+    publish();
+}
+
+void catalog::remove_missing_gateways() {
+    if (m_gateways.expire(common::monotonic_clock::now())) {
+        m_log.info("Removed gateways that did not register again after the restore of the store.");
+        publish_gateways();
+    }
+}
+
+void catalog::end_restore() {
+    m_restored = false;
+    const auto ended = m_drains.end_lost(common::monotonic_clock::now());
+    log_drains(ended);
+    const bool upstreams_changed = m_upstreams.end_restore();
+    m_log.info("The restored store decides alone from now on.",
+               {{"drains_lost", std::to_string(ended.size())},
+                {"configuration_older", m_newest_in_force ? "no" : "yes"},
+                {"registered", m_registration.is_registered() ? "yes" : "no"}});
+    if (upstreams_changed || !ended.empty()) {
+        publish();
+    }
+}
+
+} // namespace jujubemast::gateway::store
--- a/source/core/gateway/store/drained_domains.cpp
+++ b/source/core/gateway/store/drained_domains.cpp
@@ -4,14 +4,19 @@
 
 namespace jujubemast::gateway::store {
 
-std::uint64_t drained_domains::version_of(const std::string& domain) const {
+store_position drained_domains::position_of(const std::string& domain) const {
     const auto known = m_domains.find(domain);
-    return known == m_domains.end() ? 0 : known->second.version;
+    return known == m_domains.end() ? store_position{} : known->second.position;
+}
+
+bool drained_domains::may_be_lost(const domain_drain& drain, common::time_point now) const {
+    return drain.in_force && drain.position.era < m_floor.era && now < m_rewritten_by;
 }
 
 bool drained_domains::apply(const domain_drain& drain, common::time_point now) {
     // A read of the whole table skips the states between the known one and that of the table.
-    if (drain.version <= std::max(m_floor, version_of(drain.domain))) {
+    const auto floor = may_be_lost(drain, now) ? store_position{} : m_floor;
+    if (drain.position <= std::max(floor, position_of(drain.domain))) {
         return false;
     }
     set(drain, now);
@@ -25,44 +30,57 @@
     } else if (changed.in_force) {
         changed.ended = now;
     }
-    changed.version = drain.version;
+    changed.position = drain.position;
     changed.in_force = drain.in_force;
 }
 
 std::vector<domain_drain> drained_domains::replace(const std::vector<domain_drain>& rows,
-                                                   std::uint64_t version, common::time_point now) {
+                                                   const store_position& position,
+                                                   common::time_point now) {
     std::vector<domain_drain> changes;
     for (const auto& it : rows) {
         // Rows below `m_floor` count as well: the table is also read again to repair a copy that
         // lacks a row.
-        if (it.version > version_of(it.domain)) {
+        if (it.position > position_of(it.domain)) {
             set(it, now);
             changes.push_back(it);
         }
     }
+    advance(position);
     for (auto& [domain, known] : m_domains) {
         // A structured binding cannot be captured.
         const auto& name = domain;
         const bool listed = std::any_of(rows.begin(), rows.end(), [&name](const domain_drain& it) {
             return it.domain == name;
         });
-        if (!listed && known.in_force && known.version <= version) {
-            known = {version, false, now};
-            changes.push_back({domain, version, false});
+        if (!listed && known.in_force && known.position <= position &&
+            !may_be_lost({domain, known.position, true}, now)) {
+            known = {position, false, now};
+            changes.push_back({domain, position, false});
+        }
+    }
+    return changes;
+}
+
+std::vector<domain_drain> drained_domains::end_lost(common::time_point now) {
+    std::vector<domain_drain> changes;
+    for (auto& [domain, known] : m_domains) {
+        if (known.in_force && known.position.era < m_floor.era && now >= m_rewritten_by) {
+            known = {m_floor, false, now};
+            changes.push_back({domain, m_floor, false});
         }
     }
-    advance(version);
     return changes;
 }
 
-void drained_domains::advance(std::uint64_t version) {
-    m_floor = std::max(m_floor, version);
+void drained_domains::advance(const store_position& position) {
+    m_floor = std::max(m_floor, position);
     forget_ended();
 }
 
 void drained_domains::forget_ended() {
     const auto may_be_forgotten = [this](const auto& it) {
-        return !it.second.in_force && it.second.version <= m_floor;
+        return !it.second.in_force && it.second.position <= m_floor;
     };
     const auto ended = std::count_if(m_domains.begin(), m_domains.end(), may_be_forgotten);
     if (static_cast<std::size_t>(ended) > max_ended) {
@@ -89,7 +107,7 @@
     std::vector<domain_drain> result;
     result.reserve(m_domains.size());
     for (const auto& [domain, it] : m_domains) {
-        result.push_back({domain, it.version, it.in_force});
+        result.push_back({domain, it.position, it.in_force});
     }
     return result;
 }
--- a/source/core/gateway/store/drained_domains.h
+++ b/source/core/gateway/store/drained_domains.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,20 +12,31 @@
 namespace jujubemast::gateway::store {
 
 /// The drained failure domains, from rows that may arrive in any order, repeatedly, and from
-/// several sources. The newest version of a row decides. Makes no calls and reads no clock.
+/// several sources. The newest position of a row decides. A drain that a restored store has lost
+/// stays in force until the operator has had time to write it again. Makes no calls and reads no
+/// clock.
 class drained_domains {
 public:
+    /// Time after a restore of the store within which the operator writes again what was lost.
+    static constexpr common::duration rewrite_time = std::chrono::seconds{10};
+
     /// Applies one state of a row. Returns whether it is newer than what is known.
     bool apply(const domain_drain& drain, common::time_point now);
 
-    /// Applies all rows of the table. `version` is the one at which the read of the table began: a
-    /// domain without a row is not drained unless a later version says so. Returns what has become
-    /// known.
-    std::vector<domain_drain> replace(const std::vector<domain_drain>& rows, std::uint64_t version,
-                                      common::time_point now);
+    /// Applies all rows of the table. `position` is the one at which the read of the table began: a
+    /// domain without a row is not drained unless a later position says so, or the store may have
+    /// lost the row. Returns what has become known.
+    std::vector<domain_drain> replace(const std::vector<domain_drain>& rows,
+                                      const store_position& position, common::time_point now);
+
+    /// All changes of the table up to this position have been applied.
+    void advance(const store_position& position);
+
+    /// The store has been restored from an older copy.
+    void record_restore(common::time_point now) { m_rewritten_by = now + rewrite_time; }
 
-    /// All changes of the table up to this version have been applied.
-    void advance(std::uint64_t version);
+    /// Ends the drains that were lost in a restore and not written again in time. Returns them.
+    std::vector<domain_drain> end_lost(common::time_point now);
 
     [[nodiscard]] bool is_drained(const std::string& domain) const;
 
@@ -41,23 +51,27 @@
     [[nodiscard]] std::vector<domain_drain> all() const;
 
 private:
-    /// Ended drains that are remembered although `m_floor` covers their versions.
+    /// Ended drains that are remembered although `m_floor` covers their positions.
     static constexpr std::size_t max_ended = 64;
 
     struct state {
-        std::uint64_t version = 0;
+        store_position position;
         bool in_force = false;
         std::optional<common::time_point> ended;
     };
 
-    /// Version of the known state of a domain, or zero.
-    [[nodiscard]] std::uint64_t version_of(const std::string& domain) const;
+    /// Position of the known state of a domain, or zero.
+    [[nodiscard]] store_position position_of(const std::string& domain) const;
+    /// Whether the store may have lost the row with this state in a restore.
+    [[nodiscard]] bool may_be_lost(const domain_drain& drain, common::time_point now) const;
     void set(const domain_drain& drain, common::time_point now);
     void forget_ended();
 
     std::map<std::string, state> m_domains;
-    /// All changes up to this version are known, so earlier states are out of date.
-    std::uint64_t m_floor = 0;
+    /// All changes up to this position are known, so earlier states are out of date.
+    store_position m_floor;
+    /// Until then the operator may still write again what the last restore has lost.
+    common::time_point m_rewritten_by;
 };
 
 } // namespace jujubemast::gateway::store
--- a/source/core/gateway/store/registration.cpp
+++ b/source/core/gateway/store/registration.cpp
@@ -21,9 +21,10 @@
 } // namespace
 
 registration::registration(const runtime::task_context& context, http::client& client,
-                           std::shared_ptr<const adapter> platform_adapter, gateway_record self)
+                           std::shared_ptr<const adapter> platform_adapter, gateway_record self,
+                           std::function<void(std::uint64_t era)> on_era)
     : m_context{context}, m_client{client}, m_adapter{std::move(platform_adapter)},
-      m_self{std::move(self)}, m_retry_timer{context.loop()} {}
+      m_self{std::move(self)}, m_on_era{std::move(on_era)}, m_retry_timer{context.loop()} {}
 
 void registration::begin() {
     m_sent = common::monotonic_clock::now();
@@ -41,6 +42,13 @@
     if (!m_registered) {
         m_retry_timer.start(retry_delay, m_context.wrap([this] { begin(); }));
     }
+    const auto* response = std::get_if<http::response>(&result);
+    if (response == nullptr || !m_on_era || !m_adapter->decode_store_era) {
+        return;
+    }
+    if (const auto era = m_adapter->decode_store_era(*response)) {
+        m_on_era(*era);
+    }
 }
 
 void registration::hasten() {
--- a/source/core/gateway/store/registration.h
+++ b/source/core/gateway/store/registration.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -14,8 +16,10 @@
 /// task, whose client it uses.
 class registration {
 public:
+    /// `on_era` is called with the era of the store that a response names. May be empty.
     registration(const runtime::task_context& context, http::client& client,
-                 std::shared_ptr<const adapter> platform_adapter, gateway_record self);
+                 std::shared_ptr<const adapter> platform_adapter, gateway_record self,
+                 std::function<void(std::uint64_t era)> on_era = {});
 
     /// Writes the row, and repeats the call until it succeeds.
     void begin();
@@ -42,6 +46,7 @@
     http::client& m_client;
     std::shared_ptr<const adapter> m_adapter;
     gateway_record m_self;
+    std::function<void(std::uint64_t era)> m_on_era;
     runtime::timer m_retry_timer;
     bool m_registered = false;
     /// The call in progress, and when the last one was sent.
--- a/source/core/gateway/store/table_copy.cpp
+++ b/source/core/gateway/store/table_copy.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-void table_copy::set_complete(std::uint64_t version) {
-    m_version = version;
+void table_copy::set_complete(const store_position& position) {
+    m_position = position;
     m_complete = true;
 }
 
@@ -43,15 +43,18 @@
     return true;
 }
 
-change_order table_copy::order_of(std::uint64_t since, std::uint64_t version) const {
-    if (version <= m_version) {
-        return version < m_version ? change_order::older : change_order::known;
+change_order table_copy::order_of(const store_position& since, const store_position& until) const {
+    if (until.era > m_position.era) {
+        return change_order::restored;
     }
-    return since > m_version ? change_order::gap : change_order::next;
+    if (until <= m_position) {
+        return until < m_position ? change_order::older : change_order::known;
+    }
+    return since > m_position ? change_order::gap : change_order::next;
 }
 
-void table_copy::advance(std::uint64_t version) {
-    m_version = std::max(m_version, version);
+void table_copy::advance(const store_position& position) {
+    m_position = std::max(m_position, position);
 }
 
 void table_copy::confirm(common::time_point at) {
--- a/source/core/gateway/store/table_copy.h
+++ b/source/core/gateway/store/table_copy.h
@@ -11,6 +11,7 @@
 #include "common/enum_names.h"
 #include "common/time.h"
 #include "gateway/adapter.h"
+#include "gateway/store_position.h"
 #include "gateway/table_changes.h"
 
 namespace jujubemast::gateway::store {
@@ -25,14 +26,16 @@
     /// The changes lead from the version of the copy, or from an earlier one, to a later version.
     next,
     /// Changes between the version of the copy and `since` are missing.
-    gap
+    gap,
+    /// The store has been restored since the copy was read, so the whole table has to be read.
+    restored
 };
 
-/// The state of a copy of a table: its version, the digests of its rows, and when it was last known
-/// to be the newest. Makes no calls and reads no clock.
+/// The state of a copy of a table: its position, the digests of its rows, and when it was last
+/// known to be the newest. Makes no calls and reads no clock.
 class table_copy {
 public:
-    [[nodiscard]] std::uint64_t version() const { return m_version; }
+    [[nodiscard]] const store_position& position() const { return m_position; }
 
     /// Whether the whole table has been read.
     [[nodiscard]] bool is_complete() const { return m_complete; }
@@ -46,8 +49,8 @@
     /// The whole table is about to be read again. Changes do not apply to the copy until then.
     void invalidate() { m_complete = false; }
 
-    /// The whole table has been read at this version.
-    void set_complete(std::uint64_t version);
+    /// The whole table has been read at this position.
+    void set_complete(const store_position& position);
 
     /// Removes the digests of all rows, before those of the whole table are set.
     void clear_rows();
@@ -56,11 +59,12 @@
     /// Returns whether the content differs from the known one.
     bool set_row(const std::string& key, std::optional<std::uint64_t> content);
 
-    /// Relates changes from `since` to `version` to this copy.
-    [[nodiscard]] change_order order_of(std::uint64_t since, std::uint64_t version) const;
+    /// Relates changes from `since` to `until`, of the same era, to this copy.
+    [[nodiscard]] change_order order_of(const store_position& since,
+                                        const store_position& until) const;
 
-    /// The changes up to this version have been applied.
-    void advance(std::uint64_t version);
+    /// The changes up to this position have been applied.
+    void advance(const store_position& position);
 
     /// The store has confirmed at a time that the copy is the newest, according to its response or
     /// to another gateway.
@@ -72,7 +76,7 @@
 
 private:
     bool m_complete = false;
-    std::uint64_t m_version = 0;
+    store_position m_position;
     std::uint64_t m_digest = 0;
     std::unordered_map<std::string, std::uint64_t> m_rows;
     std::optional<common::time_point> m_confirmed;
@@ -84,7 +88,8 @@
 
 template <>
 struct enum_names<gateway::store::change_order> {
-    static constexpr std::array<std::string_view, 4> table{"older", "known", "next", "gap"};
+    static constexpr std::array<std::string_view, 5> table{"older", "known", "next", "gap",
+                                                           "restored"};
 };
 
 } // namespace jujubemast::common
--- a/source/core/gateway/store/table_watch.cpp
+++ b/source/core/gateway/store/table_watch.cpp
@@ -88,9 +88,14 @@
     if (!m_copy.is_complete()) {
         return;
     }
-    switch (m_copy.order_of(changes.since, changes.version)) {
+    switch (m_copy.order_of(changes.since, changes.until)) {
     case change_order::older:
         return;
+    case change_order::restored:
+        if (m_hooks.on_era) {
+            m_hooks.on_era(changes.until.era);
+        }
+        return;
     case change_order::gap:
         if (m_source == watch_source::others && !m_sent) {
             watch(common::duration::zero());
@@ -100,7 +105,7 @@
         if (!changes.rows.empty()) {
             m_hooks.on_update({changes.rows, false, true});
         }
-        m_copy.advance(changes.version);
+        m_copy.advance(changes.until);
         break;
     case change_order::known:
         break;
@@ -129,7 +134,7 @@
     m_next_repair = now + repair_interval;
     m_log.warn("The copy of a table differs from that of another gateway; reading it again.",
                {{"table", std::string{common::to_name(m_table)}},
-                {"version", std::to_string(expected.version)},
+                {"version", std::to_string(expected.until.version)},
                 {"rows", std::to_string(expected.rows.size())}});
     m_copy.invalidate();
     refresh();
@@ -139,19 +144,45 @@
     if (std::holds_alternative<http::call_error>(result)) {
         return {store_outcome::unavailable, {}, http::describe_failure(result)};
     }
-    auto response = m_adapter->decode_rows(std::get<http::response>(result));
-    if (response.era && m_hooks.on_era) {
+    return m_adapter->decode_rows(std::get<http::response>(result));
+}
+
+void table_watch::begin_era(std::uint64_t era, common::duration delay) {
+    const bool is_first = m_era == 0 && !m_copy.is_complete();
+    m_era = era;
+    if (is_first) {
+        return;
+    }
+    m_timer.cancel();
+    m_client.cancel(m_call);
+    m_sent.reset();
+    m_repeated = false;
+    m_copy.invalidate();
+    m_timer.start(delay, m_context.wrap([this] { read_from({}); }));
+}
+
+bool table_watch::is_current(const store_response& response) {
+    if (!response.era || *response.era == m_era) {
+        return true;
+    }
+    if (*response.era < m_era) {
+        // The store made it before the restore.
+        m_sent.reset();
+        m_timer.start(m_limits.retry_delay, m_context.wrap([this] { resume(); }));
+        return false;
+    }
+    if (m_hooks.on_era) {
         m_hooks.on_era(*response.era);
     }
-    return response;
+    // A restart of the read has ended this call.
+    return m_sent.has_value();
 }
 
 boost::json::value table_watch::dump() const {
-    return boost::json::object{{"version", m_copy.version()},
-                               {"source", common::to_name(m_source)},
-                               {"available", m_available},
-                               {"call_age_ms", age_in_ms(m_sent)},
-                               {"age_ms", age_in_ms(m_copy.confirmed())}};
+    return boost::json::object{
+        {"era", m_copy.position().era},        {"version", m_copy.position().version},
+        {"source", common::to_name(m_source)}, {"available", m_available},
+        {"call_age_ms", age_in_ms(m_sent)},    {"age_ms", age_in_ms(m_copy.confirmed())}};
 }
 
 void table_watch::send(const http::request& message, common::duration wait,
@@ -188,6 +219,9 @@
     }
     m_read_timeout = m_limits.response_timeout;
     store_responded();
+    if (!is_current(response)) {
+        return;
+    }
     if (m_page_rows.empty()) {
         // Changes between two pages are not missed, because the watch continues after the version
         // of the first page.
@@ -201,7 +235,7 @@
         read_from(m_page_rows.back().key + '\x01');
         return;
     }
-    m_copy.set_complete(m_first_page_version);
+    m_copy.set_complete({m_era, m_first_page_version});
     m_hooks.on_update({std::exchange(m_page_rows, {}), true});
     confirm();
     if (m_source == watch_source::others) {
@@ -215,9 +249,9 @@
     if (!m_available || m_repeated) {
         wait = common::duration::zero();
     }
-    const auto since = m_copy.version();
+    const auto since = m_copy.position();
     const bool may_be_silent = m_available && !m_repeated;
-    send(m_adapter->encode_watch(m_table, since, wait), wait,
+    send(m_adapter->encode_watch(m_table, since.version, wait), wait,
          may_be_silent ? m_kept_connection_timeout : m_limits.response_timeout,
          [this, since](const http::call_result& result) { changes_received(since, result); });
 }
@@ -232,13 +266,16 @@
                   m_context.wrap([this] { watch(common::duration::zero()); }));
 }
 
-void table_watch::changes_received(std::uint64_t since, const http::call_result& result) {
+void table_watch::changes_received(const store_position& since, const http::call_result& result) {
     auto response = decode(result);
     if (response.outcome == store_outcome::history_lost) {
         store_responded();
-        m_log.info(
-            "The store has lost the change history of a table; reading the whole table.",
-            {{"table", std::string{common::to_name(m_table)}}, {"version", std::to_string(since)}});
+        if (!is_current(response)) {
+            return;
+        }
+        m_log.info("The store has lost the change history of a table; reading the whole table.",
+                   {{"table", std::string{common::to_name(m_table)}},
+                    {"version", std::to_string(since.version)}});
         m_copy.invalidate();
         // Waits before reading the table again, because the store may lose its history again before
         // the next watch.
@@ -253,14 +290,18 @@
     }
     // Before the rows are applied, because what a removed row means depends on it.
     store_responded();
+    if (!is_current(response)) {
+        return;
+    }
+    const store_position until{m_era, response.content.version};
     // Another gateway may have passed on later changes meanwhile, which these rows must not revert.
-    const auto order = m_copy.order_of(since, response.content.version);
-    const bool is_next = order == change_order::next || since == m_copy.version();
+    const auto order = m_copy.order_of(since, until);
+    const bool is_next = order == change_order::next || since == m_copy.position();
     if (is_next && !response.content.rows.empty()) {
         m_hooks.on_update({std::move(response.content.rows), false});
     }
     if (order != change_order::older) {
-        m_copy.advance(response.content.version);
+        m_copy.advance(until);
         confirm();
     }
     m_sent.reset();
--- a/source/core/gateway/store/table_watch.h
+++ b/source/core/gateway/store/table_watch.h
@@ -40,7 +40,8 @@
     /// Called when a response, or another gateway, shows that the local copy was the newest at a
     /// time. May be empty.
     std::function<void(common::time_point at)> on_confirmed;
-    /// Called with the era that a response names. May be empty.
+    /// Called when a response, or another gateway, names a later era of the store than the one that
+    /// is known. May call `begin_era`. May be empty.
     std::function<void(std::uint64_t era)> on_era;
 };
 
@@ -96,10 +97,11 @@
 /// Reads one table of the store and follows its changes, by long polls or as another gateway passes
 /// them on. In the latter case it asks the store itself when changes are missing or nothing has
 /// been heard for a short time. If the store has lost the change history, the whole table is read
-/// again. A call without a response may only show that its connection has gone silent, so it is
-/// sent once more on a new connection before the store counts as unavailable. While the store is
-/// unavailable, calls do not wait for changes, so that a lost call does not delay the detection of
-/// its recovery. Belongs to one task.
+/// again, and also after a restore, which begins a new era of the store: it gives out versions
+/// again, so changes after a known version say nothing. A call without a response may only show
+/// that its connection has gone silent, so it is sent once more on a new connection before the
+/// store counts as unavailable. While the store is unavailable, calls do not wait for changes, so
+/// that a lost call does not delay the detection of its recovery. Belongs to one task.
 class table_watch {
 public:
     table_watch(const runtime::task_context& context, http::client& client,
@@ -116,6 +118,10 @@
 
     void set_source(watch_source source);
 
+    /// The store has begun an era. If the table has been read in an earlier one, or a read is in
+    /// progress, the whole table is read after a delay.
+    void begin_era(std::uint64_t era, common::duration delay);
+
     /// Applies changes from another gateway, whose copy the store has confirmed at a time.
     void changes_relayed(const table_changes& changes, common::time_point confirmed);
 
@@ -139,10 +145,12 @@
     void watch(common::duration wait);
     /// How long the store holds a long poll.
     [[nodiscard]] common::duration long_poll_wait() const;
-    void changes_received(std::uint64_t since, const http::call_result& result);
+    void changes_received(const store_position& since, const http::call_result& result);
     /// Waits before the next watch, or until a relayed copy has to be checked, but at least for
     /// this time.
     void schedule_watch(common::duration min_delay);
+    /// Whether a response belongs to the current era. If not, another call follows.
+    bool is_current(const store_response& response);
     /// Decodes the result of a call to the store.
     [[nodiscard]] store_response decode(const http::call_result& result) const;
     /// Repeats a call that was lost, perhaps with its connection. Returns whether it has done so.
@@ -170,6 +178,8 @@
     runtime::timer m_timer;
     table_copy m_copy;
     watch_source m_source = watch_source::store;
+    /// The latest known era of the store.
+    std::uint64_t m_era = 0;
     std::vector<store_row> m_page_rows;
     std::uint64_t m_first_page_version = 0;
     /// Time for the start of the response to a read of the table.
--- a/source/core/gateway/store/warm_up_tracker.cpp
+++ b/source/core/gateway/store/warm_up_tracker.cpp
@@ -5,7 +5,7 @@
 
 namespace jujubemast::gateway::store {
 
-bool warm_up_tracker::complete(upstream_instance& entry, std::uint64_t row_version,
+bool warm_up_tracker::complete(upstream_instance& entry, const store_position& position,
                                common::time_point now) {
     const auto [it, is_new_id] = m_known.try_emplace(entry.id);
     auto& known = it->second;
@@ -13,7 +13,7 @@
     bool is_extended = false;
     if (is_same && entry.cold_until && known.entry.cold_until) {
         const auto change = *entry.cold_until - *known.entry.cold_until;
-        if (row_version == known.row_version || std::chrono::abs(change) <= row_delay) {
+        if (position == known.position || std::chrono::abs(change) <= row_delay) {
             entry.cold_until = known.entry.cold_until;
         }
         is_extended = *entry.cold_until > *known.entry.cold_until;
@@ -23,7 +23,7 @@
             m_first_read && (!is_new_id || now - *m_first_read >= start_time);
         known.started = during_traffic ? std::optional{now} : std::nullopt;
     }
-    known.row_version = row_version;
+    known.position = position;
     known.removed.reset();
     known.entry = entry;
     entry.warms_up_from = known.started;
--- a/source/core/gateway/store/warm_up_tracker.h
+++ b/source/core/gateway/store/warm_up_tracker.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 
 #include "common/time.h"
+#include "gateway/store_position.h"
 #include "gateway/upstream_list.h"
 
 namespace jujubemast::gateway::store {
@@ -21,9 +21,10 @@
     /// time that rows take.
     static constexpr common::duration row_delay = std::chrono::milliseconds{500};
 
-    /// Completes an entry that was decoded from a row of this version. Returns whether the instance
-    /// stays cold for longer than its former row said, which the digest of the row does not show.
-    bool complete(upstream_instance& entry, std::uint64_t row_version, common::time_point now);
+    /// Completes an entry that was decoded from the row at this position. Returns whether the
+    /// instance stays cold for longer than its former row said, which the digest of the row does
+    /// not show.
+    bool complete(upstream_instance& entry, const store_position& position, common::time_point now);
 
     /// The whole table has been read.
     void table_read(common::time_point now);
@@ -38,7 +39,7 @@
 
     struct known_instance {
         upstream_instance entry;
-        std::uint64_t row_version = 0;
+        store_position position;
         std::optional<common::time_point> started;
         std::optional<common::time_point> removed;
     };
--- a/source/core/gateway/upstream_list.cpp
+++ b/source/core/gateway/upstream_list.cpp
@@ -31,8 +31,45 @@
     return true;
 }
 
+bool upstream_list::is_known_to_leave(const upstream_instance& entry) const {
+    const auto known = m_entries.find(entry.id);
+    if (known != m_entries.end() && is_same_incarnation(known->second, entry)) {
+        return known->second.phase == upstream_phase::draining &&
+               entry.phase == upstream_phase::serving;
+    }
+    return m_departed.contains(incarnation_of(entry));
+}
+
+void upstream_list::record_departure(const upstream_instance& entry, common::time_point now) {
+    std::erase_if(m_departed,
+                  [&](const auto& it) { return now - it.second >= departure_retention; });
+    m_departed[incarnation_of(entry)] = now;
+}
+
+void upstream_list::record_restore(common::time_point now) {
+    m_restored = true;
+    m_store_recovered = now;
+    for (auto& [id, until] : m_expiring) {
+        until = now + reregistration_time;
+    }
+}
+
+bool upstream_list::end_restore() {
+    m_restored = false;
+    bool changed = false;
+    for (auto& [id, entry] : std::exchange(m_contradicted, {})) {
+        changed = put(std::move(entry)) || changed;
+    }
+    return changed;
+}
+
 bool upstream_list::put(upstream_instance entry) {
     m_expiring.erase(entry.id);
+    m_contradicted.erase(entry.id);
+    if (m_restored && is_known_to_leave(entry)) {
+        m_contradicted.insert_or_assign(entry.id, std::move(entry));
+        return false;
+    }
     if (!m_leaving.empty() &&
         std::find(m_leaving.begin(), m_leaving.end(), incarnation_of(entry)) != m_leaving.end()) {
         entry.phase = upstream_phase::draining;
@@ -51,10 +88,12 @@
 
 bool upstream_list::discard(const std::string& id) {
     m_expiring.erase(id);
+    m_contradicted.erase(id);
     return m_entries.erase(id) > 0;
 }
 
 bool upstream_list::remove(const std::string& id, common::time_point now) {
+    m_contradicted.erase(id);
     const auto it = m_entries.find(id);
     if (it == m_entries.end()) {
         return false;
@@ -66,12 +105,14 @@
         return false;
     }
     m_expiring.erase(id);
+    record_departure(it->second, now);
     m_entries.erase(it);
     return true;
 }
 
 bool upstream_list::replace(const upstream_map& entries, common::time_point now) {
     bool changed = false;
+    m_contradicted.clear();
     std::vector<std::string> missing;
     for (const auto& [id, entry] : m_entries) {
         if (!entries.contains(id)) {
@@ -114,7 +155,11 @@
             ++it;
             continue;
         }
-        m_entries.erase(it->first);
+        const auto expired = m_entries.find(it->first);
+        if (expired != m_entries.end()) {
+            record_departure(expired->second, now);
+            m_entries.erase(expired);
+        }
         it = m_expiring.erase(it);
         changed = true;
     }
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -67,6 +67,10 @@
 /// store may merely have expired because the instance could not renew it. It is kept until the
 /// store has been back for `reregistration_time`. After an outage that was too short for an entry
 /// to expire, an entry that is missing belongs to an instance that has left.
+///
+/// A store that is restored from an older copy lacks new entries and brings earlier ones back. For
+/// some time after a restore, an instance that is known to leave or to have left stays so, whatever
+/// its entry says. Then the store's word alone decides.
 class upstream_list {
 public:
     /// Interval at which instances renew their entries, unless the settings name another one.
@@ -84,6 +88,10 @@
     /// recovers.
     static constexpr common::duration reregistration_time = std::chrono::milliseconds{2200};
 
+    /// How long an instance that has left is remembered: longer than the age of a copy from which a
+    /// store is restored.
+    static constexpr common::duration departure_retention = std::chrono::seconds{60};
+
     explicit upstream_list(common::duration heartbeat = default_heartbeat)
         : m_shortest_expiry{shortest_expiry(heartbeat)} {}
 
@@ -112,6 +120,13 @@
     /// available.
     void record_store_recovery(common::time_point now, common::duration unseen);
 
+    /// Records that the store was restored from an older copy.
+    void record_restore(common::time_point now);
+
+    /// From now on, entries of instances that were known to leave before a restore are taken as the
+    /// store has them. Returns whether the list changed.
+    bool end_restore();
+
     /// Whether an entry that disappears now may have expired in an outage.
     [[nodiscard]] bool may_have_expired(common::time_point now) const;
 
@@ -127,7 +142,17 @@
     /// Number of announcements that are remembered.
     static constexpr std::size_t max_leaving = 1024;
 
+    /// Whether the instance of the entry is known to leave or to have left.
+    [[nodiscard]] bool is_known_to_leave(const upstream_instance& entry) const;
+    void record_departure(const upstream_instance& entry, common::time_point now);
+
     upstream_map m_entries;
+    /// Instances that have left, with the time at which this became known.
+    std::map<incarnation, common::time_point> m_departed;
+    /// Whether the store was restored a short time ago.
+    bool m_restored = false;
+    /// Entries since the restore of instances that are known to leave or to have left.
+    upstream_map m_contradicted;
     /// Instances that have announced that they are about to stop, oldest first.
     std::deque<incarnation> m_leaving;
     /// Entries that may have expired, with the time of their removal.
--- a/source/core/wire/gateway_codec.cpp
+++ b/source/core/wire/gateway_codec.cpp
@@ -120,8 +120,9 @@
               common::time_point /*now*/) {
     auto& changes = *to.mutable_table_changes();
     changes.set_table(std::string{common::to_name(from.changes.table)});
-    changes.set_since(from.changes.since);
-    changes.set_version(from.changes.version);
+    changes.set_since(from.changes.since.version);
+    changes.set_version(from.changes.until.version);
+    changes.set_era(from.changes.until.era);
     changes.set_digest(from.changes.digest);
     changes.set_confirmed_us(common::to_microseconds(from.confirmed));
     for (const auto& it : from.changes.rows) {
@@ -166,7 +167,8 @@
     for (const auto& it : from.drains) {
         auto& drain = *drains.add_drains();
         drain.set_domain(it.domain);
-        drain.set_version(it.version);
+        drain.set_version(it.position.version);
+        drain.set_era(it.position.era);
         drain.set_in_force(it.in_force);
     }
 }
@@ -174,7 +176,7 @@
 gateway::domain_drains drains_from_proto(const pb::gateway_domain_drains& from) {
     gateway::domain_drains result;
     for (const auto& it : from.drains()) {
-        result.drains.push_back({it.domain(), it.version(), it.in_force()});
+        result.drains.push_back({it.domain(), {it.era(), it.version()}, it.in_force()});
     }
     return result;
 }
@@ -185,7 +187,8 @@
         throw common::format_error{"unknown table: " + from.table()};
     }
     gateway::table_relay result;
-    result.changes = {*table, from.since(), from.version(), from.digest(), {}};
+    result.changes = {
+        *table, {from.era(), from.since()}, {from.era(), from.version()}, from.digest(), {}};
     result.confirmed = common::from_microseconds(from.confirmed_us());
     for (const auto& it : from.rows()) {
         gateway::store_row row{it.key(), std::nullopt, it.version()};
--- a/tests/unit/gateway/store/relayed_watch_test.cpp
+++ b/tests/unit/gateway/store/relayed_watch_test.cpp
@@ -19,9 +19,12 @@
     /// Passes changes on that were confirmed with the store just now.
     void relay(std::uint64_t since, std::uint64_t version, std::vector<store_row> rows = {}) {
         const auto now = common::monotonic_clock::now();
-        watch->changes_relayed(
-            {store_table::configuration, since, version, watch->copy().digest(), std::move(rows)},
-            now);
+        watch->changes_relayed({store_table::configuration,
+                                {0, since},
+                                {0, version},
+                                watch->copy().digest(),
+                                std::move(rows)},
+                               now);
     }
 };
 
@@ -35,7 +38,7 @@
     }
     BOOST_TEST(calls.empty());
     BOOST_TEST(updates.size() == 10U);
-    BOOST_TEST(watch->copy().version() == 20U);
+    BOOST_TEST(watch->copy().position().version == 20U);
 }
 
 // Guards against changes that stay unseen because the gateways that follow the store have failed.
@@ -54,8 +57,9 @@
     const auto confirmed_at = common::monotonic_clock::now();
     while (calls.empty() &&
            common::monotonic_clock::now() < confirmed_at + max_relayed_age + slack) {
-        watch->changes_relayed({store_table::configuration, 10, 10, watch->copy().digest(), {}},
-                               confirmed_at);
+        watch->changes_relayed(
+            {store_table::configuration, {0, 10}, {0, 10}, watch->copy().digest(), {}},
+            confirmed_at);
         run_for(max_relayed_age / 8);
     }
     BOOST_REQUIRE(!calls.empty());
@@ -66,7 +70,7 @@
     relay(15, 16, {{"key", "value", 16}});
     wait_for_calls(1);
     BOOST_TEST(updates.empty());
-    BOOST_TEST(watch->copy().version() == 10U);
+    BOOST_TEST(watch->copy().position().version == 10U);
 }
 
 // Guards against changes that are reverted: a response of the store that was sent before them
@@ -82,7 +86,7 @@
     respond_at_once(calls[0]);
     run_for(max_relayed_age / 2);
     BOOST_TEST(updates.size() == 1U);
-    BOOST_TEST(watch->copy().version() == 20U);
+    BOOST_TEST(watch->copy().position().version == 20U);
 }
 
 // Guards against earlier states of a row that are applied again and passed on without end.
@@ -99,7 +103,7 @@
     const auto now = common::monotonic_clock::now();
     stored_version = 11;
     for (int n = 0; n < 3; ++n) {
-        watch->changes_relayed({store_table::configuration, 10, 11, 1234, {}}, now);
+        watch->changes_relayed({store_table::configuration, {0, 10}, {0, 11}, 1234, {}}, now);
         run_for(batch_interval);
     }
     BOOST_REQUIRE(!calls.empty());
--- a/tests/unit/gateway/store/table_copy_test.cpp
+++ b/tests/unit/gateway/store/table_copy_test.cpp
@@ -18,22 +18,33 @@
 
 struct table_copy_fixture {
     table_copy copy;
-    table_copy_fixture() { copy.set_complete(10); }
+    table_copy_fixture() { copy.set_complete(at_version(10)); }
 
+    static store_position at_version(std::uint64_t version) { return {1, version}; }
     static common::time_point at(int ms) { return common::time_point{milliseconds{ms}}; }
 };
 
 BOOST_FIXTURE_TEST_SUITE(table_copy_test, table_copy_fixture)
 
 BOOST_AUTO_TEST_CASE(changes_are_related_to_the_version_of_the_copy) {
-    BOOST_TEST((copy.order_of(5, 9) == change_order::older));
-    BOOST_TEST((copy.order_of(5, 10) == change_order::known));
-    BOOST_TEST((copy.order_of(5, 11) == change_order::next));
-    BOOST_TEST((copy.order_of(10, 12) == change_order::next));
-    BOOST_TEST((copy.order_of(11, 12) == change_order::gap));
-    copy.advance(12);
-    copy.advance(11);
-    BOOST_TEST(copy.version() == 12U);
+    BOOST_TEST((copy.order_of(at_version(5), at_version(9)) == change_order::older));
+    BOOST_TEST((copy.order_of(at_version(5), at_version(10)) == change_order::known));
+    BOOST_TEST((copy.order_of(at_version(5), at_version(11)) == change_order::next));
+    BOOST_TEST((copy.order_of(at_version(10), at_version(12)) == change_order::next));
+    BOOST_TEST((copy.order_of(at_version(11), at_version(12)) == change_order::gap));
+    copy.advance(at_version(12));
+    copy.advance(at_version(11));
+    BOOST_TEST(copy.position().version == 12U);
+}
+
+// Guards against changes of a restored store that are taken for known ones.
+BOOST_AUTO_TEST_CASE(changes_of_another_era_are_related_by_the_era_first) {
+    copy.set_complete({2, 10});
+    BOOST_TEST((copy.order_of({1, 5}, {1, 20}) == change_order::older));
+    BOOST_TEST((copy.order_of({3, 1}, {3, 2}) == change_order::restored));
+    BOOST_TEST((copy.order_of({3, 10}, {3, 20}) == change_order::restored));
+    copy.advance({1, 30});
+    BOOST_TEST((copy.position() == store_position{2, 10}));
 }
 
 BOOST_AUTO_TEST_CASE(digest_depends_on_the_contents_and_not_on_the_order) {
@@ -65,10 +76,13 @@
     bool apply_all = false;
     bool ignore_digests = false;
     bool trust_silence = false;
+    /// Versions are compared without their era.
+    bool ignore_eras = false;
 };
 
 /// A store, two gateways that follow it and others that follow these, on a virtual clock. Messages
-/// are delayed, lost and duplicated, gateways freeze, and readers are cut off from the store.
+/// are delayed, lost and duplicated, gateways freeze, readers are cut off from the store, and the
+/// store may be restored from older copies.
 struct relay_simulation {
     struct message {
         common::time_point due;
@@ -83,7 +97,7 @@
         common::time_point frozen_until;
         common::time_point next_call;
         std::vector<store_row> pending;
-        std::uint64_t relayed = 0;
+        store_position relayed;
         std::size_t calls = 0;
     };
 
@@ -95,11 +109,24 @@
     // step for the check and one for the clock.
     static constexpr milliseconds spread_limit{1200 + 2 * 50};
 
+    /// The content of the store at one time.
+    struct store_copy {
+        std::map<std::string, std::uint64_t> rows;
+        std::map<std::string, std::uint64_t> row_versions;
+        std::uint64_t version = 1;
+    };
+
+    /// Age of the oldest copy from which the store is restored, in steps.
+    static constexpr std::size_t max_copy_age = 100;
+
     common::random_hook random;
     std::vector<node> nodes;
     std::map<std::string, std::uint64_t> stored;
     std::map<std::string, std::uint64_t> row_versions;
     std::uint64_t version = 1;
+    std::uint64_t era = 1;
+    bool restores = false;
+    std::deque<store_copy> copies;
     common::time_point now{seconds{100}};
     common::time_point changed_at = now;
     relay_faults faults;
@@ -135,6 +162,27 @@
         }
     }
 
+    /// Restores the store from a copy. Writes that follow give out its versions again.
+    void restore() {
+        const auto& copy = copies[common::uniform_below(random, copies.size())];
+        stored = copy.rows;
+        row_versions = copy.row_versions;
+        version = copy.version;
+        ++era;
+        changed_at = now;
+        for (auto n = common::uniform_below(random, 60); n > 0; --n) {
+            change_store();
+        }
+    }
+
+    /// The era as receivers see it.
+    [[nodiscard]] std::uint64_t seen_era() const { return faults.ignore_eras ? 1 : era; }
+
+    /// Whether the store can't tell what has changed since the copy of a gateway was read.
+    [[nodiscard]] bool lacks_history(const node& of) const {
+        return of.copy.position().era != seen_era() || of.copy.position().version > version;
+    }
+
     void apply(node& to, const std::string& key, std::optional<std::uint64_t> content) {
         if (content) {
             to.rows[key] = *content;
@@ -155,29 +203,33 @@
             apply(to, key, content);
         }
         to.pending.clear();
-        to.relayed = version;
-        to.copy.set_complete(version);
+        to.relayed = {seen_era(), version};
+        to.copy.set_complete({seen_era(), version});
         to.copy.confirm(now);
     }
 
     void read_changes(node& to) {
+        if (lacks_history(to)) {
+            read_all(to);
+            return;
+        }
         ++to.calls;
         for (const auto& [key, changed] : row_versions) {
-            if (changed > to.copy.version()) {
+            if (changed > to.copy.position().version) {
                 const auto it = stored.find(key);
                 apply(to, key, it == stored.end() ? std::nullopt : std::optional{it->second});
             }
         }
-        to.copy.advance(version);
+        to.copy.advance({seen_era(), version});
         to.copy.confirm(now);
     }
 
     void relay(node& from) {
         const message sent{now,
-                           {store_table::upstreams, from.relayed, from.copy.version(),
+                           {store_table::upstreams, from.relayed, from.copy.position(),
                             from.copy.digest(), std::exchange(from.pending, {})},
                            *from.copy.confirmed()};
-        from.relayed = from.copy.version();
+        from.relayed = from.copy.position();
         for (std::size_t n = readers; n < nodes.size(); ++n) {
             const unsigned copies = chance(3) ? 0 : chance(3) ? 2 : 1;
             for (unsigned copy = 0; copy < copies; ++copy) {
@@ -194,10 +246,14 @@
                 late.push_back(std::move(it));
                 continue;
             }
-            const auto order = to.copy.order_of(it.changes.since, it.changes.version);
+            const auto order = to.copy.order_of(it.changes.since, it.changes.until);
             if (order == change_order::gap && !faults.ignore_gaps) {
                 read_changes(to);
             }
+            if (order == change_order::restored) {
+                read_all(to);
+                continue;
+            }
             const bool is_applied =
                 order == change_order::next || (faults.apply_all && order != change_order::gap);
             if (!is_applied && order != change_order::known) {
@@ -207,7 +263,7 @@
                 apply(to, row.key,
                       row.value ? std::optional{std::stoull(*row.value)} : std::nullopt);
             }
-            to.copy.advance(it.changes.version);
+            to.copy.advance(it.changes.until);
             if (to.copy.digest() != it.changes.digest && !faults.ignore_digests) {
                 read_all(to);
                 continue;
@@ -234,6 +290,13 @@
     }
 
     void disturb() {
+        copies.push_back({stored, row_versions, version});
+        if (copies.size() > max_copy_age) {
+            copies.pop_front();
+        }
+        if (restores && chance(1)) {
+            restore();
+        }
         if (chance(2)) {
             auto& it = nodes[common::uniform_below(random, nodes.size())];
             it.frozen_until = now + milliseconds{500 + common::uniform_below(random, 4000)};
@@ -253,7 +316,7 @@
             if (now - awake_since > spread_limit && it.rows != stored) {
                 return "a change is missing at gateway " + std::to_string(n);
             }
-            if (it.copy.version() > version || *it.copy.confirmed() > now) {
+            if (it.copy.position() > store_position{era, version} || *it.copy.confirmed() > now) {
                 return "a version or confirmation from the future";
             }
         }
@@ -267,9 +330,9 @@
             }
             disturb();
             for (std::size_t k = 0; k < nodes.size(); ++k) {
-                const auto before = nodes[k].copy.version();
+                const auto before = nodes[k].copy.position();
                 run(nodes[k], k < readers);
-                if (nodes[k].copy.version() < before) {
+                if (nodes[k].copy.position() < before) {
                     return "the version went back";
                 }
             }
@@ -291,11 +354,25 @@
     }
 }
 
+// Guards against changes of a restored store that are lost, because their versions were given out
+// before.
+BOOST_AUTO_TEST_CASE(relayed_copies_through_restores_of_the_store_stay_current) {
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        relay_simulation simulation{seed, 5 + seed % 30};
+        simulation.restores = true;
+        BOOST_TEST_CONTEXT("seed " << seed) {
+            BOOST_TEST(simulation.play(600) == "");
+        }
+    }
+}
+
 // Shows that the simulation notices each kind of fault.
 BOOST_AUTO_TEST_CASE(relayed_copies_of_faulty_receivers_are_found_wrong) {
-    const auto is_found = [](const relay_faults& faults) {
+    const auto is_found = [](const relay_faults& faults, bool restores = false) {
         for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-            if (!relay_simulation{seed, 5 + seed % 30, faults}.play(600).empty()) {
+            relay_simulation simulation{seed, 5 + seed % 30, faults};
+            simulation.restores = restores;
+            if (!simulation.play(600).empty()) {
                 return true;
             }
         }
@@ -305,6 +382,7 @@
     BOOST_TEST(is_found({.apply_all = true, .ignore_digests = true}));
     BOOST_TEST(is_found({.ignore_digests = true}));
     BOOST_TEST(is_found({.trust_silence = true}));
+    BOOST_TEST(is_found({.ignore_eras = true}, true));
 }
 
 // Guards against calls to the store that grow with the number of gateways.
--- a/tests/unit/gateway/store/table_watch_fixture.h
+++ b/tests/unit/gateway/store/table_watch_fixture.h
@@ -55,6 +55,10 @@
     std::vector<std::unique_ptr<runtime::timer>> delayed;
     /// Version and rows in the responses of the store.
     std::uint64_t stored_version = 0;
+    /// The era that the responses name.
+    std::optional<std::uint64_t> stored_era;
+    /// The eras that the watch has reported.
+    std::vector<std::uint64_t> eras;
     std::vector<store_row> stored_rows;
     std::shared_ptr<runtime::task_lifecycle> server_life = make_lifecycle("store");
     std::shared_ptr<runtime::task_lifecycle> client_life = make_lifecycle("catalog");
@@ -106,6 +110,10 @@
             states.push_back(true);
             unseen_times.push_back(unseen);
         };
+        hooks.on_era = [this](std::uint64_t it) {
+            eras.push_back(it);
+            watch->begin_era(it, common::duration::zero());
+        };
         hooks.on_confirmed = [this](common::time_point at) { confirmed.push_back(at); };
         table_watch_limits limits;
         limits.wait = wait;
@@ -136,7 +144,7 @@
                                  : response.status == 410 ? store_outcome::history_lost
                                  : response.status == 429 ? store_outcome::throttled
                                                           : store_outcome::unavailable;
-            return store_response{outcome, {stored_rows, false, stored_version}, {}};
+            return store_response{outcome, {stored_rows, false, stored_version}, {}, stored_era};
         };
         return result;
     }
--- a/tests/unit/gateway/store/table_watch_test.cpp
+++ b/tests/unit/gateway/store/table_watch_test.cpp
@@ -196,6 +196,54 @@
     BOOST_TEST(calls.size() - before <= 2U * static_cast<std::size_t>(rounds + 1));
 }
 
+// Guards against changes of a restored store that are never read: they have versions that the watch
+// has passed already.
+BOOST_AUTO_TEST_CASE(watch_whose_store_names_a_later_era_reads_the_whole_table) {
+    stored_era = 1;
+    stored_version = 20;
+    BOOST_REQUIRE(loop.run_until([&] { return confirmed.size() >= 2; }));
+    BOOST_TEST((watch->copy().position() == store_position{1, 20}));
+    stored_era = 2;
+    stored_version = 15;
+    stored_rows = {{"key", "value", 12}};
+    const auto before = updates.size();
+    BOOST_REQUIRE(loop.run_until([&] { return updates.size() > before; }));
+    BOOST_TEST(updates.back().complete);
+    BOOST_TEST((watch->copy().position() == store_position{2, 15}));
+    BOOST_TEST(calls.back().target == "/read");
+}
+
+// Guards against a copy that goes back to the state before a restore: a response of the former era
+// arrives late.
+BOOST_AUTO_TEST_CASE(watch_that_gets_a_response_of_an_earlier_era_ignores_it) {
+    stored_era = 3;
+    stored_version = 20;
+    BOOST_REQUIRE(loop.run_until([&] { return confirmed.size() >= 2; }));
+    const auto applied = updates.size();
+    const auto confirmations = confirmed.size();
+    const auto called = calls.size();
+    stored_era = 2;
+    stored_version = 30;
+    stored_rows = {{"key", "value", 25}};
+    wait_for_calls(called + 2);
+    BOOST_TEST(updates.size() == applied);
+    BOOST_TEST(confirmed.size() == confirmations);
+    BOOST_TEST((watch->copy().position() == store_position{3, 20}));
+}
+
+// Guards against a store whose software names no era: its responses belong to the known one.
+BOOST_AUTO_TEST_CASE(watch_whose_store_stops_naming_its_era_goes_on) {
+    stored_era = 1;
+    stored_version = 20;
+    BOOST_REQUIRE(loop.run_until([&] { return confirmed.size() >= 2; }));
+    stored_era.reset();
+    stored_version = 21;
+    BOOST_REQUIRE(loop.run_until([&] {
+        return watch->copy().position() == store_position{1, 21};
+    }));
+    BOOST_TEST((eras == std::vector<std::uint64_t>{1}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/gateway/store/warm_up_tracker_test.cpp
+++ b/tests/unit/gateway/store/warm_up_tracker_test.cpp
@@ -26,7 +26,7 @@
         if (cold_left > common::duration::zero()) {
             from.cold_until = now + cold_left;
         }
-        extended = subject.complete(from, next_version++, now);
+        extended = subject.complete(from, {1, next_version++}, now);
         return from;
     }
 
--- a/tests/unit/gateway/upstream_list_test.cpp
+++ b/tests/unit/gateway/upstream_list_test.cpp
@@ -167,6 +167,51 @@
     BOOST_TEST(gateway::choose_owner("s", {}).empty());
 }
 
+// Guards against requests to an instance that has exited: a restored store holds its entry again.
+BOOST_AUTO_TEST_CASE(upstream_that_has_left_does_not_come_back_with_a_restored_store) {
+    list.put(entry("a"));
+    list.remove("a", now);
+    list.record_restore(now);
+    BOOST_TEST(!list.replace({{"a", entry("a")}}, now));
+    BOOST_TEST(list.entries().empty());
+    // The store removes the entry, because nobody renews it.
+    BOOST_TEST(!list.remove("a", now));
+    BOOST_TEST(!list.end_restore());
+    BOOST_TEST(list.entries().empty());
+}
+
+// Guards against an instance that is lost for good because its entry had expired before a restore.
+BOOST_AUTO_TEST_CASE(upstream_that_came_back_with_a_restored_store_is_used_in_the_end) {
+    list.put(entry("a"));
+    list.remove("a", now);
+    list.record_restore(now);
+    list.replace({{"a", entry("a")}}, now);
+    BOOST_TEST(list.end_restore());
+    BOOST_TEST(list.entries().contains("a"));
+}
+
+// Guards against new work for an instance whose announced stop a restored store has lost.
+BOOST_AUTO_TEST_CASE(upstream_that_drains_stays_so_when_a_restored_store_says_that_it_serves) {
+    auto draining = entry("a");
+    draining.phase = gateway::upstream_phase::draining;
+    list.put(draining);
+    list.record_restore(now);
+    BOOST_TEST(!list.replace({{"a", entry("a")}}, now));
+    BOOST_TEST((list.entries().at("a").phase == gateway::upstream_phase::draining));
+    BOOST_TEST(list.put(entry("a", 2)));
+    BOOST_TEST((list.entries().at("a").phase == gateway::upstream_phase::serving));
+}
+
+// Guards against removing upstreams whose entries a restored store lacks until they are renewed.
+BOOST_AUTO_TEST_CASE(upstream_missing_in_a_restored_store_stays_for_the_reregistration_time) {
+    list.put(entry("a"));
+    list.record_restore(now);
+    BOOST_TEST(!list.replace({}, now));
+    BOOST_TEST(list.entries().contains("a"));
+    BOOST_TEST(list.expire(now + gateway::upstream_list::reregistration_time));
+    BOOST_TEST(list.entries().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
--- a/tests/unit/wire/gateway_codec_test.cpp
+++ b/tests/unit/wire/gateway_codec_test.cpp
@@ -134,16 +134,16 @@
 BOOST_AUTO_TEST_CASE(table_changes_when_decoded_keep_rows_deletions_and_times) {
     gateway::table_relay relay;
     relay.changes = {gateway::store_table::upstreams,
-                     7,
-                     9,
+                     {3, 7},
+                     {3, 9},
                      0xfedcba9876543210U,
                      {{"a", "value", 8}, {"b", std::nullopt, 9}, {"c", "", 9}}};
     relay.confirmed = common::time_point{seconds{5}};
     const auto message = round_trip(relay);
     const auto& read = std::get<gateway::table_relay>(message.content);
     BOOST_TEST((read.changes.table == gateway::store_table::upstreams));
-    BOOST_TEST(read.changes.since == 7U);
-    BOOST_TEST(read.changes.version == 9U);
+    BOOST_TEST((read.changes.since == gateway::store_position{3, 7}));
+    BOOST_TEST((read.changes.until == gateway::store_position{3, 9}));
     BOOST_TEST(read.changes.digest == 0xfedcba9876543210U);
     BOOST_REQUIRE(read.changes.rows.size() == 3U);
     BOOST_TEST(*read.changes.rows[0].value == "value");
@@ -153,7 +153,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(drains_when_decoded_keep_their_versions) {
-    const gateway::domain_drains drains{{{"z1", 1ULL << 40U, true}, {"z2", 7, false}}};
+    const gateway::domain_drains drains{{{"z1", {3, 1ULL << 40U}, true}, {"z2", {2, 7}, false}}};
     const auto message = round_trip(drains);
     BOOST_TEST((std::get<gateway::domain_drains>(message.content).drains == drains.drains));
 }
