--- a/soak/standin_platform.py
+++ b/soak/standin_platform.py
@@ -2,6 +2,7 @@
 import asyncio
 import base64
 import collections
+import copy
 import enum
 import functools
 import json
@@ -74,13 +75,20 @@
 
     Each gateway has its own listener, so that the store can behave differently towards each. A
     dropped call never gets a response, not even after the disruption, and its connection stays
-    unused.
+    unused. It may be away for all and come back from an older copy of itself.
     """
 
+    # Age of the oldest copy in s.
+    MAX_COPY_AGE_S = 5
+
     def __init__(self, random):
         self.random = random
         self.tables = collections.defaultdict(dict)
         self.version = 1
+        self.era = 1
+        self.away = False
+        # Times and contents, oldest first.
+        self.copies = collections.deque()
         self.changed = asyncio.Condition()
         self.behaviors = collections.defaultdict(lambda: StoreBehavior.NORMAL)
         self.silence_counts = collections.Counter()
@@ -111,7 +119,32 @@
         self.silence_counts[client] += behavior is StoreBehavior.SILENT
         self.behaviors[client] = behavior
 
+    def leave(self):
+        """Is away for all until `restore`. Calls in progress are dropped."""
+        self.away = True
+        for client in self.calls:
+            self.silence_counts[client] += 1
+
+    async def restore(self, age_s):
+        """Comes back from the newest copy that is at least this old, or from the oldest one."""
+        now = asyncio.get_running_loop().time()
+        old = [it for it in self.copies if now - it[0] >= age_s] or list(self.copies)[:1]
+        if old:
+            _, self.version, self.tables = copy.deepcopy(old[-1])
+        self.copies.clear()
+        self.era += 1
+        self.away = False
+        async with self.changed:
+            self.changed.notify_all()
+
+    def keep_copy(self):
+        now = asyncio.get_running_loop().time()
+        self.copies.append((now, self.version, copy.deepcopy(self.tables)))
+        while now - self.copies[0][0] > self.MAX_COPY_AGE_S:
+            self.copies.popleft()
+
     async def put(self, table, key, value):
+        self.keep_copy()
         self.version += 1
         self.tables[table][key] = (value, self.version)
         async with self.changed:
@@ -128,11 +161,11 @@
     async def handle(self, client, message, writer):
         self.calls[client] += 1
         silences = self.silence_counts[client]
-        dropped = self.behaviors[client] is StoreBehavior.SILENT
+        dropped = self.away or self.behaviors[client] is StoreBehavior.SILENT
         if not dropped:
             if self.behaviors[client] is StoreBehavior.SLOW:
                 await asyncio.sleep(self.random.uniform(0, MAX_RESPONSE_DELAY_S))
-            response = await self.respond(message)
+            status, response = await self.respond(message)
             dropped = self.silence_counts[client] != silences or (
                 self.behaviors[client] is StoreBehavior.DROPS_RESPONSES and
                 self.random.random() < LOSS_PROBABILITY)
@@ -140,15 +173,16 @@
             self.dropped_calls[client] += 1
             await self.closing.wait()
             return False
-        writer.write(wire.encode_response(200, json.dumps(response).encode(),
-                                          Content_Type="application/json"))
+        writer.write(wire.encode_response(status, json.dumps(response).encode(),
+                                          Content_Type="application/json",
+                                          Store_Era=str(self.era)))
         return True
 
     async def respond(self, message):
         path, _, query = message.start.split(" ")[1].partition("?")
         values = dict(urllib.parse.parse_qsl(query))
         if path == "/rows-get":
-            return self.rows(values["table"], 0)
+            return 200, self.rows(values["table"], 0)
         if path == "/rows-feed":
             wait_ms = min(int(values["wait_ms"]), MAX_WAIT_MS)
             return await self.wait_for_changes(values["table"], int(values["after"]),
@@ -162,12 +196,14 @@
                 await self.put(row["table"], row["key"], value)
             for row in call["remove"]:
                 await self.put(row["table"], row["key"], None)
-        return {"row_version": self.version, "now_ms": 1}
+        return 200, {"row_version": self.version, "now_ms": 1}
 
     async def wait_for_changes(self, table, after, wait_s):
-        """Waits up to `wait_s` for a change of the table and returns the changed rows."""
+        """Waits up to `wait_s` for a change of the table and returns the changed rows, or 410 if the
+        store does not have the version."""
         end = asyncio.get_running_loop().time() + wait_s
-        while not (response := self.rows(table, after))["rows"] and not self.closing.is_set():
+        response = {}
+        while after <= self.version and not (response := self.rows(table, after))["rows"] and not self.closing.is_set():
             remaining = end - asyncio.get_running_loop().time()
             if remaining <= 0:
                 break
@@ -176,7 +212,7 @@
                     await asyncio.wait_for(self.changed.wait(), remaining)
             except asyncio.TimeoutError:
                 pass
-        return response
+        return (200, response) if after <= self.version else (410, {})
 
 
 class Upstream:
