--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -42,7 +42,7 @@
 namespace {
 
 struct platform_state {
-    explicit platform_state(runtime::executor executor) : loop{std::move(executor)}, store{loop} {}
+    explicit platform_state(runtime::executor executor) : loop{executor}, store{loop} {}
 
     runtime::executor loop;
     users_store store;
--- a/tests/support/programs/users_store.h
+++ b/tests/support/programs/users_store.h
@@ -19,7 +19,7 @@
 /// transactions. It may fall silent, and may be restored from an older copy of itself.
 class users_store {
 public:
-    explicit users_store(runtime::executor loop) : m_loop{std::move(loop)} {}
+    explicit users_store(runtime::executor loop) : m_loop{loop} {}
 
     void put(const std::string& table, const std::string& key, const boost::json::value& value) {
         put_bytes(table, key, boost::json::serialize(value));
