registration: do not register again while the row is being deleted

A gateway that stops deletes its row and waits for the response. A full read of the table in that time, as after a restore of the store, wrote the row again, and it stayed after the gateway had exited.

--- a/source/core/gateway/store/registration.cpp
+++ b/source/core/gateway/store/registration.cpp
@@ -52,7 +52,7 @@
 }
 
 void registration::hasten() {
-    if (m_registered || common::monotonic_clock::now() - m_sent < lost_call_time) {
+    if (m_registered || m_ending || common::monotonic_clock::now() - m_sent < lost_call_time) {
         return;
     }
     if (const auto lost = std::exchange(m_call, {})) {
@@ -75,6 +75,7 @@
 
 void registration::end(const runtime::stop_done& done) {
     m_registered = false;
+    m_ending = true;
     m_retry_timer.cancel();
     m_client.send(
         m_adapter->encode_unregister(m_self.name), [this, done](const http::call_result& result) {
--- a/source/core/gateway/store/registration.h
+++ b/source/core/gateway/store/registration.h
@@ -49,6 +49,8 @@
     std::function<void(std::uint64_t era)> m_on_era;
     runtime::timer m_retry_timer;
     bool m_registered = false;
+    /// Whether the row is being deleted for good.
+    bool m_ending = false;
     /// The call in progress, and when the last one was sent.
     std::optional<http::call_id> m_call;
     common::time_point m_sent;
