upstreams: believe an entry that is written after a restore of the store

And a former incarnation in the older copy replaced the known one, so requests went to its address.

Only a full read can bring the older copy's rows; a row that changes later was written after the restore and counts at once, also at gateways that follow others. An incarnation that was replaced is remembered like one that has left.

--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -323,11 +323,13 @@
         const bool cold_for_longer =
             decoded && m_warm_up.complete(*decoded, {era, row.version}, now);
         record_row(store_table::upstreams, row,
-                   decoded ? std::optional{row_digest(*decoded)} : std::nullopt, cold_for_longer);
+                   decoded ? std::optional{row_digest(*decoded)} : std::nullopt,
+                   cold_for_longer || m_restored);
         if (!decoded) {
             m_warm_up.removed(row.key, now);
             const bool malformed = row.value.has_value();
             if (malformed ? m_upstreams.discard(row.key)
+        // After a restore, that an entry is written shows that its instance is alive.
                           : !update.complete && m_upstreams.remove(row.key, now)) {
                 changed = true;
                 m_log.info("Upstream is gone.", {{"upstream", row.key}});
--- a/source/core/gateway/upstream_list.cpp
+++ b/source/core/gateway/upstream_list.cpp
@@ -37,13 +37,15 @@
         return known->second.phase == upstream_phase::draining &&
                entry.phase == upstream_phase::serving;
     }
-    return m_departed.contains(incarnation_of(entry));
+    return std::find(m_departed.begin(), m_departed.end(), incarnation_of(entry)) !=
+           m_departed.end();
 }
 
-void upstream_list::record_departure(const upstream_instance& entry, common::time_point now) {
-    std::erase_if(m_departed,
-                  [&](const auto& it) { return now - it.second >= departure_retention; });
-    m_departed[incarnation_of(entry)] = now;
+void upstream_list::record_departure(const upstream_instance& entry) {
+    m_departed.push_back(incarnation_of(entry));
+    if (m_departed.size() > max_leaving) {
+        m_departed.pop_front();
+    }
 }
 
 void upstream_list::record_restore(common::time_point now) {
@@ -64,12 +66,13 @@
 }
 
 bool upstream_list::put(upstream_instance entry) {
-    m_expiring.erase(entry.id);
     m_contradicted.erase(entry.id);
-    if (m_restored && is_known_to_leave(entry)) {
-        m_contradicted.insert_or_assign(entry.id, std::move(entry));
-        return false;
-    }
+    std::erase(m_departed, incarnation_of(entry));
+    return store(std::move(entry));
+}
+
+bool upstream_list::store(upstream_instance entry) {
+    m_expiring.erase(entry.id);
     if (!m_leaving.empty() &&
         std::find(m_leaving.begin(), m_leaving.end(), incarnation_of(entry)) != m_leaving.end()) {
         entry.phase = upstream_phase::draining;
@@ -78,6 +81,9 @@
     if (stored == entry) {
         return false;
     }
+    if (!stored.id.empty() && !is_same_incarnation(stored, entry)) {
+        record_departure(stored);
+    }
     stored = std::move(entry);
     return true;
 }
@@ -105,7 +111,7 @@
         return false;
     }
     m_expiring.erase(id);
-    record_departure(it->second, now);
+    record_departure(it->second);
     m_entries.erase(it);
     return true;
 }
@@ -123,7 +129,11 @@
         changed = remove(id, now) || changed;
     }
     for (const auto& [id, entry] : entries) {
-        changed = put(entry) || changed;
+        if (m_restored && is_known_to_leave(entry)) {
+            m_contradicted.emplace(id, entry);
+        } else {
+            changed = store(entry) || changed;
+        }
     }
     return changed;
 }
@@ -157,7 +167,7 @@
         }
         const auto expired = m_entries.find(it->first);
         if (expired != m_entries.end()) {
-            record_departure(expired->second, now);
+            record_departure(expired->second);
             m_entries.erase(expired);
         }
         it = m_expiring.erase(it);
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -70,7 +70,8 @@
 ///
 /// A store that is restored from an older copy lacks new entries and brings earlier ones back. For
 /// some time after a restore, an instance that is known to leave or to have left stays so, whatever
-/// its entry says. Then the store's word alone decides.
+/// its entry in the copy says; one that is written later counts at once. After that time the
+/// entries of the copy count as well.
 class upstream_list {
 public:
     /// Interval at which instances renew their entries, unless the settings name another one.
@@ -88,10 +89,6 @@
     /// recovers.
     static constexpr common::duration reregistration_time = std::chrono::milliseconds{2200};
 
-    /// How long an instance that has left is remembered: longer than the age of a copy from which a
-    /// store is restored.
-    static constexpr common::duration departure_retention = std::chrono::seconds{60};
-
     explicit upstream_list(common::duration heartbeat = default_heartbeat)
         : m_shortest_expiry{shortest_expiry(heartbeat)} {}
 
@@ -139,19 +136,21 @@
     [[nodiscard]] const upstream_map& entries() const { return m_entries; }
 
 private:
-    /// Number of announcements that are remembered.
+    /// Number of announcements, and of departures, that are remembered.
     static constexpr std::size_t max_leaving = 1024;
 
     /// Whether the instance of the entry is known to leave or to have left.
     [[nodiscard]] bool is_known_to_leave(const upstream_instance& entry) const;
-    void record_departure(const upstream_instance& entry, common::time_point now);
+    void record_departure(const upstream_instance& entry);
+    /// Adds or replaces an entry whatever is known of its instance.
+    bool store(upstream_instance entry);
 
     upstream_map m_entries;
-    /// Instances that have left, with the time at which this became known.
-    std::map<incarnation, common::time_point> m_departed;
+    /// Instances that have left or were replaced by another incarnation, oldest first.
+    std::deque<incarnation> m_departed;
     /// Whether the store was restored a short time ago.
     bool m_restored = false;
-    /// Entries since the restore of instances that are known to leave or to have left.
+    /// Entries of the older copy whose instances are known to leave or to have left.
     upstream_map m_contradicted;
     /// Instances that have announced that they are about to stop, oldest first.
     std::deque<incarnation> m_leaving;
--- a/tests/unit/gateway/upstream_list_test.cpp
+++ b/tests/unit/gateway/upstream_list_test.cpp
@@ -202,6 +202,27 @@
     BOOST_TEST((list.entries().at("a").phase == gateway::upstream_phase::serving));
 }
 
+// Guards against an instance that is alive and refused: it wrote its entry again after its entry
+// had expired.
+BOOST_AUTO_TEST_CASE(upstream_that_writes_its_entry_after_a_restore_is_used_at_once) {
+    list.put(entry("a"));
+    list.record_restore(now);
+    list.replace({}, now);
+    now += gateway::upstream_list::reregistration_time;
+    BOOST_REQUIRE(list.expire(now));
+    BOOST_TEST(list.put(entry("a")));
+    BOOST_TEST(list.entries().contains("a"));
+}
+
+// Guards against requests to the address of a former incarnation, whose entry is in the older copy.
+BOOST_AUTO_TEST_CASE(upstream_stays_when_a_restored_store_holds_a_former_incarnation) {
+    list.put(entry("a", 1));
+    list.put(entry("a", 2));
+    list.record_restore(now);
+    BOOST_TEST(!list.replace({{"a", entry("a", 1)}}, now));
+    BOOST_TEST(list.entries().at("a").started_ms == 2);
+}
+
 // Guards against removing upstreams whose entries a restored store lacks until they are renewed.
 BOOST_AUTO_TEST_CASE(upstream_missing_in_a_restored_store_stays_for_the_reregistration_time) {
     list.put(entry("a"));
