--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -399,23 +399,30 @@
 }
 
 void catalog::apply_gateway_rows(const table_update& update) {
-    if (update.complete) {
-        m_gateways.begin_replace(common::monotonic_clock::now());
-    }
+    std::map<std::string, gateway_record> all_rows;
+    bool own_row_changed = update.complete;
     for (const auto& row : update.rows) {
         const auto decoded =
             decode_row(store_table::gateways, "a gateway", row, m_adapter->decode_gateway);
-        m_gateways.put(row.key, decoded);
         record_row(store_table::gateways, row,
                    decoded ? std::optional{row_digest(*decoded)} : std::nullopt);
     }
     if (update.complete) {
         m_registration.hasten();
     }
-    m_registration.check(m_gateways.find_stored(m_self.name));
+    if (own_row_changed) {
+        m_registration.check(m_gateways.find_stored(m_self.name));
+    }
     publish_gateways();
+        own_row_changed = own_row_changed || row.key == m_self.name;
+        if (!update.complete) {
+            m_gateways.put(row.key, decoded);
+        } else if (decoded) {
+            all_rows.emplace(row.key, *decoded);
+        }
     if (!std::exchange(m_gateways_read, true)) {
         publish();
+        m_gateways.replace(all_rows, common::monotonic_clock::now());
     }
 }
 
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -83,9 +83,9 @@
     void era_seen(std::uint64_t era);
     /// Prepares what is known for a store that lacks rows, or has earlier states of them.
     void record_restore();
-    /// The gateways whose rows are still missing after a restore are removed.
-    void remove_missing_gateways();
-    /// From now on the rows of the restored store decide alone.
+    /// Ends the time in which gateways register again after a restore.
+    void end_reregistration();
+    /// Ends the time in which what a restored store has lost is written again.
     void end_restore();
     /// How long this gateway waits before it reads the tables of a restored store, so that not all
     /// gateways read at once.
--- a/source/core/gateway/store/catalog_restore.cpp
+++ b/source/core/gateway/store/catalog_restore.cpp
@@ -59,14 +59,14 @@
     m_hooks.confirm_configuration({});
     schedule_expiry();
     m_reregistration_timer.start(gateway_list::reregistration_time,
-                                 m_context.wrap([this] { remove_missing_gateways(); }));
+                                 m_context.wrap([this] { end_reregistration(); }));
     m_restore_timer.start(drained_domains::rewrite_time, m_context.wrap([this] { end_restore(); }));
     publish();
 }
 
-void catalog::remove_missing_gateways() {
+void catalog::end_reregistration() {
     if (m_gateways.expire(common::monotonic_clock::now())) {
-        m_log.info("Removed gateways that did not register again after the restore of the store.");
+        m_log.info("Some gateways have not registered again after the restore of the store.");
         publish_gateways();
     }
 }
--- a/source/core/gateway/store/gateway_list.h
+++ b/source/core/gateway/store/gateway_list.h
@@ -2,7 +2,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -11,23 +10,25 @@
 
 namespace jujubemast::gateway::store {
 
-/// The gateways that are registered in the store. One whose row a restored store lacks is kept
-/// until it has had time to register again. Makes no calls and reads no clock.
+/// The gateways that are registered in the store. One whose row a restored store lacks, or holds in
+/// an earlier state, stays as it was until it has had time to register again. Makes no calls and
+/// reads no clock.
 class gateway_list {
 public:
     /// A gateway registers again within this time after a restore of the store.
     static constexpr common::duration reregistration_time = std::chrono::seconds{3};
 
-    /// Handles the row of a gateway, or its removal if there is no record.
+    /// Handles a change of a gateway's row, or its removal if there is no record.
     void put(const std::string& name, const std::optional<gateway_record>& record);
 
-    /// The whole table is about to be read again: each row that follows is put.
-    void begin_replace(common::time_point now);
+    /// Handles the whole content of the table.
+    void replace(const std::map<std::string, gateway_record>& rows, common::time_point now);
 
     /// The store has been restored from an older copy.
     void record_restore(common::time_point now) { m_reregistered_by = now + reregistration_time; }
 
-    /// Removes the gateways that have not registered again. Returns whether the list changed.
+    /// From now on the rows of the gateways that have not registered again count, or their absence.
+    /// Returns whether the list changed.
     bool expire(common::time_point now);
 
     [[nodiscard]] std::vector<gateway_record> all() const;
@@ -39,8 +40,8 @@
 
 private:
     std::map<std::string, gateway_record> m_records;
-    /// Gateways whose rows the restored store has not shown yet.
-    std::set<std::string> m_missing;
+    /// The rows of a restored store that differ from what is known; empty if it lacks the row.
+    std::map<std::string, std::optional<gateway_record>> m_restored;
     common::time_point m_reregistered_by;
 };
 
--- a/tests/unit/gateway/store/gateway_list_test.cpp
+++ b/tests/unit/gateway/store/gateway_list_test.cpp
@@ -16,14 +16,17 @@
         put("b");
     }
 
-    void put(const std::string& name) { subject.put(name, gateway_record{name, "10.0.0.1:1", 7}); }
+    static gateway_record record(const std::string& name, std::uint64_t incarnation = 7) {
+        return {name, "10.0.0.1:1", incarnation};
+    }
+
+    void put(const std::string& name) { subject.put(name, record(name)); }
 };
 
 BOOST_FIXTURE_TEST_SUITE(gateway_list_test, gateway_list_fixture)
 
 BOOST_AUTO_TEST_CASE(gateway_missing_when_the_table_is_read_is_removed) {
-    subject.begin_replace(now);
-    put("a");
+    subject.replace({{"a", record("a")}}, now);
     BOOST_TEST(subject.size() == 1U);
     subject.put("a", std::nullopt);
     BOOST_TEST(subject.all().empty());
@@ -32,8 +35,7 @@
 // Guards against limits that are divided among too few gateways after a restore of the store.
 BOOST_AUTO_TEST_CASE(gateway_missing_in_a_restored_store_is_kept_until_it_could_register_again) {
     subject.record_restore(now);
-    subject.begin_replace(now);
-    put("a");
+    subject.replace({{"a", record("a")}}, now);
     BOOST_TEST(subject.size() == 2U);
     BOOST_TEST((subject.find_stored("a") != nullptr));
     // A gateway that finds its own row missing registers again.
@@ -45,13 +47,25 @@
 
 BOOST_AUTO_TEST_CASE(gateway_that_registers_again_after_a_restore_stays) {
     subject.record_restore(now);
-    subject.begin_replace(now);
-    put("b");
+    subject.replace({{"b", record("b")}}, now);
     put("a");
     BOOST_TEST(!subject.expire(now + gateway_list::reregistration_time));
     BOOST_TEST(subject.size() == 2U);
 }
 
+// Guards against links that are closed and messages that are dropped, because the older copy holds
+// the row of an earlier start of a gateway.
+BOOST_AUTO_TEST_CASE(gateway_whose_earlier_start_is_in_a_restored_store_stays_as_it_was) {
+    subject.record_restore(now);
+    subject.replace({{"a", record("a", 6)}, {"b", record("b")}, {"c", record("c")}}, now);
+    BOOST_TEST(subject.all().at(0).incarnation == 7U);
+    BOOST_TEST(subject.size() == 3U);
+    // Its own gateway finds that it has to register again.
+    BOOST_TEST(subject.find_stored("a")->incarnation == 6U);
+    BOOST_TEST(subject.expire(now + gateway_list::reregistration_time));
+    BOOST_TEST(subject.all().at(0).incarnation == 6U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
