--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -100,7 +100,7 @@
 }
 
 void catalog::confirmed(store_table table, common::time_point at) {
-    if (table == store_table::configuration && m_newest_in_force && !m_restored) {
+    if (table == store_table::configuration && m_newest_in_force && !m_may_lack_configuration) {
         m_hooks.confirm_configuration({at});
     }
     if (table == store_table::gateways) {
@@ -289,6 +289,8 @@
         check_stages(*decoded);
         log_faults(*decoded);
         m_configuration = std::make_shared<const configuration>(std::move(*decoded));
+        // The operator has written again.
+        m_may_lack_configuration = false;
         m_log.info("Configuration in force.",
                    {{"version", std::to_string(m_configuration->version)},
                     {"routes", std::to_string(m_configuration->routes.size())},
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -133,9 +133,11 @@
     /// The latest known era of the store.
     std::uint64_t m_era = 0;
     std::size_t m_restores = 0;
-    /// Whether the store was restored a short time ago, so that the operator may not have written
-    /// the newest configuration again.
+    /// Whether the store was restored a short time ago, so that not all of what it has lost has
+    /// been written again.
     bool m_restored = false;
+    /// Whether the restored store may lack a configuration newer than the known one.
+    bool m_may_lack_configuration = false;
     configuration_pointer m_configuration;
     /// Whether the newest configuration in the store could be decoded, and is not older than the
     /// one that is known.
--- a/source/core/gateway/store/catalog_restore.cpp
+++ b/source/core/gateway/store/catalog_restore.cpp
@@ -52,6 +52,7 @@
 void catalog::record_restore() {
     const auto now = common::monotonic_clock::now();
     ++m_restores;
+    m_may_lack_configuration = true;
     m_restored = true;
     m_upstreams.record_restore(now);
     m_gateways.record_restore(now);
@@ -72,6 +73,7 @@
 }
 
 void catalog::end_restore() {
+    m_may_lack_configuration = false;
     m_restored = false;
     const auto ended = m_drains.end_lost(common::monotonic_clock::now());
     log_drains(ended);
--- a/tests/integration/store_restored_test.cpp
+++ b/tests/integration/store_restored_test.cpp
@@ -283,6 +283,15 @@
     });
 }
 
+// Guards against refusals with 503 of requests that no configuration allows, although the operator
+// has written a newer configuration.
+BOOST_AUTO_TEST_CASE(key_that_a_configuration_after_a_restore_lacks_is_refused_for_good) {
+    store_restored_fixture it;
+    it.control("/copy");
+    it.restore(restored_head::past_it, [&] { it.control("/configuration", "2"); });
+    BOOST_TEST(it.holds_in_time([&](std::size_t n) { return it.status_with_key_of(1, n) == 401; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
