--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -243,12 +243,16 @@
 
 void catalog::handle(const domain_drains& message) {
     const auto now = common::monotonic_clock::now();
-    for (const auto& it : message.drains) {
-        era_seen(it.position.era);
+    const auto is_of_later_era = [this](const domain_drain& it) { return it.position.era > m_era; };
+    if (std::any_of(message.drains.begin(), message.drains.end(), is_of_later_era)) {
+        m_watches.at(store_table::configuration)->refresh();
     }
     std::vector<domain_drain> changes;
     std::copy_if(message.drains.begin(), message.drains.end(), std::back_inserter(changes),
-                 [&](const domain_drain& it) { return m_drains.apply(it, now); });
+                 [&](const domain_drain& it) {
+                     // Only the store shows that a drain of a later era has ended.
+                     return (it.in_force || !is_of_later_era(it)) && m_drains.apply(it, now);
+                 });
     if (!changes.empty()) {
         log_drains(changes);
         publish();
@@ -285,12 +289,12 @@
         if (m_configuration && decoded->version <= m_configuration->version) {
             continue;
         }
+        // The operator has written again.
+        m_may_lack_configuration = false;
         index_routes(*decoded);
         check_stages(*decoded);
         log_faults(*decoded);
         m_configuration = std::make_shared<const configuration>(std::move(*decoded));
-        // The operator has written again.
-        m_may_lack_configuration = false;
         m_log.info("Configuration in force.",
                    {{"version", std::to_string(m_configuration->version)},
                     {"routes", std::to_string(m_configuration->routes.size())},
@@ -324,6 +328,7 @@
             [&](const store_row& it) { return m_adapter->decode_upstream(it, now); });
         const bool cold_for_longer =
             decoded && m_warm_up.complete(*decoded, {era, row.version}, now);
+        // After a restore, that an entry is written shows that its instance is alive.
         record_row(store_table::upstreams, row,
                    decoded ? std::optional{row_digest(*decoded)} : std::nullopt,
                    cold_for_longer || m_restored);
@@ -331,7 +336,6 @@
             m_warm_up.removed(row.key, now);
             const bool malformed = row.value.has_value();
             if (malformed ? m_upstreams.discard(row.key)
-        // After a restore, that an entry is written shows that its instance is alive.
                           : !update.complete && m_upstreams.remove(row.key, now)) {
                 changed = true;
                 m_log.info("Upstream is gone.", {{"upstream", row.key}});
@@ -408,23 +412,23 @@
             decode_row(store_table::gateways, "a gateway", row, m_adapter->decode_gateway);
         record_row(store_table::gateways, row,
                    decoded ? std::optional{row_digest(*decoded)} : std::nullopt);
+        own_row_changed = own_row_changed || row.key == m_self.name;
+        if (!update.complete) {
+            m_gateways.put(row.key, decoded);
+        } else if (decoded) {
+            all_rows.emplace(row.key, *decoded);
+        }
     }
     if (update.complete) {
+        m_gateways.replace(all_rows, common::monotonic_clock::now());
         m_registration.hasten();
     }
     if (own_row_changed) {
         m_registration.check(m_gateways.find_stored(m_self.name));
     }
     publish_gateways();
-        own_row_changed = own_row_changed || row.key == m_self.name;
-        if (!update.complete) {
-            m_gateways.put(row.key, decoded);
-        } else if (decoded) {
-            all_rows.emplace(row.key, *decoded);
-        }
     if (!std::exchange(m_gateways_read, true)) {
         publish();
-        m_gateways.replace(all_rows, common::monotonic_clock::now());
     }
 }
 
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -78,8 +78,8 @@
     void record_row(store_table table, const store_row& row, std::optional<std::uint64_t> content,
                     bool is_hidden_change = false);
     void confirmed(store_table table, common::time_point at);
-    /// The store, or another gateway, has named an era of the store. If it is a later one, the
-    /// store was restored from an older copy, and all tables are read again.
+    /// A response of the store names its era. If it is a later one, the store was restored from an
+    /// older copy, and all tables are read again.
     void era_seen(std::uint64_t era);
     /// Prepares what is known for a store that lacks rows, or has earlier states of them.
     void record_restore();
--- a/source/core/gateway/store/catalog_restore.cpp
+++ b/source/core/gateway/store/catalog_restore.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "common/digest.h"
 #include "gateway/store/catalog.h"
@@ -22,15 +23,13 @@
         return;
     }
     const auto former = std::exchange(m_era, era);
-    const bool is_first =
-        former == 0 && std::none_of(m_watches.begin(), m_watches.end(),
-                                    [](const auto& it) { return it.second->copy().is_complete(); });
     const auto delay = read_delay();
     for (const auto& [table, watch] : m_watches) {
         m_pending[table] = {};
         watch->begin_era(era, delay);
     }
-    if (is_first) {
+    if (former == 0) {
+        // The first response, or the first one of a store that begins to name its era.
         return;
     }
     m_log.warn("The store was restored from an older copy, so its tables are read again.",
@@ -52,8 +51,8 @@
 void catalog::record_restore() {
     const auto now = common::monotonic_clock::now();
     ++m_restores;
-    m_may_lack_configuration = true;
     m_restored = true;
+    m_may_lack_configuration = true;
     m_upstreams.record_restore(now);
     m_gateways.record_restore(now);
     m_drains.record_restore(now);
@@ -73,12 +72,15 @@
 }
 
 void catalog::end_restore() {
-    m_may_lack_configuration = false;
     m_restored = false;
+    m_may_lack_configuration = false;
     const auto ended = m_drains.end_lost(common::monotonic_clock::now());
     log_drains(ended);
+    if (!ended.empty()) {
+        m_hooks.announce_drains({ended});
+    }
     const bool upstreams_changed = m_upstreams.end_restore();
-    m_log.info("The restored store decides alone from now on.",
+    m_log.info("The time to write again after the restore of the store is over.",
                {{"drains_lost", std::to_string(ended.size())},
                 {"configuration_older", m_newest_in_force ? "no" : "yes"},
                 {"registered", m_registration.is_registered() ? "yes" : "no"}});
--- a/source/core/gateway/store/table_watch.cpp
+++ b/source/core/gateway/store/table_watch.cpp
@@ -92,9 +92,8 @@
     case change_order::older:
         return;
     case change_order::restored:
-        if (m_hooks.on_era) {
-            m_hooks.on_era(changes.until.era);
-        }
+        // The store itself has to name its era.
+        refresh();
         return;
     case change_order::gap:
         if (m_source == watch_source::others && !m_sent) {
@@ -352,6 +351,10 @@
         m_hooks.on_unavailable();
     }
     m_repeated = false;
+    if (response.era && *response.era > m_era && m_hooks.on_era) {
+        m_hooks.on_era(*response.era);
+        return;
+    }
     if (m_available) {
         m_log.warn("Store does not answer.",
                    {{"table", std::string{common::to_name(m_table)}},
--- a/source/core/gateway/store/table_watch.h
+++ b/source/core/gateway/store/table_watch.h
@@ -40,8 +40,8 @@
     /// Called when a response, or another gateway, shows that the local copy was the newest at a
     /// time. May be empty.
     std::function<void(common::time_point at)> on_confirmed;
-    /// Called when a response, or another gateway, names a later era of the store than the one that
-    /// is known. May call `begin_era`. May be empty.
+    /// Called when a response names a later era of the store than the one that is known. Has to
+    /// call `begin_era`. May be empty.
     std::function<void(std::uint64_t era)> on_era;
 };
 
--- a/tests/unit/gateway/store/catalog_restore_test.cpp
+++ b/tests/unit/gateway/store/catalog_restore_test.cpp
@@ -122,6 +122,57 @@
     BOOST_TEST(published.back().upstreams->contains("a"));
 }
 
+// Guards against retries of requests that no configuration allows: the operator has written again.
+BOOST_AUTO_TEST_CASE(configuration_newer_than_the_known_one_is_confirmed_after_a_restore) {
+    restore();
+    run_until_read_again();
+    const auto before = confirmations;
+    rows["configuration"] = {{"config", "6", 16}};
+    run_rounds(store_table::configuration);
+    run_rounds(store_table::configuration);
+    BOOST_TEST(confirmations > before);
+}
+
+// Guards against a store that begins to name its era and is taken for restored.
+BOOST_AUTO_TEST_CASE(era_that_is_named_for_the_first_time_is_no_restore) {
+    catalog_fixture other{std::chrono::hours{1}};
+    other.rows["configuration"] = {{"config", "5", 10}};
+    other.subject->start();
+    other.run_rounds(store_table::configuration);
+    other.run_rounds(store_table::upstreams);
+    other.run_rounds(store_table::gateways);
+    other.era = 4;
+    const auto before = other.count_requests(path("/read/", store_table::configuration));
+    BOOST_REQUIRE(other.loop.run_until(
+        [&] { return other.count_requests(path("/read/", store_table::configuration)) > before; }));
+    other.run_rounds(store_table::configuration);
+    BOOST_TEST(other.doubts == 0U);
+    BOOST_TEST(other.published.back().store_restores == 0U);
+}
+
+// Guards against a gateway that never believes the store again, because another one has named an
+// era that the store does not have.
+BOOST_AUTO_TEST_CASE(era_that_only_another_gateway_names_is_not_taken_over) {
+    catalog_inbox->post(domain_drains{{{"y", {99, 1}, false}}});
+    rows["configuration"] = {{"config", "6", 21}};
+    set_versions(21);
+    run_rounds(store_table::configuration);
+    run_rounds(store_table::configuration);
+    BOOST_TEST(published.back().configuration->version == 6U);
+    BOOST_TEST(published.back().store_restores == 0U);
+}
+
+// Guards against the row of a gateway that has exited: it registers while it unregisters.
+BOOST_AUTO_TEST_CASE(catalog_that_stops_during_a_restore_does_not_register_again) {
+    unanswered_paths = {"/unregister"};
+    subject->stop([] {});
+    const auto before = count_requests("/register");
+    restore();
+    run_until_read_again();
+    run_rounds(store_table::gateways);
+    BOOST_TEST(count_requests("/register") == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
