--- a/review/11/case.py
+++ b/review/11/case.py
@@ -80,14 +80,14 @@
 
 async def main(processes, record, trouble):
     table = store.Store()
-    await table.start(HOST)
+    address = await table.listen(HOST)
     await table.put("op", "config", CONFIGURATION)
     engines = [Engine(n, processes) for n in range(ENGINES)]
     for it in engines:
         await table.put("servers", it.id, it.entry())
     zones = {f"ee-north-{it}": "ee-north" for it in "abc"}
     gateways = [deployment.Gateway(f"front-{n}", f"ee-north-{'abc'[n]}", processes.folder,
-                                   table.address, zones) for n in range(2)]
+                                   address, zones) for n in range(2)]
     for it in gateways:
         it.start()
         processes.add(it.process)
--- a/review/lib3/deployment.py
+++ b/review/lib3/deployment.py
@@ -9,6 +9,7 @@
 import subprocess
 import tempfile
 import time
+import traceback
 
 import web
 
@@ -156,6 +157,8 @@
         code = CANNOT_RUN
         try:
             code = await carry_out(main, processes, record, trouble)
+        except Exception:  # A fault of the case itself.
+            record.add(traceback.format_exc())
         finally:
             processes.end()
             record.write()
--- a/review/lib3/store.py
+++ b/review/lib3/store.py
@@ -1,6 +1,7 @@
 """The platform's store as PROTOCOL.md describes it: rows in tables, transactions and the feed."""
 import asyncio
 import base64
+import functools
 import json
 import time
 import urllib.parse
@@ -15,16 +16,20 @@
     lost."""
 
     def __init__(self):
+        # Names of the gateways that get no response to any call.
+        self.rejected = set()
+        # Called with the name of the gateway and the target of each call that gets no response.
+        self.on_rejected = lambda name, target: None
         self.tables = {}
         self.version = 1
         self.changed = asyncio.Condition()
-        self.server = None
-        self.address = ""
+        # What a call that gets no response waits for.
+        self.never = asyncio.Event()
 
-    async def start(self, host):
-        self.server = await web.serve(self.handle, host)
-        port = self.server.sockets[0].getsockname()[1]
-        self.address = f"{host}:{port}"
+    async def listen(self, host, name=""):
+        """Starts a listener, for the gateway of this name if one is given. Returns its address."""
+        server = await web.serve(functools.partial(self.handle, name), host)
+        return f"{host}:{server.sockets[0].getsockname()[1]}"
 
     async def put(self, table, key, value):
         """Writes a row, or removes it if the value is None."""
@@ -61,7 +66,11 @@
         content["rows"].sort(key=lambda it: it["row_version"])
         return content
 
-    async def handle(self, message, writer):
+    async def handle(self, name, message, writer):
+        if name in self.rejected:
+            self.on_rejected(name, message.start.split(" ")[1])
+            # The connection delivers nothing further.
+            await self.never.wait()
         path, _, query = message.start.split(" ")[1].partition("?")
         values = dict(urllib.parse.parse_qsl(query))
         status, answer = 200, {}
@@ -80,6 +89,8 @@
             answer = {"row_version": self.version}
         else:
             status = 404
+        if name in self.rejected:
+            await self.never.wait()
         writer.write(web.encode_response(status, [("Content-Type", "application/json")],
                                          json.dumps(answer).encode()))
         return True
--- a/review/lib3/web.py
+++ b/review/lib3/web.py
@@ -84,7 +84,9 @@
         host, port = address.rsplit(":", 1)
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            writer.write(encode_request(method, target, [("Host", address), *fields], body))
+            named = any(name == "Host" for name, _ in fields)
+            own = [] if named else [("Host", address)]
+            writer.write(encode_request(method, target, [*own, *fields], body))
             return await read_message(reader)
         finally:
             writer.close()
