--- a/review/lib3/deployment.py
+++ b/review/lib3/deployment.py
@@ -1,8 +1,10 @@
 """Starts the gateways of a case as the deploy file does, and ends them."""
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import socket
@@ -19,6 +21,8 @@
 CANNOT_RUN = 2
 TIME_LIMIT_S = 110
 RESULT_LINES = 4
+PORTS = (12000, 32000)
+assigned_ports = set()
 # The bounds of sites/agri-rueck.
 BOUNDS = {"contact_ms": 3000, "grace_s": 8, "retry_budget_ratio": 0.2, "retry_budget_slack": 52}
 
@@ -28,9 +32,16 @@
 
 
 def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Returns a port on which nothing listens. It is below the range from which the system takes
+    the ports of outgoing connections, so that none of them takes it before the process listens."""
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        if port in assigned_ports:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((host, port))
+            assigned_ports.add(port)
+            return port
 
 
 def program():
