--- a/review/lib3/engine.py
+++ b/review/lib3/engine.py
@@ -1,6 +1,6 @@
 """A model engine as PROTOCOL.md describes it: runs streams, and goes on after Last-Event-Id.
 
-    engine.py --id ID --version VERSION --listen IP:PORT [--events N] [--pause_ms N]
+    engine.py --id ID --version VERSION --listen IP:PORT [--events N] [--pause_ms N] [--step N]
 
 Prints a line of JSON for each run that it begins. An event holds the request's id and the id and
 the software version of the engine that made it.
@@ -20,6 +20,7 @@
     parser.add_argument("--listen", required=True)
     parser.add_argument("--events", type=int, default=40)
     parser.add_argument("--pause_ms", type=float, default=50)
+    parser.add_argument("--step", type=int, default=1, help="difference of the ids of two events")
     return parser.parse_args()
 
 
@@ -46,7 +47,7 @@
                   ("X-Weight-Versions", "1"), ("Content-Type", "text/event-stream"),
                   ("Transfer-Encoding", "chunked")]
         writer.write(f"HTTP/1.1 200 OK\r\n{web.encode_fields(fields)}\r\n".encode())
-        for number in range(last + 1, own.events + 1):
+        for number in range(last + own.step, own.events * own.step + 1, own.step):
             event = f"id: {number}\ndata: {attempt} {own.id} {own.version}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
