--- a/review/11/case.py
+++ b/review/11/case.py
@@ -13,14 +13,14 @@
 EVENTS = 40
 EVENT_PAUSE_MS = 50
 STREAMS = 48
-DEADLINE_MS = 15000
+DEADLINE_MS = 12000
 # The rule is broken by more streams than this.
 ALLOWED_MIXED = 2
-ROUTE = {"name": "fail-summary", "host": "lab.example", "prefix": "/sum/", "kind": "streaming",
-         "service": "jujube-pool", "timeout_ms": 15000, "goal_ms": 2000, "priority": 1,
-         "max_attempts": 2, "resumable": True, "gap_target_ms": 500, "sticky": True}
+ROUTE = {"name": "claim-explain", "host": "claims.example", "prefix": "/sum/", "kind": "streaming",
+         "service": "jujube-pool", "timeout_ms": 12000, "goal_ms": 2500, "priority": 1,
+         "max_attempts": 2, "resumable": True, "gap_target_ms": 800, "sticky": True}
 CONFIGURATION = {"version": 3, "routes": [ROUTE],
-                 "services": [{"name": "jujube-pool", "max_conns": 320}],
+                 "services": [{"name": "jujube-pool", "max_conns": 330}],
                  "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000000,
                             "header_timeout_ms": 5000, "idle_timeout_ms": 20000}}
 
@@ -32,7 +32,7 @@
         self.id = f"i-{number:08x}"
         self.version = "v1" if number < ENGINES // 2 else "v2"
         self.address = f"{HOST}:{deployment.free_port(HOST)}"
-        self.zone = f"ee-north-{'abc'[number % 3]}"
+        self.zone = f"ch-mitte-{'abc'[number % 3]}"
         self.output = processes.folder / f"{self.id}.out"
         with open(self.output, "wb") as output:
             self.process = processes.add(subprocess.Popen(
@@ -56,7 +56,7 @@
     attempt = f"{number:016x}"
     host, port = gateway.front.rsplit(":", 1)
     reader, writer = await asyncio.open_connection(host, int(port))
-    fields = [("Host", "lab.example"), ("X-Attempt-Id", attempt), ("X-Model", "m"),
+    fields = [("Host", "claims.example"), ("X-Attempt-Id", attempt), ("X-Model", "m"),
               ("X-Deadline-Ms", str(DEADLINE_MS)), ("X-Token-Count", "628,280"),
               ("X-Prompt-Prefix", f"5c1e07a2:119,{number % 6:08x}:79,{attempt[-8:]}:430")]
     record.add(f"request {attempt} sent to {gateway.name}")
@@ -85,8 +85,8 @@
     engines = [Engine(n, processes) for n in range(ENGINES)]
     for it in engines:
         await table.put("servers", it.id, it.entry())
-    zones = {f"ee-north-{it}": "ee-north" for it in "abc"}
-    gateways = [deployment.Gateway(f"front-{n}", f"ee-north-{'abc'[n]}", processes.folder,
+    zones = {f"ch-mitte-{it}": "ch-mitte" for it in "abc"}
+    gateways = [deployment.Gateway(f"front-{n}", f"ch-mitte-{'abc'[n]}", processes.folder,
                                    address, zones) for n in range(2)]
     for it in gateways:
         it.start()
