--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,7 @@
 """Two software versions of a model service serve side by side, and one engine crashes."""
 import asyncio
 import json
+import pathlib
 import subprocess
 import sys
 
@@ -115,4 +116,4 @@
             f"one answer; more than {ALLOWED_MIXED} break the rule: {mixed}"]
 
 
-deployment.run_case(main, __file__)
+deployment.run_case(main, pathlib.Path(__file__).resolve().parent / "record.txt")
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,7 @@
 """Engines whose events have increasing ids that are not consecutive, beside a reload."""
 import asyncio
 import json
+import pathlib
 import signal
 import subprocess
 import sys
@@ -113,4 +114,4 @@
             f"connections ended without a complete answer"]
 
 
-deployment.run_case(main, __file__)
+deployment.run_case(main, pathlib.Path(__file__).resolve().parent / "record.txt")
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,5 +1,6 @@
 """The store gives one gateway no response for a few seconds, and an engine leaves meanwhile."""
 import asyncio
+import pathlib
 import time
 
 import deployment
@@ -139,4 +140,4 @@
             f"engine later than drain_ms after its removal"]
 
 
-deployment.run_case(main, __file__)
+deployment.run_case(main, pathlib.Path(__file__).resolve().parent / "record.txt")
--- a/review/lib3/deployment.py
+++ b/review/lib3/deployment.py
@@ -157,10 +157,10 @@
     return BROKEN if violations else HELD
 
 
-def run_case(main, case_file):
-    """Runs `main(processes, record, trouble)`, which returns the violations of the rule, and ends
-    this process with the code that says what was seen."""
-    record = Record(pathlib.Path(case_file).resolve().parent / "record.txt")
+def run_case(main, record_path):
+    """Runs `main(processes, record, trouble)`, which returns the violations of the rule, writes the
+    record and ends this process with the code that says what was seen."""
+    record = Record(record_path)
     processes = Processes()
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
