--- a/source/core/gateway/adapter.h
+++ b/source/core/gateway/adapter.h
@@ -10,6 +10,7 @@
 #include "common/time.h"
 #include "gateway/caller_request.h"
 #include "gateway/configuration.h"
+#include "gateway/stream_record.h"
 #include "gateway/upstream_list.h"
 #include "http/message.h"
 
@@ -28,6 +29,8 @@
     bool has_more = false;
     /// The newest version of the store. The next watch continues after it.
     std::uint64_t version = 0;
+    /// The store's clock in ms, if the response names it.
+    std::optional<std::int64_t> now_ms;
 };
 
 /// The result of a call to the store.
@@ -108,6 +111,25 @@
     std::function<http::request(const gateway_record& self)> encode_register;
     std::function<http::request(const std::string& name)> encode_unregister;
 
+    /// Reads the row that lists the software versions of a service.
+    std::function<http::request(const std::string& service)> encode_versions_read;
+    /// Writes that row if it still has the version `expected`; 0 means that it must not exist.
+    std::function<http::request(const std::string& service, const listed_versions& listed,
+                                std::uint64_t expected)>
+        encode_versions_write;
+    /// Returns nothing for the row of another service. Throws for a malformed one.
+    std::function<std::optional<listed_versions>(const std::string& service, const store_row& row)>
+        decode_versions;
+    /// Reads the row of a stream.
+    std::function<http::request(const stream_id& stream)> encode_stream_read;
+    /// Returns nothing for the row of another stream. Throws for a malformed one.
+    std::function<std::optional<stream_record>(const stream_id& stream, const store_row& row)>
+        decode_stream;
+    /// Writes and removes rows of streams. All must be in one partition.
+    std::function<http::request(const std::vector<stream_record>& added,
+                                const std::vector<stream_id>& removed)>
+        encode_stream_write;
+
     /// Returns nothing for rows that do not hold the configuration.
     std::function<std::optional<configuration>(const store_row& row)> decode_configuration;
     /// Decodes a row of the configuration table that drains a failure domain, or did so before it
--- a/source/core/gateway/caller_request.h
+++ b/source/core/gateway/caller_request.h
@@ -33,6 +33,9 @@
     std::optional<common::duration> deadline;
     /// Id of the last event that the caller has received. The stream resumes after it.
     std::optional<std::uint64_t> last_event;
+    /// If the caller resumes a stream: the attempt that brought its first event. Empty if the
+    /// caller does not say so.
+    std::string resumed_attempt_id;
     std::vector<prompt_part> prompt;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_output_tokens = 0;
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "gateway/domain_drain.h"
 #include "gateway/piece_order.h"
 #include "gateway/service_backlog.h"
+#include "gateway/stream_record.h"
 #include "gateway/table_changes.h"
 #include "gateway/upstream_list.h"
 #include "http/server.h"
@@ -149,6 +151,46 @@
     std::vector<gateway_record> gateways;
 };
 
+/// The store has shown that the local copy of the upstreams was the newest at a time.
+struct upstreams_confirmed {
+    common::time_point at;
+};
+
+/// Asks for a row that names the version which begins a stream. Answered with `stream_recorded`.
+struct record_stream {
+    /// The request that waits for the answer.
+    std::uint64_t request = 0;
+    stream_id stream;
+    std::string version;
+};
+
+struct stream_recorded {
+    std::uint64_t request = 0;
+    record_outcome outcome = record_outcome::unavailable;
+};
+
+/// Asks which version began a stream that a caller resumes. Answered with `stream_found`, from what
+/// the store holds after the question.
+struct find_stream {
+    /// The request that waits for the answer.
+    std::uint64_t request = 0;
+    stream_id stream;
+};
+
+struct stream_found {
+    std::uint64_t request = 0;
+    find_outcome outcome = find_outcome::unknown;
+    std::string version;
+};
+
+/// The software versions that are listed in the store, by service. Only instances of listed
+/// versions may begin streams that can be resumed, and while several are listed each such stream is
+/// recorded before its first event reaches the caller. A service is missing until its list has been
+/// read.
+struct stream_versions_changed {
+    std::map<std::string, std::set<std::string>> listed;
+};
+
 /// The gateways that may own services, and the name of this one.
 struct owners_changed {
     std::vector<std::string> owners;
@@ -190,6 +232,9 @@
                  backlog_report, crash_evidence, gateway_live, reading_request, reading_response,
                  reading_ended, shutdown_started, admin::metrics_query, route_query>;
 
+using stream_registry_message =
+    std::variant<discovery_update, upstreams_confirmed, record_stream, find_stream>;
+
 using peers_message =
     std::variant<piece_order, cancel_order, release_results, order_finished, gateways_changed,
                  backlog_report, instance_leaving, crash_evidence, table_relay, domain_drains,
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -31,6 +31,8 @@
     std::string failure_domain;
     std::uint32_t slots = 1;
     upstream_phase phase = upstream_phase::serving;
+    /// Version of the instance's software, not of its weights.
+    std::string version = {};
     /// Until when the instance is cold according to its row. Empty if the row does not say so.
     std::optional<common::time_point> cold_until;
     /// When the instance was seen to start during traffic, or when the last drain of its failure
