--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -411,6 +411,7 @@
             : std::nullopt;
     const logging::fields values{
         {"attempt", ex.request.attempt_id},
+        {"resumed_attempt", ex.request.resumed_attempt_id},
         {"route", ex.matched_route != nullptr ? ex.matched_route->name : ""},
         {"workspace", ex.workspace},
         {"service", ex.service},
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -248,6 +248,7 @@
     m_log.info("Sent.",
                {{"attempt", ex.request.attempt_id},
                 {"upstream", options.upstream_id},
+                {"version", member->identity.version},
                 {"send", std::to_string(ex.sends)},
                 {"in_progress", std::to_string(member->in_progress + 1)},
                 {"domain", member->identity.failure_domain},
