gateway: keep a stream at the software version that began it

Cause: the choice of an engine did not know versions. An entry's version was checked and dropped, and `Resumes` was passed on unread, so any engine of the service could go on with a stream.

Now a stream goes on only at engines of its version. Which one that is has to be known at every gateway, also after the one that began the stream is gone. The platform's store keeps it: a row for each service lists the versions that may have begun a stream which can still be resumed, and while several are listed, a row for each stream names its version before its first event is passed on. A version begins streams only once it is listed, so the list in the store shows which version began an unrecorded stream, whatever the reading gateway has seen of the engines itself.

--- a/source/core/gateway/gateway_tree.cpp
+++ b/source/core/gateway/gateway_tree.cpp
@@ -14,6 +14,7 @@
 #include "gateway/stages/dispatcher.h"
 #include "gateway/stop_schedule.h"
 #include "gateway/store/catalog.h"
+#include "gateway/store/stream_registry.h"
 
 namespace jujubemast::gateway {
 
@@ -26,6 +27,7 @@
 using forwarder_mailbox = std::shared_ptr<runtime::mailbox<forwarder_message>>;
 using dispatcher_mailbox = std::shared_ptr<runtime::mailbox<dispatcher_message>>;
 using catalog_mailbox = std::shared_ptr<runtime::mailbox<catalog_message>>;
+using streams_mailbox = std::shared_ptr<runtime::mailbox<stream_registry_message>>;
 using peers_mailbox = std::shared_ptr<runtime::mailbox<peers_message>>;
 using health_address = runtime::address<admin::health_message>;
 
@@ -105,14 +107,17 @@
 
 store::catalog_hooks make_catalog_hooks(const forwarder_mailbox& forwarder,
                                         const dispatcher_mailbox& dispatcher,
-                                        const peers_mailbox& peers, const health_address& health,
+                                        const streams_mailbox& streams, const peers_mailbox& peers,
+                                        const health_address& health,
                                         const std::shared_ptr<configuration_pointer>& current) {
     store::catalog_hooks hooks;
     hooks.publish = [=](const discovery_update& it) {
         *current = it.configuration;
         forwarder->post(it);
         dispatcher->post(it);
+        streams->post(it);
     };
+    hooks.confirm_upstreams = [=](const upstreams_confirmed& it) { streams->post(it); };
     hooks.confirm_configuration = [=](const configuration_confirmed& it) { forwarder->post(it); };
     hooks.confirm_gateways = [=](const gateway_names_confirmed& it) { forwarder->post(it); };
     hooks.confirm_drains = [=](const drains_confirmed& it) {
@@ -179,6 +184,8 @@
     const auto forwarder_inbox = runtime::make_mailbox<forwarder_message>(loop, mailbox_capacity);
     const auto dispatcher_inbox = runtime::make_mailbox<dispatcher_message>(loop, mailbox_capacity);
     const auto catalog_inbox = runtime::make_mailbox<catalog_message>(loop, mailbox_capacity);
+    const auto streams_inbox =
+        runtime::make_mailbox<stream_registry_message>(loop, mailbox_capacity);
     const auto peers_inbox = runtime::make_mailbox<peers_message>(loop, mailbox_capacity);
     const auto health_inbox = runtime::make_mailbox<admin::health_message>(loop, mailbox_capacity);
     const health_address health{health_inbox};
@@ -220,14 +227,21 @@
                                 runtime::address<peers_message>{peers_inbox}, platform_adapter,
                                 stages::make_piece_placement(transfer_terms_of(values)));
                         }});
+    children.push_back({"streams", [=](runtime::task_context it) {
+                            return std::make_shared<store::stream_registry>(
+                                std::move(it), streams_inbox,
+                                runtime::address<forwarder_message>{forwarder_inbox}, store,
+                                platform_adapter, common::system_random());
+                        }});
     children.push_back({"forwarder", [=](runtime::task_context it) {
                             return std::make_shared<requests::forwarder>(
                                 std::move(it), forwarder_inbox,
-                                runtime::address<peers_message>{peers_inbox}, platform_adapter,
-                                make_forwarder_options(values, peers_inbox));
+                                runtime::address<peers_message>{peers_inbox},
+                                runtime::address<stream_registry_message>{streams_inbox},
+                                platform_adapter, make_forwarder_options(values, peers_inbox));
                         }});
-    auto hooks =
-        make_catalog_hooks(forwarder_inbox, dispatcher_inbox, peers_inbox, health, current);
+    auto hooks = make_catalog_hooks(forwarder_inbox, dispatcher_inbox, streams_inbox, peers_inbox,
+                                    health, current);
     hooks.region_of = make_region_hook(values);
     const auto heartbeat = values.get(gateway_settings::store_heartbeat);
     const auto limits =
--- a/source/core/gateway/instances/drained_services.cpp
+++ b/source/core/gateway/instances/drained_services.cpp
@@ -19,11 +19,11 @@
 }
 
 bool has_instance_in(const upstream_map& known, const std::string& service,
-                     const allowed_regions& regions) {
+                     const instance_filter& allowed) {
     return std::any_of(known.begin(), known.end(), [&](const auto& it) {
         const auto& instance = it.second;
         return instance.service == service && !instance.domain_drained &&
-               instance.phase == upstream_phase::serving && regions.allows(instance.region);
+               instance.phase == upstream_phase::serving && allowed.allows(instance);
     });
 }
 
--- a/source/core/gateway/instances/drained_services.h
+++ b/source/core/gateway/instances/drained_services.h
@@ -3,7 +3,7 @@
 #include <set>
 #include <string>
 
-#include "gateway/allowed_regions.h"
+#include "gateway/instances/instance_filter.h"
 #include "gateway/upstream_list.h"
 
 namespace jujubemast::gateway::instances {
@@ -12,9 +12,9 @@
 /// are about to stop. Their requests cannot be sent until a drain ends.
 std::set<std::string> find_drained_services(const upstream_map& known);
 
-/// Whether a service has an instance in an allowed region that is neither in a drained failure
+/// Whether a service has an allowed instance that is neither in a drained failure
 /// domain nor about to stop.
 bool has_instance_in(const upstream_map& known, const std::string& service,
-                     const allowed_regions& regions);
+                     const instance_filter& allowed);
 
 } // namespace jujubemast::gateway::instances
--- a/source/core/gateway/instances/service_pool.cpp
+++ b/source/core/gateway/instances/service_pool.cpp
@@ -35,13 +35,13 @@
 template <typename Predicate>
 std::shared_ptr<pool_member>
 first_by_prefix(const std::vector<std::shared_ptr<pool_member>>& members, std::uint64_t prefix,
-                const allowed_regions& regions, const Predicate& accepts) {
+                const instance_filter& allowed, const Predicate& accepts) {
     std::shared_ptr<pool_member> best;
     std::uint64_t best_rank = 0;
     for (const auto& it : members) {
         const auto rank = policy::rendezvous_rank(prefix, it->digest);
         if (it->state.phase() != instance_phase::gone && !it->state.is_domain_drained() &&
-            regions.allows(it->identity.region) && accepts(*it) && (!best || rank > best_rank)) {
+            allowed.allows(it->identity) && accepts(*it) && (!best || rank > best_rank)) {
             best = it;
             best_rank = rank;
         }
@@ -185,7 +185,7 @@
 }
 
 std::vector<policy::upstream_view> service_pool::views(const policy::routing_request& request,
-                                                       const allowed_regions& regions) const {
+                                                       const instance_filter& allowed) const {
     const auto now = request.now;
     std::vector<policy::upstream_view> result;
     result.reserve(m_members.size());
@@ -195,7 +195,7 @@
         view.name = it->identity.id;
         view.name_digest = it->digest;
         view.failure_domain = it->identity.failure_domain;
-        view.available = takes_requests(*it) && regions.allows(it->identity.region) &&
+        view.available = takes_requests(*it) && allowed.allows(it->identity) &&
                          it->has_free_connection() && next_send(*it, now) <= now;
         view.ejected = it->state.phase() == instance_phase::ejected;
         view.reported_in_progress = it->in_progress;
@@ -212,14 +212,14 @@
     m_balance.set_gateways(own_domain, counts);
 }
 
-void service_pool::prepare(policy::routing_request& request, const allowed_regions& regions,
+void service_pool::prepare(policy::routing_request& request, const instance_filter& allowed,
                            domain_balance& balance) const {
     request.prefix_uses = m_prefixes.uses(request.prefix, request.now);
     // A retry may go to any domain, because that of the first attempt may be what failed. The
-    // shares of the domains count all regions, so they say nothing for a request that is limited to
-    // some.
+    // shares of the domains count all instances, so they say nothing for a request that is limited
+    // to some.
     if (request.prefix != 0 || !request.inputs.empty() || !request.excluded.empty() ||
-        regions.is_restricted()) {
+        allowed.is_restricted()) {
         return;
     }
     domain_balance::slot_counts slots;
@@ -231,11 +231,11 @@
     request.target_domain = balance.choose(slots, in_progress, request.now);
 }
 
-instance_choice service_pool::place(policy::routing_request request, const allowed_regions& regions,
+instance_choice service_pool::place(policy::routing_request request, const instance_filter& allowed,
                                     domain_balance& balance, std::string_view failure_domain) {
     update_states(request.now);
-    prepare(request, regions, balance);
-    auto candidates = views(request, regions);
+    prepare(request, allowed, balance);
+    auto candidates = views(request, allowed);
     if (!failure_domain.empty()) {
         for (auto& it : candidates) {
             it.available = it.available && it.failure_domain == failure_domain;
@@ -243,15 +243,15 @@
     }
     const auto placed = m_place(request, candidates, m_route);
     if (!placed.index) {
-        return explain_no_choice(request, regions);
+        return explain_no_choice(request, allowed);
     }
     return {choice_outcome::chosen, m_members[*placed.index], {},
             placed.reason,          !request.inputs.empty(),  placed.remote_bytes};
 }
 
 instance_choice service_pool::choose(const policy::routing_request& request,
-                                     const allowed_regions& regions) {
-    auto choice = place(request, regions, m_balance);
+                                     const instance_filter& allowed) {
+    auto choice = place(request, allowed, m_balance);
     if (choice.outcome == choice_outcome::chosen) {
         record_choice(*choice.member, request.prefix, request.now);
     }
@@ -271,15 +271,15 @@
 }
 
 instance_choice service_pool::preview(const policy::routing_request& request,
-                                      const allowed_regions& regions,
+                                      const instance_filter& allowed,
                                       std::string_view failure_domain) {
     // The shares of the domains must be as if nothing had been asked.
     auto balance = m_balance;
-    auto choice = place(request, regions, balance, failure_domain);
+    auto choice = place(request, allowed, balance, failure_domain);
     if (choice.outcome == choice_outcome::chosen || failure_domain.empty()) {
         return choice;
     }
-    return place(request, regions, balance);
+    return place(request, allowed, balance);
 }
 
 std::shared_ptr<pool_member> service_pool::take(const std::string& id, common::time_point now,
@@ -297,10 +297,10 @@
 }
 
 instance_choice service_pool::explain_no_choice(const policy::routing_request& request,
-                                                const allowed_regions& regions) const {
+                                                const instance_filter& allowed) const {
     instance_choice result;
     for (const auto& it : m_members) {
-        if (is_excluded(request.excluded, *it) || !regions.allows(it->identity.region)) {
+        if (is_excluded(request.excluded, *it) || !allowed.allows(it->identity)) {
             continue;
         }
         if (takes_requests(*it)) {
@@ -324,35 +324,35 @@
 }
 
 std::shared_ptr<pool_member> service_pool::affinity_member(std::uint64_t prefix,
-                                                           const allowed_regions& regions) const {
-    return first_by_prefix(m_members, prefix, regions, [](const pool_member&) { return true; });
+                                                           const instance_filter& allowed) const {
+    return first_by_prefix(m_members, prefix, allowed, [](const pool_member&) { return true; });
 }
 
 std::shared_ptr<pool_member>
 service_pool::affinity_member_in(std::string_view failure_domain, std::uint64_t prefix,
-                                 const allowed_regions& regions) const {
-    return first_by_prefix(m_members, prefix, regions, [&](const pool_member& it) {
+                                 const instance_filter& allowed) const {
+    return first_by_prefix(m_members, prefix, allowed, [&](const pool_member& it) {
         return it.identity.failure_domain == failure_domain;
     });
 }
 
 bool service_pool::has_alternative(const std::vector<std::string>& excluded, common::time_point now,
-                                   const allowed_regions& regions) {
+                                   const instance_filter& allowed) {
     update_states(now);
     return std::any_of(m_members.begin(), m_members.end(),
                        [&](const std::shared_ptr<pool_member>& it) {
-                           return takes_requests(*it) && regions.allows(it->identity.region) &&
+                           return takes_requests(*it) && allowed.allows(it->identity) &&
                                   !is_excluded(excluded, *it);
                        });
 }
 
 bool service_pool::has_ready_alternative(const std::vector<std::string>& excluded,
-                                         common::time_point now, const allowed_regions& regions) {
+                                         common::time_point now, const instance_filter& allowed) {
     update_states(now);
     return std::any_of(m_members.begin(), m_members.end(),
                        [&](const std::shared_ptr<pool_member>& it) {
                            return takes_requests(*it) && !is_excluded(excluded, *it) &&
-                                  regions.allows(it->identity.region) && next_send(*it, now) <= now;
+                                  allowed.allows(it->identity) && next_send(*it, now) <= now;
                        });
 }
 
--- a/source/core/gateway/instances/service_pool.h
+++ b/source/core/gateway/instances/service_pool.h
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "common/enum_names.h"
-#include "gateway/allowed_regions.h"
 #include "gateway/instances/choice_explanation.h"
 #include "gateway/instances/domain_balance.h"
+#include "gateway/instances/instance_filter.h"
 #include "gateway/instances/instance_state.h"
 #include "gateway/instances/load_estimate.h"
 #include "gateway/instances/prefix_memory.h"
@@ -119,21 +119,21 @@
     void set_gateways(const std::string& own_domain,
                       const std::map<std::string, std::size_t>& counts);
 
-    /// Chooses an instance in an allowed region that takes work, has a free connection and a permit
-    /// if it is cold. `prefix_uses` and `target_domain` of the request are set here.
+    /// Chooses an instance among the allowed ones that takes work, has a free connection and a
+    /// permit if it is cold. `prefix_uses` and `target_domain` of the request are set here.
     instance_choice choose(const policy::routing_request& request,
-                           const allowed_regions& regions = {});
+                           const instance_filter& allowed = {});
 
     /// Returns the choice that `choose` would make. Records nothing. If a failure domain is given,
     /// an instance in it is chosen if there is any.
     instance_choice preview(const policy::routing_request& request,
-                            const allowed_regions& regions = {},
+                            const instance_filter& allowed = {},
                             std::string_view failure_domain = {});
 
     /// Explains the choice for a request without sending it.
     [[nodiscard]] choice_explanation explain(policy::routing_request request,
                                              const policy::transfer_terms& terms,
-                                             const allowed_regions& regions = {});
+                                             const instance_filter& allowed = {});
 
     /// Chooses the instance with this id if it can take a request with this prompt prefix now.
     /// Returns null otherwise.
@@ -143,12 +143,12 @@
     /// Returns the instance outside the drained failure domains that a prompt prefix hashes to
     /// regardless of load, or null.
     [[nodiscard]] std::shared_ptr<pool_member>
-    affinity_member(std::uint64_t prefix, const allowed_regions& regions = {}) const;
+    affinity_member(std::uint64_t prefix, const instance_filter& allowed = {}) const;
 
     /// The same among the instances of one failure domain.
     [[nodiscard]] std::shared_ptr<pool_member>
     affinity_member_in(std::string_view failure_domain, std::uint64_t prefix,
-                       const allowed_regions& regions = {}) const;
+                       const instance_filter& allowed = {}) const;
 
     /// Whether this gateway has lately sent a prompt with this prefix to the instance.
     [[nodiscard]] bool has_prefix(const pool_member& member, std::uint64_t prefix,
@@ -156,14 +156,14 @@
         return m_prefixes.holds(prefix, member.digest, now);
     }
 
-    /// Whether an instance in an allowed region that is not excluded accepts work, now or when it
+    /// Whether an instance among the allowed ones that is not excluded accepts work, now or when it
     /// has a permit.
     bool has_alternative(const std::vector<std::string>& excluded, common::time_point now,
-                         const allowed_regions& regions = {});
+                         const instance_filter& allowed = {});
 
     /// The same without the instances that have no permit now.
     bool has_ready_alternative(const std::vector<std::string>& excluded, common::time_point now,
-                               const allowed_regions& regions = {});
+                               const instance_filter& allowed = {});
 
     /// The instances that were cold at the last update.
     [[nodiscard]] std::vector<std::shared_ptr<const pool_member>> cold_members() const;
@@ -187,16 +187,16 @@
     /// Brings the phases of all members up to date.
     void update_states(common::time_point now);
     [[nodiscard]] std::vector<policy::upstream_view> views(const policy::routing_request& request,
-                                                           const allowed_regions& regions) const;
+                                                           const instance_filter& allowed) const;
     /// Chooses an instance and records nothing but in `balance`.
-    instance_choice place(policy::routing_request request, const allowed_regions& regions,
+    instance_choice place(policy::routing_request request, const instance_filter& allowed,
                           domain_balance& balance, std::string_view failure_domain = {});
     [[nodiscard]] candidate_verdict verdict_of(const pool_member& member,
                                                const policy::routing_request& request,
-                                               const allowed_regions& regions) const;
+                                               const instance_filter& allowed) const;
     /// Returns why no member was chosen.
     [[nodiscard]] instance_choice explain_no_choice(const policy::routing_request& request,
-                                                    const allowed_regions& regions) const;
+                                                    const instance_filter& allowed) const;
     void update_cold(pool_member& member, common::time_point now) const;
     /// When the limit of cold instances permits a request to the member. If the time is later than
     /// now, the number of permits may have changed by then.
@@ -205,7 +205,7 @@
     void add_if_new(const upstream_instance& instance, common::time_point now);
     void divide_connections();
     /// Sets what the pool knows for the choice.
-    void prepare(policy::routing_request& request, const allowed_regions& regions,
+    void prepare(policy::routing_request& request, const instance_filter& allowed,
                  domain_balance& balance) const;
 
     runtime::task_context m_context;
--- a/source/core/gateway/instances/service_pool_explain.cpp
+++ b/source/core/gateway/instances/service_pool_explain.cpp
@@ -8,8 +8,8 @@
 
 candidate_verdict service_pool::verdict_of(const pool_member& member,
                                            const policy::routing_request& request,
-                                           const allowed_regions& regions) const {
-    if (!regions.allows(member.identity.region)) {
+                                           const instance_filter& allowed) const {
+    if (!allowed.regions().allows(member.identity.region)) {
         return candidate_verdict::other_region;
     }
     if (member.state.is_domain_drained()) {
@@ -41,12 +41,12 @@
 
 choice_explanation service_pool::explain(policy::routing_request request,
                                          const policy::transfer_terms& terms,
-                                         const allowed_regions& regions) {
+                                         const instance_filter& allowed) {
     update_states(request.now);
     // The next request must be placed as if nothing had been asked.
     auto balance = m_balance;
-    prepare(request, regions, balance);
-    const auto upstreams = views(request, regions);
+    prepare(request, allowed, balance);
+    const auto upstreams = views(request, allowed);
     const auto placed = m_place(request, upstreams, m_route);
     choice_explanation result;
     result.reason = placed.reason;
@@ -56,7 +56,7 @@
         candidate_explanation candidate;
         candidate.id = member.identity.id;
         candidate.failure_domain = member.identity.failure_domain;
-        candidate.verdict = verdict_of(member, request, regions);
+        candidate.verdict = verdict_of(member, request, allowed);
         candidate.in_progress = member.in_progress;
         candidate.slots = member.identity.slots;
         candidate.holds_prompt = has_prefix(member, request.prefix, request.now);
--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -230,7 +230,8 @@
     std::variant<discovery_update, configuration_confirmed, drains_confirmed, request_received,
                  caller_disconnected, order_ended, gateway_names_changed, gateway_names_confirmed,
                  backlog_report, crash_evidence, gateway_live, reading_request, reading_response,
-                 reading_ended, shutdown_started, admin::metrics_query, route_query>;
+                 reading_ended, stream_recorded, stream_found, stream_versions_changed,
+                 shutdown_started, admin::metrics_query, route_query>;
 
 using stream_registry_message =
     std::variant<discovery_update, upstreams_confirmed, record_stream, find_stream>;
--- a/source/core/gateway/requests/exchange.h
+++ b/source/core/gateway/requests/exchange.h
@@ -53,6 +53,24 @@
     common::duration allowed = common::duration::zero();
 };
 
+/// What keeps a stream that can be resumed at one software version.
+struct exchange_origin {
+    /// The attempt that brings or has brought the first event.
+    std::string attempt_id;
+    /// The version that began the stream. Unknown until an instance has sent an event, or the
+    /// version of a resumed stream has been found.
+    std::optional<std::string> version;
+    /// When the version of a resumed stream began to be looked up.
+    std::optional<common::time_point> search_began;
+    /// Whether the store was asked to record the stream.
+    bool is_recording = false;
+    /// The first events wait until the stream is recorded.
+    bool keeps_events = false;
+    std::string kept_events;
+    /// The response of the instance is complete, but its events are still kept.
+    bool is_answered = false;
+};
+
 /// A caller's request in progress, from its arrival to the end of its response.
 struct exchange {
     std::uint64_t id = 0;
@@ -76,6 +94,7 @@
     /// An ordered stop of this gateway ends the request before its own deadline.
     bool limited_by_stop = false;
 
+    exchange_origin origin;
     exchange_stages stages;
     std::unique_ptr<runtime::timer> input_release_timer;
 
@@ -108,6 +127,16 @@
     /// First event of the current attempt.
     std::optional<common::time_point> writing_since;
 
+    /// Whether a caller may resume the stream that this request begins or goes on with.
+    [[nodiscard]] bool is_resumable_stream() const {
+        return matched_route->kind == repeatability::stream && matched_route->resumable;
+    }
+
+    /// Whether the caller resumes a stream.
+    [[nodiscard]] bool resumes_stream() const {
+        return is_resumable_stream() && request.last_event.has_value();
+    }
+
     [[nodiscard]] bool is_sent() const { return attempt && attempt->in_progress(); }
 
     /// Id of the instance of the last attempt, or an empty string.
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -28,12 +28,12 @@
 forwarder::forwarder(runtime::task_context context,
                      std::shared_ptr<runtime::mailbox<forwarder_message>> inbox,
                      runtime::address<peers_message> peers,
+                     runtime::address<stream_registry_message> streams,
                      std::shared_ptr<const adapter> platform_adapter, forwarder_options options)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)}, m_peers{std::move(peers)},
-      m_adapter{std::move(platform_adapter)}, m_options{std::move(options)},
-      m_bodies{m_options.response_buffer_bytes}, m_warm_up_share{m_options.name,
-                                                                 {.max_names_age =
-                                                                      m_options.staleness_limit}},
+      m_streams{std::move(streams)}, m_adapter{std::move(platform_adapter)},
+      m_options{std::move(options)}, m_bodies{m_options.response_buffer_bytes},
+      m_warm_up_share{m_options.name, {.max_names_age = m_options.staleness_limit}},
       m_settling_timer{m_context.loop()},
       // Starts at a random number, because another gateway may still remember the orders of this
       // gateway's previous run.
@@ -66,6 +66,9 @@
     m_upstreams = message.upstreams;
     m_metrics.set_drained_domains(message.drained_domains);
     m_metrics.set_store_restores(message.store_restores);
+    if (std::exchange(m_store_restores, message.store_restores) != message.store_restores) {
+        record_streams_again();
+    }
     if (m_configuration) {
         m_response_times.retain_routes(*m_configuration);
         m_metrics.set_configuration_faults(m_configuration->faults.size());
@@ -144,6 +147,9 @@
         return;
     }
     added.shared_parts = shared_parts_of(added.request.prompt);
+    const bool names_origin = added.request.last_event && !added.request.resumed_attempt_id.empty();
+    added.origin.attempt_id =
+        names_origin ? added.request.resumed_attempt_id : added.request.attempt_id;
     if (!m_configuration || !m_upstreams) {
         hold(added);
         return;
@@ -161,6 +167,9 @@
         hold(ex);
         return;
     }
+    if (ex.is_resumable_stream() && !prepare_stream(ex)) {
+        return;
+    }
     ex.deadline_timer.reset();
     admit(ex);
 }
@@ -208,9 +217,7 @@
         ex.workspace = owner->name;
         ex.priority = owner->priority.value_or(ex.priority);
     }
-    const double random_unit =
-        static_cast<double>(common::uniform_below(m_options.random, 1U << 20U)) / (1U << 20U);
-    ex.service = choose_service(*ex.matched_route, random_unit);
+    ex.service = choose_service(*ex.matched_route, service_share(ex));
     return lookup_result::found;
 }
 
@@ -309,6 +316,7 @@
     if (ex == nullptr) {
         return;
     }
+    release_events(*ex);
     const auto now = common::monotonic_clock::now();
     if (ex->relaying && now < ex->response_deadline) {
         ex->deadline_timer->start(ex->response_deadline - now,
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -18,6 +18,7 @@
 #include "gateway/evidence/crash_suspects.h"
 #include "gateway/instances/domain_index.h"
 #include "gateway/instances/drained_services.h"
+#include "gateway/instances/instance_filter.h"
 #include "gateway/instances/pause_guard.h"
 #include "gateway/instances/reading_schedule.h"
 #include "gateway/instances/service_pool.h"
@@ -78,6 +79,7 @@
     forwarder(runtime::task_context context,
               std::shared_ptr<runtime::mailbox<forwarder_message>> inbox,
               runtime::address<peers_message> peers,
+              runtime::address<stream_registry_message> streams,
               std::shared_ptr<const adapter> platform_adapter, forwarder_options options);
 
     void start() override;
@@ -103,6 +105,9 @@
     void handle(const reading_request& message);
     void handle(const reading_response& message);
     void handle(const reading_ended& message);
+    void handle(const stream_recorded& message);
+    void handle(const stream_found& message);
+    void handle(const stream_versions_changed& message);
     void handle(const shutdown_started& message);
     void handle(const admin::metrics_query& message);
     void handle(const route_query& query);
@@ -111,6 +116,9 @@
     void begin(exchange& ex);
     /// Lets a request wait until this gateway has read the store, for a short time at most.
     void hold(exchange& ex);
+    /// Refuses the request if it is still held, or still waits for the version of its stream, after
+    /// a short time.
+    void start_hold_timer(exchange& ex);
     /// Begins the held requests again.
     void begin_held_requests();
     /// Records the first list of upstreams since the start.
@@ -118,6 +126,8 @@
     /// Whether a service that the request needs has no instance only because the list of upstreams
     /// is read for the first time and may be incomplete.
     [[nodiscard]] bool may_lack_instances(const exchange& ex) const;
+    /// The number in [0, 1) that chooses the service of a route with several.
+    [[nodiscard]] double service_share(const exchange& ex) const;
     /// Sets the route, workspace, priority and service of the exchange from the configuration.
     lookup_result look_up(exchange& ex) const;
     /// Refuses a request that does not match the configuration. The refusal is permanent only if
@@ -126,6 +136,29 @@
     void refuse_unknown(exchange& ex, lookup_result result);
     /// Whether a part of the configuration that could not be decoded may allow the request.
     [[nodiscard]] bool may_be_in_undecoded_part(lookup_result result) const;
+    /// Limits a stream that can be resumed to the software versions that may write it. Returns
+    /// whether the request can be admitted now; otherwise it waits or was refused.
+    bool prepare_stream(exchange& ex);
+    /// Asks the store which version began the stream that the caller resumes.
+    void find_origin(exchange& ex);
+    /// Refuses a request that resumes a stream, because nothing may go on with it.
+    void refuse_resumed(exchange& ex, resumed_outcome outcome, const std::string& reason);
+    /// The instances that may get the request.
+    [[nodiscard]] instances::instance_filter allowed_instances(const exchange& ex) const;
+    /// Returns the versions of the service that may begin streams, or null if they are not known.
+    [[nodiscard]] const std::set<std::string>* listed_versions_of(const std::string& service) const;
+    /// Keeps the stream at the version of the instance that has sent its first event.
+    void record_origin(exchange& ex);
+    /// Records in the store which version began the stream. Returns whether the answer has to be
+    /// awaited.
+    bool record_in_store(exchange& ex);
+    /// Records the streams whose first event has reached the caller and that are not recorded.
+    void record_relayed_streams();
+    /// Records all streams again, because the store may have lost their rows.
+    void record_streams_again();
+    /// Passes the kept events on.
+    void release_events(exchange& ex);
+    void pass_on(exchange& ex, std::string events);
     void admit(exchange& ex);
     /// Refuses a request that needs a service whose instances are all in drained failure domains or
     /// in regions that are not allowed. Returns whether it was refused.
@@ -276,6 +309,7 @@
     runtime::task_context m_context;
     runtime::inbox<forwarder_message> m_inbox;
     runtime::address<peers_message> m_peers;
+    runtime::address<stream_registry_message> m_streams;
     std::shared_ptr<const adapter> m_adapter;
     forwarder_options m_options;
     configuration_pointer m_configuration;
@@ -283,6 +317,9 @@
     upstream_map_pointer m_upstreams;
     /// Services whose instances are all in drained failure domains.
     std::set<std::string> m_drained_services;
+    /// The software versions that may begin streams, by service.
+    std::map<std::string, std::set<std::string>> m_listed_versions;
+    std::size_t m_store_restores = 0;
     instances::domain_index m_domains;
     std::map<std::string, std::unique_ptr<instances::service_pool>> m_pools;
     /// Memory for the bodies of responses.
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -84,12 +84,12 @@
     auto& pool = pool_of(ex.service);
     auto routing = make_routing_request(ex);
     routing.excluded.insert(routing.excluded.end(), avoided.begin(), avoided.end());
-    auto choice = pool.choose(routing, ex.regions);
+    auto choice = pool.choose(routing, allowed_instances(ex));
     if (!avoided.empty() && choice.outcome != instances::choice_outcome::chosen) {
         if (auto first = pool.take(avoided.front(), routing.now)) {
             choice = {instances::choice_outcome::chosen, std::move(first), {}};
         } else {
-            choice = pool.choose(make_routing_request(ex), ex.regions);
+            choice = pool.choose(make_routing_request(ex), allowed_instances(ex));
         }
     }
     if (choice.outcome != instances::choice_outcome::chosen) {
@@ -179,7 +179,7 @@
     auto& waiting = pool_of(service).waiting();
     for (auto id = waiting.front(); id;) {
         auto& ex = *find(*id);
-        const bool restricted = ex.regions.is_restricted();
+        const bool restricted = allowed_instances(ex).is_restricted();
         const bool first = waiting.front() == id;
         const auto next = restricted ? waiting.next_after(*id) : std::nullopt;
         send(ex);
@@ -205,12 +205,15 @@
     // between domains. A request that follows its inputs therefore gets a source in the same domain
     // only; others prefer one there that has lately got the prefix.
     const auto now = common::monotonic_clock::now();
+    // Another software version may not read what this one caches.
+    const auto& version = choice.member->identity.version;
+    const auto allowed = instances::instance_filter{ex.regions}.bound_to(version);
     const auto near =
-        pool.affinity_member_in(choice.member->identity.failure_domain, prefix, ex.regions);
+        pool.affinity_member_in(choice.member->identity.failure_domain, prefix, allowed);
     const bool moved = choice.reason == policy::placement_reason::moved_to_inputs;
     const bool near_is_known = m_options.transfer.enabled() && near && near != choice.member &&
                                pool.has_prefix(*near, prefix, now);
-    const auto source = moved || near_is_known ? near : pool.affinity_member(prefix, ex.regions);
+    const auto source = moved || near_is_known ? near : pool.affinity_member(prefix, allowed);
     // The cache of an instance that drains is worth reading while it lasts.
     const bool is_useful = source && source != choice.member && source->state.accepts_calls();
     return is_useful ? http::to_string(source->identity.address) : std::string{};
@@ -299,7 +302,7 @@
     hooks.on_time_limit = [this, id] {
         const auto& ex = *find(id);
         return pool_of(ex.service)
-            .has_ready_alternative(ex.tried, common::monotonic_clock::now(), ex.regions);
+            .has_ready_alternative(ex.tried, common::monotonic_clock::now(), allowed_instances(ex));
     };
     hooks.on_silence = [this, id] { return another_instance_can_go_on(*find(id)); };
     return hooks;
@@ -342,23 +345,22 @@
         m_estimator.record_first_event(ex.service, now - ex.attempt->sent_at(), now);
     }
     times.last_event = now;
-    if (!ex.relaying) {
-        // Until the first event, a failure or another attempt can still end the request.
-        ex.relaying = true;
-        const auto& response = ex.attempt->response();
-        ex.reply.begin({response.head.status, m_adapter->response_fields(response.fields), {}});
-    }
+    record_origin(ex);
     ex.writing_since = ex.writing_since.value_or(now);
     if (now - *ex.writing_since >= m_suspects.limits().sound_time) {
         record_sound_answer(ex, *ex.writing_since);
     }
-    ex.reply.write(std::move(events));
+    pass_on(ex, std::move(events));
     // The engine reads its prompt and its inputs before it sends the first event.
     end_reading(ex);
     release_inputs(ex);
 }
 
 void forwarder::answered(exchange& ex, const attempt_response& response) {
+    if (ex.origin.keeps_events) {
+        ex.origin.is_answered = true;
+        return;
+    }
     const auto now = common::monotonic_clock::now();
     pool_of(ex.service).record_success(*ex.attempt->member(), now - ex.attempt->sent_at(), now);
     m_response_times.record(ex.matched_route->name, now - ex.attempt->sent_at());
@@ -373,6 +375,7 @@
 }
 
 void forwarder::attempt_failed(exchange& ex, const attempt_failure& failure) {
+    release_events(ex);
     const bool not_run = is_certainly_not_run(failure.end);
     if (not_run) {
         --ex.possible_runs;
@@ -391,7 +394,7 @@
     facts.budget_left = pool_of(ex.service).budget().has_token(now);
     facts.alternative_available =
         facts.alternative_available &&
-        pool_of(ex.service).has_ready_alternative(ex.tried, now, ex.regions);
+        pool_of(ex.service).has_ready_alternative(ex.tried, now, allowed_instances(ex));
     return decide_next_step(facts) == next_step::retry;
 }
 
@@ -408,7 +411,7 @@
     const bool is_risky =
         !is_certainly_not_run(end) && m_suspects.is_repeat_risky(ex.shared_parts, now);
     facts.alternative_available =
-        !is_risky && pool_of(ex.service).has_alternative(ex.tried, now, ex.regions);
+        !is_risky && pool_of(ex.service).has_alternative(ex.tried, now, allowed_instances(ex));
     return facts;
 }
 
--- a/source/core/gateway/requests/forwarder_metrics.cpp
+++ b/source/core/gateway/requests/forwarder_metrics.cpp
@@ -53,6 +53,22 @@
         .add(static_cast<std::uint64_t>(remote_bytes));
 }
 
+void forwarder_metrics::record_resumed_stream(resumed_outcome outcome) {
+    m_registry
+        .add_counter("jujubemast_gateway_resumed_streams_total",
+                     "Lookups of the software version of resumed streams, and refusals for it.",
+                     {{"outcome", std::string{common::to_name(outcome)}}})
+        .add();
+}
+
+void forwarder_metrics::record_recorded_stream(record_outcome outcome) {
+    m_registry
+        .add_counter("jujubemast_gateway_recorded_streams_total",
+                     "Streams whose software version was to be written to the store.",
+                     {{"outcome", std::string{common::to_name(outcome)}}})
+        .add();
+}
+
 void forwarder_metrics::record_quarantine_refusal() {
     m_registry
         .add_counter("jujubemast_gateway_quarantine_refusals_total",
--- a/source/core/gateway/requests/forwarder_metrics.h
+++ b/source/core/gateway/requests/forwarder_metrics.h
@@ -10,6 +10,7 @@
 #include "gateway/configuration.h"
 #include "gateway/instances/service_pool.h"
 #include "gateway/requests/attempt_decision.h"
+#include "gateway/stream_record.h"
 #include "metrics/registry.h"
 
 namespace jujubemast::gateway::requests {
@@ -17,6 +18,18 @@
 /// How a caller's request ended.
 enum class request_end { answered, upstream_failure, refused, failed, timed_out, cut, caller_left };
 
+/// What became of a request that resumes a stream.
+enum class resumed_outcome {
+    /// The software version that began the stream was found.
+    found,
+    /// No instance has that version any more.
+    no_instance,
+    /// Nothing shows which version began the stream.
+    unknown,
+    /// The store did not respond in time.
+    unavailable
+};
+
 /// Request counters and latencies of one gateway.
 class forwarder_metrics {
 public:
@@ -27,6 +40,10 @@
     void record_wait(instances::choice_outcome cause);
     /// Records a send, and whether it or its inputs cross failure domains.
     void record_placement(policy::placement_reason reason, bool crosses, double remote_bytes);
+    /// Records the result of looking up the software version of a stream, or a refusal after it.
+    void record_resumed_stream(resumed_outcome outcome);
+    /// Records whether the software version that began a stream was written to the store.
+    void record_recorded_stream(record_outcome outcome);
     void record_quarantine_refusal();
     void set_quarantined_parts(std::size_t n);
     void set_drained_domains(std::size_t n);
@@ -55,4 +72,10 @@
         "answered", "upstream_failure", "refused", "failed", "timed_out", "cut", "caller_left"};
 };
 
+template <>
+struct enum_names<gateway::requests::resumed_outcome> {
+    static constexpr std::array<std::string_view, 4> table{"found", "no_instance", "unknown",
+                                                           "unavailable"};
+};
+
 } // namespace jujubemast::common
--- a/source/core/gateway/requests/forwarder_readings.cpp
+++ b/source/core/gateway/requests/forwarder_readings.cpp
@@ -64,8 +64,8 @@
     auto& pool = pool_of(ex.service);
     // The results of the stages were made near this engine, which also holds the shared parts of
     // the prompt, so the others in its failure domain read both without a transfer between domains.
-    const auto affinity = pool.affinity_member(prefix_of(ex), ex.regions);
-    ex.reading_choice = pool.preview(routing, ex.regions,
+    const auto affinity = pool.affinity_member(prefix_of(ex), allowed_instances(ex));
+    ex.reading_choice = pool.preview(routing, allowed_instances(ex),
                                      affinity ? std::string_view{affinity->identity.failure_domain}
                                               : std::string_view{});
     const auto& member = ex.reading_choice.member;
--- a/source/core/gateway/requests/forwarder_stages.cpp
+++ b/source/core/gateway/requests/forwarder_stages.cpp
@@ -106,7 +106,8 @@
                                     [](const auto& a, const auto& b) { return a.bytes < b.bytes; })
                 ->failure_domain;
         }
-        const auto reader = pool_of(ex.service).affinity_member(prefix_of(ex), ex.regions);
+        const auto reader =
+            pool_of(ex.service).affinity_member(prefix_of(ex), allowed_instances(ex));
         return reader ? reader->identity.failure_domain : std::string{};
     }
     return {};
--- a/source/core/gateway/requests/forwarder_start.cpp
+++ b/source/core/gateway/requests/forwarder_start.cpp
@@ -27,6 +27,10 @@
 
 void forwarder::hold(exchange& ex) {
     m_held.push_back(ex.id);
+    start_hold_timer(ex);
+}
+
+void forwarder::start_hold_timer(exchange& ex) {
     if (ex.deadline_timer) {
         return;
     }
@@ -35,7 +39,9 @@
         if (auto* held = find(id)) {
             std::erase(m_held, id);
             refuse(*held, status_unavailable,
-                   m_configuration ? "no upstream is known yet" : "no configuration yet",
+                   held->origin.search_began ? "the software version of the stream is not known yet"
+                   : m_configuration         ? "no upstream is known yet"
+                                             : "no configuration yet",
                    retry_after_hold);
         }
     }));
--- a/source/core/gateway/store/catalog.cpp
+++ b/source/core/gateway/store/catalog.cpp
@@ -103,6 +103,9 @@
     if (table == store_table::configuration && m_newest_in_force && !m_may_lack_configuration) {
         m_hooks.confirm_configuration({at});
     }
+    if (table == store_table::upstreams && m_hooks.confirm_upstreams) {
+        m_hooks.confirm_upstreams({at});
+    }
     if (table == store_table::gateways) {
         m_hooks.confirm_gateways({at});
     }
--- a/source/core/gateway/store/catalog.h
+++ b/source/core/gateway/store/catalog.h
@@ -32,6 +32,8 @@
     std::function<void(const std::vector<gateway_record>&)> publish_gateways;
     /// A response of the store has shown that the local copy of the configuration is the newest.
     std::function<void(const configuration_confirmed&)> confirm_configuration;
+    /// The same for the upstreams. May be empty.
+    std::function<void(const upstreams_confirmed&)> confirm_upstreams;
     /// The same for the names of the gateways.
     std::function<void(const gateway_names_confirmed&)> confirm_gateways;
     /// A response of the store has shown that the known drains of failure domains are the newest.
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -35,7 +35,7 @@
 #include "http/server.h"
 #include "logging/logger.h"
 #include "runtime/process.h"
-#include "support/programs/users_store.h"
+#include "support/users_store.h"
 
 namespace jujubemast::tests {
 
--- a/tests/support/programs/users_store.cpp
+++ b/tests/support/users_store.cpp
@@ -1,6 +1,7 @@
-#include "support/programs/users_store.h"
+#include "support/users_store.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include <openssl/evp.h>
@@ -32,6 +33,20 @@
     return std::string{row.at(name).as_string()};
 }
 
+/// Returns the name under which a part of a table is stored. The empty part has the table's name.
+std::string part_name(const std::string& table, std::string_view part) {
+    return part.empty() ? table : table + '/' + std::string{part};
+}
+
+std::string part_name_of(const boost::json::value& row) {
+    return part_name(text_of(row, "table"), text_of(row, "part"));
+}
+
+std::int64_t steady_ms() {
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 } // namespace
 
 void users_store::put_bytes(const std::string& table, const std::string& key, std::string bytes) {
@@ -78,7 +93,22 @@
     }
     return make_response(200, {{"rows", changed_rows(table, after)},
                                {"has_more", false},
-                               {"row_version", m_content.version}});
+                               {"row_version", m_content.version},
+                               {"now_ms", steady_ms()}});
+}
+
+http::response users_store::rows_from(const std::string& part, std::string_view from,
+                                      std::size_t limit) const {
+    boost::json::array rows;
+    for (auto& it : changed_rows(part, 0)) {
+        if (rows.size() < limit && std::string_view{it.at("key").as_string()} >= from) {
+            rows.push_back(std::move(it));
+        }
+    }
+    return make_response(200, {{"rows", std::move(rows)},
+                               {"has_more", false},
+                               {"row_version", m_content.version},
+                               {"now_ms", steady_ms()}});
 }
 
 void users_store::respond_to_long_polls() {
@@ -116,7 +146,7 @@
 bool users_store::meets_conditions(const boost::json::value& transaction) const {
     const auto& conditions = transaction.at("expect").as_array();
     return std::all_of(conditions.begin(), conditions.end(), [this](const boost::json::value& it) {
-        const auto table = m_content.tables.find(text_of(it, "table"));
+        const auto table = m_content.tables.find(part_name_of(it));
         const auto expected = it.at("row_version").to_number<std::uint64_t>();
         if (table == m_content.tables.end()) {
             return expected == 0;
@@ -130,17 +160,17 @@
 http::response users_store::commit(const std::string& body) {
     const auto transaction = boost::json::parse(body);
     if (!meets_conditions(transaction)) {
-        return make_response(
-            412,
-            {{"rows", boost::json::array{}}, {"row_version", m_content.version}, {"now_ms", 1}});
+        return make_response(412, {{"rows", boost::json::array{}},
+                                   {"row_version", m_content.version},
+                                   {"now_ms", steady_ms()}});
     }
     for (const auto& row : transaction.at("puts").as_array()) {
-        put_bytes(text_of(row, "table"), text_of(row, "key"), from_base64(text_of(row, "value")));
+        put_bytes(part_name_of(row), text_of(row, "key"), from_base64(text_of(row, "value")));
     }
     for (const auto& row : transaction.at("remove").as_array()) {
-        remove(text_of(row, "table"), text_of(row, "key"));
+        remove(part_name_of(row), text_of(row, "key"));
     }
-    return make_response(200, {{"row_version", m_content.version}, {"now_ms", 1}});
+    return make_response(200, {{"row_version", m_content.version}, {"now_ms", steady_ms()}});
 }
 
 void users_store::leave_unanswered(const std::string& table, const http::responder& reply) {
@@ -170,6 +200,21 @@
     });
 }
 
+std::vector<std::string> users_store::keys_of(const std::string& table) const {
+    std::vector<std::string> keys;
+    for (const auto& [name, rows] : m_content.tables) {
+        if (name != table && !name.starts_with(table + '/')) {
+            continue;
+        }
+        for (const auto& [key, row] : rows) {
+            if (row.value) {
+                keys.push_back(key);
+            }
+        }
+    }
+    return keys;
+}
+
 std::size_t users_store::count_polls(std::string_view table) const {
     return static_cast<std::size_t>(
         std::count_if(m_long_polls.begin(), m_long_polls.end(),
@@ -185,7 +230,11 @@
     if (m_silent) {
         leave_unanswered(table, reply);
     } else if (path == "/rows-get") {
-        reply.respond(rows_after(table, 0));
+        constexpr std::size_t max_rows = 500;
+        const auto limit = http::query_value(query, "limit");
+        reply.respond(rows_from(part_name(table, http::query_value(query, "part")),
+                                http::query_value(query, "from"),
+                                limit.empty() ? max_rows : std::stoul(std::string{limit})));
     } else if (path == "/rows-feed") {
         watch(table, query, reply);
     } else if (path == "/rows-tx") {
--- a/tests/support/programs/users_store.h
+++ b/tests/support/users_store.h
@@ -15,8 +15,9 @@
 
 namespace jujubemast::tests {
 
-/// The store of the stand-in for the users' platform: rows in tables, changes after a version, and
-/// transactions. It may fall silent, and may be restored from an older copy of itself.
+/// The store of the stand-in for the users' platform: rows in tables and their parts, changes after
+/// a version, and transactions. It may fall silent, and may be restored from an older copy of
+/// itself.
 class users_store {
 public:
     explicit users_store(runtime::executor loop) : m_loop{loop} {}
@@ -58,6 +59,9 @@
     /// Number of long polls for a table in progress.
     [[nodiscard]] std::size_t count_polls(std::string_view table) const;
 
+    /// Keys of the rows of a table in all its parts.
+    [[nodiscard]] std::vector<std::string> keys_of(const std::string& table) const;
+
     /// The newest version.
     [[nodiscard]] std::uint64_t version() const { return m_content.version; }
 
@@ -88,6 +92,9 @@
     /// existing rows.
     [[nodiscard]] boost::json::array changed_rows(const std::string& table,
                                                   std::uint64_t after) const;
+    /// Returns the existing rows of a part from a key on.
+    [[nodiscard]] http::response rows_from(const std::string& part, std::string_view from,
+                                           std::size_t limit) const;
     [[nodiscard]] http::response rows_after(const std::string& table, std::uint64_t after) const;
     /// Responds to the long polls whose tables have changed.
     void respond_to_long_polls();
