integration: guard streams of two software versions with real processes

The cases cover the loss of an engine, of one gateway and of all, a gateway that stood still while a version joined (the operators' report), a version that has left, an unknown stream, a second take-up, and a silent store. The stand-in of the platform gets spare engines, versions and the parts of tables.

--- /dev/null
+++ b/tests/integration/mixed_versions_test.cpp
@@ -0,0 +1,288 @@
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <set>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+#include "gateway_fixture.h"
+
+namespace jujubemast::tests {
+
+/// Two gateways, and engines that write their software version into each event.
+struct mixed_versions_fixture : gateway_fixture {
+    static constexpr int stream_count = 8;
+    static constexpr const char* stream = "/stream/version";
+    /// The same with 300 ms between the events.
+    static constexpr const char* slow_stream = "/stream/version-paced";
+    /// The same from an engine that breaks its response within the third event.
+    static constexpr const char* broken_stream = "/stream/version-break";
+
+    /// What a caller has got of a stream that was cut.
+    struct begun_stream {
+        std::string attempt;
+        std::string events;
+    };
+
+    void release(const std::string& id, const std::string& version) const {
+        const boost::json::object body{{"id", id}, {"version", version}};
+        call(store_address, {"POST", "/release", {}, boost::json::serialize(body)});
+    }
+
+    std::string dump(std::size_t gateway) const {
+        const auto admin =
+            gateways[gateway]->listening_address("jujubemast-gateway/admin/listener");
+        return std::string{call(admin, {"GET", "/dump", {}, {}}).body};
+    }
+
+    void wait_until_listed(const std::string& versions, std::size_t gateway) const {
+        wait_until("the versions " + versions + " are listed", [&] {
+            return dump(gateway).find("\"engines\":[" + versions + "]") != std::string::npos;
+        });
+    }
+
+    /// Lets engines of two versions serve, two of each.
+    void serve_two_versions() const {
+        release("e2", "v2");
+        release("e3", "v1");
+        release("e4", "v2");
+        for (std::size_t n = 0; n < gateways.size(); ++n) {
+            wait_until_listed(R"("v1","v2")", n);
+        }
+        wait_until("all engines are known", [&] {
+            return dump(0).find(R"("id":"e4")") != std::string::npos &&
+                   dump(1).find(R"("id":"e4")") != std::string::npos;
+        });
+    }
+
+    /// Returns the data of all events, without repetitions.
+    static std::set<std::string> versions_in(const std::string& events) {
+        const std::string field = "data: ";
+        std::set<std::string> found;
+        for (auto pos = events.find(field); pos != std::string::npos;
+             pos = events.find(field, pos)) {
+            pos += field.size();
+            found.insert(events.substr(pos, events.find('\n', pos) - pos));
+        }
+        return found;
+    }
+
+    /// Returns the five events of a stream of one version.
+    static std::string whole_stream(const std::string& version) {
+        std::string text;
+        for (int id = 1; id <= 5; ++id) {
+            text += "id: " + std::to_string(id) + "\ndata: " + version + "\n\n";
+        }
+        return text;
+    }
+
+    static std::string whole_events(const std::string& text) {
+        const auto end = text.rfind("\n\n");
+        return end == std::string::npos ? "" : text.substr(0, end + 2);
+    }
+
+    static std::string last_id(const std::string& events) {
+        const auto pos = events.rfind("id: ");
+        return events.substr(pos + 4, events.find('\n', pos) - pos - 4);
+    }
+
+    /// Sends a stream's next attempt.
+    received_response take_up(const begun_stream& begun, const std::string& attempt,
+                              std::size_t gateway, const std::string& target = stream) const {
+        return send("POST", target, attempt,
+                    {{"X-Model", "m"},
+                     {"Last-Event-Id", last_id(begun.events)},
+                     {"Resumes", begun.attempt}},
+                    gateway);
+    }
+
+    /// Begins slow streams at a gateway, calls the hook when each has its first event, and returns
+    /// what their callers have got when all have ended.
+    std::vector<begun_stream> begin_streams(std::size_t gateway, const std::string& prefix,
+                                            const std::function<void()>& when_begun) const {
+        std::atomic<int> begun = 0;
+        std::vector<std::future<begun_stream>> calls;
+        for (int n = 0; n < stream_count; ++n) {
+            const auto attempt = prefix + std::to_string(n);
+            calls.push_back(std::async(std::launch::async, [&, attempt] {
+                bool counted = false;
+                http::request message{"POST",
+                                      slow_stream,
+                                      {{"Host", "a.example"},
+                                       {"X-Attempt-Id", attempt},
+                                       {"X-Deadline-Ms", "5000"},
+                                       {"Authorization", "Bearer key-1"},
+                                       {"X-Model", "m"}},
+                                      "body"};
+                const auto response =
+                    receive(addresses[gateway], message, [&](const std::string& /*body*/) {
+                        begun += std::exchange(counted, true) ? 0 : 1;
+                    });
+                return begun_stream{attempt, whole_events(response.body)};
+            }));
+        }
+        wait_until("the streams have begun", [&] { return begun == stream_count; });
+        when_begun();
+        std::vector<begun_stream> result;
+        result.reserve(calls.size());
+        for (auto& it : calls) {
+            result.push_back(it.get());
+        }
+        return result;
+    }
+
+    /// Checks that a stream is whole and of one version over two attempts.
+    static void check_joined(const begun_stream& begun, const received_response& rest) {
+        BOOST_TEST(rest.status == 200U, rest.body);
+        const auto versions = versions_in(begun.events);
+        BOOST_REQUIRE(versions.size() == 1U);
+        BOOST_TEST(begun.events + rest.body == whole_stream(*versions.begin()));
+    }
+
+    void kill_gateway(std::size_t n) const {
+        gateways[n]->send_signal(SIGKILL);
+        gateways[n]->wait();
+    }
+
+    int stream_rows() const { return counter_value("/stream-rows"); }
+};
+
+BOOST_FIXTURE_TEST_SUITE(mixed_versions_test, mixed_versions_fixture)
+
+// Guards against ORDER of issue 60: the rest of a stream comes from an engine of another version.
+BOOST_AUTO_TEST_CASE(stream_whose_engine_ends_midway_goes_on_at_its_version) {
+    serve_two_versions();
+    for (int n = 0; n < stream_count; ++n) {
+        const auto attempt = "midway-" + std::to_string(n);
+        const auto response = send("POST", broken_stream, attempt, {{"X-Model", "m"}});
+        BOOST_TEST(response.complete);
+        const auto versions = versions_in(response.body);
+        BOOST_REQUIRE(versions.size() == 1U);
+        BOOST_TEST(response.body == whole_stream(*versions.begin()));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stream_whose_gateway_was_killed_goes_on_at_its_version) {
+    serve_two_versions();
+    const auto begun = begin_streams(0, "killed-", [&] { kill_gateway(0); });
+    for (const auto& it : begun) {
+        check_joined(it, take_up(it, "next-" + it.attempt, 1));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stream_whose_gateways_were_all_killed_goes_on_at_its_version) {
+    serve_two_versions();
+    const auto begun = begin_streams(0, "all-", [&] {
+        kill_gateway(0);
+        kill_gateway(1);
+    });
+    add_gateway(2, 1);
+    for (const auto& it : begun) {
+        check_joined(it, take_up(it, "next-" + it.attempt, 2));
+    }
+}
+
+// Guards against the operators' report in issue 60: a gateway that stood still while a version
+// joined takes the streams of its engines for streams of the version that it knows.
+BOOST_AUTO_TEST_CASE(gateway_that_stood_still_while_a_version_joined_keeps_streams_at_theirs) {
+    wait_until_listed(R"("v1")", 1);
+    gateways[1]->send_signal(SIGSTOP);
+    release("e2", "v2");
+    release("e3", "v2");
+    release("e4", "v2");
+    wait_until_listed(R"("v1","v2")", 0);
+    wait_until("all engines are known",
+               [&] { return dump(0).find(R"("id":"e4")") != std::string::npos; });
+    std::vector<std::future<received_response>> calls;
+    const auto begun = begin_streams(0, "still-", [&] { kill_gateway(0); });
+    // The gateway gets these attempts before it learns of the new engines.
+    for (const auto& it : begun) {
+        calls.push_back(std::async(std::launch::async,
+                                   [this, it] { return take_up(it, "next-" + it.attempt, 1); }));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    gateways[1]->send_signal(SIGCONT);
+    for (std::size_t n = 0; n < begun.size(); ++n) {
+        check_joined(begun[n], calls[n].get());
+    }
+}
+
+// Guards against a stream that goes on at an engine of the only version that is left.
+BOOST_AUTO_TEST_CASE(stream_whose_version_has_left_is_refused_and_does_not_run) {
+    const auto begun = begin_streams(0, "left-", [&] { kill_gateway(0); });
+    release("e1", "v2");
+    release("e2", "v2");
+    wait_until_listed(R"("v1","v2")", 1);
+    wait_until("new streams begin at the new version", [&] {
+        const auto response = send("POST", stream, "probe", {{"X-Model", "m"}}, 1);
+        return response.body == whole_stream("v2");
+    });
+    for (const auto& it : begun) {
+        const auto attempt = "next-" + it.attempt;
+        BOOST_TEST(take_up(it, attempt, 1).status == 503U);
+        BOOST_TEST(records(attempt).empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stream_that_nobody_knows_is_refused_while_two_versions_serve) {
+    serve_two_versions();
+    const begun_stream unknown{"never-seen", "id: 2\n"};
+    BOOST_TEST(take_up(unknown, "unknown-1", 0).status == 503U);
+    BOOST_TEST(records("unknown-1").empty());
+}
+
+BOOST_AUTO_TEST_CASE(stream_of_a_service_with_one_version_goes_on_without_a_row) {
+    const auto begun = begin_streams(0, "calm-", [&] { kill_gateway(0); });
+    for (const auto& it : begun) {
+        check_joined(it, take_up(it, "next-" + it.attempt, 1));
+    }
+    BOOST_TEST(stream_rows() == 0);
+}
+
+// Guards against a caller that names the last event only: the attempt itself has brought the first
+// one.
+BOOST_AUTO_TEST_CASE(stream_that_is_resumed_with_its_own_attempt_goes_on_at_its_version) {
+    serve_two_versions();
+    const auto begun = begin_streams(0, "same-", [&] { kill_gateway(0); });
+    for (const auto& it : begun) {
+        const http::headers fields{{"X-Model", "m"}, {"Last-Event-Id", last_id(it.events)}};
+        check_joined(it, send("POST", stream, it.attempt, fields, 1));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stream_that_is_resumed_twice_goes_on_at_its_version) {
+    serve_two_versions();
+    add_gateway(2, 1);
+    auto begun = begin_streams(0, "twice-", [&] { kill_gateway(0); });
+    std::vector<std::future<received_response>> second;
+    for (const auto& it : begun) {
+        second.push_back(std::async(std::launch::async, [this, it] {
+            return take_up(it, "second-" + it.attempt, 1, slow_stream);
+        }));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds{500});
+    kill_gateway(1);
+    for (std::size_t n = 0; n < begun.size(); ++n) {
+        begun[n].events += whole_events(second[n].get().body);
+        check_joined(begun[n], take_up(begun[n], "third-" + begun[n].attempt, 2));
+    }
+}
+
+// Guards against a store that is away and stops all streams, or that makes a gateway guess.
+BOOST_AUTO_TEST_CASE(streams_begin_and_are_not_resumed_while_the_store_is_silent) {
+    serve_two_versions();
+    const auto begun = begin_streams(0, "silent-", [&] { kill_gateway(0); });
+    set_store_silent(true);
+    const auto fresh = send("POST", stream, "fresh", {{"X-Model", "m"}}, 1);
+    BOOST_TEST(fresh.status == 200U);
+    BOOST_TEST(fresh.complete);
+    BOOST_TEST(take_up(begun[0], "too-early", 1).status == 503U);
+    set_store_silent(false);
+    wait_until("the stream is resumed",
+               [&] { return take_up(begun[0], "later", 1).status == 200U; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujubemast::tests
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -11,6 +11,9 @@
 //   GET /configuration   the current configuration
 //   POST /configuration-bytes  replaces the configuration by the body, which need not be valid
 //   POST /upstream       writes the entry of an upstream, or removes it if "entry" is null
+//   POST /release        {"id", "version"} replaces an engine by an incarnation with this software
+//                        version at the same address, or adds one of the spare engines "e3", "e4"
+//   GET /stream-rows     number of rows of streams in the store
 //   GET /crashes         number of times that an engine has crashed
 //   POST /deadly         the part of prompts that crashes each engine that begins to write an
 //   answer
@@ -57,6 +60,8 @@
     int crashes = 0;
     /// Instances that are down after a crash.
     std::set<std::string> down;
+    /// Entries of the upstreams by id, also of those that are not in the store.
+    std::map<std::string, boost::json::object> entries;
 };
 
 using state_pointer = std::shared_ptr<platform_state>;
@@ -126,6 +131,17 @@
     } else if (path == "/polls") {
         reply.respond(
             http::json_response(200, std::to_string(state->store.count_polls("servers"))));
+    } else if (path == "/release") {
+        const auto row = boost::json::parse(message.body);
+        const std::string id{row.at("id").as_string()};
+        auto& entry = state->entries.at(id);
+        entry["version"] = row.at("version").as_string();
+        entry["born"] = entry.at("born").as_int64() + 1;
+        state->store.put("servers", id, entry);
+        reply.respond(http::json_response(200, "{}"));
+    } else if (path == "/stream-rows") {
+        reply.respond(
+            http::json_response(200, std::to_string(state->store.keys_of("streams").size())));
     } else if (path == "/crashes") {
         reply.respond(http::json_response(200, std::to_string(state->crashes)));
     } else if (path == "/deadly") {
@@ -194,44 +210,54 @@
     timer->start(delay, [timer, handler] { handler(); });
 }
 
+std::string event(int id, const std::string& data) {
+    return "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
+}
+
 /// Sends the events from `id` to number 5, 300 ms apart.
-void stream_paced_events(const state_pointer& state, const http::responder& reply, int id) {
+void stream_paced_events(const state_pointer& state, const http::responder& reply, int id,
+                         const std::string& data) {
     constexpr std::chrono::milliseconds pause{300};
-    reply.write("id: " + std::to_string(id) + "\ndata: x\n\n");
+    reply.write(event(id, data));
     call_later(state, pause, [=] {
         if (id == 5) {
             reply.end();
         } else {
-            stream_paced_events(state, reply, id + 1);
+            stream_paced_events(state, reply, id + 1, data);
         }
     });
 }
 
 /// Sends the events up to number 5 that follow the caller's last one. If the path contains "break",
 /// the first attempt is aborted within event 3; if it contains "head-only", no event follows the
-/// head; if it contains "paced", there is a pause after each event.
-void stream_events(const state_pointer& state, const http::request& message,
-                   const http::responder& reply) {
+/// head; if it contains "paced", there is a pause after each event. The data of an event is the
+/// software version of the engine if the path contains "version", otherwise "x".
+void stream_events(const state_pointer& state, const std::string& engine,
+                   const http::request& message, const http::responder& reply) {
     if (message.target.find("head-only") != std::string::npos) {
         reply.begin(signed_response(message, 200, ""));
         state->unanswered.push_back(reply);
         return;
     }
+    const auto last_event_id = header(message, "Last-Event-Id");
+    const int first = last_event_id.empty() ? 1 : std::stoi(last_event_id) + 1;
+    const std::string data = message.target.find("version") != std::string::npos
+                                 ? std::string{state->entries.at(engine).at("version").as_string()}
+                                 : "x";
     if (message.target.find("paced") != std::string::npos) {
         reply.begin(signed_response(message, 200, ""));
-        stream_paced_events(state, reply, 1);
+        stream_paced_events(state, reply, first, data);
         return;
     }
-    const auto last_event_id = header(message, "Last-Event-Id");
     const bool aborts = message.target.find("break") != std::string::npos && last_event_id.empty();
     reply.begin(signed_response(message, 200, ""));
-    for (int id = last_event_id.empty() ? 1 : std::stoi(last_event_id) + 1; id <= 5; ++id) {
+    for (int id = first; id <= 5; ++id) {
         if (aborts && id == 3) {
             reply.write("id: 3\nda");
             reply.abort();
             return;
         }
-        reply.write("id: " + std::to_string(id) + "\ndata: x\n\n");
+        reply.write(event(id, data));
     }
     reply.end();
 }
@@ -339,7 +365,7 @@
         reply.respond(
             {503, {{"X-Not-Run", "1"}, {"X-Attempt-Id", header(message, "X-Attempt-Id")}}, ""});
     } else if (!header(message, "X-Model").empty()) {
-        stream_events(state, message, reply);
+        stream_events(state, id, message, reply);
     } else if (message.target.find("break") != std::string::npos) {
         reply.abort();
     } else if (message.target.find("delayed") != std::string::npos) {
@@ -352,21 +378,24 @@
     return {};
 }
 
+/// A spare engine is not in the store until it is released.
+enum class upstream_role { in_service, spare };
+
 void add_upstream(std::vector<runtime::child_spec>& children, const state_pointer& state,
-                  const std::string& id, const std::string& service) {
+                  const std::string& id, const std::string& service,
+                  upstream_role role = upstream_role::in_service) {
     http::server_options options;
     options.listen = {"127.0.0.1", 0};
     options.on_listening = [=](const http::endpoint& bound) {
-        state->store.put("servers", id,
-                         boost::json::object{{"service", service},
-                                             {"address", http::to_string(bound)},
-                                             {"zone", "z"},
-                                             {"version", "v1"},
-                                             {"slots", 4},
-                                             {"state", "ready"},
-                                             {"cold_left_ms", 0},
-                                             {"seq", 1},
-                                             {"born", 1}});
+        const boost::json::object entry{{"service", service}, {"address", http::to_string(bound)},
+                                        {"zone", "z"},        {"version", "v1"},
+                                        {"slots", 4},         {"state", "ready"},
+                                        {"cold_left_ms", 0},  {"seq", 1},
+                                        {"born", 1}};
+        state->entries[id] = entry;
+        if (role == upstream_role::in_service) {
+            state->store.put("servers", id, entry);
+        }
     };
     children.push_back(http::make_server(
         "upstream-" + id, options, [=](const http::request& message, const http::responder& reply) {
@@ -382,6 +411,8 @@
     std::vector<runtime::child_spec> children;
     add_upstream(children, state, "e1", "engines");
     add_upstream(children, state, "e2", "engines");
+    add_upstream(children, state, "e3", "engines", upstream_role::spare);
+    add_upstream(children, state, "e4", "engines", upstream_role::spare);
     add_upstream(children, state, "d1", "desk");
     add_upstream(children, state, "d2", "desk");
     add_upstream(children, state, "s1", "stages");
