forwarder: send what was not sent to another upstream without budget

Cause: "Connection refused" of the crashed engine counted as a retry, and the retry budget, a share of the requests, was empty. The budget bounds the work that retries add; an attempt that was not sent has added none.

The unit case fails before and passes now.

--- a/source/core/gateway/requests/attempt_decision.cpp
+++ b/source/core/gateway/requests/attempt_decision.cpp
@@ -17,8 +17,13 @@
            end == attempt_end::input_gone;
 }
 
+bool uses_retry_budget(attempt_end end) {
+    return end != attempt_end::not_sent;
+}
+
 next_step decide_next_step(const attempt_facts& facts) {
-    const bool can_send = facts.time_left && facts.sends < max_sends && facts.budget_left;
+    const bool has_budget = facts.budget_left || !uses_retry_budget(facts.end);
+    const bool can_send = facts.time_left && facts.sends < max_sends && has_budget;
     if (is_certainly_not_run(facts.end)) {
         if (can_send && facts.end == attempt_end::input_gone) {
             return next_step::remake_inputs;
--- a/source/core/gateway/requests/attempt_decision.h
+++ b/source/core/gateway/requests/attempt_decision.h
@@ -52,8 +52,8 @@
     unsigned sends = 0;
     /// Whether enough time is left for another attempt.
     bool time_left = false;
-    /// Whether the retry budget allows another attempt. A retry is taken from the budget only once
-    /// all other conditions allow it.
+    /// Whether the retry budget allows another attempt, if the end of this one uses the budget. A
+    /// retry is taken from it only once all other conditions allow the retry.
     bool budget_left = false;
     /// Whether another upstream of the service accepts work.
     bool alternative_available = false;
@@ -65,6 +65,10 @@
 /// Whether an attempt with this end has certainly not run and never will.
 bool is_certainly_not_run(attempt_end end);
 
+/// Whether sending the request again is taken from the retry budget. The budget bounds the work
+/// that retries add; an attempt that was not sent has added none.
+bool uses_retry_budget(attempt_end end);
+
 /// Decides what follows the end of an attempt. A request that may have run is sent again only if
 /// its kind and the route's maximum number of attempts allow it.
 next_step decide_next_step(const attempt_facts& facts);
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -424,7 +424,7 @@
     facts.budget_left = true;
     auto step = decide_next_step(facts);
     const bool is_repeated = step == next_step::retry || step == next_step::remake_inputs;
-    if (is_repeated && !pool.budget().try_acquire(now)) {
+    if (is_repeated && uses_retry_budget(end) && !pool.budget().try_acquire(now)) {
         facts.budget_left = false;
         step = decide_next_step(facts);
     }
--- a/tests/unit/gateway/requests/attempt_decision_test.cpp
+++ b/tests/unit/gateway/requests/attempt_decision_test.cpp
@@ -66,6 +66,18 @@
     BOOST_TEST((decide(attempt_end::broken_midway) == next_step::retry));
 }
 
+// Guards against take-ups that are refused because engines which have just crashed refuse
+// connections: the retry budget is a share of the requests, and no work is repeated.
+BOOST_AUTO_TEST_CASE(request_that_was_not_sent_goes_to_another_upstream_without_budget) {
+    facts.possible_runs = 0;
+    facts.budget_left = false;
+    BOOST_TEST((decide(attempt_end::not_sent) == next_step::retry));
+    BOOST_TEST((decide(attempt_end::refused) == next_step::refuse));
+    BOOST_TEST((decide(attempt_end::broken) == next_step::fail));
+    facts.time_left = false;
+    BOOST_TEST((decide(attempt_end::not_sent) == next_step::refuse));
+}
+
 BOOST_AUTO_TEST_CASE(retry_without_budget_or_time_is_not_tried) {
     facts.budget_left = false;
     BOOST_TEST((decide(attempt_end::broken) == next_step::fail));
