forwarder: serve streams that go on before new ones of their priority

Cause: such a request was admitted like a new one, against a latency target that its first event had met or missed already, and its stages and its wait for an engine stood behind all earlier requests. Stages that a stream in progress needed again after the loss of its engine even came last, as their target time had passed, and their orders could be past their deadline.

Now `exchange::rank` puts what goes on with a stream first within its priority, and such a request is admitted if its caller waits as long as is expected. While a stream is relayed, its patience counts from the last event.

--- a/source/core/gateway/instances/waiting_requests.h
+++ b/source/core/gateway/instances/waiting_requests.h
@@ -11,11 +11,11 @@
 namespace jujubemast::gateway::instances {
 
 /// Requests that wait until an instance of their service can take one: a connection becomes free,
-/// or a pause ends. More urgent priorities come first and, within a priority, the earliest arrival.
+/// or a pause ends. Lower ranks come first and, within a rank, the earliest arrival.
 class waiting_requests {
 public:
-    void push(std::uint64_t id, int priority, common::time_point arrived) {
-        m_waiting.insert({priority, arrived, id});
+    void push(std::uint64_t id, int rank, common::time_point arrived) {
+        m_waiting.insert({rank, arrived, id});
     }
 
     void remove(std::uint64_t id) {
@@ -46,7 +46,7 @@
 
 private:
     struct waiting {
-        int priority = 0;
+        int rank = 0;
         common::time_point arrived;
         std::uint64_t id = 0;
 
--- a/source/core/gateway/piece_order.h
+++ b/source/core/gateway/piece_order.h
@@ -35,6 +35,8 @@
     /// The service that holds the inputs, if no other stage reads them. They are released as soon
     /// as the calls for the pieces have read them.
     std::string inputs_to_release;
+    /// Pieces with smaller values are made first. Two orders of a workspace's priority may differ
+    /// in it, see `exchange::rank`.
     int priority = 0;
     double result_bytes = 0;
     /// Failure domain in which the pieces need no large transfer. Empty if no domain is better than
--- a/source/core/gateway/requests/exchange.h
+++ b/source/core/gateway/requests/exchange.h
@@ -137,6 +137,13 @@
         return is_resumable_stream() && request.last_event.has_value();
     }
 
+    /// Whether the caller has got events of the stream already, now or in an earlier attempt.
+    [[nodiscard]] bool goes_on() const { return relaying || resumes_stream(); }
+
+    /// The order in which requests are served, smaller values first: by priority and, within a
+    /// priority, those that go on with a stream. A refusal of these wastes what was made of it.
+    [[nodiscard]] int rank() const { return 2 * priority + (goes_on() ? 0 : 1); }
+
     [[nodiscard]] bool is_sent() const { return attempt && attempt->in_progress(); }
 
     /// Id of the instance of the last attempt, or an empty string.
--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -227,9 +227,7 @@
         std::min(deadline - response_margin, ex.times.arrived + ex.matched_route->timeout);
     ex.first_event_deadline = ex.response_deadline;
     if (ex.matched_route->kind == repeatability::stream) {
-        ex.first_event_deadline =
-            std::min(ex.response_deadline,
-                     ex.times.arrived + event_patience(*ex.matched_route) - response_margin);
+        wait_for_event_since(ex, ex.times.arrived);
     }
     if (refuse_unusable_piece_counts(ex)) {
         return;
@@ -253,6 +251,11 @@
     advance_stages(ex);
 }
 
+void forwarder::wait_for_event_since(exchange& ex, common::time_point since) {
+    ex.first_event_deadline =
+        std::min(ex.response_deadline, since + event_patience(*ex.matched_route) - response_margin);
+}
+
 bool forwarder::refuse_unusable_piece_counts(exchange& ex) {
     const auto fault =
         stages::check_piece_counts(ex.matched_route->stages, ex.request.piece_counts);
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -112,6 +112,8 @@
     void handle(const admin::metrics_query& message);
     void handle(const route_query& query);
 
+    /// Sets the deadline of an event for which the caller has waited since a time.
+    static void wait_for_event_since(exchange& ex, common::time_point since);
     /// Looks up a request, and admits or refuses it.
     void begin(exchange& ex);
     /// Lets a request wait until this gateway has read the store, for a short time at most.
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -127,7 +127,7 @@
         return;
     }
     auto& waiting = pool_of(ex.service).waiting();
-    waiting.push(ex.id, ex.priority, ex.times.arrived);
+    waiting.push(ex.id, ex.rank(), ex.times.arrived);
     m_metrics.record_wait(choice.outcome);
     m_log.info("Waits for an instance.", {{"attempt", ex.request.attempt_id},
                                           {"service", ex.service},
@@ -474,6 +474,10 @@
 }
 
 void forwarder::restart_stages(exchange& ex) {
+    if (ex.relaying) {
+        wait_for_event_since(ex, ex.times.last_event);
+        limit_to_stop(ex);
+    }
     ex.stages.progress.restart();
     ex.stages.results_expire_at.reset();
     advance_stages(ex);
--- a/source/core/gateway/requests/forwarder_stages.cpp
+++ b/source/core/gateway/requests/forwarder_stages.cpp
@@ -19,8 +19,12 @@
 } // namespace
 
 stages::staged_request forwarder::staged(const exchange& ex) {
-    return {*ex.configuration, *ex.matched_route, ex.stages.progress, ex.priority,
-            ex.times.arrived + ex.matched_route->latency_target};
+    // Whether a stream is on time was decided by its first event. What is left is the caller's
+    // patience.
+    const auto target_time = ex.goes_on() ? ex.first_event_deadline
+                                          : ex.times.arrived + ex.matched_route->latency_target;
+    return {*ex.configuration, *ex.matched_route, ex.stages.progress,
+            ex.rank(),         target_time,       ex.goes_on()};
 }
 
 void forwarder::advance_stages(exchange& ex) {
@@ -126,7 +130,7 @@
     order.inputs = ex.stages.progress.inputs_of(stage);
     order.inputs_to_release = ex.stages.progress.sole_input_service(stage);
     order.input_key = spec.dependencies.empty() ? ex.request.piece_key : std::string{};
-    order.priority = ex.priority;
+    order.priority = ex.rank();
     order.regions = ex.regions;
     remove_upcoming(ex, stage);
     order.result_bytes = spec.result_bytes;
--- a/source/core/gateway/stages/stage_admission.cpp
+++ b/source/core/gateway/stages/stage_admission.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// A request is admitted if its stages are expected to finish within this share of the available
+// A new request is admitted if its stages are expected to finish within this share of the available
 // time. The rest is reserved for later requests with a more urgent priority.
 constexpr double admission_share = 0.7;
 // The stages may wait for this share of the time that is left to a response on time. The rest is
@@ -29,10 +29,13 @@
     stage_admission result;
     result.expected =
         estimator.expected_stages(request, now) + estimator.expected_first_event(service, now);
-    const auto shortest = estimator.shortest_stages(request);
-    const auto spare = request.matched_route.latency_target - shortest;
-    result.allowed =
-        std::min(share_of(patience, admission_share), shortest + share_of(spare, waiting_share));
+    result.allowed = patience;
+    if (!request.resumes) {
+        const auto shortest = estimator.shortest_stages(request);
+        const auto spare = request.matched_route.latency_target - shortest;
+        result.allowed = std::min(share_of(patience, admission_share),
+                                  shortest + share_of(spare, waiting_share));
+    }
     if (result.expected > result.allowed) {
         result.outcome = admission_outcome::overloaded;
         result.retry_after = overload_retry_after(result.expected - result.allowed);
--- a/source/core/gateway/stages/stage_admission.h
+++ b/source/core/gateway/stages/stage_admission.h
@@ -29,7 +29,9 @@
 
 /// Decides on a request to a service before its first stage is ordered. `patience` is the time
 /// after which the caller no longer waits for the response to begin. A late response takes capacity
-/// from responses that could be on time, so requests that would be late are refused.
+/// from responses that could be on time, so requests that would be late are refused. A request that
+/// resumes a stream is refused only if its caller would not wait for it: whether the stream is on
+/// time was decided by its first event, and a refusal wastes what was made of it.
 stage_admission decide_admission(const stage_estimator& estimator, const staged_request& request,
                                  const std::string& service, common::duration patience,
                                  common::time_point now);
--- a/source/core/gateway/stages/stage_estimator.h
+++ b/source/core/gateway/stages/stage_estimator.h
@@ -25,6 +25,8 @@
     int priority = 0;
     /// When the response has to begin to be on time.
     common::time_point target_time;
+    /// Whether the request goes on with a stream of which its caller has got events.
+    bool resumes = false;
 };
 
 /// Estimates how long the stages of a request and the start of its response will take, from the
--- a/tests/unit/gateway/stages/stage_estimator_test.cpp
+++ b/tests/unit/gateway/stages/stage_estimator_test.cpp
@@ -64,6 +64,20 @@
     BOOST_TEST(!subject.report_age(config.routes[0], start + seconds{3}).has_value());
 }
 
+// Guards against LOST of issue 54: streams that callers take up again are refused for a latency
+// target that their first event has met or missed already.
+BOOST_AUTO_TEST_CASE(request_that_resumes_a_stream_is_admitted_if_its_caller_waits_long_enough) {
+    auto request = request_at(start);
+    subject.record_backlog(busy(), start);
+    const auto fresh = decide_admission(subject, request, "pool", seconds{8}, start);
+    BOOST_TEST((fresh.outcome == admission_outcome::overloaded));
+    request.resumes = true;
+    const auto resumed = decide_admission(subject, request, "pool", fresh.expected, start);
+    BOOST_TEST((resumed.outcome == admission_outcome::admitted));
+    const auto hopeless = decide_admission(subject, request, "pool", fresh.expected / 2, start);
+    BOOST_TEST((hopeless.outcome == admission_outcome::overloaded));
+}
+
 BOOST_AUTO_TEST_CASE(backlog_that_is_reported_again_stays_valid) {
     for (int n = 0; n < 20; ++n) {
         subject.record_backlog(busy(), start + milliseconds{200} * n);
