--- a/source/core/gateway/requests/forwarder_streams.cpp
+++ b/source/core/gateway/requests/forwarder_streams.cpp
@@ -24,7 +24,7 @@
 }
 
 instances::instance_filter forwarder::allowed_instances(const exchange& ex) const {
-    const instances::instance_filter allowed{ex.regions};
+    instances::instance_filter allowed{ex.regions};
     if (!ex.is_resumable_stream()) {
         return allowed;
     }
--- a/source/core/gateway/store/stream_finder.cpp
+++ b/source/core/gateway/store/stream_finder.cpp
@@ -123,7 +123,7 @@
     advance(id);
 }
 
-void stream_finder::end(std::uint64_t id, find_result result) {
+void stream_finder::end(std::uint64_t id, const find_result& result) {
     const auto ended = m_searches.extract(id);
     if (!ended.empty()) {
         ended.mapped().done(result);
--- a/source/core/gateway/store/stream_finder.h
+++ b/source/core/gateway/store/stream_finder.h
@@ -57,7 +57,7 @@
     void list_received(std::uint64_t id, const store_response& response);
     /// Makes the same call again after a short time.
     void repeat_later(std::uint64_t id);
-    void end(std::uint64_t id, find_result result);
+    void end(std::uint64_t id, const find_result& result);
 
     runtime::task_context m_context;
     store_session& m_session;
--- a/source/core/gateway/store/stream_registry.cpp
+++ b/source/core/gateway/store/stream_registry.cpp
@@ -33,7 +33,7 @@
                                  std::shared_ptr<runtime::mailbox<stream_registry_message>> inbox,
                                  runtime::address<forwarder_message> forwarder,
                                  http::endpoint store,
-                                 std::shared_ptr<const adapter> platform_adapter,
+                                 const std::shared_ptr<const adapter>& platform_adapter,
                                  common::random_hook random)
     : m_context{std::move(context)}, m_inbox{std::move(inbox)},
       m_forwarder{std::move(forwarder)}, m_session{m_context, std::move(store), platform_adapter},
--- a/source/core/gateway/store/stream_registry.h
+++ b/source/core/gateway/store/stream_registry.h
@@ -23,7 +23,8 @@
     stream_registry(runtime::task_context context,
                     std::shared_ptr<runtime::mailbox<stream_registry_message>> inbox,
                     runtime::address<forwarder_message> forwarder, http::endpoint store,
-                    std::shared_ptr<const adapter> platform_adapter, common::random_hook random);
+                    const std::shared_ptr<const adapter>& platform_adapter,
+                    common::random_hook random);
 
     void start() override;
     void close() noexcept override;
--- a/tests/integration/mixed_versions_test.cpp
+++ b/tests/integration/mixed_versions_test.cpp
@@ -196,6 +196,7 @@
                [&] { return dump(0).find(R"("id":"e4")") != std::string::npos; });
     std::vector<std::future<received_response>> calls;
     const auto begun = begin_streams(0, "still-", [&] { kill_gateway(0); });
+    calls.reserve(begun.size());
     // The gateway gets these attempts before it learns of the new engines.
     for (const auto& it : begun) {
         calls.push_back(std::async(std::launch::async,
@@ -256,6 +257,7 @@
     add_gateway(2, 1);
     auto begun = begin_streams(0, "twice-", [&] { kill_gateway(0); });
     std::vector<std::future<received_response>> second;
+    second.reserve(begun.size());
     for (const auto& it : begun) {
         second.push_back(std::async(std::launch::async, [this, it] {
             return take_up(it, "second-" + it.attempt, 1, slow_stream);
