dispatcher: forget an order that is cancelled

Cause: a cancelled order that was made already kept its outcome "made", with its handles cleared. When the loss of a second owner gave the order to the same gateway again, it answered with that outcome, and the forwarder ordered the next stage with no inputs. A cancelled order that was in progress reported "expired", which ended it at the gateway to which it had been given meanwhile.

Now a cancelled order is forgotten: its results are released, it has no outcome, and it is made when it is placed again. The forwarder does not take an outcome whose number of results differs from that of the pieces.

The two unit cases fail before (0 handles instead of 1; an outcome that nobody waits for) and pass now.

--- a/source/core/gateway/requests/forwarder_stages.cpp
+++ b/source/core/gateway/requests/forwarder_stages.cpp
@@ -162,6 +162,10 @@
     ex->stages.orders.erase(message.number);
     switch (message.outcome.status) {
     case order_status::made:
+        if (message.outcome.handles.size() != ex->stages.progress.count_of(stage)) {
+            attempt_ended(*ex, attempt_end::input_gone, "results of a stage are missing");
+            return;
+        }
         m_estimator.record_stage(staged(*ex), stage, order.expected, now - order.sent, now);
         record_result_expiry(*ex, stage);
         ex->stages.progress.complete(stage, message.outcome.handles);
--- a/source/core/gateway/stages/dispatcher.cpp
+++ b/source/core/gateway/stages/dispatcher.cpp
@@ -205,12 +205,12 @@
     if (it == m_orders.end()) {
         return;
     }
-    if (it->second.finished) {
-        queue_release(message.service, it->second.outcome.handles);
-        it->second.outcome.handles.clear();
-        return;
-    }
-    finish_order(it->second, {order_status::expired, {}, {}});
+    auto& state = it->second;
+    queue_release(message.service, state.finished ? state.outcome.handles : made_handles(state));
+    m_services[state.order.service].queue.remove(message.key);
+    // The origin waits for no outcome, and may place the order here again.
+    m_orders.erase(it);
+    end_stop_if_idle();
 }
 
 void dispatcher::handle(const release_results& message) {
@@ -295,13 +295,17 @@
     }
 }
 
+std::vector<std::string> dispatcher::made_handles(const order_state& state) {
+    std::vector<std::string> made;
+    std::copy_if(state.handles.begin(), state.handles.end(), std::back_inserter(made),
+                 [](const std::string& it) { return !it.empty(); });
+    return made;
+}
+
 void dispatcher::finish_order(order_state& state, order_outcome outcome) {
     const auto now = common::monotonic_clock::now();
     if (outcome.status != order_status::made) {
-        std::vector<std::string> made;
-        std::copy_if(state.handles.begin(), state.handles.end(), std::back_inserter(made),
-                     [](const std::string& it) { return !it.empty(); });
-        queue_release(state.order.service, made);
+        queue_release(state.order.service, made_handles(state));
         const auto& service = m_services[state.order.service];
         m_log.warn("Order not made.", {{"attempt", state.order.attempt_id},
                                        {"service", state.order.service},
@@ -313,6 +317,7 @@
     state.handles.clear();
     m_services[state.order.service].queue.remove(state.order.key);
     state.finished = true;
+    state.finished_at = now;
     state.outcome = outcome;
     m_finished.emplace_back(now, state.order.key);
     m_peers.send(order_finished{state.order.key, std::move(outcome)});
@@ -323,7 +328,12 @@
 void dispatcher::forget_finished() {
     const auto limit = common::monotonic_clock::now() - finished_order_retention;
     while (!m_finished.empty() && m_finished.front().first < limit) {
-        m_orders.erase(m_finished.front().second);
+        const auto& [at, key] = m_finished.front();
+        const auto known = m_orders.find(key);
+        // The order may have been cancelled and placed again since.
+        if (known != m_orders.end() && known->second.finished && known->second.finished_at == at) {
+            m_orders.erase(known);
+        }
         m_finished.pop_front();
     }
 }
--- a/source/core/gateway/stages/dispatcher.h
+++ b/source/core/gateway/stages/dispatcher.h
@@ -68,6 +68,7 @@
         std::uint32_t pieces_started = 0;
         unsigned failures = 0;
         bool finished = false;
+        common::time_point finished_at;
         order_outcome outcome;
         /// Failure domain of the call that took the first pieces. The others are made there as
         /// well, so that one engine can read all of them without a transfer.
@@ -213,6 +214,8 @@
     void refuse_orders_without_instances(const std::string& name, service_state& service);
     void schedule_dispatch(const std::string& name, common::duration delay);
     void forget_finished();
+    /// Returns the handles of the pieces that have been made so far.
+    static std::vector<std::string> made_handles(const order_state& state);
 
     runtime::task_context m_context;
     runtime::inbox<dispatcher_message> m_inbox;
--- a/source/core/gateway/stages/dispatcher_calls.cpp
+++ b/source/core/gateway/stages/dispatcher_calls.cpp
@@ -262,6 +262,11 @@
     auto& state = it->second;
     switch (result.status) {
     case piece_status::made:
+        if (!state.handles[piece.piece].empty()) {
+            // A call for the order before it was cancelled and placed again.
+            queue_release(call.service, {result.handle});
+            return;
+        }
         state.handles[piece.piece] = result.handle;
         if (--state.pieces_left == 0) {
             finish_order(state, {order_status::made, state.handles, {}});
--- a/tests/unit/gateway/stages/dispatcher_fixture.h
+++ b/tests/unit/gateway/stages/dispatcher_fixture.h
@@ -35,6 +35,8 @@
     discovery_update update;
     /// The report of the instance.
     instance_report reported{0, 1e6};
+    /// Handle of each result.
+    std::string handle = "handle";
     /// The pause that the instance asks for in its next response.
     std::optional<common::duration> pause;
 
@@ -106,8 +108,8 @@
         result.encode_piece_call = [=](const std::string&, const std::vector<piece_item>&) {
             return get("/make");
         };
-        result.decode_piece_response = [](const std::string&) {
-            return std::vector<piece_result>{{piece_status::made, "handle"}};
+        result.decode_piece_response = [this](const std::string&) {
+            return std::vector<piece_result>{{piece_status::made, handle}};
         };
         result.decode_response_head = [this](unsigned status, const http::headers&) {
             return response_head{.status = status, .pause = std::exchange(pause, {})};
@@ -136,6 +138,9 @@
         return outcomes.size() > before ? outcomes.back().status : order_status::expired;
     }
 
+    /// Makes the results ones that the instance holds, so that they can be released there.
+    void hold_results() { handle = http::to_string(update.upstreams->at("i").address) + "/1"; }
+
     std::size_t count_requests(const std::string& path) const {
         return static_cast<std::size_t>(
             std::count(requested_paths.begin(), requested_paths.end(), path));
--- a/tests/unit/gateway/stages/dispatcher_test.cpp
+++ b/tests/unit/gateway/stages/dispatcher_test.cpp
@@ -36,6 +36,39 @@
     BOOST_TEST(count_requests("/make") == 1U);
 }
 
+// Guards against MIXED of review 12: the outcome of a cancelled order stays "made" without its
+// handles, and the next stage is made without inputs.
+BOOST_AUTO_TEST_CASE(order_that_was_made_and_cancelled_is_made_again_when_it_is_placed_again) {
+    hold_results();
+    inbox->post(update);
+    BOOST_TEST((make_piece(1) == order_status::made));
+    inbox->post(cancel_order{"stages", {"", 1}});
+    BOOST_REQUIRE(loop.run_until([&] { return count_requests("/release") == 1; }));
+    BOOST_TEST((make_piece(1) == order_status::made));
+    BOOST_TEST(outcomes.back().handles.size() == 1U);
+    BOOST_TEST(count_requests("/make") == 2U);
+}
+
+// Guards against an outcome that ends the order at the gateway to which it was given meanwhile.
+BOOST_AUTO_TEST_CASE(order_that_is_cancelled_while_it_is_made_has_no_outcome) {
+    hold_results();
+    inbox->post(update);
+    BOOST_TEST((make_piece(1) == order_status::made));
+    keeps_calls = true;
+    piece_order order;
+    order.key.number = 2;
+    order.service = "stages";
+    order.count = 1;
+    order.deadline = order.target_time = common::monotonic_clock::now() + std::chrono::seconds{2};
+    inbox->post(order);
+    BOOST_REQUIRE(loop.run_until([&] { return kept_calls.size() == 1; }));
+    inbox->post(cancel_order{"stages", {"", 2}});
+    kept_calls.front().respond({200, {}, ""});
+    // The late result is released.
+    BOOST_REQUIRE(loop.run_until([&] { return count_requests("/release") == 1; }));
+    BOOST_TEST(outcomes.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(owner_requests_reports_again_only_after_another_owned_the_service) {
     inbox->post(update);
     make_piece(1);
