event relay: take ids that rise by more than one

Cause: an id that is not the last one plus one counted as a missing event. The platform promises increasing ids, not consecutive ones.

Now the relay learns from the events of the stream. Once they have counted by one, a gap is still a missing event, at the same engine, at the next one, and after a stream was taken up. A stream whose steps are unknown when it is taken up no longer shows a gap in its first event.

--- a/source/core/gateway/requests/event_relay.cpp
+++ b/source/core/gateway/requests/event_relay.cpp
@@ -120,6 +120,15 @@
     return status;
 }
 
+bool event_relay::may_follow(std::uint64_t id) {
+    // A stream without an earlier event begins as if it followed the id 0.
+    const bool is_next = id == m_last.value_or(0) + 1;
+    if (m_steps == id_steps::unknown && (is_next || m_last)) {
+        m_steps = is_next ? id_steps::by_one : id_steps::larger;
+    }
+    return is_next || m_steps != id_steps::by_one;
+}
+
 relay_status event_relay::parse_event(std::string_view event, std::string& out) {
     if (event.size() > max_event_bytes) {
         return relay_status::too_large;
@@ -133,7 +142,7 @@
     if (id && m_last && *id <= *m_last) {
         return relay_status::good;
     }
-    if (id && m_last && *id != *m_last + 1) {
+    if (id && !may_follow(*id)) {
         return relay_status::out_of_order;
     }
     if (id) {
--- a/source/core/gateway/requests/event_relay.h
+++ b/source/core/gateway/requests/event_relay.h
@@ -36,8 +36,9 @@
     explicit event_relay(std::optional<std::uint64_t> last_event = {}) : m_last{last_event} {}
 
     /// Parses bytes from the current upstream and appends complete events to `out`. Events that the
-    /// caller already has are skipped. An event whose id does not follow the last one is out of
-    /// order. After a status other than `good`, call `restart` before the next use.
+    /// caller already has are skipped. Ids increase, in most streams by one; in a stream that has
+    /// counted by one so far, an event whose id does not follow the last one is out of order. After
+    /// a status other than `good`, call `restart` before the next use.
     relay_status feed(std::string_view bytes, std::string& out);
 
     /// Drops the incomplete event before the stream continues at another upstream.
@@ -55,7 +56,14 @@
     relay_status parse_lines(std::string& out);
     relay_status parse_event(std::string_view event, std::string& out);
 
+    /// How the ids of the stream increase, as far as its events have shown.
+    enum class id_steps { unknown, by_one, larger };
+
+    /// Whether an event with this id may follow the last one. Records how the ids increase.
+    bool may_follow(std::uint64_t id);
+
     std::optional<std::uint64_t> m_last;
+    id_steps m_steps = id_steps::unknown;
     /// The incomplete event. Its first `m_checked` bytes are complete, valid lines.
     std::string m_pending;
     std::size_t m_checked = 0;
