forwarder: bound the events that are kept until a stream is recorded

An instance that sends much before its stream is recorded made the gateway keep all of it, outside the budget for bodies. A stream that is whole when its first event's deadline comes is also ended then, and not only at the deadline of its response.

--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -319,7 +319,13 @@
     if (ex == nullptr) {
         return;
     }
-    release_events(*ex);
+    if (ex->origin.keeps_events) {
+        end_keeping(*ex);
+        ex = find(id);
+        if (ex == nullptr) {
+            return;
+        }
+    }
     const auto now = common::monotonic_clock::now();
     if (ex->relaying && now < ex->response_deadline) {
         ex->deadline_timer->start(ex->response_deadline - now,
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -160,6 +160,8 @@
     void record_streams_again();
     /// Passes the kept events on.
     void release_events(exchange& ex);
+    /// The same, and ends the request if its response is complete.
+    void end_keeping(exchange& ex);
     void pass_on(exchange& ex, std::string events);
     void admit(exchange& ex);
     /// Refuses a request that needs a service whose instances are all in drained failure domains or
--- a/source/core/gateway/requests/forwarder_streams.cpp
+++ b/source/core/gateway/requests/forwarder_streams.cpp
@@ -10,6 +10,13 @@
 
 namespace jujubemast::gateway::requests {
 
+namespace {
+
+// Events that an instance sends before its stream is recorded, beyond which they are passed on.
+constexpr std::size_t max_kept_bytes = 2 * max_event_bytes;
+
+} // namespace
+
 double forwarder::service_share(const exchange& ex) const {
     constexpr std::uint64_t steps = 1U << 20U;
     // A stream that is resumed goes to the service that began it, unless the route has changed.
@@ -134,10 +141,7 @@
 void forwarder::handle(const stream_recorded& message) {
     m_metrics.record_recorded_stream(message.outcome);
     if (auto* ex = find(message.request); ex != nullptr && ex->origin.keeps_events) {
-        release_events(*ex);
-        if (ex->origin.is_answered) {
-            answered(*ex, ex->attempt->response());
-        }
+        end_keeping(*ex);
     }
 }
 
@@ -169,10 +173,11 @@
 }
 
 void forwarder::pass_on(exchange& ex, std::string events) {
-    if (ex.origin.keeps_events) {
+    if (ex.origin.keeps_events && ex.origin.kept_events.size() < max_kept_bytes) {
         ex.origin.kept_events += events;
         return;
     }
+    release_events(ex);
     if (!ex.relaying) {
         // Until the first event, a failure or another attempt can still end the request.
         ex.relaying = true;
@@ -182,6 +187,13 @@
     ex.reply.write(std::move(events));
 }
 
+void forwarder::end_keeping(exchange& ex) {
+    release_events(ex);
+    if (std::exchange(ex.origin.is_answered, false)) {
+        answered(ex, ex.attempt->response());
+    }
+}
+
 void forwarder::release_events(exchange& ex) {
     if (std::exchange(ex.origin.keeps_events, false)) {
         pass_on(ex, std::exchange(ex.origin.kept_events, {}));
