upstream_attempt: do not end a stream as complete after an empty rest

A stream that broke midway could end as complete although its last events were missing (ORDER).

Cause: a response without a length ends with its connection, so an instance that stops after the head cannot be told from one that has sent everything. `response_completed` therefore requires one event, but it asked whether any attempt had begun the stream. An instance that was to go on with the stream and closed after its head counted as complete, and so did an instance that closed after a comment.

Now the attempt itself must have relayed an event, and comments do not count. A rest whose end is explicit (chunked, or with a length) may still be empty. If only the end of a stream is missing and the next instance sends an empty response without a length, the caller's response is now cut; before, it ended as complete.

--- a/tests/unit/gateway/requests/truncated_attempt_test.cpp
+++ b/tests/unit/gateway/requests/truncated_attempt_test.cpp
@@ -85,7 +85,9 @@
                  true}};
     }
 
-    result attempt(repeatability kind, const std::string& bytes, after_response after) {
+    /// `stream_begun` is whether an earlier attempt has passed events of the stream on.
+    result attempt(repeatability kind, const std::string& bytes, after_response after,
+                   bool stream_begun = false) {
         {
             const std::lock_guard lock{mutex};
             next = {bytes, "", {}, after};
@@ -102,13 +104,14 @@
             ended = true;
         };
         hooks.on_failed = [&](const attempt_failure& /*failure*/) { ended = true; };
-        upstream_attempt subject{loop.context(life),
-                                 platform,
-                                 member,
-                                 relay,
-                                 budget,
-                                 attempt_options{.kind = kind, .attempt_id = "a1"},
-                                 hooks};
+        upstream_attempt subject{
+            loop.context(life),
+            platform,
+            member,
+            relay,
+            budget,
+            attempt_options{.kind = kind, .attempt_id = "a1", .stream_begun = stream_begun},
+            hooks};
         subject.start({"POST", "/", {{"X-Attempt-Id", "a1"}}, ""});
         BOOST_REQUIRE(loop.run_until([&] { return ended; }));
         return got;
@@ -173,6 +176,22 @@
     }
 }
 
+// Guards against the rest of a broken stream that counts as complete, because its instance stopped
+// after the head or a comment.
+BOOST_AUTO_TEST_CASE(rest_of_a_stream_without_an_event_is_not_complete_when_its_connection_ends) {
+    const auto head = "HTTP/1.1 200 OK\r\n" + std::string{seal} + "Connection: close\r\n\r\n";
+    for (const std::string body : {"", ": waits\n\n", "\r\n: waits\r\n\r\n"}) {
+        for (const bool begun : {false, true}) {
+            const auto got =
+                attempt(repeatability::stream, head + body, after_response::close, begun);
+            BOOST_TEST(!got.is_complete, body);
+        }
+    }
+    BOOST_TEST(attempt(repeatability::stream, head + ": waits\n\n" + first_event,
+                       after_response::close, true)
+                   .is_complete);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujubemast::tests
