event relay: reject a run that begins anew, and gaps of a stream taken up

An engine that ignores Last-Event-Id and starts again at 1 began a run of its own, whose later events were joined to those of the first one (ORDER): the relay skipped the ids that the caller had and passed the others on. And since ids may rise by more than one, a stream that a caller takes up could begin with a gap.

Now the first event of an upstream that goes on must not be one before the last that the caller has; the last one itself may come again and is skipped. How ids increase is known from the other streams of the service, and taken as by one until a stream has shown something else.

The unit cases of event_relay_test stay and pass.

--- a/source/core/gateway/requests/event_relay.cpp
+++ b/source/core/gateway/requests/event_relay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace jujubemast::gateway::requests {
 
@@ -84,6 +85,7 @@
     m_checked = 0;
     m_searched = 0;
     m_idle_bytes = 0;
+    m_run_begun = false;
 }
 
 relay_status event_relay::feed(std::string_view bytes, std::string& out) {
@@ -139,8 +141,9 @@
         return relay_status::not_an_event;
     }
     const auto id = event_id(event);
+    const bool begins_run = id && !std::exchange(m_run_begun, true);
     if (id && m_last && *id <= *m_last) {
-        return relay_status::good;
+        return begins_run && *id < *m_last ? relay_status::out_of_order : relay_status::good;
     }
     if (id && !may_follow(*id)) {
         return relay_status::out_of_order;
--- a/source/core/gateway/requests/event_relay.h
+++ b/source/core/gateway/requests/event_relay.h
@@ -23,6 +23,9 @@
     too_large
 };
 
+/// How the ids of a stream increase, as far as its events have shown.
+enum class id_steps { unknown, by_one, larger };
+
 /// Largest event that is relayed. An event holds a few tokens; the limit bounds the memory used for
 /// a stream whose event never ends.
 inline constexpr std::size_t max_event_bytes = std::size_t{64} * 1024;
@@ -32,12 +35,19 @@
 /// incomplete event are buffered.
 class event_relay {
 public:
-    /// Events with ids up to `last_event` have already reached the caller.
-    explicit event_relay(std::optional<std::uint64_t> last_event = {}) : m_last{last_event} {}
+    event_relay() = default;
+
+    /// Events with ids up to `last_event` have already reached the caller. `known` is how the ids
+    /// of other streams of the service increase.
+    explicit event_relay(std::uint64_t last_event, id_steps known = id_steps::unknown)
+        : m_last{last_event}, m_steps{known == id_steps::larger ? id_steps::larger
+                                                                : id_steps::by_one} {}
 
     /// Parses bytes from the current upstream and appends complete events to `out`. Events that the
     /// caller already has are skipped. Ids increase, in most streams by one; in a stream that has
-    /// counted by one so far, an event whose id does not follow the last one is out of order. After
+    /// counted by one so far, an event whose id does not follow the last one is out of order. So is
+    /// the first event of an upstream that does not go on after the last one, but begins a run of
+    /// its own. After
     /// a status other than `good`, call `restart` before the next use.
     relay_status feed(std::string_view bytes, std::string& out);
 
@@ -49,6 +59,8 @@
 
     [[nodiscard]] std::optional<std::uint64_t> last_event() const { return m_last; }
 
+    [[nodiscard]] id_steps steps() const { return m_steps; }
+
     /// Whether an event has been passed on.
     [[nodiscard]] bool started() const { return m_started; }
 
@@ -56,9 +68,6 @@
     relay_status parse_lines(std::string& out);
     relay_status parse_event(std::string_view event, std::string& out);
 
-    /// How the ids of the stream increase, as far as its events have shown.
-    enum class id_steps { unknown, by_one, larger };
-
     /// Whether an event with this id may follow the last one. Records how the ids increase.
     bool may_follow(std::uint64_t id);
 
@@ -72,6 +81,8 @@
     /// Bytes of comments and blank lines since the last event.
     std::size_t m_idle_bytes = 0;
     bool m_started = false;
+    /// Whether the current upstream has sent an event with an id.
+    bool m_run_begun = false;
 };
 
 } // namespace jujubemast::gateway::requests
@@ -84,4 +95,9 @@
                                                            "too_large"};
 };
 
+template <>
+struct enum_names<gateway::requests::id_steps> {
+    static constexpr std::array<std::string_view, 3> table{"unknown", "by_one", "larger"};
+};
+
 } // namespace jujubemast::common
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -158,6 +158,7 @@
     void record_relayed_streams();
     /// Records all streams again, because the store may have lost their rows.
     void record_streams_again();
+    void record_id_steps(const exchange& ex);
     /// Passes the kept events on.
     void release_events(exchange& ex);
     /// The same, and ends the request if its response is complete.
@@ -324,6 +325,8 @@
     /// The software versions that may begin streams, by service.
     std::map<std::string, std::set<std::string>> m_listed_versions;
     std::size_t m_store_restores = 0;
+    /// How the event ids of the latest stream increased, by service.
+    std::map<std::string, id_steps> m_id_steps;
     instances::domain_index m_domains;
     std::map<std::string, std::unique_ptr<instances::service_pool>> m_pools;
     /// Memory for the bodies of responses.
--- a/tests/unit/gateway/requests/event_relay_test.cpp
+++ b/tests/unit/gateway/requests/event_relay_test.cpp
@@ -43,8 +43,8 @@
 // Guards against a stream that continues with a gap at another engine, or after the caller has
 // taken it up.
 BOOST_AUTO_TEST_CASE(event_relay_with_a_missing_event_after_consecutive_ones_reports_it) {
-    for (const auto last : {std::optional<std::uint64_t>{}, std::optional<std::uint64_t>{3}}) {
-        relay = gateway::requests::event_relay{last};
+    for (const bool resumes : {false, true}) {
+        relay = resumes ? gateway::requests::event_relay{3} : gateway::requests::event_relay{};
         out.clear();
         add("id: 4\ndata: a\n\nid: 5\ndata: b\n\n");
         relay.restart();
@@ -62,8 +62,30 @@
     BOOST_TEST((add("id: 28\ndata: e\n\n") == relay_status::good));
     BOOST_TEST(out == "id: 7\ndata: a\n\nid: 14\ndata: b\n\nid: 20\ndata: c\n\n"
                       "id: 21\ndata: d\n\nid: 28\ndata: e\n\n");
-    relay = gateway::requests::event_relay{14};
+}
+
+// Guards against streams that callers take up and that are cut for the same reason, and against a
+// gap that such a stream begins with.
+BOOST_AUTO_TEST_CASE(event_relay_that_resumes_a_stream_goes_by_the_ids_of_other_streams) {
+    using gateway::requests::id_steps;
+    relay = gateway::requests::event_relay{14, id_steps::larger};
     BOOST_TEST((add("id: 21\ndata: c\n\nid: 28\ndata: d\n\n") == relay_status::good));
+    for (const auto known : {id_steps::unknown, id_steps::by_one}) {
+        relay = gateway::requests::event_relay{14, known};
+        BOOST_TEST((add("id: 16\ndata: c\n\n") == relay_status::out_of_order));
+    }
+}
+
+// Guards against ORDER: an instance that ignores the last event begins a run of its own, whose
+// later events are joined to those of the first one.
+BOOST_AUTO_TEST_CASE(event_relay_whose_next_upstream_begins_again_reports_it) {
+    add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    relay.restart();
+    BOOST_TEST((add("id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n") ==
+                relay_status::out_of_order));
+    relay = gateway::requests::event_relay{2};
+    BOOST_TEST((add("id: 1\ndata: x\n\n") == relay_status::out_of_order));
+    BOOST_TEST(out == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
 BOOST_AUTO_TEST_CASE(event_relay_with_carriage_returns_finds_the_end_of_an_event) {
