streams: do not lose a listed version over a restore or a late removal

After a restore of the store, a gateway that had not known a version completed the list first, and the others forgot the version when they read that row; the list alone was read, although the stream's own row named the version. A list that the store had lost counted as complete at once when a new gateway wrote it. A removal without a response could be performed after its version had come back.

Now versions listed before a restore are kept until a row of the later era names them; a list that is written where there was none is complete only after 5 s; a version that comes back is listed by a write, which a late removal does not survive; and a search reads the row of the stream first. While a list is incomplete, streams are recorded, so that take-ups just after a restore are not refused. Streams are also recorded before their first event if their version is known, and a search of 0.8 s leaves room for a second call. Lists are sent to the forwarder again every 5 s, as a message may not have been accepted.

--- a/source/core/gateway/messages.h
+++ b/source/core/gateway/messages.h
@@ -188,7 +188,7 @@
 /// recorded before its first event reaches the caller. A service is missing until its list has been
 /// read.
 struct stream_versions_changed {
-    std::map<std::string, std::set<std::string>> listed;
+    std::map<std::string, usable_versions> listed;
 };
 
 /// The gateways that may own services, and the name of this one.
--- a/source/core/gateway/requests/exchange.h
+++ b/source/core/gateway/requests/exchange.h
@@ -60,6 +60,8 @@
     /// The version that began the stream. Unknown until an instance has sent an event, or the
     /// version of a resumed stream has been found.
     std::optional<std::string> version;
+    /// The service in which the version of a resumed stream was looked up.
+    std::string service;
     /// When the version of a resumed stream began to be looked up.
     std::optional<common::time_point> search_began;
     /// Whether the store was asked to record the stream.
@@ -137,6 +139,11 @@
         return is_resumable_stream() && request.last_event.has_value();
     }
 
+    /// Whether the version of a resumed stream is being looked up.
+    [[nodiscard]] bool is_search_in_progress() const {
+        return origin.search_began && !origin.version;
+    }
+
     /// Whether the caller has got events of the stream already, now or in an earlier attempt.
     [[nodiscard]] bool goes_on() const { return relaying || resumes_stream(); }
 
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -148,14 +148,14 @@
     /// The instances that may get the request.
     [[nodiscard]] instances::instance_filter allowed_instances(const exchange& ex) const;
     /// Returns the versions of the service that may begin streams, or null if they are not known.
-    [[nodiscard]] const std::set<std::string>* listed_versions_of(const std::string& service) const;
+    [[nodiscard]] const usable_versions* listed_versions_of(const std::string& service) const;
     /// Keeps the stream at the version of the instance that has sent its first event.
     void record_origin(exchange& ex);
     /// Records in the store which version began the stream. Returns whether the answer has to be
     /// awaited.
     bool record_in_store(exchange& ex);
     /// Records the streams whose first event has reached the caller and that are not recorded.
-    void record_relayed_streams();
+    void record_known_streams();
     /// Records all streams again, because the store may have lost their rows.
     void record_streams_again();
     void record_id_steps(const exchange& ex);
@@ -323,7 +323,7 @@
     /// Services whose instances are all in drained failure domains.
     std::set<std::string> m_drained_services;
     /// The software versions that may begin streams, by service.
-    std::map<std::string, std::set<std::string>> m_listed_versions;
+    std::map<std::string, usable_versions> m_listed_versions;
     std::size_t m_store_restores = 0;
     /// How the event ids of the latest stream increased, by service.
     std::map<std::string, id_steps> m_id_steps;
--- a/source/core/gateway/requests/forwarder_streams.cpp
+++ b/source/core/gateway/requests/forwarder_streams.cpp
@@ -25,7 +25,7 @@
     return static_cast<double>(step) / steps;
 }
 
-const std::set<std::string>* forwarder::listed_versions_of(const std::string& service) const {
+const usable_versions* forwarder::listed_versions_of(const std::string& service) const {
     const auto it = m_listed_versions.find(service);
     return it == m_listed_versions.end() ? nullptr : &it->second;
 }
@@ -39,11 +39,11 @@
         return allowed.bound_to(*ex.origin.version);
     }
     const auto* listed = listed_versions_of(ex.service);
-    return allowed.with_versions(listed != nullptr ? *listed : std::set<std::string>{});
+    return allowed.with_versions(listed != nullptr ? listed->versions : std::set<std::string>{});
 }
 
 bool forwarder::prepare_stream(exchange& ex) {
-    if (ex.resumes_stream() && !ex.origin.version) {
+    if (ex.resumes_stream() && (!ex.origin.version || ex.origin.service != ex.service)) {
         find_origin(ex);
         return false;
     }
@@ -72,9 +72,11 @@
 
 void forwarder::find_origin(exchange& ex) {
     start_hold_timer(ex);
-    if (ex.origin.search_began) {
+    if (ex.is_search_in_progress()) {
         return;
     }
+    ex.origin.version.reset();
+    ex.origin.service = ex.service;
     ex.origin.search_began = common::monotonic_clock::now();
     if (!m_streams.send(find_stream{ex.id, {ex.service, ex.origin.attempt_id}})) {
         refuse_resumed(ex, resumed_outcome::unavailable, "too many streams are looked up");
@@ -135,8 +137,9 @@
 bool forwarder::record_in_store(exchange& ex) {
     auto& origin = ex.origin;
     const auto* listed = listed_versions_of(ex.service);
-    const bool is_only_version =
-        listed != nullptr && listed->size() == 1 && listed->contains(*origin.version);
+    const bool is_only_version = listed != nullptr && listed->is_complete &&
+                                 listed->versions.size() == 1 &&
+                                 listed->versions.contains(*origin.version);
     if (origin.is_recording || is_only_version) {
         return false;
     }
@@ -155,7 +158,7 @@
 void forwarder::handle(const stream_versions_changed& message) {
     m_listed_versions = message.listed;
     // Streams that began before another version was listed are not recorded yet.
-    record_relayed_streams();
+    record_known_streams();
     for (const auto& [service, versions] : m_listed_versions) {
         schedule_waiting(service);
     }
@@ -164,9 +167,9 @@
     }
 }
 
-void forwarder::record_relayed_streams() {
+void forwarder::record_known_streams() {
     for (const auto& [id, ex] : m_exchanges) {
-        if (ex->origin.version && ex->relaying) {
+        if (ex->origin.version) {
             record_in_store(*ex);
         }
     }
@@ -176,7 +179,7 @@
     for (const auto& [id, ex] : m_exchanges) {
         ex->origin.is_recording = false;
     }
-    record_relayed_streams();
+    record_known_streams();
 }
 
 void forwarder::pass_on(exchange& ex, std::string events) {
--- a/source/core/gateway/store/stream_finder.cpp
+++ b/source/core/gateway/store/stream_finder.cpp
@@ -11,6 +11,8 @@
 
 // Time for the whole search.
 constexpr common::duration search_timeout = std::chrono::milliseconds{800};
+// Leaves time for another call if a response is lost.
+constexpr common::duration call_timeout = std::chrono::milliseconds{300};
 // Another gateway may be about to record the stream, because it has just learned of a second
 // version.
 constexpr common::duration second_read_delay = std::chrono::milliseconds{200};
@@ -23,11 +25,10 @@
                              std::shared_ptr<const adapter> platform_adapter)
     : m_context{context}, m_session{session}, m_adapter{std::move(platform_adapter)} {}
 
-void stream_finder::find(const stream_id& stream, bool is_recorded_probably, done_hook done) {
+void stream_finder::find(const stream_id& stream, done_hook done) {
     const auto id = m_next_id++;
     auto& added = m_searches[id];
     added.stream = stream;
-    added.starts_with_row = is_recorded_probably;
     added.done = std::move(done);
     added.deadline = std::make_unique<runtime::timer>(m_context.loop());
     added.deadline->start(search_timeout, m_context.wrap([this, id] {
@@ -39,7 +40,7 @@
 
 void stream_finder::advance(std::uint64_t id) {
     const auto& state = m_searches.at(id);
-    if (state.row_reads == 0 && (state.starts_with_row || state.list_read)) {
+    if (state.row_reads == 0) {
         read_row(id);
     } else if (!state.list_read) {
         read_list(id);
@@ -58,7 +59,7 @@
 }
 
 void stream_finder::read_row(std::uint64_t id) {
-    m_session.read(m_adapter->encode_stream_read(m_searches.at(id).stream), search_timeout,
+    m_session.read(m_adapter->encode_stream_read(m_searches.at(id).stream), call_timeout,
                    [this, id](const store_response& it) { row_received(id, it); });
 }
 
@@ -90,8 +91,8 @@
 }
 
 void stream_finder::read_list(std::uint64_t id) {
-    m_session.read(m_adapter->encode_versions_read(m_searches.at(id).stream.service),
-                   search_timeout, [this, id](const store_response& it) { list_received(id, it); });
+    m_session.read(m_adapter->encode_versions_read(m_searches.at(id).stream.service), call_timeout,
+                   [this, id](const store_response& it) { list_received(id, it); });
 }
 
 void stream_finder::list_received(std::uint64_t id, const store_response& response) {
--- a/source/core/gateway/store/stream_finder.h
+++ b/source/core/gateway/store/stream_finder.h
@@ -30,8 +30,9 @@
     stream_finder(const runtime::task_context& context, store_session& session,
                   std::shared_ptr<const adapter> platform_adapter);
 
-    /// `is_recorded_probably` decides only which row is read first.
-    void find(const stream_id& stream, bool is_recorded_probably, done_hook done);
+    /// Reads the row of the stream first: after a restore the list may have lost a version that the
+    /// row names.
+    void find(const stream_id& stream, done_hook done);
 
     void close() noexcept { m_searches.clear(); }
 
@@ -40,7 +41,6 @@
 private:
     struct search {
         stream_id stream;
-        bool starts_with_row = false;
         done_hook done;
         unsigned row_reads = 0;
         bool list_read = false;
--- a/source/core/gateway/store/stream_registry.cpp
+++ b/source/core/gateway/store/stream_registry.cpp
@@ -1,5 +1,6 @@
 #include "gateway/store/stream_registry.h"
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <utility>
@@ -10,8 +11,9 @@
 
 namespace {
 
-// How often the lists are checked for versions that have left.
+// How often the lists are checked for versions that have left, and while a list is incomplete.
 constexpr common::duration check_interval = std::chrono::seconds{5};
+constexpr common::duration incomplete_check_interval = std::chrono::milliseconds{500};
 
 /// Returns the services that begin streams which can be resumed.
 std::set<std::string> resumable_services(const configuration& config) {
@@ -59,8 +61,13 @@
 }
 
 void stream_registry::check_later() {
-    m_check_timer.start(check_interval, m_context.wrap([this] {
+    const bool all_complete = std::all_of(m_published.begin(), m_published.end(),
+                                          [](const auto& it) { return it.second.is_complete; });
+    const auto interval = all_complete ? check_interval : incomplete_check_interval;
+    m_check_timer.start(interval, m_context.wrap([this] {
         m_lists.check();
+        // An earlier message may not have been accepted, and lists become complete with time.
+        publish_lists();
         check_later();
     }));
 }
@@ -74,6 +81,7 @@
     }
     // The forwarder may have been restarted.
     publish_lists();
+    check_later();
 }
 
 void stream_registry::handle(const upstreams_confirmed& message) {
@@ -88,27 +96,32 @@
 }
 
 void stream_registry::handle(const find_stream& message) {
-    m_finder.find(message.stream, m_lists.has_several(message.stream.service),
-                  [this, request = message.request](const find_result& result) {
-                      m_forwarder.send(stream_found{request, result.outcome, result.version});
-                  });
+    m_finder.find(message.stream, [this, request = message.request](const find_result& result) {
+        m_forwarder.send(stream_found{request, result.outcome, result.version});
+    });
 }
 
 void stream_registry::publish_lists() {
-    m_forwarder.send(stream_versions_changed{m_lists.listed()});
+    m_published = m_lists.listed();
+    m_forwarder.send(stream_versions_changed{m_published});
 }
 
 boost::json::value stream_registry::dump() const {
     boost::json::object lists;
-    for (const auto& [service, versions] : m_lists.listed()) {
+    boost::json::array incomplete;
+    for (const auto& [service, usable] : m_published) {
         boost::json::array names;
-        for (const auto& it : versions) {
+        for (const auto& it : usable.versions) {
             names.emplace_back(it);
         }
         lists[service] = std::move(names);
+        if (!usable.is_complete) {
+            incomplete.emplace_back(service);
+        }
     }
     return boost::json::object{{"store_era", m_session.era()},
                                {"listed_versions", std::move(lists)},
+                               {"incomplete_lists", std::move(incomplete)},
                                {"unwritten_streams", m_writer.waiting()},
                                {"searches", m_finder.searches()}};
 }
--- a/source/core/gateway/store/stream_registry.h
+++ b/source/core/gateway/store/stream_registry.h
@@ -46,6 +46,8 @@
     stream_writer m_writer;
     stream_finder m_finder;
     std::size_t m_restores = 0;
+    /// The lists as last sent to the forwarder.
+    std::map<std::string, usable_versions> m_published;
     runtime::timer m_check_timer;
 };
 
--- a/source/core/gateway/store/version_list.h
+++ b/source/core/gateway/store/version_list.h
@@ -46,11 +46,14 @@
     /// Records the versions of the service's known instances.
     void record_instances(std::set<std::string> versions, common::time_point now);
 
-    /// Records the row that the store has returned, or accepted.
+    /// Records the row that the store has returned.
     void record_row(const version_row& row, common::time_point now);
 
-    /// The store may have lost the row.
-    void invalidate() { m_read = false; }
+    /// Records the row that the store has accepted.
+    void record_write(const version_row& row, common::time_point now);
+
+    /// The store may have lost the row, or versions in it.
+    void invalidate();
 
     /// Whether the row has to be read, because it may have to change. A version is removed only if
     /// `instances_confirmed`: the known instances are the newest.
@@ -64,6 +67,9 @@
     /// The versions that may begin streams.
     [[nodiscard]] const std::set<std::string>& listed() const { return m_listed; }
 
+    /// Whether the row names every version that has begun a stream which can be resumed.
+    [[nodiscard]] bool is_complete(common::time_point now) const { return now >= m_complete_at; }
+
     /// Whether the row has been read, or written.
     [[nodiscard]] bool is_known() const { return m_known; }
 
@@ -74,6 +80,12 @@
     /// When an instance of each version was last known, or the version was first read.
     std::map<std::string, common::time_point> m_last_seen;
     std::set<std::string> m_listed;
+    /// Versions that were listed before a restore, and that no row of a later era has named yet.
+    std::set<std::string> m_lost;
+    /// Versions that were away for so long that the store may still perform a removal of them. They
+    /// are listed again only by a write, which such a removal does not survive.
+    std::set<std::string> m_returned;
+    common::time_point m_complete_at;
     bool m_known = false;
     /// Whether `m_listed` is what the store has, as far as this gateway knows.
     bool m_read = false;
--- a/source/core/gateway/store/version_lists.cpp
+++ b/source/core/gateway/store/version_lists.cpp
@@ -114,7 +114,8 @@
             }
             auto& state = m_services.at(service);
             state.call_in_progress = false;
-            state.list.record_row({next, m_session.era(), 0}, common::monotonic_clock::now());
+            const auto now = common::monotonic_clock::now();
+            state.list.record_write({next, m_session.era(), m_session.store_time_ms(now)}, now);
             m_log.info("Software versions listed.",
                        {{"service", service}, {"versions", to_text(next.versions)}});
             m_on_change();
@@ -137,19 +138,16 @@
     }));
 }
 
-std::map<std::string, std::set<std::string>> version_lists::listed() const {
-    std::map<std::string, std::set<std::string>> result;
+std::map<std::string, usable_versions> version_lists::listed() const {
+    const auto now = common::monotonic_clock::now();
+    std::map<std::string, usable_versions> result;
     for (const auto& [service, state] : m_services) {
         if (state.list.is_known()) {
-            result.emplace(service, state.list.listed());
+            result.emplace(service,
+                           usable_versions{state.list.listed(), state.list.is_complete(now)});
         }
     }
     return result;
 }
 
-bool version_lists::has_several(const std::string& service) const {
-    const auto it = m_services.find(service);
-    return it != m_services.end() && it->second.list.listed().size() > 1;
-}
-
 } // namespace jujubemast::gateway::store
--- a/source/core/gateway/store/version_lists.h
+++ b/source/core/gateway/store/version_lists.h
@@ -41,10 +41,7 @@
     void close() noexcept { m_services.clear(); }
 
     /// The listed versions of the services whose list is known.
-    [[nodiscard]] std::map<std::string, std::set<std::string>> listed() const;
-
-    /// Whether several versions of the service may have begun streams that can be resumed.
-    [[nodiscard]] bool has_several(const std::string& service) const;
+    [[nodiscard]] std::map<std::string, usable_versions> listed() const;
 
 private:
     struct service_state {
--- a/source/core/gateway/stream_record.h
+++ b/source/core/gateway/stream_record.h
@@ -10,6 +10,17 @@
 
 namespace jujubemast::gateway {
 
+/// What a gateway knows of the list of software versions of a service.
+struct usable_versions {
+    /// The versions that may begin streams.
+    std::set<std::string> versions;
+    /// Whether the list names every version that has begun a stream which can be resumed. Until
+    /// then each stream is recorded.
+    bool is_complete = false;
+
+    friend bool operator==(const usable_versions&, const usable_versions&) = default;
+};
+
 /// Identifies a stream that may be resumed: the attempt of the caller that brought its first event,
 /// and the service whose instances write it. What two software versions of a service write does not
 /// fit together, so a stream goes on only at the version that began it.
