forwarder: renew the patience of a stream in progress at each retry

Found by the review, read in the code: only a retry that made stages again counted the caller's patience from the last event; others could be cut at once when all engines paused. A gateway that stops refused requests whose version was looked up, because they have no deadline yet. An engine that was reserved by its id may be another incarnation by the time it is taken, so it is checked against the allowed ones. An instance whose software version changes counts as another incarnation.

--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -86,7 +86,8 @@
     routing.excluded.insert(routing.excluded.end(), avoided.begin(), avoided.end());
     auto choice = pool.choose(routing, allowed_instances(ex));
     if (!avoided.empty() && choice.outcome != instances::choice_outcome::chosen) {
-        if (auto first = pool.take(avoided.front(), routing.now)) {
+        auto first = pool.take(avoided.front(), routing.now);
+        if (first && allowed_instances(ex).allows(first->identity)) {
             choice = {instances::choice_outcome::chosen, std::move(first), {}};
         } else {
             choice = pool.choose(make_routing_request(ex), allowed_instances(ex));
@@ -345,6 +346,10 @@
                                    {"budget", std::to_string(pool.budget().balance())},
                                    {"parts", to_text(ex.shared_parts)},
                                    {"detail", detail}});
+    if (ex.relaying) {
+        wait_for_event_since(ex, ex.times.last_event);
+        limit_to_stop(ex);
+    }
     switch (step) {
     case next_step::retry:
         ex.events.restart();
@@ -382,10 +387,6 @@
 }
 
 void forwarder::restart_stages(exchange& ex) {
-    if (ex.relaying) {
-        wait_for_event_since(ex, ex.times.last_event);
-        limit_to_stop(ex);
-    }
     ex.stages.progress.restart();
     ex.stages.results_expire_at.reset();
     advance_stages(ex);
--- a/source/core/gateway/requests/forwarder_readings.cpp
+++ b/source/core/gateway/requests/forwarder_readings.cpp
@@ -98,6 +98,10 @@
         member = pool_of(ex.service)
                      .take(search.engine(), common::monotonic_clock::now(), prefix_of(ex));
     }
+    if (member && !allowed_instances(ex).allows(member->identity)) {
+        // It is another incarnation by now.
+        member = nullptr;
+    }
     m_metrics.record_reading_search(member != nullptr);
     m_log.info("Looked for an engine.", {{"attempt", ex.request.attempt_id},
                                          {"upstream", search.engine()},
--- a/source/core/gateway/requests/forwarder_stop.cpp
+++ b/source/core/gateway/requests/forwarder_stop.cpp
@@ -22,8 +22,9 @@
     m_log.info("Stop begins.", {{"limit_ms", std::to_string(common::to_milliseconds(left))},
                                 {"in_progress", std::to_string(m_exchanges.size())}});
     for (auto& [id, it] : m_exchanges) {
-        if (std::find(m_held.begin(), m_held.end(), id) != m_held.end()) {
-            // It has no route yet and is refused soon, or limited when it begins.
+        if (it->is_search_in_progress() ||
+            std::find(m_held.begin(), m_held.end(), id) != m_held.end()) {
+            // It has no deadline yet and is refused soon, or limited when it begins.
             continue;
         }
         limit_to_stop(*it);
--- a/source/core/gateway/upstream_list.cpp
+++ b/source/core/gateway/upstream_list.cpp
@@ -7,7 +7,7 @@
 
 bool is_same_incarnation(const upstream_instance& a, const upstream_instance& b) {
     return a.id == b.id && a.started_ms == b.started_ms && a.address == b.address &&
-           a.service == b.service;
+           a.service == b.service && a.version == b.version;
 }
 
 incarnation incarnation_of(const upstream_instance& instance) {
