integration: give the stand-in of the store a list of versions from the start

Thirteen checks of stream_faults_test failed in each run since the list of a service counts as complete only 5 s after it was first written: they take up streams that nobody has begun, and such an attempt is refused until then, as meant.

--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -406,6 +406,11 @@
 std::vector<runtime::child_spec> make_tree(const runtime::executor& loop) {
     const auto state = std::make_shared<platform_state>(loop);
     state->store.put("op", "config", make_configuration(1));
+    // The list of a system that has served for some time, so it is complete from the start.
+    state->store.put("versions", "engines",
+                     boost::json::object{{"versions", boost::json::array{"v1"}},
+                                         {"era", 1},
+                                         {"complete_since_ms", 0}});
     // An entry of another application, which is not a valid upstream.
     state->store.put("servers", "foreign", boost::json::object{{"service", 7}});
     std::vector<runtime::child_spec> children;
