--- a/source/core/gateway/requests/forwarder.cpp
+++ b/source/core/gateway/requests/forwarder.cpp
@@ -178,7 +178,7 @@
         return;
     }
     if (ex->origin.keeps_events) {
-        end_keeping(*ex);
+        recording_ended(*ex);
         ex = find(id);
         if (ex == nullptr) {
             return;
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -154,16 +154,18 @@
     /// Records in the store which version began the stream. Returns whether the answer has to be
     /// awaited.
     bool record_in_store(exchange& ex);
-    /// Records the streams whose first event has reached the caller and that are not recorded.
+    /// Records the streams whose version is known and that are not recorded yet.
     void record_known_streams();
     /// Records all streams again, because the store may have lost their rows.
     void record_streams_again();
+    /// Learns from a new stream how the event ids of its service increase.
     void record_id_steps(const exchange& ex);
+    /// Passes events on to the caller, or keeps them until the stream is recorded.
+    void pass_on(exchange& ex, std::string events);
     /// Passes the kept events on.
     void release_events(exchange& ex);
     /// The same, and ends the request if its response is complete.
-    void end_keeping(exchange& ex);
-    void pass_on(exchange& ex, std::string events);
+    void recording_ended(exchange& ex);
     void admit(exchange& ex);
     /// Refuses a request that needs a service whose instances are all in drained failure domains or
     /// in regions that are not allowed. Returns whether it was refused.
--- a/source/core/gateway/requests/forwarder_streams.cpp
+++ b/source/core/gateway/requests/forwarder_streams.cpp
@@ -151,7 +151,7 @@
 void forwarder::handle(const stream_recorded& message) {
     m_metrics.record_recorded_stream(message.outcome);
     if (auto* ex = find(message.request); ex != nullptr && ex->origin.keeps_events) {
-        end_keeping(*ex);
+        recording_ended(*ex);
     }
 }
 
@@ -197,7 +197,7 @@
     ex.reply.write(std::move(events));
 }
 
-void forwarder::end_keeping(exchange& ex) {
+void forwarder::recording_ended(exchange& ex) {
     release_events(ex);
     if (std::exchange(ex.origin.is_answered, false)) {
         answered(ex, ex.attempt->response());
