--- a/source/core/gateway/instances/drained_services.h
+++ b/source/core/gateway/instances/drained_services.h
@@ -12,8 +12,8 @@
 /// are about to stop. Their requests cannot be sent until a drain ends.
 std::set<std::string> find_drained_services(const upstream_map& known);
 
-/// Whether a service has an allowed instance that is neither in a drained failure
-/// domain nor about to stop.
+/// Whether a service has an allowed instance that is neither in a drained failure domain nor about
+/// to stop.
 bool has_instance_in(const upstream_map& known, const std::string& service,
                      const instance_filter& allowed);
 
--- a/source/core/gateway/requests/event_relay.cpp
+++ b/source/core/gateway/requests/event_relay.cpp
@@ -86,6 +86,7 @@
     m_searched = 0;
     m_idle_bytes = 0;
     m_run_begun = false;
+    m_has_event_of_upstream = false;
 }
 
 relay_status event_relay::feed(std::string_view bytes, std::string& out) {
@@ -152,6 +153,7 @@
         m_last = id;
     }
     m_started = true;
+    m_has_event_of_upstream = m_has_event_of_upstream || kind == block_kind::event;
     out += event;
     return relay_status::good;
 }
--- a/source/core/gateway/requests/event_relay.h
+++ b/source/core/gateway/requests/event_relay.h
@@ -47,8 +47,7 @@
     /// caller already has are skipped. Ids increase, in most streams by one; in a stream that has
     /// counted by one so far, an event whose id does not follow the last one is out of order. So is
     /// the first event of an upstream that does not go on after the last one, but begins a run of
-    /// its own. After
-    /// a status other than `good`, call `restart` before the next use.
+    /// its own. After a status other than `good`, call `restart` before the next use.
     relay_status feed(std::string_view bytes, std::string& out);
 
     /// Drops the incomplete event before the stream continues at another upstream.
@@ -64,6 +63,9 @@
     /// Whether an event has been passed on.
     [[nodiscard]] bool started() const { return m_started; }
 
+    /// Whether an event of the current upstream has been passed on. Comments do not count.
+    [[nodiscard]] bool has_event_of_upstream() const { return m_has_event_of_upstream; }
+
 private:
     relay_status parse_lines(std::string& out);
     relay_status parse_event(std::string_view event, std::string& out);
@@ -83,6 +85,7 @@
     bool m_started = false;
     /// Whether the current upstream has sent an event with an id.
     bool m_run_begun = false;
+    bool m_has_event_of_upstream = false;
 };
 
 } // namespace jujubemast::gateway::requests
--- a/source/core/gateway/requests/forwarder_explain.cpp
+++ b/source/core/gateway/requests/forwarder_explain.cpp
@@ -74,8 +74,9 @@
     routing.inputs = question.results;
     boost::json::array services;
     for (const auto& it : found->services) {
-        auto explained =
-            to_json(pool_of(it.service).explain(routing, m_options.transfer, asked.regions));
+        asked.service = it.service;
+        auto explained = to_json(
+            pool_of(it.service).explain(routing, m_options.transfer, allowed_instances(asked)));
         explained["service"] = it.service;
         explained["weight"] = it.weight;
         services.push_back(std::move(explained));
--- a/source/core/gateway/requests/upstream_attempt.cpp
+++ b/source/core/gateway/requests/upstream_attempt.cpp
@@ -33,19 +33,6 @@
            http::find_header(fields, "Transfer-Encoding").empty();
 }
 
-/// Whether relayed blocks of lines contain an event, and not only comments and blank lines.
-bool contains_event(std::string_view blocks) {
-    for (std::size_t line = 0; line < blocks.size();) {
-        const char first = blocks[line];
-        if (first != ':' && first != '\r' && first != '\n') {
-            return true;
-        }
-        const auto end = blocks.find('\n', line);
-        line = end == std::string_view::npos ? blocks.size() : end + 1;
-    }
-    return false;
-}
-
 } // namespace
 
 upstream_attempt::upstream_attempt(const runtime::task_context& context,
@@ -220,7 +207,6 @@
     if (!complete_events.empty()) {
         start_event_timer();
         m_options.stream_begun = true;
-        m_has_event = m_has_event || contains_event(complete_events);
         m_hooks.on_events(std::move(complete_events));
     }
     if (status != relay_status::good) {
@@ -290,7 +276,7 @@
     m_response.ended_with_connection = ends_with_connection(head.status, m_response.fields);
     // An instance that stops after the head cannot be told from one that has sent the whole stream,
     // but a stream has at least one event, and so has what is missing of a stream that broke.
-    if (relays_events() && !m_has_event && m_response.ended_with_connection) {
+    if (relays_events() && !m_events.has_event_of_upstream() && m_response.ended_with_connection) {
         fail({classify_incomplete_response(), "the stream ended without an event", false, true});
         return;
     }
--- a/source/core/gateway/requests/upstream_attempt.h
+++ b/source/core/gateway/requests/upstream_attempt.h
@@ -135,8 +135,6 @@
     runtime::timer m_failure_timer;
     runtime::timer m_event_timer;
     attempt_response m_response;
-    /// Whether this attempt has relayed an event.
-    bool m_has_event = false;
     /// Bytes of the budget that the fields hold.
     std::size_t m_field_bytes = 0;
     /// Bytes of the budget that the body holds.
--- a/source/core/gateway/store/store_session.cpp
+++ b/source/core/gateway/store/store_session.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr unsigned status_ok = 200;
-constexpr unsigned status_precondition_failed = 412;
 
 http::client_limits session_limits() {
     http::client_limits limits;
@@ -32,12 +31,11 @@
 
 void store_session::write(const http::request& message, common::duration timeout, done_hook done) {
     const auto decode = [this](const http::response& response) {
+        if (response.status != status_ok) {
+            return m_adapter->decode_rows(response);
+        }
         store_response result;
-        result.outcome = response.status == status_ok ? store_outcome::done
-                         : response.status == status_precondition_failed
-                             ? store_outcome::conflict
-                             : store_outcome::unavailable;
-        result.detail = "status " + std::to_string(response.status);
+        result.outcome = store_outcome::done;
         result.era = m_adapter->decode_store_era(response);
         return result;
     };
--- a/source/core/gateway/store/stream_finder.cpp
+++ b/source/core/gateway/store/stream_finder.cpp
@@ -51,11 +51,16 @@
     }
 }
 
-void stream_finder::repeat_later(std::uint64_t id) {
+stream_finder::search* stream_finder::accept(std::uint64_t id, const store_response& response) {
     const auto it = m_searches.find(id);
-    if (it != m_searches.end()) {
+    if (it == m_searches.end()) {
+        return nullptr;
+    }
+    if (response.outcome != store_outcome::done) {
         it->second.delay->start(retry_delay, m_context.wrap([this, id] { advance(id); }));
+        return nullptr;
     }
+    return &it->second;
 }
 
 void stream_finder::read_row(std::uint64_t id) {
@@ -64,26 +69,21 @@
 }
 
 void stream_finder::row_received(std::uint64_t id, const store_response& response) {
-    const auto it = m_searches.find(id);
-    if (it == m_searches.end()) {
+    auto* state = accept(id, response);
+    if (state == nullptr) {
         return;
     }
-    if (response.outcome != store_outcome::done) {
-        repeat_later(id);
-        return;
-    }
-    auto& state = it->second;
-    ++state.row_reads;
+    ++state->row_reads;
     try {
         for (const auto& row : response.content.rows) {
-            if (const auto record = m_adapter->decode_stream(state.stream, row)) {
+            if (const auto record = m_adapter->decode_stream(state->stream, row)) {
                 end(id, {find_outcome::found, record->version});
                 return;
             }
         }
     } catch (const common::format_error& e) {
         m_log.error("Could not decode the row of a stream.",
-                    {{"attempt", state.stream.attempt_id}, {"reason", e.what()}});
+                    {{"attempt", state->stream.attempt_id}, {"reason", e.what()}});
         end(id, {find_outcome::unknown, {}});
         return;
     }
@@ -96,26 +96,21 @@
 }
 
 void stream_finder::list_received(std::uint64_t id, const store_response& response) {
-    const auto it = m_searches.find(id);
-    if (it == m_searches.end()) {
-        return;
-    }
-    if (response.outcome != store_outcome::done) {
-        repeat_later(id);
+    auto* state = accept(id, response);
+    if (state == nullptr) {
         return;
     }
-    auto& state = it->second;
-    state.list_read = true;
+    state->list_read = true;
     version_row row{{}, m_session.era(), response.content.now_ms.value_or(0)};
     try {
         for (const auto& known : response.content.rows) {
             if (!row.listed) {
-                row.listed = m_adapter->decode_versions(state.stream.service, known);
+                row.listed = m_adapter->decode_versions(state->stream.service, known);
             }
         }
     } catch (const common::format_error& e) {
         m_log.error("Could not decode the list of software versions.",
-                    {{"service", state.stream.service}, {"reason", e.what()}});
+                    {{"service", state->stream.service}, {"reason", e.what()}});
     }
     if (const auto version = sole_version(row)) {
         end(id, {find_outcome::found, *version});
--- a/source/core/gateway/store/stream_finder.h
+++ b/source/core/gateway/store/stream_finder.h
@@ -55,8 +55,9 @@
     void row_received(std::uint64_t id, const store_response& response);
     void read_list(std::uint64_t id);
     void list_received(std::uint64_t id, const store_response& response);
-    /// Makes the same call again after a short time.
-    void repeat_later(std::uint64_t id);
+    /// Returns the search that a response belongs to. Returns null if the search has ended, or if
+    /// the response is a failure; the call is then made again after a short time.
+    search* accept(std::uint64_t id, const store_response& response);
     void end(std::uint64_t id, const find_result& result);
 
     runtime::task_context m_context;
--- a/source/core/gateway/store/stream_registry.cpp
+++ b/source/core/gateway/store/stream_registry.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-// How often the lists are checked for versions that have left, and while a list is incomplete.
+// How often the lists are checked for versions that have left, and published again.
 constexpr common::duration check_interval = std::chrono::seconds{5};
+// The same while a list is not complete.
 constexpr common::duration incomplete_check_interval = std::chrono::milliseconds{500};
 
 /// Returns the services that begin streams which can be resumed.
@@ -68,7 +69,6 @@
         m_lists.check();
         // An earlier message may not have been accepted, and lists become complete with time.
         publish_lists();
-        check_later();
     }));
 }
 
@@ -81,7 +81,6 @@
     }
     // The forwarder may have been restarted.
     publish_lists();
-    check_later();
 }
 
 void stream_registry::handle(const upstreams_confirmed& message) {
@@ -104,6 +103,7 @@
 void stream_registry::publish_lists() {
     m_published = m_lists.listed();
     m_forwarder.send(stream_versions_changed{m_published});
+    check_later();
 }
 
 boost::json::value stream_registry::dump() const {
--- a/source/core/gateway/store/stream_registry.h
+++ b/source/core/gateway/store/stream_registry.h
@@ -35,6 +35,7 @@
     void handle(const upstreams_confirmed& message);
     void handle(const record_stream& message);
     void handle(const find_stream& message);
+    /// Sends the lists to the forwarder, and again after the check interval.
     void publish_lists();
     void check_later();
 
--- a/source/core/gateway/store/stream_writer.cpp
+++ b/source/core/gateway/store/stream_writer.cpp
@@ -13,7 +13,9 @@
 // resumed, but it can go on.
 constexpr common::duration record_timeout = std::chrono::milliseconds{250};
 constexpr common::duration call_timeout = std::chrono::milliseconds{800};
-constexpr common::duration retry_delay = std::chrono::milliseconds{200};
+// The delay doubles with each failed call in a row, because refused calls are priced as well.
+constexpr common::duration min_retry_delay = std::chrono::milliseconds{200};
+constexpr common::duration max_retry_delay = std::chrono::seconds{1};
 // Rows that could not be removed are left to the store after this many further calls.
 constexpr unsigned max_failed_removals = 3;
 // The store's limit for the entries of one call.
@@ -85,6 +87,7 @@
         for (const auto& it : rows) {
             finish(*it, record_outcome::recorded);
         }
+        queue.retry_delay = common::duration::zero();
         queue.write_in_progress = false;
         write(index);
         return;
@@ -99,7 +102,8 @@
     if (!queue.retry_timer) {
         queue.retry_timer = std::make_unique<runtime::timer>(m_context.loop());
     }
-    queue.retry_timer->start(retry_delay, m_context.wrap([this, index] {
+    queue.retry_delay = std::clamp(2 * queue.retry_delay, min_retry_delay, max_retry_delay);
+    queue.retry_timer->start(queue.retry_delay, m_context.wrap([this, index] {
         m_partitions[index].write_in_progress = false;
         write(index);
     }));
--- a/source/core/gateway/store/stream_writer.h
+++ b/source/core/gateway/store/stream_writer.h
@@ -58,6 +58,7 @@
     struct row_queue {
         std::deque<row_pointer> waiting;
         bool write_in_progress = false;
+        common::duration retry_delay = common::duration::zero();
         std::unique_ptr<runtime::timer> retry_timer;
     };
 
--- a/source/core/gateway/upstream_list.h
+++ b/source/core/gateway/upstream_list.h
@@ -58,8 +58,8 @@
 incarnation incarnation_of(const upstream_instance& instance);
 
 /// Whether two entries describe the same incarnation at the same address. An instance whose
-/// software version has changed is another incarnation. Calls and connections of
-/// one incarnation must not be used for another.
+/// software version has changed is another incarnation. Calls and connections of one incarnation
+/// must not be used for another.
 bool is_same_incarnation(const upstream_instance& a, const upstream_instance& b);
 
 /// The known upstream instances by id. Immutable once published.
