--- a/tests/integration/mixed_versions_test.cpp
+++ b/tests/integration/mixed_versions_test.cpp
@@ -145,6 +145,24 @@
         gateways[n]->wait();
     }
 
+    /// Breaks all streams in progress at an engine. Its entry stays in the store, as after a crash.
+    void crash_engine(const std::string& id) const {
+        call(store_address, {"POST", "/crash", {}, id});
+    }
+
+    /// Number of runs of streams that were to go on after an event.
+    std::size_t resumed_runs(const std::vector<begun_stream>& streams) const {
+        std::size_t n = 0;
+        for (const auto& it : streams) {
+            const auto runs = records(it.attempt);
+            n += static_cast<std::size_t>(
+                std::count_if(runs.begin(), runs.end(), [](const boost::json::object& run) {
+                    return !run.at("last_event").as_string().empty();
+                }));
+        }
+        return n;
+    }
+
     int stream_rows() const { return counter_value("/stream-rows"); }
 };
 
@@ -163,6 +181,24 @@
     }
 }
 
+// Guards against ORDER of review 11: an engine crashes with several streams in progress, and they
+// go on at engines of another version, at either gateway.
+BOOST_AUTO_TEST_CASE(streams_whose_engine_crashes_go_on_at_its_version) {
+    serve_two_versions();
+    const std::array<std::string, 2> crashing{"e1", "e2"};
+    for (std::size_t gateway = 0; gateway < gateways.size(); ++gateway) {
+        const auto streams = begin_streams(gateway, "crash-" + std::to_string(gateway) + "-",
+                                           [&] { crash_engine(crashing.at(gateway)); });
+        BOOST_TEST(resumed_runs(streams) > 0U);
+        for (const auto& it : streams) {
+            const auto versions = versions_in(it.events);
+            BOOST_REQUIRE(versions.size() == 1U);
+            // A stream that no other engine could go on with is cut, but not joined.
+            BOOST_TEST(whole_stream(*versions.begin()).starts_with(it.events), it.events);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(stream_whose_gateway_was_killed_goes_on_at_its_version) {
     serve_two_versions();
     const auto begun = begin_streams(0, "killed-", [&] { kill_gateway(0); });
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -13,6 +13,8 @@
 //   POST /upstream       writes the entry of an upstream, or removes it if "entry" is null
 //   POST /release        {"id", "version"} replaces an engine by an incarnation with this software
 //                        version at the same address, or adds one of the spare engines "e3", "e4"
+//   POST /crash          breaks the responses with pauses of the engine in the body, and all later
+//                        ones; its entry stays in the store
 //   GET /stream-rows     number of rows of streams in the store
 //   GET /crashes         number of times that an engine has crashed
 //   POST /deadly         the part of prompts that crashes each engine that begins to write an
@@ -139,6 +141,9 @@
         entry["born"] = entry.at("born").as_int64() + 1;
         state->store.put("servers", id, entry);
         reply.respond(http::json_response(200, "{}"));
+    } else if (path == "/crash") {
+        state->down.insert(message.body);
+        reply.respond(http::json_response(200, "{}"));
     } else if (path == "/stream-rows") {
         reply.respond(
             http::json_response(200, std::to_string(state->store.keys_of("streams").size())));
@@ -214,16 +219,19 @@
     return "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
 }
 
-/// Sends the events from `id` to number 5, 300 ms apart.
-void stream_paced_events(const state_pointer& state, const http::responder& reply, int id,
-                         const std::string& data) {
+/// Sends the events from `id` to number 5, 300 ms apart. Breaks the response if the engine has
+/// crashed meanwhile.
+void stream_paced_events(const state_pointer& state, const std::string& engine,
+                         const http::responder& reply, int id, const std::string& data) {
     constexpr std::chrono::milliseconds pause{300};
     reply.write(event(id, data));
     call_later(state, pause, [=] {
-        if (id == 5) {
+        if (state->down.contains(engine)) {
+            reply.abort();
+        } else if (id == 5) {
             reply.end();
         } else {
-            stream_paced_events(state, reply, id + 1, data);
+            stream_paced_events(state, engine, reply, id + 1, data);
         }
     });
 }
@@ -246,7 +254,7 @@
                                  : "x";
     if (message.target.find("paced") != std::string::npos) {
         reply.begin(signed_response(message, 200, ""));
-        stream_paced_events(state, reply, first, data);
+        stream_paced_events(state, engine, reply, first, data);
         return;
     }
     const bool aborts = message.target.find("break") != std::string::npos && last_event_id.empty();
