table_watch: see a store respond again while a lost call hangs

Cause: after an outage, upstream_list keeps a missing entry for 2.2 s from when the gateway sees the store respond, as the instance may register again. A call that the store had swallowed hung for 1.2 s, and no other was sent meanwhile, so that time began up to 1.2 s late: 3.4 s after the end of the rejection, where contact_ms is 3.0 s.

Change: hedged_call. From the first lost call on, a call is sent again every 0.3 s on a connection of its own while none is answered; the attempt whose response begins first counts. Not for gateways that follow others, whose calls would grow with the number of gateways, and not once a response has begun. The time for which entries are kept stays as it is, so that those of living instances are not lost.

--- a/source/core/gateway/store/table_watch.cpp
+++ b/source/core/gateway/store/table_watch.cpp
@@ -49,19 +49,19 @@
 table_watch::table_watch(const runtime::task_context& context, http::client& client,
                          std::shared_ptr<const adapter> platform_adapter, store_table table,
                          table_watch_hooks hooks, const table_watch_limits& limits)
-    : m_context{context}, m_client{client}, m_adapter{std::move(platform_adapter)}, m_table{table},
+    : m_context{context}, m_adapter{std::move(platform_adapter)}, m_table{table},
       m_hooks{std::move(hooks)}, m_limits{limits}, m_timer{context.loop()},
       m_read_timeout{std::min(limits.first_read_timeout, limits.response_timeout)},
-      m_kept_connection_timeout{std::min(limits.kept_connection_timeout, limits.response_timeout)} {
-}
+      m_kept_connection_timeout{std::min(limits.kept_connection_timeout, limits.response_timeout)},
+      m_call{context, client} {}
 
 void table_watch::cancel() {
     m_timer.cancel();
+    m_call.cancel();
 }
 
 void table_watch::refresh() {
-    m_timer.cancel();
-    m_client.cancel(m_call);
+    cancel();
     m_repeated = false;
     if (m_copy.is_complete()) {
         watch(common::duration::zero());
@@ -152,8 +152,7 @@
     if (is_first) {
         return;
     }
-    m_timer.cancel();
-    m_client.cancel(m_call);
+    cancel();
     m_sent.reset();
     m_repeated = false;
     m_copy.invalidate();
@@ -194,7 +193,26 @@
     m_sent = common::monotonic_clock::now();
     m_wait = wait;
     m_response_timeout = response_timeout;
-    m_call = m_client.send(message, std::move(done), options);
+    m_call.start(
+        message, options, resend_interval(response_timeout),
+        [this, done = std::move(done)](const http::call_result& result, common::time_point sent) {
+            m_sent = sent;
+            done(result);
+        });
+}
+
+bool table_watch::relies_on_others() const {
+    return m_source == watch_source::others && m_copy.is_complete();
+}
+
+std::optional<common::duration>
+table_watch::resend_interval(common::duration response_timeout) const {
+    // A call with a short timeout is soon followed by the next.
+    const bool may_hang = response_timeout >= m_limits.response_timeout;
+    const bool follows_lost_call = m_repeated || !m_available;
+    return may_hang && follows_lost_call && !relies_on_others()
+               ? std::optional{m_limits.kept_connection_timeout}
+               : std::nullopt;
 }
 
 void table_watch::read_from(const std::string& key) {
@@ -366,8 +384,7 @@
     const auto waited = common::monotonic_clock::now() - m_sent.value_or(common::time_point{});
     m_sent.reset();
     set_available(false);
-    // Others pass on changes only, so a copy that is not complete has to be read.
-    const bool relayed = m_source == watch_source::others && m_copy.is_complete();
+    const bool relayed = relies_on_others();
     if (waited >= m_response_timeout && !relayed) {
         resume();
         return;
--- a/source/core/gateway/store/table_watch.h
+++ b/source/core/gateway/store/table_watch.h
@@ -13,6 +13,7 @@
 
 #include "common/enum_names.h"
 #include "gateway/adapter.h"
+#include "gateway/store/hedged_call.h"
 #include "gateway/store/outage_detector.h"
 #include "gateway/store/table_copy.h"
 #include "http/client.h"
@@ -53,7 +54,8 @@
     common::duration response_timeout = std::chrono::milliseconds{1200};
     /// The same for a call that may use an earlier connection, which may have gone silent. The call
     /// is then sent once more on a new connection. Grows up to `response_timeout` with the time
-    /// that the store takes.
+    /// that the store takes. Also the interval at which a call is sent again that follows a lost
+    /// one; this interval does not grow.
     common::duration kept_connection_timeout = std::chrono::milliseconds{300};
     /// Time for the start of the response to the first read of a table. A call may hang in a silent
     /// store, and until the table is read the gateway can serve nothing. Grows by half with each
@@ -100,8 +102,10 @@
 /// again, and also after a restore, which begins a new era of the store: it gives out versions
 /// again, so changes after a known version say nothing. A call without a response may only show
 /// that its connection has gone silent, so it is sent once more on a new connection before the
-/// store counts as unavailable. While the store is unavailable, calls do not wait for changes, so
-/// that a lost call does not delay the detection of its recovery. Belongs to one task.
+/// store counts as unavailable. From the first lost call on, calls do not wait for changes and are
+/// sent again while they get no response, so that the store is seen to respond as soon as it does:
+/// how long the entry of an upstream is kept that may have expired counts from then. A watch that
+/// relies on other gateways leaves this to them. Belongs to one task.
 class table_watch {
 public:
     table_watch(const runtime::task_context& context, http::client& client,
@@ -110,6 +114,7 @@
 
     void begin() { read_from({}); }
 
+    /// Ends the call in progress, and makes no more.
     void cancel();
 
     /// Asks the store for changes at once, in place of the call in progress, whose response may be
@@ -136,7 +141,7 @@
 
 private:
     /// Sends a call that the store holds for `wait` before its response begins within
-    /// `response_timeout`.
+    /// `response_timeout`, in place of the call in progress.
     void send(const http::request& message, common::duration wait,
               common::duration response_timeout,
               std::function<void(const http::call_result&)> done);
@@ -145,6 +150,12 @@
     void watch(common::duration wait);
     /// How long the store holds a long poll.
     [[nodiscard]] common::duration long_poll_wait() const;
+    /// Whether others keep the copy up to date. They pass on changes only, so a copy that is not
+    /// complete has to be read.
+    [[nodiscard]] bool relies_on_others() const;
+    /// After which time a call is sent again. Nothing if it is sent once.
+    [[nodiscard]] std::optional<common::duration>
+    resend_interval(common::duration response_timeout) const;
     void changes_received(const store_position& since, const http::call_result& result);
     /// Waits before the next watch, or until a relayed copy has to be checked, but at least for
     /// this time.
@@ -170,7 +181,6 @@
     void read_again(const table_changes& expected);
 
     runtime::task_context m_context;
-    http::client& m_client;
     std::shared_ptr<const adapter> m_adapter;
     store_table m_table;
     table_watch_hooks m_hooks;
@@ -192,8 +202,8 @@
     common::duration m_kept_connection_timeout;
     /// Until then a copy that differs again is not read again.
     common::time_point m_next_repair;
-    http::call_id m_call = 0;
-    /// When the call in progress was sent.
+    hedged_call m_call;
+    /// When the call in progress was sent, or the attempt that has ended it.
     std::optional<common::time_point> m_sent;
     /// Time for the start of the response to the call in progress, after the wait.
     common::duration m_response_timeout = common::duration::zero();
--- a/tests/unit/gateway/store/relayed_watch_test.cpp
+++ b/tests/unit/gateway/store/relayed_watch_test.cpp
@@ -66,6 +66,14 @@
     BOOST_TEST((calls[0].at - confirmed_at >= max_relayed_age - milliseconds{1}));
 }
 
+// Guards against calls to a silent store that grow with the number of gateways: only those that
+// others rely on send a lost call again while it hangs.
+BOOST_AUTO_TEST_CASE(relayed_watch_whose_calls_are_lost_waits_for_their_end) {
+    respond = {};
+    wait_for_calls(3);
+    BOOST_TEST((between(1, 2) >= response_timeout + max_relayed_age - milliseconds{1}));
+}
+
 BOOST_AUTO_TEST_CASE(relayed_watch_with_missing_changes_asks_the_store_at_once) {
     relay(15, 16, {{"key", "value", 16}});
     wait_for_calls(1);
