event_relay: place events by increasing ids, without a guess at their steps

Cause: the relay took two ids in a row, or a first id of 1, for a stream that counts by one, and a later larger step for a missing event. It also applied what one stream of a service had shown to those that callers take up. PROTOCOL promises increasing ids and no step.

Change: an id above the caller's last one is the next event, whatever the step. The first id of an upstream below it shows a run of its own (ORDER), as before. New: an upstream that goes back within its run and then leaves out the caller's last event is rejected. id_steps and its memory by service are gone.

Looked through: upstream_attempt (relay_events, response_completed), forwarder::send_to, forwarder_admission, retries after out_of_order.

--- a/source/core/gateway/requests/event_relay.cpp
+++ b/source/core/gateway/requests/event_relay.cpp
@@ -85,7 +85,7 @@
     m_checked = 0;
     m_searched = 0;
     m_idle_bytes = 0;
-    m_run_begun = false;
+    m_last_of_upstream.reset();
     m_has_event_of_upstream = false;
 }
 
@@ -123,13 +123,17 @@
     return status;
 }
 
-bool event_relay::may_follow(std::uint64_t id) {
-    // A stream without an earlier event begins as if it followed the id 0.
-    const bool is_next = id == m_last.value_or(0) + 1;
-    if (m_steps == id_steps::unknown && (is_next || m_last)) {
-        m_steps = is_next ? id_steps::by_one : id_steps::larger;
+event_relay::placement event_relay::place(std::uint64_t id) {
+    const auto previous = std::exchange(m_last_of_upstream, id);
+    if (!m_last) {
+        return placement::next;
     }
-    return is_next || m_steps != id_steps::by_one;
+    if (id <= *m_last) {
+        const bool begins_anew = !previous && id < *m_last;
+        return begins_anew ? placement::out_of_order : placement::repeated;
+    }
+    const bool leaves_out_last = previous && previous != m_last;
+    return leaves_out_last ? placement::out_of_order : placement::next;
 }
 
 relay_status event_relay::parse_event(std::string_view event, std::string& out) {
@@ -142,13 +146,13 @@
         return relay_status::not_an_event;
     }
     const auto id = event_id(event);
-    const bool begins_run = id && !std::exchange(m_run_begun, true);
-    if (id && m_last && *id <= *m_last) {
-        return begins_run && *id < *m_last ? relay_status::out_of_order : relay_status::good;
-    }
-    if (id && !may_follow(*id)) {
+    const auto placed = id ? place(*id) : placement::next;
+    if (placed == placement::out_of_order) {
         return relay_status::out_of_order;
     }
+    if (placed == placement::repeated) {
+        return relay_status::good;
+    }
     if (id) {
         m_last = id;
     }
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -158,8 +158,6 @@
     void record_known_streams();
     /// Records all streams again, because the store may have lost their rows.
     void record_streams_again();
-    /// Learns from a new stream how the event ids of its service increase.
-    void record_id_steps(const exchange& ex);
     /// Passes events on to the caller, or keeps them until the stream is recorded.
     void pass_on(exchange& ex, std::string events);
     /// Passes the kept events on.
@@ -327,8 +325,6 @@
     /// The software versions that may begin streams, by service.
     std::map<std::string, usable_versions> m_listed_versions;
     std::size_t m_store_restores = 0;
-    /// How the event ids of the latest stream increased, by service.
-    std::map<std::string, id_steps> m_id_steps;
     instances::domain_index m_domains;
     std::map<std::string, std::unique_ptr<instances::service_pool>> m_pools;
     /// Memory for the bodies of responses.
--- a/source/core/gateway/requests/forwarder_admission.cpp
+++ b/source/core/gateway/requests/forwarder_admission.cpp
@@ -79,8 +79,7 @@
     if (refuse_unusable_piece_counts(ex)) {
         return;
     }
-    ex.events = ex.request.last_event ? event_relay{*ex.request.last_event, m_id_steps[ex.service]}
-                                      : event_relay{};
+    ex.events = ex.request.last_event ? event_relay{*ex.request.last_event} : event_relay{};
     ex.stages.progress = stages::stage_progress{ex.matched_route->stages, ex.request.piece_counts};
     limit_to_stop(ex);
     if (!admit_in_stop(ex) || refuse_if_none_allowed(ex)) {
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -254,7 +254,6 @@
     }
     times.last_event = now;
     record_origin(ex);
-    record_id_steps(ex);
     ex.writing_since = ex.writing_since.value_or(now);
     if (now - *ex.writing_since >= m_suspects.limits().sound_time) {
         record_sound_answer(ex, *ex.writing_since);
--- a/source/core/gateway/requests/forwarder_streams.cpp
+++ b/source/core/gateway/requests/forwarder_streams.cpp
@@ -118,13 +118,6 @@
     refuse(ex, status_unavailable, reason);
 }
 
-void forwarder::record_id_steps(const exchange& ex) {
-    // A resumed stream shows only what was assumed of it.
-    if (!ex.request.last_event && ex.events.steps() != id_steps::unknown) {
-        m_id_steps[ex.service] = ex.events.steps();
-    }
-}
-
 void forwarder::record_origin(exchange& ex) {
     auto& origin = ex.origin;
     if (!ex.is_resumable_stream() || origin.version) {
