forwarder: ask an engine for its start time while several versions serve

Cause: the version of an engine is that of its entry, which a gateway cannot read while the store is silent, and reads late in any case. The engine itself knows better: PROTOCOL puts "born" on all that it says of itself.

Change: while several versions are listed for a service, the report of the engine is read before each attempt of a stream that can be resumed, and the stream is sent only if the start time is that of the entry. Another incarnation counts as not sent to: the next engine gets the stream, or it ends at once. An engine that does not report within 0.25 s gets it as before.

Looked through: send_to is the only way to an engine, and its two callers pass the check; deadline_reached, finish and the held requests find no attempt in progress meanwhile, as in the search for an engine that reads a prompt.

--- a/source/core/gateway/adapter.h
+++ b/source/core/gateway/adapter.h
@@ -101,6 +101,9 @@
         encode_release;
     std::function<http::request(const std::string& upstream_id)> encode_report_query;
     std::function<instance_report(const std::string& body)> decode_instance_report;
+    /// Returns the start time that an instance's report names, as `upstream_instance::started_ms`.
+    /// Returns nothing if it names none. May be empty.
+    std::function<std::optional<std::int64_t>(const std::string& body)> decode_reported_start;
 
     std::function<http::request(store_table table, const std::string& from)> encode_read;
     std::function<http::request(store_table table, std::uint64_t after, common::duration wait)>
--- a/source/core/gateway/requests/exchange.h
+++ b/source/core/gateway/requests/exchange.h
@@ -116,6 +116,9 @@
     /// What the owner of the engine is told when the reading ends. Set while it may have granted
     /// one.
     std::optional<reading_ended> reading_end;
+    /// The choice whose incarnation is being checked, and the number of that check.
+    instances::instance_choice unchecked_choice;
+    std::uint64_t check_number = 0;
     /// The current attempt, or the last one.
     std::unique_ptr<upstream_attempt> attempt;
     /// Number of sends, and of those that may have run.
--- a/source/core/gateway/requests/forwarder.h
+++ b/source/core/gateway/requests/forwarder.h
@@ -226,8 +226,19 @@
     void end_reading_search(exchange& ex);
     /// Tells the owner of the engine that the prompt has been read, or is not read there.
     void end_reading(exchange& ex);
-    /// Sends the request to this instance.
+    /// Sends the request to this instance, if need be after a check of its incarnation.
     void send_to(exchange& ex, const instances::instance_choice& choice);
+    void start_attempt(exchange& ex, const instances::instance_choice& choice);
+    /// Whether the software version of the instance matters to the request, and the store may not
+    /// have shown yet that another incarnation with another version runs under its id.
+    [[nodiscard]] bool must_check_incarnation(const exchange& ex,
+                                              const upstream_instance& instance) const;
+    /// Asks the instance when it was started, and then sends the request.
+    void check_incarnation(exchange& ex, const instances::instance_choice& choice);
+    void incarnation_checked(std::uint64_t id, std::uint64_t check_number,
+                             const http::call_result& result);
+    /// Returns the start time that an instance has reported, or nothing if it could not be asked.
+    [[nodiscard]] std::optional<std::int64_t> reported_start(const http::call_result& result) const;
     /// Counts a send within or across failure domains.
     void record_placement(const instances::pool_member& member,
                           const instances::instance_choice& choice);
@@ -344,6 +355,7 @@
     instances::reading_schedule m_readings;
     /// Maps the number of each question for a reading to the id of its request.
     std::map<std::uint64_t, std::uint64_t> m_reading_questions;
+    std::uint64_t m_last_check = 0;
     std::uint64_t m_next_question;
     stages::stage_estimator m_estimator;
     /// Names of all gateways.
--- a/source/core/gateway/requests/forwarder_attempts.cpp
+++ b/source/core/gateway/requests/forwarder_attempts.cpp
@@ -137,6 +137,14 @@
 }
 
 void forwarder::send_to(exchange& ex, const instances::instance_choice& choice) {
+    if (must_check_incarnation(ex, choice.member->identity)) {
+        check_incarnation(ex, choice);
+    } else {
+        start_attempt(ex, choice);
+    }
+}
+
+void forwarder::start_attempt(exchange& ex, const instances::instance_choice& choice) {
     const auto now = common::monotonic_clock::now();
     const auto& member = choice.member;
     forward_options options;
--- a/tests/support/programs/standin_users_platform_main.cpp
+++ b/tests/support/programs/standin_users_platform_main.cpp
@@ -347,8 +347,12 @@
     }
     if (message.target == "/report") {
         ++state->reports;
-        reply.respond(
-            http::json_response(200, R"({"stage":"both","busy":0,"queued":0,"free_mb":1.0})"));
+        const boost::json::object report{{"stage", "both"},
+                                         {"busy", 0},
+                                         {"queued", 0},
+                                         {"free_mb", 1.0},
+                                         {"born", state->entries.at(id).at("born")}};
+        reply.respond(http::json_response(200, boost::json::serialize(report)));
         return {};
     }
     if (message.target == "/stage-free") {
--- a/tests/unit/users_platform/requests_test.cpp
+++ b/tests/unit/users_platform/requests_test.cpp
@@ -162,6 +162,17 @@
     BOOST_CHECK_THROW(users_platform::decode_instance_report("{}"), common::format_error);
 }
 
+BOOST_AUTO_TEST_CASE(reported_start_is_read_if_present) {
+    using users_platform::decode_reported_start;
+    BOOST_TEST(*decode_reported_start(R"({"stage":"both","born":1700000000123})") ==
+               1'700'000'000'123);
+    BOOST_TEST(!decode_reported_start("{}").has_value());
+    for (const char* malformed :
+         {"", "[]", R"({"born":-1})", R"({"born":1.5})", R"({"born":"1"})"}) {
+        BOOST_CHECK_THROW(decode_reported_start(malformed), common::format_error);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(keep_alive_timeout_is_read_if_present) {
     BOOST_TEST((*http::parse_keep_alive_timeout("timeout=5, max=100") == std::chrono::seconds{5}));
     BOOST_TEST(!http::parse_keep_alive_timeout("max=100").has_value());
