--- a/source/core/http/client.cpp
+++ b/source/core/http/client.cpp
@@ -1,7 +1,6 @@
 #include "http/client.h"
 
 #include <algorithm>
-#include <list>
 #include <map>
 #include <optional>
 #include <utility>
@@ -11,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http/connection_pool.h"
 #include "http/socket_options.h"
 #include "http/transfer_coding.h"
 
@@ -34,11 +34,6 @@
 constexpr unsigned status_first_final = 200;
 constexpr unsigned status_last_valid = 599;
 
-struct idle_connection {
-    std::unique_ptr<boost::beast::tcp_stream> stream;
-    common::time_point expires_at;
-};
-
 class exchange;
 
 call_error_kind error_kind_of(const boost::system::error_code& ec) {
@@ -82,23 +77,19 @@
 struct client::implementation : std::enable_shared_from_this<client::implementation> {
     implementation(runtime::task_context owner, endpoint target, client_limits bounds)
         : context{std::move(owner)}, server{std::move(target)}, limits{bounds},
-          expiry_timer{context.loop()} {}
+          idle_connections{context, limits.max_idle_connections} {}
 
-    std::unique_ptr<boost::beast::tcp_stream> take_idle_connection();
-    void keep_idle_connection(std::unique_ptr<boost::beast::tcp_stream> stream,
-                              common::duration lifetime);
-    /// Closes the oldest idle connections beyond the limits.
+    /// Keeps the connection of a call that has ended for later calls.
+    void keep(connection_pool::connection idle, common::duration lifetime);
+    /// Closes the oldest idle connections beyond the limit of all connections.
     void close_excess_connections();
-    /// Closes the idle connections whose lifetime is over, and schedules the next check.
-    void close_expired_connections();
 
     runtime::task_context context;
     endpoint server;
     client_limits limits;
     std::map<call_id, std::shared_ptr<exchange>> calls;
-    std::list<idle_connection> idle_connections;
+    connection_pool idle_connections;
     call_id next_id = 1;
-    runtime::timer expiry_timer;
     bool closed = false;
 };
 
@@ -139,7 +130,7 @@
             m_request.set(beast_http::field::host, to_string(owner->server));
         }
         if (m_options.idempotent) {
-            m_stream = owner->take_idle_connection();
+            m_stream = owner->idle_connections.take();
         }
         m_reused = m_stream != nullptr;
         if (m_reused) {
@@ -330,7 +321,7 @@
         // With bytes after a complete response, which belong to no request, it is not used again.
         if (m_options.idempotent && m_keep_alive && m_input.size() == 0) {
             m_stream->expires_never();
-            owner->keep_idle_connection(std::move(m_stream), idle_lifetime());
+            owner->keep(std::move(m_stream), idle_lifetime());
         } else {
             // Closed at once, although the object of the call may live on.
             m_stream.reset();
@@ -431,52 +422,16 @@
 
 } // namespace
 
-std::unique_ptr<boost::beast::tcp_stream> client::implementation::take_idle_connection() {
-    const auto now = common::monotonic_clock::now();
-    while (!idle_connections.empty()) {
-        auto candidate = std::move(idle_connections.back());
-        idle_connections.pop_back();
-        if (now < candidate.expires_at && is_idle(candidate.stream->socket())) {
-            return std::move(candidate.stream);
-        }
-    }
-    return nullptr;
-}
-
-void client::implementation::keep_idle_connection(std::unique_ptr<boost::beast::tcp_stream> stream,
-                                                  common::duration lifetime) {
-    if (closed || lifetime <= common::duration::zero()) {
-        return;
+void client::implementation::keep(connection_pool::connection idle, common::duration lifetime) {
+    if (!closed) {
+        idle_connections.keep(std::move(idle), lifetime);
+        close_excess_connections();
     }
-    idle_connections.push_back({std::move(stream), common::monotonic_clock::now() + lifetime});
-    close_excess_connections();
-    close_expired_connections();
 }
 
 void client::implementation::close_excess_connections() {
-    while (!idle_connections.empty() &&
-           (idle_connections.size() > limits.max_idle_connections ||
-            calls.size() + idle_connections.size() > limits.max_connections)) {
-        idle_connections.pop_front();
-    }
-}
-
-void client::implementation::close_expired_connections() {
-    const auto now = common::monotonic_clock::now();
-    idle_connections.remove_if([now](const idle_connection& it) { return it.expires_at <= now; });
-    if (idle_connections.empty()) {
-        expiry_timer.cancel();
-        return;
-    }
-    const auto next = std::min_element(idle_connections.begin(), idle_connections.end(),
-                                       [](const idle_connection& a, const idle_connection& b) {
-                                           return a.expires_at < b.expires_at;
-                                       });
-    expiry_timer.start(next->expires_at - now, context.wrap([weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-            self->close_expired_connections();
-        }
-    }));
+    idle_connections.shrink_to(limits.max_connections -
+                               std::min(calls.size(), limits.max_connections));
 }
 
 client::client(runtime::task_context context, endpoint server, client_limits limits)
@@ -527,7 +482,6 @@
     }
     m_implementation->calls.clear();
     m_implementation->idle_connections.clear();
-    m_implementation->expiry_timer.cancel();
 }
 
 std::size_t client::calls_in_progress() const {
