tests: one server for the fixtures of the store

Five fixtures started a server on their event loop with the same ten lines. loop_server does it for all. The suites hedged_call_test, table_watch_test, relayed_watch_test, catalog_test, stream_registry_test and stream_writer_test pass; no case is changed.

--- a/tests/unit/gateway/store/catalog_fixture.h
+++ b/tests/unit/gateway/store/catalog_fixture.h
@@ -12,8 +12,7 @@
 
 #include "common/error.h"
 #include "gateway/store/catalog.h"
-#include "http/server.h"
-#include "support/event_loop.h"
+#include "support/loop_server.h"
 
 namespace jujubemast::tests {
 
@@ -49,20 +48,15 @@
     std::vector<discovery_update> published;
     std::vector<domain_drains> announced;
     std::vector<std::string> not_ready_reasons;
-    std::shared_ptr<runtime::task_lifecycle> server_life = make_lifecycle("store");
     std::shared_ptr<runtime::task_lifecycle> catalog_life = make_lifecycle("catalog");
-    std::shared_ptr<runtime::task> server;
+    std::unique_ptr<loop_server> server;
     std::shared_ptr<runtime::mailbox<catalog_message>> catalog_inbox =
         runtime::make_mailbox<catalog_message>(loop.executor(), 100);
     std::shared_ptr<catalog> subject;
 
     explicit catalog_fixture(milliseconds renewal = short_heartbeat) : heartbeat{renewal} {
-        http::endpoint address;
-        http::server_options options;
-        options.listen = {"127.0.0.1", 0};
-        options.on_listening = [&](const http::endpoint& bound) { address = bound; };
-        const auto listener = http::make_server(
-            "store", options, [this](const http::request& message, const http::responder& reply) {
+        server = std::make_unique<loop_server>(
+            loop, [this](const http::request& message, const http::responder& reply) {
                 requested_paths.push_back(message.target);
                 if (std::find(unanswered_paths.begin(), unanswered_paths.end(), message.target) ==
                     unanswered_paths.end()) {
@@ -70,24 +64,20 @@
                 }
                 return http::disconnect_hook{};
             });
-        server = listener.make(loop.context(server_life));
-        server_life->instance = server;
-        server->start();
-        BOOST_REQUIRE(loop.run_until([&] { return address.port != 0; }));
         table_watch_limits limits;
         limits.wait = common::duration::zero();
         limits.batch_interval = milliseconds{20};
-        subject = std::make_shared<catalog>(loop.context(catalog_life), catalog_inbox, address,
-                                            std::make_shared<const adapter>(make_adapter()),
-                                            gateway_record{own_name, "10.0.0.1:1", 7}, make_hooks(),
-                                            limits, heartbeat);
+        subject = std::make_shared<catalog>(
+            loop.context(catalog_life), catalog_inbox, server->address(),
+            std::make_shared<const adapter>(make_adapter()),
+            gateway_record{own_name, "10.0.0.1:1", 7}, make_hooks(), limits, heartbeat);
         catalog_life->instance = subject;
     }
     catalog_fixture(const catalog_fixture&) = delete;
     catalog_fixture& operator=(const catalog_fixture&) = delete;
 
     ~catalog_fixture() {
-        catalog_life->running = server_life->running = false;
+        catalog_life->running = false;
         subject->close();
         server->close();
         loop.run_ready();
--- a/tests/unit/gateway/store/hedged_call_test.cpp
+++ b/tests/unit/gateway/store/hedged_call_test.cpp
@@ -5,8 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "http/server.h"
-#include "support/event_loop.h"
+#include "support/loop_server.h"
 
 namespace jujubemast::tests {
 
@@ -20,31 +19,22 @@
     static constexpr milliseconds timeout{2000};
 
     event_loop loop;
-    http::endpoint address;
     /// The attempts that the server has received.
     std::vector<http::responder> received;
     std::vector<http::call_result> results;
     common::time_point answered_sent;
-    std::shared_ptr<runtime::task_lifecycle> server_life = make_lifecycle("server");
     std::shared_ptr<runtime::task_lifecycle> client_life = make_lifecycle("client");
-    std::shared_ptr<runtime::task> server;
+    std::unique_ptr<loop_server> server;
     std::unique_ptr<http::client> client;
     std::unique_ptr<hedged_call> call;
 
     hedged_call_fixture() {
-        http::server_options options;
-        options.listen = {"127.0.0.1", 0};
-        options.on_listening = [&](const http::endpoint& bound) { address = bound; };
-        const auto listener = http::make_server(
-            "server", options, [this](const http::request&, const http::responder& reply) {
+        server = std::make_unique<loop_server>(
+            loop, [this](const http::request&, const http::responder& reply) {
                 received.push_back(reply);
                 return http::disconnect_hook{};
             });
-        server = listener.make(loop.context(server_life));
-        server_life->instance = server;
-        server->start();
-        BOOST_REQUIRE(loop.run_until([&] { return address.port != 0; }));
-        client = std::make_unique<http::client>(loop.context(client_life), address);
+        client = std::make_unique<http::client>(loop.context(client_life), server->address());
         call = std::make_unique<hedged_call>(loop.context(client_life), *client);
     }
     hedged_call_fixture(const hedged_call_fixture&) = delete;
@@ -53,7 +43,7 @@
     ~hedged_call_fixture() {
         call.reset();
         client->close();
-        client_life->running = server_life->running = false;
+        client_life->running = false;
         server->close();
         loop.run_ready();
     }
--- a/tests/unit/gateway/store/stream_registry_test.cpp
+++ b/tests/unit/gateway/store/stream_registry_test.cpp
@@ -5,8 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "adapter.h"
-#include "http/server.h"
-#include "support/event_loop.h"
+#include "support/loop_server.h"
 #include "support/users_store.h"
 
 namespace jujubemast::tests {
@@ -31,21 +30,16 @@
     static constexpr std::size_t capacity = 100;
 
     event_loop loop;
-    http::endpoint address;
     users_store store{loop.executor()};
-    std::shared_ptr<runtime::task_lifecycle> server_life = make_lifecycle("store");
-    std::shared_ptr<runtime::task> server;
+    std::unique_ptr<loop_server> server;
     registry_of_gateway a;
     registry_of_gateway b;
     /// The store rejects all writes.
     bool rejects_writes = false;
 
     stream_registry_fixture() {
-        http::server_options options;
-        options.listen = {"127.0.0.1", 0};
-        options.on_listening = [&](const http::endpoint& bound) { address = bound; };
-        const auto listener = http::make_server(
-            "store", options, [this](const http::request& message, const http::responder& reply) {
+        server = std::make_unique<loop_server>(
+            loop, [this](const http::request& message, const http::responder& reply) {
                 if (rejects_writes && message.target == "/rows-tx") {
                     reply.respond({429, {}, ""});
                 } else {
@@ -53,10 +47,6 @@
                 }
                 return http::disconnect_hook{};
             });
-        server = listener.make(loop.context(server_life));
-        server_life->instance = server;
-        server->start();
-        BOOST_REQUIRE(loop.run_until([&] { return address.port != 0; }));
         start(a);
         start(b);
     }
@@ -68,7 +58,6 @@
             it->life->running = false;
             it->task->close();
         }
-        server_life->running = false;
         server->close();
         loop.run_ready();
     }
@@ -87,7 +76,7 @@
         });
         gateway.task = std::make_shared<stream_registry>(
             loop.context(gateway.life), gateway.inbox,
-            runtime::address<forwarder_message>{gateway.forwarder}, address,
+            runtime::address<forwarder_message>{gateway.forwarder}, server->address(),
             std::make_shared<const adapter>(users_platform::make_adapter()),
             common::system_random());
         gateway.life->instance = gateway.task;
--- a/tests/unit/gateway/store/stream_writer_test.cpp
+++ b/tests/unit/gateway/store/stream_writer_test.cpp
@@ -4,8 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "adapter.h"
-#include "http/server.h"
-#include "support/event_loop.h"
+#include "support/loop_server.h"
 #include "support/users_store.h"
 
 namespace jujubemast::tests {
@@ -17,14 +16,12 @@
 /// A writer whose rows are kept for a short time, and its store.
 struct stream_writer_fixture {
     event_loop loop;
-    http::endpoint address;
     users_store store{loop.executor()};
     bool rejects_writes = false;
     /// Number of removals of rows that the store has got.
     std::size_t removals = 0;
-    std::shared_ptr<runtime::task_lifecycle> server_life = make_lifecycle("store");
     std::shared_ptr<runtime::task_lifecycle> life = make_lifecycle("streams");
-    std::shared_ptr<runtime::task> server;
+    std::unique_ptr<loop_server> server;
     std::shared_ptr<const adapter> platform =
         std::make_shared<const adapter>(users_platform::make_adapter());
     std::unique_ptr<store_session> session;
@@ -32,11 +29,8 @@
     std::size_t recorded = 0;
 
     stream_writer_fixture() {
-        http::server_options options;
-        options.listen = {"127.0.0.1", 0};
-        options.on_listening = [&](const http::endpoint& bound) { address = bound; };
-        const auto listener = http::make_server(
-            "store", options, [this](const http::request& message, const http::responder& reply) {
+        server = std::make_unique<loop_server>(
+            loop, [this](const http::request& message, const http::responder& reply) {
                 removals += boost::json::parse(message.body).at("remove").as_array().size();
                 if (rejects_writes) {
                     reply.respond({429, {}, ""});
@@ -45,11 +39,7 @@
                 }
                 return http::disconnect_hook{};
             });
-        server = listener.make(loop.context(server_life));
-        server_life->instance = server;
-        server->start();
-        BOOST_REQUIRE(loop.run_until([&] { return address.port != 0; }));
-        session = std::make_unique<store_session>(loop.context(life), address, platform);
+        session = std::make_unique<store_session>(loop.context(life), server->address(), platform);
         subject = std::make_unique<stream_writer>(
             loop.context(life), *session, platform,
             stream_writer_limits{milliseconds{3000}, milliseconds{300}});
@@ -60,7 +50,7 @@
     ~stream_writer_fixture() {
         subject->close();
         session->close();
-        life->running = server_life->running = false;
+        life->running = false;
         server->close();
         loop.run_ready();
     }
--- a/tests/unit/gateway/store/table_watch_fixture.h
+++ b/tests/unit/gateway/store/table_watch_fixture.h
@@ -8,8 +8,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "gateway/store/table_watch.h"
-#include "http/server.h"
-#include "support/event_loop.h"
+#include "support/loop_server.h"
 
 namespace jujubemast::tests {
 
@@ -40,7 +39,6 @@
     static constexpr milliseconds heartbeat{1200};
 
     event_loop loop;
-    http::endpoint address;
     std::vector<store_call> calls;
     /// Responds to a call. Empty for a store that loses every call.
     std::function<void(const store_call&)> respond = respond_at_once;
@@ -60,29 +58,21 @@
     /// The eras that the watch has reported.
     std::vector<std::uint64_t> eras;
     std::vector<store_row> stored_rows;
-    std::shared_ptr<runtime::task_lifecycle> server_life = make_lifecycle("store");
     std::shared_ptr<runtime::task_lifecycle> client_life = make_lifecycle("catalog");
-    std::shared_ptr<runtime::task> server;
+    std::unique_ptr<loop_server> server;
     std::unique_ptr<http::client> client;
     std::unique_ptr<table_watch> watch;
 
     table_watch_fixture() {
-        http::server_options options;
-        options.listen = {"127.0.0.1", 0};
-        options.on_listening = [&](const http::endpoint& bound) { address = bound; };
-        const auto listener = http::make_server(
-            "store", options, [this](const http::request& message, const http::responder& reply) {
+        server = std::make_unique<loop_server>(
+            loop, [this](const http::request& message, const http::responder& reply) {
                 calls.push_back({message.target, common::monotonic_clock::now(), reply});
                 if (respond) {
                     respond(calls.back());
                 }
                 return http::disconnect_hook{};
             });
-        server = listener.make(loop.context(server_life));
-        server_life->instance = server;
-        server->start();
-        BOOST_REQUIRE(loop.run_until([&] { return address.port != 0; }));
-        client = std::make_unique<http::client>(loop.context(client_life), address);
+        client = std::make_unique<http::client>(loop.context(client_life), server->address());
         watch = make_watch();
         watch->begin();
     }
@@ -92,7 +82,7 @@
     ~table_watch_fixture() {
         watch->cancel();
         client->close();
-        client_life->running = server_life->running = false;
+        client_life->running = false;
         server->close();
         loop.run_ready();
     }
--- a/tests/unit/gateway/store/table_watch_test.cpp
+++ b/tests/unit/gateway/store/table_watch_test.cpp
@@ -136,7 +136,7 @@
     watch->cancel();
     calls.clear();
     client->close();
-    client = std::make_unique<http::client>(loop.context(client_life), address);
+    client = std::make_unique<http::client>(loop.context(client_life), server->address());
     watch = make_watch();
     watch->begin();
     wait_for_calls(4);
