--- a/tests/support/loop_server.h
+++ b/tests/support/loop_server.h
@@ -12,6 +12,7 @@
 public:
     /// Returns when the server listens.
     loop_server(event_loop& loop, http::handler handler);
+    ~loop_server() = default;
     loop_server(const loop_server&) = delete;
     loop_server& operator=(const loop_server&) = delete;
 
